--- /dev/null
+++ b/Source/Core/Common/EventLoop.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <memory>
+
+#include <glib.h>
+
+/// A GLib timer that ends with its owner.
+class loop_timer
+{
+public:
+  using callback = std::function<void()>;
+
+  loop_timer() = default;
+  ~loop_timer() { Cancel(); }
+  loop_timer(const loop_timer&) = delete;
+  loop_timer& operator=(const loop_timer&) = delete;
+
+  /// Calls back every `aPeriod` until cancelled.
+  void Every(std::chrono::milliseconds aPeriod, callback aCallback);
+  /// Calls back once after `aDelay`, unless cancelled before.
+  void Once(std::chrono::milliseconds aDelay, callback aCallback);
+  void Cancel();
+  bool Active() const { return mSource != 0; }
+
+private:
+  void Start(std::chrono::milliseconds aPeriod, GSourceFunc aFunction);
+
+  callback mCallback;
+  guint mSource = 0;
+};
+
+/// The one loop of the process.
+class event_loop
+{
+public:
+  event_loop();
+  ~event_loop();
+  event_loop(const event_loop&) = delete;
+  event_loop& operator=(const event_loop&) = delete;
+
+  /// Runs until `Quit`.
+  void Run();
+  void Quit();
+  /// Runs until the condition holds or the time is over; tells which. For
+  /// tests and commands that wait for one answer.
+  bool RunUntil(const std::function<bool()>& aCondition,
+                std::chrono::milliseconds aLimit);
+
+private:
+  GMainLoop* mLoop;
+};
--- /dev/null
+++ b/Source/Core/Common/Hash.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <cstdint>
+#include <initializer_list>
+#include <string_view>
+
+#include "Common/Identity.h"
+
+/// Hashes that are the same on every node and in every version (xxHash).
+
+/// 64-bit hash of a text.
+std::uint64_t StableHash(std::string_view aText, std::uint64_t aSeed = 0);
+
+/// Rendezvous weight of a candidate for a key: the candidates with the
+/// highest weights are chosen.
+std::uint64_t RendezvousWeight(std::string_view aKey,
+                               std::string_view aCandidate);
+
+/// Identity of a request from its client account and idempotency key.
+request_id MakeRequestId(const account_id& aAccount,
+                         std::string_view aIdempotencyKey);
+
+/// Fingerprint of a request's content.
+content_id MakeContentId(const account_id& aAccount, std::string_view aContent);
--- /dev/null
+++ b/Source/Core/Common/Identity.h
@@ -0,0 +1,135 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+/// Typed identities, so that an account cannot be passed where a node is
+/// meant.
+
+/// A name of one kind; `Tag` tells the kinds apart.
+template<class Tag>
+struct named_id
+{
+  std::string mName;
+  auto operator<=>(const named_id&) const = default;
+};
+
+using account_id = named_id<struct account_tag>;
+using budget_id = named_id<struct budget_tag>;
+using node_id = named_id<struct node_tag>;
+using upstream_id = named_id<struct upstream_tag>;
+using model_id = named_id<struct model_tag>;
+using zone_id = named_id<struct zone_tag>;
+using region_id = named_id<struct region_tag>;
+using service_id = named_id<struct service_tag>;
+
+/// 128-bit identity; `Tag` tells the kinds apart.
+template<class Tag>
+struct wide_id
+{
+  std::uint64_t mHigh = 0;
+  std::uint64_t mLow = 0;
+  auto operator<=>(const wide_id&) const = default;
+};
+
+/// Identity of a caller's request: the same for every retry of it.
+using request_id = wide_id<struct request_tag>;
+/// Client-chosen identity of a table transaction; committing the same one
+/// twice has the effect of once.
+using transaction_id = wide_id<struct transaction_tag>;
+/// Fingerprint of a request's content, equal for equal prompts.
+using content_id = wide_id<struct content_tag>;
+
+/// One run of a node process. A restarted process has a higher incarnation.
+struct holder_id
+{
+  node_id mNode;
+  std::uint64_t mIncarnation = 0;
+  auto operator<=>(const holder_id&) const = default;
+};
+
+/// Importance of a request, most important first.
+enum class work_rank : std::uint8_t
+{
+  Urgent,
+  Routine,
+  Background,
+};
+
+inline constexpr std::size_t kWorkRanks = 3;
+
+/// Name of a rank as written in requests, settings and metrics.
+std::string_view WorkRankName(work_rank aRank);
+
+/// Rank of a name, nothing for an unknown name.
+std::optional<work_rank> ParseWorkRank(std::string_view aName);
+
+/// What a refusal says about the request: whether it ran at the upstream.
+enum class run_state : std::uint8_t
+{
+  NotRun,
+  Unknown,
+  Ran,
+};
+
+/// Name of a run state as written in error bodies.
+std::string_view RunStateName(run_state aState);
+
+/// Text forms used in rows, logs and messages.
+std::string FormatHolder(const holder_id& aHolder);
+
+/// Reads the text form of `FormatHolder`, nothing when it is malformed.
+std::optional<holder_id> ParseHolder(std::string_view aText);
+
+/// 32 lower-case hexadecimal digits.
+std::string FormatHex(std::uint64_t aHigh, std::uint64_t aLow);
+
+template<class Tag>
+std::string FormatWide(const wide_id<Tag>& aId)
+{
+  return FormatHex(aId.mHigh, aId.mLow);
+}
+
+/// Reads 32 hexadecimal digits into high and low words.
+bool ParseHex(std::string_view aText,
+              std::uint64_t& aHigh,
+              std::uint64_t& aLow);
+
+template<class Tag>
+std::optional<wide_id<Tag>> ParseWide(std::string_view aText)
+{
+  wide_id<Tag> id;
+  if (!ParseHex(aText, id.mHigh, id.mLow)) {
+    return std::nullopt;
+  }
+  return id;
+}
+
+template<class Tag>
+struct std::hash<named_id<Tag>>
+{
+  std::size_t operator()(const named_id<Tag>& aId) const
+  {
+    return std::hash<std::string>()(aId.mName);
+  }
+};
+
+template<class Tag>
+struct std::hash<wide_id<Tag>>
+{
+  // The identities are hashes or random already, so one word is enough.
+  std::size_t operator()(const wide_id<Tag>& aId) const { return aId.mLow; }
+};
+
+template<>
+struct std::hash<holder_id>
+{
+  std::size_t operator()(const holder_id& aId) const
+  {
+    return std::hash<node_id>()(aId.mNode) ^ aId.mIncarnation;
+  }
+};
--- /dev/null
+++ b/Source/Core/Common/JsonText.cpp
@@ -0,0 +1,253 @@
+#include "Common/JsonText.h"
+
+#include <vector>
+
+#include <fmt/format.h>
+
+namespace {
+
+using json = nlohmann::json;
+
+// Deeper documents are refused, so that recursive checks stay within the stack.
+constexpr std::size_t kMaxDepth = 64;
+
+std::string EscapePointer(std::string_view aKey)
+{
+  std::string escaped;
+  for (const char character : aKey) {
+    if (character == '~') {
+      escaped.append("~0");
+    } else if (character == '/') {
+      escaped.append("~1");
+    } else {
+      escaped.push_back(character);
+    }
+  }
+  return escaped;
+}
+
+/// Builds the value from parser events and notes the line of each value. The
+/// reader's position is taken from the iterator that the parser advances.
+class line_builder final : public nlohmann::json_sax<json>
+{
+public:
+  line_builder(json_text& aText, const int& aLine)
+    : mText(aText)
+    , mLine(aLine)
+  {
+  }
+
+  bool null() override { return Add(nullptr); }
+  bool boolean(bool aValue) override { return Add(aValue); }
+  bool number_integer(number_integer_t aValue) override { return Add(aValue); }
+  bool number_unsigned(number_unsigned_t aValue) override
+  {
+    return Add(aValue);
+  }
+  bool number_float(number_float_t aValue, const string_t&) override
+  {
+    return Add(aValue);
+  }
+  bool string(string_t& aValue) override { return Add(std::move(aValue)); }
+  bool binary(binary_t&) override { return false; }
+  bool start_object(std::size_t) override { return Open(json::object()); }
+  bool start_array(std::size_t) override { return Open(json::array()); }
+  bool end_object() override { return CloseContainer(); }
+  bool end_array() override { return CloseContainer(); }
+
+  bool key(string_t& aKey) override
+  {
+    container& top = mStack.back();
+    top.mKey = aKey;
+    if (top.mValue->contains(aKey)) {
+      return Fail(ChildPointer(), fmt::format("duplicate key \"{}\"", aKey));
+    }
+    return true;
+  }
+
+  bool parse_error(std::size_t,
+                   const std::string& aToken,
+                   const nlohmann::detail::exception&) override
+  {
+    mError = { mText.mSource,
+               mLine,
+               mStack.empty() ? std::string() : mStack.back().mPointer,
+               fmt::format("syntax error near \"{}\"", aToken) };
+    return false;
+  }
+
+  const json_error& Error() const { return mError; }
+
+private:
+  struct container
+  {
+    json* mValue;
+    std::string mPointer;
+    std::string mKey;
+  };
+
+  std::string ChildPointer() const
+  {
+    if (mStack.empty()) {
+      return {};
+    }
+    const container& top = mStack.back();
+    if (top.mValue->is_array()) {
+      return fmt::format("{}/{}", top.mPointer, top.mValue->size());
+    }
+    return fmt::format("{}/{}", top.mPointer, EscapePointer(top.mKey));
+  }
+
+  json* Attach(json aValue)
+  {
+    if (mStack.empty()) {
+      mText.mValue = std::move(aValue);
+      return &mText.mValue;
+    }
+    json& parent = *mStack.back().mValue;
+    if (parent.is_array()) {
+      parent.push_back(std::move(aValue));
+      return &parent.back();
+    }
+    json& slot = parent[mStack.back().mKey];
+    slot = std::move(aValue);
+    return &slot;
+  }
+
+  bool Add(json aValue)
+  {
+    mText.mLines[ChildPointer()] = mLine;
+    Attach(std::move(aValue));
+    return true;
+  }
+
+  bool Open(json aValue)
+  {
+    const std::string pointer = ChildPointer();
+    if (mStack.size() >= kMaxDepth) {
+      return Fail(pointer, fmt::format("nested deeper than {}", kMaxDepth));
+    }
+    mText.mLines[pointer] = mLine;
+    // Pointers into a parent array stay valid while a child is open, because
+    // the parent grows only after the child is closed.
+    mStack.push_back({ Attach(std::move(aValue)), pointer, {} });
+    return true;
+  }
+
+  bool CloseContainer()
+  {
+    mStack.pop_back();
+    return true;
+  }
+
+  bool Fail(std::string aPointer, std::string aMessage)
+  {
+    mError = { mText.mSource, mLine, std::move(aPointer), std::move(aMessage) };
+    return false;
+  }
+
+  json_text& mText;
+  const int& mLine;
+  std::vector<container> mStack;
+  json_error mError;
+};
+
+/// Input iterator that counts lines as the parser reads.
+class line_counting_iterator
+{
+public:
+  using iterator_category = std::input_iterator_tag;
+  using value_type = char;
+  using difference_type = std::ptrdiff_t;
+  using pointer = const char*;
+  using reference = const char&;
+
+  line_counting_iterator(const char* aPosition, int* aLine)
+    : mPosition(aPosition)
+    , mLine(aLine)
+  {
+  }
+
+  reference operator*() const { return *mPosition; }
+  line_counting_iterator& operator++()
+  {
+    if (*mPosition == '\n') {
+      ++*mLine;
+    }
+    ++mPosition;
+    return *this;
+  }
+  line_counting_iterator operator++(int)
+  {
+    line_counting_iterator before = *this;
+    ++*this;
+    return before;
+  }
+  bool operator==(const line_counting_iterator& aOther) const
+  {
+    return mPosition == aOther.mPosition;
+  }
+  bool operator!=(const line_counting_iterator& aOther) const
+  {
+    return mPosition != aOther.mPosition;
+  }
+
+private:
+  const char* mPosition;
+  int* mLine;
+};
+
+} // namespace
+
+std::string FormatJsonError(const json_error& aError)
+{
+  std::string text = aError.mSource;
+  if (aError.mLine > 0) {
+    text += fmt::format(":{}", aError.mLine);
+  }
+  if (!aError.mPointer.empty()) {
+    text += fmt::format(": {}", aError.mPointer);
+  }
+  return text + ": " + aError.mMessage;
+}
+
+int json_text::LineOf(std::string_view aPointer) const
+{
+  std::string pointer(aPointer);
+  while (true) {
+    const auto found = mLines.find(pointer);
+    if (found != mLines.end()) {
+      return found->second;
+    }
+    const std::size_t slash = pointer.rfind('/');
+    if (slash == std::string::npos) {
+      return 0;
+    }
+    pointer.resize(slash);
+  }
+}
+
+json_error json_text::ErrorAt(std::string_view aPointer,
+                              std::string aMessage) const
+{
+  return {
+    mSource, LineOf(aPointer), std::string(aPointer), std::move(aMessage)
+  };
+}
+
+result<json_text, json_error> ParseJsonText(std::string_view aText,
+                                            std::string_view aSource)
+{
+  json_text text{ std::string(aSource), {}, {} };
+  int line = 1;
+  line_builder builder(text, line);
+  const char* begin = aText.data();
+  const line_counting_iterator first(begin, &line);
+  const line_counting_iterator last(begin + aText.size(), &line);
+  const bool parsed = json::sax_parse(
+    first, last, &builder, nlohmann::detail::input_format_t::json, true, true);
+  if (!parsed) {
+    return builder.Error();
+  }
+  return text;
+}
--- /dev/null
+++ b/Source/Core/Common/Log.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+#include <fmt/format.h>
+
+/// One `key=value` pair of a log line.
+struct log_field
+{
+  std::string_view mKey;
+  std::string mValue;
+};
+
+enum class log_level
+{
+  Info,
+  Warning,
+  Error,
+};
+
+/// Writes one line to standard error: time, level, event, then the fields.
+/// Values with blanks or quotes are quoted. For changes of state only;
+/// whatever happens per request is a counter.
+void Log(log_level aLevel,
+         std::string_view aEvent,
+         std::initializer_list<log_field> aFields = {});
+
+/// Formats any value that fmt can format as a field.
+template<class T>
+log_field Field(std::string_view aKey, const T& aValue)
+{
+  return { aKey, fmt::format("{}", aValue) };
+}
--- /dev/null
+++ b/Source/Core/Platform/HostList.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "Common/Result.h"
+
+enum class host_state : std::uint8_t
+{
+  Live,
+  Leaving,
+};
+
+/// What runs on a host.
+enum class host_role : std::uint8_t
+{
+  Node,
+  Engine,
+  Service,
+};
+
+/// One host of the platform's list. The list lags behind reality.
+struct host_entry
+{
+  std::string mName;
+  host_role mRole = host_role::Node;
+  host_state mState = host_state::Live;
+  std::string mZone;
+  std::string mRegion;
+  /// `IP:port` of the host's HTTP interface.
+  std::string mAddress;
+  /// `IP:port` for messages between nodes; empty for other roles.
+  std::string mPeerAddress;
+  /// Service name of a plain service's host; empty for other roles.
+  std::string mService;
+  auto operator<=>(const host_entry&) const = default;
+};
+
+/// A version of the whole list.
+struct host_listing
+{
+  std::uint64_t mVersion = 0;
+  std::vector<host_entry> mHosts;
+  auto operator<=>(const host_listing&) const = default;
+};
+
+enum class host_list_error : std::uint8_t
+{
+  Unavailable,
+  /// The caller's version is still the current one.
+  NotModified,
+  Timeout,
+  Malformed,
+};
+
+/// The platform's list of live and leaving hosts.
+class host_list
+{
+public:
+  using callback = std::function<void(result<host_listing, host_list_error>)>;
+
+  virtual ~host_list() = default;
+  /// Gives the list unless its version is still `aKnownVersion` (0: always).
+  virtual void Fetch(std::uint64_t aKnownVersion, callback aReply) = 0;
+};
--- /dev/null
+++ b/Source/UnitTests/Common/JsonTextTest.cpp
@@ -0,0 +1,40 @@
+#include "Common/JsonText.h"
+
+#include <gtest/gtest.h>
+
+// Guards against errors that name the wrong line of an operator's file.
+TEST(JsonText, RemembersLinesAndAcceptsComments)
+{
+  const auto text = ParseJsonText("// head\n{\n  \"a\": 1, /* x */\n"
+                                  "  \"b\": [true,\n    {\"c\": null}]\n}\n",
+                                  "file");
+  ASSERT_TRUE(text.has_value());
+  EXPECT_EQ(text.value().LineOf("/a"), 3);
+  EXPECT_EQ(text.value().LineOf("/b/1/c"), 5);
+  EXPECT_EQ(text.value().LineOf("/b/1/missing"), 5);
+  EXPECT_EQ(text.value().mValue["a"], 1);
+}
+
+// Guards against a second value silently replacing the first.
+TEST(JsonText, RefusesDuplicateKeys)
+{
+  const auto text = ParseJsonText("{\"a\": 1,\n\"a\": 2}", "file");
+  ASSERT_TRUE(text.has_error());
+  EXPECT_EQ(FormatJsonError(text.error()), "file:2: /a: duplicate key \"a\"");
+}
+
+// Guards against stack exhaustion by deeply nested input.
+TEST(JsonText, RefusesDeepNesting)
+{
+  const std::string deep(100000, '[');
+  const auto text = ParseJsonText(deep, "file");
+  ASSERT_TRUE(text.has_error());
+  EXPECT_NE(text.error().mMessage.find("nested"), std::string::npos);
+}
+
+TEST(JsonText, NamesTheLineOfASyntaxError)
+{
+  const auto text = ParseJsonText("{\n\n\"a\": }", "file");
+  ASSERT_TRUE(text.has_error());
+  EXPECT_EQ(text.error().mLine, 3);
+}
