--- a/Source/Core/Dispatch/DispatchSettings.h
+++ b/Source/Core/Dispatch/DispatchSettings.h
@@ -54,9 +54,8 @@
   /// Wait before a suspect is tried again, longer than a notice needs to reach
   /// every node.
   std::chrono::milliseconds mSettlePeriod{ 500 };
-  /// How long nodes other than the one that saw the crash do not try the
-  /// suspect.
-  std::chrono::milliseconds mHoldPeriod{ 30'000 };
+  /// How long the other nodes wait for the node that tries a suspect again.
+  std::chrono::milliseconds mHoldPeriod{ 10'000 };
   /// Crash reports of one upstream within this period are one crash.
   std::chrono::milliseconds mSameCrashPeriod{ 10'000 };
   /// Bound of the remembered contents.
@@ -86,6 +85,16 @@
   /// Nodes that use an upstream at the same time. Free room seen in a lagging
   /// report is divided between them.
   std::uint32_t mSharingNodes = 1;
+  /// Cost of a prompt token in output tokens. Prompts are computed in parallel
+  /// and occupy an upstream for less time per token.
+  double mPromptTokenCost = 0.1;
+  /// Share of a request's time to its target that it may be expected to wait
+  /// when it arrives; above that it is rejected at once.
+  double mMaxExpectedWait = 0.7;
+  /// Part of the first-token target that the upstream needs after the start.
+  std::chrono::milliseconds mStartMargin{ 100 };
+  /// Entries of the prefix index, over all upstreams.
+  std::uint32_t mMaxPrefixEntries = 200'000;
   /// Retries per started request, as a ratio.
   double mRetryRatio = 0.1;
   /// Retries that may be saved up.
--- a/Source/Core/Dispatch/DispatchStatus.h
+++ b/Source/Core/Dispatch/DispatchStatus.h
@@ -28,7 +28,7 @@
 {
   std::array<class_counters, kServiceClasses> mClasses;
   /// Rejections by `reject_reason`.
-  std::array<std::uint64_t, 9> mRejects{};
+  std::array<std::uint64_t, kRejectReasons> mRejects{};
   std::uint64_t mRetries = 0;
   std::uint64_t mRetriesDenied = 0;
   std::uint64_t mDisplaced = 0;
--- a/Source/Core/Dispatch/DispatchTypes.h
+++ b/Source/Core/Dispatch/DispatchTypes.h
@@ -74,6 +74,8 @@
   Duplicate,
 };
 
+inline constexpr std::size_t kRejectReasons = 9;
+
 /// Name of a reason as written in error bodies and metrics.
 std::string_view RejectReasonName(reject_reason aReason);
 
@@ -95,6 +97,8 @@
   /// A free-tier stream makes room for paid work. A `reject_decision` goes with
   /// it.
   Displaced,
+  /// The content is quarantined. A `reject_decision` goes with it.
+  Quarantined,
 };
 
 /// Cancel the running attempt at the upstream. No `OnFinished` is expected for
@@ -195,10 +199,12 @@
   quarantine_state mState = quarantine_state::Suspect;
   /// The upstream that crashed; empty for `Cleared`.
   upstream_id mUpstream;
-  /// The node that saw it, and that alone tries a suspect again at first.
+  /// The sender.
   node_id mNode;
   /// Crashes that the sender knows of.
   std::uint32_t mCrashes = 0;
+  /// The sender is going to try the suspect again; others hold it meanwhile.
+  bool mRetrying = false;
   auto operator<=>(const quarantine_notice&) const = default;
 };
 
--- /dev/null
+++ b/Source/Core/Dispatch/FairQueue.cpp
@@ -0,0 +1,183 @@
+#include "Dispatch/FairQueue.h"
+
+#include <algorithm>
+
+namespace {
+
+// A shorter window makes the estimated wait jump with single long requests.
+constexpr std::chrono::milliseconds kRateWindow{ 500 };
+constexpr double kRateMemory = 0.5;
+constexpr std::size_t kMinKeptAccounts = 64;
+
+double Seconds(std::chrono::microseconds aPeriod)
+{
+  return std::chrono::duration<double>(aPeriod).count();
+}
+
+} // namespace
+
+void fair_queue::Push(const queued_request& aRequest,
+                      double aWeight,
+                      time_point aNow)
+{
+  if (mSize == 0) {
+    // The rate is only meaningful while requests wait without interruption.
+    mRate = 0.0;
+    mRateFrom = aNow;
+    mRateFromVirtual = mVirtualTime;
+  }
+  account_queue& queue = mAccounts[aRequest.mAccount];
+  Unlink(aRequest.mAccount, queue);
+  if (queue.mWaiting.empty()) {
+    queue.mHeadTag = std::max(queue.mHeadTag, mVirtualTime);
+  }
+  queue.mWeight = aWeight;
+  queue.mWaiting.push_back(aRequest);
+  queue.mWaitingCost += aRequest.mCost;
+  Link(aRequest.mAccount, queue);
+  ++mSize;
+}
+
+std::optional<queued_request> fair_queue::Front() const
+{
+  if (mHeads.empty()) {
+    return std::nullopt;
+  }
+  return mAccounts.at(mHeads.begin()->second).mWaiting.front();
+}
+
+void fair_queue::PopFront(time_point aNow)
+{
+  const std::uint32_t account = mHeads.begin()->second;
+  account_queue& queue = mAccounts.at(account);
+  Unlink(account, queue);
+  const double cost = queue.mWaiting.front().mCost;
+  mVirtualTime = std::max(mVirtualTime, queue.mHeadTag);
+  queue.mHeadTag += cost / queue.mWeight;
+  queue.mWaitingCost -= cost;
+  queue.mWaiting.pop_front();
+  Link(account, queue);
+  --mSize;
+  MeasureRate(aNow);
+  ForgetIdle();
+}
+
+std::optional<queued_request> fair_queue::Last() const
+{
+  if (mTails.empty()) {
+    return std::nullopt;
+  }
+  return mAccounts.at(mTails.rbegin()->second).mWaiting.back();
+}
+
+bool fair_queue::Remove(const request_id& aRequest, std::uint32_t aAccount)
+{
+  const auto found = mAccounts.find(aAccount);
+  if (found == mAccounts.end()) {
+    return false;
+  }
+  account_queue& queue = found->second;
+  const auto same = [&](const queued_request& aWaiting) {
+    return aWaiting.mRequest == aRequest;
+  };
+  // The last one is removed when the queue is full, the first ones when they
+  // are too late, so both ends are tried before the search.
+  auto position = queue.mWaiting.end();
+  if (!queue.mWaiting.empty() && same(queue.mWaiting.back())) {
+    position = std::prev(queue.mWaiting.end());
+  } else {
+    position = std::find_if(queue.mWaiting.begin(), queue.mWaiting.end(), same);
+  }
+  if (position == queue.mWaiting.end()) {
+    return false;
+  }
+  Unlink(aAccount, queue);
+  queue.mWaitingCost -= position->mCost;
+  queue.mWaiting.erase(position);
+  Link(aAccount, queue);
+  --mSize;
+  return true;
+}
+
+void fair_queue::Charge(std::uint32_t aAccount, double aTokens)
+{
+  const auto found = mAccounts.find(aAccount);
+  if (found == mAccounts.end()) {
+    return;
+  }
+  account_queue& queue = found->second;
+  Unlink(aAccount, queue);
+  queue.mHeadTag =
+    std::max(mVirtualTime, queue.mHeadTag + aTokens / queue.mWeight);
+  Link(aAccount, queue);
+}
+
+std::optional<std::chrono::microseconds> fair_queue::ExpectedWait(
+  std::uint32_t aAccount,
+  time_point aNow) const
+{
+  if (mSize == 0) {
+    return std::chrono::microseconds(0);
+  }
+  double rate = mRate;
+  const double elapsed = Seconds(aNow - mRateFrom);
+  if (elapsed >= 2 * Seconds(kRateWindow)) {
+    // Nothing was served for two windows: the last rate is too optimistic.
+    rate = std::min(rate, (mVirtualTime - mRateFromVirtual) / elapsed);
+  }
+  const auto found = mAccounts.find(aAccount);
+  if (rate <= 0.0 || found == mAccounts.end()) {
+    return std::nullopt;
+  }
+  const account_queue& queue = found->second;
+  const double cost =
+    queue.mWaiting.empty() ? 0.0 : queue.mWaiting.back().mCost;
+  const double start = queue.TailTag() - cost / queue.mWeight;
+  const double distance = start - mVirtualTime;
+  const double wait = std::max(0.0, distance) / rate;
+  return std::chrono::microseconds(static_cast<std::int64_t>(wait * 1e6));
+}
+
+void fair_queue::Unlink(std::uint32_t aAccount, const account_queue& aQueue)
+{
+  if (!aQueue.mWaiting.empty()) {
+    mHeads.erase({ aQueue.mHeadKey, aAccount });
+    mTails.erase({ aQueue.mTailKey, aAccount });
+  }
+}
+
+void fair_queue::Link(std::uint32_t aAccount, account_queue& aQueue)
+{
+  if (aQueue.mWaiting.empty()) {
+    aQueue.mWaitingCost = 0.0;
+    return;
+  }
+  aQueue.mHeadKey = aQueue.mHeadTag;
+  aQueue.mTailKey = aQueue.TailTag();
+  mHeads.insert({ aQueue.mHeadKey, aAccount });
+  mTails.insert({ aQueue.mTailKey, aAccount });
+}
+
+void fair_queue::MeasureRate(time_point aNow)
+{
+  const auto elapsed = aNow - mRateFrom;
+  if (elapsed < kRateWindow) {
+    return;
+  }
+  const double rate = (mVirtualTime - mRateFromVirtual) / Seconds(elapsed);
+  mRate = mRate > 0.0 ? kRateMemory * mRate + (1.0 - kRateMemory) * rate : rate;
+  mRateFrom = aNow;
+  mRateFromVirtual = mVirtualTime;
+}
+
+void fair_queue::ForgetIdle()
+{
+  if (mAccounts.size() < std::max(kMinKeptAccounts, 2 * mKept)) {
+    return;
+  }
+  std::erase_if(mAccounts, [&](const auto& aEntry) {
+    return aEntry.second.mWaiting.empty() &&
+           aEntry.second.mHeadTag <= mVirtualTime;
+  });
+  mKept = mAccounts.size();
+}
--- /dev/null
+++ b/Source/Core/Dispatch/PrefixIndex.cpp
@@ -0,0 +1,124 @@
+#include "Dispatch/PrefixIndex.h"
+
+#include <algorithm>
+
+namespace {
+
+constexpr double kStaleWeight = 0.5;
+// Odd constant of the golden ratio: spreads upstream numbers over 64 bits.
+constexpr std::uint64_t kSpread = 0x9e3779b97f4a7c15;
+
+std::uint64_t KeyOf(std::uint32_t aUpstream, std::uint64_t aBlock)
+{
+  return aBlock ^ ((aUpstream + 1ULL) * kSpread);
+}
+
+} // namespace
+
+prefix_index::prefix_index(std::size_t aMaxEntries)
+  : mMaxEntries(aMaxEntries)
+{
+}
+
+bool prefix_index::Apply(std::uint32_t aUpstream, const cache_events& aEvents)
+{
+  if (mStreams.size() <= aUpstream) {
+    mStreams.resize(aUpstream + 1);
+  }
+  stream_state& stream = mStreams[aUpstream];
+  if (stream.mSequence != 0 && aEvents.mSequence <= stream.mSequence) {
+    // Late or repeated: newer events already describe the cache.
+    return false;
+  }
+  const bool gap =
+    stream.mSequence != 0 && aEvents.mSequence != stream.mSequence + 1;
+  stream.mSequence = aEvents.mSequence;
+  if (gap) {
+    ++stream.mGeneration;
+  }
+  for (const cache_change& change : aEvents.mChanges) {
+    const std::uint64_t key = KeyOf(aUpstream, change.mBlock);
+    if (change.mAction == cache_action::Stored) {
+      Store(key, stream.mGeneration);
+    } else {
+      mEntries.erase(key);
+    }
+  }
+  return gap;
+}
+
+void prefix_index::Expect(std::uint32_t aUpstream,
+                          const std::vector<std::uint64_t>& aBlocks)
+{
+  if (mStreams.size() <= aUpstream) {
+    mStreams.resize(aUpstream + 1);
+  }
+  for (const std::uint64_t block : aBlocks) {
+    Store(KeyOf(aUpstream, block), mStreams[aUpstream].mGeneration);
+  }
+}
+
+double prefix_index::Match(std::uint32_t aUpstream,
+                           const std::vector<std::uint64_t>& aBlocks) const
+{
+  if (aBlocks.empty() || mStreams.size() <= aUpstream) {
+    return 0.0;
+  }
+  const stream_state& stream = mStreams[aUpstream];
+  // Hashes are chained, so a held block implies the blocks before it: the
+  // length of the held prefix is found by bisection.
+  std::size_t held = 0;
+  std::size_t missing = aBlocks.size() + 1;
+  while (held + 1 < missing) {
+    const std::size_t middle = (held + missing) / 2;
+    if (Find(aUpstream, aBlocks[middle - 1], stream.mFirstValid) != nullptr) {
+      held = middle;
+    } else {
+      missing = middle;
+    }
+  }
+  if (held == 0) {
+    return 0.0;
+  }
+  const entry* last = Find(aUpstream, aBlocks[held - 1], stream.mFirstValid);
+  const double share =
+    static_cast<double>(held) / static_cast<double>(aBlocks.size());
+  return last->mGeneration == stream.mGeneration ? share : share * kStaleWeight;
+}
+
+void prefix_index::Forget(std::uint32_t aUpstream)
+{
+  if (mStreams.size() <= aUpstream) {
+    return;
+  }
+  stream_state& stream = mStreams[aUpstream];
+  stream.mFirstValid = ++stream.mGeneration;
+  stream.mSequence = 0;
+}
+
+void prefix_index::Store(std::uint64_t aKey, std::uint32_t aGeneration)
+{
+  const std::uint64_t order = mNextOrder++;
+  mEntries[aKey] = { aGeneration, order };
+  mAges.emplace_back(order, aKey);
+  // Entries that were stored again are skipped by their order number.
+  while (mEntries.size() > mMaxEntries || mAges.size() > 2 * mMaxEntries) {
+    const auto [oldest, key] = mAges.front();
+    mAges.pop_front();
+    const auto found = mEntries.find(key);
+    if (found != mEntries.end() && found->second.mOrder == oldest) {
+      mEntries.erase(found);
+    }
+  }
+}
+
+const prefix_index::entry* prefix_index::Find(std::uint32_t aUpstream,
+                                              std::uint64_t aBlock,
+                                              std::uint32_t aFirstValid) const
+{
+  const auto found = mEntries.find(KeyOf(aUpstream, aBlock));
+  if (found == mEntries.end() || found->second.mGeneration < aFirstValid) {
+    return nullptr;
+  }
+  return &found->second;
+}
--- /dev/null
+++ b/Source/Core/Dispatch/QuarantineTable.cpp
@@ -0,0 +1,272 @@
+#include "Dispatch/QuarantineTable.h"
+
+#include <algorithm>
+
+namespace {
+
+constexpr std::chrono::seconds kExpiryInterval{ 1 };
+
+} // namespace
+
+void quarantine_table::ApplySettings(const node_id& aNode,
+                                     const quarantine_settings& aSettings)
+{
+  mNode = aNode;
+  mSettings = aSettings;
+}
+
+content_check quarantine_table::Check(const content_id& aContent,
+                                      time_point aNow) const
+{
+  const auto found = mEntries.find(aContent);
+  if (found == mEntries.end() || found->second.mExpires <= aNow) {
+    return {};
+  }
+  const entry& known = found->second;
+  if (known.mState == quarantine_state::Quarantined) {
+    return { content_verdict::Quarantined, known.mExpires };
+  }
+  const bool tried = known.mRetryUntil > aNow;
+  if (tried && known.mRetryNode != mNode) {
+    return { content_verdict::Held, known.mRetryUntil };
+  }
+  return { content_verdict::Suspect, known.mTryAfter };
+}
+
+void quarantine_table::OnCrash(const upstream_id& aUpstream,
+                               const std::vector<content_id>& aInFlight,
+                               time_point aNow)
+{
+  const auto seen = mSeen.find(aUpstream);
+  if (seen != mSeen.end() && aNow - seen->second < mSettings.mSameCrashPeriod) {
+    return;
+  }
+  mSeen[aUpstream] = aNow;
+  std::vector<content_id> suspects;
+  for (const content_id& content : aInFlight) {
+    if (Check(content, aNow).mVerdict != content_verdict::Clear) {
+      suspects.push_back(content);
+    }
+  }
+  const auto explained = mExplained.find(aUpstream);
+  const bool known = explained != mExplained.end() &&
+                     aNow - explained->second < mSettings.mSameCrashPeriod;
+  if (suspects.empty() && known) {
+    return;
+  }
+  const std::vector<content_id>& blamed =
+    suspects.empty() ? aInFlight : suspects;
+  for (const content_id& content : blamed) {
+    entry& found = Touch(content, aNow);
+    if (AddCrash(found, aUpstream, aNow)) {
+      found.mRetryUntil = aNow;
+      Judge(found, 0, aNow);
+      mChanged[content] = aUpstream;
+    }
+  }
+  if (!suspects.empty()) {
+    mExplained[aUpstream] = aNow;
+  }
+}
+
+time_point quarantine_table::BeginRetry(const content_id& aContent,
+                                        time_point aNow)
+{
+  const auto found = mEntries.find(aContent);
+  if (found == mEntries.end()) {
+    return aNow;
+  }
+  entry& known = found->second;
+  known.mRetryNode = mNode;
+  known.mTryAfter = aNow + mSettings.mSettlePeriod;
+  known.mRetryUntil = known.mTryAfter + mSettings.mHoldPeriod;
+  mChanged.try_emplace(aContent, known.mCrashes.back().mUpstream);
+  return known.mTryAfter;
+}
+
+void quarantine_table::EndRetry(const content_id& aContent)
+{
+  const auto found = mEntries.find(aContent);
+  if (found == mEntries.end() || found->second.mRetryNode != mNode) {
+    return;
+  }
+  found->second.mRetryUntil = time_point();
+  mChanged.try_emplace(aContent, found->second.mCrashes.back().mUpstream);
+}
+
+void quarantine_table::OnCompleted(const content_id& aContent)
+{
+  const auto found = mEntries.find(aContent);
+  if (found == mEntries.end() ||
+      found->second.mState != quarantine_state::Suspect) {
+    return;
+  }
+  mEntries.erase(found);
+  mChanged[aContent] = {};
+}
+
+void quarantine_table::OnNotice(const quarantine_notice& aNotice,
+                                time_point aNow)
+{
+  if (aNotice.mState == quarantine_state::Cleared) {
+    const auto found = mEntries.find(aNotice.mContent);
+    if (found != mEntries.end() &&
+        found->second.mState == quarantine_state::Suspect) {
+      mEntries.erase(found);
+    }
+    return;
+  }
+  entry& known = Touch(aNotice.mContent, aNow);
+  AddCrash(known, aNotice.mUpstream, aNow);
+  // A node that tries a suspect itself keeps its own turn.
+  const bool own = known.mRetryNode == mNode && known.mRetryUntil > aNow;
+  if (!own) {
+    known.mRetryNode = aNotice.mNode;
+    known.mTryAfter = aNow + mSettings.mSettlePeriod;
+    known.mRetryUntil =
+      aNotice.mRetrying ? known.mTryAfter + mSettings.mHoldPeriod : aNow;
+  }
+  Judge(known, aNotice.mCrashes, aNow);
+  if (aNotice.mState == quarantine_state::Quarantined) {
+    Judge(known, mSettings.mMaxCrashes, aNow);
+  }
+  if (aNotice.mCrashes > 1) {
+    Explain(aNotice.mContent, aNotice.mUpstream, aNow);
+  }
+}
+
+std::vector<content_id> quarantine_table::TurnsBefore(
+  const content_id& aContent,
+  time_point aNow) const
+{
+  std::vector<content_id> before;
+  for (const auto& [content, known] : mEntries) {
+    if (known.mState == quarantine_state::Suspect && known.mRetryUntil > aNow &&
+        content < aContent) {
+      before.push_back(content);
+    }
+  }
+  return before;
+}
+
+std::vector<quarantine_notice> quarantine_table::TakeNotices()
+{
+  std::vector<quarantine_notice> notices;
+  for (const auto& [content, upstream] : mChanged) {
+    quarantine_notice notice{ content, quarantine_state::Cleared, {}, mNode };
+    const auto found = mEntries.find(content);
+    if (found != mEntries.end()) {
+      const entry& known = found->second;
+      notice.mState = known.mState;
+      notice.mUpstream = upstream;
+      notice.mCrashes = static_cast<std::uint32_t>(known.mCrashes.size());
+      notice.mRetrying =
+        known.mRetryNode == mNode && known.mRetryUntil > known.mTryAfter;
+    }
+    notices.push_back(notice);
+  }
+  mChanged.clear();
+  return notices;
+}
+
+void quarantine_table::Expire(time_point aNow)
+{
+  if (aNow < mNextExpiry) {
+    return;
+  }
+  mNextExpiry = aNow + kExpiryInterval;
+  std::erase_if(mEntries, [&](const auto& aEntry) {
+    return aEntry.second.mExpires <= aNow;
+  });
+  const auto past = [&](const auto& aEntry) {
+    return aNow - aEntry.second >= mSettings.mSameCrashPeriod;
+  };
+  std::erase_if(mExplained, past);
+  std::erase_if(mSeen, past);
+}
+
+std::uint32_t quarantine_table::Count(quarantine_state aState) const
+{
+  return static_cast<std::uint32_t>(
+    std::count_if(mEntries.begin(), mEntries.end(), [&](const auto& aEntry) {
+      return aEntry.second.mState == aState;
+    }));
+}
+
+quarantine_table::entry& quarantine_table::Touch(const content_id& aContent,
+                                                 time_point aNow)
+{
+  if (!mEntries.contains(aContent)) {
+    MakeRoom();
+  }
+  entry& known = mEntries[aContent];
+  if (known.mExpires <= aNow) {
+    known = {};
+    known.mTryAfter = aNow + mSettings.mSettlePeriod;
+  }
+  if (known.mState == quarantine_state::Suspect) {
+    known.mExpires = aNow + mSettings.mSuspectPeriod;
+  }
+  return known;
+}
+
+bool quarantine_table::SameCrash(const crash& aCrash,
+                                 const upstream_id& aUpstream,
+                                 time_point aNow) const
+{
+  return aCrash.mUpstream == aUpstream &&
+         aNow - aCrash.mAt < mSettings.mSameCrashPeriod;
+}
+
+bool quarantine_table::AddCrash(entry& aEntry,
+                                const upstream_id& aUpstream,
+                                time_point aNow)
+{
+  for (const crash& known : aEntry.mCrashes) {
+    if (SameCrash(known, aUpstream, aNow)) {
+      return false;
+    }
+  }
+  aEntry.mCrashes.push_back({ aUpstream, aNow });
+  return true;
+}
+
+void quarantine_table::Judge(entry& aEntry,
+                             std::uint32_t aCrashes,
+                             time_point aNow)
+{
+  const auto own = static_cast<std::uint32_t>(aEntry.mCrashes.size());
+  if (std::max(own, aCrashes) >= mSettings.mMaxCrashes &&
+      aEntry.mState != quarantine_state::Quarantined) {
+    aEntry.mState = quarantine_state::Quarantined;
+    aEntry.mExpires = aNow + mSettings.mQuarantinePeriod;
+  }
+}
+
+void quarantine_table::Explain(const content_id& aCulprit,
+                               const upstream_id& aUpstream,
+                               time_point aNow)
+{
+  mExplained[aUpstream] = aNow;
+  std::erase_if(mEntries, [&](const auto& aEntry) {
+    const entry& known = aEntry.second;
+    return aEntry.first != aCulprit &&
+           known.mState == quarantine_state::Suspect &&
+           known.mCrashes.size() == 1 &&
+           SameCrash(known.mCrashes.front(), aUpstream, aNow);
+  });
+}
+
+void quarantine_table::MakeRoom()
+{
+  if (mEntries.size() < mSettings.mMaxContents || mEntries.empty()) {
+    return;
+  }
+  const auto first =
+    std::min_element(mEntries.begin(),
+                     mEntries.end(),
+                     [](const auto& aLeft, const auto& aRight) {
+                       return aLeft.second.mExpires < aRight.second.mExpires;
+                     });
+  mEntries.erase(first);
+}
--- /dev/null
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -0,0 +1,342 @@
+#include "Dispatch/Scheduler.h"
+
+#include <algorithm>
+
+#include "Dispatch/AttemptEnd.h"
+
+namespace {
+
+std::size_t Index(service_class aClass)
+{
+  return static_cast<std::size_t>(aClass);
+}
+
+void RejectLate(dispatch_tables& aTables, time_point aNow)
+{
+  while (!aTables.mLatestStarts.empty() &&
+         aTables.mLatestStarts.top().first < aNow) {
+    const auto [latest, request] = aTables.mLatestStarts.top();
+    aTables.mLatestStarts.pop();
+    request_entry* entry = aTables.FindRequest(request);
+    const bool waiting = entry != nullptr &&
+                         entry->mState != request_state::Running &&
+                         entry->mLatestStart == latest;
+    if (waiting) {
+      aTables.Detach(*entry, aNow);
+      aTables.Reject(request, reject_reason::TooLate, entry->mRun);
+    }
+  }
+}
+
+/// Starts a request that is in no queue any more.
+void Start(dispatch_tables& aTables,
+           request_entry& aEntry,
+           std::uint32_t aUpstream,
+           time_point aNow)
+{
+  const std::size_t index = Index(aEntry.mClass);
+  const dispatch_request& request = aEntry.mRequest;
+  --aTables.mQueued[index];
+  ++aTables.mRunning[index];
+  aEntry.mState = request_state::Running;
+  aEntry.mUpstream = aUpstream;
+  aEntry.mStartedAt = aNow;
+  aEntry.mFirstToken = false;
+  ++aEntry.mAttempts;
+  if (aEntry.mAttempts == 1) {
+    ++aTables.CountersOf(aEntry.mClass).mStarted;
+    aTables.mRetryBudget.OnStarted(aTables.mSettings);
+  }
+  if (aTables.mPrefixes.Match(aUpstream, request.mPrefixBlocks) > 0.0) {
+    ++aTables.mCounters.mPrefixHits;
+  }
+  aTables.mPrefixes.Expect(aUpstream, request.mPrefixBlocks);
+  aTables.mUpstreams.AddRunning(aUpstream, request.mRequest, aNow);
+  aTables.mOutput.mStarts.push_back(
+    { request.mRequest,
+      aTables.mUpstreams.At(aUpstream).mEntry.mUpstream,
+      aEntry.mAttempts,
+      static_cast<std::uint8_t>(index) });
+}
+
+rank_credit::waiting_ranks WaitingRanks(const model_lane& aLane)
+{
+  rank_credit::waiting_ranks waiting{};
+  for (std::size_t rank = 0; rank < kWorkRanks; ++rank) {
+    waiting[rank] = !aLane.mQueues[rank].Empty();
+  }
+  return waiting;
+}
+
+/// Where a suspect may be tried now, nothing when it is not its turn.
+std::optional<std::uint32_t> TestUpstream(dispatch_tables& aTables,
+                                          const model_lane& aLane,
+                                          const request_entry& aEntry,
+                                          time_point aNow)
+{
+  const content_id content = aEntry.mRequest.mContent;
+  const auto chosen =
+    aTables.mUpstreams.ChooseForTest(aLane.mSubset, content, aEntry.mTried);
+  if (!chosen) {
+    return std::nullopt;
+  }
+  for (const content_id& before :
+       aTables.mQuarantine.TurnsBefore(content, aNow)) {
+    const auto other =
+      aTables.mUpstreams.ChooseForTest(aLane.mSubset, before, aEntry.mTried);
+    if (other == chosen) {
+      return std::nullopt;
+    }
+  }
+  // A suspect that ran on after its turn is still in flight here.
+  for (const request_id& running : aTables.mUpstreams.At(*chosen).mRunning) {
+    const content_id other = aTables.FindRequest(running)->mRequest.mContent;
+    if (aTables.mQuarantine.Check(other, aNow).mVerdict !=
+        content_verdict::Clear) {
+      return std::nullopt;
+    }
+  }
+  return chosen;
+}
+
+std::optional<std::uint32_t> RetryUpstream(dispatch_tables& aTables,
+                                           const model_lane& aLane,
+                                           const request_entry& aEntry,
+                                           time_point aNow)
+{
+  if (aEntry.mNotBefore > aNow) {
+    return std::nullopt;
+  }
+  const content_check check =
+    aTables.mQuarantine.Check(aEntry.mRequest.mContent, aNow);
+  if (check.mVerdict != content_verdict::Clear) {
+    return TestUpstream(aTables, aLane, aEntry, aNow);
+  }
+  // Paid retries may use the room of every rank; they have waited already.
+  const double share = aEntry.mClass == service_class::Free
+                         ? aTables.mSettings.mFreeTier.mUpstreamShare
+                         : 1.0;
+  return aTables.mUpstreams.Choose(aLane.mSubset,
+                                   { &aEntry.mRequest, share, &aEntry.mTried },
+                                   aTables.mPrefixes);
+}
+
+void StartRetries(dispatch_tables& aTables, model_lane& aLane, time_point aNow)
+{
+  for (std::size_t i = 0; i < aLane.mRetries.size();) {
+    request_entry& entry = *aTables.FindRequest(aLane.mRetries[i]);
+    const auto upstream = RetryUpstream(aTables, aLane, entry, aNow);
+    if (!upstream) {
+      ++i;
+      continue;
+    }
+    aLane.mRetries.erase(aLane.mRetries.begin() +
+                         static_cast<std::ptrdiff_t>(i));
+    Start(aTables, entry, *upstream, aNow);
+  }
+}
+
+enum class head_result : std::uint8_t
+{
+  Started,
+  /// The head left the queue for the retry list, or was rejected.
+  Moved,
+  NoRoom,
+};
+
+/// A content that became suspect or worse while its request waited.
+bool MoveSuspect(dispatch_tables& aTables,
+                 request_entry& aEntry,
+                 time_point aNow)
+{
+  if (aTables.mQuarantine.Empty()) {
+    return false;
+  }
+  const content_check check =
+    aTables.mQuarantine.Check(aEntry.mRequest.mContent, aNow);
+  if (check.mVerdict == content_verdict::Clear) {
+    return false;
+  }
+  aTables.Detach(aEntry, aNow);
+  if (check.mVerdict == content_verdict::Suspect) {
+    RetrySuspect(aTables, aEntry, aNow);
+    return true;
+  }
+  const bool quarantined = check.mVerdict == content_verdict::Quarantined;
+  aTables.Reject(aEntry.mRequest.mRequest,
+                 quarantined ? reject_reason::Quarantined
+                             : reject_reason::Suspect,
+                 aEntry.mRun);
+  return true;
+}
+
+/// Starts the first request of a class if there is room.
+head_result StartHead(dispatch_tables& aTables,
+                      model_lane& aLane,
+                      service_class aClass,
+                      upstream_query aQuery,
+                      time_point aNow)
+{
+  fair_queue& queue = aLane.mQueues[Index(aClass)];
+  request_entry& entry = *aTables.FindRequest(queue.Front()->mRequest);
+  if (MoveSuspect(aTables, entry, aNow)) {
+    return head_result::Moved;
+  }
+  aQuery.mRequest = &entry.mRequest;
+  const auto upstream =
+    aTables.mUpstreams.Choose(aLane.mSubset, aQuery, aTables.mPrefixes);
+  if (!upstream) {
+    return head_result::NoRoom;
+  }
+  queue.PopFront(aNow);
+  Start(aTables, entry, *upstream, aNow);
+  return head_result::Started;
+}
+
+/// Starts one paid request of a lane; false when nothing has room.
+bool StartPaid(dispatch_tables& aTables, model_lane& aLane, time_point aNow)
+{
+  const rank_credit::waiting_ranks waiting = WaitingRanks(aLane);
+  const auto due = aLane.mCredit.Due(waiting);
+  std::vector<work_rank> ranks;
+  if (due) {
+    ranks.push_back(*due);
+  }
+  for (std::size_t rank = 0; rank < kWorkRanks; ++rank) {
+    if (waiting[rank]) {
+      ranks.push_back(static_cast<work_rank>(rank));
+    }
+  }
+  bool fromFloor = due.has_value();
+  for (const work_rank rank : ranks) {
+    const auto kind = static_cast<service_class>(rank);
+    const auto front = aLane.mQueues[Index(kind)].Front();
+    // A rank that is owed its floor may use the room of the ranks before it,
+    // or a flood of those would keep it out.
+    const double share =
+      fromFloor ? 1.0 : aTables.ClassSettings(kind).mUpstreamShare;
+    const head_result result =
+      StartHead(aTables, aLane, kind, { nullptr, share }, aNow);
+    if (result == head_result::Started) {
+      aLane.mCredit.OnStarted(
+        rank, front->mCost, fromFloor, waiting, aTables.mSettings);
+    }
+    if (result != head_result::NoRoom) {
+      return true;
+    }
+    fromFloor = false;
+  }
+  return false;
+}
+
+bool PaidWaiting(const model_lane& aLane)
+{
+  for (std::size_t rank = 0; rank < kWorkRanks; ++rank) {
+    if (!aLane.mQueues[rank].Empty()) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void RunPaid(dispatch_tables& aTables, model_lane& aLane, time_point aNow)
+{
+  StartRetries(aTables, aLane, aNow);
+  while (PaidWaiting(aLane) && StartPaid(aTables, aLane, aNow)) {
+  }
+  aLane.mCredit.DropIdle(WaitingRanks(aLane));
+}
+
+/// Running free-tier request that was started last on an upstream of the lane
+/// that is fuller than the free tier may fill it. On the others paid work has
+/// room already.
+request_entry* LastFree(dispatch_tables& aTables, const model_lane& aLane)
+{
+  const double share = aTables.mSettings.mFreeTier.mUpstreamShare;
+  request_entry* last = nullptr;
+  for (const std::uint32_t upstream : aLane.mSubset.mUpstreams) {
+    const upstream_state& state = aTables.mUpstreams.At(upstream);
+    if (state.InUse() < share * state.mLimit.Value()) {
+      continue;
+    }
+    for (const request_id& running : state.mRunning) {
+      request_entry* entry = aTables.FindRequest(running);
+      const bool later =
+        last == nullptr || entry->mStartedAt > last->mStartedAt;
+      if (entry->mClass == service_class::Free && later) {
+        last = entry;
+      }
+    }
+  }
+  return last;
+}
+
+/// Cancels free-tier streams while paid work waits that could use their room.
+void Displace(dispatch_tables& aTables, model_lane& aLane, time_point aNow)
+{
+  while (aTables.mRunning[Index(service_class::Free)] > 0 &&
+         PaidWaiting(aLane)) {
+    request_entry* free = LastFree(aTables, aLane);
+    if (free == nullptr) {
+      return;
+    }
+    const request_id request = free->mRequest.mRequest;
+    const run_state run =
+      free->mFirstToken ? run_state::Ran : run_state::Unknown;
+    aTables.CancelRunning(*free, cancel_reason::Displaced, aNow);
+    aTables.Reject(request, reject_reason::Displaced, run);
+    ++aTables.mCounters.mDisplaced;
+    if (!StartPaid(aTables, aLane, aNow)) {
+      return;
+    }
+  }
+}
+
+/// Free work takes no upstream that waiting paid work could use.
+void MarkWanted(dispatch_tables& aTables)
+{
+  for (const model_lane& lane : aTables.mLanes) {
+    if (!PaidWaiting(lane)) {
+      continue;
+    }
+    for (const std::uint32_t upstream : lane.mSubset.mUpstreams) {
+      aTables.mUpstreams.Marks()[upstream] = aTables.mTicks;
+    }
+  }
+}
+
+void RunFree(dispatch_tables& aTables, model_lane& aLane, time_point aNow)
+{
+  const fair_queue& queue = aLane.mQueues[Index(service_class::Free)];
+  const double share = aTables.mSettings.mFreeTier.mUpstreamShare;
+  const upstream_query query{ nullptr, share, nullptr, aTables.mTicks };
+  while (!queue.Empty() &&
+         StartHead(aTables, aLane, service_class::Free, query, aNow) !=
+           head_result::NoRoom) {
+  }
+}
+
+} // namespace
+
+void RunScheduler(dispatch_tables& aTables, time_point aNow)
+{
+  ++aTables.mTicks;
+  aTables.mQuarantine.Expire(aNow);
+  aTables.mUpstreams.Readmit(aNow);
+  RejectLate(aTables, aNow);
+  const std::size_t lanes = aTables.mLanes.size();
+  // Lanes with common upstreams take turns in being first.
+  for (std::size_t i = 0; i < lanes; ++i) {
+    model_lane& lane = aTables.mLanes[(aTables.mTicks + i) % lanes];
+    aTables.mUpstreams.Refresh(lane.mSubset, lane.mModel);
+    RunPaid(aTables, lane, aNow);
+    Displace(aTables, lane, aNow);
+  }
+  if (aTables.mQueued[Index(service_class::Free)] == 0) {
+    return;
+  }
+  MarkWanted(aTables);
+  for (std::size_t i = 0; i < lanes; ++i) {
+    RunFree(aTables, aTables.mLanes[(aTables.mTicks + i) % lanes], aNow);
+  }
+}
--- /dev/null
+++ b/Source/Core/Dispatch/UpstreamTable.cpp
@@ -0,0 +1,384 @@
+#include "Dispatch/UpstreamTable.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "Common/Hash.h"
+
+namespace {
+
+// Reports lag by less than this.
+constexpr std::chrono::seconds kHistoryPeriod{ 5 };
+constexpr std::uint32_t kMaxEjectionDoublings = 5;
+
+// Weights of the score, in units of a whole upstream's load.
+constexpr double kOtherZonePenalty = 0.15;
+constexpr double kOtherRegionPenalty = 1.0;
+constexpr double kPrefixWeight = 0.4;
+// Spreads different contents, and brings equal ones from several nodes
+// together.
+constexpr double kContentWeight = 0.1;
+
+// An upstream is congested for a class when it is this full.
+constexpr double kCongestedUse = 0.9;
+// Part of its excess over the equal share that a node gives back per report.
+constexpr double kGiveBack = 0.1;
+
+double Unit(std::uint64_t aHash)
+{
+  return static_cast<double>(aHash >> 11) * 0x1.0p-53;
+}
+
+bool Contains(const std::vector<std::uint32_t>* aList, std::uint32_t aValue)
+{
+  return aList != nullptr &&
+         std::find(aList->begin(), aList->end(), aValue) != aList->end();
+}
+
+/// A stable hash of a content and a number, without building a text.
+std::uint64_t Mix(std::uint64_t aContent, std::uint64_t aCandidate)
+{
+  std::uint64_t mixed = aContent ^ (aCandidate * 0x9e3779b97f4a7c15);
+  mixed ^= mixed >> 32;
+  mixed *= 0xd6e8feb86659fd93;
+  mixed ^= mixed >> 32;
+  return mixed * 0xd6e8feb86659fd93;
+}
+
+} // namespace
+
+upstream_table::upstream_table(const dispatch_settings& aSettings)
+  : mSettings(aSettings)
+  , mRandom(aSettings.mSeed)
+{
+}
+
+void upstream_table::ApplySettings(const dispatch_settings& aSettings)
+{
+  mSettings = aSettings;
+  ++mVersion;
+}
+
+std::uint32_t upstream_table::Intern(const upstream_id& aUpstream)
+{
+  const auto [found, isNew] =
+    mNumbers.try_emplace(aUpstream, static_cast<std::uint32_t>(mStates.size()));
+  if (isNew) {
+    mStates.emplace_back();
+    mStates.back().mEntry.mUpstream = aUpstream;
+    mStates.back().mNameHash = StableHash(aUpstream.mName);
+    mStates.back().mLimit.Reset(0, mSettings.mConcurrency);
+    mMarks.push_back(0);
+  }
+  return found->second;
+}
+
+void upstream_table::SetUpstreams(const std::vector<upstream_entry>& aUpstreams)
+{
+  for (upstream_state& state : mStates) {
+    state.mListed = false;
+  }
+  for (const upstream_entry& entry : aUpstreams) {
+    upstream_state& state = mStates[Intern(entry.mUpstream)];
+    const bool leaving = state.mEntry.mLeaving;
+    state.mEntry = entry;
+    // The list lags: a sign of leaving stays until the upstream is gone.
+    state.mEntry.mLeaving = entry.mLeaving || leaving;
+    if (state.mModels.empty()) {
+      state.mModels = entry.mModels;
+    }
+    state.mListed = true;
+  }
+  for (upstream_state& state : mStates) {
+    if (!state.mListed) {
+      state.mEntry.mLeaving = false;
+      state.mModels.clear();
+    }
+  }
+  ++mVersion;
+}
+
+void upstream_table::OnLeaving(const upstream_id& aUpstream)
+{
+  const auto found = mNumbers.find(aUpstream);
+  if (found != mNumbers.end() && !mStates[found->second].mEntry.mLeaving) {
+    mStates[found->second].mEntry.mLeaving = true;
+    ++mVersion;
+  }
+}
+
+void upstream_table::OnReport(const upstream_id& aUpstream,
+                              const load_report& aReport)
+{
+  const auto found = mNumbers.find(aUpstream);
+  if (found == mNumbers.end()) {
+    return;
+  }
+  upstream_state& state = mStates[found->second];
+  if (aReport.mAsOf < state.mReportedAt) {
+    return;
+  }
+  state.mReportedAt = aReport.mAsOf;
+  state.mLimit.OnSlots(aReport.mSlots, mSettings.mConcurrency);
+  double ownThen = state.mHistory.empty() ? state.Own() : 0.0;
+  for (const auto& [at, count] : state.mHistory) {
+    if (at > aReport.mAsOf) {
+      break;
+    }
+    ownThen = count;
+  }
+  const double total = aReport.mRunning + aReport.mWaiting;
+  state.mOthers = std::max(0.0, total - ownThen);
+  state.mOwnAtReport = state.Own();
+  state.mRounding = Unit(mRandom());
+  const bool models =
+    !aReport.mModels.empty() && aReport.mModels != state.mModels;
+  if (models) {
+    state.mModels = aReport.mModels;
+  }
+  if (models || aReport.mRole != state.mEntry.mRole) {
+    state.mEntry.mRole = aReport.mRole;
+    ++mVersion;
+  }
+}
+
+std::optional<std::uint32_t> upstream_table::Find(
+  const upstream_id& aUpstream) const
+{
+  const auto found = mNumbers.find(aUpstream);
+  if (found == mNumbers.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+void upstream_table::Record(upstream_state& aState, time_point aNow)
+{
+  aState.mHistory.emplace_back(
+    aNow, static_cast<std::uint32_t>(aState.mRunning.size()));
+  while (aState.mHistory.size() > 1 &&
+         aState.mHistory[1].first < aNow - kHistoryPeriod) {
+    aState.mHistory.pop_front();
+  }
+}
+
+void upstream_table::AddRunning(std::uint32_t aUpstream,
+                                const request_id& aRequest,
+                                time_point aNow)
+{
+  mStates[aUpstream].mRunning.push_back(aRequest);
+  Record(mStates[aUpstream], aNow);
+}
+
+void upstream_table::RemoveRunning(std::uint32_t aUpstream,
+                                   const request_id& aRequest,
+                                   time_point aNow)
+{
+  std::erase(mStates[aUpstream].mRunning, aRequest);
+  Record(mStates[aUpstream], aNow);
+}
+
+void upstream_table::Eject(std::uint32_t aUpstream, time_point aNow)
+{
+  upstream_state& state = mStates[aUpstream];
+  if (state.mEjected) {
+    // Attempts that fail together are one failure.
+    return;
+  }
+  const std::uint32_t doublings =
+    std::min(state.mFailures, kMaxEjectionDoublings);
+  ++state.mFailures;
+  state.mEjectedUntil = aNow + mSettings.mEjectionPeriod * (1U << doublings);
+  state.mEjected = true;
+  mEjected.push_back(aUpstream);
+  ++mVersion;
+}
+
+void upstream_table::Readmit(time_point aNow)
+{
+  const auto over = std::erase_if(mEjected, [&](std::uint32_t aUpstream) {
+    upstream_state& state = mStates[aUpstream];
+    state.mEjected = state.mEjectedUntil > aNow;
+    return !state.mEjected;
+  });
+  if (over > 0) {
+    ++mVersion;
+  }
+}
+
+bool upstream_table::Usable(const upstream_state& aState,
+                            const model_id& aModel) const
+{
+  const bool loaded =
+    aState.mModels.empty() ||
+    std::find(aState.mModels.begin(), aState.mModels.end(), aModel) !=
+      aState.mModels.end();
+  return aState.mListed && !aState.mEntry.mLeaving && loaded &&
+         aState.mEntry.mRole == upstream_role::Serving;
+}
+
+bool upstream_table::Serves(const model_id& aModel) const
+{
+  if (mServes.first != mVersion) {
+    mServes = { mVersion, {} };
+  }
+  const auto [found, isNew] = mServes.second.try_emplace(aModel, false);
+  if (isNew) {
+    found->second =
+      std::any_of(mStates.begin(), mStates.end(), [&](const auto& aState) {
+        return Usable(aState, aModel);
+      });
+  }
+  return found->second;
+}
+
+void upstream_table::Refresh(upstream_subset& aSubset,
+                             const model_id& aModel) const
+{
+  if (aSubset.mVersion == mVersion) {
+    return;
+  }
+  aSubset.mVersion = mVersion;
+  struct candidate
+  {
+    bool mFar;
+    std::uint64_t mWeight;
+    std::uint32_t mNumber;
+  };
+  std::vector<candidate> own;
+  std::vector<candidate> others;
+  const std::uint64_t key =
+    StableHash(aModel.mName, StableHash(mSettings.mNode.mName));
+  for (std::uint32_t number = 0; number < mStates.size(); ++number) {
+    const upstream_state& state = mStates[number];
+    if (state.mEjected || !Usable(state, aModel)) {
+      continue;
+    }
+    const std::uint64_t weight = StableHash(state.mEntry.mUpstream.mName, key);
+    const bool near = state.mEntry.mZone == mSettings.mZone;
+    const bool far = state.mEntry.mRegion != mSettings.mRegion;
+    (near ? own : others).push_back({ far, weight, number });
+  }
+  const auto before = [](const candidate& aLeft, const candidate& aRight) {
+    return aLeft.mFar != aRight.mFar ? aRight.mFar
+                                     : aLeft.mWeight > aRight.mWeight;
+  };
+  std::sort(own.begin(), own.end(), before);
+  std::sort(others.begin(), others.end(), before);
+  // Some upstreams of other zones are always kept, or a full own zone could
+  // not spill over.
+  const std::size_t size = mSettings.mSubsetSize;
+  const std::size_t fromOwn =
+    std::min(own.size(),
+             std::max(static_cast<std::size_t>(
+                        std::ceil(size * mSettings.mOwnZoneShare)),
+                      size - std::min(size, others.size())));
+  const std::size_t fromOthers = std::min(others.size(), size - fromOwn);
+  aSubset.mUpstreams.clear();
+  for (std::size_t i = 0; i < fromOwn; ++i) {
+    aSubset.mUpstreams.push_back(own[i].mNumber);
+  }
+  for (std::size_t i = 0; i < fromOthers; ++i) {
+    aSubset.mUpstreams.push_back(others[i].mNumber);
+  }
+}
+
+bool upstream_table::HasRoom(const upstream_state& aState, double aShare) const
+{
+  if (aState.mFailures > 0) {
+    // One attempt shows whether the upstream is back.
+    return aState.mRunning.empty();
+  }
+  const double nodes = std::max(1U, mSettings.mSharingNodes);
+  const double capacity = aShare * aState.mLimit.Value();
+  const double equalShare = capacity / nodes;
+  const double total = aState.mOwnAtReport + aState.mOthers;
+  double allowed = aState.mOwnAtReport + (capacity - total) / nodes;
+  if (total >= kCongestedUse * capacity && aState.mOwnAtReport > equalShare) {
+    allowed -= kGiveBack * (aState.mOwnAtReport - equalShare);
+  }
+  // Half of the equal share is always there, so that a node that comes late is
+  // not kept out by those that refill their places.
+  const double assured = equalShare / 2;
+  allowed = std::floor(std::max(allowed, assured) + aState.mRounding);
+  return aState.Own() < allowed;
+}
+
+double upstream_table::Distance(const upstream_state& aState) const
+{
+  if (aState.mEntry.mRegion != mSettings.mRegion) {
+    return kOtherRegionPenalty;
+  }
+  return aState.mEntry.mZone == mSettings.mZone ? 0.0 : kOtherZonePenalty;
+}
+
+double upstream_table::Score(std::uint32_t aUpstream,
+                             const dispatch_request& aRequest,
+                             const prefix_index& aPrefixes) const
+{
+  const upstream_state& state = mStates[aUpstream];
+  const std::uint64_t content = aRequest.mPrefixBlocks.empty()
+                                  ? aRequest.mContent.mLow
+                                  : aRequest.mPrefixBlocks.front();
+  const double load = state.InUse() / std::max(1.0, state.mLimit.Value());
+  return load + Distance(state) +
+         kContentWeight * Unit(Mix(content, state.mNameHash)) -
+         kPrefixWeight * aPrefixes.Match(aUpstream, aRequest.mPrefixBlocks);
+}
+
+std::optional<std::uint32_t> upstream_table::Choose(
+  const upstream_subset& aSubset,
+  const upstream_query& aQuery,
+  const prefix_index& aPrefixes) const
+{
+  std::optional<std::uint32_t> best;
+  double bestScore = 0.0;
+  for (const std::uint32_t upstream : aSubset.mUpstreams) {
+    const bool marked = aQuery.mMark != 0 && mMarks[upstream] == aQuery.mMark;
+    if (marked || !HasRoom(mStates[upstream], aQuery.mShare) ||
+        Contains(aQuery.mExcluded, upstream)) {
+      continue;
+    }
+    const double score = Score(upstream, *aQuery.mRequest, aPrefixes);
+    if (!best || score < bestScore) {
+      best = upstream;
+      bestScore = score;
+    }
+  }
+  return best;
+}
+
+std::optional<std::uint32_t> upstream_table::ChooseForTest(
+  const upstream_subset& aSubset,
+  const content_id& aContent,
+  const std::vector<std::uint32_t>& aExcluded) const
+{
+  std::optional<std::uint32_t> best;
+  std::uint64_t bestWeight = 0;
+  for (const std::uint32_t upstream : aSubset.mUpstreams) {
+    const std::string& name = mStates[upstream].mEntry.mUpstream.mName;
+    const std::uint64_t weight = StableHash(name, aContent.mLow);
+    if (!Contains(&aExcluded, upstream) && (!best || weight > bestWeight)) {
+      best = upstream;
+      bestWeight = weight;
+    }
+  }
+  return best;
+}
+
+std::vector<upstream_status> upstream_table::Status() const
+{
+  std::vector<upstream_status> rows;
+  for (const upstream_state& state : mStates) {
+    if (!state.mListed && state.mRunning.empty()) {
+      continue;
+    }
+    rows.push_back({ state.mEntry.mUpstream,
+                     state.mEntry.mLeaving,
+                     state.mEjected,
+                     static_cast<std::uint32_t>(state.mRunning.size()),
+                     static_cast<std::uint32_t>(state.mOthers),
+                     state.mLimit.Value() });
+  }
+  return rows;
+}
