--- /dev/null
+++ b/Source/Core/Config/FleetSections.h
@@ -0,0 +1,165 @@
+#pragma once
+
+#include <array>
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "Common/Identity.h"
+#include "Config/ConfigError.h"
+#include "Config/SettingSchema.h"
+
+/// The parsed sections of the fleet document.
+
+/// SHA-256 of an API key.
+struct api_key_hash
+{
+  std::array<std::uint8_t, 32> mBytes{};
+  auto operator<=>(const api_key_hash&) const = default;
+};
+
+template<>
+struct std::hash<api_key_hash>
+{
+  std::size_t operator()(const api_key_hash& aHash) const;
+};
+
+/// Hash of a key as callers send it.
+api_key_hash HashApiKey(std::string_view aKey);
+
+/// Reads 64 hexadecimal digits.
+std::optional<api_key_hash> ParseApiKeyHash(std::string_view aText);
+
+std::string FormatApiKeyHash(const api_key_hash& aHash);
+
+/// Budget units per 1,000 tokens of a model.
+struct model_price
+{
+  std::uint32_t mPrompt = 0;
+  std::uint32_t mOutput = 0;
+  auto operator<=>(const model_price&) const = default;
+};
+
+/// A prepaid budget. Its total is in the budget row, not in the document.
+struct budget_entry
+{
+  budget_id mId;
+  /// Accounts that may spend from it.
+  std::vector<account_id> mAccounts;
+  /// Prices of the budget itself, else those of its section.
+  std::map<model_id, model_price> mPrices;
+  auto operator<=>(const budget_entry&) const = default;
+};
+
+/// Section `billing`, or a part of it named `billing/<part>`.
+struct billing_section
+{
+  std::vector<budget_entry> mBudgets;
+  auto operator<=>(const billing_section&) const = default;
+};
+
+struct rank_policy
+{
+  /// Share of capacity that the rank keeps during floods, 0 to 1.
+  double mFloorShare = 0;
+  /// Longest time to the first token; a request that cannot meet it is
+  /// rejected.
+  std::chrono::milliseconds mFirstToken{ 0 };
+  /// Requests that may wait at one node.
+  std::uint32_t mQueueBound = 0;
+  auto operator<=>(const rank_policy&) const = default;
+};
+
+struct model_settings
+{
+  model_id mId;
+  /// Prompt and output together, in tokens.
+  std::uint32_t mContextLength = 0;
+  std::uint32_t mDefaultOutput = 0;
+  std::uint32_t mMaxOutput = 0;
+  auto operator<=>(const model_settings&) const = default;
+};
+
+/// Upstreams with the same abilities.
+struct upstream_group
+{
+  std::string mName;
+  /// Host names; a final `*` matches any rest.
+  std::vector<std::string> mHosts;
+  std::vector<model_id> mModels;
+  /// Rejects a command with a stale fencing token.
+  bool mChecksFencing = false;
+  bool mHonoursPriorities = false;
+  bool mResumesStreams = false;
+  auto operator<=>(const upstream_group&) const = default;
+};
+
+/// Calls of a backend service that must not be repeated.
+struct call_pattern
+{
+  /// HTTP method in capitals.
+  std::string mMethod;
+  /// Path within the service; a final `*` matches any rest.
+  std::string mPath;
+  auto operator<=>(const call_pattern&) const = default;
+};
+
+struct service_settings
+{
+  service_id mId;
+  std::vector<call_pattern> mNotRepeatable;
+  auto operator<=>(const service_settings&) const = default;
+};
+
+/// Section `capacity`.
+struct capacity_section
+{
+  std::array<rank_policy, kWorkRanks> mRanks;
+  std::map<model_id, model_settings> mModels;
+  std::vector<upstream_group> mUpstreamGroups;
+  std::map<service_id, service_settings> mServices;
+  auto operator<=>(const capacity_section&) const = default;
+};
+
+/// Section `accounts/<name>`.
+struct account_section
+{
+  account_id mId;
+  std::vector<api_key_hash> mKeyHashes;
+  work_rank mDefaultRank = work_rank::Routine;
+  std::vector<work_rank> mAllowedRanks;
+  std::vector<model_id> mAllowedModels;
+  budget_id mBudget;
+  /// Share relative to other accounts of the rank.
+  double mWeight = 1;
+  /// Uses spare capacity only.
+  bool mFreeTier = false;
+  /// Most output tokens of one request.
+  std::uint32_t mMaxOutput = 0;
+  auto operator<=>(const account_section&) const = default;
+};
+
+using fleet_section =
+  std::variant<billing_section, capacity_section, account_section>;
+
+/// True for `billing`, `billing/<part>`, `capacity` and `accounts/<name>`.
+bool IsSectionName(std::string_view aName);
+
+/// Parses one section on its own. `aName` also names it in errors.
+config_result<fleet_section> ParseSection(std::string_view aName,
+                                          std::string_view aText);
+
+/// True when the pattern equals the text, or ends in `*` and the text starts
+/// with what comes before.
+bool MatchesPattern(std::string_view aPattern, std::string_view aText);
+
+/// Descriptors of the sections, for checks and the settings page.
+const setting_schema& BillingSchema();
+const setting_schema& CapacitySchema();
+const setting_schema& AccountSchema();
--- /dev/null
+++ b/Source/Core/Config/NodeSettings.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "Common/Identity.h"
+#include "Config/ConfigError.h"
+#include "Config/SettingSchema.h"
+
+/// Settings of one node process, read once from its settings file.
+
+/// Numeric IP address and port.
+struct socket_address
+{
+  /// IPv4, or IPv6 without brackets.
+  std::string mIp;
+  std::uint16_t mPort = 0;
+  auto operator<=>(const socket_address&) const = default;
+};
+
+/// Reads `IP:port` or `[IPv6]:port`; nothing for a host name or a bad port.
+std::optional<socket_address> ParseSocketAddress(std::string_view aText);
+
+/// Text form that `ParseSocketAddress` reads.
+std::string FormatSocketAddress(const socket_address& aAddress);
+
+/// Addresses that a node listens on and tells to others.
+struct listen_settings
+{
+  /// Callers' HTTP interface.
+  socket_address mHttp;
+  /// RPC between nodes.
+  socket_address mPeer;
+  /// Address that callers are told; the listen address unless set.
+  socket_address mAdvertisedHttp;
+  /// Address that other nodes are told; the listen address unless set.
+  socket_address mAdvertisedPeer;
+  auto operator<=>(const listen_settings&) const = default;
+};
+
+/// Base URLs of the platform's services, without a final slash.
+struct platform_settings
+{
+  std::string mTable;
+  std::string mObjects;
+  std::string mHosts;
+  std::string mWeights;
+  auto operator<=>(const platform_settings&) const = default;
+};
+
+/// Shared key that authenticates calls between nodes.
+struct peer_key
+{
+  std::string mId;
+  std::string mSecret;
+  auto operator<=>(const peer_key&) const = default;
+};
+
+/// Key of an operator and the sections that it may change.
+struct operator_key
+{
+  std::string mId;
+  std::string mSecret;
+  /// Section names; a final `*` matches any rest.
+  std::vector<std::string> mSections;
+  auto operator<=>(const operator_key&) const = default;
+};
+
+/// Bounds on what one caller may send.
+struct limit_settings
+{
+  std::uint32_t mHeaderBytes = 0;
+  std::uint32_t mBodyBytes = 0;
+  /// A request that is not complete this long after its first byte is closed.
+  std::chrono::milliseconds mSlowSender{ 0 };
+  std::uint32_t mOpenStreams = 0;
+  auto operator<=>(const limit_settings&) const = default;
+};
+
+/// Periods of background work; the tables store deadlines made from them.
+struct timing_settings
+{
+  std::chrono::milliseconds mConfigPoll{ 0 };
+  /// How long callers may cache `/v1/endpoints`; a leaving node waits for it.
+  std::chrono::milliseconds mEndpointCache{ 0 };
+  auto operator<=>(const timing_settings&) const = default;
+};
+
+struct trace_settings
+{
+  /// Share of requests that are traced, 0 to 1.
+  double mSampling = 0;
+  auto operator<=>(const trace_settings&) const = default;
+};
+
+/// All settings of a node.
+struct node_settings
+{
+  node_id mName;
+  zone_id mZone;
+  region_id mRegion;
+  listen_settings mListen;
+  platform_settings mPlatform;
+  /// New calls are signed with the first key; every listed key is accepted.
+  std::vector<peer_key> mPeerKeys;
+  std::vector<operator_key> mOperatorKeys;
+  limit_settings mLimits;
+  timing_settings mTiming;
+  trace_settings mTrace;
+  auto operator<=>(const node_settings&) const = default;
+};
+
+/// Descriptors of all node settings, in the order of the reference page.
+const setting_schema& NodeSettingSchema();
+
+/// Reads settings from JSON with comments. `aSource` names the file in errors.
+config_result<node_settings> ParseNodeSettings(std::string_view aText,
+                                               std::string_view aSource);
+
+/// Reads a settings file; an unreadable file is one error without a line.
+config_result<node_settings> ReadNodeSettings(const std::string& aPath);
--- /dev/null
+++ b/Source/Core/Config/SettingSchema.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "Config/ConfigError.h"
+
+/// What a setting's value may be.
+enum class setting_type : std::uint8_t
+{
+  /// Group of settings; in a list or map its range bounds the entry count.
+  Object,
+  /// Text; the range bounds its length in bytes.
+  Text,
+  /// Letters, digits, `-`, `_`, `.` and `/`; the range bounds its length.
+  Name,
+  /// `IP:port` or `[IPv6]:port`.
+  Address,
+  /// `http://` or `https://` URL without a final slash.
+  Url,
+  Integer,
+  Number,
+  Flag,
+  /// Name of a `work_rank`.
+  Rank,
+  /// 64 hexadecimal digits.
+  Sha256,
+};
+
+/// One setting: its check, its default and its documentation.
+struct setting_descriptor
+{
+  /// Keys joined by `.`; `key[]` is each entry of a list, `key{}` each value
+  /// of an object whose keys are chosen by the operator.
+  std::string_view mPath;
+  setting_type mType = setting_type::Text;
+  /// Inclusive range of the number, the length or the count.
+  double mLeast = 0;
+  double mMost = 0;
+  std::string_view mUnit;
+  /// JSON text; empty for a required setting, `null` for an optional one.
+  std::string_view mDefault;
+  std::string_view mHelp;
+};
+
+struct schema_node;
+
+/// Descriptor table arranged as a tree for checking.
+class setting_schema
+{
+public:
+  /// The descriptors must outlive the schema. A group precedes its members.
+  explicit setting_schema(std::span<const setting_descriptor> aDescriptors);
+  ~setting_schema();
+  setting_schema(const setting_schema&) = delete;
+  setting_schema& operator=(const setting_schema&) = delete;
+
+  std::span<const setting_descriptor> Descriptors() const;
+
+  /// Checks a parsed text and appends every fault to `aErrors`. Absent
+  /// settings get their defaults in `aText.mValue`. When nothing was appended,
+  /// all values have the described types and ranges.
+  void CheckAndFill(json_text& aText, std::vector<json_error>& aErrors) const;
+
+private:
+  std::span<const setting_descriptor> mDescriptors;
+  std::unique_ptr<schema_node> mRoot;
+};
+
+/// Parses, checks and fills a text; reports every fault.
+config_result<json_text> ReadWithSchema(std::string_view aText,
+                                        std::string_view aSource,
+                                        const setting_schema& aSchema);
+
+/// The candidate that a mistyped word most likely means; empty when none is
+/// near.
+std::string NearestWord(std::string_view aWord,
+                        const std::vector<std::string>& aCandidates);
+
+/// Text of a setting's type, as written in messages and on the settings page.
+std::string_view SettingTypeName(setting_type aType);
