--- a/Source/Core/Common/JsonText.cpp
+++ b/Source/Core/Common/JsonText.cpp
@@ -31,9 +31,12 @@
 class line_builder final : public nlohmann::json_sax<json>
 {
 public:
-  line_builder(json_text& aText, const int& aLine)
+  line_builder(json_text& aText,
+               const int& aLine,
+               std::vector<json_error>* aDuplicates)
     : mText(aText)
     , mLine(aLine)
+    , mDuplicates(aDuplicates)
   {
   }
 
@@ -59,9 +62,16 @@
   {
     container& top = mStack.back();
     top.mKey = aKey;
-    if (top.mValue->contains(aKey)) {
+    if (!top.mValue->contains(aKey)) {
+      return true;
+    }
+    if (mDuplicates == nullptr) {
       return Fail(ChildPointer(), fmt::format("duplicate key \"{}\"", aKey));
     }
+    mDuplicates->push_back({ mText.mSource,
+                             mLine,
+                             ChildPointer(),
+                             fmt::format("duplicate key \"{}\"", aKey) });
     return true;
   }
 
@@ -148,11 +158,14 @@
 
   json_text& mText;
   const int& mLine;
+  std::vector<json_error>* mDuplicates;
   std::vector<container> mStack;
   json_error mError;
 };
 
-/// Input iterator that counts lines as the parser reads.
+/// Input iterator that counts lines as the parser reads. A line feed counts
+/// when the character after it is consumed: the parser reads one character
+/// beyond a number, which gave a number at the end of a line the next line.
 class line_counting_iterator
 {
 public:
@@ -163,7 +176,8 @@
   using reference = const char&;
 
   line_counting_iterator(const char* aPosition, int* aLine)
-    : mPosition(aPosition)
+    : mBegin(aPosition)
+    , mPosition(aPosition)
     , mLine(aLine)
   {
   }
@@ -171,7 +185,7 @@
   reference operator*() const { return *mPosition; }
   line_counting_iterator& operator++()
   {
-    if (*mPosition == '\n') {
+    if (mPosition != mBegin && mPosition[-1] == '\n') {
       ++*mLine;
     }
     ++mPosition;
@@ -193,6 +207,7 @@
   }
 
 private:
+  const char* mBegin;
   const char* mPosition;
   int* mLine;
 };
@@ -235,12 +250,14 @@
   };
 }
 
-result<json_text, json_error> ParseJsonText(std::string_view aText,
-                                            std::string_view aSource)
+result<json_text, json_error> ParseJsonText(
+  std::string_view aText,
+  std::string_view aSource,
+  std::vector<json_error>* aDuplicates)
 {
   json_text text{ std::string(aSource), {}, {} };
   int line = 1;
-  line_builder builder(text, line);
+  line_builder builder(text, line, aDuplicates);
   const char* begin = aText.data();
   const line_counting_iterator first(begin, &line);
   const line_counting_iterator last(begin + aText.size(), &line);
--- a/Source/Core/Common/JsonText.h
+++ b/Source/Core/Common/JsonText.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <nlohmann/json.hpp>
 
@@ -41,6 +42,9 @@
 };
 
 /// Reads JSON with `//` and `/* */` comments. Duplicate keys, trailing text,
-/// and nesting deeper than 64 are errors.
-result<json_text, json_error> ParseJsonText(std::string_view aText,
-                                            std::string_view aSource);
+/// and nesting deeper than 64 are errors. With `aDuplicates`, duplicate keys
+/// are appended there and reading goes on with the last value.
+result<json_text, json_error> ParseJsonText(
+  std::string_view aText,
+  std::string_view aSource,
+  std::vector<json_error>* aDuplicates = nullptr);
--- a/Source/Core/Config/NodeSettings.h
+++ b/Source/Core/Config/NodeSettings.h
@@ -3,7 +3,6 @@
 #include <chrono>
 #include <compare>
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -11,24 +10,10 @@
 #include "Common/Identity.h"
 #include "Config/ConfigError.h"
 #include "Config/SettingSchema.h"
+#include "Config/SocketAddress.h"
 
 /// Settings of one node process, read once from its settings file.
 
-/// Numeric IP address and port.
-struct socket_address
-{
-  /// IPv4, or IPv6 without brackets.
-  std::string mIp;
-  std::uint16_t mPort = 0;
-  auto operator<=>(const socket_address&) const = default;
-};
-
-/// Reads `IP:port` or `[IPv6]:port`; nothing for a host name or a bad port.
-std::optional<socket_address> ParseSocketAddress(std::string_view aText);
-
-/// Text form that `ParseSocketAddress` reads.
-std::string FormatSocketAddress(const socket_address& aAddress);
-
 /// Addresses that a node listens on and tells to others.
 struct listen_settings
 {
@@ -54,11 +39,11 @@
 };
 
 /// Shared key that authenticates calls between nodes.
-struct peer_key
+struct peer_key_setting
 {
   std::string mId;
   std::string mSecret;
-  auto operator<=>(const peer_key&) const = default;
+  auto operator<=>(const peer_key_setting&) const = default;
 };
 
 /// Key of an operator and the sections that it may change.
@@ -107,7 +92,7 @@
   listen_settings mListen;
   platform_settings mPlatform;
   /// New calls are signed with the first key; every listed key is accepted.
-  std::vector<peer_key> mPeerKeys;
+  std::vector<peer_key_setting> mPeerKeys;
   std::vector<operator_key> mOperatorKeys;
   limit_settings mLimits;
   timing_settings mTiming;
--- a/Source/UnitTests/Common/JsonTextTest.cpp
+++ b/Source/UnitTests/Common/JsonTextTest.cpp
@@ -38,3 +38,22 @@
   ASSERT_TRUE(text.has_error());
   EXPECT_EQ(text.error().mLine, 3);
 }
+
+// Guards against a number at the end of a line being placed on the next line.
+TEST(JsonText, PlacesANumberBeforeALineFeed)
+{
+  const auto text = ParseJsonText("{\n\"a\": 1\n}\n", "file");
+  ASSERT_TRUE(text.has_value());
+  EXPECT_EQ(text.value().LineOf("/a"), 2);
+}
+
+// Guards against a file's other faults being hidden by a duplicate key.
+TEST(JsonText, CollectsDuplicateKeysWhenAsked)
+{
+  std::vector<json_error> duplicates;
+  const auto text =
+    ParseJsonText("{\"a\": 1,\n\"a\": 2,\n\"a\": 3}", "file", &duplicates);
+  ASSERT_TRUE(text.has_value());
+  EXPECT_EQ(duplicates.size(), 2U);
+  EXPECT_EQ(text.value().mValue["a"], 3);
+}
