--- /dev/null
+++ b/Source/Core/Config/FleetDocument.cpp
@@ -0,0 +1,373 @@
+#include "Config/FleetDocument.h"
+
+#include <algorithm>
+#include <set>
+
+#include <fmt/format.h>
+
+namespace {
+
+// A removed budget can invalidate thousands of accounts; an operator needs a
+// few of them to see the cause.
+constexpr std::size_t kMaxReferenceErrors = 50;
+
+constexpr std::string_view kAccountPrefix = "accounts/";
+
+bool IsAccountName(std::string_view aName)
+{
+  return aName.starts_with(kAccountPrefix);
+}
+
+account_id AccountOf(std::string_view aName)
+{
+  return { std::string(aName.substr(kAccountPrefix.size())) };
+}
+
+std::string SectionOf(const account_id& aAccount)
+{
+  return std::string(kAccountPrefix) + aAccount.mName;
+}
+
+bool IsBillingName(std::string_view aName)
+{
+  return aName == "billing" || aName.starts_with("billing/");
+}
+
+/// Names the lines of errors in changed sections. Done only when there are
+/// errors, since it reads the texts again.
+void FillLines(const std::vector<section_change>& aChanges,
+               std::vector<json_error>& aErrors)
+{
+  for (const section_change& change : aChanges) {
+    const auto affected = [&change](const json_error& aError) {
+      return aError.mLine == 0 && aError.mSource == change.mName;
+    };
+    if (!change.mText || std::ranges::none_of(aErrors, affected)) {
+      continue;
+    }
+    const auto text = ParseJsonText(*change.mText, change.mName);
+    if (text.has_error()) {
+      continue;
+    }
+    for (json_error& error : aErrors) {
+      if (affected(error)) {
+        error.mLine = text.value().LineOf(error.mPointer);
+      }
+    }
+  }
+}
+
+} // namespace
+
+/// Changes sections of a copy and checks the references between sections.
+class fleet_document::builder
+{
+public:
+  explicit builder(const fleet_document& aDocument)
+    : mDocument(aDocument)
+  {
+  }
+
+  /// Removes what the old form of a section defined.
+  void Remove(const std::string& aName)
+  {
+    if (IsAccountName(aName)) {
+      RemoveAccount(AccountOf(aName));
+    } else if (IsBillingName(aName)) {
+      RemoveBilling(aName);
+    } else {
+      mDocument.mCapacity = std::make_shared<capacity_section>();
+      mCheckAll = true;
+    }
+  }
+
+  /// Adds the new form of a section, after all old forms were removed.
+  void Add(const std::string& aName, fleet_section aSection)
+  {
+    if (auto* account = std::get_if<account_section>(&aSection)) {
+      AddAccount(std::move(*account));
+    } else if (auto* billing = std::get_if<billing_section>(&aSection)) {
+      AddBilling(aName, std::move(*billing));
+    } else {
+      mDocument.mCapacity = std::make_shared<capacity_section>(
+        std::get<capacity_section>(std::move(aSection)));
+    }
+  }
+
+  void Check()
+  {
+    if (!mCheckAll) {
+      for (const account_id& account : mChanged) {
+        const auto section = mDocument.FindAccount(account);
+        CheckAccount(*section);
+      }
+      return;
+    }
+    for (const auto& [name, billing] : mDocument.mBilling) {
+      CheckBilling(name, *billing);
+    }
+    mDocument.ForEachAccount(
+      [this](const account_section& aAccount) { CheckAccount(aAccount); });
+  }
+
+  fleet_document TakeDocument() { return std::move(mDocument); }
+  std::vector<json_error> TakeErrors() { return std::move(mErrors); }
+
+private:
+  void Fault(std::string aSource, std::string aPointer, std::string aMessage)
+  {
+    if (mErrors.size() < kMaxReferenceErrors) {
+      mErrors.push_back(
+        { std::move(aSource), 0, std::move(aPointer), std::move(aMessage) });
+    }
+  }
+
+  void RemoveAccount(const account_id& aAccount)
+  {
+    const auto old = mDocument.mAccounts.Find(aAccount);
+    if (old == nullptr) {
+      return;
+    }
+    for (const api_key_hash& hash : old->mKeyHashes) {
+      mDocument.mKeys.Remove(hash);
+    }
+    mDocument.mAccounts.Remove(aAccount);
+  }
+
+  void RemoveBilling(const std::string& aName)
+  {
+    mCheckAll = true;
+    const auto old = mDocument.mBilling.find(aName);
+    if (old == mDocument.mBilling.end()) {
+      return;
+    }
+    for (const auto& budget : old->second->mBudgets) {
+      mDocument.mBudgets.Remove(budget.mId);
+    }
+    mDocument.mBilling.erase(old);
+  }
+
+  void AddAccount(account_section aAccount)
+  {
+    const auto account =
+      std::make_shared<const account_section>(std::move(aAccount));
+    for (std::size_t i = 0; i < account->mKeyHashes.size(); ++i) {
+      const api_key_hash& hash = account->mKeyHashes[i];
+      const auto other = mDocument.mKeys.Find(hash);
+      if (other != nullptr && other->mId != account->mId) {
+        Fault(SectionOf(account->mId),
+              fmt::format("/key_hashes/{}", i),
+              fmt::format("account \"{}\" has the same key", other->mId.mName));
+        continue;
+      }
+      mDocument.mKeys.Put(hash, account);
+    }
+    mDocument.mAccounts.Put(account->mId, account);
+    mChanged.push_back(account->mId);
+  }
+
+  void AddBilling(const std::string& aName, billing_section aBilling)
+  {
+    const auto billing =
+      std::make_shared<const billing_section>(std::move(aBilling));
+    for (const budget_entry& budget : billing->mBudgets) {
+      if (mDocument.mBudgets.Find(budget.mId) != nullptr) {
+        Fault(aName,
+              fmt::format("/budgets/{}", budget.mId.mName),
+              "another billing section has the same budget");
+        continue;
+      }
+      // The section owns the budgets; the index shares that ownership.
+      mDocument.mBudgets.Put(
+        budget.mId, std::shared_ptr<const budget_entry>(billing, &budget));
+    }
+    mDocument.mBilling[aName] = billing;
+  }
+
+  std::string UnknownModel(const model_id& aModel) const
+  {
+    std::vector<std::string> known;
+    for (const auto& [id, model] : mDocument.Capacity().mModels) {
+      known.push_back(id.mName);
+    }
+    const std::string nearest = NearestWord(aModel.mName, known);
+    return fmt::format(
+      "unknown model \"{}\"{}",
+      aModel.mName,
+      nearest.empty() ? "" : fmt::format(", did you mean \"{}\"?", nearest));
+  }
+
+  void CheckBilling(const std::string& aName, const billing_section& aBilling)
+  {
+    std::set<model_id> unknown;
+    for (const budget_entry& budget : aBilling.mBudgets) {
+      for (const auto& [model, price] : budget.mPrices) {
+        if (mDocument.FindModel(model) == nullptr) {
+          unknown.insert(model);
+        }
+      }
+    }
+    for (const model_id& model : unknown) {
+      Fault(aName, "/prices/" + model.mName, UnknownModel(model));
+    }
+  }
+
+  void CheckAccount(const account_section& aAccount)
+  {
+    const auto budget = mDocument.FindBudget(aAccount.mBudget);
+    if (budget == nullptr) {
+      Fault(SectionOf(aAccount.mId),
+            "/budget",
+            fmt::format("unknown budget \"{}\"", aAccount.mBudget.mName));
+    } else if (std::ranges::find(budget->mAccounts, aAccount.mId) ==
+               budget->mAccounts.end()) {
+      Fault(SectionOf(aAccount.mId),
+            "/budget",
+            fmt::format("budget \"{}\" does not list account \"{}\"",
+                        aAccount.mBudget.mName,
+                        aAccount.mId.mName));
+    }
+    for (std::size_t i = 0; i < aAccount.mAllowedModels.size(); ++i) {
+      CheckAllowedModel(aAccount, i, budget.get());
+    }
+  }
+
+  void CheckAllowedModel(const account_section& aAccount,
+                         std::size_t aIndex,
+                         const budget_entry* aBudget)
+  {
+    const model_id& model = aAccount.mAllowedModels[aIndex];
+    const std::string pointer = fmt::format("/allowed_models/{}", aIndex);
+    if (mDocument.FindModel(model) == nullptr) {
+      Fault(SectionOf(aAccount.mId), pointer, UnknownModel(model));
+    } else if (aBudget != nullptr && !aBudget->mPrices.contains(model)) {
+      Fault(SectionOf(aAccount.mId),
+            pointer,
+            fmt::format("budget \"{}\" has no price for model \"{}\"",
+                        aBudget->mId.mName,
+                        model.mName));
+    }
+  }
+
+  fleet_document mDocument;
+  std::vector<json_error> mErrors;
+  std::vector<account_id> mChanged;
+  bool mCheckAll = false;
+};
+
+fleet_document::fleet_document()
+  : mCapacity(std::make_shared<capacity_section>())
+{
+}
+
+std::shared_ptr<const account_section> fleet_document::FindAccount(
+  const account_id& aAccount) const
+{
+  return mAccounts.Find(aAccount);
+}
+
+std::shared_ptr<const account_section> fleet_document::FindAccountByKey(
+  const api_key_hash& aHash) const
+{
+  return mKeys.Find(aHash);
+}
+
+std::shared_ptr<const budget_entry> fleet_document::FindBudget(
+  const budget_id& aBudget) const
+{
+  return mBudgets.Find(aBudget);
+}
+
+const model_settings* fleet_document::FindModel(const model_id& aModel) const
+{
+  const auto found = mCapacity->mModels.find(aModel);
+  return found == mCapacity->mModels.end() ? nullptr : &found->second;
+}
+
+const service_settings* fleet_document::FindService(
+  const service_id& aService) const
+{
+  const auto found = mCapacity->mServices.find(aService);
+  return found == mCapacity->mServices.end() ? nullptr : &found->second;
+}
+
+const upstream_group* fleet_document::FindUpstreamGroup(
+  std::string_view aHost) const
+{
+  for (const upstream_group& group : mCapacity->mUpstreamGroups) {
+    const auto matches = [aHost](const std::string& aPattern) {
+      return MatchesPattern(aPattern, aHost);
+    };
+    if (std::ranges::any_of(group.mHosts, matches)) {
+      return &group;
+    }
+  }
+  return nullptr;
+}
+
+void fleet_document::ForEachAccount(
+  const std::function<void(const account_section&)>& aFunction) const
+{
+  mAccounts.ForEach([&aFunction](const account_id&, const auto& aAccount) {
+    aFunction(*aAccount);
+  });
+}
+
+void fleet_document::ForEachBudget(
+  const std::function<void(const budget_entry&)>& aFunction) const
+{
+  mBudgets.ForEach([&aFunction](const budget_id&, const auto& aBudget) {
+    aFunction(*aBudget);
+  });
+}
+
+config_result<fleet_document> fleet_document::With(
+  const std::vector<section_change>& aChanges) const
+{
+  config_errors errors;
+  std::vector<std::pair<const section_change*, fleet_section>> parsed;
+  builder next(*this);
+  for (const section_change& change : aChanges) {
+    auto section = ParseSection(change.mName, change.mText.value_or("{}"));
+    const bool removed = !change.mText && IsSectionName(change.mName);
+    if (!removed && section.has_error()) {
+      const auto& faults = section.error().mErrors;
+      errors.mErrors.insert(errors.mErrors.end(), faults.begin(), faults.end());
+      continue;
+    }
+    next.Remove(change.mName);
+    if (change.mText) {
+      parsed.emplace_back(&change, std::move(section.value()));
+    }
+  }
+  if (!errors.mErrors.empty()) {
+    return errors;
+  }
+  for (auto& [change, section] : parsed) {
+    next.Add(change->mName, std::move(section));
+  }
+  next.Check();
+  errors.mErrors = next.TakeErrors();
+  if (!errors.mErrors.empty()) {
+    FillLines(aChanges, errors.mErrors);
+    return errors;
+  }
+  return next.TakeDocument();
+}
+
+bool fleet_document::operator==(const fleet_document& aOther) const
+{
+  return *mCapacity == *aOther.mCapacity && mBudgets == aOther.mBudgets &&
+         mAccounts == aOther.mAccounts;
+}
+
+bool IsNotRepeatable(const service_settings& aService,
+                     std::string_view aMethod,
+                     std::string_view aPath)
+{
+  return std::ranges::any_of(aService.mNotRepeatable,
+                             [&](const call_pattern& aPattern) {
+                               return aPattern.mMethod == aMethod &&
+                                      MatchesPattern(aPattern.mPath, aPath);
+                             });
+}
--- a/Source/Core/Config/FleetDocument.h
+++ b/Source/Core/Config/FleetDocument.h
@@ -58,17 +58,7 @@
   bool operator==(const fleet_document& aOther) const;
 
 private:
-  friend class fleet_checker;
-
-  std::vector<account_id> Replace(const std::string& aName,
-                                  std::optional<fleet_section> aSection,
-                                  std::vector<json_error>& aErrors);
-  void ReplaceAccount(const account_id& aAccount,
-                      std::optional<fleet_section> aSection,
-                      std::vector<json_error>& aErrors);
-  void ReplaceBilling(const std::string& aName,
-                      std::optional<fleet_section> aSection,
-                      std::vector<json_error>& aErrors);
+  class builder;
 
   std::shared_ptr<const capacity_section> mCapacity;
   std::map<std::string, std::shared_ptr<const billing_section>> mBilling;
@@ -82,10 +72,20 @@
                      std::string_view aMethod,
                      std::string_view aPath);
 
-/// Reads a whole document from one file:
+/// One section of a whole-document file.
+struct document_slice
+{
+  std::string mName;
+  /// The section as written, with the comments that precede its key.
+  std::string mText;
+  /// Line of the file at which the text starts, from 1.
+  int mLine = 0;
+  auto operator<=>(const document_slice&) const = default;
+};
+
+/// Splits a whole document into its sections:
 /// `{"billing": {...}, "capacity": {...}, "accounts": {"name": {...}}}`.
-/// Gives the sections with their text and comments as written.
-config_result<std::vector<section_change>> SplitDocument(
+config_result<std::vector<document_slice>> SplitDocument(
   std::string_view aText,
   std::string_view aSource);
 
--- a/Source/Core/Config/NodeSettings.cpp
+++ b/Source/Core/Config/NodeSettings.cpp
@@ -36,8 +36,9 @@
 
 platform_settings ReadPlatform(const json& aGroup)
 {
-  return { aGroup["table"], aGroup["objects"], aGroup["hosts"],
-           aGroup["weights"] };
+  return {
+    aGroup["table"], aGroup["objects"], aGroup["hosts"], aGroup["weights"]
+  };
 }
 
 limit_settings ReadLimits(const json& aGroup)
@@ -75,61 +76,65 @@
   return settings;
 }
 
-bool IsWildcard(const std::string& aIp)
+bool IsWildcard(const std::string& aAddress)
 {
-  return aIp == "0.0.0.0" || aIp == "::";
+  return aAddress.starts_with("0.0.0.0:") || aAddress.starts_with("[::]:");
 }
 
 /// Other processes cannot connect to a wildcard address.
 void CheckAdvertised(const json_text& aText,
-                     const socket_address& aAddress,
-                     const char* aListenKey,
+                     const std::string& aListen,
+                     const std::string& aAdvertised,
                      std::vector<json_error>& aErrors)
 {
-  if (IsWildcard(aAddress.mIp)) {
+  const std::string advertised = StringAt(aText, aAdvertised);
+  const std::string& pointer = advertised.empty() ? aListen : aAdvertised;
+  if (IsWildcard(StringAt(aText, pointer))) {
     aErrors.push_back(aText.ErrorAt(
-      fmt::format("/listen/{}", aListenKey),
-      fmt::format("a wildcard address needs \"advertised_{}\"", aListenKey)));
+      pointer,
+      fmt::format("a wildcard address cannot be advertised; set {} to an "
+                  "address of the host",
+                  aAdvertised)));
   }
 }
 
 void CheckUniqueIds(const json_text& aText,
-                    const char* aList,
+                    const std::string& aList,
                     std::vector<json_error>& aErrors)
 {
+  const json::json_pointer list(aList);
+  const std::size_t count =
+    aText.mValue.contains(list) ? aText.mValue[list].size() : 0;
   std::set<std::string> ids;
-  std::size_t index = 0;
-  for (const json& key : aText.mValue[aList]) {
-    const std::string id = key["id"];
-    if (!ids.insert(id).second) {
+  for (std::size_t i = 0; i < count; ++i) {
+    const std::string pointer = fmt::format("{}/{}/id", aList, i);
+    const std::string id = StringAt(aText, pointer);
+    if (!id.empty() && !ids.insert(id).second) {
       aErrors.push_back(
-        aText.ErrorAt(fmt::format("/{}/{}/id", aList, index),
-                      fmt::format("key id \"{}\" is used twice", id)));
+        aText.ErrorAt(pointer, fmt::format("key id \"{}\" is used twice", id)));
     }
-    ++index;
   }
 }
 
+void CheckReferences(const json_text& aText, std::vector<json_error>& aErrors)
+{
+  CheckAdvertised(aText, "/listen/http", "/listen/advertised_http", aErrors);
+  CheckAdvertised(aText, "/listen/peer", "/listen/advertised_peer", aErrors);
+  CheckUniqueIds(aText, "/peer_keys", aErrors);
+  CheckUniqueIds(aText, "/operator_keys", aErrors);
+}
+
 } // namespace
 
 config_result<node_settings> ParseNodeSettings(std::string_view aText,
                                                std::string_view aSource)
 {
-  const auto text = ReadWithSchema(aText, aSource, NodeSettingSchema());
+  const auto text =
+    ReadWithSchema(aText, aSource, NodeSettingSchema(), CheckReferences);
   if (text.has_error()) {
     return text.error();
   }
-  node_settings settings = ReadAll(text.value().mValue);
-  config_errors errors;
-  const listen_settings& listen = settings.mListen;
-  CheckAdvertised(text.value(), listen.mAdvertisedHttp, "http", errors.mErrors);
-  CheckAdvertised(text.value(), listen.mAdvertisedPeer, "peer", errors.mErrors);
-  CheckUniqueIds(text.value(), "peer_keys", errors.mErrors);
-  CheckUniqueIds(text.value(), "operator_keys", errors.mErrors);
-  if (!errors.mErrors.empty()) {
-    return errors;
-  }
-  return settings;
+  return ReadAll(text.value().mValue);
 }
 
 config_result<node_settings> ReadNodeSettings(const std::string& aPath)
--- a/Source/Core/Config/SettingSchema.cpp
+++ b/Source/Core/Config/SettingSchema.cpp
@@ -56,8 +56,8 @@
 
 bool IsUrl(std::string_view aText)
 {
-  const bool scheme = aText.starts_with("http://") ||
-                      aText.starts_with("https://");
+  const bool scheme =
+    aText.starts_with("http://") || aText.starts_with("https://");
   const std::size_t host = aText.find("//");
   return scheme && aText.size() > host + 2 && !aText.ends_with('/') &&
          aText.find_first_of(" \t\r\n") == std::string_view::npos;
@@ -397,8 +397,7 @@
 
 } // namespace
 
-setting_schema::setting_schema(
-  std::span<const setting_descriptor> aDescriptors)
+setting_schema::setting_schema(std::span<const setting_descriptor> aDescriptors)
   : mDescriptors(aDescriptors)
   , mRoot(std::make_unique<schema_node>())
 {
@@ -422,7 +421,8 @@
 
 config_result<json_text> ReadWithSchema(std::string_view aText,
                                         std::string_view aSource,
-                                        const setting_schema& aSchema)
+                                        const setting_schema& aSchema,
+                                        const setting_check& aCheck)
 {
   config_errors errors;
   auto text = ParseJsonText(aText, aSource, &errors.mErrors);
@@ -431,6 +431,9 @@
     return errors;
   }
   aSchema.CheckAndFill(text.value(), errors.mErrors);
+  if (aCheck) {
+    aCheck(text.value(), errors.mErrors);
+  }
   if (!errors.mErrors.empty()) {
     std::ranges::stable_sort(errors.mErrors, {}, &json_error::mLine);
     return errors;
@@ -438,6 +441,16 @@
   return std::move(text.value());
 }
 
+std::string StringAt(const json_text& aText, const std::string& aPointer)
+{
+  const json::json_pointer pointer(aPointer);
+  if (!aText.mValue.contains(pointer)) {
+    return {};
+  }
+  const json& value = aText.mValue[pointer];
+  return value.is_string() ? value.get<std::string>() : std::string();
+}
+
 std::string NearestWord(std::string_view aWord,
                         const std::vector<std::string>& aCandidates)
 {
--- a/Source/Core/Config/SettingSchema.h
+++ b/Source/Core/Config/SettingSchema.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <span>
 #include <string>
@@ -71,10 +72,19 @@
   std::unique_ptr<schema_node> mRoot;
 };
 
+/// A check beyond the descriptors. It also runs on texts that failed them, so
+/// it must not rely on the presence or type of any value.
+using setting_check =
+  std::function<void(const json_text&, std::vector<json_error>&)>;
+
 /// Parses, checks and fills a text; reports every fault.
 config_result<json_text> ReadWithSchema(std::string_view aText,
                                         std::string_view aSource,
-                                        const setting_schema& aSchema);
+                                        const setting_schema& aSchema,
+                                        const setting_check& aCheck = {});
+
+/// Text at a JSON pointer; empty when there is none.
+std::string StringAt(const json_text& aText, const std::string& aPointer);
 
 /// The candidate that a mistyped word most likely means; empty when none is
 /// near.
--- a/Source/Core/Config/SocketAddress.cpp
+++ b/Source/Core/Config/SocketAddress.cpp
@@ -32,8 +32,7 @@
   if (colon == std::string_view::npos) {
     return std::nullopt;
   }
-  const std::optional<std::uint16_t> port =
-    ParsePort(aText.substr(colon + 1));
+  const std::optional<std::uint16_t> port = ParsePort(aText.substr(colon + 1));
   std::string ip(aText.substr(0, colon));
   const bool bracketed = ip.starts_with('[') && ip.ends_with(']');
   if (bracketed) {
