--- /dev/null
+++ b/Source/Core/Platform/HttpExchange.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include <glib.h>
+#include <libsoup/soup.h>
+#include <nlohmann/json_fwd.hpp>
+
+/// One request at a server and its response. The exchange keeps itself alive
+/// until the connection is done with it; handlers may keep the pointer to
+/// answer later.
+class http_exchange : public std::enable_shared_from_this<http_exchange>
+{
+public:
+  using callback = std::function<void()>;
+
+  /// Takes over a message inside the server's handler and pauses it. Null
+  /// pointers are never returned.
+  static std::shared_ptr<http_exchange> Adopt(SoupServerMessage* aMessage);
+  ~http_exchange();
+  http_exchange(const http_exchange&) = delete;
+  http_exchange& operator=(const http_exchange&) = delete;
+
+  SoupServerMessage* Message() { return mMessage; }
+  std::string_view Method() const;
+  std::string_view Path() const;
+  /// Value of a query parameter, empty when absent.
+  std::string Query(const std::string& aName) const;
+  /// Value of a request header, empty when absent.
+  std::string_view Header(const char* aName) const;
+  std::string_view Body() const { return mBody; }
+
+  /// Adds a response header; before `Reply` or `BeginStream`.
+  void AddHeader(const char* aName, const std::string& aValue);
+  /// Sends a whole response. Without effect after the caller has gone.
+  void Reply(unsigned aStatus,
+             const char* aContentType,
+             std::string_view aBody);
+  void ReplyJson(unsigned aStatus, const nlohmann::json& aBody);
+  /// Replies `{"error":{"code","message"}}`.
+  void ReplyError(unsigned aStatus,
+                  std::string_view aCode,
+                  std::string_view aMessage);
+
+  /// Starts a chunked response.
+  void BeginStream(unsigned aStatus, const char* aContentType);
+  /// Queues bytes of a streamed response. A writer that does not stop while
+  /// `Buffered` is above its limit makes memory grow.
+  void Write(std::string_view aBytes);
+  /// Ends a streamed response once everything queued is written.
+  void End();
+  /// Bytes queued and not yet handed to the connection.
+  std::size_t Buffered() const { return mPending.size() + mInFlight; }
+  /// Called whenever `Buffered` falls to zero.
+  void OnDrained(callback aCallback) { mOnDrained = std::move(aCallback); }
+  /// Called once when the connection ends before the response is complete.
+  void OnClosed(callback aCallback) { mOnClosed = std::move(aCallback); }
+  /// Breaks the connection without completing the response.
+  void Abort();
+  /// Whether the response can still be written.
+  bool Open() const { return !mFinished; }
+
+private:
+  explicit http_exchange(SoupServerMessage* aMessage);
+  void Connect();
+  void StartHead(unsigned aStatus, const char* aContentType);
+  void Flush();
+  void HandleWroteChunk();
+  void HandleFinished();
+  void WatchPeer();
+  bool PeerClosed();
+
+  static void OnWroteChunk(SoupServerMessage*, gpointer aSelf);
+  static void OnFinished(SoupServerMessage*, gpointer aSelf);
+  static gboolean OnReadable(GSocket*, GIOCondition, gpointer aSelf);
+
+  SoupServerMessage* mMessage;
+  std::shared_ptr<http_exchange> mSelf;
+  GBytes* mBodyBytes = nullptr;
+  std::string_view mBody;
+  std::string mPending;
+  std::size_t mInFlight = 0;
+  GSource* mPeerWatch = nullptr;
+  callback mOnDrained;
+  callback mOnClosed;
+  bool mStreaming = false;
+  bool mEnding = false;
+  bool mCompleted = false;
+  bool mFinished = false;
+};
+
+using http_exchange_ptr = std::shared_ptr<http_exchange>;
--- /dev/null
+++ b/Source/Core/Platform/HttpServer.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <libsoup/soup.h>
+#include <nlohmann/json_fwd.hpp>
+
+#include "Common/Result.h"
+#include "Platform/HttpExchange.h"
+
+/// Why a server does not listen.
+struct http_listen_error
+{
+  std::string mAddress;
+  std::string mMessage;
+};
+
+/// `host` and `port` of an `IP:port` text.
+struct socket_address_text
+{
+  std::string mHost;
+  std::uint16_t mPort = 0;
+};
+
+/// Reads `IP:port`, with brackets around an IPv6 address. Empty host on error.
+socket_address_text ParseAddress(std::string_view aText);
+
+struct http_server_options
+{
+  /// Requests with a longer body get status 413.
+  std::size_t mMaxBody = 8U << 20U;
+};
+
+/// HTTP server on the process's loop.
+class http_server
+{
+public:
+  using handler = std::function<void(const http_exchange_ptr&)>;
+
+  explicit http_server(http_server_options aOptions = {});
+  /// Closes the listeners and every connection.
+  ~http_server();
+  http_server(const http_server&) = delete;
+  http_server& operator=(const http_server&) = delete;
+
+  /// Calls the handler for paths that start with the prefix; the longest
+  /// prefix is chosen. A prefix ends at a segment boundary.
+  void Route(const std::string& aPrefix, handler aHandler);
+  /// Listens on `IP:port`; port 0 takes a free one.
+  result<void, http_listen_error> Listen(const std::string& aAddress);
+  /// `IP:port` of the last `Listen`, with the port that it got; kept after
+  /// `Close`.
+  const std::string& Address() const { return mAddress; }
+  /// Closes the listeners and every connection: new connections are refused.
+  /// `Listen` may follow. Not to be called from inside a handler.
+  void Close();
+  bool Listening() const { return mServer != nullptr; }
+  /// Requests received, including refused ones.
+  std::uint64_t Requests() const { return mRequests; }
+
+private:
+  struct route
+  {
+    http_server* mServer = nullptr;
+    std::string mPrefix;
+    handler mHandler;
+  };
+
+  static void OnEarly(SoupServer*,
+                      SoupServerMessage*,
+                      const char*,
+                      GHashTable*,
+                      gpointer);
+  static void OnRequest(SoupServer*,
+                        SoupServerMessage*,
+                        const char*,
+                        GHashTable*,
+                        gpointer);
+  void Attach(route& aRoute);
+
+  http_server_options mOptions;
+  std::vector<std::unique_ptr<route>> mRoutes;
+  SoupServer* mServer = nullptr;
+  std::string mAddress;
+  std::uint64_t mRequests = 0;
+};
