--- /dev/null
+++ b/Source/Core/Platform/HttpExchange.cpp
@@ -0,0 +1,279 @@
+#include "Platform/HttpExchange.h"
+
+#include <cerrno>
+#include <utility>
+
+#include <sys/socket.h>
+
+#include <nlohmann/json.hpp>
+
+std::shared_ptr<http_exchange> http_exchange::Adopt(SoupServerMessage* aMessage)
+{
+  // The constructor is private, so make_shared cannot be used.
+  std::shared_ptr<http_exchange> exchange(new http_exchange(aMessage));
+  exchange->mSelf = exchange;
+  exchange->Connect();
+  return exchange;
+}
+
+http_exchange::http_exchange(SoupServerMessage* aMessage)
+  : mMessage(SOUP_SERVER_MESSAGE(g_object_ref(aMessage)))
+{
+  SoupMessageBody* body = soup_server_message_get_request_body(aMessage);
+  mBodyBytes = soup_message_body_flatten(body);
+  gsize size = 0;
+  const auto* data =
+    static_cast<const char*>(g_bytes_get_data(mBodyBytes, &size));
+  mBody = std::string_view(data, size);
+}
+
+http_exchange::~http_exchange()
+{
+  if (mPeerWatch != nullptr) {
+    g_source_destroy(mPeerWatch);
+    g_source_unref(mPeerWatch);
+  }
+  g_signal_handlers_disconnect_by_data(mMessage, this);
+  g_bytes_unref(mBodyBytes);
+  g_object_unref(mMessage);
+}
+
+void http_exchange::Connect()
+{
+  g_signal_connect(mMessage, "wrote-chunk", G_CALLBACK(OnWroteChunk), this);
+  g_signal_connect(mMessage, "finished", G_CALLBACK(OnFinished), this);
+  // A server that is closed drops its connections without "finished".
+  g_signal_connect(mMessage, "disconnected", G_CALLBACK(OnFinished), this);
+  soup_server_message_pause(mMessage);
+  WatchPeer();
+}
+
+// libsoup does not read from a connection whose message is paused, so it would
+// notice a caller that went away only at the next write.
+void http_exchange::WatchPeer()
+{
+  GSocket* socket = soup_server_message_get_socket(mMessage);
+  if (socket == nullptr) {
+    return;
+  }
+  mPeerWatch = g_socket_create_source(
+    socket, static_cast<GIOCondition>(G_IO_IN | G_IO_HUP), nullptr);
+  g_source_set_callback(
+    mPeerWatch, G_SOURCE_FUNC(OnReadable), this, nullptr);
+  g_source_attach(mPeerWatch, nullptr);
+}
+
+bool http_exchange::PeerClosed()
+{
+  GSocket* socket = soup_server_message_get_socket(mMessage);
+  if (socket == nullptr) {
+    return true;
+  }
+  char byte = 0;
+  const int descriptor = g_socket_get_fd(socket);
+  const ssize_t got = recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return got == 0 || (got < 0 && errno != EAGAIN && errno != EINTR);
+}
+
+gboolean http_exchange::OnReadable(GSocket*, GIOCondition, gpointer aSelf)
+{
+  auto* self = static_cast<http_exchange*>(aSelf);
+  const auto keep = self->shared_from_this();
+  if (self->PeerClosed()) {
+    self->Abort();
+  }
+  // Readable without an end of file is the caller's next request, which
+  // waits; watching on would spin.
+  return G_SOURCE_REMOVE;
+}
+
+std::string_view http_exchange::Method() const
+{
+  return soup_server_message_get_method(mMessage);
+}
+
+std::string_view http_exchange::Path() const
+{
+  return g_uri_get_path(soup_server_message_get_uri(mMessage));
+}
+
+std::string http_exchange::Query(const std::string& aName) const
+{
+  const char* query = g_uri_get_query(soup_server_message_get_uri(mMessage));
+  if (query == nullptr) {
+    return {};
+  }
+  GHashTable* form = soup_form_decode(query);
+  const auto* value =
+    static_cast<const char*>(g_hash_table_lookup(form, aName.c_str()));
+  std::string copy = value == nullptr ? "" : value;
+  g_hash_table_unref(form);
+  return copy;
+}
+
+std::string_view http_exchange::Header(const char* aName) const
+{
+  const char* value = soup_message_headers_get_one(
+    soup_server_message_get_request_headers(mMessage), aName);
+  return value == nullptr ? std::string_view() : std::string_view(value);
+}
+
+void http_exchange::AddHeader(const char* aName, const std::string& aValue)
+{
+  soup_message_headers_append(
+    soup_server_message_get_response_headers(mMessage), aName, aValue.c_str());
+}
+
+void http_exchange::Reply(unsigned aStatus,
+                          const char* aContentType,
+                          std::string_view aBody)
+{
+  if (mFinished || mStreaming || mCompleted) {
+    return;
+  }
+  mCompleted = true;
+  soup_server_message_set_status(mMessage, aStatus, nullptr);
+  soup_server_message_set_response(mMessage,
+                                   aContentType,
+                                   SOUP_MEMORY_COPY,
+                                   aBody.data(),
+                                   aBody.size());
+  soup_server_message_unpause(mMessage);
+}
+
+void http_exchange::ReplyJson(unsigned aStatus, const nlohmann::json& aBody)
+{
+  Reply(aStatus,
+        "application/json",
+        aBody.dump(
+          -1, ' ', false, nlohmann::json::error_handler_t::replace));
+}
+
+void http_exchange::ReplyError(unsigned aStatus,
+                               std::string_view aCode,
+                               std::string_view aMessage)
+{
+  ReplyJson(aStatus,
+            { { "error", { { "code", aCode }, { "message", aMessage } } } });
+}
+
+void http_exchange::BeginStream(unsigned aStatus, const char* aContentType)
+{
+  if (mFinished || mStreaming || mCompleted) {
+    return;
+  }
+  mStreaming = true;
+  SoupMessageHeaders* headers =
+    soup_server_message_get_response_headers(mMessage);
+  soup_message_headers_set_encoding(headers, SOUP_ENCODING_CHUNKED);
+  soup_message_headers_set_content_type(headers, aContentType, nullptr);
+  soup_message_body_set_accumulate(
+    soup_server_message_get_response_body(mMessage), FALSE);
+  soup_server_message_set_status(mMessage, aStatus, nullptr);
+  soup_server_message_unpause(mMessage);
+}
+
+void http_exchange::Write(std::string_view aBytes)
+{
+  if (mFinished || !mStreaming || mEnding) {
+    return;
+  }
+  mPending.append(aBytes);
+  Flush();
+}
+
+void http_exchange::End()
+{
+  if (mFinished || !mStreaming || mEnding) {
+    return;
+  }
+  mEnding = true;
+  Flush();
+}
+
+// One chunk is with libsoup at a time; what is queued meanwhile leaves as one
+// chunk.
+void http_exchange::Flush()
+{
+  if (mInFlight > 0 || mCompleted) {
+    return;
+  }
+  SoupMessageBody* body = soup_server_message_get_response_body(mMessage);
+  if (!mPending.empty()) {
+    mInFlight = mPending.size();
+    soup_message_body_append(
+      body, SOUP_MEMORY_COPY, mPending.data(), mPending.size());
+    mPending.clear();
+  } else if (mEnding) {
+    mCompleted = true;
+    soup_message_body_complete(body);
+  } else {
+    return;
+  }
+  soup_server_message_unpause(mMessage);
+}
+
+void http_exchange::HandleWroteChunk()
+{
+  mInFlight = 0;
+  if (mFinished) {
+    return;
+  }
+  Flush();
+  if (Buffered() == 0 && !mEnding && mOnDrained) {
+    const callback drained = mOnDrained;
+    drained();
+  }
+}
+
+void http_exchange::HandleFinished()
+{
+  if (std::exchange(mFinished, true)) {
+    return;
+  }
+  if (mPeerWatch != nullptr) {
+    g_source_destroy(mPeerWatch);
+  }
+  mPending = {};
+  mInFlight = 0;
+  mOnDrained = nullptr;
+  const callback closed = std::exchange(mOnClosed, nullptr);
+  if (closed && !mCompleted) {
+    closed();
+  }
+  mSelf.reset();
+}
+
+void http_exchange::Abort()
+{
+  if (mFinished) {
+    return;
+  }
+  GSocket* socket = soup_server_message_get_socket(mMessage);
+  if (socket != nullptr) {
+    g_socket_shutdown(socket, TRUE, TRUE, nullptr);
+  }
+  // The write on the closed socket makes libsoup drop the connection.
+  if (!mStreaming) {
+    soup_server_message_set_status(
+      mMessage, SOUP_STATUS_INTERNAL_SERVER_ERROR, nullptr);
+  } else {
+    soup_message_body_append(soup_server_message_get_response_body(mMessage),
+                             SOUP_MEMORY_STATIC,
+                             "\n",
+                             1);
+  }
+  soup_server_message_unpause(mMessage);
+}
+
+void http_exchange::OnWroteChunk(SoupServerMessage*, gpointer aSelf)
+{
+  const auto keep = static_cast<http_exchange*>(aSelf)->shared_from_this();
+  keep->HandleWroteChunk();
+}
+
+void http_exchange::OnFinished(SoupServerMessage*, gpointer aSelf)
+{
+  const auto keep = static_cast<http_exchange*>(aSelf)->shared_from_this();
+  keep->HandleFinished();
+}
--- /dev/null
+++ b/Source/Core/Platform/HttpServer.cpp
@@ -0,0 +1,192 @@
+#include "Platform/HttpServer.h"
+
+#include <charconv>
+#include <cstring>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace {
+
+constexpr const char* kTooLarge =
+  R"({"error":{"code":"too_large","message":"request body is too long"}})";
+
+/// State of a request body that is still being received.
+struct body_limit
+{
+  std::size_t mLimit = 0;
+  std::size_t mReceived = 0;
+};
+
+void RefuseBody(SoupServerMessage* aMessage)
+{
+  soup_message_body_set_accumulate(
+    soup_server_message_get_request_body(aMessage), FALSE);
+  soup_server_message_set_status(
+    aMessage, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE, nullptr);
+  soup_server_message_set_response(aMessage,
+                                   "application/json",
+                                   SOUP_MEMORY_STATIC,
+                                   kTooLarge,
+                                   std::strlen(kTooLarge));
+  soup_message_headers_replace(
+    soup_server_message_get_response_headers(aMessage), "Connection", "close");
+}
+
+void OnBodyChunk(SoupServerMessage* aMessage, GBytes* aChunk, gpointer aLimit)
+{
+  auto* limit = static_cast<body_limit*>(aLimit);
+  const bool wasWithin = limit->mReceived <= limit->mLimit;
+  limit->mReceived += g_bytes_get_size(aChunk);
+  if (wasWithin && limit->mReceived > limit->mLimit) {
+    RefuseBody(aMessage);
+  }
+  // A sender that goes on long after its limit gets no status.
+  if (limit->mReceived / 2 > limit->mLimit) {
+    GSocket* socket = soup_server_message_get_socket(aMessage);
+    g_socket_shutdown(socket, TRUE, TRUE, nullptr);
+  }
+}
+
+void FreeLimit(gpointer aLimit, GClosure*)
+{
+  delete static_cast<body_limit*>(aLimit);
+}
+
+std::string FormatAddress(const std::string& aHost, int aPort)
+{
+  const bool isV6 = aHost.find(':') != std::string::npos;
+  return isV6 ? fmt::format("[{}]:{}", aHost, aPort)
+              : fmt::format("{}:{}", aHost, aPort);
+}
+
+int FirstPort(SoupServer* aServer)
+{
+  GSList* uris = soup_server_get_uris(aServer);
+  const int port =
+    uris == nullptr ? 0 : g_uri_get_port(static_cast<GUri*>(uris->data));
+  g_slist_free_full(uris, reinterpret_cast<GDestroyNotify>(g_uri_unref));
+  return port;
+}
+
+}
+
+socket_address_text ParseAddress(std::string_view aText)
+{
+  const std::size_t colon = aText.rfind(':');
+  if (colon == std::string_view::npos) {
+    return {};
+  }
+  std::string_view host = aText.substr(0, colon);
+  const std::string_view port = aText.substr(colon + 1);
+  socket_address_text address;
+  const auto [end, error] =
+    std::from_chars(port.data(), port.data() + port.size(), address.mPort);
+  if (error != std::errc() || end != port.data() + port.size()) {
+    return {};
+  }
+  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
+    host = host.substr(1, host.size() - 2);
+  }
+  address.mHost = host;
+  return address;
+}
+
+http_server::http_server(http_server_options aOptions)
+  : mOptions(aOptions)
+{
+}
+
+http_server::~http_server()
+{
+  Close();
+}
+
+void http_server::Route(const std::string& aPrefix, handler aHandler)
+{
+  mRoutes.push_back(std::make_unique<route>(
+    route{ this, aPrefix, std::move(aHandler) }));
+  if (mServer != nullptr) {
+    Attach(*mRoutes.back());
+  }
+}
+
+void http_server::Attach(route& aRoute)
+{
+  soup_server_add_handler(
+    mServer, aRoute.mPrefix.c_str(), OnRequest, &aRoute, nullptr);
+}
+
+result<void, http_listen_error> http_server::Listen(const std::string& aAddress)
+{
+  Close();
+  const socket_address_text parsed = ParseAddress(aAddress);
+  GSocketAddress* address =
+    parsed.mHost.empty()
+      ? nullptr
+      : g_inet_socket_address_new_from_string(parsed.mHost.c_str(),
+                                              parsed.mPort);
+  if (address == nullptr) {
+    return http_listen_error{ aAddress, "not an IP:port address" };
+  }
+  mServer = soup_server_new(nullptr, nullptr);
+  soup_server_add_early_handler(mServer, nullptr, OnEarly, this, nullptr);
+  for (const auto& entry : mRoutes) {
+    Attach(*entry);
+  }
+  GError* error = nullptr;
+  const bool listening = soup_server_listen(
+    mServer, address, static_cast<SoupServerListenOptions>(0), &error);
+  g_object_unref(address);
+  if (!listening) {
+    http_listen_error failed{ aAddress, error->message };
+    g_clear_error(&error);
+    Close();
+    return failed;
+  }
+  mAddress = FormatAddress(parsed.mHost, FirstPort(mServer));
+  return success();
+}
+
+void http_server::Close()
+{
+  if (mServer != nullptr) {
+    soup_server_disconnect(mServer);
+    g_object_unref(std::exchange(mServer, nullptr));
+  }
+}
+
+void http_server::OnEarly(SoupServer*,
+                          SoupServerMessage* aMessage,
+                          const char*,
+                          GHashTable*,
+                          gpointer aSelf)
+{
+  auto* self = static_cast<http_server*>(aSelf);
+  ++self->mRequests;
+  SoupMessageHeaders* headers =
+    soup_server_message_get_request_headers(aMessage);
+  const goffset length = soup_message_headers_get_content_length(headers);
+  auto* limit = new body_limit{ self->mOptions.mMaxBody, 0 };
+  if (length > static_cast<goffset>(limit->mLimit)) {
+    RefuseBody(aMessage);
+  }
+  g_signal_connect_data(aMessage,
+                        "got-chunk",
+                        G_CALLBACK(OnBodyChunk),
+                        limit,
+                        FreeLimit,
+                        static_cast<GConnectFlags>(0));
+}
+
+void http_server::OnRequest(SoupServer*,
+                            SoupServerMessage* aMessage,
+                            const char*,
+                            GHashTable*,
+                            gpointer aRoute)
+{
+  const auto* route = static_cast<http_server::route*>(aRoute);
+  // The route may be destroyed with its server while the handler runs.
+  const handler function = route->mHandler;
+  function(http_exchange::Adopt(aMessage));
+}
--- a/Source/Core/Platform/HttpStream.h
+++ b/Source/Core/Platform/HttpStream.h
@@ -20,7 +20,9 @@
   /// One read of the body. The next read starts after this returns, unless
   /// the stream is paused.
   std::function<void(std::string_view)> mOnData;
-  /// End of the body, or the failure that ended it. Called once.
+  /// End of the body, or the failure that ended it. Called once. libsoup
+  /// reports a chunked body that breaks off between two chunks as a complete
+  /// one, so a reader must look for the final marker of its own protocol.
   std::function<void(std::optional<http_failure>)> mOnEnd;
 };
 
--- /dev/null
+++ b/Source/UnitTests/Platform/HttpTest.cpp
@@ -0,0 +1,289 @@
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <gtest/gtest.h>
+
+#include "Common/EventLoop.h"
+#include "Platform/HttpClient.h"
+#include "Platform/HttpServer.h"
+#include "Platform/HttpStream.h"
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kWait{ 5000 };
+using reply_result = result<http_reply, http_failure>;
+
+class Http : public testing::Test
+{
+protected:
+  void Start()
+  {
+    ASSERT_TRUE(mServer.Listen("127.0.0.1:0").has_value());
+  }
+
+  http_request Request(const std::string& aPath, std::string aBody = {})
+  {
+    http_request request;
+    request.mMethod = "POST";
+    request.mUrl = "http://" + mServer.Address() + aPath;
+    request.mBody = std::move(aBody);
+    return request;
+  }
+
+  std::optional<reply_result> Send(const http_request& aRequest)
+  {
+    std::optional<reply_result> reply;
+    mClient.Send(aRequest, mOwner, [&](reply_result aReply) {
+      reply = std::move(aReply);
+    });
+    mLoop.RunUntil([&] { return reply.has_value(); }, kWait);
+    return reply;
+  }
+
+  event_loop mLoop;
+  http_client mClient;
+  http_server mServer;
+  http_owner mOwner;
+};
+
+}
+
+TEST_F(Http, RoutesByLongestPrefixAndEchoesTheBody)
+{
+  mServer.Route("/", [](const http_exchange_ptr& aExchange) {
+    aExchange->ReplyError(404, "not_found", "no such path");
+  });
+  mServer.Route("/v1/echo", [](const http_exchange_ptr& aExchange) {
+    aExchange->AddHeader("X-Query", aExchange->Query("q"));
+    aExchange->Reply(200, "text/plain", aExchange->Body());
+  });
+  Start();
+  const auto reply = Send(Request("/v1/echo/more?q=a%20b", "body"));
+  ASSERT_TRUE(reply && reply->has_value());
+  EXPECT_EQ(reply->value().mBody, "body");
+  EXPECT_EQ(FindHeader(reply->value().mHeaders, "x-query"), "a b");
+  EXPECT_EQ(Send(Request("/v1/other"))->value().mStatus, 404U);
+}
+
+// Guards against a refused connection reported as a timeout, which would make
+// callers treat work that never ran as possibly done.
+TEST_F(Http, RefusedConnectionIsUnavailable)
+{
+  Start();
+  const http_request request = Request("/");
+  mServer.Close();
+  EXPECT_EQ(Send(request)->error(), http_failure::Unavailable);
+}
+
+// Guards against the opposite error: a request that reached the server
+// reported as never sent.
+TEST_F(Http, NoReplyIsTimeoutAndBrokenConnectionIsBroken)
+{
+  http_exchange_ptr kept;
+  mServer.Route("/slow", [&](const http_exchange_ptr& aExchange) {
+    kept = aExchange;
+  });
+  mServer.Route("/break", [](const http_exchange_ptr& aExchange) {
+    aExchange->Abort();
+  });
+  Start();
+  http_request request = Request("/slow", "x");
+  request.mTimeout = milliseconds(50);
+  EXPECT_EQ(Send(request)->error(), http_failure::Timeout);
+  EXPECT_EQ(Send(Request("/break", "x"))->error(), http_failure::Broken);
+}
+
+// Guards against a callback into an owner that no longer exists.
+TEST_F(Http, NoCallbackAfterTheOwnerIsDestroyed)
+{
+  http_exchange_ptr kept;
+  bool closed = false;
+  mServer.Route("/", [&](const http_exchange_ptr& aExchange) {
+    kept = aExchange;
+    kept->OnClosed([&] { closed = true; });
+  });
+  Start();
+  bool called = false;
+  auto owner = std::make_unique<http_owner>();
+  mClient.Send(Request("/", "x"), *owner, [&](reply_result) { called = true; });
+  ASSERT_TRUE(mLoop.RunUntil([&] { return kept != nullptr; }, kWait));
+  owner.reset();
+  EXPECT_TRUE(mLoop.RunUntil([&] { return closed; }, kWait));
+  EXPECT_FALSE(called);
+  kept->ReplyError(500, "late", "reply to a caller that has gone");
+}
+
+// Guards against a request body that fills the memory.
+TEST_F(Http, RefusesLongBodies)
+{
+  http_server small({ .mMaxBody = 1000 });
+  bool handled = false;
+  small.Route("/", [&](const http_exchange_ptr& aExchange) {
+    handled = true;
+    aExchange->Reply(200, "text/plain", "");
+  });
+  ASSERT_TRUE(small.Listen("127.0.0.1:0").has_value());
+  http_request request = Request("/", std::string(1500, 'x'));
+  request.mUrl = "http://" + small.Address() + "/";
+  const auto reply = Send(request);
+  ASSERT_TRUE(reply && reply->has_value());
+  EXPECT_EQ(reply->value().mStatus, 413U);
+  EXPECT_FALSE(handled);
+  request.mBody.resize(900);
+  EXPECT_EQ(Send(request)->value().mStatus, 200U);
+}
+
+TEST_F(Http, ReportsAddressesThatCannotBeUsed)
+{
+  EXPECT_FALSE(mServer.Listen("nonsense").has_value());
+  EXPECT_FALSE(mServer.Listen("127.0.0.1:99999").has_value());
+  Start();
+  http_server second;
+  EXPECT_FALSE(second.Listen(mServer.Address()).has_value());
+}
+
+// Guards against chunks lost or reordered when they are queued faster than
+// they are written, and against an end that overtakes them.
+TEST_F(Http, StreamsEveryByteInOrder)
+{
+  mServer.Route("/", [](const http_exchange_ptr& aExchange) {
+    aExchange->BeginStream(200, "text/event-stream");
+    for (int i = 0; i < 1000; ++i) {
+      aExchange->Write(std::to_string(i) + "\n");
+    }
+    aExchange->End();
+  });
+  Start();
+  std::string expected;
+  for (int i = 0; i < 1000; ++i) {
+    expected += std::to_string(i) + "\n";
+  }
+  std::string got;
+  std::optional<std::optional<http_failure>> end;
+  http_stream stream(
+    mClient,
+    Request("/"),
+    { [](const http_head& aHead) { EXPECT_EQ(aHead.mStatus, 200U); },
+      [&](std::string_view aPiece) { got += aPiece; },
+      [&](std::optional<http_failure> aFailure) { end = aFailure; } });
+  ASSERT_TRUE(mLoop.RunUntil([&] { return end.has_value(); }, kWait));
+  EXPECT_FALSE(end->has_value());
+  EXPECT_EQ(got, expected);
+}
+
+// Guards against memory growth behind a reader that does not read: the writer
+// sees its bytes stay in the buffer and stops.
+TEST_F(Http, PausedReaderHoldsTheWriterBack)
+{
+  constexpr std::size_t kPiece = 64U << 10U;
+  constexpr std::size_t kTotal = 64U << 20U;
+  std::size_t written = 0;
+  http_exchange_ptr writer;
+  const auto fill = [&] {
+    while (writer->Buffered() == 0 && written < kTotal) {
+      writer->Write(std::string(kPiece, 'x'));
+      written += kPiece;
+    }
+    if (written >= kTotal) {
+      writer->End();
+    }
+  };
+  mServer.Route("/", [&](const http_exchange_ptr& aExchange) {
+    writer = aExchange;
+    writer->BeginStream(200, "text/plain");
+    writer->OnDrained(fill);
+    fill();
+  });
+  Start();
+  std::size_t got = 0;
+  bool ended = false;
+  http_stream stream(mClient,
+                     Request("/"),
+                     { [](const http_head&) {},
+                       [&](std::string_view aPiece) { got += aPiece.size(); },
+                       [&](std::optional<http_failure>) { ended = true; } });
+  stream.Pause();
+  mLoop.RunUntil([] { return false; }, milliseconds(300));
+  // The kernel's socket buffers take some megabytes at most.
+  EXPECT_LT(written, kTotal / 4);
+  EXPECT_EQ(got, 0U);
+  stream.Resume();
+  ASSERT_TRUE(mLoop.RunUntil([&] { return ended; }, kWait));
+  EXPECT_EQ(got, kTotal);
+}
+
+// Guards against a server that works on for a caller that has gone.
+TEST_F(Http, CancelledStreamIsNoticedByTheServer)
+{
+  bool closed = false;
+  http_exchange_ptr writer;
+  mServer.Route("/", [&](const http_exchange_ptr& aExchange) {
+    writer = aExchange;
+    writer->OnClosed([&] { closed = true; });
+    writer->BeginStream(200, "text/plain");
+    writer->Write("first");
+  });
+  Start();
+  bool called = false;
+  bool got = false;
+  auto stream = std::make_unique<http_stream>(
+    mClient,
+    Request("/"),
+    http_stream_handlers{ [](const http_head&) {},
+                          [&](std::string_view) { got = true; },
+                          [&](std::optional<http_failure>) { called = true; } });
+  ASSERT_TRUE(mLoop.RunUntil([&] { return got; }, kWait));
+  stream.reset();
+  EXPECT_TRUE(mLoop.RunUntil([&] { return closed; }, kWait));
+  EXPECT_FALSE(called);
+  EXPECT_FALSE(writer->Open());
+}
+
+// Guards against a truncated response taken for a complete one, and against
+// bytes that follow the break.
+TEST_F(Http, AbortedWholeReplyEndsInFailure)
+{
+  constexpr std::size_t kTotal = 64U << 20U;
+  mServer.Route("/", [&](const http_exchange_ptr& aExchange) {
+    aExchange->Reply(200, "text/plain", std::string(kTotal, 'x'));
+  });
+  Start();
+  std::size_t got = 0;
+  std::optional<std::optional<http_failure>> end;
+  http_stream stream(mClient,
+                     Request("/"),
+                     { [](const http_head&) {},
+                       [&](std::string_view aPiece) { got += aPiece.size(); },
+                       [&](std::optional<http_failure> aEnd) { end = aEnd; } });
+  ASSERT_TRUE(mLoop.RunUntil([&] { return got > 0; }, kWait));
+  mServer.Close();
+  ASSERT_TRUE(mLoop.RunUntil([&] { return end.has_value(); }, kWait));
+  EXPECT_EQ(*end, http_failure::Broken);
+  EXPECT_LT(got, kTotal);
+}
+
+// Guards against open connections that survive a server that went down.
+TEST_F(Http, CloseEndsOpenStreamsAndRefusesNewConnections)
+{
+  mServer.Route("/", [&](const http_exchange_ptr& aExchange) {
+    aExchange->BeginStream(200, "text/plain");
+    aExchange->Write("first");
+  });
+  Start();
+  const http_request request = Request("/");
+  bool got = false;
+  std::optional<std::optional<http_failure>> end;
+  http_stream stream(mClient,
+                     request,
+                     { [](const http_head&) {},
+                       [&](std::string_view) { got = true; },
+                       [&](std::optional<http_failure> aEnd) { end = aEnd; } });
+  ASSERT_TRUE(mLoop.RunUntil([&] { return got; }, kWait));
+  mServer.Close();
+  EXPECT_TRUE(mLoop.RunUntil([&] { return end.has_value(); }, kWait));
+  EXPECT_EQ(Send(request)->error(), http_failure::Unavailable);
+  ASSERT_TRUE(mServer.Listen(mServer.Address()).has_value());
+}
