--- /dev/null
+++ b/Source/Core/Peer/PeerClient.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "Common/Identity.h"
+#include "Common/Result.h"
+#include "Common/Time.h"
+#include "Peer/PeerError.h"
+#include "Peer/PeerKeys.h"
+#include "Peer/PeerMessages.h"
+
+/// A peer and its address for messages between nodes.
+struct peer_target
+{
+  node_id mNode;
+  /// `IP:port`
+  std::string mAddress;
+  auto operator<=>(const peer_target&) const = default;
+};
+
+struct peer_client_settings
+{
+  node_id mSelf;
+  /// Time for connecting, sending and the reply together.
+  std::chrono::milliseconds mTimeout{ 1000 };
+  /// Wait before the next attempt to connect; doubles up to the maximum with
+  /// every failure.
+  std::chrono::milliseconds mBackoff{ 100 };
+  std::chrono::milliseconds mMaxBackoff{ 2000 };
+  /// Calls in flight to one peer.
+  std::size_t mMaxInFlight = 256;
+  /// A connection that is not used for this time is closed.
+  std::chrono::milliseconds mIdleLimit{ 30000 };
+};
+
+struct peer_client_counters
+{
+  std::uint64_t mCalls = 0;
+  std::uint64_t mFailed = 0;
+  std::uint64_t mTimeouts = 0;
+  std::uint64_t mRefusals = 0;
+  std::uint64_t mConnects = 0;
+  std::uint64_t mConnectFailures = 0;
+  std::uint64_t mBytesIn = 0;
+  std::uint64_t mBytesOut = 0;
+};
+
+/// Calls other nodes over one lazily opened connection each, on the main
+/// context of this thread. Callbacks come on the loop, never from inside the
+/// call, exactly once, and not at all after destruction. A callback may
+/// destroy the client.
+class peer_client
+{
+public:
+  template<class Reply>
+  using callback = std::function<void(result<Reply, peer_error>)>;
+
+  peer_client(peer_client_settings aSettings, peer_key_ring aKeys);
+  ~peer_client();
+  peer_client(const peer_client&) = delete;
+  peer_client& operator=(const peer_client&) = delete;
+
+  void Heartbeat(const peer_target& aTarget,
+                 const heartbeat& aMessage,
+                 callback<heartbeat> aReply);
+  void HoldCharges(const peer_target& aTarget,
+                   const hold_charges& aMessage,
+                   callback<hold_charges_reply> aReply);
+  void DropCharges(const peer_target& aTarget,
+                   const drop_charges& aMessage,
+                   callback<peer_ack> aReply);
+  void Quarantine(const peer_target& aTarget,
+                  const quarantine_notice& aMessage,
+                  callback<peer_ack> aReply);
+
+  /// Replaces the keys; the next call is signed with the first one.
+  void SetKeys(peer_key_ring aKeys);
+  const peer_client_counters& Counters() const;
+
+private:
+  struct state;
+  std::unique_ptr<state> mState;
+};
