--- a/Source/Core/Peer/PeerClient.h
+++ b/Source/Core/Peer/PeerClient.h
@@ -74,7 +74,7 @@
                    const drop_charges& aMessage,
                    callback<peer_ack> aReply);
   void Quarantine(const peer_target& aTarget,
-                  const quarantine_notice& aMessage,
+                  const peer_quarantine& aMessage,
                   callback<peer_ack> aReply);
 
   /// Replaces the keys; the next call is signed with the first one.
--- a/Source/Core/Peer/PeerMessages.h
+++ b/Source/Core/Peer/PeerMessages.h
@@ -59,13 +59,13 @@
 };
 
 /// Tells a peer that requests of this content crash upstreams.
-struct quarantine_notice
+struct peer_quarantine
 {
   content_id mContent;
   /// Upstreams that crashed while running it.
   std::vector<upstream_id> mCrashed;
   wall_time mTime;
-  auto operator<=>(const quarantine_notice&) const = default;
+  auto operator<=>(const peer_quarantine&) const = default;
 };
 
 /// Reply without content.
@@ -80,12 +80,12 @@
 std::string EncodeMessage(const hold_charges& aMessage);
 std::string EncodeMessage(const hold_charges_reply& aMessage);
 std::string EncodeMessage(const drop_charges& aMessage);
-std::string EncodeMessage(const quarantine_notice& aMessage);
+std::string EncodeMessage(const peer_quarantine& aMessage);
 std::string EncodeMessage(const peer_ack& aMessage);
 
 bool DecodeMessage(std::string_view aText, heartbeat& aMessage);
 bool DecodeMessage(std::string_view aText, hold_charges& aMessage);
 bool DecodeMessage(std::string_view aText, hold_charges_reply& aMessage);
 bool DecodeMessage(std::string_view aText, drop_charges& aMessage);
-bool DecodeMessage(std::string_view aText, quarantine_notice& aMessage);
+bool DecodeMessage(std::string_view aText, peer_quarantine& aMessage);
 bool DecodeMessage(std::string_view aText, peer_ack& aMessage);
--- a/Source/Core/Peer/PeerServer.h
+++ b/Source/Core/Peer/PeerServer.h
@@ -22,7 +22,7 @@
   virtual void OnDropCharges(const node_id& aFrom,
                              const drop_charges& aMessage) = 0;
   virtual void OnQuarantine(const node_id& aFrom,
-                            const quarantine_notice& aMessage) = 0;
+                            const peer_quarantine& aMessage) = 0;
 };
 
 struct peer_server_settings
