Carry log positions and quarantine states between nodes

Cause: charges name the log position that their holder knew, and notices have a state, an upstream and a crash count; the messages had no room for them.

--- a/Source/Core/Peer/Peer.capnp
+++ b/Source/Core/Peer/Peer.capnp
@@ -84,6 +84,7 @@
   holderIncarnation @4 :UInt64;
   tokens @5 :UInt64;
   timeMicroseconds @6 :Int64;  # since the Unix epoch
+  fromSegment @7 :UInt64;
 }
 
 struct HoldCharges {
@@ -106,10 +107,18 @@
   requests @2 :List(Wide);
 }
 
+enum QuarantineState {
+  suspect @0;
+  cleared @1;
+  quarantined @2;
+}
+
 struct QuarantineNotice {
   content @0 :Wide;
-  crashed @1 :List(Text);
-  timeMicroseconds @2 :Int64;  # since the Unix epoch
+  state @1 :QuarantineState;
+  upstream @2 :Text;
+  node @3 :Text;
+  crashes @4 :UInt32;
 }
 
 struct Ack {
--- a/Source/Core/Peer/Peer.capnp.h
+++ b/Source/Core/Peer/Peer.capnp.h
@@ -57,6 +57,13 @@
 CAPNP_DECLARE_ENUM(HoldStatus, e7d1904030ac6ddb);
 CAPNP_DECLARE_SCHEMA(d42e0c962d5d32ae);
 CAPNP_DECLARE_SCHEMA(a29747b6749639ad);
+CAPNP_DECLARE_SCHEMA(bf54f1ade76c7a28);
+enum class QuarantineState_bf54f1ade76c7a28: uint16_t {
+  SUSPECT,
+  CLEARED,
+  QUARANTINED,
+};
+CAPNP_DECLARE_ENUM(QuarantineState, bf54f1ade76c7a28);
 CAPNP_DECLARE_SCHEMA(988dd4adb71c49c6);
 CAPNP_DECLARE_SCHEMA(d0a1e328202740b9);
 
@@ -233,7 +240,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(dfb788879e427910, 3, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(dfb788879e427910, 4, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -287,6 +294,8 @@
   };
 };
 
+typedef ::capnp::schemas::QuarantineState_bf54f1ade76c7a28 QuarantineState;
+
 struct QuarantineNotice {
   QuarantineNotice() = delete;
 
@@ -295,7 +304,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(988dd4adb71c49c6, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(988dd4adb71c49c6, 1, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1297,6 +1306,8 @@
 
   inline  ::int64_t getTimeMicroseconds() const;
 
+  inline  ::uint64_t getFromSegment() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1362,6 +1373,9 @@
   inline  ::int64_t getTimeMicroseconds();
   inline void setTimeMicroseconds( ::int64_t value);
 
+  inline  ::uint64_t getFromSegment();
+  inline void setFromSegment( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1662,10 +1676,15 @@
   inline bool hasContent() const;
   inline  ::peer_wire::Wide::Reader getContent() const;
 
-  inline bool hasCrashed() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getCrashed() const;
+  inline  ::peer_wire::QuarantineState getState() const;
 
-  inline  ::int64_t getTimeMicroseconds() const;
+  inline bool hasUpstream() const;
+  inline  ::capnp::Text::Reader getUpstream() const;
+
+  inline bool hasNode() const;
+  inline  ::capnp::Text::Reader getNode() const;
+
+  inline  ::uint32_t getCrashes() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1702,16 +1721,25 @@
   inline void adoptContent(::capnp::Orphan< ::peer_wire::Wide>&& value);
   inline ::capnp::Orphan< ::peer_wire::Wide> disownContent();
 
-  inline bool hasCrashed();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getCrashed();
-  inline void setCrashed( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setCrashed(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initCrashed(unsigned int size);
-  inline void adoptCrashed(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownCrashed();
+  inline  ::peer_wire::QuarantineState getState();
+  inline void setState( ::peer_wire::QuarantineState value);
 
-  inline  ::int64_t getTimeMicroseconds();
-  inline void setTimeMicroseconds( ::int64_t value);
+  inline bool hasUpstream();
+  inline  ::capnp::Text::Builder getUpstream();
+  inline void setUpstream( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initUpstream(unsigned int size);
+  inline void adoptUpstream(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownUpstream();
+
+  inline bool hasNode();
+  inline  ::capnp::Text::Builder getNode();
+  inline void setNode( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initNode(unsigned int size);
+  inline void adoptNode(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownNode();
+
+  inline  ::uint32_t getCrashes();
+  inline void setCrashes( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2887,6 +2915,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Charge::Reader::getFromSegment() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Charge::Builder::getFromSegment() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Charge::Builder::setFromSegment( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool HoldCharges::Reader::hasCharges() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3056,56 +3098,100 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool QuarantineNotice::Reader::hasCrashed() const {
+inline  ::peer_wire::QuarantineState QuarantineNotice::Reader::getState() const {
+  return _reader.getDataField< ::peer_wire::QuarantineState>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::peer_wire::QuarantineState QuarantineNotice::Builder::getState() {
+  return _builder.getDataField< ::peer_wire::QuarantineState>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void QuarantineNotice::Builder::setState( ::peer_wire::QuarantineState value) {
+  _builder.setDataField< ::peer_wire::QuarantineState>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool QuarantineNotice::Reader::hasUpstream() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool QuarantineNotice::Builder::hasCrashed() {
+inline bool QuarantineNotice::Builder::hasUpstream() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader QuarantineNotice::Reader::getCrashed() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader QuarantineNotice::Reader::getUpstream() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder QuarantineNotice::Builder::getCrashed() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder QuarantineNotice::Builder::getUpstream() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void QuarantineNotice::Builder::setCrashed( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline void QuarantineNotice::Builder::setCrashed(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+inline void QuarantineNotice::Builder::setUpstream( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder QuarantineNotice::Builder::initCrashed(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder QuarantineNotice::Builder::initUpstream(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void QuarantineNotice::Builder::adoptCrashed(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+inline void QuarantineNotice::Builder::adoptUpstream(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> QuarantineNotice::Builder::disownCrashed() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> QuarantineNotice::Builder::disownUpstream() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t QuarantineNotice::Reader::getTimeMicroseconds() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool QuarantineNotice::Reader::hasNode() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool QuarantineNotice::Builder::hasNode() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader QuarantineNotice::Reader::getNode() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder QuarantineNotice::Builder::getNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void QuarantineNotice::Builder::setNode( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder QuarantineNotice::Builder::initNode(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void QuarantineNotice::Builder::adoptNode(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> QuarantineNotice::Builder::disownNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t QuarantineNotice::Builder::getTimeMicroseconds() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint32_t QuarantineNotice::Reader::getCrashes() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void QuarantineNotice::Builder::setTimeMicroseconds( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+
+inline  ::uint32_t QuarantineNotice::Builder::getCrashes() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void QuarantineNotice::Builder::setCrashes( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 }  // namespace
--- a/Source/Core/Peer/PeerMessages.cpp
+++ b/Source/Core/Peer/PeerMessages.cpp
@@ -142,6 +142,7 @@
   aWire.setHolderIncarnation(aCharge.mHolder.mIncarnation);
   aWire.setTokens(aCharge.mTokens);
   aWire.setTimeMicroseconds(aCharge.mTime.time_since_epoch().count());
+  aWire.setFromSegment(aCharge.mFromSegment);
 }
 
 peer_charge ReadCharge(peer_wire::Charge::Reader aWire)
@@ -154,6 +155,7 @@
   charge.mHolder.mIncarnation = aWire.getHolderIncarnation();
   charge.mTokens = aWire.getTokens();
   charge.mTime = FromMicroseconds(aWire.getTimeMicroseconds());
+  charge.mFromSegment = aWire.getFromSegment();
   return charge;
 }
 
@@ -214,8 +216,10 @@
 {
   return Pack<peer_wire::QuarantineNotice>([&](auto aWire) {
     WriteWide(aWire.initContent(), aMessage.mContent);
-    WriteNames(aMessage.mCrashed, aWire.initCrashed(aMessage.mCrashed.size()));
-    aWire.setTimeMicroseconds(aMessage.mTime.time_since_epoch().count());
+    aWire.setState(static_cast<peer_wire::QuarantineState>(aMessage.mState));
+    aWire.setUpstream(ToText(aMessage.mUpstream.mName));
+    aWire.setNode(ToText(aMessage.mNode.mName));
+    aWire.setCrashes(aMessage.mCrashes);
   });
 }
 
@@ -279,8 +283,12 @@
 {
   return Unpack<peer_wire::QuarantineNotice>(aText, [&](auto aWire) {
     aMessage.mContent = ReadWide<content_id>(aWire.getContent());
-    aMessage.mCrashed = ReadNames<upstream_id>(aWire.getCrashed());
-    aMessage.mTime = FromMicroseconds(aWire.getTimeMicroseconds());
+    KJ_REQUIRE(aWire.getState() <= peer_wire::QuarantineState::QUARANTINED,
+               "unknown state");
+    aMessage.mState = static_cast<peer_quarantine_state>(aWire.getState());
+    aMessage.mUpstream.mName = FromText(aWire.getUpstream());
+    aMessage.mNode.mName = FromText(aWire.getNode());
+    aMessage.mCrashes = aWire.getCrashes();
   });
 }
 
--- a/Source/Core/Peer/PeerMessages.h
+++ b/Source/Core/Peer/PeerMessages.h
@@ -23,6 +23,8 @@
   holder_id mHolder;
   std::uint64_t mTokens = 0;
   wall_time mTime;
+  /// Log position that the holder knew when it reserved.
+  std::uint64_t mFromSegment = 0;
   auto operator<=>(const peer_charge&) const = default;
 };
 
@@ -58,13 +60,24 @@
   auto operator<=>(const drop_charges&) const = default;
 };
 
-/// Tells a peer that requests of this content crash upstreams.
+enum class peer_quarantine_state : std::uint8_t
+{
+  Suspect,
+  Cleared,
+  Quarantined,
+};
+
+/// Tells a peer what is known about a content that may crash upstreams.
 struct peer_quarantine
 {
   content_id mContent;
-  /// Upstreams that crashed while running it.
-  std::vector<upstream_id> mCrashed;
-  wall_time mTime;
+  peer_quarantine_state mState = peer_quarantine_state::Suspect;
+  /// The upstream that crashed; empty for `Cleared`.
+  upstream_id mUpstream;
+  /// The node that saw it.
+  node_id mNode;
+  /// Crashes that the sender knows of.
+  std::uint32_t mCrashes = 0;
   auto operator<=>(const peer_quarantine&) const = default;
 };
 
