--- /dev/null
+++ b/Source/Core/Budget/ChargeBackup.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <random>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+#include "Budget/BudgetTypes.h"
+
+/// Keeps copies of other holders' charges until they are in the store. When a
+/// holder is dead it writes them, seals the holder's row and, once every
+/// listed backup has sealed, returns the grants.
+class charge_backup
+{
+public:
+  charge_backup(holder_id aSelf,
+                const budget_settings& aSettings,
+                std::uint64_t aSeed);
+
+  hold_outcome OnHold(const holder_id& aFrom,
+                      const std::vector<charge>& aCharges,
+                      time_point aNow);
+  void OnDrop(const holder_id& aFrom, const std::vector<request_id>& aRequests);
+
+  /// Membership takes a holder for dead: nothing more is accepted from it.
+  void OnHolderDead(const holder_id& aHolder, time_point aNow);
+
+  budget_output Tick(time_point aNow);
+  void OnRead(std::uint64_t aId,
+              const result<std::vector<table_row>, table_error>& aReply,
+              time_point aNow);
+  void OnCommit(const transaction_id& aId,
+                const result<commit_reply, table_error>& aReply,
+                time_point aNow);
+
+  /// Accepts no new charges; those of dead holders are still written.
+  void BeginShutdown() { mDraining = true; }
+  /// Holds nothing, or only copies whose holders are alive.
+  bool IsDrained() const;
+
+  std::size_t HeldCharges() const { return mHeldCharges; }
+  const budget_counters& Counters() const { return mCounters; }
+
+private:
+  struct held_charge
+  {
+    charge mCharge;
+    time_point mSince;
+  };
+
+  struct holder_entry
+  {
+    std::unordered_map<request_id, held_charge> mCharges;
+    /// Nothing more is accepted.
+    bool mClosed = false;
+    /// The row shows this backup's seal.
+    bool mSealed = false;
+    std::uint32_t mFailures = 0;
+  };
+
+  enum class job_phase : std::uint8_t
+  {
+    Idle,
+    Holder,
+    Rows,
+    Segments,
+    Scan,
+    ReclaimRows,
+    Commit,
+  };
+
+  struct job_item
+  {
+    budget_id mBudget;
+    budget_row mRow;
+    std::uint64_t mVersion = 0;
+    std::vector<charge> mCharges;
+  };
+
+  /// One step for one holder: holder row, budget rows, segments, commit.
+  struct job
+  {
+    job_phase mPhase = job_phase::Idle;
+    holder_id mHolder;
+    std::uint64_t mReadId = 0;
+    holder_row mRow;
+    std::uint64_t mVersion = 0;
+    std::vector<job_item> mItems;
+    std::vector<std::pair<std::size_t, std::uint64_t>> mSegmentsToRead;
+    std::size_t mSegmentsRead = 0;
+    std::size_t mSegmentsAsked = 0;
+    table_transaction mTransaction;
+    std::vector<request_id> mWritten;
+    bool mSeals = false;
+    bool mEnds = false;
+    bool mToSend = false;
+    time_point mSendAt;
+  };
+
+  void Plan(const holder_id& aHolder, time_point aAt);
+  void StartJob(time_point aNow);
+  void Ask(job_phase aPhase, std::vector<std::string> aKeys);
+  void OnHolderRow(const table_row& aRow, time_point aNow);
+  void PickCharges(time_point aNow);
+  void OnRows(const std::vector<table_row>& aRows, time_point aNow);
+  void AskSegments(time_point aNow);
+  void OnSegments(const std::vector<table_row>& aRows, time_point aNow);
+  void ComposeFlush(time_point aNow);
+  void OnGrants(const std::vector<table_row>& aRows, time_point aNow);
+  void ComposeReclaim(const std::vector<table_row>& aRows, time_point aNow);
+  void Submit(time_point aNow);
+  void Forget(const holder_id& aHolder);
+  void Erase(holder_entry& aEntry, const request_id& aRequest);
+  void EndJob(time_point aNext);
+  void FailJob(time_point aNow);
+
+  holder_id mSelf;
+  budget_settings mSettings;
+  std::mt19937_64 mRandom;
+  budget_counters mCounters;
+  std::map<holder_id, holder_entry> mHolders;
+  std::size_t mHeldCharges = 0;
+  std::set<std::pair<time_point, holder_id>> mAgenda;
+  std::map<holder_id, time_point> mPlanned;
+  job mJob;
+  std::uint64_t mNextCall = 1;
+  bool mDraining = false;
+  budget_output mOut;
+};
