--- /dev/null
+++ b/Source/Core/Platform/HostListJson.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <nlohmann/json.hpp>
+
+#include "Platform/HostList.h"
+
+/// JSON bodies of the host list's HTTP protocol:
+/// `{"version":N,"hosts":[{"name","role","state","zone","region","address",`
+/// `"peer_address","service"}]}`. Roles are `node`, `engine` and `service`,
+/// states `live` and `leaving`; the last two members may be absent.
+
+nlohmann::json HostEntryJson(const host_entry& aHost);
+std::optional<host_entry> ReadHostEntry(const nlohmann::json& aHost);
+
+std::string WriteHostListing(const host_listing& aListing);
+std::optional<host_listing> ParseHostListing(std::string_view aText);
--- /dev/null
+++ b/Source/Core/Platform/HttpHostList.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "Platform/HostList.h"
+#include "Platform/HttpClient.h"
+#include "Platform/PlatformEndpoint.h"
+
+/// The host list over HTTP: `GET /v1/hosts?version=N` answers 200 with the
+/// list (`Platform/HostListJson.h`), or 304 while N is the current version.
+/// Any other status counts as unavailable. Destruction cancels open calls
+/// without calling back.
+class http_host_list final : public host_list
+{
+public:
+  http_host_list(http_client& aClient, platform_endpoint aEndpoint);
+
+  void Fetch(std::uint64_t aKnownVersion, callback aReply) override;
+
+private:
+  http_client& mClient;
+  platform_endpoint mEndpoint;
+  http_owner mOwner;
+};
--- /dev/null
+++ b/Source/Core/Platform/HttpWeightStore.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "Platform/HttpClient.h"
+#include "Platform/PlatformEndpoint.h"
+#include "Platform/WeightStore.h"
+
+/// The weight store over HTTP: `POST /v1/tickets` with `{"model"}` answers
+/// `{"model","ticket","bytes"}`; 404 means an unknown model, 429 over the
+/// rate. Any other failure counts as unavailable: a ticket whose reply was
+/// lost is never used and needs no return. Destruction cancels open calls
+/// without calling back.
+class http_weight_store final : public weight_store
+{
+public:
+  http_weight_store(http_client& aClient, platform_endpoint aEndpoint);
+
+  void Request(std::string aModel, callback aReply) override;
+
+private:
+  http_client& mClient;
+  platform_endpoint mEndpoint;
+  http_owner mOwner;
+};
--- /dev/null
+++ b/Source/Core/Platform/MemoryTable.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "Platform/TableService.h"
+
+/// The state of a table service as a pure state machine: rows, versions and
+/// the memory of transactions. Stand-ins and tests are built on it.
+class memory_table
+{
+public:
+  /// `aRemembered` is the number of transactions whose outcome is kept.
+  explicit memory_table(std::size_t aRemembered = 100000);
+
+  std::vector<table_row> Read(const std::vector<std::string>& aKeys) const;
+  std::vector<table_row> Scan(const table_scan& aScan) const;
+  /// Applies a transaction once. A repeated identity gets the first outcome,
+  /// also when that was a conflict.
+  commit_reply Commit(const table_transaction& aTransaction);
+
+  /// Version given to the last applied transaction.
+  std::uint64_t Version() const { return mVersion; }
+  std::size_t Rows() const { return mRows.size(); }
+
+private:
+  struct stored_row
+  {
+    std::uint64_t mVersion = 0;
+    std::string mValue;
+  };
+
+  bool Holds(const table_condition& aCondition) const;
+  void Remember(transaction_id aId, const commit_reply& aReply);
+
+  std::map<std::string, stored_row, std::less<>> mRows;
+  // One counter for all rows: a row that is deleted and written again never
+  // gets an old version back.
+  std::uint64_t mVersion = 0;
+  std::size_t mRemembered;
+  std::unordered_map<transaction_id, commit_reply> mOutcomes;
+  std::deque<transaction_id> mOrder;
+};
--- /dev/null
+++ b/Source/Core/Platform/PlatformEndpoint.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <chrono>
+#include <string>
+
+/// Where a service of the platform listens.
+struct platform_endpoint
+{
+  /// `IP:port`.
+  std::string mAddress;
+  /// Limit for each call.
+  std::chrono::milliseconds mTimeout{ 2000 };
+
+  std::string Url(const std::string& aPath) const
+  {
+    return "http://" + mAddress + aPath;
+  }
+};
--- /dev/null
+++ b/Source/Core/Platform/TableJson.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "Platform/TableService.h"
+
+/// JSON bodies of the table service's HTTP protocol. Keys and values are UTF-8
+/// texts; a body with other bytes cannot be written.
+///
+/// | path | request | reply |
+/// | --- | --- | --- |
+/// | `POST /v1/read` | `{"keys":[..]}` | `{"rows":[{"key","version","value"}]}` |
+/// | `POST /v1/scan` | `{"prefix","after","limit"}` | as for read |
+/// | `POST /v1/commit` | `{"id","conditions":[{"key","version"}],`
+///   `"writes":[{"key","value"}]}` | `{"committed","version"}` |
+///
+/// `id` has 32 hexadecimal digits; a write with the value `null` deletes.
+///
+/// | status | meaning | applied |
+/// | --- | --- | --- |
+/// | 200 | the reply, also for a conflict | as it says |
+/// | 429 | over the rate | no |
+/// | 503, any 4xx | refused | no |
+/// | any other | failed | unknown |
+
+std::optional<std::string> WriteReadRequest(
+  const std::vector<std::string>& aKeys);
+std::optional<std::vector<std::string>> ParseReadRequest(
+  std::string_view aText);
+
+std::optional<std::string> WriteScanRequest(const table_scan& aScan);
+std::optional<table_scan> ParseScanRequest(std::string_view aText);
+
+std::optional<std::string> WriteCommitRequest(
+  const table_transaction& aTransaction);
+std::optional<table_transaction> ParseCommitRequest(std::string_view aText);
+
+std::optional<std::string> WriteRowsReply(const std::vector<table_row>& aRows);
+std::optional<std::vector<table_row>> ParseRowsReply(std::string_view aText);
+
+std::string WriteCommitReply(const commit_reply& aReply);
+std::optional<commit_reply> ParseCommitReply(std::string_view aText);
