Follow and edit the configuration in the table service

Head and change rows carry a digest of all section versions, by which a follower rejects rows that belong to different versions.

--- /dev/null
+++ b/Source/Core/Config/ConfigEditor.cpp
@@ -0,0 +1,343 @@
+#include "Config/ConfigEditor.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include "Common/Hash.h"
+
+namespace {
+
+// Request numbers of the editor's own reads; the follower counts from 1.
+constexpr std::uint64_t kOwnRequests = std::uint64_t{ 1 } << 63U;
+
+/// Compares without stopping at the first difference, so that the time does
+/// not tell how much of a guessed secret is right.
+bool EqualSecrets(const std::string& aLeft, const std::string& aRight)
+{
+  unsigned difference = aLeft.size() == aRight.size() ? 0 : 1;
+  for (std::size_t i = 0; i < std::min(aLeft.size(), aRight.size()); ++i) {
+    difference |= static_cast<unsigned>(aLeft[i] ^ aRight[i]);
+  }
+  return difference == 0;
+}
+
+} // namespace
+
+std::string_view EditStatusName(edit_status aStatus)
+{
+  switch (aStatus) {
+    case edit_status::Committed:
+      return "committed";
+    case edit_status::Conflict:
+      return "conflict";
+    case edit_status::Forbidden:
+      return "forbidden";
+    case edit_status::Invalid:
+      return "invalid";
+    case edit_status::Unavailable:
+      return "unavailable";
+    case edit_status::Unknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+config_editor::config_editor(std::vector<operator_key> aKeys,
+                             std::uint64_t aSeed,
+                             const editor_options& aOptions)
+  : mKeys(std::move(aKeys))
+  , mOptions(aOptions)
+  , mFollower(aOptions.mFollower)
+  , mSeed(aSeed)
+{
+}
+
+void config_editor::Put(section_edit aEdit,
+                        wall_time aWallNow,
+                        time_point aNow,
+                        time_point aDeadline)
+{
+  mEdit = std::move(aEdit);
+  mWallNow = aWallNow;
+  mDeadline = aDeadline;
+  mOutcome.reset();
+  mSends = 0;
+  mRefusals = 0;
+  if (std::string why = WhyForbidden(); !why.empty()) {
+    Finish(edit_status::Forbidden, std::move(why));
+    return;
+  }
+  if (std::string why = WhyInvalid(); !why.empty()) {
+    Finish(edit_status::Invalid, std::move(why));
+    return;
+  }
+  StartReading(aNow);
+}
+
+editor_requests config_editor::Tick(time_point aNow)
+{
+  editor_requests requests;
+  requests.mRows = mFollower.Tick(aNow);
+  if (mStep == edit_step::Idle) {
+    return requests;
+  }
+  if (aNow >= mDeadline) {
+    FinishLate();
+    return requests;
+  }
+  if (mStep == edit_step::Reading) {
+    TryPrepare(aNow);
+  }
+  if (mStep == edit_step::Reading && aNow >= mNextRead) {
+    RequestRows(aNow, requests);
+  }
+  if (mStep == edit_step::Committing && aNow >= mNextCommit) {
+    mNextCommit = aNow + mOptions.mReplyLimit;
+    ++mSends;
+    requests.mCommit = mTransaction;
+  }
+  return requests;
+}
+
+void config_editor::OnRead(
+  std::uint64_t aRequest,
+  const result<std::vector<table_row>, table_error>& aReply,
+  time_point aNow)
+{
+  if (aRequest < kOwnRequests) {
+    mFollower.OnRead(aRequest, aReply, aNow);
+    return;
+  }
+  if (mStep != edit_step::Reading || aRequest != mRowsRequest) {
+    return;
+  }
+  mNextRead = aNow + mOptions.mRetryPause;
+  if (aReply.has_value()) {
+    TakeRows(aReply.value());
+    TryPrepare(aNow);
+  }
+}
+
+void config_editor::OnScan(
+  std::uint64_t aRequest,
+  const result<std::vector<table_row>, table_error>& aReply,
+  time_point aNow)
+{
+  mFollower.OnScan(aRequest, aReply, aNow);
+}
+
+void config_editor::OnCommit(const transaction_id& aTransaction,
+                             const result<commit_reply, table_error>& aReply,
+                             time_point aNow)
+{
+  if (mStep != edit_step::Committing || aTransaction != mTransaction.mId) {
+    return;
+  }
+  if (aReply.has_error()) {
+    const bool refused = aReply.error() == table_error::Unavailable ||
+                         aReply.error() == table_error::RateLimited;
+    mRefusals += refused ? 1 : 0;
+    mNextCommit = aNow + mOptions.mRetryPause;
+    return;
+  }
+  if (!aReply.value().mCommitted) {
+    // Another change came first. The rows tell whether it is a conflict.
+    StartReading(aNow);
+    return;
+  }
+  Finish(edit_status::Committed, "");
+  mOutcome->mVersion = mNewVersion;
+  mFollower.OnHint(mNewVersion, aNow);
+}
+
+std::string config_editor::WhyForbidden() const
+{
+  for (const operator_key& key : mKeys) {
+    if (key.mId != mEdit.mOperatorId ||
+        !EqualSecrets(key.mSecret, mEdit.mOperatorSecret)) {
+      continue;
+    }
+    return OwnsSection(key, mEdit.mSection)
+             ? ""
+             : fmt::format("operator key \"{}\" does not own section \"{}\"",
+                           key.mId,
+                           mEdit.mSection);
+  }
+  return fmt::format("unknown operator key \"{}\" or wrong secret",
+                     mEdit.mOperatorId);
+}
+
+std::string config_editor::WhyInvalid() const
+{
+  if (!mEdit.mText) {
+    return IsSectionName(mEdit.mSection)
+             ? ""
+             : fmt::format("\"{}\" is not a section", mEdit.mSection);
+  }
+  const auto section = ParseSection(mEdit.mSection, *mEdit.mText);
+  return section.has_error() ? FormatConfigErrors(section.error()) : "";
+}
+
+void config_editor::StartReading(time_point aNow)
+{
+  mStep = edit_step::Reading;
+  mHeadRow.reset();
+  mSectionRow.reset();
+  mNextRead = aNow;
+  mFollower.PollNow(aNow);
+}
+
+void config_editor::RequestRows(time_point aNow, editor_requests& aRequests)
+{
+  ++mRowsRequest;
+  mRowsRequest |= kOwnRequests;
+  mNextRead = aNow + mOptions.mReplyLimit;
+  aRequests.mRows.mReads.push_back(
+    { mRowsRequest,
+      { std::string(kConfigHeadKey), ConfigSectionKey(mEdit.mSection) } });
+}
+
+void config_editor::TakeRows(const std::vector<table_row>& aRows)
+{
+  for (const table_row& row : aRows) {
+    if (row.mKey == kConfigHeadKey) {
+      mHeadRow = row;
+    } else if (row.mKey == ConfigSectionKey(mEdit.mSection)) {
+      mSectionRow = row;
+    }
+  }
+}
+
+void config_editor::TryPrepare(time_point aNow)
+{
+  if (!mHeadRow || !mSectionRow) {
+    return;
+  }
+  mHead = {};
+  mSection = { mEdit.mSection, 0, std::nullopt };
+  if (mHeadRow->mVersion > 0) {
+    const auto head = ReadConfigHead(mHeadRow->mValue);
+    if (head.has_error()) {
+      Finish(edit_status::Invalid, "the stored head row cannot be read");
+      return;
+    }
+    mHead = head.value();
+  }
+  if (mSectionRow->mVersion > 0) {
+    const auto section = ReadConfigSection(mSectionRow->mValue);
+    if (section.has_error()) {
+      Finish(edit_status::Invalid, "the stored section row cannot be read");
+      return;
+    }
+    mSection = section.value();
+  }
+  mFollower.OnHint(mHead.mVersion, aNow);
+  if (!RowsMatchFollower() || FinishOnConflict()) {
+    return;
+  }
+  const auto document =
+    mFollower.Current().mDocument->With({ { mEdit.mSection, mEdit.mText } });
+  if (document.has_error()) {
+    Finish(edit_status::Invalid, FormatConfigErrors(document.error()));
+    return;
+  }
+  BuildTransaction();
+  mStep = edit_step::Committing;
+  mNextCommit = aNow;
+}
+
+bool config_editor::RowsMatchFollower() const
+{
+  // Rows older than the document came from a lagging replica; a document
+  // older than the rows is still being read.
+  return mFollower.Current().mVersion == mHead.mVersion &&
+         mFollower.Digest() == mHead.mDigest &&
+         mFollower.SectionVersion(mEdit.mSection) == mSection.mVersion;
+}
+
+bool config_editor::FinishOnConflict()
+{
+  if (mSection.mVersion == mEdit.mBaseVersion) {
+    return false;
+  }
+  Finish(edit_status::Conflict,
+         fmt::format("section \"{}\" is at version {}, the edit started from "
+                     "version {}",
+                     mEdit.mSection,
+                     mSection.mVersion,
+                     mEdit.mBaseVersion));
+  mOutcome->mBaseVersion = mEdit.mBaseVersion;
+  mOutcome->mStoredVersion = mSection.mVersion;
+  mOutcome->mStoredText = mSection.mText;
+  return true;
+}
+
+void config_editor::BuildTransaction()
+{
+  mNewVersion = mHead.mVersion + 1;
+  mSends = 0;
+  mRefusals = 0;
+  const std::string changeKey = ConfigChangeKey(mNewVersion);
+  const std::string sectionKey = ConfigSectionKey(mEdit.mSection);
+  const std::uint64_t digest =
+    mHead.mDigest ^ SectionDigest(mEdit.mSection, mSection.mVersion) ^
+    SectionDigest(mEdit.mSection, mNewVersion);
+  const config_change change{
+    mNewVersion, mEdit.mSection,    mSection.mVersion, !mEdit.mText.has_value(),
+    digest,      mEdit.mOperatorId, mEdit.mNote,       mWallNow
+  };
+  ++mTransactions;
+  mTransaction.mId = { StableHash(fmt::format("config {}", mTransactions),
+                                  mSeed),
+                       StableHash(sectionKey, mSeed + mTransactions) };
+  mTransaction.mConditions = { { std::string(kConfigHeadKey),
+                                 mHeadRow->mVersion },
+                               { sectionKey, mSectionRow->mVersion },
+                               { changeKey, 0 } };
+  mTransaction.mWrites = {
+    { std::string(kConfigHeadKey), WriteConfigHead({ mNewVersion, digest }) },
+    { changeKey, WriteConfigChange(change) },
+    { sectionKey,
+      WriteConfigSection({ mEdit.mSection, mNewVersion, mEdit.mText }) },
+  };
+}
+
+void config_editor::Finish(edit_status aStatus, std::string aMessage)
+{
+  mStep = edit_step::Idle;
+  mOutcome = edit_outcome{};
+  mOutcome->mStatus = aStatus;
+  mOutcome->mMessage = std::move(aMessage);
+}
+
+void config_editor::FinishLate()
+{
+  if (mStep == edit_step::Committing && mSends > mRefusals) {
+    Finish(edit_status::Unknown,
+           fmt::format("the outcome of change {} is not known; read the "
+                       "section before editing it again",
+                       mNewVersion));
+    return;
+  }
+  Finish(edit_status::Unavailable,
+         mFollower.LastFault().empty() ? "nothing was changed in time"
+                                       : mFollower.LastFault());
+}
+
+bool OwnsSection(const operator_key& aKey, std::string_view aSection)
+{
+  return std::ranges::any_of(aKey.mSections, [&](const std::string& aPattern) {
+    return MatchesPattern(aPattern, aSection);
+  });
+}
+
+std::vector<std::string> HistoryKeys(std::uint64_t aHeadVersion,
+                                     std::uint64_t aCount)
+{
+  std::vector<std::string> keys;
+  for (std::uint64_t i = 0; i < std::min(aCount, aHeadVersion); ++i) {
+    keys.push_back(ConfigChangeKey(aHeadVersion - i));
+  }
+  return keys;
+}
--- a/Source/Core/Config/ConfigEditor.h
+++ b/Source/Core/Config/ConfigEditor.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -104,18 +105,22 @@
   enum class edit_step : std::uint8_t
   {
     Idle,
-    /// Brings the document up to date and reads head and section rows.
+    /// Brings the document up to date and reads the rows to be replaced.
     Reading,
-    /// A transaction is being sent until its outcome is known.
+    /// Sends a transaction until its outcome is known.
     Committing,
   };
 
-  bool Authorized(std::string& aWhy) const;
+  std::string WhyForbidden() const;
+  std::string WhyInvalid() const;
+  void StartReading(time_point aNow);
   void RequestRows(time_point aNow, editor_requests& aRequests);
   void TakeRows(const std::vector<table_row>& aRows);
   void TryPrepare(time_point aNow);
+  bool FinishOnConflict();
+  bool RowsMatchFollower() const;
   void BuildTransaction();
-  void Finish(edit_outcome aOutcome);
+  void Finish(edit_status aStatus, std::string aMessage);
   void FinishLate();
 
   std::vector<operator_key> mKeys;
@@ -130,15 +135,20 @@
   time_point mDeadline{};
   std::optional<edit_outcome> mOutcome;
 
+  /// Rows to be replaced, with their row versions; unset until read.
   std::optional<table_row> mHeadRow;
   std::optional<table_row> mSectionRow;
+  config_head mHead;
+  config_section mSection;
+  /// Request number of the last read of these rows.
   std::uint64_t mRowsRequest = 0;
-  std::uint64_t mNextRequest = 0;
   time_point mNextRead{};
 
   table_transaction mTransaction;
   std::uint64_t mNewVersion = 0;
-  bool mMayBeApplied = false;
+  /// Sends of the transaction, and replies that it was not applied.
+  std::uint32_t mSends = 0;
+  std::uint32_t mRefusals = 0;
   time_point mNextCommit{};
 };
 
--- /dev/null
+++ b/Source/Core/Config/ConfigFollower.cpp
@@ -0,0 +1,456 @@
+#include "Config/ConfigFollower.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include "Common/Hash.h"
+
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+// A hint of a version that the store does not show is either ahead of a lagging
+// replica or wrong; after this many polls the usual period is enough.
+constexpr std::uint32_t kMaxHintPolls = 8;
+// Keeps a whole fleet from polling in the same instant after a hint.
+constexpr milliseconds kHintSpread{ 200 };
+// The pause doubles with each failure up to this factor.
+constexpr std::uint32_t kMaxPauseDoublings = 2;
+// Scans read every section, so repeated ones are spaced up to 32 s apart.
+constexpr std::uint32_t kMaxScanDoublings = 7;
+
+std::string UnreadableText(config_row_error aError)
+{
+  return aError == config_row_error::NewerFormat
+           ? "was written in a newer format"
+           : "is malformed";
+}
+
+} // namespace
+
+config_follower::config_follower(const follower_options& aOptions)
+  : mOptions(aOptions)
+  , mCurrent{ 0, std::make_shared<fleet_document>() }
+{
+}
+
+config_requests config_follower::Tick(time_point aNow)
+{
+  ExpireRequests(aNow);
+  ApplyWhenComplete(aNow);
+  config_requests requests;
+  if (mOpenRequests.empty() && aNow >= mNotBefore) {
+    RequestDue(aNow, requests);
+  }
+  return requests;
+}
+
+void config_follower::OnRead(std::uint64_t aRequest,
+                             const reply_rows& aReply,
+                             time_point aNow)
+{
+  CloseRequest(aRequest, aReply, aNow);
+  if (aReply.has_error()) {
+    return;
+  }
+  for (const table_row& row : aReply.value()) {
+    TakeRow(row);
+  }
+  if (!mProgress && !MissingKeys().empty()) {
+    // A lagging replica answered; asking again at once would give the same.
+    mNotBefore = aNow + mOptions.mRetryPause;
+  }
+  if (mHint > Target() && mHintPolls < kMaxHintPolls) {
+    ++mHintPolls;
+    mNextPoll = std::min(mNextPoll, aNow + microseconds(mOptions.mRetryPause));
+  }
+}
+
+void config_follower::OnScan(std::uint64_t aRequest,
+                             const reply_rows& aReply,
+                             time_point aNow)
+{
+  CloseRequest(aRequest, aReply, aNow);
+  if (aReply.has_error()) {
+    return;
+  }
+  const auto& rows = aReply.value();
+  for (const table_row& row : rows) {
+    TakeRow(row);
+  }
+  if (!mScan.mActive || aRequest != mScan.mRequest) {
+    return;
+  }
+  if (rows.size() < mOptions.mScanPage) {
+    mScan.mActive = false;
+  } else {
+    mScan.mAfter = rows.back().mKey;
+  }
+}
+
+void config_follower::OnHint(std::uint64_t aVersion, time_point aNow)
+{
+  if (aVersion <= mHint || aVersion <= Target()) {
+    return;
+  }
+  if (mHint == 0) {
+    mHintDeadline = aNow + mOptions.mStartHintLimit;
+  }
+  mHint = aVersion;
+  mHintPolls = 0;
+  const microseconds spread(mOptions.mSeed % microseconds(kHintSpread).count());
+  const time_point earliest = mLastPoll + mOptions.mRetryPause;
+  mNextPoll = std::min(mNextPoll, std::max(aNow + spread, earliest));
+}
+
+void config_follower::PollNow(time_point aNow)
+{
+  mNextPoll = std::min(mNextPoll, aNow);
+}
+
+std::uint64_t config_follower::SectionVersion(const std::string& aName) const
+{
+  const auto found = mSections.find(aName);
+  return found == mSections.end() ? 0 : found->second;
+}
+
+void config_follower::ExpireRequests(time_point aNow)
+{
+  const auto expired = std::erase_if(
+    mOpenRequests, [aNow](const auto& aOpen) { return aOpen.second <= aNow; });
+  if (expired > 0) {
+    NoteFailure(aNow);
+  }
+}
+
+std::uint64_t config_follower::OpenRequest(time_point aNow)
+{
+  const std::uint64_t request = mNextRequest++;
+  mOpenRequests[request] = aNow + mOptions.mReplyLimit;
+  mProgress = false;
+  return request;
+}
+
+void config_follower::CloseRequest(std::uint64_t aRequest,
+                                   const reply_rows& aReply,
+                                   time_point aNow)
+{
+  const bool open = mOpenRequests.erase(aRequest) > 0;
+  if (aReply.has_value()) {
+    mFailuresInRow = 0;
+  } else if (open) {
+    NoteFailure(aNow);
+  }
+}
+
+void config_follower::NoteFailure(time_point aNow)
+{
+  ++mCounters.mFailedRequests;
+  const std::uint32_t doublings = std::min(mFailuresInRow, kMaxPauseDoublings);
+  mNotBefore = aNow + mOptions.mRetryPause * (1U << doublings);
+  mNextPoll = std::min(mNextPoll, mNotBefore);
+  ++mFailuresInRow;
+}
+
+void config_follower::RequestDue(time_point aNow, config_requests& aRequests)
+{
+  const bool behind =
+    Target() - std::min(mBase, Target()) > mOptions.mMaxChangesBehind;
+  const bool first = mHead.mVersion > 0 && !Ready() && mBase == 0;
+  if (!mScan.mActive && (behind || first)) {
+    StartScan(aNow);
+  }
+  if (mScan.mActive) {
+    if (aNow >= mScan.mNotBefore) {
+      RequestScanPage(aNow, aRequests);
+    }
+  } else {
+    std::vector<std::string> keys = MissingKeys();
+    if (!keys.empty()) {
+      aRequests.mReads.push_back({ OpenRequest(aNow), std::move(keys) });
+    }
+  }
+  if (mOpenRequests.empty() && aNow >= mNextPoll) {
+    RequestHead(aNow, aRequests);
+  }
+}
+
+void config_follower::RequestHead(time_point aNow, config_requests& aRequests)
+{
+  mLastPoll = aNow;
+  mNextPoll = aNow + PollPause();
+  aRequests.mReads.push_back(
+    { OpenRequest(aNow), { std::string(kConfigHeadKey) } });
+}
+
+void config_follower::RequestScanPage(time_point aNow,
+                                      config_requests& aRequests)
+{
+  mScan.mRequest = OpenRequest(aNow);
+  aRequests.mScans.push_back({ mScan.mRequest,
+                               { std::string(kConfigSectionPrefix),
+                                 mScan.mAfter,
+                                 mOptions.mScanPage } });
+}
+
+void config_follower::StartScan(time_point aNow)
+{
+  ++mCounters.mScansStarted;
+  mScan.mActive = true;
+  mScan.mAfter.clear();
+  mScan.mNotBefore = aNow;
+  if (mScan.mAttempts > 0) {
+    const std::uint32_t doublings =
+      std::min(mScan.mAttempts - 1, kMaxScanDoublings);
+    mScan.mNotBefore = aNow + mOptions.mRetryPause * (1U << doublings);
+  }
+  ++mScan.mAttempts;
+  // The pages are read after this head, so they hold every earlier change
+  // unless they are stale, which the digest shows.
+  mBase = std::max(mBase, mHead.mVersion);
+}
+
+microseconds config_follower::PollPause()
+{
+  // Between 0.85 and 1 period, so that the polls of nodes do not fall into
+  // step.
+  const std::uint64_t part =
+    StableHash("poll", mOptions.mSeed + mNextRequest) % 150;
+  return microseconds(mOptions.mPollPeriod) * (1000 - part) / 1000;
+}
+
+std::uint64_t config_follower::Target() const
+{
+  std::uint64_t target = std::max(mHead.mVersion, mCurrent.mVersion);
+  for (const auto& [name, pending] : mPending) {
+    target = std::max(target, pending.mVersion);
+  }
+  return target;
+}
+
+std::uint64_t config_follower::KnownVersion(const std::string& aName) const
+{
+  const auto pending = mPending.find(aName);
+  return pending != mPending.end() ? pending->second.mVersion
+                                   : SectionVersion(aName);
+}
+
+std::vector<std::string> config_follower::MissingKeys() const
+{
+  std::vector<std::string> keys;
+  const auto add = [this, &keys](std::string aKey) {
+    if (keys.size() < mOptions.mRowsPerTick && !mUnreadable.contains(aKey)) {
+      keys.push_back(std::move(aKey));
+    }
+  };
+  const std::uint64_t target = Target();
+  for (std::uint64_t version = mBase + 1;
+       version <= target && keys.size() < mOptions.mRowsPerTick;
+       ++version) {
+    if (!mChanges.contains(version)) {
+      add(ConfigChangeKey(version));
+    }
+  }
+  std::map<std::string, std::uint64_t> wanted;
+  for (const auto& [version, change] : mChanges) {
+    wanted[change.mSection] = version;
+  }
+  for (const auto& [name, version] : wanted) {
+    if (KnownVersion(name) < version) {
+      add(ConfigSectionKey(name));
+    }
+  }
+  return keys;
+}
+
+void config_follower::TakeRow(const table_row& aRow)
+{
+  ++mCounters.mRowsRead;
+  mCounters.mBytesRead += aRow.mKey.size() + aRow.mValue.size();
+  if (aRow.mKey == kConfigHeadKey) {
+    TakeHead(aRow);
+  } else if (aRow.mVersion == 0) {
+    ++mCounters.mStaleRows;
+  } else if (aRow.mKey.starts_with(kConfigChangePrefix)) {
+    TakeChange(aRow);
+  } else if (aRow.mKey.starts_with(kConfigSectionPrefix)) {
+    TakeSection(aRow);
+  }
+}
+
+void config_follower::TakeHead(const table_row& aRow)
+{
+  config_head head;
+  if (aRow.mVersion > 0) {
+    const auto read = ReadConfigHead(aRow.mValue);
+    if (read.has_error()) {
+      TakeUnreadable(aRow, read.error());
+      return;
+    }
+    head = read.value();
+  }
+  mUnreadable.erase(aRow.mKey);
+  if (mHeadSeen && head.mVersion < mHead.mVersion) {
+    ++mCounters.mStaleRows;
+    return;
+  }
+  if (!mHeadSeen || head.mVersion > mHead.mVersion) {
+    mHead = head;
+    mHeadSeen = true;
+    mProgress = true;
+  }
+}
+
+void config_follower::TakeChange(const table_row& aRow)
+{
+  const auto read = ReadConfigChange(aRow.mValue);
+  if (read.has_error()) {
+    TakeUnreadable(aRow, read.error());
+    return;
+  }
+  const config_change& change = read.value();
+  if (ConfigChangeKey(change.mVersion) != aRow.mKey) {
+    TakeUnreadable(aRow, config_row_error::Malformed);
+    return;
+  }
+  if (change.mVersion > mBase) {
+    mProgress = mChanges.emplace(change.mVersion, change).second || mProgress;
+  }
+}
+
+void config_follower::TakeSection(const table_row& aRow)
+{
+  const auto read = ReadConfigSection(aRow.mValue);
+  if (read.has_error()) {
+    TakeUnreadable(aRow, read.error());
+    return;
+  }
+  const config_section& section = read.value();
+  if (ConfigSectionKey(section.mName) != aRow.mKey) {
+    TakeUnreadable(aRow, config_row_error::Malformed);
+    return;
+  }
+  const std::uint64_t known = KnownVersion(section.mName);
+  if (section.mVersion < known) {
+    ++mCounters.mStaleRows;
+  } else if (section.mVersion > known) {
+    mPending[section.mName] = { section.mVersion, section.mText };
+    mProgress = true;
+  }
+}
+
+void config_follower::TakeUnreadable(const table_row& aRow,
+                                     config_row_error aError)
+{
+  mLastFault = fmt::format("row {} {}", aRow.mKey, UnreadableText(aError));
+  const bool added = mUnreadable.insert(aRow.mKey).second;
+  mUnreadableTarget = Target();
+  if (added) {
+    ++mCounters.mUnreadableRows;
+    mProgress = true;
+  }
+}
+
+void config_follower::ApplyWhenComplete(time_point aNow)
+{
+  const std::uint64_t target = Target();
+  if (target > mUnreadableTarget) {
+    // The new change may have repaired a row.
+    mUnreadable.clear();
+    mUnreadableTarget = target;
+  }
+  const bool scanned = mBase > 0;
+  if (target <= mCurrent.mVersion || target == mRejectedVersion ||
+      mScan.mActive || !scanned || !MissingKeys().empty() ||
+      MustWaitForHint(target, aNow)) {
+    return;
+  }
+  if (RejectUnreadable(target)) {
+    return;
+  }
+  const std::optional<std::uint64_t> digest = DigestAt(target);
+  if (digest != CandidateDigest()) {
+    // Some of the rows are from another version than the rest.
+    ++mCounters.mMismatches;
+    StartScan(aNow);
+    return;
+  }
+  ApplyPending(target);
+}
+
+bool config_follower::RejectUnreadable(std::uint64_t aTarget)
+{
+  const std::string latest = ConfigChangeKey(aTarget);
+  for (const std::string& key : mUnreadable) {
+    // An older change that cannot be read is covered by the digest.
+    if (key == latest || key.starts_with(kConfigSectionPrefix)) {
+      Reject(aTarget, mLastFault);
+      return true;
+    }
+  }
+  return false;
+}
+
+std::optional<std::uint64_t> config_follower::DigestAt(
+  std::uint64_t aVersion) const
+{
+  if (aVersion == mHead.mVersion) {
+    return mHead.mDigest;
+  }
+  const auto change = mChanges.find(aVersion);
+  if (change == mChanges.end()) {
+    return std::nullopt;
+  }
+  return change->second.mDigest;
+}
+
+std::uint64_t config_follower::CandidateDigest() const
+{
+  std::uint64_t digest = mDigest;
+  for (const auto& [name, pending] : mPending) {
+    digest ^= SectionDigest(name, SectionVersion(name));
+    digest ^= SectionDigest(name, pending.mVersion);
+  }
+  return digest;
+}
+
+bool config_follower::MustWaitForHint(std::uint64_t aTarget,
+                                      time_point aNow) const
+{
+  return !Ready() && aTarget < mHint && aNow < mHintDeadline;
+}
+
+void config_follower::ApplyPending(std::uint64_t aTarget)
+{
+  std::vector<section_change> changes;
+  for (const auto& [name, pending] : mPending) {
+    changes.push_back({ name, pending.mText });
+  }
+  auto document = mCurrent.mDocument->With(changes);
+  if (document.has_error()) {
+    Reject(aTarget, FormatConfigErrors(document.error()));
+    return;
+  }
+  mDigest = CandidateDigest();
+  for (const auto& [name, pending] : mPending) {
+    mSections[name] = pending.mVersion;
+  }
+  mPending.clear();
+  mChanges.erase(mChanges.begin(), mChanges.upper_bound(aTarget));
+  mBase = aTarget;
+  mScan.mAttempts = 0;
+  mLastFault.clear();
+  mCurrent = {
+    aTarget, std::make_shared<const fleet_document>(std::move(document.value()))
+  };
+  ++mCounters.mApplied;
+}
+
+void config_follower::Reject(std::uint64_t aTarget, std::string aFault)
+{
+  mRejectedVersion = aTarget;
+  mLastFault = std::move(aFault);
+  ++mCounters.mRejected;
+}
--- a/Source/Core/Config/ConfigFollower.h
+++ b/Source/Core/Config/ConfigFollower.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -62,9 +63,13 @@
   std::uint64_t mApplied = 0;
   /// Versions kept out because the document was unreadable or invalid.
   std::uint64_t mRejected = 0;
+  /// Rows that were malformed or in a newer format.
+  std::uint64_t mUnreadableRows = 0;
   /// Rows older than what is already known.
   std::uint64_t mStaleRows = 0;
   std::uint64_t mFailedRequests = 0;
+  /// Row sets that did not match the digest of their version.
+  std::uint64_t mMismatches = 0;
   std::uint64_t mScansStarted = 0;
   std::uint64_t mRowsRead = 0;
   std::uint64_t mBytesRead = 0;
@@ -102,7 +107,7 @@
 
   const config_snapshot& Current() const { return mCurrent; }
   /// True once a first document is in force.
-  bool Ready() const { return mReady; }
+  bool Ready() const { return mCurrent.mVersion > 0; }
   /// Version of a section in force; 0 if it never existed.
   std::uint64_t SectionVersion(const std::string& aName) const;
   /// Digest of the sections in force.
@@ -116,58 +121,85 @@
   {
     std::uint64_t mVersion = 0;
     std::optional<std::string> mText;
-    /// The row cannot be read by this program.
-    bool mUnreadable = false;
   };
 
-  bool InFlight(time_point aNow);
-  std::uint64_t Target() const;
-  void StartScan(time_point aNow);
+  /// Progress through the pages of `config/section/`.
+  struct scan_state
+  {
+    bool mActive = false;
+    std::string mAfter;
+    std::uint64_t mRequest = 0;
+    /// Earliest start of the next scan.
+    time_point mNotBefore{};
+    std::uint32_t mAttempts = 0;
+  };
+
+  using reply_rows = result<std::vector<table_row>, table_error>;
+
+  void ExpireRequests(time_point aNow);
+  std::uint64_t OpenRequest(time_point aNow);
+  void CloseRequest(std::uint64_t aRequest,
+                    const reply_rows& aReply,
+                    time_point aNow);
+  void RequestDue(time_point aNow, config_requests& aRequests);
   void RequestHead(time_point aNow, config_requests& aRequests);
   void RequestScanPage(time_point aNow, config_requests& aRequests);
-  void RequestMissing(time_point aNow, config_requests& aRequests);
+  void StartScan(time_point aNow);
+  void NoteFailure(time_point aNow);
+  std::chrono::microseconds PollPause();
+
+  std::uint64_t Target() const;
   std::vector<std::string> MissingKeys() const;
-  std::map<std::string, std::uint64_t> WantedSections() const;
   std::uint64_t KnownVersion(const std::string& aName) const;
-  void Retry(time_point aNow);
+
   void TakeRow(const table_row& aRow);
   void TakeHead(const table_row& aRow);
   void TakeChange(const table_row& aRow);
   void TakeSection(const table_row& aRow);
+  void TakeUnreadable(const table_row& aRow, config_row_error aError);
+
   void ApplyWhenComplete(time_point aNow);
   std::optional<std::uint64_t> DigestAt(std::uint64_t aVersion) const;
   std::uint64_t CandidateDigest() const;
-  bool MustWaitForHint(std::uint64_t aTarget, time_point aNow);
+  bool MustWaitForHint(std::uint64_t aTarget, time_point aNow) const;
+  bool RejectUnreadable(std::uint64_t aTarget);
   void ApplyPending(std::uint64_t aTarget);
   void Reject(std::uint64_t aTarget, std::string aFault);
 
   follower_options mOptions;
   follower_counters mCounters;
+
   config_snapshot mCurrent;
-  bool mReady = false;
-  std::uint64_t mDigest = 0;
+  /// Versions of the sections in force.
   std::unordered_map<std::string, std::uint64_t> mSections;
-  std::string mLastFault;
+  std::uint64_t mDigest = 0;
 
+  /// Highest head seen.
   config_head mHead;
   bool mHeadSeen = false;
-  bool mHeadUnreadable = false;
+  /// Changes after this version are read one by one.
+  std::uint64_t mBase = 0;
   std::map<std::uint64_t, config_change> mChanges;
   std::map<std::string, pending_section> mPending;
+  /// Keys of rows that this program cannot read, forgotten when the target
+  /// rises.
+  std::set<std::string> mUnreadable;
+  std::uint64_t mUnreadableTarget = 0;
   std::uint64_t mRejectedVersion = 0;
+  std::string mLastFault;
+  scan_state mScan;
 
   std::uint64_t mHint = 0;
   std::uint32_t mHintPolls = 0;
-  std::optional<time_point> mHintDeadline;
-
-  /// Pages are asked for while set.
-  bool mScanning = true;
-  bool mScanDone = false;
-  std::string mScanAfter;
-  std::uint64_t mScanRequest = 0;
+  time_point mHintDeadline{};
 
   std::uint64_t mNextRequest = 1;
+  /// Deadlines of requests without a reply.
   std::map<std::uint64_t, time_point> mOpenRequests;
+  std::uint32_t mFailuresInRow = 0;
+  /// Rows that brought something new since the last request.
+  bool mProgress = false;
+  time_point mLastPoll{};
   time_point mNextPoll{};
   time_point mNotBefore{};
 };
--- /dev/null
+++ b/Source/Core/Config/TextDiff.cpp
@@ -0,0 +1,116 @@
+#include "Config/TextDiff.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <vector>
+
+namespace {
+
+// The table of the comparison grows with the product of both sizes; larger
+// texts are shown as replaced between their common first and last lines.
+constexpr std::size_t kMaxCells = 4'000'000;
+
+struct diff_line
+{
+  char mMark;
+  std::string_view mText;
+};
+
+using line_list = std::vector<std::string_view>;
+
+line_list SplitLines(std::string_view aText)
+{
+  line_list lines;
+  while (!aText.empty()) {
+    const std::size_t end = aText.find('\n');
+    lines.push_back(aText.substr(0, end));
+    aText = end == std::string_view::npos ? "" : aText.substr(end + 1);
+  }
+  return lines;
+}
+
+/// Appends the difference of two middles by their longest common subsequence.
+void AppendMiddle(const line_list& aOld,
+                  const line_list& aNew,
+                  std::vector<diff_line>& aLines)
+{
+  const std::size_t rows = aOld.size();
+  const std::size_t columns = aNew.size();
+  const bool small = (rows + 1) * (columns + 1) <= kMaxCells;
+  std::vector<std::uint32_t> common(small ? (rows + 1) * (columns + 1) : 0);
+  const auto cell = [&common, columns](std::size_t aRow,
+                                       std::size_t aColumn) -> std::uint32_t& {
+    return common[aRow * (columns + 1) + aColumn];
+  };
+  for (std::size_t i = small ? rows : 0; i-- > 0;) {
+    for (std::size_t j = columns; j-- > 0;) {
+      cell(i, j) = aOld[i] == aNew[j]
+                     ? cell(i + 1, j + 1) + 1
+                     : std::max(cell(i + 1, j), cell(i, j + 1));
+    }
+  }
+  std::size_t i = 0;
+  std::size_t j = 0;
+  while (i < rows || j < columns) {
+    if (small && i < rows && j < columns && aOld[i] == aNew[j]) {
+      aLines.push_back({ ' ', aOld[i] });
+      ++i;
+      ++j;
+    } else if (i < rows &&
+               (j == columns || !small || cell(i + 1, j) >= cell(i, j + 1))) {
+      aLines.push_back({ '-', aOld[i] });
+      ++i;
+    } else {
+      aLines.push_back({ '+', aNew[j] });
+      ++j;
+    }
+  }
+}
+
+bool NearChange(const std::vector<diff_line>& aLines,
+                std::size_t aIndex,
+                std::size_t aContext)
+{
+  const std::size_t first = aIndex > aContext ? aIndex - aContext : 0;
+  const std::size_t last = std::min(aIndex + aContext + 1, aLines.size());
+  for (std::size_t i = first; i < last; ++i) {
+    if (aLines[i].mMark != ' ') {
+      return true;
+    }
+  }
+  return false;
+}
+
+} // namespace
+
+std::string DiffText(std::string_view aOld, std::string_view aNew, int aContext)
+{
+  line_list old = SplitLines(aOld);
+  line_list fresh = SplitLines(aNew);
+  const auto differ = std::ranges::mismatch(old, fresh);
+  std::vector<diff_line> lines;
+  for (auto line = old.begin(); line != differ.in1; ++line) {
+    lines.push_back({ ' ', *line });
+  }
+  old.erase(old.begin(), differ.in1);
+  fresh.erase(fresh.begin(), differ.in2);
+  line_list tail;
+  while (!old.empty() && !fresh.empty() && old.back() == fresh.back()) {
+    tail.push_back(old.back());
+    old.pop_back();
+    fresh.pop_back();
+  }
+  AppendMiddle(old, fresh, lines);
+  for (auto line = tail.rbegin(); line != tail.rend(); ++line) {
+    lines.push_back({ ' ', *line });
+  }
+  std::string text;
+  for (std::size_t i = 0; i < lines.size(); ++i) {
+    if (NearChange(lines, i, static_cast<std::size_t>(aContext))) {
+      text.push_back(lines[i].mMark);
+      text.append(lines[i].mText);
+      text.push_back('\n');
+    }
+  }
+  return text;
+}
