--- /dev/null
+++ b/Source/Core/Peer/PeerClient.cpp
@@ -0,0 +1,401 @@
+#include "Peer/PeerClient.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "Common/EventLoop.h"
+#include "Peer/PeerConnection.h"
+#include "Peer/PeerLoop.h"
+
+namespace {
+
+using steady = std::chrono::steady_clock;
+
+/// How often deadlines are checked while calls or connections are open.
+constexpr std::chrono::milliseconds kSweepPeriod{ 20 };
+
+} // namespace
+
+/// Tables of calls and of peers. What connections report is recorded and
+/// worked off by a source of its own, outside their events.
+class peer_client_state : public std::enable_shared_from_this<peer_client_state>
+{
+public:
+  using body_callback = std::function<void(peer_body)>;
+
+  peer_client_state(peer_client_settings aSettings, peer_key_ring aKeys)
+    : mSettings(std::move(aSettings))
+    , mKeys(std::move(aKeys))
+  {
+  }
+
+  void Call(const peer_target& aTarget,
+            peer_method aMethod,
+            std::string aBody,
+            body_callback aReply);
+  /// Ends everything without calling back.
+  void Close();
+  void SetKeys(peer_key_ring aKeys) { mKeys = std::move(aKeys); }
+  peer_client_counters& Counters() { return mCounters; }
+
+private:
+  struct call
+  {
+    node_id mPeer;
+    steady::time_point mDeadline;
+    /// Replies on the connection when the call began.
+    std::uint64_t mRepliesBefore = 0;
+    body_callback mReply;
+  };
+  struct peer
+  {
+    std::string mAddress;
+    std::unique_ptr<peer_connection> mConnection;
+    /// Tells reports of an earlier connection from those of the current one.
+    std::uint64_t mConnectionNumber = 0;
+    steady::time_point mNextConnect;
+    std::chrono::milliseconds mBackoff{ 0 };
+    steady::time_point mIdleAt;
+    std::size_t mInFlight = 0;
+  };
+  struct ended
+  {
+    node_id mPeer;
+    std::uint64_t mConnectionNumber;
+    peer_error mError;
+  };
+
+  std::optional<peer_error> Connect(const peer_target& aTarget, peer& aPeer);
+  void Drop(const node_id& aId, peer_error aError);
+  void BackOff(peer& aPeer);
+  void Finish(std::uint64_t aCall, peer_body aBody);
+  void Schedule();
+  void Work();
+  void Sweep();
+  void SweepIdle(steady::time_point aNow);
+  void TimeOut(std::uint64_t aCall);
+
+  std::shared_ptr<peer_loop> mLoop = peer_loop::Get();
+  peer_client_settings mSettings;
+  peer_key_ring mKeys;
+  peer_client_counters mCounters;
+  std::uint64_t mNextCall = 1;
+  std::uint64_t mNextConnection = 1;
+  /// All calls wait equally long, so the order of calls is that of deadlines.
+  std::map<std::uint64_t, call> mCalls;
+  std::map<node_id, peer> mPeers;
+  std::vector<std::pair<std::uint64_t, peer_body>> mDone;
+  std::vector<ended> mEnded;
+  guint mSource = 0;
+  loop_timer mSweep;
+  bool mClosed = false;
+};
+
+void peer_client_state::Call(const peer_target& aTarget,
+                             peer_method aMethod,
+                             std::string aBody,
+                             body_callback aReply)
+{
+  ++mCounters.mCalls;
+  const std::uint64_t number = mNextCall++;
+  const auto now = steady::now();
+  peer& target = mPeers[aTarget.mNode];
+  std::optional<peer_error> error;
+  if (target.mInFlight >= mSettings.mMaxInFlight) {
+    error = peer_error::Overloaded;
+  } else {
+    error = Connect(aTarget, target);
+  }
+  call& entry = mCalls[number];
+  entry.mPeer = aTarget.mNode;
+  entry.mDeadline = now + mSettings.mTimeout;
+  entry.mReply = std::move(aReply);
+  ++target.mInFlight;
+  if (!mSweep.Active()) {
+    mSweep.Every(kSweepPeriod, [this] { Sweep(); });
+  }
+  if (error) {
+    mDone.emplace_back(number, *error);
+    Schedule();
+    return;
+  }
+  target.mIdleAt = now + mSettings.mIdleLimit;
+  entry.mRepliesBefore = target.mConnection->Replies();
+  target.mConnection->Send({ number, aMethod, std::move(aBody) });
+}
+
+std::optional<peer_error> peer_client_state::Connect(const peer_target& aTarget,
+                                                     peer& aPeer)
+{
+  if (aPeer.mAddress != aTarget.mAddress) {
+    Drop(aTarget.mNode, peer_error::Unreachable);
+    aPeer.mAddress = aTarget.mAddress;
+    aPeer.mNextConnect = {};
+    aPeer.mBackoff = {};
+  }
+  if (aPeer.mConnection) {
+    return std::nullopt;
+  }
+  if (steady::now() < aPeer.mNextConnect) {
+    return peer_error::BackingOff;
+  }
+  GSocketAddress* address = ParsePeerAddress(aTarget.mAddress.c_str());
+  if (address == nullptr) {
+    return peer_error::BadAddress;
+  }
+  const std::uint64_t number = mNextConnection++;
+  aPeer.mConnectionNumber = number;
+  peer_connection::reports reports;
+  reports.mDone = [this](std::uint64_t aCall, peer_body aBody) {
+    mDone.emplace_back(aCall, std::move(aBody));
+    Schedule();
+  };
+  reports.mEnded = [this, number, id = aTarget.mNode](peer_error aError) {
+    mEnded.push_back({ id, number, aError });
+    Schedule();
+  };
+  aPeer.mConnection = std::make_unique<peer_connection>(mSettings.mSelf,
+                                                        aTarget.mNode,
+                                                        address,
+                                                        mKeys,
+                                                        mCounters,
+                                                        std::move(reports));
+  g_object_unref(address);
+  return std::nullopt;
+}
+
+// Ends a peer's connection and fails its calls.
+void peer_client_state::Drop(const node_id& aId, peer_error aError)
+{
+  peer& target = mPeers[aId];
+  if (!target.mConnection) {
+    return;
+  }
+  target.mConnection.reset();
+  for (const auto& [number, entry] : mCalls) {
+    if (entry.mPeer == aId) {
+      mDone.emplace_back(number, aError);
+    }
+  }
+  Schedule();
+}
+
+void peer_client_state::BackOff(peer& aPeer)
+{
+  ++mCounters.mConnectFailures;
+  aPeer.mBackoff = aPeer.mBackoff.count() == 0
+                     ? mSettings.mBackoff
+                     : std::min(aPeer.mBackoff * 2, mSettings.mMaxBackoff);
+  aPeer.mNextConnect = steady::now() + aPeer.mBackoff;
+}
+
+void peer_client_state::Schedule()
+{
+  if (mSource != 0 || mClosed) {
+    return;
+  }
+  mSource = g_idle_add_full(
+    G_PRIORITY_DEFAULT,
+    [](gpointer aSelf) -> gboolean {
+      auto* self = static_cast<peer_client_state*>(aSelf);
+      self->mSource = 0;
+      self->Work();
+      return G_SOURCE_REMOVE;
+    },
+    this,
+    nullptr);
+}
+
+void peer_client_state::Work()
+{
+  // A callback may destroy the client.
+  const std::shared_ptr<peer_client_state> keep = shared_from_this();
+  for (const ended& report : std::exchange(mEnded, {})) {
+    peer& target = mPeers[report.mPeer];
+    if (target.mConnection &&
+        target.mConnectionNumber == report.mConnectionNumber) {
+      const bool wasOpen = target.mConnection->IsOpen();
+      // A lost connection may be replaced at once, a refused one not.
+      if (!wasOpen) {
+        BackOff(target);
+      }
+      Drop(report.mPeer, report.mError);
+    }
+  }
+  for (auto& [number, body] : std::exchange(mDone, {})) {
+    if (mClosed) {
+      return;
+    }
+    Finish(number, std::move(body));
+  }
+}
+
+void peer_client_state::Finish(std::uint64_t aCall, peer_body aBody)
+{
+  const auto found = mCalls.find(aCall);
+  if (found == mCalls.end()) {
+    return;
+  }
+  const call entry = std::move(found->second);
+  mCalls.erase(found);
+  peer& target = mPeers[entry.mPeer];
+  --target.mInFlight;
+  if (target.mConnection) {
+    target.mConnection->Cancel(aCall);
+  }
+  if (aBody.has_value()) {
+    target.mBackoff = {};
+  } else {
+    ++mCounters.mFailed;
+    mCounters.mRefusals += IsRefusal(aBody.error()) ? 1 : 0;
+  }
+  entry.mReply(std::move(aBody));
+}
+
+void peer_client_state::Sweep()
+{
+  const auto now = steady::now();
+  std::vector<std::uint64_t> late;
+  for (const auto& [number, entry] : mCalls) {
+    if (entry.mDeadline > now) {
+      break;
+    }
+    late.push_back(number);
+  }
+  for (const std::uint64_t number : late) {
+    TimeOut(number);
+  }
+  SweepIdle(now);
+}
+
+void peer_client_state::SweepIdle(steady::time_point aNow)
+{
+  bool connected = false;
+  for (auto it = mPeers.begin(); it != mPeers.end();) {
+    peer& target = it->second;
+    if (target.mInFlight == 0 && target.mIdleAt <= aNow) {
+      target.mConnection.reset();
+    }
+    connected = connected || target.mConnection != nullptr;
+    const bool forget = !target.mConnection && target.mInFlight == 0 &&
+                        target.mNextConnect + mSettings.mIdleLimit <= aNow;
+    it = forget ? mPeers.erase(it) : std::next(it);
+  }
+  if (mCalls.empty() && !connected && mPeers.empty()) {
+    mSweep.Cancel();
+  }
+}
+
+void peer_client_state::TimeOut(std::uint64_t aCall)
+{
+  ++mCounters.mTimeouts;
+  const call& entry = mCalls.at(aCall);
+  const node_id id = entry.mPeer;
+  peer& target = mPeers[id];
+  // First in line, so that it is not reported as unreachable below.
+  mDone.emplace_back(aCall, peer_error::Timeout);
+  Schedule();
+  // Without any reply meanwhile the connection is taken for broken: after a
+  // partition TCP would go on repeating old segments at growing intervals.
+  if (target.mConnection &&
+      target.mConnection->Replies() == entry.mRepliesBefore) {
+    BackOff(target);
+    Drop(id, peer_error::Timeout);
+  }
+}
+
+void peer_client_state::Close()
+{
+  mClosed = true;
+  if (mSource != 0) {
+    g_source_remove(std::exchange(mSource, 0));
+  }
+  mSweep.Cancel();
+  mPeers.clear();
+  mCalls.clear();
+}
+
+namespace {
+
+template<class Reply>
+peer_client_state::body_callback DecodeWith(
+  peer_client::callback<Reply> aCallback)
+{
+  return [callback = std::move(aCallback)](const peer_body& aBody) {
+    if (!aBody.has_value()) {
+      callback(aBody.error());
+      return;
+    }
+    Reply reply;
+    if (!DecodeMessage(aBody.value(), reply)) {
+      callback(peer_error::Malformed);
+      return;
+    }
+    callback(std::move(reply));
+  };
+}
+
+} // namespace
+
+peer_client::peer_client(peer_client_settings aSettings, peer_key_ring aKeys)
+  : mState(std::make_shared<peer_client_state>(std::move(aSettings),
+                                               std::move(aKeys)))
+{
+}
+
+peer_client::~peer_client()
+{
+  mState->Close();
+}
+
+void peer_client::Heartbeat(const peer_target& aTarget,
+                            const heartbeat& aMessage,
+                            callback<heartbeat> aReply)
+{
+  mState->Call(aTarget,
+               peer_method::Heartbeat,
+               EncodeMessage(aMessage),
+               DecodeWith<heartbeat>(std::move(aReply)));
+}
+
+void peer_client::HoldCharges(const peer_target& aTarget,
+                              const hold_charges& aMessage,
+                              callback<hold_charges_reply> aReply)
+{
+  mState->Call(aTarget,
+               peer_method::HoldCharges,
+               EncodeMessage(aMessage),
+               DecodeWith<hold_charges_reply>(std::move(aReply)));
+}
+
+void peer_client::DropCharges(const peer_target& aTarget,
+                              const drop_charges& aMessage,
+                              callback<peer_ack> aReply)
+{
+  mState->Call(aTarget,
+               peer_method::DropCharges,
+               EncodeMessage(aMessage),
+               DecodeWith<peer_ack>(std::move(aReply)));
+}
+
+void peer_client::Quarantine(const peer_target& aTarget,
+                             const peer_quarantine& aMessage,
+                             callback<peer_ack> aReply)
+{
+  mState->Call(aTarget,
+               peer_method::Quarantine,
+               EncodeMessage(aMessage),
+               DecodeWith<peer_ack>(std::move(aReply)));
+}
+
+void peer_client::SetKeys(peer_key_ring aKeys)
+{
+  mState->SetKeys(std::move(aKeys));
+}
+
+const peer_client_counters& peer_client::Counters() const
+{
+  return mState->Counters();
+}
--- a/Source/Core/Peer/PeerClient.h
+++ b/Source/Core/Peer/PeerClient.h
@@ -49,6 +49,8 @@
   std::uint64_t mBytesOut = 0;
 };
 
+class peer_client_state;
+
 /// Calls other nodes over one lazily opened connection each, on the main
 /// context of this thread. Callbacks come on the loop, never from inside the
 /// call, exactly once, and not at all after destruction. A callback may
@@ -82,6 +84,6 @@
   const peer_client_counters& Counters() const;
 
 private:
-  struct state;
-  std::unique_ptr<state> mState;
+  // Shared with a running callback, which may destroy the client.
+  std::shared_ptr<peer_client_state> mState;
 };
--- a/Source/Core/Peer/PeerKeys.cpp
+++ b/Source/Core/Peer/PeerKeys.cpp
@@ -48,10 +48,9 @@
                            std::uint64_t aCounter,
                            std::string_view aContent)
 {
-  GHmac* hmac =
-    g_hmac_new(G_CHECKSUM_SHA256,
-               reinterpret_cast<const guchar*>(aKey.mSecret.data()),
-               aKey.mSecret.size());
+  GHmac* hmac = g_hmac_new(G_CHECKSUM_SHA256,
+                           reinterpret_cast<const guchar*>(aKey.mSecret.data()),
+                           aKey.mSecret.size());
   AddText(hmac, aKey.mId);
   AddText(hmac, aScope.mCaller.mName);
   AddText(hmac, aScope.mReceiver.mName);
--- a/Source/Core/Peer/PeerMessages.cpp
+++ b/Source/Core/Peer/PeerMessages.cpp
@@ -124,11 +124,10 @@
   update.mLeaving = aWire.getLeaving();
   if (aWire.hasDescriptor()) {
     const auto where = aWire.getDescriptor();
-    update.mDescriptor =
-      member_descriptor{ { FromText(where.getZone()) },
-                         { FromText(where.getRegion()) },
-                         FromText(where.getAddress()),
-                         FromText(where.getPeerAddress()) };
+    update.mDescriptor = member_descriptor{ { FromText(where.getZone()) },
+                                            { FromText(where.getRegion()) },
+                                            FromText(where.getAddress()),
+                                            FromText(where.getPeerAddress()) };
   }
   return update;
 }
@@ -239,8 +238,7 @@
       aMessage.mUpdates.push_back(ReadUpdate(update));
     }
     KJ_REQUIRE(aWire.getAskAbout().size() <= kMaxAskAbout, "too many asks");
-    KJ_REQUIRE(aWire.getUnreached().size() <= kMaxAskAbout,
-               "too many reports");
+    KJ_REQUIRE(aWire.getUnreached().size() <= kMaxAskAbout, "too many reports");
     aMessage.mAskAbout = ReadNames<node_id>(aWire.getAskAbout());
     aMessage.mUnreached = ReadNames<node_id>(aWire.getUnreached());
   });
--- /dev/null
+++ b/Source/UnitTests/Peer/PeerRpcTest.cpp
@@ -0,0 +1,246 @@
+#include <optional>
+
+#include <gtest/gtest.h>
+
+#include "Common/EventLoop.h"
+#include "Peer/PeerStream.h"
+#include "PeerFixture.h"
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kLimit{ 5000 };
+
+const peer_key kOld{ "k1", "first secret" };
+const peer_key kNew{ "k2", "second secret" };
+
+class peer_rpc : public testing::Test
+{
+protected:
+  peer_rpc()
+    : mServer(ListenOn("b", mHandler, peer_key_ring({ kOld })))
+  {
+    mSettings.mSelf = { "a" };
+    mSettings.mTimeout = milliseconds(200);
+    mSettings.mBackoff = milliseconds(20);
+    MakeClient({ kOld });
+  }
+
+  void MakeClient(std::vector<peer_key> aKeys)
+  {
+    mClient =
+      std::make_unique<peer_client>(mSettings, peer_key_ring(std::move(aKeys)));
+  }
+
+  peer_target Target() const { return { { "b" }, mServer->Address() }; }
+
+  std::optional<peer_error> Beat(const peer_target& aTarget)
+  {
+    bool done = false;
+    std::optional<peer_error> error;
+    mClient->Heartbeat(aTarget, mMessage, [&](auto aReply) {
+      done = true;
+      if (aReply.has_value()) {
+        mReply = aReply.value();
+      } else {
+        error = aReply.error();
+      }
+    });
+    EXPECT_FALSE(done);
+    EXPECT_TRUE(mLoop.RunUntil([&] { return done; }, kLimit));
+    return error;
+  }
+
+  // A call may meet the pause before the next attempt to connect.
+  std::optional<peer_error> BeatUntilConnected(const peer_target& aTarget)
+  {
+    for (int i = 0; i < 100; ++i) {
+      const auto error = Beat(aTarget);
+      if (!error) {
+        return error;
+      }
+      mLoop.RunUntil([] { return false; }, milliseconds(20));
+    }
+    return peer_error::Timeout;
+  }
+
+  event_loop mLoop;
+  recording_handler mHandler;
+  std::unique_ptr<peer_server> mServer;
+  peer_client_settings mSettings;
+  std::unique_ptr<peer_client> mClient;
+  heartbeat mMessage;
+  heartbeat mReply;
+};
+
+} // namespace
+
+// Guards against messages that change on the wire, for every method and both
+// directions between two servers.
+TEST_F(peer_rpc, CarriesAllMessages)
+{
+  const member_descriptor where{ { "z1" }, { "r" }, "1.2.3.4:80", "1.2.3.4:9" };
+  mMessage.mFrom = { { "a" }, 7, 2, member_health::Alive, true, where };
+  mMessage.mConfigVersion = 12;
+  mMessage.mUpdates = { { { "c" }, 3, 1, member_health::Dead, false, {} } };
+  mMessage.mAskAbout = { { "d" } };
+  mMessage.mUnreached = { { "e" }, { "f" } };
+  mHandler.mReply.mConfigVersion = 13;
+  EXPECT_EQ(Beat(Target()), std::nullopt);
+  EXPECT_EQ(mHandler.mHeartbeats, std::vector{ mMessage });
+  EXPECT_EQ(mHandler.mFrom.mName, "a");
+  EXPECT_EQ(mReply, mHandler.mReply);
+
+  recording_handler other;
+  const auto second = ListenOn("c", other, peer_key_ring({ kOld }));
+  const hold_charges charges{ { { { 1, 2 },
+                                  { "clinic" },
+                                  { "b1" },
+                                  { { "a" }, 7 },
+                                  900,
+                                  wall_time(milliseconds(5)),
+                                  17 } } };
+  const drop_charges drop{ { { "a" }, 7 }, { { 1, 2 }, { 3, 4 } } };
+  const peer_quarantine notice{
+    { 5, 6 }, peer_quarantine_state::Cleared, { "up1" }, { "a" }, 2
+  };
+  const peer_target target{ { "c" }, second->Address() };
+  other.mHoldStatus = hold_status::HolderClosed;
+  int done = 0;
+  mClient->HoldCharges(target, charges, [&](auto aReply) {
+    ASSERT_TRUE(aReply.has_value());
+    EXPECT_EQ(aReply.value().mStatus, hold_status::HolderClosed);
+    ++done;
+  });
+  mClient->DropCharges(
+    target, drop, [&](auto aReply) { done += aReply.has_value(); });
+  mClient->Quarantine(
+    target, notice, [&](auto aReply) { done += aReply.has_value(); });
+  EXPECT_TRUE(mLoop.RunUntil([&] { return done == 3; }, kLimit));
+  EXPECT_EQ(other.mHeld, std::vector{ charges });
+  EXPECT_EQ(other.mDropped, std::vector{ drop });
+  EXPECT_EQ(other.mNotices, std::vector{ notice });
+}
+
+// Guards against a node with a wrong secret or an unknown key being served,
+// and against that looking like a lost connection.
+TEST_F(peer_rpc, RefusesWrongKeys)
+{
+  MakeClient({ { "k1", "guessed" } });
+  EXPECT_EQ(Beat(Target()), peer_error::BadSignature);
+  MakeClient({ kNew });
+  EXPECT_EQ(Beat(Target()), peer_error::UnknownKey);
+  MakeClient({});
+  EXPECT_EQ(Beat(Target()), peer_error::NoKey);
+  EXPECT_TRUE(mHandler.mHeartbeats.empty());
+  EXPECT_EQ(mServer->Counters().mBadSignature, 1);
+  EXPECT_EQ(mServer->Counters().mUnknownKey, 1);
+}
+
+// Guards against calls failing at any step of a key rotation, on connections
+// that stay open.
+TEST_F(peer_rpc, RotatesKeysWithoutFailures)
+{
+  EXPECT_EQ(Beat(Target()), std::nullopt);
+  mServer->SetKeys(peer_key_ring({ kOld, kNew }));
+  EXPECT_EQ(Beat(Target()), std::nullopt);
+  mClient->SetKeys(peer_key_ring({ kNew, kOld }));
+  EXPECT_EQ(Beat(Target()), std::nullopt);
+  mServer->SetKeys(peer_key_ring({ kNew }));
+  EXPECT_EQ(Beat(Target()), std::nullopt);
+  mClient->SetKeys(peer_key_ring({ kOld }));
+  EXPECT_EQ(Beat(Target()), peer_error::UnknownKey);
+  EXPECT_EQ(mClient->Counters().mConnects, 1);
+}
+
+// Guards against messages reaching a node that took over an address.
+TEST_F(peer_rpc, RefusesAnotherReceiver)
+{
+  EXPECT_EQ(Beat({ { "x" }, mServer->Address() }), peer_error::WrongReceiver);
+  EXPECT_EQ(mServer->Counters().mWrongReceiver, 1);
+}
+
+// Guards against a client that stays cut off after its server restarts.
+TEST_F(peer_rpc, ReconnectsToARestartedServer)
+{
+  const peer_target target = Target();
+  EXPECT_EQ(Beat(target), std::nullopt);
+  mServer.reset();
+  EXPECT_EQ(Beat(target), peer_error::Unreachable);
+  EXPECT_EQ(Beat(target), peer_error::Unreachable);
+  EXPECT_EQ(Beat(target), peer_error::BackingOff);
+  mServer = ListenOn("b", mHandler, peer_key_ring({ kOld }), target.mAddress);
+  ASSERT_NE(mServer, nullptr);
+  EXPECT_EQ(BeatUntilConnected(target), std::nullopt);
+}
+
+// Guards against calls that hang on a host which takes connections but never
+// answers, and against a connection that stays stuck after that.
+TEST_F(peer_rpc, TimesOutOnASilentPeer)
+{
+  GSocketAddress* any = ParsePeerAddress("127.0.0.1:0");
+  peer_socket silent = MakePeerSocket(any);
+  ASSERT_TRUE(g_socket_bind(silent.Get(), any, TRUE, nullptr));
+  ASSERT_TRUE(g_socket_listen(silent.Get(), nullptr));
+  GSocketAddress* bound = g_socket_get_local_address(silent.Get(), nullptr);
+  char* text = g_socket_connectable_to_string(G_SOCKET_CONNECTABLE(bound));
+  const peer_target target{ { "b" }, text };
+  g_free(text);
+  g_object_unref(bound);
+  g_object_unref(any);
+  EXPECT_EQ(Beat(target), peer_error::Timeout);
+  EXPECT_EQ(mClient->Counters().mTimeouts, 1);
+  silent.Close();
+  mServer = ListenOn("b", mHandler, peer_key_ring({ kOld }), target.mAddress);
+  ASSERT_NE(mServer, nullptr);
+  EXPECT_EQ(BeatUntilConnected(target), std::nullopt);
+}
+
+// Guards against a peer that stalls and takes up memory without bound.
+TEST_F(peer_rpc, BoundsTheCallsInFlight)
+{
+  mSettings.mMaxInFlight = 3;
+  MakeClient({ kOld });
+  int done = 0;
+  int overloaded = 0;
+  for (int i = 0; i < 5; ++i) {
+    mClient->Heartbeat(Target(), mMessage, [&](auto aReply) {
+      ++done;
+      overloaded += !aReply && aReply.error() == peer_error::Overloaded;
+    });
+  }
+  EXPECT_TRUE(mLoop.RunUntil([&] { return done == 5; }, kLimit));
+  EXPECT_EQ(overloaded, 2);
+}
+
+// Guards against callbacks into owners that are gone, also when a callback
+// destroys the client itself.
+TEST_F(peer_rpc, NeverCallsBackAfterDestruction)
+{
+  int calls = 0;
+  const auto destroy = [&](const auto&) {
+    ++calls;
+    mClient.reset();
+  };
+  mClient->Heartbeat(Target(), mMessage, destroy);
+  mClient->Heartbeat(Target(), mMessage, destroy);
+  EXPECT_TRUE(mLoop.RunUntil([&] { return calls > 0; }, kLimit));
+  mLoop.RunUntil([] { return false; }, milliseconds(300));
+  EXPECT_EQ(calls, 1);
+
+  MakeClient({ kOld });
+  mClient->Heartbeat(Target(), mMessage, [&](const auto&) { ++calls; });
+  mClient.reset();
+  mLoop.RunUntil([] { return false; }, milliseconds(300));
+  EXPECT_EQ(calls, 1);
+}
+
+// Guards against malformed addresses and busy ports being taken for a lost
+// peer or a working server.
+TEST_F(peer_rpc, ReportsBadAddresses)
+{
+  EXPECT_EQ(Beat({ { "b" }, "b.example:80" }), peer_error::BadAddress);
+  EXPECT_EQ(Beat({ { "b" }, "" }), peer_error::BadAddress);
+  EXPECT_EQ(ListenOn("c", mHandler, {}, mServer->Address()), nullptr);
+}
