--- /dev/null
+++ b/Source/Core/Budget/BudgetSystem.cpp
@@ -0,0 +1,356 @@
+#include "Budget/BudgetSystem.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace {
+
+using std::chrono::duration;
+using std::chrono::seconds;
+
+// The rate of use is averaged over about a minute, so that one burst does not
+// draw a quarter of an hour of it.
+constexpr double kRateSeconds = 60;
+constexpr seconds kRateStep(1);
+
+// A refill that is not urgent waits for this long after the last round of the
+// same budget.
+constexpr seconds kRefillGap(5);
+
+// Pause before a budget whose segments cannot be read is tried again.
+constexpr seconds kUnreadablePause(30);
+
+// The largest request is forgotten by an eighth with every reservation.
+constexpr std::int64_t kLargestDecay = 8;
+
+// Below this many of the largest requests, or of its own grant, a budget is
+// scarce: it is read again and unused grants go back quickly.
+constexpr std::int64_t kScarceRequests = 8;
+
+} // namespace
+
+budget_system::budget_system(holder_id aSelf,
+                             const budget_settings& aSettings,
+                             std::uint64_t aSeed)
+  : mSelf(std::move(aSelf))
+  , mSettings(aSettings)
+  , mRandom(aSeed)
+  , mAllowance(aSettings.mTransactionBurst)
+{
+}
+
+result<void, budget_error> budget_system::Reserve(const request_id& aRequest,
+                                                  const account_id& aAccount,
+                                                  const budget_id& aBudget,
+                                                  std::int64_t aTokens,
+                                                  time_point aNow)
+{
+  if (const auto refused = CheckNew(aRequest)) {
+    ++mCounters.mRefusedOther;
+    return *refused;
+  }
+  if (aTokens <= 0) {
+    ++mCounters.mRefusedOther;
+    return budget_error::BadAmount;
+  }
+  budget_entry& entry = Entry(aBudget, aNow);
+  entry.mLastUse = aNow;
+  if (entry.mLog && entry.mLog->mRequests.count(aRequest) > 0) {
+    ++mCounters.mRefusedOther;
+    return budget_error::AlreadyCharged;
+  }
+  entry.mLargest = std::max(
+    aTokens, entry.mLargest - (entry.mLargest - aTokens) / kLargestDecay);
+  if (entry.Free() < aTokens) {
+    return RefuseForNow(entry, aRequest, aTokens, aNow);
+  }
+  std::erase_if(entry.mWaiting, [&](const waiting_demand& aDemand) {
+    return aDemand.mRequest == aRequest;
+  });
+  entry.mReserved += aTokens;
+  mOpen.emplace(
+    aRequest, open_reservation{ &entry, aAccount, aTokens, entry.mLog->mNext });
+  ++mCounters.mReservations;
+  if (entry.Free() < entry.mRefillBelow) {
+    Schedule(entry, std::max(aNow, entry.mLastRound + kRefillGap));
+  }
+  return success();
+}
+
+std::optional<budget_error> budget_system::CheckNew(
+  const request_id& aRequest) const
+{
+  if (mOpen.count(aRequest) > 0) {
+    return budget_error::DuplicateOpen;
+  }
+  if (mCharges.count(aRequest) > 0) {
+    return budget_error::AlreadyCharged;
+  }
+  if (mFenced) {
+    return budget_error::Fenced;
+  }
+  if (mShuttingDown) {
+    return budget_error::ShuttingDown;
+  }
+  if (!CanProtect()) {
+    return budget_error::Unprotected;
+  }
+  return std::nullopt;
+}
+
+budget_error budget_system::RefuseForNow(budget_entry& aEntry,
+                                         const request_id& aRequest,
+                                         std::int64_t aTokens,
+                                         time_point aNow)
+{
+  const bool stale =
+    !aEntry.mKnown || aNow - aEntry.mLastRound >= mSettings.mRecheck;
+  if (aEntry.mKnown && !stale) {
+    if (aEntry.mAbsent || aEntry.mUnreadable) {
+      ++mCounters.mRefusedOther;
+      return aEntry.mAbsent ? budget_error::UnknownBudget
+                            : budget_error::UnreadableRow;
+    }
+    if (aEntry.mAvailable + aEntry.Free() < aTokens && !aEntry.mInRound) {
+      Schedule(aEntry, aEntry.mLastRound + mSettings.mRecheck);
+      ++mCounters.mRefusedExhausted;
+      return budget_error::Exhausted;
+    }
+  }
+  const auto same = [&](const waiting_demand& aDemand) {
+    return aDemand.mRequest == aRequest;
+  };
+  std::erase_if(aEntry.mWaiting, same);
+  aEntry.mWaiting.push_back(
+    { aRequest, aTokens, aNow + mSettings.mDemandLasts });
+  if (aEntry.mConflicts == 0) {
+    Schedule(aEntry, aNow);
+  }
+  ++mCounters.mRefusedAwaiting;
+  return budget_error::AwaitingGrant;
+}
+
+void budget_system::Settle(const request_id& aRequest,
+                           std::int64_t aUsedTokens,
+                           wall_time aAt,
+                           time_point aNow)
+{
+  const auto found = mOpen.find(aRequest);
+  if (found == mOpen.end()) {
+    return;
+  }
+  const open_reservation open = std::move(found->second);
+  mOpen.erase(found);
+  if (aUsedTokens < 0) {
+    ++mCounters.mMissingUsage;
+    aUsedTokens = open.mTokens;
+  }
+  if (aUsedTokens > open.mTokens) {
+    ++mCounters.mExcessUsage;
+    mCounters.mExcessTokens += aUsedTokens - open.mTokens;
+  }
+  const std::int64_t tokens = std::min(aUsedTokens, open.mTokens);
+  budget_entry& entry = *open.mBudget;
+  entry.mReserved -= open.mTokens;
+  entry.mLastUse = aNow;
+  ObserveUse(entry, tokens, aNow);
+  if (entry.mLog->mRequests.count(aRequest) > 0) {
+    // Another node billed the same request meanwhile.
+    ++mCounters.mDuplicateCharges;
+    Schedule(entry, IsEnding() ? aNow : aNow + mSettings.mFlushAfter);
+    return;
+  }
+  if (entry.mPending.empty()) {
+    entry.mOldestCharge = aNow;
+  }
+  entry.mUnflushed += tokens;
+  entry.mPending.push_back(aRequest);
+  ++mCounters.mCharges;
+  kept_charge kept;
+  kept.mCharge = { aRequest, open.mAccount, entry.mId,        mSelf,
+                   tokens,   aAt,           open.mFromSegment };
+  kept.mBudget = &entry;
+  kept.mSince = aNow;
+  mCharges.emplace(aRequest, std::move(kept));
+  mUnheld.push_back(aRequest);
+  const bool now = IsEnding() || !HasBackup() ||
+                   entry.mPending.size() >= mSettings.mMaxCharges / 2;
+  Schedule(entry, now ? aNow : aNow + mSettings.mFlushAfter);
+}
+
+void budget_system::Release(const request_id& aRequest, time_point aNow)
+{
+  const auto found = mOpen.find(aRequest);
+  if (found == mOpen.end()) {
+    return;
+  }
+  budget_entry& entry = *found->second.mBudget;
+  entry.mReserved -= found->second.mTokens;
+  mOpen.erase(found);
+  Schedule(entry, IsEnding() ? aNow : aNow + mSettings.mIdleReturn);
+}
+
+bool budget_system::IsProtected(const request_id& aRequest) const
+{
+  if (mOpen.count(aRequest) > 0) {
+    return false;
+  }
+  const auto found = mCharges.find(aRequest);
+  return found == mCharges.end() || !found->second.mHeldBy.empty();
+}
+
+budget_output budget_system::Tick(time_point aNow)
+{
+  ExpireHolds(aNow);
+  CheckBackupMode(aNow);
+  SendHolds(aNow);
+  StepRound(aNow);
+  for (auto& [holder, requests] : mDrops) {
+    mOut.mDrops.push_back({ holder, std::move(requests) });
+  }
+  mDrops.clear();
+  return std::exchange(mOut, {});
+}
+
+void budget_system::BeginShutdown(time_point aNow)
+{
+  if (!mShuttingDown) {
+    mShuttingDown = true;
+    ScheduleEverything(aNow);
+  }
+}
+
+bool budget_system::IsDrained() const
+{
+  if (!IsEnding() || !mOpen.empty()) {
+    return false;
+  }
+  return mOver || (mHolderVersion == 0 && mRound.mPhase == round_phase::Idle);
+}
+
+budget_system::budget_entry& budget_system::Entry(const budget_id& aBudget,
+                                                  time_point aNow)
+{
+  const auto [place, added] = mBudgets.try_emplace(aBudget);
+  budget_entry& entry = place->second;
+  if (added) {
+    entry.mId = aBudget;
+    entry.mSerial = ++mNextSerial;
+    entry.mRateSince = aNow;
+    entry.mLastRound = aNow;
+  }
+  return entry;
+}
+
+void budget_system::ObserveUse(budget_entry& aEntry,
+                               std::int64_t aTokens,
+                               time_point aNow)
+{
+  aEntry.mRateTokens += aTokens;
+  const auto passed = aNow - aEntry.mRateSince;
+  if (passed < kRateStep) {
+    return;
+  }
+  const double length = duration<double>(passed).count();
+  const double rate = static_cast<double>(aEntry.mRateTokens) / length;
+  const double weight = 1 - std::exp(-length / kRateSeconds);
+  aEntry.mRate += weight * (rate - aEntry.mRate);
+  aEntry.mRateTokens = 0;
+  aEntry.mRateSince = aNow;
+}
+
+void budget_system::Schedule(budget_entry& aEntry, time_point aAt)
+{
+  if (aEntry.mDueAt && *aEntry.mDueAt <= aAt) {
+    return;
+  }
+  Unschedule(aEntry);
+  aEntry.mDueAt = aAt;
+  mAgenda.emplace(std::make_pair(aAt, aEntry.mSerial), &aEntry);
+}
+
+void budget_system::Unschedule(budget_entry& aEntry)
+{
+  if (aEntry.mDueAt) {
+    mAgenda.erase({ *aEntry.mDueAt, aEntry.mSerial });
+    aEntry.mDueAt.reset();
+  }
+}
+
+bool budget_system::IsScarce(const budget_entry& aEntry) const
+{
+  return aEntry.mAvailable <
+         std::max(kScarceRequests * aEntry.mLargest, aEntry.mGrant);
+}
+
+void budget_system::Reschedule(budget_entry& aEntry, time_point aNow)
+{
+  std::erase_if(aEntry.mWaiting, [&](const waiting_demand& aDemand) {
+    return aDemand.mUntil <= aNow;
+  });
+  if (aEntry.mUnreadable) {
+    Schedule(aEntry, aNow + kUnreadablePause);
+    return;
+  }
+  if (!aEntry.mWaiting.empty()) {
+    Schedule(aEntry, aNow + mSettings.mRecheck);
+  }
+  const bool scarce = IsScarce(aEntry);
+  if (!aEntry.mPending.empty()) {
+    const auto wait = scarce ? mSettings.mScarceReturn : mSettings.mFlushAfter;
+    const bool now = IsEnding() || !HasBackup();
+    Schedule(aEntry, now ? aNow : std::max(aNow, aEntry.mOldestCharge + wait));
+  }
+  if (aEntry.mGrant > 0) {
+    const auto idle = scarce ? mSettings.mScarceReturn : mSettings.mIdleReturn;
+    // With open requests there is nothing to return yet.
+    if (!IsEnding() || aEntry.mReserved == 0) {
+      Schedule(aEntry,
+               IsEnding() ? aNow
+                          : std::max(aNow + mSettings.mScarceReturn,
+                                     aEntry.mLastUse + idle));
+    }
+  } else if (aEntry.mPending.empty() && aEntry.mReserved == 0) {
+    Schedule(aEntry, std::max(aNow, aEntry.mLastUse + mSettings.mForgetAfter));
+  }
+}
+
+void budget_system::ScheduleEverything(time_point aNow)
+{
+  std::map<std::uint64_t, budget_entry*> ordered;
+  for (auto& [id, entry] : mBudgets) {
+    if (entry.mGrant > 0 || !entry.mPending.empty()) {
+      ordered.emplace(entry.mSerial, &entry);
+    }
+  }
+  for (const auto& [serial, entry] : ordered) {
+    Schedule(*entry, aNow);
+  }
+}
+
+std::optional<budget_status> budget_system::Status(
+  const budget_id& aBudget) const
+{
+  const auto found = mBudgets.find(aBudget);
+  if (found == mBudgets.end()) {
+    return std::nullopt;
+  }
+  const budget_entry& entry = found->second;
+  return budget_status{ entry.mId,        entry.Free(), entry.mReserved,
+                        entry.mUnflushed, entry.mTotal, entry.mSpent,
+                        entry.mAvailable, entry.mRate,  entry.mKnown };
+}
+
+std::vector<budget_status> budget_system::AllStatus() const
+{
+  std::map<budget_id, budget_status> ordered;
+  for (const auto& [id, entry] : mBudgets) {
+    ordered.emplace(id, *Status(id));
+  }
+  std::vector<budget_status> all;
+  for (auto& [id, status] : ordered) {
+    all.push_back(std::move(status));
+  }
+  return all;
+}
--- a/Source/Core/Budget/BudgetSystem.h
+++ b/Source/Core/Budget/BudgetSystem.h
@@ -43,8 +43,9 @@
               time_point aNow);
   /// Ends a request that did not run.
   void Release(const request_id& aRequest, time_point aNow);
-  /// Whether a listed backup or the store has the charge, so that the last
-  /// byte may go out.
+  /// Whether a listed backup or the store has the charge of a settled request,
+  /// so that the last byte may go out. Also true for a request that this node
+  /// does not know, which has nothing to protect.
   bool IsProtected(const request_id& aRequest) const;
   /// Whether a new charge could be protected now.
   bool CanProtect() const;
@@ -156,7 +157,9 @@
     charge mCharge;
     budget_entry* mBudget = nullptr;
     time_point mSince;
+    /// Backups that acknowledged it, and all that may have received it.
     std::set<holder_id> mHeldBy;
+    std::set<holder_id> mSentTo;
     bool mHoldSent = false;
   };
 
@@ -222,11 +225,15 @@
   void StepRound(time_point aNow);
   bool MayStartRound(time_point aNow);
   void PickItems(time_point aNow);
-  void ForgetOrKeep(budget_entry& aEntry, time_point aNow);
+  bool Forget(budget_entry& aEntry, time_point aNow);
+  bool NeedsHolderRound() const;
+  void SetEntryGrant(budget_entry& aEntry, std::int64_t aGrant);
+  void Notify(const budget_entry& aEntry);
   void AskRows(time_point aNow);
   void OnRows(const std::vector<table_row>& aRows, time_point aNow);
   void OnHolderRow(const table_row& aRow, time_point aNow);
   bool TakeRow(round_item& aItem, const table_row& aRow, time_point aNow);
+  void AbandonCharges(budget_entry& aEntry);
   void AskSegments();
   void OnSegments(const std::vector<table_row>& aRows, time_point aNow);
   void AddToLog(budget_entry& aEntry,
@@ -234,8 +241,13 @@
                 const std::vector<charge>& aCharges);
   void ResolveCharge(const request_id& aRequest, bool aDuplicate);
   void Compose(time_point aNow);
-  bool ComposeItem(round_item& aItem, std::size_t aRows, time_point aNow);
-  void ComposeHolder(time_point aNow);
+  void TakeCharges(round_item& aItem, std::size_t aMost) const;
+  std::int64_t SizeItem(const round_item& aItem, time_point aNow) const;
+  void ComposeItem(round_item& aItem, std::size_t& aCharges, time_point aNow);
+  void AdvanceWindow(round_item& aItem) const;
+  void ApplyItem(round_item& aItem, time_point aNow);
+  void ComposeHolder();
+  void Submit(time_point aNow);
   void OnCommitted(std::uint64_t aVersion, time_point aNow);
   void OnConflict(time_point aNow);
   void EndRound(time_point aNow);
@@ -244,12 +256,15 @@
   void Fence(time_point aNow);
 
   // BudgetSystemBackup.cpp: copies of charges at peers.
-  bool CanHold(const holder_id& aPeer, time_point aNow) const;
-  std::optional<holder_id> PickBackup(time_point aNow) const;
+  bool IsUsable(const holder_id& aPeer) const;
+  bool IsHeld(const kept_charge& aCharge) const;
+  std::optional<holder_id> PickBackup() const;
   bool HasBackup() const;
   void SendHolds(time_point aNow);
   void ExpireHolds(time_point aNow);
-  void DropFrom(const kept_charge& aCharge);
+  void Requeue(const std::vector<request_id>& aRequests);
+  void RequeueUnheld();
+  void DropCopies(const kept_charge& aCharge);
   std::optional<std::vector<holder_id>> NewBackupList() const;
   bool DependsOn(const holder_id& aBackup) const;
   void CheckBackupMode(time_point aNow);
@@ -262,7 +277,7 @@
   std::unordered_map<budget_id, budget_entry> mBudgets;
   std::unordered_map<request_id, open_reservation> mOpen;
   std::unordered_map<request_id, kept_charge> mCharges;
-  /// Requests of this node whose charge is in the store, by budget log.
+  /// Budgets by the time at which something is due.
   std::map<std::pair<time_point, std::uint64_t>, budget_entry*> mAgenda;
   std::uint64_t mNextSerial = 0;
   std::size_t mGranted = 0;
--- /dev/null
+++ b/Source/Core/Budget/BudgetSystemBackup.cpp
@@ -0,0 +1,216 @@
+#include <algorithm>
+
+#include "Budget/BudgetSystem.h"
+
+namespace {
+
+// A peer that failed to take charges is left alone for this time.
+constexpr std::chrono::seconds kPeerPause(1);
+
+bool Contains(const std::vector<holder_id>& aHolders, const holder_id& aHolder)
+{
+  return std::find(aHolders.begin(), aHolders.end(), aHolder) != aHolders.end();
+}
+
+} // namespace
+
+bool budget_system::CanProtect() const
+{
+  return HasBackup() || mStoreUp;
+}
+
+bool budget_system::IsUsable(const holder_id& aPeer) const
+{
+  // A backup that a pending transaction removes may no longer acknowledge:
+  // if that transaction is applied, nobody would ask it for its copies.
+  const bool listed =
+    Contains(mHolder.mBackups, aPeer) &&
+    (!mRound.mNewHolder || Contains(mRound.mNewHolder->mBackups, aPeer));
+  return mHolderVersion > 0 && listed && Contains(mPeers, aPeer);
+}
+
+bool budget_system::HasBackup() const
+{
+  return PickBackup().has_value();
+}
+
+std::optional<holder_id> budget_system::PickBackup() const
+{
+  for (const holder_id& peer : mPeers) {
+    if (IsUsable(peer) && mPeerFailedUntil.count(peer) == 0) {
+      return peer;
+    }
+  }
+  return std::nullopt;
+}
+
+bool budget_system::IsHeld(const kept_charge& aCharge) const
+{
+  return std::any_of(
+    aCharge.mHeldBy.begin(),
+    aCharge.mHeldBy.end(),
+    [this](const holder_id& aPeer) { return IsUsable(aPeer); });
+}
+
+void budget_system::SendHolds(time_point aNow)
+{
+  while (!mUnheld.empty()) {
+    const auto target = PickBackup();
+    if (!target) {
+      return;
+    }
+    hold_message message;
+    message.mTo = *target;
+    sent_hold sent;
+    while (!mUnheld.empty() &&
+           message.mCharges.size() < mSettings.mMaxCharges) {
+      const request_id request = mUnheld.front();
+      mUnheld.pop_front();
+      const auto found = mCharges.find(request);
+      if (found == mCharges.end() || found->second.mHoldSent ||
+          IsHeld(found->second)) {
+        continue;
+      }
+      found->second.mHoldSent = true;
+      found->second.mSentTo.insert(*target);
+      message.mCharges.push_back(found->second.mCharge);
+      sent.mRequests.push_back(request);
+    }
+    if (message.mCharges.empty()) {
+      return;
+    }
+    message.mId = mNextCall++;
+    sent.mTo = *target;
+    sent.mDeadline = aNow + mSettings.mHoldTimeout;
+    mHolds.emplace(message.mId, std::move(sent));
+    mOut.mHolds.push_back(std::move(message));
+    ++mCounters.mHolds;
+  }
+}
+
+void budget_system::ExpireHolds(time_point aNow)
+{
+  std::vector<std::uint64_t> expired;
+  for (const auto& [id, sent] : mHolds) {
+    if (sent.mDeadline <= aNow) {
+      expired.push_back(id);
+    }
+  }
+  for (const std::uint64_t id : expired) {
+    OnHoldReply(id, hold_outcome::Failed, aNow);
+  }
+}
+
+void budget_system::OnHoldReply(std::uint64_t aId,
+                                hold_outcome aOutcome,
+                                time_point aNow)
+{
+  const auto found = mHolds.find(aId);
+  if (found == mHolds.end()) {
+    return;
+  }
+  const sent_hold sent = std::move(found->second);
+  mHolds.erase(found);
+  const bool held = aOutcome == hold_outcome::Held && IsUsable(sent.mTo);
+  for (const request_id& request : sent.mRequests) {
+    const auto kept = mCharges.find(request);
+    if (kept == mCharges.end()) {
+      mDrops[sent.mTo].push_back(request);
+      continue;
+    }
+    kept->second.mHoldSent = false;
+    if (held) {
+      kept->second.mHeldBy.insert(sent.mTo);
+    } else {
+      mUnheld.push_back(request);
+    }
+  }
+  if (aOutcome == hold_outcome::Failed) {
+    ++mCounters.mHoldFailures;
+    mPeerFailedUntil[sent.mTo] = aNow + kPeerPause;
+  }
+  if (aOutcome == hold_outcome::Closed) {
+    std::erase(mPeers, sent.mTo);
+    Fence(aNow);
+  }
+}
+
+void budget_system::SetBackups(std::vector<holder_id> aPeers)
+{
+  mPeers = std::move(aPeers);
+  std::erase(mPeers, mSelf);
+  RequeueUnheld();
+}
+
+void budget_system::OnHolderDead(const holder_id& aHolder, time_point aNow)
+{
+  std::erase(mPeers, aHolder);
+  for (auto& [request, kept] : mCharges) {
+    kept.mHeldBy.erase(aHolder);
+  }
+  RequeueUnheld();
+  CheckBackupMode(aNow);
+}
+
+void budget_system::RequeueUnheld()
+{
+  std::vector<std::pair<time_point, request_id>> unheld;
+  for (const auto& [request, kept] : mCharges) {
+    if (!kept.mHoldSent && !IsHeld(kept)) {
+      unheld.emplace_back(kept.mSince, request);
+    }
+  }
+  std::sort(unheld.begin(), unheld.end());
+  mUnheld.clear();
+  for (const auto& [since, request] : unheld) {
+    mUnheld.push_back(request);
+  }
+}
+
+void budget_system::DropCopies(const kept_charge& aCharge)
+{
+  for (const holder_id& peer : aCharge.mSentTo) {
+    mDrops[peer].push_back(aCharge.mCharge.mRequest);
+  }
+}
+
+std::optional<std::vector<holder_id>> budget_system::NewBackupList() const
+{
+  std::vector<holder_id> list;
+  std::size_t reachable = 0;
+  for (const holder_id& backup : mHolder.mBackups) {
+    const bool usable = Contains(mPeers, backup);
+    if (usable || DependsOn(backup)) {
+      list.push_back(backup);
+      reachable += usable ? 1 : 0;
+    }
+  }
+  for (const holder_id& peer : mPeers) {
+    if (reachable < mSettings.mBackups && !Contains(list, peer)) {
+      list.push_back(peer);
+      ++reachable;
+    }
+  }
+  if (list == mHolder.mBackups) {
+    return std::nullopt;
+  }
+  return list;
+}
+
+bool budget_system::DependsOn(const holder_id& aBackup) const
+{
+  return std::any_of(mCharges.begin(), mCharges.end(), [&](const auto& aEntry) {
+    return aEntry.second.mHeldBy.count(aBackup) > 0 && !IsHeld(aEntry.second);
+  });
+}
+
+void budget_system::CheckBackupMode(time_point aNow)
+{
+  std::erase_if(mPeerFailedUntil,
+                [aNow](const auto& aEntry) { return aEntry.second <= aNow; });
+  const bool has = HasBackup();
+  if (mHadBackup && !has) {
+    ScheduleEverything(aNow);
+  }
+  mHadBackup = has;
+}
--- /dev/null
+++ b/Source/Core/Budget/ChargeBackup.cpp
@@ -0,0 +1,238 @@
+#include "Budget/ChargeBackup.h"
+
+#include <algorithm>
+
+#include "Common/Log.h"
+
+namespace {
+
+constexpr std::uint32_t kMaxBackoffSteps = 10;
+
+} // namespace
+
+charge_backup::charge_backup(holder_id aSelf,
+                             const budget_settings& aSettings,
+                             std::uint64_t aSeed)
+  : mSelf(std::move(aSelf))
+  , mSettings(aSettings)
+  , mRandom(aSeed)
+{
+}
+
+hold_outcome charge_backup::OnHold(const holder_id& aFrom,
+                                   const std::vector<charge>& aCharges,
+                                   time_point aNow)
+{
+  const bool foreign =
+    std::any_of(aCharges.begin(), aCharges.end(), [&](const charge& aItem) {
+      return aItem.mHolder != aFrom;
+    });
+  holder_entry& entry = mHolders[aFrom];
+  if (entry.mClosed) {
+    return hold_outcome::Closed;
+  }
+  if (mDraining || foreign ||
+      mHeldCharges + aCharges.size() > mSettings.mMaxHeld) {
+    return hold_outcome::Failed;
+  }
+  for (const charge& item : aCharges) {
+    const bool added =
+      entry.mCharges.emplace(item.mRequest, held_charge{ item, aNow }).second;
+    mHeldCharges += added ? 1 : 0;
+  }
+  Plan(aFrom, aNow + mSettings.mBackupCheck);
+  return hold_outcome::Held;
+}
+
+void charge_backup::OnDrop(const holder_id& aFrom,
+                           const std::vector<request_id>& aRequests)
+{
+  const auto found = mHolders.find(aFrom);
+  if (found == mHolders.end()) {
+    return;
+  }
+  for (const request_id& request : aRequests) {
+    Erase(found->second, request);
+  }
+}
+
+void charge_backup::OnHolderDead(const holder_id& aHolder, time_point aNow)
+{
+  if (aHolder == mSelf) {
+    return;
+  }
+  holder_entry& entry = mHolders[aHolder];
+  if (!entry.mClosed) {
+    entry.mClosed = true;
+    Log(log_level::Warning,
+        "budget_holder_closed",
+        { { "holder", FormatHolder(aHolder) },
+          Field("charges", entry.mCharges.size()) });
+  }
+  Plan(aHolder, aNow);
+}
+
+bool charge_backup::IsDrained() const
+{
+  const bool busy =
+    std::any_of(mHolders.begin(), mHolders.end(), [](const auto& aEntry) {
+      return aEntry.second.mClosed && !aEntry.second.mCharges.empty();
+    });
+  return mDraining && !busy && mJob.mPhase == job_phase::Idle;
+}
+
+budget_output charge_backup::Tick(time_point aNow)
+{
+  if (mJob.mPhase == job_phase::Idle) {
+    StartJob(aNow);
+  }
+  if (mJob.mPhase == job_phase::Commit && mJob.mToSend &&
+      mJob.mSendAt <= aNow) {
+    mJob.mToSend = false;
+    mOut.mCommits.push_back(mJob.mTransaction);
+  }
+  return std::exchange(mOut, {});
+}
+
+void charge_backup::OnRead(
+  std::uint64_t aId,
+  const result<std::vector<table_row>, table_error>& aReply,
+  time_point aNow)
+{
+  if (aId != mJob.mReadId || mJob.mPhase == job_phase::Idle ||
+      mJob.mPhase == job_phase::Commit) {
+    return;
+  }
+  if (!aReply.has_value()) {
+    ++mCounters.mTableErrors;
+    FailJob(aNow);
+    return;
+  }
+  const std::vector<table_row>& rows = aReply.value();
+  switch (mJob.mPhase) {
+    case job_phase::Holder:
+      OnHolderRow(rows.at(0), aNow);
+      return;
+    case job_phase::Rows:
+      OnRows(rows, aNow);
+      return;
+    case job_phase::Segments:
+      OnSegments(rows, aNow);
+      return;
+    case job_phase::Scan:
+      OnGrants(rows, aNow);
+      return;
+    case job_phase::ReclaimRows:
+      ComposeReclaim(rows, aNow);
+      return;
+    case job_phase::Idle:
+    case job_phase::Commit:
+      return;
+  }
+}
+
+void charge_backup::OnCommit(const transaction_id& aId,
+                             const result<commit_reply, table_error>& aReply,
+                             time_point aNow)
+{
+  if (mJob.mPhase != job_phase::Commit || aId != mJob.mTransaction.mId) {
+    return;
+  }
+  holder_entry& entry = mHolders[mJob.mHolder];
+  if (!aReply.has_value()) {
+    // The same transaction goes out until its outcome is known.
+    ++mCounters.mTableErrors;
+    ++entry.mFailures;
+    mJob.mToSend = true;
+    mJob.mSendAt = BackoffEnd(entry.mFailures, aNow);
+    return;
+  }
+  if (!aReply.value().mCommitted) {
+    ++mCounters.mConflicts;
+    FailJob(aNow);
+    return;
+  }
+  entry.mFailures = 0;
+  mCounters.mCharges += mJob.mWritten.size();
+  for (const request_id& request : mJob.mWritten) {
+    Erase(entry, request);
+  }
+  if (mJob.mEnds) {
+    Forget(mJob.mHolder);
+    EndJob(std::nullopt);
+    return;
+  }
+  EndJob(aNow);
+}
+
+void charge_backup::Plan(const holder_id& aHolder, time_point aAt)
+{
+  const auto [place, added] = mPlanned.try_emplace(aHolder, aAt);
+  if (!added && place->second <= aAt) {
+    return;
+  }
+  mAgenda.erase({ place->second, aHolder });
+  place->second = aAt;
+  mAgenda.emplace(aAt, aHolder);
+}
+
+void charge_backup::StartJob(time_point aNow)
+{
+  if (mAgenda.empty() || mAgenda.begin()->first > aNow) {
+    return;
+  }
+  mJob = job();
+  mJob.mHolder = mAgenda.begin()->second;
+  mAgenda.erase(mAgenda.begin());
+  mPlanned.erase(mJob.mHolder);
+  Ask(job_phase::Holder, { HolderKey(mJob.mHolder) });
+}
+
+void charge_backup::Ask(job_phase aPhase, std::vector<std::string> aKeys)
+{
+  mJob.mPhase = aPhase;
+  mJob.mReadId = mNextCall++;
+  ++mCounters.mReads;
+  mCounters.mRowsRead += aKeys.size();
+  mOut.mReads.push_back({ mJob.mReadId, std::move(aKeys) });
+}
+
+void charge_backup::Forget(const holder_id& aHolder)
+{
+  holder_entry& entry = mHolders[aHolder];
+  mHeldCharges -= entry.mCharges.size();
+  entry.mCharges.clear();
+  // A holder without a row never gets one again, so it stays closed.
+  entry.mClosed = true;
+}
+
+void charge_backup::Erase(holder_entry& aEntry, const request_id& aRequest)
+{
+  mHeldCharges -= aEntry.mCharges.erase(aRequest);
+}
+
+void charge_backup::EndJob(std::optional<time_point> aNext)
+{
+  const holder_id holder = mJob.mHolder;
+  mJob = job();
+  if (aNext) {
+    Plan(holder, *aNext);
+  }
+}
+
+void charge_backup::FailJob(time_point aNow)
+{
+  holder_entry& entry = mHolders[mJob.mHolder];
+  ++entry.mFailures;
+  EndJob(BackoffEnd(entry.mFailures, aNow));
+}
+
+time_point charge_backup::BackoffEnd(std::uint32_t aFailures, time_point aNow)
+{
+  const std::chrono::microseconds grown(
+    mSettings.mBackoffFirst.count() << std::min(aFailures, kMaxBackoffSteps));
+  const auto most = std::min(mSettings.mBackoffMost, grown);
+  std::uniform_int_distribution<std::int64_t> pause(most.count() / 4,
+                                                    most.count());
+  return aNow + std::chrono::microseconds(pause(mRandom));
+}
--- a/Source/Core/Budget/ChargeBackup.h
+++ b/Source/Core/Budget/ChargeBackup.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <unordered_map>
@@ -55,8 +56,6 @@
     std::unordered_map<request_id, held_charge> mCharges;
     /// Nothing more is accepted.
     bool mClosed = false;
-    /// The row shows this backup's seal.
-    bool mSealed = false;
     std::uint32_t mFailures = 0;
   };
 
@@ -93,7 +92,6 @@
     std::size_t mSegmentsAsked = 0;
     table_transaction mTransaction;
     std::vector<request_id> mWritten;
-    bool mSeals = false;
     bool mEnds = false;
     bool mToSend = false;
     time_point mSendAt;
@@ -103,6 +101,7 @@
   void StartJob(time_point aNow);
   void Ask(job_phase aPhase, std::vector<std::string> aKeys);
   void OnHolderRow(const table_row& aRow, time_point aNow);
+  void Advance(time_point aNow);
   void PickCharges(time_point aNow);
   void OnRows(const std::vector<table_row>& aRows, time_point aNow);
   void AskSegments(time_point aNow);
@@ -113,8 +112,9 @@
   void Submit(time_point aNow);
   void Forget(const holder_id& aHolder);
   void Erase(holder_entry& aEntry, const request_id& aRequest);
-  void EndJob(time_point aNext);
+  void EndJob(std::optional<time_point> aNext);
   void FailJob(time_point aNow);
+  time_point BackoffEnd(std::uint32_t aFailures, time_point aNow);
 
   holder_id mSelf;
   budget_settings mSettings;
--- /dev/null
+++ b/Source/Core/Budget/ChargeBackupJob.cpp
@@ -0,0 +1,281 @@
+#include <algorithm>
+
+#include "Budget/ChargeBackup.h"
+#include "Budget/ChargeWriting.h"
+#include "Common/Log.h"
+
+namespace {
+
+bool Contains(const std::vector<holder_id>& aHolders, const holder_id& aHolder)
+{
+  return std::find(aHolders.begin(), aHolders.end(), aHolder) != aHolders.end();
+}
+
+bool AllSealed(const holder_row& aRow)
+{
+  return std::all_of(
+    aRow.mBackups.begin(), aRow.mBackups.end(), [&](const holder_id& aBackup) {
+      return aRow.mSealed.count(aBackup) > 0;
+    });
+}
+
+} // namespace
+
+void charge_backup::OnHolderRow(const table_row& aRow, time_point aNow)
+{
+  if (aRow.mVersion == 0) {
+    // The holder drained itself, or its grants were reclaimed: in both cases
+    // every charge is in the store.
+    Forget(mJob.mHolder);
+    EndJob(std::nullopt);
+    return;
+  }
+  const auto parsed = ParseHolderRow(aRow.mValue);
+  if (!parsed.has_value()) {
+    Log(log_level::Error,
+        "holder_row_unreadable",
+        { { "holder", FormatHolder(mJob.mHolder) },
+          { "error", std::string(RowErrorName(parsed.error())) } });
+    EndJob(aNow + mSettings.mBackupCheck);
+    return;
+  }
+  mJob.mRow = parsed.value();
+  mJob.mVersion = aRow.mVersion;
+  holder_entry& entry = mHolders[mJob.mHolder];
+  if (mJob.mRow.mState != holder_state::Open) {
+    entry.mClosed = true;
+  }
+  const bool listed = Contains(mJob.mRow.mBackups, mSelf);
+  if (!listed) {
+    // The holder removes a backup only when no charge depends on it.
+    mHeldCharges -= entry.mCharges.size();
+    entry.mCharges.clear();
+    EndJob(std::nullopt);
+    return;
+  }
+  PickCharges(aNow);
+  if (!mJob.mItems.empty()) {
+    return;
+  }
+  Advance(aNow);
+}
+
+void charge_backup::Advance(time_point aNow)
+{
+  holder_entry& entry = mHolders[mJob.mHolder];
+  const bool sealed = mJob.mRow.mSealed.count(mSelf) > 0;
+  if (mJob.mRow.mState == holder_state::WrittenOff) {
+    EndJob(std::nullopt);
+  } else if (mJob.mRow.mState == holder_state::Closed) {
+    mJob.mPhase = job_phase::Scan;
+    mJob.mReadId = mNextCall++;
+    ++mCounters.mReads;
+    mOut.mScans.push_back(
+      { mJob.mReadId,
+        { GrantPrefix(mJob.mHolder), "", mSettings.mMaxRows / 2 } });
+  } else if (!entry.mClosed && entry.mCharges.empty()) {
+    EndJob(std::nullopt);
+  } else if (!entry.mClosed || sealed) {
+    EndJob(aNow + mSettings.mBackupCheck);
+  } else {
+    holder_row row = mJob.mRow;
+    row.mSealed.insert(mSelf);
+    row.mState = AllSealed(row) ? holder_state::Closed : holder_state::Closing;
+    mJob.mTransaction.mWrites.push_back(
+      { HolderKey(mJob.mHolder), FormatHolderRow(row) });
+    Submit(aNow);
+  }
+}
+
+void charge_backup::PickCharges(time_point aNow)
+{
+  const holder_entry& entry = mHolders[mJob.mHolder];
+  std::map<budget_id, std::vector<charge>> byBudget;
+  std::size_t picked = 0;
+  for (const auto& [request, held] : entry.mCharges) {
+    const bool old = held.mSince + mSettings.mBackupCheck <= aNow;
+    if (!entry.mClosed && !old) {
+      continue;
+    }
+    const charge& item = held.mCharge;
+    if (picked == mSettings.mMaxCharges) {
+      break;
+    }
+    if (byBudget.size() < mSettings.mMaxRows / 4 ||
+        byBudget.count(item.mBudget) > 0) {
+      byBudget[item.mBudget].push_back(item);
+      ++picked;
+    }
+  }
+  std::vector<std::string> keys;
+  for (auto& [budget, charges] : byBudget) {
+    keys.push_back(BudgetKey(budget));
+    job_item& item = mJob.mItems.emplace_back();
+    item.mBudget = budget;
+    item.mCharges = std::move(charges);
+  }
+  if (!keys.empty()) {
+    Ask(job_phase::Rows, std::move(keys));
+  }
+}
+
+void charge_backup::OnRows(const std::vector<table_row>& aRows, time_point aNow)
+{
+  for (std::size_t i = 0; i < mJob.mItems.size(); ++i) {
+    job_item& item = mJob.mItems[i];
+    const table_row& row = aRows.at(i);
+    const auto parsed = ParseBudgetRow(row.mValue);
+    if (!parsed.has_value()) {
+      ++mCounters.mUnreadableRows;
+      item.mCharges.clear();
+      continue;
+    }
+    item.mRow = parsed.value();
+    item.mVersion = row.mVersion;
+    std::uint64_t from = item.mRow.mNextSegment;
+    for (const charge& held : item.mCharges) {
+      from = std::min(from, held.mFromSegment);
+    }
+    for (; from < item.mRow.mNextSegment; ++from) {
+      mJob.mSegmentsToRead.emplace_back(i, from);
+    }
+  }
+  AskSegments(aNow);
+}
+
+void charge_backup::AskSegments(time_point aNow)
+{
+  if (mJob.mSegmentsRead == mJob.mSegmentsToRead.size()) {
+    ComposeFlush(aNow);
+    return;
+  }
+  std::vector<std::string> keys;
+  mJob.mSegmentsAsked = mJob.mSegmentsRead;
+  while (mJob.mSegmentsAsked < mJob.mSegmentsToRead.size() &&
+         keys.size() < mSettings.mMaxKeys) {
+    const auto& [item, segment] = mJob.mSegmentsToRead[mJob.mSegmentsAsked++];
+    keys.push_back(SegmentKey(mJob.mItems[item].mBudget, segment));
+  }
+  Ask(job_phase::Segments, std::move(keys));
+}
+
+void charge_backup::OnSegments(const std::vector<table_row>& aRows,
+                               time_point aNow)
+{
+  for (const table_row& row : aRows) {
+    const auto& [index, number] = mJob.mSegmentsToRead[mJob.mSegmentsRead++];
+    job_item& item = mJob.mItems[index];
+    const auto parsed = ParseSegment(row.mValue, item.mBudget);
+    if (!parsed.has_value()) {
+      // Without the whole log a charge could be written twice.
+      ++mCounters.mUnreadableRows;
+      item.mCharges.clear();
+      continue;
+    }
+    for (const charge& logged : parsed.value().mCharges) {
+      const auto erased =
+        std::erase_if(item.mCharges, [&](const charge& aHeld) {
+          return aHeld.mRequest == logged.mRequest;
+        });
+      if (erased > 0) {
+        mJob.mWritten.push_back(logged.mRequest);
+      }
+    }
+  }
+  AskSegments(aNow);
+}
+
+void charge_backup::ComposeFlush(time_point aNow)
+{
+  holder_entry& entry = mHolders[mJob.mHolder];
+  for (job_item& item : mJob.mItems) {
+    if (item.mCharges.empty()) {
+      continue;
+    }
+    const std::int64_t before = GrantOf(item.mRow, mJob.mHolder);
+    written_charges written = PayCharges(item.mRow, item.mCharges);
+    mCounters.mUnfundedCharges += written.mUnfunded;
+    for (const charge& paid : written.mCharges) {
+      mJob.mWritten.push_back(paid.mRequest);
+    }
+    AppendSegment(
+      mJob.mTransaction, item.mBudget, item.mRow, std::move(written.mCharges));
+    WriteBudget(mJob.mTransaction, item.mBudget, item.mVersion, item.mRow);
+    WriteGrantIndex(mJob.mTransaction,
+                    mJob.mHolder,
+                    item.mBudget,
+                    before,
+                    GrantOf(item.mRow, mJob.mHolder));
+  }
+  if (!mJob.mTransaction.mWrites.empty()) {
+    if (entry.mClosed && mJob.mRow.mState == holder_state::Open) {
+      holder_row row = mJob.mRow;
+      row.mState = holder_state::Closing;
+      mJob.mTransaction.mWrites.push_back(
+        { HolderKey(mJob.mHolder), FormatHolderRow(row) });
+    }
+    Submit(aNow);
+    return;
+  }
+  const bool progress = !mJob.mWritten.empty();
+  for (const request_id& request : mJob.mWritten) {
+    Erase(entry, request);
+  }
+  EndJob(progress ? aNow : aNow + mSettings.mBackupCheck);
+}
+
+void charge_backup::OnGrants(const std::vector<table_row>& aRows,
+                             time_point aNow)
+{
+  mCounters.mRowsRead += aRows.size();
+  if (aRows.empty()) {
+    mJob.mTransaction.mWrites.push_back(
+      { HolderKey(mJob.mHolder), std::nullopt });
+    mJob.mEnds = true;
+    Submit(aNow);
+    return;
+  }
+  const std::size_t prefix = GrantPrefix(mJob.mHolder).size();
+  std::vector<std::string> keys;
+  for (const table_row& row : aRows) {
+    job_item& item = mJob.mItems.emplace_back();
+    item.mBudget = { row.mKey.substr(prefix) };
+    keys.push_back(BudgetKey(item.mBudget));
+  }
+  Ask(job_phase::ReclaimRows, std::move(keys));
+}
+
+void charge_backup::ComposeReclaim(const std::vector<table_row>& aRows,
+                                   time_point aNow)
+{
+  for (std::size_t i = 0; i < mJob.mItems.size(); ++i) {
+    const job_item& item = mJob.mItems[i];
+    const auto parsed = ParseBudgetRow(aRows.at(i).mValue);
+    if (!parsed.has_value()) {
+      ++mCounters.mUnreadableRows;
+      continue;
+    }
+    budget_row row = parsed.value();
+    SetGrant(row, mJob.mHolder, 0);
+    WriteBudget(mJob.mTransaction, item.mBudget, aRows[i].mVersion, row);
+    mJob.mTransaction.mWrites.push_back(
+      { GrantKey(mJob.mHolder, item.mBudget), std::nullopt });
+  }
+  if (mJob.mTransaction.mWrites.empty()) {
+    EndJob(aNow + mSettings.mBackupCheck);
+    return;
+  }
+  Submit(aNow);
+}
+
+void charge_backup::Submit(time_point aNow)
+{
+  mJob.mTransaction.mId = { mRandom(), mRandom() };
+  mJob.mTransaction.mConditions.push_back(
+    { HolderKey(mJob.mHolder), mJob.mVersion });
+  mJob.mPhase = job_phase::Commit;
+  mJob.mToSend = true;
+  mJob.mSendAt = aNow;
+  ++mCounters.mTransactions;
+  mCounters.mRowsWritten += mJob.mTransaction.mWrites.size();
+}
