--- a/Source/Core/Budget/ChargeBackup.cpp
+++ b/Source/Core/Budget/ChargeBackup.cpp
@@ -37,7 +37,8 @@
   }
   for (const charge& item : aCharges) {
     const bool added =
-      entry.mCharges.emplace(item.mRequest, held_charge{ item, aNow }).second;
+      entry.mCharges.insert_or_assign(item.mRequest, held_charge{ item, aNow })
+        .second;
     mHeldCharges += added ? 1 : 0;
   }
   Plan(aFrom, aNow + mSettings.mBackupCheck);
@@ -72,6 +73,13 @@
   Plan(aHolder, aNow);
 }
 
+bool charge_backup::Holds(const holder_id& aHolder,
+                          const request_id& aRequest) const
+{
+  const auto found = mHolders.find(aHolder);
+  return found != mHolders.end() && found->second.mCharges.count(aRequest) > 0;
+}
+
 bool charge_backup::IsDrained() const
 {
   const bool busy =
@@ -182,6 +190,7 @@
     return;
   }
   mJob = job();
+  mJob.mStartedAt = aNow;
   mJob.mHolder = mAgenda.begin()->second;
   mAgenda.erase(mAgenda.begin());
   mPlanned.erase(mJob.mHolder);
--- a/Source/Core/Budget/ChargeBackup.h
+++ b/Source/Core/Budget/ChargeBackup.h
@@ -41,6 +41,8 @@
   /// Holds nothing, or only copies whose holders are alive.
   bool IsDrained() const;
 
+  /// Whether a copy of the holder's charge is here.
+  bool Holds(const holder_id& aHolder, const request_id& aRequest) const;
   std::size_t HeldCharges() const { return mHeldCharges; }
   const budget_counters& Counters() const { return mCounters; }
 
@@ -83,6 +85,7 @@
   {
     job_phase mPhase = job_phase::Idle;
     holder_id mHolder;
+    time_point mStartedAt;
     std::uint64_t mReadId = 0;
     holder_row mRow;
     std::uint64_t mVersion = 0;
@@ -109,7 +112,10 @@
   void ComposeFlush(time_point aNow);
   void OnGrants(const std::vector<table_row>& aRows, time_point aNow);
   void ComposeReclaim(const std::vector<table_row>& aRows, time_point aNow);
+  transaction_id NewTransactionId();
+  void BeginTransaction();
   void Submit(time_point aNow);
+  void DiscardUnlisted();
   void Forget(const holder_id& aHolder);
   void Erase(holder_entry& aEntry, const request_id& aRequest);
   void EndJob(std::optional<time_point> aNext);
--- a/Source/Core/Budget/ChargeBackupJob.cpp
+++ b/Source/Core/Budget/ChargeBackupJob.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "Budget/BudgetOperations.h"
 #include "Budget/ChargeBackup.h"
 #include "Budget/ChargeWriting.h"
 #include "Common/Log.h"
@@ -45,11 +46,11 @@
   if (mJob.mRow.mState != holder_state::Open) {
     entry.mClosed = true;
   }
-  const bool listed = Contains(mJob.mRow.mBackups, mSelf);
-  if (!listed) {
-    // The holder removes a backup only when no charge depends on it.
-    mHeldCharges -= entry.mCharges.size();
-    entry.mCharges.clear();
+  // A holder without any backup had its charges in the store before the last
+  // byte, so whoever learns of its death can close it.
+  const bool nobody = mJob.mRow.mBackups.empty() && entry.mClosed;
+  if (!nobody && !Contains(mJob.mRow.mBackups, mSelf)) {
+    DiscardUnlisted();
     EndJob(std::nullopt);
     return;
   }
@@ -60,6 +61,16 @@
   Advance(aNow);
 }
 
+void charge_backup::DiscardUnlisted()
+{
+  // The holder removes a backup only when no charge depends on it. Charges
+  // that came after the row was asked for may belong to a newer list.
+  holder_entry& entry = mHolders[mJob.mHolder];
+  mHeldCharges -= std::erase_if(entry.mCharges, [this](const auto& aHeld) {
+    return aHeld.second.mSince < mJob.mStartedAt;
+  });
+}
+
 void charge_backup::Advance(time_point aNow)
 {
   holder_entry& entry = mHolders[mJob.mHolder];
@@ -78,6 +89,7 @@
   } else if (!entry.mClosed || sealed) {
     EndJob(aNow + mSettings.mBackupCheck);
   } else {
+    BeginTransaction();
     holder_row row = mJob.mRow;
     row.mSealed.insert(mSelf);
     row.mState = AllSealed(row) ? holder_state::Closed : holder_state::Closing;
@@ -188,6 +200,7 @@
 void charge_backup::ComposeFlush(time_point aNow)
 {
   holder_entry& entry = mHolders[mJob.mHolder];
+  BeginTransaction();
   for (job_item& item : mJob.mItems) {
     if (item.mCharges.empty()) {
       continue;
@@ -229,6 +242,7 @@
 {
   mCounters.mRowsRead += aRows.size();
   if (aRows.empty()) {
+    BeginTransaction();
     mJob.mTransaction.mWrites.push_back(
       { HolderKey(mJob.mHolder), std::nullopt });
     mJob.mEnds = true;
@@ -248,19 +262,10 @@
 void charge_backup::ComposeReclaim(const std::vector<table_row>& aRows,
                                    time_point aNow)
 {
-  for (std::size_t i = 0; i < mJob.mItems.size(); ++i) {
-    const job_item& item = mJob.mItems[i];
-    const auto parsed = ParseBudgetRow(aRows.at(i).mValue);
-    if (!parsed.has_value()) {
-      ++mCounters.mUnreadableRows;
-      continue;
-    }
-    budget_row row = parsed.value();
-    SetGrant(row, mJob.mHolder, 0);
-    WriteBudget(mJob.mTransaction, item.mBudget, aRows[i].mVersion, row);
-    mJob.mTransaction.mWrites.push_back(
-      { GrantKey(mJob.mHolder, item.mBudget), std::nullopt });
-  }
+  returned_grants returned =
+    ReturnGrants(mJob.mHolder, mJob.mVersion, aRows, NewTransactionId());
+  mCounters.mUnreadableRows += returned.mUnreadable;
+  mJob.mTransaction = std::move(returned.mTransaction);
   if (mJob.mTransaction.mWrites.empty()) {
     EndJob(aNow + mSettings.mBackupCheck);
     return;
@@ -268,11 +273,21 @@
   Submit(aNow);
 }
 
-void charge_backup::Submit(time_point aNow)
+transaction_id charge_backup::NewTransactionId()
+{
+  const std::uint64_t high = mRandom();
+  return { high, mRandom() };
+}
+
+void charge_backup::BeginTransaction()
 {
-  mJob.mTransaction.mId = { mRandom(), mRandom() };
+  mJob.mTransaction = { NewTransactionId(), {}, {} };
   mJob.mTransaction.mConditions.push_back(
     { HolderKey(mJob.mHolder), mJob.mVersion });
+}
+
+void charge_backup::Submit(time_point aNow)
+{
   mJob.mPhase = job_phase::Commit;
   mJob.mToSend = true;
   mJob.mSendAt = aNow;
--- /dev/null
+++ b/Source/UnitTests/Budget/FakeTable.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "Budget/BudgetTypes.h"
+
+/// A table in memory that checks, at every commit, what must hold in every
+/// state that it ever has. The checks read the JSON on their own and share no
+/// code with the rows under test.
+class fake_table
+{
+public:
+  std::vector<table_row> Read(const std::vector<std::string>& aKeys) const;
+  std::vector<table_row> Scan(const table_scan& aScan) const;
+  commit_reply Commit(const table_transaction& aTransaction);
+
+  table_row Row(const std::string& aKey) const { return Read({ aKey })[0]; }
+  /// Writes a row without conditions.
+  void Put(const std::string& aKey, const std::string& aValue);
+  bool HasCharge(const budget_id& aBudget, const request_id& aRequest) const;
+  /// Tokens charged for a request, -1 for none.
+  std::int64_t Charged(const budget_id& aBudget,
+                       const request_id& aRequest) const;
+
+  const std::vector<std::string>& Violations() const { return mViolations; }
+  std::uint64_t Commits() const { return mCommits; }
+  std::uint64_t RowsWritten() const { return mRowsWritten; }
+
+private:
+  void CheckBudget(const std::string& aKey, const std::string& aValue);
+  void CheckSegment(const std::string& aKey, const std::string& aValue);
+
+  std::map<std::string, table_row> mRows;
+  std::map<transaction_id, commit_reply> mReplies;
+  std::map<std::string, std::map<std::string, std::int64_t>> mLog;
+  std::map<std::string, std::int64_t> mLogged;
+  std::vector<std::string> mViolations;
+  std::uint64_t mVersion = 0;
+  std::uint64_t mCommits = 0;
+  std::uint64_t mRowsWritten = 0;
+};
