--- a/Source/Core/Budget/ChargeBackup.h
+++ b/Source/Core/Budget/ChargeBackup.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <unordered_map>
@@ -40,6 +41,8 @@
   /// Holds nothing, or only copies whose holders are alive.
   bool IsDrained() const;
 
+  /// Whether a copy of the holder's charge is here.
+  bool Holds(const holder_id& aHolder, const request_id& aRequest) const;
   std::size_t HeldCharges() const { return mHeldCharges; }
   const budget_counters& Counters() const { return mCounters; }
 
@@ -55,8 +58,6 @@
     std::unordered_map<request_id, held_charge> mCharges;
     /// Nothing more is accepted.
     bool mClosed = false;
-    /// The row shows this backup's seal.
-    bool mSealed = false;
     std::uint32_t mFailures = 0;
   };
 
@@ -84,6 +85,7 @@
   {
     job_phase mPhase = job_phase::Idle;
     holder_id mHolder;
+    time_point mStartedAt;
     std::uint64_t mReadId = 0;
     holder_row mRow;
     std::uint64_t mVersion = 0;
@@ -93,7 +95,6 @@
     std::size_t mSegmentsAsked = 0;
     table_transaction mTransaction;
     std::vector<request_id> mWritten;
-    bool mSeals = false;
     bool mEnds = false;
     bool mToSend = false;
     time_point mSendAt;
@@ -103,6 +104,7 @@
   void StartJob(time_point aNow);
   void Ask(job_phase aPhase, std::vector<std::string> aKeys);
   void OnHolderRow(const table_row& aRow, time_point aNow);
+  void Advance(time_point aNow);
   void PickCharges(time_point aNow);
   void OnRows(const std::vector<table_row>& aRows, time_point aNow);
   void AskSegments(time_point aNow);
@@ -110,11 +112,15 @@
   void ComposeFlush(time_point aNow);
   void OnGrants(const std::vector<table_row>& aRows, time_point aNow);
   void ComposeReclaim(const std::vector<table_row>& aRows, time_point aNow);
+  transaction_id NewTransactionId();
+  void BeginTransaction();
   void Submit(time_point aNow);
+  void DiscardUnlisted();
   void Forget(const holder_id& aHolder);
   void Erase(holder_entry& aEntry, const request_id& aRequest);
-  void EndJob(time_point aNext);
+  void EndJob(std::optional<time_point> aNext);
   void FailJob(time_point aNow);
+  time_point BackoffEnd(std::uint32_t aFailures, time_point aNow);
 
   holder_id mSelf;
   budget_settings mSettings;
