Keep the measured service rate when rejections empty a queue

The rate was forgotten whenever all waiting requests had expired, so every second burst of a flood was accepted again and expired in the queue.

--- a/Source/Core/Dispatch/FairQueue.cpp
+++ b/Source/Core/Dispatch/FairQueue.cpp
@@ -21,8 +21,11 @@
                       time_point aNow)
 {
   if (mSize == 0) {
-    // The rate is only meaningful while requests wait without interruption.
-    mRate = 0.0;
+    if (mEmptiedByService) {
+      // The rate was that of the arrivals, and says nothing about what can be
+      // served.
+      mRate = 0.0;
+    }
     mRateFrom = aNow;
     mRateFromVirtual = mVirtualTime;
   }
@@ -58,6 +61,7 @@
   queue.mWaiting.pop_front();
   Link(account, queue);
   --mSize;
+  mEmptiedByService = mSize == 0;
   MeasureRate(aNow);
   ForgetIdle();
 }
--- a/Source/Core/Dispatch/FairQueue.h
+++ b/Source/Core/Dispatch/FairQueue.h
@@ -76,6 +76,8 @@
   order mHeads;
   order mTails;
   std::uint32_t mSize = 0;
+  /// The queue became empty by service, not by rejections.
+  bool mEmptiedByService = true;
   double mVirtualTime = 0.0;
   /// Accounts kept at the last clean-up.
   std::size_t mKept = 0;
--- a/Source/UnitTests/Dispatch/DispatchSystemTest.cpp
+++ b/Source/UnitTests/Dispatch/DispatchSystemTest.cpp
@@ -73,6 +73,7 @@
     for (const start_decision& start : Tick(100ms).mStarts) {
       running.push_back(start.mRequest.mLow);
     }
+    mSystem.OnTokens({ 1, running.front() }, 50, mNow);
     Finish(running.front());
     running.pop_front();
   }
