--- a/Source/Core/Services/ServiceCallSystem.h
+++ b/Source/Core/Services/ServiceCallSystem.h
@@ -74,6 +74,7 @@
 {
 public:
   service_call_system(holder_id aSelf, service_call_settings aSettings);
+  ~service_call_system();
 
   /// Starts an attempt.
   call_number Begin(const service_call& aCall, time_point aNow);
