--- a/Source/Core/Platform/HostListJson.cpp
+++ b/Source/Core/Platform/HostListJson.cpp
@@ -42,7 +42,7 @@
   return std::nullopt;
 }
 
-}
+} // namespace
 
 json HostEntryJson(const host_entry& aHost)
 {
--- a/Source/Core/Platform/HttpClient.cpp
+++ b/Source/Core/Platform/HttpClient.cpp
@@ -19,7 +19,7 @@
          g_ascii_strncasecmp(aLeft.data(), aRight.data(), aLeft.size()) == 0;
 }
 
-}
+} // namespace
 
 /// A request in progress. It lives until libsoup reports its end, which may be
 /// after its owner is gone.
@@ -138,8 +138,7 @@
     soup_message_headers_append(headers, name.c_str(), value.c_str());
   }
   if (!aRequest.mBody.empty()) {
-    GBytes* body =
-      g_bytes_new(aRequest.mBody.data(), aRequest.mBody.size());
+    GBytes* body = g_bytes_new(aRequest.mBody.data(), aRequest.mBody.size());
     soup_message_set_request_body_from_bytes(
       message, aRequest.mContentType.c_str(), body);
     g_bytes_unref(body);
--- a/Source/Core/Platform/HttpClient.h
+++ b/Source/Core/Platform/HttpClient.h
@@ -33,11 +33,11 @@
 struct http_request
 {
   std::string mMethod = "GET";
-  std::string mUrl;
+  std::string mUrl{};
   /// Type of the body; without effect when the body is empty.
   std::string mContentType = "application/json";
-  std::string mBody;
-  http_headers mHeaders;
+  std::string mBody{};
+  http_headers mHeaders{};
   /// Limit for the whole exchange, or up to the response head of a stream.
   std::chrono::milliseconds mTimeout{ 5000 };
 };
--- a/Source/Core/Platform/HttpExchange.cpp
+++ b/Source/Core/Platform/HttpExchange.cpp
@@ -58,8 +58,7 @@
   }
   mPeerWatch = g_socket_create_source(
     socket, static_cast<GIOCondition>(G_IO_IN | G_IO_HUP), nullptr);
-  g_source_set_callback(
-    mPeerWatch, G_SOURCE_FUNC(OnReadable), this, nullptr);
+  g_source_set_callback(mPeerWatch, G_SOURCE_FUNC(OnReadable), this, nullptr);
   g_source_attach(mPeerWatch, nullptr);
 }
 
@@ -133,11 +132,8 @@
   }
   mCompleted = true;
   soup_server_message_set_status(mMessage, aStatus, nullptr);
-  soup_server_message_set_response(mMessage,
-                                   aContentType,
-                                   SOUP_MEMORY_COPY,
-                                   aBody.data(),
-                                   aBody.size());
+  soup_server_message_set_response(
+    mMessage, aContentType, SOUP_MEMORY_COPY, aBody.data(), aBody.size());
   soup_server_message_unpause(mMessage);
 }
 
@@ -145,8 +141,7 @@
 {
   Reply(aStatus,
         "application/json",
-        aBody.dump(
-          -1, ' ', false, nlohmann::json::error_handler_t::replace));
+        aBody.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
 void http_exchange::ReplyError(unsigned aStatus,
--- a/Source/Core/Platform/HttpHostList.cpp
+++ b/Source/Core/Platform/HttpHostList.cpp
@@ -36,7 +36,7 @@
   return std::move(*listing);
 }
 
-}
+} // namespace
 
 http_host_list::http_host_list(http_client& aClient,
                                platform_endpoint aEndpoint)
--- a/Source/Core/Platform/HttpObjectStore.cpp
+++ b/Source/Core/Platform/HttpObjectStore.cpp
@@ -38,7 +38,7 @@
   return std::nullopt;
 }
 
-}
+} // namespace
 
 http_object_store::http_object_store(http_client& aClient,
                                      platform_endpoint aEndpoint)
--- a/Source/Core/Platform/HttpServer.cpp
+++ b/Source/Core/Platform/HttpServer.cpp
@@ -69,7 +69,7 @@
   return port;
 }
 
-}
+} // namespace
 
 socket_address_text ParseAddress(std::string_view aText)
 {
@@ -104,8 +104,8 @@
 
 void http_server::Route(const std::string& aPrefix, handler aHandler)
 {
-  mRoutes.push_back(std::make_unique<route>(
-    route{ this, aPrefix, std::move(aHandler) }));
+  mRoutes.push_back(
+    std::make_unique<route>(route{ this, aPrefix, std::move(aHandler) }));
   if (mServer != nullptr) {
     Attach(*mRoutes.back());
   }
@@ -121,11 +121,10 @@
 {
   Close();
   const socket_address_text parsed = ParseAddress(aAddress);
-  GSocketAddress* address =
-    parsed.mHost.empty()
-      ? nullptr
-      : g_inet_socket_address_new_from_string(parsed.mHost.c_str(),
-                                              parsed.mPort);
+  GSocketAddress* address = parsed.mHost.empty()
+                              ? nullptr
+                              : g_inet_socket_address_new_from_string(
+                                  parsed.mHost.c_str(), parsed.mPort);
   if (address == nullptr) {
     return http_listen_error{ aAddress, "not an IP:port address" };
   }
--- a/Source/Core/Platform/HttpStream.cpp
+++ b/Source/Core/Platform/HttpStream.cpp
@@ -127,10 +127,9 @@
     if (self->mInput == nullptr) {
       self->End(self->Failure());
     } else {
-      const http_head head{
-        soup_message_get_status(self->mMessage),
-        CopyHeaders(soup_message_get_response_headers(self->mMessage))
-      };
+      const http_head head{ soup_message_get_status(self->mMessage),
+                            CopyHeaders(soup_message_get_response_headers(
+                              self->mMessage)) };
       self->mHandlers.mOnHead(head);
     }
     self->mBusy = false;
@@ -158,8 +157,7 @@
       return;
     }
     if (self->mOwner != nullptr) {
-      self->End(size == 0 ? std::nullopt
-                          : std::optional(http_failure::Broken));
+      self->End(size == 0 ? std::nullopt : std::optional(http_failure::Broken));
     }
     self->mBusy = false;
     if (self->mOwner == nullptr) {
--- a/Source/Core/Platform/HttpTableService.cpp
+++ b/Source/Core/Platform/HttpTableService.cpp
@@ -28,7 +28,7 @@
            : table_error::Timeout;
 }
 
-}
+} // namespace
 
 http_table_service::http_table_service(http_client& aClient,
                                        platform_endpoint aEndpoint)
@@ -98,16 +98,16 @@
   // A text that is not UTF-8 cannot be sent; the empty body makes the service
   // refuse the call.
   request.mBody = std::move(aBody).value_or(std::string());
-  mClient.Send(request,
-               mOwner,
-               [reply = std::move(aReply)](
-                 result<http_reply, http_failure> aResult) {
-                 if (!aResult.has_value()) {
-                   reply(TranslateFailure(aResult.error()));
-                 } else if (aResult.value().mStatus != SOUP_STATUS_OK) {
-                   reply(TranslateStatus(aResult.value().mStatus));
-                 } else {
-                   reply(std::move(aResult.value().mBody));
-                 }
-               });
+  mClient.Send(
+    request,
+    mOwner,
+    [reply = std::move(aReply)](result<http_reply, http_failure> aResult) {
+      if (!aResult.has_value()) {
+        reply(TranslateFailure(aResult.error()));
+      } else if (aResult.value().mStatus != SOUP_STATUS_OK) {
+        reply(TranslateStatus(aResult.value().mStatus));
+      } else {
+        reply(std::move(aResult.value().mBody));
+      }
+    });
 }
--- a/Source/Core/Platform/HttpWeightStore.cpp
+++ b/Source/Core/Platform/HttpWeightStore.cpp
@@ -41,7 +41,7 @@
   }
 }
 
-}
+} // namespace
 
 http_weight_store::http_weight_store(http_client& aClient,
                                      platform_endpoint aEndpoint)
--- a/Source/Core/Platform/PlatformEndpoint.h
+++ b/Source/Core/Platform/PlatformEndpoint.h
@@ -7,7 +7,7 @@
 struct platform_endpoint
 {
   /// `IP:port`.
-  std::string mAddress;
+  std::string mAddress{};
   /// Limit for each call.
   std::chrono::milliseconds mTimeout{ 2000 };
 
--- a/Source/Core/Platform/TableJson.cpp
+++ b/Source/Core/Platform/TableJson.cpp
@@ -57,7 +57,7 @@
   return write;
 }
 
-}
+} // namespace
 
 std::optional<std::string> WriteReadRequest(
   const std::vector<std::string>& aKeys)
@@ -153,9 +153,9 @@
 
 std::string WriteCommitReply(const commit_reply& aReply)
 {
-  return json{ { "committed", aReply.mCommitted },
-               { "version", aReply.mVersion } }
-    .dump();
+  return json{
+    { "committed", aReply.mCommitted }, { "version", aReply.mVersion }
+  }.dump();
 }
 
 std::optional<commit_reply> ParseCommitReply(std::string_view aText)
--- a/Source/Core/Platform/TableJson.h
+++ b/Source/Core/Platform/TableJson.h
@@ -12,9 +12,9 @@
 ///
 /// | path | request | reply |
 /// | --- | --- | --- |
-/// | `POST /v1/read` | `{"keys":[..]}` | `{"rows":[{"key","version","value"}]}` |
-/// | `POST /v1/scan` | `{"prefix","after","limit"}` | as for read |
-/// | `POST /v1/commit` | `{"id","conditions":[{"key","version"}],`
+/// | `POST /v1/read` | `{"keys":[..]}` | `{"rows":[{"key","version","value"}]}`
+/// | | `POST /v1/scan` | `{"prefix","after","limit"}` | as for read | | `POST
+/// /v1/commit` | `{"id","conditions":[{"key","version"}],`
 ///   `"writes":[{"key","value"}]}` | `{"committed","version"}` |
 ///
 /// `id` has 32 hexadecimal digits; a write with the value `null` deletes.
--- a/Source/Core/StandIn/EngineAnswer.cpp
+++ b/Source/Core/StandIn/EngineAnswer.cpp
@@ -35,7 +35,7 @@
   return prompt;
 }
 
-}
+} // namespace
 
 result<engine_request, engine_request_error> ParseEngineRequest(
   std::string_view aBody)
--- a/Source/Core/StandIn/EngineBatch.cpp
+++ b/Source/Core/StandIn/EngineBatch.cpp
@@ -16,9 +16,8 @@
 void engine_batch::Remove(std::uint64_t aId, time_point aNow)
 {
   mRunning.erase(aId);
-  std::erase_if(mWaiting, [aId](const auto& aEntry) {
-    return aEntry.second.mId == aId;
-  });
+  std::erase_if(mWaiting,
+                [aId](const auto& aEntry) { return aEntry.second.mId == aId; });
   Admit(aNow);
 }
 
--- a/Source/Core/StandIn/EngineEvents.cpp
+++ b/Source/Core/StandIn/EngineEvents.cpp
@@ -29,13 +29,12 @@
 {
   return { { "prompt_tokens", aUsage.mPromptTokens },
            { "completion_tokens", aUsage.mCompletionTokens },
-           { "total_tokens",
-             aUsage.mPromptTokens + aUsage.mCompletionTokens },
+           { "total_tokens", aUsage.mPromptTokens + aUsage.mCompletionTokens },
            { "prompt_tokens_details",
              { { "cached_tokens", aUsage.mCachedTokens } } } };
 }
 
-}
+} // namespace
 
 std::string TokenEventHead(std::uint64_t aId, const std::string& aModel)
 {
@@ -57,9 +56,8 @@
                                 { "finish_reason", aReason } });
   json usage = Chunk(aId, aModel);
   usage["usage"] = Usage(aUsage);
-  return fmt::format("data: {}\n\ndata: {}\n\ndata: [DONE]\n\n",
-                     Text(finish),
-                     Text(usage));
+  return fmt::format(
+    "data: {}\n\ndata: {}\n\ndata: [DONE]\n\n", Text(finish), Text(usage));
 }
 
 std::string WholeAnswer(std::uint64_t aId,
--- a/Source/Core/StandIn/EngineStandIn.cpp
+++ b/Source/Core/StandIn/EngineStandIn.cpp
@@ -30,7 +30,7 @@
   return value;
 }
 
-}
+} // namespace
 
 engine_stand_in::engine_stand_in(engine_stand_in_options aOptions)
   : mOptions(std::move(aOptions))
@@ -107,9 +107,8 @@
 
 std::uint32_t engine_stand_in::Length(const engine_request& aRequest) const
 {
-  const std::uint32_t natural = AnswerLength(AnswerSeed(aRequest),
-                                             mOptions.mShortestAnswer,
-                                             mOptions.mLongestAnswer);
+  const std::uint32_t natural = AnswerLength(
+    AnswerSeed(aRequest), mOptions.mShortestAnswer, mOptions.mLongestAnswer);
   return aRequest.mMaxTokens == 0 ? natural
                                   : std::min(natural, aRequest.mMaxTokens);
 }
@@ -184,8 +183,7 @@
     ++mCounters.mCancelled;
     Forget(id);
   });
-  aExchange->OnDrained(
-    [this, id] { mBatch.Hold(id, false, mTime.Now()); });
+  aExchange->OnDrained([this, id] { mBatch.Hold(id, false, mTime.Now()); });
   if (!mTick.Active()) {
     mTick.Every(kTickPeriod, [this] { Tick(); });
   }
@@ -252,8 +250,7 @@
   const engine_usage usage{ CountPromptTokens(request.mPrompt),
                             aStream.mTo - aStream.mFrom,
                             aStream.mCachedTokens };
-  const bool cut =
-    request.mMaxTokens != 0 && aStream.mTo >= request.mMaxTokens;
+  const bool cut = request.mMaxTokens != 0 && aStream.mTo >= request.mMaxTokens;
   const std::string reason = cut ? "length" : "stop";
   const std::uint64_t id = aStream.mId;
   if (request.mStream) {
--- a/Source/Core/StandIn/EngineStandIn.h
+++ b/Source/Core/StandIn/EngineStandIn.h
@@ -20,9 +20,9 @@
 
 struct engine_stand_in_options
 {
-  engine_speed mSpeed;
-  engine_control_options mControl;
-  prefix_cache_options mCache;
+  engine_speed mSpeed{};
+  engine_control_options mControl{};
+  prefix_cache_options mCache{};
   /// Bytes of prompt in one block of the prefix cache.
   std::size_t mBlockBytes = 64;
   /// Length of an answer without `max_tokens`.
@@ -32,7 +32,7 @@
   std::chrono::milliseconds mLoadLag{ 100 };
   /// A prompt that contains this text crashes the engine before its first
   /// token; empty means never.
-  std::string mCrashMarker;
+  std::string mCrashMarker{};
   /// Connections are refused this long after a crash.
   std::chrono::milliseconds mCrashDowntime{ 500 };
 };
--- a/Source/Core/StandIn/HostListStandIn.cpp
+++ b/Source/Core/StandIn/HostListStandIn.cpp
@@ -13,10 +13,9 @@
   mServer.Serve("/v1/hosts", call_effect::None, [this](http_exchange& aCall) {
     return HandleGet(aCall);
   });
-  mServer.Serve(
-    "/v1/admin/hosts", call_effect::Changes, [this](http_exchange& aCall) {
-      return HandleAdmin(aCall);
-    });
+  mServer.Serve("/v1/admin/hosts",
+                call_effect::Changes,
+                [this](http_exchange& aCall) { return HandleAdmin(aCall); });
 }
 
 void host_list_stand_in::Put(const host_entry& aHost)
--- a/Source/Core/StandIn/ObjectStandIn.cpp
+++ b/Source/Core/StandIn/ObjectStandIn.cpp
@@ -19,15 +19,14 @@
   return name;
 }
 
-}
+} // namespace
 
 object_stand_in::object_stand_in(object_stand_in_options aOptions)
   : mCalls(aOptions.mCallsPerSecond)
 {
-  mServer.Serve(
-    "/v1/objects", call_effect::Changes, [this](http_exchange& aExchange) {
-      return Handle(aExchange);
-    });
+  mServer.Serve("/v1/objects",
+                call_effect::Changes,
+                [this](http_exchange& aExchange) { return Handle(aExchange); });
 }
 
 stand_in_reply object_stand_in::Handle(http_exchange& aExchange)
--- a/Source/Core/StandIn/PrefixCache.cpp
+++ b/Source/Core/StandIn/PrefixCache.cpp
@@ -5,7 +5,7 @@
 // Readers that fall further behind see a gap.
 constexpr std::size_t kEventsKept = 10000;
 
-}
+} // namespace
 
 prefix_cache::prefix_cache(prefix_cache_options aOptions)
   : mOptions(aOptions)
--- a/Source/Core/StandIn/StandInCluster.h
+++ b/Source/Core/StandIn/StandInCluster.h
@@ -31,12 +31,12 @@
   std::vector<std::string> mZones{ "zone-a", "zone-b", "zone-c" };
   std::uint32_t mEngines = 3;
   /// Options of every engine, with its models and speeds.
-  engine_stand_in_options mEngine;
+  engine_stand_in_options mEngine{};
   std::vector<service_group> mServices{ { "orders", 2 } };
-  table_stand_in_options mTable;
-  object_stand_in_options mObjects;
-  host_list_stand_in_options mHosts;
-  weight_stand_in_options mWeights;
+  table_stand_in_options mTable{};
+  object_stand_in_options mObjects{};
+  host_list_stand_in_options mHosts{};
+  weight_stand_in_options mWeights{};
 };
 
 /// A platform with engines and services on this process's loop. Engines are
--- a/Source/Core/StandIn/StandInServer.cpp
+++ b/Source/Core/StandIn/StandInServer.cpp
@@ -20,10 +20,9 @@
 
 stand_in_server::stand_in_server()
 {
-  mServer.Route("/v1/admin/faults",
-                [this](const http_exchange_ptr& aExchange) {
-                  SetFaults(aExchange);
-                });
+  mServer.Route("/v1/admin/faults", [this](const http_exchange_ptr& aExchange) {
+    SetFaults(aExchange);
+  });
 }
 
 void stand_in_server::Serve(const std::string& aPath,
--- a/Source/Core/StandIn/TableStandIn.cpp
+++ b/Source/Core/StandIn/TableStandIn.cpp
@@ -25,7 +25,7 @@
   return { 200, WriteRowsReply(aRows.value()).value_or("{}") };
 }
 
-}
+} // namespace
 
 table_stand_in::table_stand_in(table_stand_in_options aOptions)
   : mReads(aOptions.mReadsPerSecond)
@@ -37,10 +37,9 @@
   mServer.Serve("/v1/scan", call_effect::None, [this](http_exchange& aCall) {
     return HandleScan(aCall);
   });
-  mServer.Serve(
-    "/v1/commit", call_effect::Changes, [this](http_exchange& aCall) {
-      return HandleCommit(aCall);
-    });
+  mServer.Serve("/v1/commit",
+                call_effect::Changes,
+                [this](http_exchange& aCall) { return HandleCommit(aCall); });
 }
 
 bool table_stand_in::TakeRead()
--- a/Source/Core/StandIn/WeightStandIn.cpp
+++ b/Source/Core/StandIn/WeightStandIn.cpp
@@ -10,10 +10,9 @@
   : mOptions(std::move(aOptions))
   , mTickets(mOptions.mTicketsPerSecond)
 {
-  mServer.Serve(
-    "/v1/tickets", call_effect::Changes, [this](http_exchange& aCall) {
-      return Handle(aCall);
-    });
+  mServer.Serve("/v1/tickets",
+                call_effect::Changes,
+                [this](http_exchange& aCall) { return Handle(aCall); });
 }
 
 stand_in_reply weight_stand_in::Handle(http_exchange& aExchange)
--- a/Source/UnitTests/Platform/HttpTest.cpp
+++ b/Source/UnitTests/Platform/HttpTest.cpp
@@ -19,10 +19,7 @@
 class Http : public testing::Test
 {
 protected:
-  void Start()
-  {
-    ASSERT_TRUE(mServer.Listen("127.0.0.1:0").has_value());
-  }
+  void Start() { ASSERT_TRUE(mServer.Listen("127.0.0.1:0").has_value()); }
 
   http_request Request(const std::string& aPath, std::string aBody = {})
   {
@@ -49,7 +46,7 @@
   http_owner mOwner;
 };
 
-}
+} // namespace
 
 TEST_F(Http, RoutesByLongestPrefixAndEchoesTheBody)
 {
@@ -83,12 +80,10 @@
 TEST_F(Http, NoReplyIsTimeoutAndBrokenConnectionIsBroken)
 {
   http_exchange_ptr kept;
-  mServer.Route("/slow", [&](const http_exchange_ptr& aExchange) {
-    kept = aExchange;
-  });
-  mServer.Route("/break", [](const http_exchange_ptr& aExchange) {
-    aExchange->Abort();
-  });
+  mServer.Route("/slow",
+                [&](const http_exchange_ptr& aExchange) { kept = aExchange; });
+  mServer.Route("/break",
+                [](const http_exchange_ptr& aExchange) { aExchange->Abort(); });
   Start();
   http_request request = Request("/slow", "x");
   request.mTimeout = milliseconds(50);
@@ -232,9 +227,10 @@
   auto stream = std::make_unique<http_stream>(
     mClient,
     Request("/"),
-    http_stream_handlers{ [](const http_head&) {},
-                          [&](std::string_view) { got = true; },
-                          [&](std::optional<http_failure>) { called = true; } });
+    http_stream_handlers{
+      [](const http_head&) {},
+      [&](std::string_view) { got = true; },
+      [&](std::optional<http_failure>) { called = true; } });
   ASSERT_TRUE(mLoop.RunUntil([&] { return got; }, kWait));
   stream.reset();
   EXPECT_TRUE(mLoop.RunUntil([&] { return closed; }, kWait));
