--- a/Source/Core/Platform/HttpClient.cpp
+++ b/Source/Core/Platform/HttpClient.cpp
@@ -13,13 +13,21 @@
 constexpr int kMaxConnectionsPerHost = 1024;
 constexpr unsigned kIdleTimeoutSeconds = 30;
 
+// When a reused connection breaks, libsoup sends any request again whose
+// method it takes for idempotent, and a PUT then goes out with an empty body.
+// It never does so on a new connection.
+bool MayBeResent(std::string_view aMethod)
+{
+  return aMethod != "GET" && aMethod != "HEAD" && aMethod != "POST";
+}
+
 bool EqualIgnoringCase(std::string_view aLeft, std::string_view aRight)
 {
   return aLeft.size() == aRight.size() &&
          g_ascii_strncasecmp(aLeft.data(), aRight.data(), aLeft.size()) == 0;
 }
 
-}
+} // namespace
 
 /// A request in progress. It lives until libsoup reports its end, which may be
 /// after its owner is gone.
@@ -133,13 +141,15 @@
     return nullptr;
   }
   soup_message_add_flags(message, SOUP_MESSAGE_NO_REDIRECT);
+  if (MayBeResent(aRequest.mMethod)) {
+    soup_message_add_flags(message, SOUP_MESSAGE_NEW_CONNECTION);
+  }
   SoupMessageHeaders* headers = soup_message_get_request_headers(message);
   for (const auto& [name, value] : aRequest.mHeaders) {
     soup_message_headers_append(headers, name.c_str(), value.c_str());
   }
   if (!aRequest.mBody.empty()) {
-    GBytes* body =
-      g_bytes_new(aRequest.mBody.data(), aRequest.mBody.size());
+    GBytes* body = g_bytes_new(aRequest.mBody.data(), aRequest.mBody.size());
     soup_message_set_request_body_from_bytes(
       message, aRequest.mContentType.c_str(), body);
     g_bytes_unref(body);
--- a/Source/Core/Platform/HttpClient.h
+++ b/Source/Core/Platform/HttpClient.h
@@ -33,11 +33,11 @@
 struct http_request
 {
   std::string mMethod = "GET";
-  std::string mUrl;
+  std::string mUrl{};
   /// Type of the body; without effect when the body is empty.
   std::string mContentType = "application/json";
-  std::string mBody;
-  http_headers mHeaders;
+  std::string mBody{};
+  http_headers mHeaders{};
   /// Limit for the whole exchange, or up to the response head of a stream.
   std::chrono::milliseconds mTimeout{ 5000 };
 };
@@ -88,8 +88,10 @@
   http_client(const http_client&) = delete;
   http_client& operator=(const http_client&) = delete;
 
-  /// Sends a request and reads the whole reply. The callback runs on the loop,
-  /// never from inside this call, and not after `aOwner` is destroyed.
+  /// Sends a request once and reads the whole reply; only `GET` and `HEAD` may
+  /// go out again when a kept connection turns out to be closed. The callback
+  /// runs on the loop, never from inside this call, and not after `aOwner` is
+  /// destroyed.
   void Send(const http_request& aRequest,
             http_owner& aOwner,
             callback aCallback);
--- a/Source/Core/StandIn/ObjectStandIn.cpp
+++ b/Source/Core/StandIn/ObjectStandIn.cpp
@@ -12,22 +12,17 @@
   if (!aPath.starts_with(kPrefix)) {
     return {};
   }
-  const std::string escaped(aPath.substr(kPrefix.size()));
-  char* plain = g_uri_unescape_string(escaped.c_str(), nullptr);
-  std::string name = plain == nullptr ? "" : plain;
-  g_free(plain);
-  return name;
+  return std::string(aPath.substr(kPrefix.size()));
 }
 
-}
+} // namespace
 
 object_stand_in::object_stand_in(object_stand_in_options aOptions)
   : mCalls(aOptions.mCallsPerSecond)
 {
-  mServer.Serve(
-    "/v1/objects", call_effect::Changes, [this](http_exchange& aExchange) {
-      return Handle(aExchange);
-    });
+  mServer.Serve("/v1/objects",
+                call_effect::Changes,
+                [this](http_exchange& aExchange) { return Handle(aExchange); });
 }
 
 stand_in_reply object_stand_in::Handle(http_exchange& aExchange)
