Test followers and editors against stale, lost and reordered replies

A wrong hint delayed the first document of a starting node by 5 s, as long as a change may take; the limit is 1.5 s.

--- a/Source/Core/Config/ConfigFollower.h
+++ b/Source/Core/Config/ConfigFollower.h
@@ -53,7 +53,7 @@
   /// the changes.
   std::uint64_t mMaxChangesBehind = 512;
   /// How long a node without a document waits for a version that peers named.
-  std::chrono::milliseconds mStartHintLimit{ 5000 };
+  std::chrono::milliseconds mStartHintLimit{ 1500 };
   /// Spreads the polls of nodes; usually a hash of the node's name.
   std::uint64_t mSeed = 0;
 };
--- /dev/null
+++ b/Source/UnitTests/Config/ConfigFollowerTest.cpp
@@ -0,0 +1,261 @@
+#include "Config/ConfigFollower.h"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include "Config/ConfigEditor.h"
+
+#include "FakeTable.h"
+#include "FleetFixture.h"
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// One follower and one editor on a table that answers at once.
+class ConfigFollower : public testing::Test
+{
+protected:
+  edit_outcome Put(const std::string& aSection,
+                   std::optional<std::string> aText,
+                   std::uint64_t aBase)
+  {
+    mEditor.Put({ aSection, std::move(aText), aBase, "ops", "secret", "" },
+                {},
+                mNow,
+                mNow + seconds(10));
+    for (int i = 0; i < 1000 && !mEditor.Outcome(); ++i) {
+      const editor_requests requests = mEditor.Tick(mNow);
+      Answer(mEditor, requests.mRows);
+      if (requests.mCommit) {
+        mEditor.OnCommit(
+          requests.mCommit->mId, mTable.Commit(*requests.mCommit, mNow), mNow);
+      }
+      mNow += milliseconds(10);
+    }
+    return mEditor.Outcome().value_or(edit_outcome{});
+  }
+
+  template<class System>
+  void Answer(System& aSystem, const config_requests& aRequests)
+  {
+    for (const config_read& read : aRequests.mReads) {
+      mLargestRead = std::max(mLargestRead, read.mKeys.size());
+      std::vector<table_row> rows;
+      for (const std::string& key : read.mKeys) {
+        rows.push_back(fake_table::Row(mTable.mRows, key));
+      }
+      aSystem.OnRead(read.mRequest, rows, mNow);
+    }
+    for (const config_scan& scan : aRequests.mScans) {
+      aSystem.OnScan(
+        scan.mRequest, fake_table::Scan(mTable.mRows, scan.mScan), mNow);
+    }
+  }
+
+  void Run(config_follower& aFollower, milliseconds aTime)
+  {
+    for (const time_point end = mNow + aTime; mNow < end;
+         mNow += milliseconds(10)) {
+      Answer(aFollower, aFollower.Tick(mNow));
+    }
+  }
+
+  void PutBase()
+  {
+    EXPECT_EQ(Put("capacity", kCapacityText, 0).mVersion, 1U);
+    EXPECT_EQ(Put("billing", kBillingText, 0).mVersion, 2U);
+    EXPECT_EQ(Put("accounts/clinic", AccountText("key-1"), 0).mVersion, 3U);
+  }
+
+  void Overwrite(const std::string& aKey, const std::string& aValue)
+  {
+    table_row& row = mTable.mRows[aKey];
+    row = { aKey, row.mVersion + 1000, aValue };
+  }
+
+  fake_table mTable;
+  time_point mNow{ seconds(1) };
+  std::size_t mLargestRead = 0;
+  config_editor mEditor{ { { "ops", "secret", { "*" } },
+                           { "clinic", "s2", { "accounts/clinic" } } },
+                         7,
+                         {} };
+};
+
+} // namespace
+
+TEST_F(ConfigFollower, StartsByScanAndFollowsOneSection)
+{
+  PutBase();
+  config_follower follower({});
+  Run(follower, seconds(1));
+  EXPECT_EQ(follower.Current().mVersion, 3U);
+  EXPECT_EQ(follower.Counters().mScansStarted, 1U);
+  const auto before = follower.Counters().mRowsRead;
+  Put("accounts/clinic", AccountText("key-2"), 3);
+  Run(follower, seconds(4));
+  EXPECT_EQ(follower.Current().mVersion, 4U);
+  EXPECT_NE(follower.Current().mDocument->FindAccountByKey(HashApiKey("key-2")),
+            nullptr);
+  // Two or three polls, the change and the section.
+  EXPECT_LE(follower.Counters().mRowsRead - before, 5U);
+  EXPECT_EQ(follower.Counters().mScansStarted, 1U);
+}
+
+// Guards against a document without accounts coming into force because the
+// first answer came from an empty replica.
+TEST_F(ConfigFollower, IsNotReadyOnAnEmptyTable)
+{
+  config_follower follower({});
+  Run(follower, seconds(3));
+  EXPECT_FALSE(follower.Ready());
+  PutBase();
+  Run(follower, seconds(3));
+  EXPECT_EQ(follower.Current().mVersion, 3U);
+}
+
+// Guards against a node failing, or dropping its document, on a row that a
+// newer program wrote, and against never recovering from it.
+TEST_F(ConfigFollower, KeepsTheDocumentWhenAStoredOneIsUnreadable)
+{
+  PutBase();
+  config_follower follower({});
+  Run(follower, seconds(1));
+  Put("accounts/clinic", AccountText("key-2"), 3);
+  const std::string key = ConfigSectionKey("accounts/clinic");
+  const std::string good = mTable.mRows[key].mValue;
+  std::string newer = good;
+  newer.replace(newer.find("\"format\":1"), 10, "\"format\":2");
+  Overwrite(key, newer);
+  Run(follower, seconds(10));
+  EXPECT_EQ(follower.Current().mVersion, 3U);
+  EXPECT_EQ(follower.Counters().mRejected, 1U);
+  EXPECT_EQ(follower.Counters().mUnreadableRows, 1U);
+  EXPECT_NE(follower.LastFault().find("newer format"), std::string::npos);
+  Overwrite(key, good);
+  Put("accounts/a", AccountText("key-a"), 0);
+  Run(follower, seconds(5));
+  EXPECT_EQ(follower.Current().mVersion, 5U);
+}
+
+// Guards against an invalid stored document coming into force.
+TEST_F(ConfigFollower, KeepsTheDocumentWhenAStoredOneIsInvalid)
+{
+  PutBase();
+  config_follower follower({});
+  Run(follower, seconds(1));
+  Put("accounts/clinic", AccountText("key-2"), 3);
+  Overwrite(ConfigSectionKey("accounts/clinic"),
+            WriteConfigSection({ "accounts/clinic", 4, "{}" }));
+  Run(follower, seconds(10));
+  EXPECT_EQ(follower.Current().mVersion, 3U);
+  EXPECT_EQ(follower.Counters().mRejected, 1U);
+  EXPECT_NE(follower.LastFault().find("missing key"), std::string::npos);
+}
+
+// Guards against a lagging replica or a late reply taking a node back.
+TEST_F(ConfigFollower, IgnoresOlderRows)
+{
+  PutBase();
+  config_follower follower({});
+  Run(follower, seconds(1));
+  const auto old = mTable.mRows;
+  Put("accounts/clinic", AccountText("key-2"), 3);
+  Run(follower, seconds(4));
+  std::vector<table_row> rows;
+  for (const auto& [key, row] : old) {
+    rows.push_back(row);
+  }
+  follower.OnRead(999, rows, mNow);
+  follower.OnScan(999, rows, mNow);
+  Run(follower, seconds(4));
+  EXPECT_EQ(follower.Current().mVersion, 4U);
+  EXPECT_GT(follower.Counters().mStaleRows, 0U);
+}
+
+// Guards against unbounded reads after a long partition, and against reading
+// thousands of changes one by one where a scan is shorter.
+TEST_F(ConfigFollower, BoundsReadsWhenFarBehind)
+{
+  PutBase();
+  follower_options options;
+  options.mRowsPerTick = 8;
+  options.mScanPage = 2;
+  options.mMaxChangesBehind = 20;
+  config_follower follower(options);
+  Run(follower, seconds(1));
+  std::uint64_t version = 3;
+  const auto change = [&](int aTimes) {
+    for (int i = 0; i < aTimes; ++i) {
+      version =
+        Put("accounts/clinic", AccountText("key-1", 1 + i), version).mVersion;
+    }
+  };
+  change(18);
+  mLargestRead = 0;
+  Run(follower, seconds(4));
+  EXPECT_EQ(follower.Current().mVersion, version);
+  EXPECT_EQ(mLargestRead, 8U);
+  EXPECT_EQ(follower.Counters().mScansStarted, 1U);
+  change(25);
+  Run(follower, seconds(4));
+  EXPECT_EQ(follower.Current().mVersion, version);
+  EXPECT_EQ(follower.Counters().mScansStarted, 2U);
+}
+
+// Guards against a hint costing unbounded polls or blocking the start.
+TEST_F(ConfigFollower, PollsForHintsWithinBounds)
+{
+  PutBase();
+  config_follower follower({});
+  follower.OnHint(1000, mNow);
+  Run(follower, seconds(1));
+  EXPECT_FALSE(follower.Ready());
+  Run(follower, seconds(6));
+  EXPECT_EQ(follower.Current().mVersion, 3U);
+  EXPECT_LT(follower.Counters().mRowsRead, 25U);
+  Put("accounts/clinic", AccountText("key-2"), 3);
+  follower.OnHint(1004, mNow);
+  Run(follower, milliseconds(400));
+  EXPECT_EQ(follower.Current().mVersion, 4U);
+}
+
+TEST_F(ConfigFollower, EditorReportsConflictWithBothVersions)
+{
+  PutBase();
+  Put("accounts/clinic", AccountText("key-2"), 3);
+  const edit_outcome outcome = Put("accounts/clinic", AccountText("key-3"), 3);
+  EXPECT_EQ(outcome.mStatus, edit_status::Conflict);
+  EXPECT_EQ(outcome.mBaseVersion, 3U);
+  EXPECT_EQ(outcome.mStoredVersion, 4U);
+  EXPECT_EQ(outcome.mStoredText, AccountText("key-2"));
+}
+
+// Guards against a team changing a section that another team owns.
+TEST_F(ConfigFollower, EditorChecksOwner)
+{
+  PutBase();
+  const auto status = [this](const char* aSection, const char* aSecret) {
+    mEditor.Put({ aSection, "{}", 0, "clinic", aSecret, "" },
+                {},
+                mNow,
+                mNow + seconds(1));
+    return mEditor.Outcome() ? mEditor.Outcome()->mStatus
+                             : edit_status::Unknown;
+  };
+  EXPECT_EQ(status("billing", "s2"), edit_status::Forbidden);
+  EXPECT_EQ(status("accounts/clinic", "wrong"), edit_status::Forbidden);
+  EXPECT_EQ(status("accounts/clinic", "s2"), edit_status::Invalid);
+}
+
+TEST_F(ConfigFollower, EditorChecksTheWholeDocument)
+{
+  PutBase();
+  const edit_outcome outcome = Put("billing", std::nullopt, 2);
+  EXPECT_EQ(outcome.mStatus, edit_status::Invalid);
+  EXPECT_NE(outcome.mMessage.find("unknown budget"), std::string::npos);
+  EXPECT_EQ(Put("accounts/clinic", std::nullopt, 3).mVersion, 4U);
+  EXPECT_EQ(Put("billing", std::nullopt, 2).mVersion, 5U);
+}
