--- a/Source/Core/Budget/BudgetRows.cpp
+++ b/Source/Core/Budget/BudgetRows.cpp
@@ -205,7 +205,15 @@
 
 std::string HolderKey(const holder_id& aHolder)
 {
-  return "holder/" + FormatHolder(aHolder);
+  return std::string(kHolderPrefix) + FormatHolder(aHolder);
+}
+
+std::optional<holder_id> ParseHolderKey(std::string_view aKey)
+{
+  if (!aKey.starts_with(kHolderPrefix)) {
+    return std::nullopt;
+  }
+  return ParseHolder(aKey.substr(kHolderPrefix.size()));
 }
 
 std::string GrantPrefix(const holder_id& aHolder)
--- a/Source/Core/Budget/BudgetRows.h
+++ b/Source/Core/Budget/BudgetRows.h
@@ -3,6 +3,7 @@
 #include <compare>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -102,6 +103,12 @@
 std::string SegmentPrefix(const budget_id& aBudget);
 std::string SegmentKey(const budget_id& aBudget, std::uint64_t aSegment);
 std::string HolderKey(const holder_id& aHolder);
+/// Prefix of all holder rows. Nodes scan it from time to time and report the
+/// holders that membership knows to be gone to their charge backup; otherwise
+/// a holder whose peers all died with it would never be reclaimed.
+inline constexpr std::string_view kHolderPrefix = "holder/";
+/// Holder of a holder row's key, nothing for another key.
+std::optional<holder_id> ParseHolderKey(std::string_view aKey);
 /// Index rows `grant/<node>/<incarnation>/<budget>`, present while the holder
 /// has an outstanding grant, so that a reclaim needs no scan of all budgets.
 std::string GrantPrefix(const holder_id& aHolder);
--- a/Source/Core/Budget/BudgetSystem.h
+++ b/Source/Core/Budget/BudgetSystem.h
@@ -47,6 +47,11 @@
   /// so that the last byte may go out. Also true for a request that this node
   /// does not know, which has nothing to protect.
   bool IsProtected(const request_id& aRequest) const;
+  /// Whether the request's charge waits here to be written.
+  bool Keeps(const request_id& aRequest) const
+  {
+    return mCharges.count(aRequest) > 0;
+  }
   /// Whether a new charge could be protected now.
   bool CanProtect() const;
   /// Counts a response that the node finished while `CanProtect` was false.
--- a/Source/Core/Budget/ChargeBackup.h
+++ b/Source/Core/Budget/ChargeBackup.h
@@ -58,6 +58,8 @@
     std::unordered_map<request_id, held_charge> mCharges;
     /// Nothing more is accepted.
     bool mClosed = false;
+    /// The listed backups had time to return the grants.
+    bool mWaited = false;
     std::uint32_t mFailures = 0;
   };
 
@@ -115,6 +117,7 @@
   transaction_id NewTransactionId();
   void BeginTransaction();
   void Submit(time_point aNow);
+  bool MayStandIn(time_point aNow);
   void DiscardUnlisted();
   void Forget(const holder_id& aHolder);
   void Erase(holder_entry& aEntry, const request_id& aRequest);
--- a/Source/Core/Budget/ChargeBackupJob.cpp
+++ b/Source/Core/Budget/ChargeBackupJob.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "Budget/BudgetOperations.h"
 #include "Budget/ChargeBackup.h"
@@ -46,12 +47,7 @@
   if (mJob.mRow.mState != holder_state::Open) {
     entry.mClosed = true;
   }
-  // A holder without any backup had its charges in the store before the last
-  // byte, so whoever learns of its death can close it.
-  const bool nobody = mJob.mRow.mBackups.empty() && entry.mClosed;
-  if (!nobody && !Contains(mJob.mRow.mBackups, mSelf)) {
-    DiscardUnlisted();
-    EndJob(std::nullopt);
+  if (!Contains(mJob.mRow.mBackups, mSelf) && !MayStandIn(aNow)) {
     return;
   }
   PickCharges(aNow);
@@ -61,6 +57,26 @@
   Advance(aNow);
 }
 
+bool charge_backup::MayStandIn(time_point aNow)
+{
+  holder_entry& entry = mHolders[mJob.mHolder];
+  DiscardUnlisted();
+  // A holder without any backup had its charges in the store before the last
+  // byte, and a closed one has them there, so anyone can return the grants.
+  const bool complete =
+    mJob.mRow.mBackups.empty() || mJob.mRow.mState == holder_state::Closed;
+  if (!entry.mClosed || !complete) {
+    EndJob(std::nullopt);
+    return false;
+  }
+  // The pause lets the listed backups finish first.
+  if (!std::exchange(entry.mWaited, true)) {
+    EndJob(aNow + mSettings.mBackupCheck);
+    return false;
+  }
+  return true;
+}
+
 void charge_backup::DiscardUnlisted()
 {
   // The holder removes a backup only when no charge depends on it. Charges
--- /dev/null
+++ b/Source/UnitTests/Budget/FleetSimulation.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "Budget/BudgetSystem.h"
+#include "Budget/ChargeBackup.h"
+#include "FakeTable.h"
+
+/// A few nodes, their table and their callers under random failures, from one
+/// seed. `Run` injects failures, heals everything, lets it settle and checks.
+///
+/// The only loss that the design accepts, a node and the backups of its
+/// delivered charges all dying before a flush, is left out by `CanLose`.
+class fleet_simulation
+{
+public:
+  explicit fleet_simulation(std::uint64_t aSeed);
+
+  void Run();
+
+  const std::vector<std::string>& Violations() const { return mViolations; }
+  /// Counts of what happened, to show that the schedules reach the failures.
+  const std::map<std::string, std::uint64_t>& Counts() const { return mCounts; }
+
+private:
+  enum class store_mode
+  {
+    Up,
+    Down,
+    Slow,
+    LosesReplies,
+  };
+
+  struct attempt
+  {
+    std::size_t mRequest = 0;
+    int mTries = 0;
+    bool mOpen = false;
+    bool mSettled = false;
+  };
+
+  struct process
+  {
+    std::uint64_t mIncarnation = 0;
+    bool mAlive = false;
+    bool mPaused = false;
+    bool mLeaving = false;
+    store_mode mStore = store_mode::Up;
+    std::unique_ptr<budget_system> mSystem;
+    std::unique_ptr<charge_backup> mBackup;
+    std::vector<std::function<void()>> mInbox;
+    std::map<request_id, attempt> mAttempts;
+    std::map<holder_id, time_point> mSeen;
+    std::set<holder_id> mDead;
+  };
+
+  struct caller_request
+  {
+    request_id mId;
+    budget_id mBudget;
+    std::int64_t mTokens = 0;
+    bool mDelivered = false;
+  };
+
+  using step = std::function<void()>;
+
+  std::int64_t Random(std::int64_t aLow, std::int64_t aHigh);
+  bool Chance(int aPercent) { return Random(1, 100) <= aPercent; }
+  void After(std::int64_t aMilliseconds, step aStep);
+  /// Runs a step in a process, if that same process is still alive.
+  void At(std::size_t aProcess, std::int64_t aMilliseconds, step aStep);
+  void RunUntil(time_point aEnd);
+
+  void Start(std::size_t aProcess);
+  void End(std::size_t aProcess);
+  bool CanLose(std::size_t aProcess) const;
+  bool HasListedCopy(const process& aProcess,
+                     const holder_id& aHolder,
+                     const request_id& aRequest) const;
+  void Replace(std::size_t aProcess);
+  void TickProcess(std::size_t aProcess);
+  void Poll(std::size_t aProcess);
+  void Carry(std::size_t aProcess, bool aToBackup, const budget_output& aOut);
+  template<class Reply>
+  void CallStore(std::size_t aProcess,
+                 std::function<Reply()> aEffect,
+                 std::function<void(result<Reply, table_error>)> aReply);
+  void Hold(std::size_t aProcess, const hold_message& aMessage);
+  std::size_t Find(const holder_id& aHolder) const;
+  holder_id Identity(std::size_t aProcess) const;
+  bool Linked(std::size_t aOne, std::size_t aOther) const;
+  void Members();
+  /// Finds holder rows of earlier lives that nobody remembers.
+  void Sweep(std::size_t aProcess);
+
+  void NewRequest();
+  void Try(std::size_t aProcess, std::size_t aRequest, int aTries);
+  void Finish(std::size_t aProcess, const request_id& aRequest);
+  void CancelOpen(std::size_t aProcess);
+  void Fault();
+  void TopUp();
+
+  void Heal();
+  void WriteOffStranded();
+  void CheckFundsUsable();
+  void CheckEnd();
+  void Violate(const std::string& aWhat);
+
+  std::mt19937_64 mRandom;
+  time_point mNow{ std::chrono::seconds(1000) };
+  std::multimap<time_point, step> mEvents;
+  budget_settings mSettings;
+  fake_table mTable;
+  std::vector<process> mProcesses;
+  std::set<std::pair<std::size_t, std::size_t>> mCut;
+  std::vector<budget_id> mBudgets;
+  std::vector<caller_request> mRequests;
+  std::map<transaction_id, std::pair<holder_id, table_transaction>> mInFlight;
+  bool mFaults = true;
+  std::vector<std::string> mViolations;
+  std::map<std::string, std::uint64_t> mCounts;
+};
--- /dev/null
+++ b/Source/UnitTests/Budget/FleetSimulationFaults.cpp
@@ -0,0 +1,279 @@
+#include "Budget/BudgetOperations.h"
+#include "Common/Hash.h"
+#include "FleetSimulation.h"
+
+namespace {
+
+using std::chrono::seconds;
+
+const account_id kAccount{ "clinic" };
+constexpr int kMostTries = 20;
+
+} // namespace
+
+void fleet_simulation::NewRequest()
+{
+  caller_request request;
+  request.mId = MakeRequestId(kAccount, std::to_string(mRequests.size()));
+  request.mBudget = mBudgets[Random(0, mBudgets.size() - 1)];
+  request.mTokens = Random(1, 200);
+  mRequests.push_back(request);
+  const std::size_t index = mRequests.size() - 1;
+  Try(Random(0, mProcesses.size() - 1), index, 0);
+  if (Chance(15)) {
+    // The same request at another node, at once or a little later.
+    After(Chance(50) ? 0 : Random(1, 5000), [this, index] {
+      ++mCounts["duplicates"];
+      Try(Random(0, mProcesses.size() - 1), index, 0);
+    });
+  }
+}
+
+void fleet_simulation::Try(std::size_t aProcess,
+                           std::size_t aRequest,
+                           int aTries)
+{
+  At(aProcess, 0, [=, this] {
+    process& node = mProcesses[aProcess];
+    const caller_request& request = mRequests[aRequest];
+    if (node.mLeaving && aTries == 0) {
+      return;
+    }
+    const auto reserved = node.mSystem->Reserve(
+      request.mId, kAccount, request.mBudget, request.mTokens, mNow);
+    if (reserved.has_value()) {
+      node.mAttempts[request.mId] = { aRequest, aTries, true, false };
+      At(aProcess, Random(20, 2500), [=, this, id = request.mId] {
+        Finish(aProcess, id);
+      });
+      return;
+    }
+    ++mCounts[std::string(BudgetErrorName(reserved.error()))];
+    if (reserved.error() == budget_error::AwaitingGrant &&
+        aTries < kMostTries) {
+      At(aProcess, 250, [=, this] { Try(aProcess, aRequest, aTries + 1); });
+    }
+  });
+}
+
+void fleet_simulation::Finish(std::size_t aProcess, const request_id& aRequest)
+{
+  process& node = mProcesses[aProcess];
+  const auto found = node.mAttempts.find(aRequest);
+  if (found == node.mAttempts.end() || !found->second.mOpen) {
+    return;
+  }
+  found->second.mOpen = false;
+  if (Chance(8)) {
+    node.mSystem->Release(aRequest, mNow);
+    return;
+  }
+  const std::int64_t tokens = mRequests[found->second.mRequest].mTokens;
+  const std::int64_t used = Chance(5)   ? -1
+                            : Chance(5) ? 0
+                                        : Random(1, tokens + tokens / 5);
+  // Clocks differ by up to two seconds.
+  const wall_time at(mNow.time_since_epoch() + seconds(aProcess % 3));
+  node.mSystem->Settle(aRequest, used, at, mNow);
+  found->second.mSettled = true;
+}
+
+void fleet_simulation::CancelOpen(std::size_t aProcess)
+{
+  process& node = mProcesses[aProcess];
+  for (auto& [id, state] : node.mAttempts) {
+    if (state.mOpen && Chance(50)) {
+      state.mOpen = false;
+      node.mSystem->Release(id, mNow);
+    } else if (state.mOpen) {
+      Finish(aProcess, id);
+    }
+  }
+}
+
+void fleet_simulation::TopUp()
+{
+  const budget_id& budget = mBudgets[Random(0, mBudgets.size() - 1)];
+  const auto changed = TopUpBudget(budget,
+                                   mTable.Row(BudgetKey(budget)),
+                                   Random(1, 2000),
+                                   { mRandom(), mRandom() });
+  mTable.Commit(changed.value());
+}
+
+void fleet_simulation::Fault()
+{
+  const std::size_t one = Random(0, mProcesses.size() - 1);
+  const std::size_t other = Random(0, mProcesses.size() - 1);
+  process& node = mProcesses[one];
+  const std::int64_t length =
+    Chance(30) ? Random(5000, 12'000) : Random(100, 4000);
+  const std::int64_t kind = Random(0, 9);
+  if (kind <= 2 && node.mAlive && CanLose(one)) {
+    ++mCounts["deaths"];
+    End(one);
+    After(length, [this, one] {
+      if (!mProcesses[one].mAlive) {
+        Start(one);
+      }
+    });
+  } else if (kind == 3 && node.mAlive && !node.mPaused) {
+    ++mCounts["pauses"];
+    node.mPaused = true;
+    After(length, [this, one, life = node.mIncarnation] {
+      process& paused = mProcesses[one];
+      if (!paused.mAlive || paused.mIncarnation != life || !paused.mPaused) {
+        return;
+      }
+      paused.mPaused = false;
+      for (step& late : std::exchange(paused.mInbox, {})) {
+        At(one, Random(0, 5), std::move(late));
+      }
+    });
+  } else if (kind <= 5 && one != other) {
+    ++mCounts["cuts"];
+    const std::pair<std::size_t, std::size_t> link = std::minmax(one, other);
+    mCut.insert(link);
+    After(length, [this, link] { mCut.erase(link); });
+  } else if (kind <= 7) {
+    const auto mode = static_cast<store_mode>(Random(1, 3));
+    const bool everyone = Chance(30);
+    ++mCounts["store faults"];
+    for (std::size_t i = 0; i < mProcesses.size(); ++i) {
+      if (everyone || i == one) {
+        mProcesses[i].mStore = mode;
+        After(length, [this, i] { mProcesses[i].mStore = store_mode::Up; });
+      }
+    }
+  } else if (kind == 8) {
+    ++mCounts["top-ups"];
+    TopUp();
+  } else if (node.mAlive && !node.mPaused) {
+    ++mCounts["planned stops"];
+    node.mLeaving = true;
+    node.mSystem->BeginShutdown(mNow);
+  }
+}
+
+void fleet_simulation::Heal()
+{
+  mFaults = false;
+  mCut.clear();
+  for (std::size_t i = 0; i < mProcesses.size(); ++i) {
+    process& node = mProcesses[i];
+    node.mStore = store_mode::Up;
+    if (!node.mAlive) {
+      Start(i);
+    }
+    node.mPaused = false;
+    for (step& late : std::exchange(node.mInbox, {})) {
+      At(i, Random(0, 5), std::move(late));
+    }
+  }
+  // Processes that stop or are fenced end before the checks.
+  After(12'000, [this] {
+    for (std::size_t i = 0; i < mProcesses.size(); ++i) {
+      process& node = mProcesses[i];
+      if (node.mLeaving && !node.mSystem->IsDrained()) {
+        Violate("a stopping node is not drained");
+      }
+      if (node.mLeaving && CanLose(i)) {
+        End(i);
+        Start(i);
+      }
+    }
+  });
+}
+
+void fleet_simulation::WriteOffStranded()
+{
+  for (const table_row& row : mTable.Scan({ "holder/", "", 10'000 })) {
+    const auto holder = ParseHolder(row.mKey.substr(7));
+    if (Find(*holder) < mProcesses.size()) {
+      continue;
+    }
+    const holder_row state = ParseHolderRow(row.mValue).value();
+    bool lost = false;
+    for (const holder_id& backup : state.mBackups) {
+      lost = lost || (Find(backup) == mProcesses.size() &&
+                      state.mSealed.count(backup) == 0);
+    }
+    if (!lost) {
+      Violate("a dead holder was not reclaimed: " + row.mKey + row.mValue);
+    }
+    ++mCounts["write-offs"];
+    mTable.Commit(
+      WriteOffHolder(*holder, row, { mRandom(), mRandom() }).value());
+    std::vector<std::string> keys;
+    for (const table_row& grant :
+         mTable.Scan({ GrantPrefix(*holder), "", 1000 })) {
+      const std::size_t prefix = GrantPrefix(*holder).size();
+      keys.push_back(BudgetKey({ grant.mKey.substr(prefix) }));
+    }
+    mTable.Commit(ReturnGrants(*holder,
+                               mTable.Row(row.mKey).mVersion,
+                               mTable.Read(keys),
+                               { mRandom(), mRandom() })
+                    .mTransaction);
+  }
+}
+
+void fleet_simulation::CheckFundsUsable()
+{
+  for (std::size_t i = 0; i < mBudgets.size(); ++i) {
+    const budget_row row =
+      ParseBudgetRow(mTable.Row(BudgetKey(mBudgets[i])).mValue).value();
+    caller_request request;
+    request.mId = MakeRequestId({ "last" }, std::to_string(i));
+    request.mBudget = mBudgets[i];
+    request.mTokens = row.mTotal - row.mSpent;
+    if (request.mTokens == 0) {
+      continue;
+    }
+    mRequests.push_back(request);
+    Try(i % mProcesses.size(), mRequests.size() - 1, 0);
+    RunUntil(mNow + seconds(6));
+    const auto& attempts = mProcesses[i % mProcesses.size()].mAttempts;
+    if (attempts.count(request.mId) == 0) {
+      Violate("the remaining tokens of " + mBudgets[i].mName +
+              " cannot be used: " + mTable.Row(BudgetKey(mBudgets[i])).mValue);
+    }
+  }
+}
+
+void fleet_simulation::CheckEnd()
+{
+  for (const std::string& violation : mTable.Violations()) {
+    Violate(violation);
+  }
+  for (const process& node : mProcesses) {
+    if (!node.mSystem->IsDrained()) {
+      Violate("a node is not drained after shutdown");
+    }
+  }
+  for (const caller_request& request : mRequests) {
+    const std::int64_t tokens = mTable.Charged(request.mBudget, request.mId);
+    if (request.mDelivered && tokens < 0) {
+      Violate("a delivered response is not charged");
+    }
+    if (tokens > request.mTokens) {
+      Violate("a charge exceeds its reservation");
+    }
+  }
+  for (const budget_id& budget : mBudgets) {
+    const table_row row = mTable.Row(BudgetKey(budget));
+    const auto segments = mTable.Scan({ SegmentPrefix(budget), "", 100'000 });
+    const reconcile_report report = Reconcile(budget, row, segments);
+    if (!report.IsClean() || report.mOutstanding != 0) {
+      Violate("budget is not settled: " + row.mValue);
+    }
+  }
+  if (!mTable.Scan({ "grant/", "", 10 }).empty()) {
+    Violate("a grant index row is left");
+  }
+}
+
+void fleet_simulation::Violate(const std::string& aWhat)
+{
+  mViolations.push_back(aWhat);
+}
