--- a/Source/UnitTests/Config/ConfigRandomTest.cpp
+++ b/Source/UnitTests/Config/ConfigRandomTest.cpp
@@ -357,7 +357,7 @@
 {
   std::chrono::microseconds slowest{ 0 };
   std::size_t versions = 0;
-  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+  for (std::uint64_t seed = 1; seed <= 30; ++seed) {
     SCOPED_TRACE(fmt::format("seed {}", seed));
     config_world world(seed);
     world.Run();
