--- a/Source/Core/Membership/EndpointSelector.h
+++ b/Source/Core/Membership/EndpointSelector.h
@@ -60,16 +60,11 @@
   std::vector<member> BackupCandidates(const node_id& aSelf) const;
 
 private:
-  struct candidate
-  {
-    const member* mMember;
-    std::uint64_t mWeight;
-  };
-
-  std::vector<candidate> Ranked(const account_id& aAccount) const;
   std::optional<region_id> RegionOf(const zone_id& aZone) const;
   std::size_t Width(double aDemand, std::size_t aNodes) const;
 
   endpoint_settings mSettings;
+  std::vector<member> mAll;
+  /// Those that take new work.
   std::vector<member> mMembers;
 };
--- a/Source/Core/Membership/MemberTable.h
+++ b/Source/Core/Membership/MemberTable.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 #include "Common/Identity.h"
@@ -52,16 +53,21 @@
   bool mListed = false;
   /// The node described itself; the lagging list no longer overrides it.
   bool mDescribed = false;
-  /// When a suspicion ends: in death if this node confirmed it, else in
-  /// recovery.
+  /// When a suspicion ends: in death if this node found it and another one
+  /// confirmed it, else in recovery.
   std::optional<time_point> mSuspicionEnds;
   /// This node itself failed to reach the member.
   bool mUnreachedHere = false;
   /// Another node failed to reach the member as well.
   bool mConfirmed = false;
+  /// Another node told that the member is dead; this node checks it first.
+  bool mDeadTold = false;
   /// When a dead member that is no longer listed is forgotten.
   std::optional<time_point> mForgetAt;
 
+  /// Places on the rings that peers are chosen from; filled when first needed.
+  std::vector<std::uint64_t> mRingPlaces;
+
   member_state State() const;
   bool Leaving() const { return mLeaving || mListedLeaving; }
 };
--- /dev/null
+++ b/Source/Core/Membership/MembershipMessages.cpp
@@ -0,0 +1,339 @@
+// Messages and the host list of the membership system.
+
+#include <algorithm>
+#include <bit>
+#include <utility>
+
+#include "Membership/MembershipSystem.h"
+
+namespace {
+
+/// Messages to a member that carry this node's addresses.
+constexpr int kTellSelfTimes = 3;
+
+/// Times that news is told, per doubling of the fleet; every node has about
+/// a dozen neighbours that must hear it.
+constexpr std::uint32_t kRumorFactor = 3;
+
+} // namespace
+
+void membership_system::TakeMessage(const heartbeat& aMessage, time_point aNow)
+{
+  mConfigVersion = std::max(mConfigVersion, aMessage.mConfigVersion);
+  TakeUpdate(aMessage.mFrom, true, aNow);
+  for (const member_update& update : aMessage.mUpdates) {
+    TakeUpdate(update, false, aNow);
+  }
+  TakeReports(aMessage);
+  // The sender runs, but does not know yet that it is called suspect or dead.
+  const member_row* row = mTable.Find(aMessage.mFrom.mNode);
+  if (row != nullptr && row->mHealth != member_health::Alive) {
+    Queue(row->mId);
+  }
+}
+
+void membership_system::TakeUpdate(const member_update& aUpdate,
+                                   bool aDirect,
+                                   time_point aNow)
+{
+  if (aUpdate.mNode == mSelf.mId) {
+    TakeSelfUpdate(aUpdate);
+    return;
+  }
+  member_row* row = mTable.Find(aUpdate.mNode);
+  if (row == nullptr) {
+    // A forgotten dead member must not come back by an old rumor.
+    if (!aUpdate.mDescriptor || aUpdate.mHealth == member_health::Dead) {
+      return;
+    }
+    row = &mTable.Ensure(aUpdate.mNode);
+  }
+  if (aUpdate.mIncarnation < row->mIncarnation) {
+    return;
+  }
+  if (aUpdate.mIncarnation > row->mIncarnation) {
+    TakeRun(*row, aUpdate);
+  }
+  TakeWhere(*row, aUpdate, aDirect);
+  TakeHealth(*row, aUpdate, aNow);
+  if (aUpdate.mLeaving && !row->mLeaving) {
+    SetLeaving(*row, false);
+    Spread(*row);
+  }
+}
+
+// A run with a higher incarnation replaces the known one.
+void membership_system::TakeRun(member_row& aRow, const member_update& aUpdate)
+{
+  if (aRow.mIncarnation != 0 && aRow.mHealth != member_health::Dead) {
+    Emit(member_event_kind::Dead, aRow);
+  }
+  const bool replaced = aRow.mIncarnation != 0;
+  if (replaced) {
+    // The list told of the earlier run.
+    aRow.mListedLeaving = false;
+  }
+  aRow.mIncarnation = aUpdate.mIncarnation;
+  aRow.mCounter = aUpdate.mCounter;
+  aRow.mHealth = member_health::Alive;
+  aRow.mLeaving = false;
+  aRow.mDescribed = false;
+  aRow.mUnreachedHere = false;
+  aRow.mConfirmed = false;
+  aRow.mDeadTold = false;
+  aRow.mSuspicionEnds.reset();
+  aRow.mForgetAt.reset();
+  mChecks.erase(aRow.mId);
+  mToldSelf.erase(aRow.mId);
+  mTable.Touch();
+  Emit(member_event_kind::Joined, aRow);
+  // The first run of a listed node is no urgent news. When a whole fleet starts
+  // at once, such news would hold up that of dead nodes for minutes.
+  mRumors.Add(aRow.mId, replaced, false);
+}
+
+void membership_system::TakeWhere(member_row& aRow,
+                                  const member_update& aUpdate,
+                                  bool aDirect)
+{
+  if (!aUpdate.mDescriptor || (aRow.mDescribed && !aDirect)) {
+    return;
+  }
+  aRow.mDescribed = true;
+  if (aRow.mWhere != *aUpdate.mDescriptor) {
+    aRow.mWhere = *aUpdate.mDescriptor;
+    mTable.Touch();
+    Spread(aRow, true);
+  }
+}
+
+void membership_system::TakeHealth(member_row& aRow,
+                                   const member_update& aUpdate,
+                                   time_point aNow)
+{
+  const bool newer = aUpdate.mCounter > aRow.mCounter;
+  const bool worse =
+    aUpdate.mCounter == aRow.mCounter && aUpdate.mHealth > aRow.mHealth;
+  if (!newer && !worse) {
+    return;
+  }
+  aRow.mCounter = aUpdate.mCounter;
+  if (aUpdate.mHealth == member_health::Dead) {
+    // Each node believes a death only after an attempt of its own: a claim
+    // from beyond a partition would otherwise make a whole side look dead.
+    if (newer || !aRow.mDeadTold) {
+      SetHealth(aRow, member_health::Suspect, aNow);
+      aRow.mDeadTold = true;
+      mChecks.insert(aRow.mId);
+      Spread(aRow);
+    }
+    return;
+  }
+  if (aUpdate.mHealth == member_health::Alive &&
+      aRow.mHealth != member_health::Alive) {
+    ++mCounters.mRefuted;
+  }
+  SetHealth(aRow, aUpdate.mHealth, aNow);
+  Spread(aRow);
+}
+
+void membership_system::TakeSelfUpdate(const member_update& aUpdate)
+{
+  if (aUpdate.mIncarnation > mSelf.mIncarnation) {
+    if (std::exchange(mReplaced, true)) {
+      return;
+    }
+    const member_event replaced{ member_event_kind::Dead,
+                                 { mSelf.mId, mSelf.mIncarnation } };
+    mEvents.push_back(replaced);
+    return;
+  }
+  if (aUpdate.mIncarnation < mSelf.mIncarnation ||
+      aUpdate.mCounter < mCounter) {
+    return;
+  }
+  mCounter = aUpdate.mCounter;
+  if (aUpdate.mHealth != member_health::Alive) {
+    ++mCounter;
+    ++mCounters.mSelfRefuted;
+  }
+}
+
+heartbeat membership_system::MakeMessage(const node_id& aPeer)
+{
+  heartbeat message;
+  message.mFrom = { mSelf.mId, mSelf.mIncarnation,
+                    mCounter,  member_health::Alive,
+                    mLeaving,  std::nullopt };
+  int& told = mToldSelf[aPeer];
+  if (told < kTellSelfTimes) {
+    ++told;
+    message.mFrom.mDescriptor = mSelf.mWhere;
+  }
+  message.mConfigVersion = mConfigVersion;
+  const member_row* peer = mTable.Find(aPeer);
+  if (peer != nullptr && peer->mHealth != member_health::Alive) {
+    AddUpdate(message, *peer, false);
+  }
+  if (const auto asks = mAsks.extract(aPeer)) {
+    for (const node_id& target : asks.mapped()) {
+      const member_row* row = mTable.Find(target);
+      if (row != nullptr && row->mHealth != member_health::Dead) {
+        message.mAskAbout.push_back(target);
+        AddUpdate(message, *row, false);
+      }
+    }
+  }
+  if (const auto reports = mReports.extract(aPeer)) {
+    for (const auto& [target, reached] : reports.mapped()) {
+      const member_row* row = mTable.Find(target);
+      if (!reached) {
+        message.mUnreached.push_back(target);
+      } else if (row != nullptr) {
+        AddUpdate(message, *row, false);
+      }
+    }
+  }
+  const std::size_t room =
+    kMaxUpdates - std::min(kMaxUpdates, message.mUpdates.size());
+  for (const auto& rumor : mRumors.Take(room, RumorLimit(), aPeer)) {
+    const member_row* row = mTable.Find(rumor.mNode);
+    if (row != nullptr) {
+      AddUpdate(message, *row, rumor.mWithWhere);
+    }
+  }
+  AddRefresh(message);
+  return message;
+}
+
+void membership_system::AddUpdate(heartbeat& aMessage,
+                                  const member_row& aRow,
+                                  bool aWithWhere)
+{
+  const bool present = std::any_of(
+    aMessage.mUpdates.begin(),
+    aMessage.mUpdates.end(),
+    [&](const member_update& aUpdate) { return aUpdate.mNode == aRow.mId; });
+  // Nothing is known about a member that is only listed.
+  const bool known =
+    aRow.mIncarnation != 0 || aRow.mHealth != member_health::Alive;
+  if (known && !present && aMessage.mUpdates.size() < kMaxUpdates) {
+    aMessage.mUpdates.push_back(UpdateOf(aRow, aWithWhere));
+  }
+}
+
+// One member without news per message, in turn, repairs what was lost.
+void membership_system::AddRefresh(heartbeat& aMessage)
+{
+  if (aMessage.mUpdates.size() >= kMaxUpdates || mTable.Rows().empty()) {
+    return;
+  }
+  auto next = mTable.Rows().upper_bound(mLastRefresh);
+  if (next == mTable.Rows().end()) {
+    next = mTable.Rows().begin();
+  }
+  mLastRefresh = next->first;
+  AddUpdate(aMessage, next->second, false);
+}
+
+member_update membership_system::UpdateOf(const member_row& aRow,
+                                          bool aWithWhere) const
+{
+  member_update update;
+  update.mNode = aRow.mId;
+  update.mIncarnation = aRow.mIncarnation;
+  update.mCounter = aRow.mCounter;
+  update.mHealth = aRow.mDeadTold ? member_health::Dead : aRow.mHealth;
+  update.mLeaving = aRow.mLeaving;
+  if (aWithWhere && aRow.mDescribed) {
+    update.mDescriptor = aRow.mWhere;
+  }
+  return update;
+}
+
+std::uint32_t membership_system::RumorLimit() const
+{
+  return kRumorFactor *
+         static_cast<std::uint32_t>(std::bit_width(mTable.Rows().size() + 1));
+}
+
+void membership_system::Spread(const member_row& aRow, bool aWithWhere)
+{
+  mRumors.Add(aRow.mId, true, aWithWhere);
+}
+
+void membership_system::OnHostList(const host_listing& aListing,
+                                   time_point aNow)
+{
+  if (aListing.mVersion < mListVersion) {
+    return;
+  }
+  mListVersion = aListing.mVersion;
+  std::set<node_id> listed;
+  for (const host_entry& host : aListing.mHosts) {
+    if (host.mRole != host_role::Node || host.mPeerAddress.empty()) {
+      continue;
+    }
+    if (host.mName == mSelf.mId.mName) {
+      ListSelf(host);
+    } else {
+      ListHost(host);
+      listed.insert({ host.mName });
+    }
+  }
+  for (auto it = mTable.Rows().begin(); it != mTable.Rows().end();) {
+    member_row& row = (it++)->second;
+    if (!listed.contains(row.mId)) {
+      UnlistHost(row, aNow);
+    }
+  }
+}
+
+void membership_system::ListSelf(const host_entry& aHost)
+{
+  const bool leaving = aHost.mState == host_state::Leaving;
+  if (leaving && !mSelfListedLeaving) {
+    mEvents.push_back(
+      { member_event_kind::Leaving, { mSelf.mId, mSelf.mIncarnation } });
+  }
+  if (leaving != mSelfListedLeaving) {
+    mSelfListedLeaving = leaving;
+    mTable.Touch();
+  }
+}
+
+void membership_system::ListHost(const host_entry& aHost)
+{
+  member_row& row = mTable.Ensure({ aHost.mName });
+  row.mListed = true;
+  row.mForgetAt.reset();
+  const member_descriptor where{
+    { aHost.mZone }, { aHost.mRegion }, aHost.mAddress, aHost.mPeerAddress
+  };
+  // The list lags, so what the node told itself counts more.
+  if (!row.mDescribed && row.mWhere != where) {
+    row.mWhere = where;
+    mTable.Touch();
+  }
+  const bool leaving = aHost.mState == host_state::Leaving;
+  if (leaving && !row.mLastListedLeaving) {
+    SetLeaving(row, true);
+  }
+  if (!leaving && row.mListedLeaving) {
+    row.mListedLeaving = false;
+    mTable.Touch();
+  }
+  row.mLastListedLeaving = leaving;
+}
+
+// The list lags, so a node that was heard of stays until it is dead.
+void membership_system::UnlistHost(member_row& aRow, time_point aNow)
+{
+  aRow.mListed = false;
+  aRow.mLastListedLeaving = false;
+  if (aRow.mIncarnation == 0) {
+    mTable.Erase(node_id(aRow.mId));
+  } else if (aRow.mHealth == member_health::Dead && !aRow.mForgetAt) {
+    aRow.mForgetAt = aNow + mSettings.mForget;
+  }
+}
--- /dev/null
+++ b/Source/Core/Membership/MembershipSystem.cpp
@@ -0,0 +1,272 @@
+#include "Membership/MembershipSystem.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+#include "Common/Hash.h"
+
+namespace {
+
+/// Checks of members told dead per tick, so that a partition of many nodes
+/// does not raise the traffic without bound.
+constexpr std::size_t kChecksPerTick = 2;
+
+std::vector<std::uint64_t> RingPlaces(const node_id& aId, std::size_t aRings)
+{
+  std::vector<std::uint64_t> places;
+  for (std::size_t ring = 0; ring < aRings; ++ring) {
+    places.push_back(StableHash(aId.mName, ring + 1));
+  }
+  return places;
+}
+
+} // namespace
+
+membership_system::membership_system(member_self aSelf,
+                                     membership_settings aSettings,
+                                     std::uint64_t aSeed)
+  : mSelf(std::move(aSelf))
+  , mSettings(aSettings)
+  , mRandom(aSeed)
+  , mRingPlaces(RingPlaces(mSelf.mId, mSettings.mPeers))
+{
+}
+
+std::vector<outgoing_heartbeat> membership_system::Tick(time_point aNow)
+{
+  AllowForPause(aNow);
+  ExpireReplies(aNow);
+  EndSuspicions(aNow);
+  ForgetMembers(aNow);
+  ChoosePeers(aNow);
+  QueueDue(aNow);
+  QueueChecks();
+  QueueDeadRetry(aNow);
+
+  std::vector<outgoing_heartbeat> messages;
+  for (const node_id& id : std::exchange(mDue, {})) {
+    const member_row* row = mTable.Find(id);
+    if (row == nullptr || row->mWhere.mPeerAddress.empty()) {
+      continue;
+    }
+    ++mCounters.mHeartbeatsSent;
+    mReplyBy[id] = aNow + mSettings.mReplyLimit;
+    messages.push_back({ id, row->mWhere.mPeerAddress, MakeMessage(id) });
+  }
+  return messages;
+}
+
+heartbeat membership_system::OnHeartbeat(const heartbeat& aMessage,
+                                         time_point aNow)
+{
+  ++mCounters.mHeartbeatsReceived;
+  TakeMessage(aMessage, aNow);
+  TakeAsks(aMessage);
+  return MakeMessage(aMessage.mFrom.mNode);
+}
+
+void membership_system::OnReply(
+  const node_id& aPeer,
+  const result<heartbeat, heartbeat_error>& aReply,
+  time_point aNow)
+{
+  mReplyBy.erase(aPeer);
+  if (aReply.has_value()) {
+    TakeMessage(aReply.value(), aNow);
+    AnswerProbes(aPeer, true);
+    return;
+  }
+  if (aReply.error() == heartbeat_error::NoAnswer) {
+    OnUnreached(aPeer, aNow);
+    return;
+  }
+  ++mCounters.mRefused;
+  // Something runs there, so the suspicion of this node is withdrawn.
+  member_row* row = mTable.Find(aPeer);
+  if (row != nullptr) {
+    row->mUnreachedHere = false;
+    row->mConfirmed = false;
+  }
+}
+
+void membership_system::BeginLeaving(time_point /*aNow*/)
+{
+  if (mLeaving) {
+    return;
+  }
+  mLeaving = true;
+  mTable.Touch();
+  for (const auto& [id, peer] : mPeers) {
+    Queue(id);
+  }
+}
+
+void membership_system::SetConfigVersion(std::uint64_t aVersion)
+{
+  mConfigVersion = std::max(mConfigVersion, aVersion);
+}
+
+std::vector<member> membership_system::Members() const
+{
+  std::vector<member> members;
+  const bool leaving = mLeaving || mSelfListedLeaving;
+  const member self{ mSelf.mId,
+                     mSelf.mIncarnation,
+                     mSelf.mWhere,
+                     leaving ? member_state::Leaving : member_state::Alive };
+  bool added = false;
+  for (const auto& [id, row] : mTable.Rows()) {
+    if (!added && mSelf.mId < id) {
+      members.push_back(self);
+      added = true;
+    }
+    members.push_back({ id, row.mIncarnation, row.mWhere, row.State() });
+  }
+  if (!added) {
+    members.push_back(self);
+  }
+  return members;
+}
+
+std::optional<member_state> membership_system::StateOf(const node_id& aId) const
+{
+  const member_row* row = mTable.Find(aId);
+  return row == nullptr ? std::optional<member_state>() : row->State();
+}
+
+std::vector<member_event> membership_system::TakeEvents()
+{
+  return std::exchange(mEvents, {});
+}
+
+std::vector<node_id> membership_system::Peers() const
+{
+  std::vector<node_id> peers;
+  for (const auto& [id, peer] : mPeers) {
+    peers.push_back(id);
+  }
+  return peers;
+}
+
+void membership_system::Emit(member_event_kind aKind, const member_row& aRow)
+{
+  mEvents.push_back({ aKind, { aRow.mId, aRow.mIncarnation } });
+}
+
+// Peers are the successors of this node on as many rings, each of which orders
+// all members by a different hash. Every node thus has as many watchers as
+// peers, and few change when a node comes or goes.
+void membership_system::ChoosePeers(time_point aNow)
+{
+  if (mPeersVersion == mTable.Version()) {
+    return;
+  }
+  mPeersVersion = mTable.Version();
+  for (auto& [id, row] : mTable.Rows()) {
+    if (row.mRingPlaces.empty()) {
+      row.mRingPlaces = RingPlaces(id, mSettings.mPeers);
+    }
+  }
+  std::map<node_id, schedule> peers;
+  for (const node_id& id : RingPeers()) {
+    const auto known = mPeers.find(id);
+    peers[id] = known == mPeers.end() ? schedule{ aNow } : known->second;
+  }
+  mPeers = std::move(peers);
+}
+
+std::vector<node_id> membership_system::RingPeers() const
+{
+  std::vector<node_id> peers;
+  bool otherZone = false;
+  for (std::size_t ring = 0; ring < mSettings.mPeers; ++ring) {
+    // The last ring makes up for a choice of one zone only.
+    const bool last = ring + 1 == mSettings.mPeers;
+    const member_row* row = Successor(ring, peers, last && !otherZone);
+    if (row == nullptr) {
+      row = Successor(ring, peers, false);
+    }
+    if (row == nullptr) {
+      break;
+    }
+    otherZone = otherZone || row->mWhere.mZone != mSelf.mWhere.mZone;
+    peers.push_back(row->mId);
+  }
+  return peers;
+}
+
+const member_row* membership_system::Successor(
+  std::size_t aRing,
+  const std::vector<node_id>& aTaken,
+  bool aOtherZone) const
+{
+  const std::uint64_t origin = mRingPlaces[aRing];
+  const member_row* nearest = nullptr;
+  std::uint64_t nearestDistance = std::numeric_limits<std::uint64_t>::max();
+  for (const auto& [id, row] : mTable.Rows()) {
+    const bool taken =
+      std::find(aTaken.begin(), aTaken.end(), id) != aTaken.end();
+    const bool wrongZone = aOtherZone && row.mWhere.mZone == mSelf.mWhere.mZone;
+    if (taken || wrongZone || row.mHealth == member_health::Dead) {
+      continue;
+    }
+    const std::uint64_t distance = row.mRingPlaces[aRing] - origin;
+    if (distance < nearestDistance) {
+      nearestDistance = distance;
+      nearest = &row;
+    }
+  }
+  return nearest;
+}
+
+void membership_system::QueueDue(time_point aNow)
+{
+  std::uniform_real_distribution<double> spread(0.75, 1.0);
+  for (auto& [id, peer] : mPeers) {
+    if (peer.mNext > aNow || mReplyBy.contains(id)) {
+      continue;
+    }
+    Queue(id);
+    const member_row* row = mTable.Find(id);
+    const bool suspect = row != nullptr && row->mUnreachedHere;
+    const auto wait = suspect ? mSettings.mSuspectRetry : mSettings.mPeriod;
+    // The random part keeps the heartbeats of a fleet that was started at once
+    // from staying in step.
+    peer.mNext = aNow + std::chrono::milliseconds(static_cast<std::int64_t>(
+                          static_cast<double>(wait.count()) * spread(mRandom)));
+  }
+}
+
+void membership_system::QueueChecks()
+{
+  for (std::size_t i = 0; i < kChecksPerTick && !mChecks.empty(); ++i) {
+    // From a random point on: all nodes check the same members otherwise.
+    std::uniform_int_distribution<std::size_t> pick(0, mChecks.size() - 1);
+    const auto chosen =
+      std::next(mChecks.begin(), static_cast<std::ptrdiff_t>(pick(mRandom)));
+    Queue(*chosen);
+    mChecks.erase(chosen);
+  }
+}
+
+// A dead member may be on the other side of a partition, so some dead member
+// is tried again from time to time, at a rate that does not depend on their
+// number.
+void membership_system::QueueDeadRetry(time_point aNow)
+{
+  if (mNextDeadRetry && *mNextDeadRetry > aNow) {
+    return;
+  }
+  mNextDeadRetry = aNow + mSettings.mDeadRetry;
+  std::vector<node_id> dead;
+  for (const auto& [id, row] : mTable.Rows()) {
+    if (row.mHealth == member_health::Dead) {
+      dead.push_back(id);
+    }
+  }
+  if (!dead.empty()) {
+    std::uniform_int_distribution<std::size_t> pick(0, dead.size() - 1);
+    Queue(dead[pick(mRandom)]);
+  }
+}
--- a/Source/Core/Membership/MembershipSystem.h
+++ b/Source/Core/Membership/MembershipSystem.h
@@ -3,7 +3,6 @@
 #include <chrono>
 #include <compare>
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <random>
@@ -57,7 +56,8 @@
   /// The node takes no new work. Also reported for the node itself when the
   /// host list says so.
   Leaving,
-  /// The run is dead, or was replaced by one of a higher incarnation.
+  /// The run is dead, or was replaced by one of a higher incarnation. For the
+  /// node itself: a later run of it exists, so this one must end.
   Dead,
   /// A run called dead is running after all.
   Returned,
@@ -117,6 +117,8 @@
 
   /// All members including the node itself, by identity.
   std::vector<member> Members() const;
+  /// State of another node, nothing for an unknown one.
+  std::optional<member_state> StateOf(const node_id& aId) const;
   /// Rises whenever `Members` would answer differently.
   std::uint64_t Version() const { return mTable.Version(); }
   /// Events since the last call, in order.
@@ -129,8 +131,6 @@
   struct schedule
   {
     time_point mNext;
-    /// Set while a heartbeat is unanswered.
-    std::optional<time_point> mReplyBy;
   };
   /// A member that another node asked about.
   struct probe
@@ -139,59 +139,89 @@
     node_id mAsker;
   };
 
-  void TakeSender(const heartbeat& aMessage, time_point aNow);
-  void TakeUpdates(const heartbeat& aMessage, time_point aNow);
+  // Messages in.
+  void TakeMessage(const heartbeat& aMessage, time_point aNow);
   void TakeUpdate(const member_update& aUpdate, bool aDirect, time_point aNow);
   void TakeSelfUpdate(const member_update& aUpdate);
+  void TakeRun(member_row& aRow, const member_update& aUpdate);
+  void TakeHealth(member_row& aRow,
+                  const member_update& aUpdate,
+                  time_point aNow);
+  void TakeWhere(member_row& aRow, const member_update& aUpdate, bool aDirect);
+  void TakeAsks(const heartbeat& aMessage);
   void TakeReports(const heartbeat& aMessage);
-  void StartRun(member_row& aRow, const member_update& aUpdate);
-  void SetHealth(member_row& aRow, member_health aHealth, time_point aNow);
-  void SetLeaving(member_row& aRow);
-  void Describe(member_row& aRow, const member_descriptor& aWhere);
+
+  // Failure detection.
   void OnUnreached(const node_id& aPeer, time_point aNow);
   void AskConfirmers(const member_row& aTarget);
   void AnswerProbes(const node_id& aTarget, bool aReached);
+  void AllowForPause(time_point aNow);
+  void ExpireReplies(time_point aNow);
   void EndSuspicions(time_point aNow);
   void EndSuspicion(member_row& aRow, time_point aNow);
+  void SetHealth(member_row& aRow, member_health aHealth, time_point aNow);
+  void SetLeaving(member_row& aRow, bool aListed);
   void ForgetMembers(time_point aNow);
-  void ExpireReplies(time_point aNow);
+  bool HasThirdMember(const node_id& aTarget) const;
+
+  // Schedule.
   void ChoosePeers(time_point aNow);
+  std::vector<node_id> RingPeers() const;
+  const member_row* Successor(std::size_t aRing,
+                              const std::vector<node_id>& aTaken,
+                              bool aOtherZone) const;
   void QueueDue(time_point aNow);
+  void QueueChecks();
   void QueueDeadRetry(time_point aNow);
   void Queue(const node_id& aPeer) { mDue.insert(aPeer); }
-  void ListHost(const host_entry& aHost);
-  void NoteConfigVersion(std::uint64_t aVersion);
-  bool HasThirdMember(const node_id& aTarget) const;
+
+  // Messages out.
   heartbeat MakeMessage(const node_id& aPeer);
-  member_update SelfUpdate() const;
-  member_update UpdateOf(const member_row& aRow) const;
+  void AddUpdate(heartbeat& aMessage, const member_row& aRow, bool aWithWhere);
+  void AddRefresh(heartbeat& aMessage);
+  member_update UpdateOf(const member_row& aRow, bool aWithWhere) const;
+  std::uint32_t RumorLimit() const;
+  void Spread(const member_row& aRow, bool aWithWhere = false);
+
+  // Host list.
+  void ListHost(const host_entry& aHost);
+  void ListSelf(const host_entry& aHost);
+  void UnlistHost(member_row& aRow, time_point aNow);
+
   void Emit(member_event_kind aKind, const member_row& aRow);
-  void Spread(const node_id& aNode);
 
   member_self mSelf;
   membership_settings mSettings;
   std::mt19937_64 mRandom;
+  std::vector<std::uint64_t> mRingPlaces;
   std::uint32_t mCounter = 0;
   bool mLeaving = false;
   bool mSelfListedLeaving = false;
+  /// A later run of this node was heard of.
+  bool mReplaced = false;
+  std::optional<time_point> mLastTick;
   std::uint64_t mConfigVersion = 0;
   std::uint64_t mListVersion = 0;
   member_table mTable;
   rumor_queue mRumors;
   std::map<node_id, schedule> mPeers;
   std::uint64_t mPeersVersion = 0;
-  /// Heartbeats without a reply to members that are not peers.
-  std::map<node_id, time_point> mExtraReplyBy;
+  /// Heartbeats without a reply yet.
+  std::map<node_id, time_point> mReplyBy;
   /// Heartbeats to send at the next tick.
   std::set<node_id> mDue;
-  /// What to ask or to report in the next message to a member.
-  std::map<node_id, std::set<node_id>> mAsk;
-  std::map<node_id, std::set<node_id>> mReport;
+  /// Members told dead that are still to be checked.
+  std::set<node_id> mChecks;
+  /// What to ask in the next message to a member.
+  std::map<node_id, std::set<node_id>> mAsks;
+  /// What to report in the next message to a member: whether it was reached.
+  std::map<node_id, std::map<node_id, bool>> mReports;
   std::vector<probe> mProbes;
-  /// Members that have a reply of this run, so know its addresses.
-  std::set<node_id> mKnowsSelf;
+  /// How often each member was told this node's addresses.
+  std::map<node_id, int> mToldSelf;
   std::optional<time_point> mNextDeadRetry;
-  node_id mLastDeadRetry;
+  /// Last member told about without news.
+  node_id mLastRefresh;
   std::vector<member_event> mEvents;
   membership_counters mCounters;
 };
--- /dev/null
+++ b/Source/Core/Membership/RumorQueue.cpp
@@ -0,0 +1,43 @@
+#include "Membership/RumorQueue.h"
+
+#include <algorithm>
+
+void rumor_queue::Add(const node_id& aNode, bool aUrgent, bool aWithWhere)
+{
+  entry& news = mEntries[aNode];
+  news.mTold = 0;
+  news.mUrgent = news.mUrgent || aUrgent;
+  news.mWithWhere = news.mWithWhere || aWithWhere;
+}
+
+std::vector<rumor_queue::rumor> rumor_queue::Take(std::size_t aCount,
+                                                  std::uint32_t aLimit,
+                                                  const node_id& aExcept)
+{
+  std::vector<std::map<node_id, entry>::iterator> order;
+  for (auto it = mEntries.begin(); it != mEntries.end(); ++it) {
+    if (it->first != aExcept) {
+      order.push_back(it);
+    }
+  }
+  const std::size_t count = std::min(aCount, order.size());
+  std::partial_sort(order.begin(),
+                    order.begin() + static_cast<std::ptrdiff_t>(count),
+                    order.end(),
+                    [](const auto& aLeft, const auto& aRight) {
+                      const entry& left = aLeft->second;
+                      const entry& right = aRight->second;
+                      return left.mUrgent != right.mUrgent
+                               ? left.mUrgent
+                               : left.mTold < right.mTold;
+                    });
+  std::vector<rumor> taken;
+  for (std::size_t i = 0; i < count; ++i) {
+    entry& news = order[i]->second;
+    taken.push_back({ order[i]->first, news.mWithWhere });
+    if (++news.mTold >= aLimit) {
+      mEntries.erase(order[i]);
+    }
+  }
+  return taken;
+}
--- a/Source/Core/Membership/RumorQueue.h
+++ b/Source/Core/Membership/RumorQueue.h
@@ -7,22 +7,35 @@
 #include "Common/Identity.h"
 
 /// Members whose news still has to be passed on. News about a member goes out
-/// a limited number of times, that of the least told members first.
+/// a limited number of times: urgent news first, then the least told.
 class rumor_queue
 {
 public:
+  struct rumor
+  {
+    node_id mNode;
+    /// The addresses are news as well.
+    bool mWithWhere = false;
+  };
+
   /// (Re)starts the news about a member.
-  void Add(const node_id& aNode) { mTold[aNode] = 0; }
-  void Erase(const node_id& aNode) { mTold.erase(aNode); }
-  bool Empty() const { return mTold.empty(); }
+  void Add(const node_id& aNode, bool aUrgent, bool aWithWhere);
+  void Erase(const node_id& aNode) { mEntries.erase(aNode); }
 
   /// Up to `aCount` members to tell about, except `aExcept`; each is dropped
   /// once it was taken `aLimit` times.
-  std::vector<node_id> Take(std::size_t aCount,
-                            std::uint32_t aLimit,
-                            const node_id& aExcept);
+  std::vector<rumor> Take(std::size_t aCount,
+                          std::uint32_t aLimit,
+                          const node_id& aExcept);
 
 private:
-  /// How often each member's news was told.
-  std::map<node_id, std::uint32_t> mTold;
+  struct entry
+  {
+    /// How often the news was told.
+    std::uint32_t mTold = 0;
+    bool mUrgent = false;
+    bool mWithWhere = false;
+  };
+
+  std::map<node_id, entry> mEntries;
 };
--- /dev/null
+++ b/Source/UnitTests/Membership/MembershipNetwork.h
@@ -0,0 +1,238 @@
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <fmt/format.h>
+
+#include "Membership/EndpointSelector.h"
+#include "Membership/MembershipSystem.h"
+
+/// Membership systems that exchange messages in memory. Messages arrive within
+/// the step in which they are sent; a message that cannot be delivered is
+/// reported after the transport's timeout.
+class membership_network
+{
+public:
+  using clock = std::chrono::milliseconds;
+
+  struct node
+  {
+    member_self mSelf;
+    std::unique_ptr<membership_system> mSystem;
+    bool mRuns = true;
+    bool mPaused = false;
+    std::vector<member_event> mEvents;
+  };
+
+  static constexpr clock kStep{ 250 };
+  static constexpr clock kTimeout{ 1000 };
+
+  /// Starts `aCount` nodes spread over the zones; all are listed.
+  membership_network(std::size_t aCount, std::size_t aZones)
+    : mZones(aZones)
+  {
+    for (std::size_t i = 0; i < aCount; ++i) {
+      AddNode(i, 1, 0);
+    }
+    List();
+  }
+
+  /// A run of node `aIndex`, at an address that depends on `aHost`.
+  void AddNode(std::size_t aIndex, std::uint64_t aIncarnation, int aHost)
+  {
+    if (mNodes.size() <= aIndex) {
+      mNodes.resize(aIndex + 1);
+    }
+    node& added = mNodes[aIndex];
+    const std::string zone = fmt::format("zone-{}", aIndex % mZones);
+    added = {};
+    added.mSelf = { { fmt::format("entry-{:03}", aIndex) },
+                    aIncarnation,
+                    { { zone },
+                      { "region" },
+                      fmt::format("10.{}.1.{}:8080", aHost, aIndex),
+                      fmt::format("10.{}.1.{}:9090", aHost, aIndex) } };
+    added.mSystem = std::make_unique<membership_system>(
+      added.mSelf, membership_settings{}, aIndex * 7919 + aIncarnation);
+    added.mSystem->OnHostList(mListing, mNow);
+  }
+
+  host_entry Entry(std::size_t aIndex) const
+  {
+    const member_self& self = mNodes[aIndex].mSelf;
+    host_entry entry;
+    entry.mName = self.mId.mName;
+    entry.mZone = self.mWhere.mZone.mName;
+    entry.mRegion = self.mWhere.mRegion.mName;
+    entry.mAddress = self.mWhere.mAddress;
+    entry.mPeerAddress = self.mWhere.mPeerAddress;
+    return entry;
+  }
+
+  /// Gives all nodes a list of all nodes that `aListed` accepts.
+  void List(const std::function<bool(std::size_t)>& aListed = {})
+  {
+    mListing.mHosts.clear();
+    ++mListing.mVersion;
+    for (std::size_t i = 0; i < mNodes.size(); ++i) {
+      if (!aListed || aListed(i)) {
+        mListing.mHosts.push_back(Entry(i));
+      }
+    }
+    for (node& listener : mNodes) {
+      listener.mSystem->OnHostList(mListing, mNow);
+    }
+  }
+
+  void Run(std::chrono::milliseconds aTime)
+  {
+    for (const time_point end = mNow + aTime; mNow < end; mNow += kStep) {
+      Step();
+    }
+  }
+
+  /// Runs until the condition holds; gives the time that it took, or the limit.
+  std::chrono::milliseconds RunUntil(const std::function<bool()>& aCondition,
+                                     std::chrono::milliseconds aLimit)
+  {
+    const time_point start = mNow;
+    while (!aCondition() && mNow - start < aLimit) {
+      Run(kStep);
+    }
+    return std::chrono::duration_cast<std::chrono::milliseconds>(mNow - start);
+  }
+
+  member_state StateAt(std::size_t aViewer, std::size_t aSubject) const
+  {
+    return mNodes[aViewer]
+      .mSystem->StateOf(mNodes[aSubject].mSelf.mId)
+      .value_or(member_state::Dead);
+  }
+
+  bool AllSee(std::size_t aSubject, member_state aState) const
+  {
+    for (std::size_t i = 0; i < mNodes.size(); ++i) {
+      if (i != aSubject && mNodes[i].mRuns && StateAt(i, aSubject) != aState) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  bool AllSeeAllAlive() const
+  {
+    for (std::size_t i = 0; i < mNodes.size(); ++i) {
+      if (!AllSee(i, member_state::Alive)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /// How often an event was reported, on all nodes together.
+  std::size_t Count(member_event_kind aKind) const
+  {
+    std::size_t count = 0;
+    for (const node& each : mNodes) {
+      for (const member_event& event : each.mEvents) {
+        count += event.mKind == aKind ? 1 : 0;
+      }
+    }
+    return count;
+  }
+
+  std::vector<node> mNodes;
+  time_point mNow{ std::chrono::seconds(100) };
+  host_listing mListing;
+  /// Whether messages pass from one node to the other.
+  std::function<bool(std::size_t, std::size_t)> mPasses =
+    [](std::size_t, std::size_t) { return true; };
+  /// Sees every message that is sent.
+  std::function<void(const heartbeat&)> mOnMessage;
+
+private:
+  struct late_report
+  {
+    time_point mAt;
+    std::size_t mNode;
+    std::uint64_t mIncarnation;
+    node_id mPeer;
+  };
+
+  void Step()
+  {
+    ReportLost();
+    for (std::size_t i = 0; i < mNodes.size(); ++i) {
+      if (mNodes[i].mRuns && !mNodes[i].mPaused) {
+        for (const auto& message : mNodes[i].mSystem->Tick(mNow)) {
+          Deliver(i, message);
+        }
+      }
+    }
+    for (node& each : mNodes) {
+      const auto events = each.mSystem->TakeEvents();
+      each.mEvents.insert(each.mEvents.end(), events.begin(), events.end());
+    }
+  }
+
+  void ReportLost()
+  {
+    std::vector<late_report> due;
+    std::erase_if(mLost, [&](const late_report& aReport) {
+      const bool isDue = aReport.mAt <= mNow && !mNodes[aReport.mNode].mPaused;
+      if (isDue) {
+        due.push_back(aReport);
+      }
+      return isDue;
+    });
+    for (const late_report& report : due) {
+      node& sender = mNodes[report.mNode];
+      if (sender.mRuns && sender.mSelf.mIncarnation == report.mIncarnation) {
+        sender.mSystem->OnReply(report.mPeer, heartbeat_error::NoAnswer, mNow);
+      }
+    }
+  }
+
+  void Deliver(std::size_t aFrom, const outgoing_heartbeat& aMessage)
+  {
+    if (mOnMessage) {
+      mOnMessage(aMessage.mMessage);
+    }
+    const std::size_t to = IndexAt(aMessage);
+    const bool passes = to < mNodes.size() && !mNodes[to].mPaused &&
+                        mPasses(aFrom, to) && mPasses(to, aFrom);
+    if (!passes) {
+      mLost.push_back({ mNow + kTimeout,
+                        aFrom,
+                        mNodes[aFrom].mSelf.mIncarnation,
+                        aMessage.mPeer });
+      return;
+    }
+    const heartbeat reply =
+      mNodes[to].mSystem->OnHeartbeat(aMessage.mMessage, mNow);
+    if (mOnMessage) {
+      mOnMessage(reply);
+    }
+    mNodes[aFrom].mSystem->OnReply(aMessage.mPeer, reply, mNow);
+  }
+
+  std::size_t IndexAt(const outgoing_heartbeat& aMessage) const
+  {
+    for (std::size_t i = 0; i < mNodes.size(); ++i) {
+      const member_self& self = mNodes[i].mSelf;
+      if (mNodes[i].mRuns && self.mId == aMessage.mPeer &&
+          self.mWhere.mPeerAddress == aMessage.mPeerAddress) {
+        return i;
+      }
+    }
+    return mNodes.size();
+  }
+
+  std::size_t mZones;
+  std::vector<late_report> mLost;
+};
--- /dev/null
+++ b/Source/UnitTests/Membership/MembershipSystemTest.cpp
@@ -0,0 +1,264 @@
+#include <set>
+
+#include <gtest/gtest.h>
+
+#include "MembershipNetwork.h"
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr seconds kSettle{ 15 };
+constexpr auto kAlive = member_state::Alive;
+constexpr auto kDead = member_state::Dead;
+
+class membership_sizes : public testing::TestWithParam<std::size_t>
+{};
+
+} // namespace
+
+INSTANTIATE_TEST_SUITE_P(Sizes, membership_sizes, testing::Values(8, 64, 340));
+
+// Guards against dead nodes that keep getting calls: all nodes must know within
+// 20 s, without calling any other node dead.
+TEST_P(membership_sizes, TellsAllOfADeadNode)
+{
+  membership_network network(GetParam(), 4);
+  network.Run(kSettle);
+  network.mNodes[3].mRuns = false;
+  const auto time =
+    network.RunUntil([&] { return network.AllSee(3, kDead); }, seconds(60));
+  RecordProperty("milliseconds", static_cast<int>(time.count()));
+  EXPECT_LE(time, seconds(20));
+  network.Run(kSettle);
+  EXPECT_EQ(network.Count(member_event_kind::Dead), GetParam() - 1);
+}
+
+// Guards against members lost by a partition: each side sees the other as dead,
+// and soon after the heal everybody sees everybody, at any size.
+TEST_P(membership_sizes, HealsAfterAPartition)
+{
+  membership_network network(GetParam(), 4);
+  network.Run(kSettle);
+  network.mPasses = [](std::size_t aFrom, std::size_t aTo) {
+    return (aFrom % 4 < 2) == (aTo % 4 < 2);
+  };
+  const auto split = network.RunUntil(
+    [&] { return network.AllSee(0, kAlive) || network.StateAt(2, 0) == kDead; },
+    seconds(30));
+  EXPECT_LT(split, seconds(30));
+  network.Run(seconds(200));
+  for (std::size_t i = 0; i < GetParam(); ++i) {
+    EXPECT_EQ(network.StateAt(0, i), i % 4 < 2 ? kAlive : kDead);
+  }
+  network.mPasses = [](std::size_t, std::size_t) { return true; };
+  const auto heal =
+    network.RunUntil([&] { return network.AllSeeAllAlive(); }, seconds(200));
+  RecordProperty("milliseconds", static_cast<int>(heal.count()));
+  EXPECT_LE(heal, seconds(60));
+  network.Run(seconds(60));
+  EXPECT_TRUE(network.AllSeeAllAlive());
+}
+
+// Guards against a death by one broken link: others still reach the node and
+// it refutes the suspicion.
+TEST(membership_system, RefutesAFalseSuspicion)
+{
+  membership_network network(16, 4);
+  network.Run(kSettle);
+  const node_id peer = network.mNodes[0].mSystem->Peers().front();
+  network.mPasses = [&](std::size_t aFrom, std::size_t aTo) {
+    return network.mNodes[aFrom].mSelf.mId != peer || aTo != 0;
+  };
+  network.Run(seconds(60));
+  EXPECT_GT(network.mNodes[0].mSystem->Counters().mSuspicions, 0);
+  EXPECT_EQ(network.Count(member_event_kind::Dead), 0);
+  network.mPasses = [](std::size_t, std::size_t) { return true; };
+  network.Run(kSettle);
+  EXPECT_TRUE(network.AllSeeAllAlive());
+}
+
+// Guards against a running node staying dead because one node claims it.
+TEST(membership_system, RunningNodeRefutesItsDeath)
+{
+  membership_network network(16, 4);
+  network.Run(kSettle);
+  heartbeat claim;
+  claim.mFrom = { network.mNodes[1].mSelf.mId, 1, 0, {}, false, {} };
+  claim.mUpdates = {
+    { network.mNodes[2].mSelf.mId, 1, 9, member_health::Dead, false, {} }
+  };
+  network.mNodes[0].mSystem->OnHeartbeat(claim, network.mNow);
+  network.Run(kSettle);
+  EXPECT_TRUE(network.AllSeeAllAlive());
+  EXPECT_EQ(network.Count(member_event_kind::Dead), 0);
+  EXPECT_GT(network.mNodes[2].mSystem->Counters().mSelfRefuted, 0);
+}
+
+// Guards against a node that is cut off, or was paused, and takes all others
+// for dead.
+TEST(membership_system, CutOffNodeCallsNobodyDead)
+{
+  membership_network network(16, 4);
+  network.Run(kSettle);
+  network.mPasses = [](std::size_t aFrom, std::size_t aTo) {
+    return aFrom != 5 && aTo != 5;
+  };
+  network.Run(seconds(60));
+  EXPECT_TRUE(network.AllSee(5, kDead));
+  network.mPasses = [](std::size_t, std::size_t) { return true; };
+  network.Run(seconds(30));
+  network.mNodes[6].mPaused = true;
+  network.Run(seconds(60));
+  EXPECT_TRUE(network.AllSee(6, kDead));
+  network.mNodes[6].mPaused = false;
+  network.Run(seconds(30));
+  EXPECT_TRUE(network.AllSeeAllAlive());
+  for (const std::size_t i : { 5, 6 }) {
+    for (const member_event& event : network.mNodes[i].mEvents) {
+      EXPECT_TRUE(event.mKind != member_event_kind::Dead ||
+                  event.mRun.mNode == network.mNodes[11 - i].mSelf.mId);
+    }
+  }
+}
+
+// Guards against callers sent to a node that leaves, on any node, and against
+// its being forgotten or called dead while it finishes its work.
+TEST(membership_system, LeavingNodeIsOutOfTheAnswers)
+{
+  membership_network network(32, 4);
+  network.Run(kSettle);
+  network.mNodes[7].mSystem->BeginLeaving(network.mNow);
+  const auto told = network.RunUntil(
+    [&] { return network.AllSee(7, member_state::Leaving); }, seconds(30));
+  EXPECT_LE(told, seconds(8));
+  for (const auto& node : network.mNodes) {
+    endpoint_selector selector;
+    selector.SetMembers(node.mSystem->Members());
+    for (const member& offered :
+         selector.Select({ { "clinic" }, 1.0, {} }).mNodes) {
+      EXPECT_NE(offered.mId, network.mNodes[7].mSelf.mId);
+    }
+  }
+  network.Run(seconds(60));
+  EXPECT_TRUE(network.AllSee(7, member_state::Leaving));
+  EXPECT_EQ(network.Count(member_event_kind::Dead), 0);
+}
+
+// Guards against a replaced host that is taken for its predecessor, with the
+// old address, while the host list still tells of the old one.
+TEST(membership_system, ReplacedHostTakesOver)
+{
+  membership_network network(32, 4);
+  network.Run(kSettle);
+  network.mNodes[4].mRuns = false;
+  network.Run(seconds(5));
+  network.AddNode(4, 2, 1);
+  const auto known = [&] {
+    for (const auto& node : network.mNodes) {
+      for (const member& each : node.mSystem->Members()) {
+        if (each.mId == network.mNodes[4].mSelf.mId &&
+            (each.mIncarnation != 2 || each.mState != kAlive ||
+             each.mWhere != network.mNodes[4].mSelf.mWhere)) {
+          return false;
+        }
+      }
+    }
+    return true;
+  };
+  EXPECT_LE(network.RunUntil(known, seconds(60)), seconds(15));
+  network.Run(seconds(30));
+  EXPECT_TRUE(known());
+  for (std::size_t i = 0; i < 32; ++i) {
+    const auto& events = network.mNodes[i].mEvents;
+    const member_event died{ member_event_kind::Dead,
+                             { network.mNodes[4].mSelf.mId, 1 } };
+    EXPECT_EQ(std::count(events.begin(), events.end(), died), i == 4 ? 0 : 1);
+  }
+}
+
+// Guards against a node that goes on under a name that a later run has.
+TEST(membership_system, OldRunLearnsOfItsReplacement)
+{
+  membership_network network(8, 4);
+  network.Run(kSettle);
+  heartbeat message;
+  message.mFrom = { network.mNodes[1].mSelf.mId, 1, 0, {}, false, {} };
+  message.mUpdates = { { network.mNodes[0].mSelf.mId, 2, 0, {}, false, {} } };
+  network.mNodes[0].mSystem->OnHeartbeat(message, network.mNow);
+  network.mNodes[0].mSystem->OnHeartbeat(message, network.mNow);
+  const member_event ended{ member_event_kind::Dead,
+                            { network.mNodes[0].mSelf.mId, 1 } };
+  EXPECT_EQ(network.mNodes[0].mSystem->TakeEvents(), std::vector{ ended });
+}
+
+// Guards against the lag of the host list: a node that is not listed yet joins,
+// one that is no longer listed stays until it is dead, and is then forgotten.
+TEST(membership_system, ToleratesALaggingHostList)
+{
+  membership_network network(16, 4);
+  network.Run(kSettle);
+  network.AddNode(16, 1, 0);
+  const auto joined =
+    network.RunUntil([&] { return network.AllSee(16, kAlive); }, seconds(60));
+  EXPECT_LE(joined, seconds(15));
+  network.List([](std::size_t aIndex) { return aIndex != 2; });
+  network.Run(seconds(30));
+  EXPECT_TRUE(network.AllSee(2, kAlive));
+  const host_listing old{ 1, {} };
+  network.mNodes[0].mSystem->OnHostList(old, network.mNow);
+  network.mNodes[2].mRuns = false;
+  network.Run(seconds(120));
+  EXPECT_EQ(network.mNodes[0].mSystem->Members().size(), 16);
+  EXPECT_TRUE(network.AllSee(16, kAlive));
+}
+
+// Guards against configuration versions that go backwards anywhere, and against
+// a slow notice of a new one.
+TEST(membership_system, ConfigurationVersionOnlyRises)
+{
+  membership_network network(64, 4);
+  std::map<node_id, std::uint64_t> newest;
+  network.mOnMessage = [&](const heartbeat& aMessage) {
+    std::uint64_t& seen = newest[aMessage.mFrom.mNode];
+    EXPECT_GE(aMessage.mConfigVersion, seen);
+    seen = aMessage.mConfigVersion;
+  };
+  network.Run(kSettle);
+  network.mNodes[0].mSystem->SetConfigVersion(7);
+  const auto noticed = network.RunUntil(
+    [&] {
+      return std::all_of(
+        network.mNodes.begin(), network.mNodes.end(), [](const auto& aNode) {
+          return aNode.mSystem->NewestConfigVersion() == 7;
+        });
+    },
+    seconds(30));
+  EXPECT_LE(noticed, seconds(6));
+  network.mNodes[1].mSystem->SetConfigVersion(3);
+  network.Run(kSettle);
+  EXPECT_EQ(network.mNodes[1].mSystem->NewestConfigVersion(), 7);
+}
+
+// Guards against nodes without watchers and peers of one zone only.
+TEST(membership_system, EveryNodeHasWatchersInOtherZones)
+{
+  membership_network network(64, 4);
+  network.Run(seconds(1));
+  std::map<node_id, int> watchers;
+  for (const auto& node : network.mNodes) {
+    std::set<std::string> zones;
+    for (const node_id& peer : node.mSystem->Peers()) {
+      ++watchers[peer];
+      for (const auto& other : network.mNodes) {
+        if (other.mSelf.mId == peer) {
+          zones.insert(other.mSelf.mWhere.mZone.mName);
+        }
+      }
+    }
+    EXPECT_EQ(node.mSystem->Peers().size(), 6);
+    EXPECT_GE(zones.size(), 2);
+  }
+  EXPECT_EQ(watchers.size(), 64);
+}
