--- a/Source/UnitTests/Membership/MembershipSystemTest.cpp
+++ b/Source/UnitTests/Membership/MembershipSystemTest.cpp
@@ -16,9 +16,13 @@
 class membership_sizes : public testing::TestWithParam<std::size_t>
 {};
 
+class membership_partition : public testing::TestWithParam<std::size_t>
+{};
+
 } // namespace
 
 INSTANTIATE_TEST_SUITE_P(Sizes, membership_sizes, testing::Values(8, 64, 340));
+INSTANTIATE_TEST_SUITE_P(Sizes, membership_partition, testing::Values(8, 64));
 
 // Guards against dead nodes that keep getting calls: all nodes must know within
 // 20 s, without calling any other node dead.
