--- /dev/null
+++ b/Source/Core/Config/SettingsPage.cpp
@@ -0,0 +1,75 @@
+#include "Config/SettingsPage.h"
+
+#include <fmt/format.h>
+
+#include "Config/FleetSections.h"
+#include "Config/NodeSettings.h"
+
+namespace {
+
+std::string Range(const setting_descriptor& aSetting)
+{
+  switch (aSetting.mType) {
+    case setting_type::Address:
+    case setting_type::Url:
+    case setting_type::Flag:
+    case setting_type::Rank:
+    case setting_type::Sha256:
+      return "";
+    case setting_type::Object:
+      return fmt::format(
+        "{:.15g} to {:.15g} entries", aSetting.mLeast, aSetting.mMost);
+    default:
+      return fmt::format("{:.15g} to {:.15g}{}{}",
+                         aSetting.mLeast,
+                         aSetting.mMost,
+                         aSetting.mUnit.empty() ? "" : " ",
+                         aSetting.mUnit);
+  }
+}
+
+std::string Default(const setting_descriptor& aSetting)
+{
+  if (aSetting.mDefault.empty()) {
+    return "required";
+  }
+  if (aSetting.mDefault == "null") {
+    return "optional";
+  }
+  return fmt::format("`{}`", aSetting.mDefault);
+}
+
+std::string Table(const setting_schema& aSchema)
+{
+  std::string text = "| setting | type | range | default | meaning |\n"
+                     "| --- | --- | --- | --- | --- |\n";
+  for (const setting_descriptor& setting : aSchema.Descriptors()) {
+    text += fmt::format("| `{}` | {} | {} | {} | {} |\n",
+                        setting.mPath,
+                        SettingTypeName(setting.mType),
+                        Range(setting),
+                        Default(setting),
+                        setting.mHelp);
+  }
+  return text;
+}
+
+} // namespace
+
+std::string SettingsPage()
+{
+  std::string text =
+    "# Settings reference\n\n"
+    "Generated from the descriptor tables in `Source/Core/Config`; do not edit "
+    "by hand.\n\n"
+    "A dot separates the keys of nested objects. `key[]` is each entry of a "
+    "list, and\n`key{}` each value of an object whose keys are chosen freely. "
+    "The range of a list or\nobject is its number of entries; the range of a "
+    "text is its length.\n\n";
+  text += "## Node settings\n\n" + Table(NodeSettingSchema());
+  text += "\n## Section `capacity`\n\n" + Table(CapacitySchema());
+  text +=
+    "\n## Sections `billing` and `billing/<part>`\n\n" + Table(BillingSchema());
+  text += "\n## Sections `accounts/<name>`\n\n" + Table(AccountSchema());
+  return text;
+}
--- a/Source/Core/Load/EndpointClient.cpp
+++ b/Source/Core/Load/EndpointClient.cpp
@@ -24,9 +24,9 @@
   SoupMessage* mMessage;
 };
 
-endpoint_answer ReadEndpoints(std::string_view aBody)
+known_endpoints ReadEndpoints(std::string_view aBody)
 {
-  endpoint_answer answer;
+  known_endpoints answer;
   answer.mCache = kDefaultCache;
   const json body = json::parse(aBody, nullptr, false);
   if (!body.is_object()) {
@@ -115,7 +115,7 @@
   if (answered) {
     gsize size = 0;
     const auto* data = static_cast<const char*>(g_bytes_get_data(aBody, &size));
-    endpoint_answer answer = ReadEndpoints(std::string_view(data, size));
+    known_endpoints answer = ReadEndpoints(std::string_view(data, size));
     entry.mAddresses = std::move(answer.mAddresses);
     entry.mFreshUntil = mTime.Now() + answer.mCache;
   } else if (aQuestion.mNode + 1 < mNodes.size()) {
--- a/Source/Core/Load/EndpointClient.h
+++ b/Source/Core/Load/EndpointClient.h
@@ -13,16 +13,16 @@
 #include "Config/SocketAddress.h"
 
 /// Endpoints of an account and when to ask again.
-struct endpoint_answer
+struct known_endpoints
 {
   std::vector<socket_address> mAddresses;
   std::chrono::milliseconds mCache{ 0 };
-  auto operator<=>(const endpoint_answer&) const = default;
+  auto operator<=>(const known_endpoints&) const = default;
 };
 
 /// Reads `{"endpoints": [...], "cache_ms": n}`; an entry is an address or an
 /// object with `address`. Entries that are not addresses are left out.
-endpoint_answer ReadEndpoints(std::string_view aBody);
+known_endpoints ReadEndpoints(std::string_view aBody);
 
 /// Asks the fleet which addresses an account should use, and caches the
 /// answers. A stale answer is used while no node answers.
--- a/Source/Core/Load/LoadGenerator.cpp
+++ b/Source/Core/Load/LoadGenerator.cpp
@@ -130,9 +130,9 @@
   const std::uint64_t number = mNextNumber++;
   if (!aEndpoints.empty()) {
     // Spreads the requests of an account over its endpoints.
-    std::ranges::rotate(aEndpoints,
-                        aEndpoints.begin() + static_cast<std::ptrdiff_t>(
-                                               number % aEndpoints.size()));
+    const auto first = aEndpoints.begin() +
+                       static_cast<std::ptrdiff_t>(number % aEndpoints.size());
+    std::rotate(aEndpoints.begin(), first, aEndpoints.end());
   }
   load_call call;
   call.mApiKey = aSource.mApiKey;
--- a/Source/Core/Load/LoadGenerator.h
+++ b/Source/Core/Load/LoadGenerator.h
@@ -21,7 +21,7 @@
 class load_generator
 {
 public:
-  using callback = std::function<void(const load_report&)>;
+  using callback = std::function<void(const load_run_report&)>;
 
   /// `aProgress` is called about every second, `aDone` once at the end; both
   /// may be empty.
@@ -37,7 +37,7 @@
   /// Ends arrivals now; open requests may finish within the drain time.
   void Stop();
   bool Done() const { return mDone; }
-  const load_report& Report() const { return mReport; }
+  const load_run_report& Report() const { return mReport; }
 
 private:
   /// Next arrival of one source.
@@ -76,7 +76,7 @@
   std::vector<arrival_row> mArrivals;
   std::map<std::uint64_t, std::shared_ptr<load_request>> mOpen;
   std::uint64_t mNextNumber = 1;
-  load_report mReport;
+  load_run_report mReport;
   bool mDone = false;
 
   time_point mStart{};
--- a/Source/Core/Load/LoadReport.cpp
+++ b/Source/Core/Load/LoadReport.cpp
@@ -35,7 +35,7 @@
                      Milliseconds(aHistogram.Most()));
 }
 
-std::string RankTable(const load_report& aReport)
+std::string RankTable(const load_run_report& aReport)
 {
   std::string text = fmt::format("{:<12}{:<16}{:>10}{:>11}{:>11}{:>11}{:>11}\n",
                                  "rank",
@@ -52,7 +52,7 @@
   return text;
 }
 
-std::string AccountTable(const load_report& aReport)
+std::string AccountTable(const load_run_report& aReport)
 {
   std::string text = fmt::format("{:<24}{:>10}{:>10}{:>15}{:>15}\n",
                                  "account",
@@ -73,7 +73,7 @@
 
 } // namespace
 
-std::string FormatLoadTable(const load_report& aReport)
+std::string FormatLoadTable(const load_run_report& aReport)
 {
   std::string text =
     fmt::format("{} requests, {} retries, at most {} open, {:.1f} s\n\n",
@@ -89,7 +89,7 @@
   return text;
 }
 
-json LoadReportJson(const load_report& aReport)
+json LoadReportJson(const load_run_report& aReport)
 {
   json ranks = json::object();
   for (const auto& [rank, times] : aReport.mRanks) {
--- a/Source/Core/Load/LoadReport.h
+++ b/Source/Core/Load/LoadReport.h
@@ -36,7 +36,7 @@
 };
 
 /// Result of a load run, so far or final.
-struct load_report
+struct load_run_report
 {
   /// Rank name, or `default` for requests that name no rank.
   std::map<std::string, rank_report> mRanks;
@@ -50,11 +50,11 @@
   std::uint64_t mOpen = 0;
   std::uint64_t mMostOpen = 0;
   std::chrono::microseconds mElapsed{ 0 };
-  bool operator==(const load_report&) const = default;
+  bool operator==(const load_run_report&) const = default;
 };
 
 /// Tables for people.
-std::string FormatLoadTable(const load_report& aReport);
+std::string FormatLoadTable(const load_run_report& aReport);
 
 /// The same figures for programs; times in milliseconds.
-nlohmann::json LoadReportJson(const load_report& aReport);
+nlohmann::json LoadReportJson(const load_run_report& aReport);
--- a/Source/UnitTests/Config/ConfigFollowerTest.cpp
+++ b/Source/UnitTests/Config/ConfigFollowerTest.cpp
@@ -14,7 +14,7 @@
 using std::chrono::seconds;
 
 /// One follower and one editor on a table that answers at once.
-class ConfigFollower : public testing::Test
+class config_follower_test : public testing::Test
 {
 protected:
   edit_outcome Put(const std::string& aSection,
@@ -86,7 +86,7 @@
 
 } // namespace
 
-TEST_F(ConfigFollower, StartsByScanAndFollowsOneSection)
+TEST_F(config_follower_test, StartsByScanAndFollowsOneSection)
 {
   PutBase();
   config_follower follower({});
@@ -106,7 +106,7 @@
 
 // Guards against a document without accounts coming into force because the
 // first answer came from an empty replica.
-TEST_F(ConfigFollower, IsNotReadyOnAnEmptyTable)
+TEST_F(config_follower_test, IsNotReadyOnAnEmptyTable)
 {
   config_follower follower({});
   Run(follower, seconds(3));
@@ -118,7 +118,7 @@
 
 // Guards against a node failing, or dropping its document, on a row that a
 // newer program wrote, and against never recovering from it.
-TEST_F(ConfigFollower, KeepsTheDocumentWhenAStoredOneIsUnreadable)
+TEST_F(config_follower_test, KeepsTheDocumentWhenAStoredOneIsUnreadable)
 {
   PutBase();
   config_follower follower({});
@@ -141,7 +141,7 @@
 }
 
 // Guards against an invalid stored document coming into force.
-TEST_F(ConfigFollower, KeepsTheDocumentWhenAStoredOneIsInvalid)
+TEST_F(config_follower_test, KeepsTheDocumentWhenAStoredOneIsInvalid)
 {
   PutBase();
   config_follower follower({});
@@ -156,7 +156,7 @@
 }
 
 // Guards against a lagging replica or a late reply taking a node back.
-TEST_F(ConfigFollower, IgnoresOlderRows)
+TEST_F(config_follower_test, IgnoresOlderRows)
 {
   PutBase();
   config_follower follower({});
@@ -177,7 +177,7 @@
 
 // Guards against unbounded reads after a long partition, and against reading
 // thousands of changes one by one where a scan is shorter.
-TEST_F(ConfigFollower, BoundsReadsWhenFarBehind)
+TEST_F(config_follower_test, BoundsReadsWhenFarBehind)
 {
   PutBase();
   follower_options options;
@@ -206,7 +206,7 @@
 }
 
 // Guards against a hint costing unbounded polls or blocking the start.
-TEST_F(ConfigFollower, PollsForHintsWithinBounds)
+TEST_F(config_follower_test, PollsForHintsWithinBounds)
 {
   PutBase();
   config_follower follower({});
@@ -222,7 +222,7 @@
   EXPECT_EQ(follower.Current().mVersion, 4U);
 }
 
-TEST_F(ConfigFollower, EditorReportsConflictWithBothVersions)
+TEST_F(config_follower_test, EditorReportsConflictWithBothVersions)
 {
   PutBase();
   Put("accounts/clinic", AccountText("key-2"), 3);
@@ -234,7 +234,7 @@
 }
 
 // Guards against a team changing a section that another team owns.
-TEST_F(ConfigFollower, EditorChecksOwner)
+TEST_F(config_follower_test, EditorChecksOwner)
 {
   PutBase();
   const auto status = [this](const char* aSection, const char* aSecret) {
@@ -250,7 +250,7 @@
   EXPECT_EQ(status("accounts/clinic", "s2"), edit_status::Invalid);
 }
 
-TEST_F(ConfigFollower, EditorChecksTheWholeDocument)
+TEST_F(config_follower_test, EditorChecksTheWholeDocument)
 {
   PutBase();
   const edit_outcome outcome = Put("billing", std::nullopt, 2);
--- a/Source/UnitTests/Config/NodeSettingsTest.cpp
+++ b/Source/UnitTests/Config/NodeSettingsTest.cpp
@@ -15,7 +15,7 @@
   "peer_keys": [ { "id": "k1", "secret": "0123456789abcdef" } ]
 })";
 
-std::string Replaced(std::string aFrom, const std::string& aTo)
+std::string Replaced(const std::string& aFrom, const std::string& aTo)
 {
   std::string text = kSettings;
   text.replace(text.find(aFrom), aFrom.size(), aTo);
--- a/Source/UnitTests/Load/LoadTest.cpp
+++ b/Source/UnitTests/Load/LoadTest.cpp
@@ -142,7 +142,7 @@
   return load;
 }
 
-load_report RunLoad(const workload& aWorkload)
+load_run_report RunLoad(const workload& aWorkload)
 {
   const system_time_source time;
   load_generator generator(aWorkload, time, {}, {});
@@ -164,7 +164,7 @@
   small_server seed;
   small_server node;
   seed.mEndpoints = { node.mAddress };
-  const load_report report = RunLoad(OneSource("good", seed.mAddress));
+  const load_run_report report = RunLoad(OneSource("good", seed.mAddress));
   EXPECT_EQ(report.mOutcomes, (outcome_map{ { "ok", 20 } }));
   EXPECT_EQ(seed.mCompletions, 0);
   EXPECT_EQ(seed.mEndpointRequests, 1);
@@ -183,7 +183,7 @@
 TEST(Load, RetriesOnlyWhatDidNotRunWithTheSameKey)
 {
   small_server node;
-  const load_report busy = RunLoad(OneSource("busy", node.mAddress));
+  const load_run_report busy = RunLoad(OneSource("busy", node.mAddress));
   EXPECT_EQ(busy.mOutcomes, (outcome_map{ { "ok", 20 } }));
   EXPECT_EQ(busy.mRetries, 20U);
   EXPECT_EQ(node.mKeys.size(), 20U);
@@ -191,11 +191,11 @@
   EXPECT_GE(busy.mRanks.at("urgent").mFirstToken.Percentile(0),
             milliseconds(20));
 
-  const load_report full = RunLoad(OneSource("full", node.mAddress));
+  const load_run_report full = RunLoad(OneSource("full", node.mAddress));
   EXPECT_EQ(full.mOutcomes, (outcome_map{ { "over_budget", 20 } }));
   EXPECT_EQ(full.mRetries, 40U);
 
-  const load_report unclear = RunLoad(OneSource("unclear", node.mAddress));
+  const load_run_report unclear = RunLoad(OneSource("unclear", node.mAddress));
   EXPECT_EQ(unclear.mOutcomes, (outcome_map{ { "upstream_lost", 20 } }));
   EXPECT_EQ(unclear.mRetries, 0U);
 }
@@ -221,7 +221,7 @@
   small_server node;
   workload load = OneSource("busy", node.mAddress);
   load.mMaxConcurrent = 1;
-  const load_report report = RunLoad(load);
+  const load_run_report report = RunLoad(load);
   EXPECT_EQ(report.mMostOpen, 1U);
   EXPECT_GT(report.mOutcomes.at("skipped"), 0U);
   EXPECT_EQ(report.mRequests, 20U);
@@ -229,7 +229,7 @@
 
 TEST(Load, ReadsEndpointsOfBothForms)
 {
-  const endpoint_answer answer = ReadEndpoints(
+  const known_endpoints answer = ReadEndpoints(
     "{\"endpoints\":[\"10.0.0.1:1\",{\"address\":\"10.0.0.2:2\"},7,\"x\"],"
     "\"cache_ms\":5}");
   EXPECT_EQ(answer.mAddresses.size(), 2U);
