--- /dev/null
+++ b/Source/UnitTests/Peer/PeerBytesTest.cpp
@@ -0,0 +1,85 @@
+#include <gtest/gtest.h>
+
+#include "../Membership/MembershipNetwork.h"
+#include "Common/EventLoop.h"
+#include "PeerFixture.h"
+
+namespace {
+
+using std::chrono::seconds;
+
+/// The platform's target for control traffic, in bytes per second and node.
+constexpr double kTarget = 2048;
+
+/// Bytes on the connection per heartbeat exchange beyond the two encoded
+/// messages, measured over loopback.
+double MeasureOverhead()
+{
+  constexpr int kCalls = 100;
+  event_loop loop;
+  recording_handler handler;
+  const peer_key_ring keys(std::vector<peer_key>{ { "k1", "secret" } });
+  const auto server = ListenOn("b", handler, keys);
+  peer_client_settings settings;
+  settings.mSelf = { "a" };
+  peer_client client(settings, keys);
+  const peer_target target{ { "b" }, server->Address() };
+  int done = 0;
+  const auto beat = [&] {
+    client.Heartbeat(target, {}, [&](const auto&) { ++done; });
+    const int before = done;
+    loop.RunUntil([&] { return done > before; }, seconds(5));
+  };
+  beat();
+  const auto before = client.Counters();
+  for (int i = 0; i < kCalls; ++i) {
+    beat();
+  }
+  const auto& after = client.Counters();
+  const auto bytes =
+    after.mBytesIn - before.mBytesIn + after.mBytesOut - before.mBytesOut;
+  const std::size_t bodies = 2 * EncodeMessage(heartbeat{}).size();
+  return static_cast<double>(bytes) / kCalls - static_cast<double>(bodies);
+}
+
+/// Bytes per second and node, sent, over `aTime`.
+double MeasureTraffic(membership_network& aNetwork,
+                      double aOverhead,
+                      seconds aTime)
+{
+  double bytes = 0;
+  aNetwork.mOnMessage = [&](const heartbeat& aMessage) {
+    // Heartbeat and reply are two messages, so each has half the overhead.
+    bytes +=
+      static_cast<double>(EncodeMessage(aMessage).size()) + aOverhead / 2;
+  };
+  aNetwork.Run(aTime);
+  aNetwork.mOnMessage = {};
+  return bytes / static_cast<double>(aNetwork.mNodes.size()) /
+         static_cast<double>(aTime.count());
+}
+
+class peer_bytes : public testing::TestWithParam<std::size_t>
+{};
+
+} // namespace
+
+INSTANTIATE_TEST_SUITE_P(Sizes, peer_bytes, testing::Values(8, 64, 340));
+
+// Guards against control traffic that grows with the fleet: right after all
+// nodes started, when every message is full of news, and after a node died.
+TEST_P(peer_bytes, StayWithinTheTarget)
+{
+  const double overhead = MeasureOverhead();
+  EXPECT_GT(overhead, 100);
+  membership_network network(GetParam(), 4);
+  network.Run(seconds(2));
+  const double starting = MeasureTraffic(network, overhead, seconds(20));
+  network.mNodes[1].mRuns = false;
+  const double losing = MeasureTraffic(network, overhead, seconds(20));
+  RecordProperty("overhead", static_cast<int>(overhead));
+  RecordProperty("starting", static_cast<int>(starting));
+  RecordProperty("losing", static_cast<int>(losing));
+  EXPECT_LT(starting, kTarget);
+  EXPECT_LT(losing, kTarget);
+}
