--- /dev/null
+++ b/Source/Core/Services/ServiceCallSystem.cpp
@@ -0,0 +1,429 @@
+#include "Services/ServiceCallSystem.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace {
+
+constexpr int kSuccessStatus = 200;
+constexpr int kClientErrorStatus = 400;
+constexpr int kServerErrorStatus = 500;
+
+call_outcome OutcomeOf(const service_response& aResponse)
+{
+  const bool known = aResponse.mStatus >= kSuccessStatus &&
+                     aResponse.mStatus < kServerErrorStatus;
+  // A server error does not tell whether the call took effect before it.
+  if (!known) {
+    return call_outcome::Unknown;
+  }
+  return aResponse.mStatus < kClientErrorStatus ? call_outcome::Ok
+                                                : call_outcome::Failed;
+}
+
+call_state StateOf(call_outcome aOutcome)
+{
+  switch (aOutcome) {
+    case call_outcome::Ok:
+      return call_state::Ok;
+    case call_outcome::Failed:
+      return call_state::Failed;
+    case call_outcome::Unknown:
+      return call_state::Unknown;
+    case call_outcome::NotRun:
+      return call_state::NotRun;
+  }
+  return call_state::Unknown;
+}
+
+bool NotApplied(table_error aError)
+{
+  return aError == table_error::Unavailable ||
+         aError == table_error::RateLimited;
+}
+
+} // namespace
+
+service_call_system::service_call_system(holder_id aSelf,
+                                         service_call_settings aSettings)
+  : mSelf(std::move(aSelf))
+  , mSettings(aSettings)
+{
+}
+
+call_number service_call_system::Begin(const service_call& aCall,
+                                       time_point aNow)
+{
+  ++mCounters.mBegun;
+  const call_number number = mNext++;
+  call_entry& entry = mCalls[number];
+  entry.mCall = aCall;
+  entry.mNextTry = aNow;
+  entry.mRecordUntil = aCall.mDeadline + mSettings.mRecord;
+  entry.mOverload = mCalls.size() > mSettings.mMaxCalls;
+  if (aCall.mMayBeRetry) {
+    entry.mStage = stage::Read;
+  } else {
+    BeginIntend(number, entry);
+  }
+  return number;
+}
+
+service_call_system::call_entry* service_call_system::Pending(
+  call_request aRequest)
+{
+  const auto request = mRequests.find(aRequest);
+  if (request == mRequests.end()) {
+    return nullptr;
+  }
+  const auto found = mCalls.find(request->second);
+  mRequests.erase(request);
+  // A late reply to a request that was repeated meanwhile counts for nothing.
+  if (found == mCalls.end() || found->second.mPending != aRequest) {
+    return nullptr;
+  }
+  found->second.mPending = 0;
+  return &found->second;
+}
+
+void service_call_system::OnRead(call_request aRequest,
+                                 const result<table_row, table_error>& aReply)
+{
+  if (call_entry* entry = Pending(aRequest)) {
+    entry->mRead = aReply;
+  }
+}
+
+void service_call_system::OnCommit(
+  call_request aRequest,
+  const result<commit_reply, table_error>& aReply)
+{
+  if (call_entry* entry = Pending(aRequest)) {
+    entry->mCommit = aReply;
+  }
+}
+
+void service_call_system::OnSent(call_number aCall)
+{
+  const auto found = mCalls.find(aCall);
+  if (found != mCalls.end()) {
+    found->second.mFirstByte = true;
+  }
+}
+
+void service_call_system::OnUpstreamResult(
+  call_number aCall,
+  const result<service_response, service_error>& aResult)
+{
+  const auto found = mCalls.find(aCall);
+  if (found != mCalls.end() && found->second.mStage == stage::Sent &&
+      !found->second.mUpstream) {
+    found->second.mUpstream = aResult;
+  }
+}
+
+call_work service_call_system::Tick(time_point aNow, wall_time aWallNow)
+{
+  tick current{ aNow, aWallNow, {} };
+  for (auto it = mCalls.begin(); it != mCalls.end();) {
+    Advance(it->first, it->second, current);
+    if (it->second.mStage == stage::Done) {
+      mRequests.erase(it->second.mPending);
+      it = mCalls.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  return std::move(current.mWork);
+}
+
+void service_call_system::Advance(call_number aNumber,
+                                  call_entry& aEntry,
+                                  tick& aTick)
+{
+  if (aEntry.mOverload) {
+    Refuse(aNumber, aEntry, call_reason::Overloaded, aTick);
+    aEntry.mStage = stage::Done;
+    return;
+  }
+  ExpireRequest(aEntry, aTick.mNow);
+  if (!aEntry.mAnswered && aEntry.mCall.mDeadline <= aTick.mNow) {
+    OnDeadline(aNumber, aEntry, aTick);
+  }
+  if (aEntry.mRecordUntil <= aTick.mNow && aEntry.mStage != stage::Done) {
+    ++mCounters.mNotRecorded;
+    aEntry.mStage = stage::Done;
+  }
+  if (aEntry.mStage == stage::Read) {
+    AdvanceRead(aNumber, aEntry, aTick);
+  }
+  if (aEntry.mStage == stage::Intend) {
+    AdvanceIntend(aNumber, aEntry, aTick);
+  }
+  if (aEntry.mStage == stage::Send) {
+    ++mCounters.mSent;
+    aEntry.mStage = stage::Sent;
+    aTick.mWork.mSends.push_back(aNumber);
+  }
+  if (aEntry.mStage == stage::Sent) {
+    AdvanceSent(aNumber, aEntry, aTick);
+  }
+  if (aEntry.mStage == stage::Record) {
+    AdvanceRecord(aNumber, aEntry, aTick);
+  }
+}
+
+void service_call_system::OnDeadline(call_number aNumber,
+                                     call_entry& aEntry,
+                                     tick& aTick)
+{
+  switch (aEntry.mStage) {
+    case stage::Read:
+      Answer(aEntry,
+             { aNumber, call_outcome::Unknown, call_reason::OtherAttempt, {} },
+             aTick);
+      aEntry.mStage = stage::Done;
+      break;
+    case stage::Intend:
+      Refuse(aNumber, aEntry, call_reason::Deadline, aTick);
+      // A commit that may have been applied is settled first, so that its row
+      // does not stay open.
+      if (!aEntry.mMaybeApplied && aEntry.mPending == 0 && !aEntry.mCommit) {
+        aEntry.mStage = stage::Done;
+      }
+      break;
+    case stage::Sent:
+      if (!aEntry.mUpstream) {
+        Answer(aEntry,
+               { aNumber, call_outcome::Unknown, call_reason::Deadline, {} },
+               aTick);
+      }
+      break;
+    default:
+      break;
+  }
+}
+
+void service_call_system::AdvanceRead(call_number aNumber,
+                                      call_entry& aEntry,
+                                      tick& aTick)
+{
+  if (aEntry.mRead) {
+    TakeRow(aNumber, aEntry, aTick);
+  }
+  if (aEntry.mStage == stage::Read && aEntry.mPending == 0 &&
+      aEntry.mNextTry <= aTick.mNow) {
+    SendRead(aNumber, aEntry, aTick);
+  }
+}
+
+void service_call_system::TakeRow(call_number aNumber,
+                                  call_entry& aEntry,
+                                  tick& aTick)
+{
+  const auto reply = *std::exchange(aEntry.mRead, std::nullopt);
+  if (!reply.has_value()) {
+    if (reply.error() == table_error::Unavailable && !aEntry.mSeen) {
+      Refuse(aNumber, aEntry, call_reason::TableUnavailable, aTick);
+      aEntry.mStage = stage::Done;
+    } else {
+      BackOff(aEntry, aTick.mNow);
+    }
+    return;
+  }
+  aEntry.mSeen = true;
+  aEntry.mVersion = reply.value().mVersion;
+  if (aEntry.mVersion == 0) {
+    BeginIntend(aNumber, aEntry);
+    return;
+  }
+  const auto row = ParseCallRow(reply.value().mValue);
+  if (!row.has_value()) {
+    Answer(aEntry,
+           { aNumber, call_outcome::Unknown, call_reason::OtherAttempt, {} },
+           aTick);
+    aEntry.mStage = stage::Done;
+    return;
+  }
+  TakeOutcome(aNumber, aEntry, row.value(), aTick);
+}
+
+void service_call_system::TakeOutcome(call_number aNumber,
+                                      call_entry& aEntry,
+                                      const call_row& aRow,
+                                      tick& aTick)
+{
+  call_answer answer{ aNumber, call_outcome::Unknown, call_reason::None, {} };
+  if (aRow.mContent != aEntry.mCall.mContent ||
+      aRow.mService != aEntry.mCall.mService) {
+    // A row never changes its content, so this one never had an intent.
+    answer.mOutcome = call_outcome::NotRun;
+    answer.mReason = call_reason::KeyReused;
+  } else if (aRow.mState == call_state::NotRun) {
+    BeginIntend(aNumber, aEntry);
+    return;
+  } else if (aRow.mState == call_state::Open && aRow.mWriter == mSelf &&
+             aRow.mAttempt == aNumber) {
+    // The commit took effect although the service does not remember it.
+    aEntry.mStage = stage::Send;
+    return;
+  } else if (aRow.mState == call_state::Open) {
+    if (aTick.mWallNow < aRow.mDeadline + mSettings.mWaitGrace) {
+      BackOff(aEntry, aTick.mNow);
+      return;
+    }
+    answer.mReason = call_reason::OtherAttempt;
+  } else if (aRow.mState == call_state::Unknown) {
+    answer.mReason = call_reason::AnswerLost;
+  } else {
+    ++mCounters.mShared;
+    answer.mOutcome =
+      aRow.mState == call_state::Ok ? call_outcome::Ok : call_outcome::Failed;
+    if (aRow.mResponse && aTick.mWallNow < aRow.mExpires) {
+      answer.mResponse = aRow.mResponse;
+    } else {
+      answer.mReason = call_reason::AnswerNotKept;
+    }
+  }
+  Answer(aEntry, std::move(answer), aTick);
+  aEntry.mStage = stage::Done;
+}
+
+void service_call_system::AdvanceIntend(call_number aNumber,
+                                        call_entry& aEntry,
+                                        tick& aTick)
+{
+  if (const auto reply = std::exchange(aEntry.mCommit, std::nullopt)) {
+    if (!reply->has_value()) {
+      OnIntentError(aNumber, aEntry, reply->error(), aTick);
+    } else if (!reply->value().mCommitted) {
+      // Another attempt exists, so this one can no longer tell that the call
+      // did not run.
+      aEntry.mCall.mMayBeRetry = true;
+      aEntry.mStage = aEntry.mAnswered ? stage::Done : stage::Read;
+      aEntry.mNextTry = aTick.mNow;
+      AdvanceRead(aNumber, aEntry, aTick);
+      return;
+    } else {
+      aEntry.mVersion = reply->value().mVersion;
+      aEntry.mStage = stage::Send;
+      if (aEntry.mAnswered) {
+        BeginRecord(aNumber, aEntry, call_state::NotRun, aTick);
+      }
+      return;
+    }
+  }
+  if (aEntry.mStage == stage::Intend && aEntry.mPending == 0 &&
+      aEntry.mNextTry <= aTick.mNow) {
+    SendCommit(aNumber, aEntry, aTick);
+  }
+}
+
+void service_call_system::OnIntentError(call_number aNumber,
+                                        call_entry& aEntry,
+                                        table_error aError,
+                                        tick& aTick)
+{
+  aEntry.mMaybeApplied = aEntry.mMaybeApplied || !NotApplied(aError);
+  BackOff(aEntry, aTick.mNow);
+  if (aEntry.mMaybeApplied) {
+    return;
+  }
+  if (aError == table_error::Unavailable && !aEntry.mAnswered) {
+    Refuse(aNumber, aEntry, call_reason::TableUnavailable, aTick);
+  }
+  if (aEntry.mAnswered) {
+    aEntry.mStage = stage::Done;
+  }
+}
+
+void service_call_system::AdvanceSent(call_number aNumber,
+                                      call_entry& aEntry,
+                                      tick& aTick)
+{
+  const auto upstream = std::exchange(aEntry.mUpstream, std::nullopt);
+  if (!upstream) {
+    return;
+  }
+  if (!upstream->has_value()) {
+    if (upstream->error() == service_error::NotSent && !aEntry.mFirstByte) {
+      Refuse(aNumber, aEntry, call_reason::ServiceUnreachable, aTick);
+      BeginRecord(aNumber, aEntry, call_state::NotRun, aTick);
+      return;
+    }
+    Answer(aEntry,
+           { aNumber, call_outcome::Unknown, call_reason::AnswerLost, {} },
+           aTick);
+    BeginRecord(aNumber, aEntry, call_state::Unknown, aTick);
+    return;
+  }
+  const service_response& response = upstream->value();
+  const call_outcome outcome = OutcomeOf(response);
+  Answer(aEntry, { aNumber, outcome, call_reason::None, response }, aTick);
+  if (response.mBody.size() <= mSettings.mMaxKeptBody) {
+    aEntry.mRow.mResponse = response;
+  }
+  BeginRecord(aNumber, aEntry, StateOf(outcome), aTick);
+}
+
+void service_call_system::AdvanceRecord(call_number aNumber,
+                                        call_entry& aEntry,
+                                        tick& aTick)
+{
+  if (const auto reply = std::exchange(aEntry.mCommit, std::nullopt)) {
+    if (reply->has_value()) {
+      // Only the writer changes an open row, so a conflict is not expected.
+      mCounters.mNotRecorded += reply->value().mCommitted ? 0 : 1;
+      aEntry.mStage = stage::Done;
+      return;
+    }
+    BackOff(aEntry, aTick.mNow);
+  }
+  if (aEntry.mPending == 0 && aEntry.mNextTry <= aTick.mNow) {
+    SendCommit(aNumber, aEntry, aTick);
+  }
+}
+
+void service_call_system::BackOff(call_entry& aEntry, time_point aNow)
+{
+  ++mCounters.mTableRetries;
+  aEntry.mBackoff = aEntry.mBackoff.count() == 0
+                      ? mSettings.mTableRetry
+                      : std::min(aEntry.mBackoff * 2, mSettings.mMaxTableRetry);
+  aEntry.mNextTry = aNow + aEntry.mBackoff;
+}
+
+// Ends an attempt that sent nothing and never will.
+void service_call_system::Refuse(call_number aNumber,
+                                 call_entry& aEntry,
+                                 call_reason aReason,
+                                 tick& aTick)
+{
+  const call_outcome outcome =
+    aEntry.mCall.mMayBeRetry ? call_outcome::Unknown : call_outcome::NotRun;
+  Answer(aEntry, { aNumber, outcome, aReason, {} }, aTick);
+}
+
+void service_call_system::Answer(call_entry& aEntry,
+                                 call_answer aAnswer,
+                                 tick& aTick)
+{
+  if (std::exchange(aEntry.mAnswered, true)) {
+    return;
+  }
+  switch (aAnswer.mOutcome) {
+    case call_outcome::Ok:
+      ++mCounters.mOk;
+      break;
+    case call_outcome::Failed:
+      ++mCounters.mFailed;
+      break;
+    case call_outcome::Unknown:
+      ++mCounters.mUnknown;
+      break;
+    case call_outcome::NotRun:
+      ++mCounters.mNotRun;
+      break;
+  }
+  aTick.mWork.mAnswers.push_back(std::move(aAnswer));
+}
--- a/Source/Core/Services/ServiceCallSystem.h
+++ b/Source/Core/Services/ServiceCallSystem.h
@@ -25,21 +25,27 @@
   std::chrono::milliseconds mMaxTableRetry{ 2000 };
   /// A table request without a reply counts as timed out after this.
   std::chrono::milliseconds mTableLimit{ 3000 };
+  /// A waiting attempt gives up this long after the deadline of the attempt
+  /// that it waits for.
+  std::chrono::milliseconds mWaitGrace{ 2000 };
   /// How long a node tries to record an outcome after the caller's deadline.
   std::chrono::seconds mRecord{ 600 };
 };
 
+/// Tells the replies of the table service apart.
+using call_request = std::uint64_t;
+
 /// A read to make; the reply goes to `OnRead` with the same number.
 struct call_read
 {
-  call_number mCall = 0;
+  call_request mRequest = 0;
   std::string mKey;
 };
 
 /// A commit to make; the reply goes to `OnCommit` with the same number.
 struct call_commit
 {
-  call_number mCall = 0;
+  call_request mRequest = 0;
   table_transaction mTransaction;
 };
 
@@ -64,7 +70,7 @@
   /// Answers taken from another attempt's row.
   std::uint64_t mShared = 0;
   std::uint64_t mTableRetries = 0;
-  /// Outcomes that could not be recorded.
+  /// Calls or outcomes whose row could not be settled.
   std::uint64_t mNotRecorded = 0;
 };
 
@@ -74,22 +80,20 @@
 {
 public:
   service_call_system(holder_id aSelf, service_call_settings aSettings);
-  ~service_call_system();
 
   /// Starts an attempt.
   call_number Begin(const service_call& aCall, time_point aNow);
-  void OnRead(call_number aCall,
-              const result<table_row, table_error>& aReply,
-              time_point aNow);
-  void OnCommit(call_number aCall,
-                const result<commit_reply, table_error>& aReply,
-                time_point aNow);
+  void OnRead(call_request aRequest,
+              const result<table_row, table_error>& aReply);
+  void OnCommit(call_request aRequest,
+                const result<commit_reply, table_error>& aReply);
   /// The first byte may have gone out.
-  void OnSent(call_number aCall, time_point aNow);
+  void OnSent(call_number aCall);
+  /// How sending ended; for a call that `Tick` asked to send.
   void OnUpstreamResult(call_number aCall,
-                        const result<service_response, service_error>& aResult,
-                        time_point aNow);
-  /// Work that is due. `aWallNow` dates the stored answers.
+                        const result<service_response, service_error>& aResult);
+  /// Work that is due. Call after each reply and every 100 ms or so. `aWallNow`
+  /// dates the stored answers.
   call_work Tick(time_point aNow, wall_time aWallNow);
 
   /// Attempts that are unanswered or whose outcome is not recorded yet.
@@ -97,12 +101,98 @@
   const service_call_counters& Counters() const { return mCounters; }
 
 private:
-  enum class stage : std::uint8_t;
-  struct call_entry;
+  enum class stage : std::uint8_t
+  {
+    /// Reads the row, or waits for another attempt to end.
+    Read,
+    /// Commits the intent.
+    Intend,
+    /// The intent is committed; nothing was sent.
+    Send,
+    /// Handed to the node for sending.
+    Sent,
+    /// Commits the outcome.
+    Record,
+    Done,
+  };
+
+  struct call_entry
+  {
+    service_call mCall;
+    stage mStage = stage::Intend;
+    bool mAnswered = false;
+    bool mOverload = false;
+    /// The row was read at least once.
+    bool mSeen = false;
+    /// A byte may have gone out.
+    bool mFirstByte = false;
+    /// Request that a reply is awaited for, 0 for none.
+    call_request mPending = 0;
+    time_point mReplyBy;
+    time_point mNextTry;
+    std::chrono::milliseconds mBackoff{ 0 };
+    /// A commit of the current transaction timed out.
+    bool mMaybeApplied = false;
+    std::uint32_t mTransactions = 0;
+    transaction_id mTransaction;
+    /// Version of the row that the next commit builds on.
+    std::uint64_t mVersion = 0;
+    /// What the current transaction writes.
+    call_row mRow;
+    time_point mRecordUntil;
+    std::optional<result<table_row, table_error>> mRead;
+    std::optional<result<commit_reply, table_error>> mCommit;
+    std::optional<result<service_response, service_error>> mUpstream;
+  };
+
+  /// Time and results of one tick.
+  struct tick
+  {
+    time_point mNow;
+    wall_time mWallNow;
+    call_work mWork;
+  };
+
+  void Advance(call_number aNumber, call_entry& aEntry, tick& aTick);
+  void OnDeadline(call_number aNumber, call_entry& aEntry, tick& aTick);
+  void AdvanceRead(call_number aNumber, call_entry& aEntry, tick& aTick);
+  void TakeRow(call_number aNumber, call_entry& aEntry, tick& aTick);
+  void TakeOutcome(call_number aNumber,
+                   call_entry& aEntry,
+                   const call_row& aRow,
+                   tick& aTick);
+  void AdvanceIntend(call_number aNumber, call_entry& aEntry, tick& aTick);
+  void AdvanceSent(call_number aNumber, call_entry& aEntry, tick& aTick);
+  void AdvanceRecord(call_number aNumber, call_entry& aEntry, tick& aTick);
+  void OnIntentError(call_number aNumber,
+                     call_entry& aEntry,
+                     table_error aError,
+                     tick& aTick);
+  void BeginIntend(call_number aNumber, call_entry& aEntry);
+  void BeginRecord(call_number aNumber,
+                   call_entry& aEntry,
+                   call_state aState,
+                   const tick& aTick);
+  void NewTransaction(call_number aNumber, call_entry& aEntry);
+  void SendRead(call_number aNumber, call_entry& aEntry, tick& aTick);
+  void SendCommit(call_number aNumber, call_entry& aEntry, tick& aTick);
+  call_request Request(call_number aNumber,
+                       call_entry& aEntry,
+                       time_point aNow);
+  void ExpireRequest(call_entry& aEntry, time_point aNow);
+  void BackOff(call_entry& aEntry, time_point aNow);
+  void Refuse(call_number aNumber,
+              call_entry& aEntry,
+              call_reason aReason,
+              tick& aTick);
+  void Answer(call_entry& aEntry, call_answer aAnswer, tick& aTick);
+  call_entry* Pending(call_request aRequest);
 
   holder_id mSelf;
   service_call_settings mSettings;
   call_number mNext = 1;
+  call_request mNextRequest = 1;
   std::map<call_number, call_entry> mCalls;
+  std::map<call_request, call_number> mRequests;
   service_call_counters mCounters;
 };
