--- a/Source/Core/Common/JsonText.cpp
+++ b/Source/Core/Common/JsonText.cpp
@@ -1,5 +1,6 @@
 #include "Common/JsonText.h"
 
+#include <algorithm>
 #include <vector>
 
 #include <fmt/format.h>
@@ -10,6 +11,8 @@
 
 // Deeper documents are refused, so that recursive checks stay within the stack.
 constexpr std::size_t kMaxDepth = 64;
+// An error message must not grow with the input.
+constexpr std::size_t kMaxQuoted = 40;
 
 std::string EscapePointer(std::string_view aKey)
 {
@@ -26,6 +29,13 @@
   return escaped;
 }
 
+/// The end of what the parser read last, which may be the whole input.
+std::string_view LastPart(std::string_view aToken)
+{
+  const std::size_t size = std::min(aToken.size(), kMaxQuoted);
+  return aToken.substr(aToken.size() - size);
+}
+
 /// Builds the value from parser events and notes the line of each value. The
 /// reader's position is taken from the iterator that the parser advances.
 class line_builder final : public nlohmann::json_sax<json>
@@ -82,7 +92,7 @@
     mError = { mText.mSource,
                mLine,
                mStack.empty() ? std::string() : mStack.back().mPointer,
-               fmt::format("syntax error near \"{}\"", aToken) };
+               fmt::format("syntax error near \"{}\"", LastPart(aToken)) };
     return false;
   }
 
--- a/Source/Core/Dispatch/AttemptEnd.cpp
+++ b/Source/Core/Dispatch/AttemptEnd.cpp
@@ -118,14 +118,18 @@
   }
   Fail(aTables, upstream, aNow);
   aEntry.mTried.push_back(upstream);
-  const bool midStream =
+  const bool begun =
     aEntry.mFirstToken || aOutcome == attempt_outcome::BrokeMidStream;
+  const bool midStream = begun && !aEntry.mRequest.mResumable;
   if (midStream) {
     aTables.mQuarantine.EndRetry(aEntry.mRequest.mContent);
     aTables.Reject(request, reject_reason::BrokeMidStream, run_state::Ran);
     return;
   }
-  if (aOutcome != attempt_outcome::RefusedBeforeRunning) {
+  if (begun) {
+    aEntry.mRun = run_state::Ran;
+  } else if (aOutcome != attempt_outcome::RefusedBeforeRunning &&
+             aEntry.mRun == run_state::NotRun) {
     aEntry.mRun = run_state::Unknown;
   }
   RetryOrReject(aTables, aEntry, aNow);
--- a/Source/Core/Dispatch/DispatchTypes.h
+++ b/Source/Core/Dispatch/DispatchTypes.h
@@ -37,6 +37,9 @@
   content_id mContent;
   /// Chained hashes of the prompt's token blocks, first block first.
   std::vector<std::uint64_t> mPrefixBlocks;
+  /// Every upstream of the model can go on with a response that broke after
+  /// its first token, so such an attempt may be retried.
+  bool mResumable = false;
   auto operator<=>(const dispatch_request&) const = default;
 };
 
--- /dev/null
+++ b/Source/Core/Node/AdminApi.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "Common/Time.h"
+#include "Config/ConfigEditor.h"
+#include "Config/NodeSettings.h"
+#include "Node/BudgetAdmin.h"
+#include "Platform/HttpExchange.h"
+#include "Platform/TableService.h"
+
+class node_app;
+
+/// Operators' interface under `/admin/v1`, used by the command line. Every
+/// call needs `Authorization: Bearer ID:SECRET` of an operator key.
+class admin_api
+{
+public:
+  explicit admin_api(node_app& aNode);
+  ~admin_api();
+
+  void Accept(const http_exchange_ptr& aExchange);
+  /// Goes on with configuration changes in progress.
+  void Tick(time_point aNow);
+
+private:
+  using rows_result = result<std::vector<table_row>, table_error>;
+  using rows_handler = std::function<void(const std::vector<table_row>&)>;
+
+  struct pending_edit
+  {
+    http_exchange_ptr mExchange;
+    std::shared_ptr<config_editor> mEditor;
+  };
+
+  const operator_key* FindOperator(std::string_view aAuthorization) const;
+  void Route(const http_exchange_ptr& aExchange, const operator_key& aOperator);
+  void Drain(const http_exchange_ptr& aExchange);
+  void GetConfig(const http_exchange_ptr& aExchange);
+  void GetHistory(const http_exchange_ptr& aExchange);
+  void PutConfig(const http_exchange_ptr& aExchange,
+                 const operator_key& aOperator);
+  void ImportConfig(const http_exchange_ptr& aExchange,
+                    const operator_key& aOperator);
+  void CommitImport(const http_exchange_ptr& aExchange,
+                    const table_transaction& aTransaction,
+                    unsigned aAttempt);
+  void FinishEdit(const pending_edit& aEdit);
+  void ScanSections(const http_exchange_ptr& aExchange,
+                    std::string aAfter,
+                    const std::shared_ptr<std::vector<table_row>>& aRows);
+  /// Reads rows and replies with an error when the table does not answer.
+  void ReadRows(const http_exchange_ptr& aExchange,
+                std::vector<std::string> aKeys,
+                rows_handler aHandler);
+
+  node_app& mNode;
+  std::mt19937_64 mRandom;
+  std::vector<pending_edit> mEdits;
+  budget_admin mBudgets;
+};
--- /dev/null
+++ b/Source/Core/Node/BudgetAdmin.cpp
@@ -0,0 +1,351 @@
+#include "Node/BudgetAdmin.h"
+
+#include <utility>
+
+#include <libsoup/soup.h>
+#include <nlohmann/json.hpp>
+
+namespace {
+
+using json = nlohmann::json;
+
+constexpr std::string_view kPrefix = "/admin/v1/budgets/";
+constexpr std::uint32_t kScanPage = 100;
+// A conflict or a lost reply is tried again this often before the operator is
+// asked to repeat the command.
+constexpr unsigned kMaxAttempts = 8;
+
+void ReplyTableError(http_exchange& aExchange, table_error aError)
+{
+  aExchange.ReplyError(SOUP_STATUS_SERVICE_UNAVAILABLE,
+                       "store_unavailable",
+                       TableErrorName(aError));
+}
+
+void ReplyOperationError(http_exchange& aExchange, operation_error aError)
+{
+  aExchange.ReplyError(
+    SOUP_STATUS_CONFLICT, OperationErrorName(aError), "nothing was changed");
+}
+
+json FormatRow(const budget_id& aBudget, const budget_row& aRow)
+{
+  json holders = json::array();
+  for (const auto& [holder, tokens] : aRow.mOutstanding) {
+    holders.push_back(
+      { { "holder", FormatHolder(holder) }, { "granted", tokens } });
+  }
+  return {
+    { "budget", aBudget.mName },       { "total", aRow.mTotal },
+    { "spent", aRow.mSpent },          { "granted", aRow.OutstandingSum() },
+    { "available", aRow.Available() }, { "segments", aRow.mNextSegment },
+    { "holders", std::move(holders) }
+  };
+}
+
+json FormatReport(const budget_id& aBudget, const reconcile_report& aReport)
+{
+  json findings = json::array();
+  for (const finding& finding : aReport.mFindings) {
+    findings.push_back({ { "kind", FindingName(finding.mKind) },
+                         { "key", finding.mKey },
+                         { "number", finding.mNumber } });
+  }
+  return {
+    { "budget", aBudget.mName },         { "clean", aReport.IsClean() },
+    { "total", aReport.mTotal },         { "spent", aReport.mSpent },
+    { "granted", aReport.mOutstanding }, { "charged", aReport.mCharged },
+    { "charges", aReport.mCharges },     { "segments", aReport.mSegments },
+    { "findings", std::move(findings) }
+  };
+}
+
+bool ReadAmount(std::string_view aBody,
+                budget_id& aBudget,
+                std::int64_t& aTokens)
+{
+  const json body = json::parse(aBody, nullptr, false);
+  const bool shape = body.is_object() && body.contains("budget") &&
+                     body.at("budget").is_string() && body.contains("tokens") &&
+                     body.at("tokens").is_number_integer();
+  if (!shape) {
+    return false;
+  }
+  aBudget.mName = body.at("budget").get<std::string>();
+  aTokens = body.at("tokens").get<std::int64_t>();
+  return true;
+}
+
+bool ReadHolder(std::string_view aBody, holder_id& aHolder)
+{
+  const json body = json::parse(aBody, nullptr, false);
+  const bool shape =
+    body.is_object() && body.contains("node") && body.at("node").is_string() &&
+    body.contains("incarnation") && body.at("incarnation").is_number_unsigned();
+  if (!shape) {
+    return false;
+  }
+  aHolder.mNode.mName = body.at("node").get<std::string>();
+  aHolder.mIncarnation = body.at("incarnation").get<std::uint64_t>();
+  return true;
+}
+
+} // namespace
+
+budget_admin::budget_admin(table_service& aTable, const time_source& aTime)
+  : mTable(aTable)
+  , mRandom(
+      std::random_device{}() ^
+      static_cast<std::uint64_t>(aTime.WallNow().time_since_epoch().count()))
+{
+}
+
+void budget_admin::Accept(const http_exchange_ptr& aExchange)
+{
+  std::string_view action = aExchange->Path();
+  action.remove_prefix(std::min(kPrefix.size(), action.size()));
+  const bool reads = aExchange->Method() == "GET";
+  if (action == "show" && reads) {
+    Show(aExchange);
+  } else if (action == "reconcile" && reads) {
+    ReconcileBudget(aExchange);
+  } else if (action == "create" && !reads) {
+    Change(aExchange, true);
+  } else if (action == "topup" && !reads) {
+    Change(aExchange, false);
+  } else if (action == "writeoff" && !reads) {
+    WriteOff(aExchange);
+  } else {
+    aExchange->ReplyError(
+      SOUP_STATUS_NOT_FOUND, "not_found", "no such budget command");
+  }
+}
+
+void budget_admin::Show(const http_exchange_ptr& aExchange)
+{
+  const budget_id budget{ aExchange->Query("budget") };
+  ReadRows(aExchange,
+           { BudgetKey(budget) },
+           [aExchange, budget](const std::vector<table_row>& aRows) {
+             const auto row = ShowBudget(aRows.front());
+             if (!row) {
+               ReplyOperationError(*aExchange, row.error());
+               return;
+             }
+             aExchange->ReplyJson(SOUP_STATUS_OK,
+                                  FormatRow(budget, row.value()));
+           });
+}
+
+void budget_admin::Change(const http_exchange_ptr& aExchange, bool aCreate)
+{
+  budget_id budget;
+  std::int64_t tokens = 0;
+  if (!ReadAmount(aExchange->Body(), budget, tokens)) {
+    aExchange->ReplyError(SOUP_STATUS_BAD_REQUEST,
+                          "invalid_request",
+                          "body: expected budget and tokens");
+    return;
+  }
+  auto change = std::make_shared<command>();
+  change->mExchange = aExchange;
+  change->mKey = BudgetKey(budget);
+  change->mCompose = [budget, tokens, aCreate](const table_row& aRow,
+                                               const transaction_id& aId) {
+    return aCreate ? CreateBudget(budget, aRow, tokens, aId)
+                   : TopUpBudget(budget, aRow, tokens, aId);
+  };
+  change->mDone = [aExchange, budget] {
+    aExchange->ReplyJson(SOUP_STATUS_OK,
+                         { { "budget", budget.mName }, { "done", true } });
+  };
+  Run(change);
+}
+
+void budget_admin::WriteOff(const http_exchange_ptr& aExchange)
+{
+  holder_id holder;
+  if (!ReadHolder(aExchange->Body(), holder)) {
+    aExchange->ReplyError(SOUP_STATUS_BAD_REQUEST,
+                          "invalid_request",
+                          "body: expected node and incarnation");
+    return;
+  }
+  auto fence = std::make_shared<command>();
+  fence->mExchange = aExchange;
+  fence->mKey = HolderKey(holder);
+  fence->mCompose = [holder](const table_row& aRow, const transaction_id& aId) {
+    return WriteOffHolder(holder, aRow, aId);
+  };
+  fence->mDone = [this, aExchange, holder] {
+    ReturnPage(aExchange, holder, 0);
+  };
+  Run(fence);
+}
+
+/// Returns the grants of a fenced holder, one page of budgets at a time. Each
+/// page removes its own index rows, so the scan always starts at the front.
+void budget_admin::ReturnPage(const http_exchange_ptr& aExchange,
+                              const holder_id& aHolder,
+                              std::int64_t aReturned)
+{
+  mTable.Scan({ GrantPrefix(aHolder), "", kScanPage },
+              [this, aExchange, aHolder, aReturned](const rows_result& aReply) {
+                if (aReply.has_error()) {
+                  ReplyTableError(*aExchange, aReply.error());
+                  return;
+                }
+                if (aReply.value().empty()) {
+                  aExchange->ReplyJson(SOUP_STATUS_OK,
+                                       { { "holder", FormatHolder(aHolder) },
+                                         { "returned", aReturned } });
+                  return;
+                }
+                ReturnRows(aExchange, aHolder, aReply.value(), aReturned);
+              });
+}
+
+void budget_admin::ReturnRows(const http_exchange_ptr& aExchange,
+                              const holder_id& aHolder,
+                              const std::vector<table_row>& aIndex,
+                              std::int64_t aReturned)
+{
+  std::vector<std::string> keys{ HolderKey(aHolder) };
+  for (const table_row& index : aIndex) {
+    const std::string budget = index.mKey.substr(GrantPrefix(aHolder).size());
+    keys.push_back(BudgetKey({ budget }));
+  }
+  ReadRows(aExchange,
+           std::move(keys),
+           [this, aExchange, aHolder, aReturned](std::vector<table_row> aRows) {
+             const std::uint64_t holderVersion = aRows.front().mVersion;
+             aRows.erase(aRows.begin());
+             returned_grants page =
+               ReturnGrants(aHolder, holderVersion, aRows, NewId());
+             if (page.mTransaction.mWrites.empty()) {
+               aExchange->ReplyError(
+                 SOUP_STATUS_CONFLICT,
+                 "unreadable_rows",
+                 "the remaining budget rows cannot be read");
+               return;
+             }
+             auto change = std::make_shared<command>();
+             change->mExchange = aExchange;
+             change->mDone =
+               [this, aExchange, aHolder, total = aReturned + page.mTokens] {
+                 ReturnPage(aExchange, aHolder, total);
+               };
+             Commit(change, page.mTransaction);
+           });
+}
+
+void budget_admin::ReconcileBudget(const http_exchange_ptr& aExchange)
+{
+  ScanSegments(aExchange,
+               { aExchange->Query("budget") },
+               "",
+               std::make_shared<std::vector<table_row>>());
+}
+
+/// Segments are read before the row, since new ones may be added meanwhile.
+void budget_admin::ScanSegments(
+  const http_exchange_ptr& aExchange,
+  const budget_id& aBudget,
+  const std::string& aAfter,
+  const std::shared_ptr<std::vector<table_row>>& aSegments)
+{
+  mTable.Scan({ SegmentPrefix(aBudget), aAfter, kScanPage },
+              [this, aExchange, aBudget, aSegments](const rows_result& aReply) {
+                if (aReply.has_error()) {
+                  ReplyTableError(*aExchange, aReply.error());
+                  return;
+                }
+                const auto& page = aReply.value();
+                aSegments->insert(aSegments->end(), page.begin(), page.end());
+                if (page.size() == kScanPage) {
+                  ScanSegments(aExchange, aBudget, page.back().mKey, aSegments);
+                  return;
+                }
+                ReplyReport(aExchange, aBudget, *aSegments);
+              });
+}
+
+void budget_admin::ReplyReport(const http_exchange_ptr& aExchange,
+                               const budget_id& aBudget,
+                               const std::vector<table_row>& aSegments)
+{
+  ReadRows(
+    aExchange,
+    { BudgetKey(aBudget) },
+    [aExchange, aBudget, aSegments](const std::vector<table_row>& aRows) {
+      const reconcile_report report =
+        Reconcile(aBudget, aRows.front(), aSegments);
+      aExchange->ReplyJson(SOUP_STATUS_OK, FormatReport(aBudget, report));
+    });
+}
+
+void budget_admin::Run(const std::shared_ptr<command>& aCommand)
+{
+  const auto exchange = aCommand->mExchange;
+  ReadRows(exchange,
+           { aCommand->mKey },
+           [this, aCommand](const std::vector<table_row>& aRows) {
+             const transaction_result transaction =
+               aCommand->mCompose(aRows.front(), NewId());
+             if (transaction.has_error()) {
+               ReplyOperationError(*aCommand->mExchange, transaction.error());
+               return;
+             }
+             if (transaction.value().mWrites.empty()) {
+               aCommand->mDone();
+               return;
+             }
+             Commit(aCommand, transaction.value());
+           });
+}
+
+/// Commits until the outcome is known; a conflict starts again from the row.
+void budget_admin::Commit(const std::shared_ptr<command>& aCommand,
+                          const table_transaction& aTransaction)
+{
+  mTable.Commit(
+    aTransaction,
+    [this, aCommand, aTransaction](
+      const result<commit_reply, table_error>& aReply) {
+      if (aReply.has_value() && aReply.value().mCommitted) {
+        aCommand->mDone();
+        return;
+      }
+      if (++aCommand->mAttempts >= kMaxAttempts) {
+        aCommand->mExchange->ReplyError(
+          SOUP_STATUS_SERVICE_UNAVAILABLE,
+          "outcome_unknown",
+          "the store did not confirm the change; show the budget before "
+          "repeating the command");
+        return;
+      }
+      if (aReply.has_error()) {
+        Commit(aCommand, aTransaction);
+      } else if (aCommand->mCompose) {
+        Run(aCommand);
+      } else {
+        aCommand->mDone();
+      }
+    });
+}
+
+void budget_admin::ReadRows(const http_exchange_ptr& aExchange,
+                            std::vector<std::string> aKeys,
+                            const rows_handler& aHandler)
+{
+  mTable.Read(std::move(aKeys),
+              [aExchange, aHandler](const rows_result& aReply) {
+                if (aReply.has_error()) {
+                  ReplyTableError(*aExchange, aReply.error());
+                } else if (aReply.value().empty()) {
+                  ReplyTableError(*aExchange, table_error::Malformed);
+                } else {
+                  aHandler(aReply.value());
+                }
+              });
+}
--- /dev/null
+++ b/Source/Core/Node/BudgetAdmin.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "Budget/BudgetOperations.h"
+#include "Common/Time.h"
+#include "Platform/HttpExchange.h"
+#include "Platform/TableService.h"
+
+/// Operators' commands on budgets: `/admin/v1/budgets/...`.
+///
+/// | call | effect |
+/// | --- | --- |
+/// | `GET show?budget=B` | the row, with the grants by holder |
+/// | `POST create` `{"budget","tokens"}` | a new budget |
+/// | `POST topup` `{"budget","tokens"}` | more prepaid tokens |
+/// | `POST writeoff` `{"node","incarnation"}` | returns the grants of a holder
+///   that is gone for good |
+/// | `GET reconcile?budget=B` | checks every charge against the row |
+class budget_admin
+{
+public:
+  budget_admin(table_service& aTable, const time_source& aTime);
+
+  void Accept(const http_exchange_ptr& aExchange);
+
+private:
+  using rows_result = result<std::vector<table_row>, table_error>;
+  using rows_handler = std::function<void(std::vector<table_row>)>;
+  using transaction_result = result<table_transaction, operation_error>;
+  /// Makes the transaction of a command from the row as read.
+  using composer =
+    std::function<transaction_result(const table_row&, const transaction_id&)>;
+
+  struct command
+  {
+    http_exchange_ptr mExchange;
+    std::string mKey;
+    composer mCompose;
+    std::function<void()> mDone;
+    unsigned mAttempts = 0;
+  };
+
+  void Show(const http_exchange_ptr& aExchange);
+  void Change(const http_exchange_ptr& aExchange, bool aCreate);
+  void WriteOff(const http_exchange_ptr& aExchange);
+  void ReturnPage(const http_exchange_ptr& aExchange,
+                  const holder_id& aHolder,
+                  std::int64_t aReturned);
+  void ReturnRows(const http_exchange_ptr& aExchange,
+                  const holder_id& aHolder,
+                  const std::vector<table_row>& aIndex,
+                  std::int64_t aReturned);
+  void ReconcileBudget(const http_exchange_ptr& aExchange);
+  void ScanSegments(const http_exchange_ptr& aExchange,
+                    const budget_id& aBudget,
+                    const std::string& aAfter,
+                    const std::shared_ptr<std::vector<table_row>>& aSegments);
+  void ReplyReport(const http_exchange_ptr& aExchange,
+                   const budget_id& aBudget,
+                   const std::vector<table_row>& aSegments);
+
+  void Run(const std::shared_ptr<command>& aCommand);
+  void Commit(const std::shared_ptr<command>& aCommand,
+              const table_transaction& aTransaction);
+  void ReadRows(const http_exchange_ptr& aExchange,
+                std::vector<std::string> aKeys,
+                const rows_handler& aHandler);
+  transaction_id NewId() { return { mRandom(), mRandom() }; }
+
+  table_service& mTable;
+  std::mt19937_64 mRandom;
+};
--- /dev/null
+++ b/Source/Core/Node/ChatSystem.cpp
@@ -0,0 +1,380 @@
+#include "Node/ChatSystem.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "Common/Hash.h"
+#include "Node/ChatReply.h"
+
+namespace {
+
+// Long enough for one read and one commit of a store under load; a caller
+// whose grant takes longer is told to come back.
+constexpr std::chrono::milliseconds kGrantLimit(1500);
+constexpr std::size_t kMaxIdempotencyKey = 256;
+
+} // namespace
+
+chat_system::chat_system(chat_context aContext,
+                         std::uint32_t aMaxOpen,
+                         std::uint64_t aSeed)
+  : mContext(std::move(aContext))
+  , mMaxOpen(aMaxOpen)
+  , mRandom(aSeed)
+  , mDocument(std::make_shared<const fleet_document>())
+{
+}
+
+chat_system::~chat_system()
+{
+  for (auto& [request, session] : mSessions) {
+    session->mExchange->OnClosed(nullptr);
+    session->mExchange->OnDrained(nullptr);
+  }
+}
+
+void chat_system::ApplyDocument(std::shared_ptr<const fleet_document> aDocument)
+{
+  mDocument = std::move(aDocument);
+}
+
+void chat_system::SetUpstreamAddresses(
+  std::map<upstream_id, std::string> aAddresses)
+{
+  mAddresses = std::move(aAddresses);
+}
+
+void chat_system::ReplaceBudget(budget_system& aBudget)
+{
+  CutAll();
+  mContext.mBudget = &aBudget;
+}
+
+void chat_system::Accept(const http_exchange_ptr& aExchange)
+{
+  if (mShuttingDown) {
+    Refuse(aExchange, ShuttingDownError());
+    return;
+  }
+  if (mSessions.size() >= mMaxOpen) {
+    Refuse(aExchange, TooManyOpenError());
+    return;
+  }
+  const chat_input input{ aExchange->Header("Authorization"),
+                          aExchange->Body() };
+  auto admitted = AdmitChat(*mDocument, input);
+  if (!admitted) {
+    Refuse(aExchange, admitted.error());
+    return;
+  }
+  if (aExchange->Header("Idempotency-Key").size() > kMaxIdempotencyKey) {
+    Refuse(aExchange, IdempotencyKeyError(kMaxIdempotencyKey));
+    return;
+  }
+  Enter(std::move(admitted.value()), aExchange);
+}
+
+void chat_system::Enter(admitted_chat aAdmitted,
+                        const http_exchange_ptr& aExchange)
+{
+  const request_id request = ChooseIdentity(
+    aAdmitted.mAccount->mId, aExchange->Header("Idempotency-Key"));
+  if (mSessions.contains(request)) {
+    Refuse(aExchange, DuplicateError());
+    return;
+  }
+  auto created = std::make_unique<chat_session>();
+  chat_session& session = *created;
+  const time_point now = mContext.mTime->Now();
+  session.mRequest = request;
+  session.mAdmitted = std::move(aAdmitted);
+  session.mExchange = aExchange;
+  session.mArrival = now;
+  session.mGrantDeadline = now + kGrantLimit;
+  session.mSpans.mRequest = mContext.mTracer->StartRequest(
+    "chat", ParseTraceParent(aExchange->Header("traceparent")));
+  session.mSpans.mRequest.SetTag("account", session.Account().mId.mName);
+  mSessions.emplace(request, std::move(created));
+  aExchange->OnClosed([this, request] { HandleClosed(request); });
+
+  if (session.FreeTier()) {
+    Enqueue(session, now);
+    return;
+  }
+  session.mSpans.mGrant =
+    mContext.mTracer->StartChild("reserve", session.mSpans.mRequest);
+  if (TryReserve(session, now) && session.mStep == chat_step::AwaitingGrant) {
+    mAwaitingGrant.push_back(request);
+  }
+}
+
+request_id chat_system::ChooseIdentity(const account_id& aAccount,
+                                       std::string_view aIdempotencyKey)
+{
+  if (!aIdempotencyKey.empty()) {
+    return MakeRequestId(aAccount, aIdempotencyKey);
+  }
+  return { mRandom(), mRandom() };
+}
+
+/// Returns false when the session is gone.
+bool chat_system::TryReserve(chat_session& aSession, time_point aNow)
+{
+  const admitted_chat& admitted = aSession.mAdmitted;
+  const std::int64_t worstCase =
+    PriceOf(admitted.mPrice, admitted.mChat.mPromptBound, admitted.mMaxOutput);
+  const auto reserved =
+    mContext.mBudget->Reserve(aSession.mRequest,
+                              aSession.Account().mId,
+                              aSession.Account().mBudget,
+                              std::max<std::int64_t>(worstCase, 1),
+                              aNow);
+  if (reserved.has_value()) {
+    aSession.mReserved = true;
+    aSession.mSpans.mGrant.Finish();
+    Enqueue(aSession, aNow);
+    return true;
+  }
+  const bool waits = reserved.error() == budget_error::AwaitingGrant &&
+                     aNow < aSession.mGrantDeadline;
+  if (waits) {
+    mContext.mWake();
+    return true;
+  }
+  Fail(aSession, BudgetRefusal(reserved.error()));
+  return false;
+}
+
+void chat_system::Enqueue(chat_session& aSession, time_point aNow)
+{
+  const admitted_chat& admitted = aSession.mAdmitted;
+  dispatch_request request;
+  request.mRequest = aSession.mRequest;
+  request.mAccount = aSession.Account().mId;
+  request.mWeight = aSession.Account().mWeight;
+  request.mRank = admitted.mRank;
+  request.mFreeTier = aSession.FreeTier();
+  request.mModel = admitted.mChat.mModel;
+  // Text has about four bytes to a token; only the reservation needs a bound.
+  request.mPromptTokens = EstimatePromptTokens(admitted.mChat);
+  request.mMaxOutputTokens = admitted.mMaxOutput;
+  request.mContent =
+    MakeContentId(aSession.Account().mId, admitted.mChat.mContentKey);
+  request.mPrefixBlocks = admitted.mChat.mPrefixBlocks;
+  request.mResumable =
+    admitted.mChat.mStream && CanResume(admitted.mChat.mModel);
+
+  aSession.mStep = chat_step::Queued;
+  aSession.mSpans.mQueue =
+    mContext.mTracer->StartChild("queue", aSession.mSpans.mRequest);
+  mContext.mDispatch->Enqueue(request, aNow);
+  mContext.mWake();
+}
+
+std::vector<quarantine_notice> chat_system::Tick(time_point aNow)
+{
+  RetryGrants(aNow);
+  dispatch_output output = mContext.mDispatch->Tick(aNow);
+  ApplyCancels(output.mCancels);
+  ApplyRejects(output.mRejects);
+  ApplyStarts(output.mStarts, aNow);
+  ReleaseProtected(aNow);
+  return std::move(output.mNotices);
+}
+
+void chat_system::RetryGrants(time_point aNow)
+{
+  std::vector<request_id> waiting;
+  waiting.swap(mAwaitingGrant);
+  for (const request_id& request : waiting) {
+    const auto found = mSessions.find(request);
+    if (found == mSessions.end() ||
+        found->second->mStep != chat_step::AwaitingGrant) {
+      continue;
+    }
+    chat_session& session = *found->second;
+    if (TryReserve(session, aNow) &&
+        session.mStep == chat_step::AwaitingGrant) {
+      mAwaitingGrant.push_back(request);
+    }
+  }
+}
+
+void chat_system::ApplyStarts(const std::vector<start_decision>& aStarts,
+                              time_point aNow)
+{
+  for (const start_decision& start : aStarts) {
+    const auto found = mSessions.find(start.mRequest);
+    if (found != mSessions.end()) {
+      Start(*found->second, start, aNow);
+    }
+  }
+}
+
+void chat_system::ApplyRejects(const std::vector<reject_decision>& aRejects)
+{
+  for (const reject_decision& reject : aRejects) {
+    const auto found = mSessions.find(reject.mRequest);
+    if (found != mSessions.end()) {
+      Fail(*found->second, DispatchRefusal(reject));
+    }
+  }
+}
+
+void chat_system::ApplyCancels(const std::vector<cancel_decision>& aCancels)
+{
+  for (const cancel_decision& cancel : aCancels) {
+    const auto found = mSessions.find(cancel.mRequest);
+    if (found != mSessions.end()) {
+      found->second->mStream.reset();
+    }
+  }
+}
+
+void chat_system::ReleaseProtected(time_point aNow)
+{
+  std::vector<request_id> waiting;
+  waiting.swap(mAwaitingProtection);
+  for (const request_id& request : waiting) {
+    const auto found = mSessions.find(request);
+    if (found == mSessions.end()) {
+      continue;
+    }
+    chat_session& session = *found->second;
+    if (mContext.mBudget->IsProtected(request)) {
+      Deliver(session);
+      continue;
+    }
+    if (aNow >= session.mProtectDeadline) {
+      mContext.mBudget->CountUnprotectedDelivery();
+      Deliver(session);
+      continue;
+    }
+    mAwaitingProtection.push_back(request);
+  }
+}
+
+std::size_t chat_system::CutAll()
+{
+  const std::size_t count = mSessions.size();
+  while (!mSessions.empty()) {
+    chat_session& session = *mSessions.begin()->second;
+    mContext.mDispatch->Abandon(session.mRequest, mContext.mTime->Now());
+    Fail(session, CutError(session.mStep));
+  }
+  return count;
+}
+
+/// The caller's connection ended before the response did.
+void chat_system::HandleClosed(const request_id& aRequest)
+{
+  const auto found = mSessions.find(aRequest);
+  if (found == mSessions.end()) {
+    return;
+  }
+  chat_session& session = *found->second;
+  session.mStream.reset();
+  mContext.mDispatch->Abandon(aRequest, mContext.mTime->Now());
+  SettleDelivered(session);
+  mContext.mMetrics->CountRequest(
+    session.Account().mId, session.mAdmitted.mRank, "caller_gone");
+  mContext.mWake();
+  Remove(session);
+}
+
+std::int64_t chat_system::DeliveredPrice(const chat_session& aSession) const
+{
+  const std::int64_t events = aSession.mScanner.Events();
+  if (events == 0) {
+    return 0;
+  }
+  const admitted_chat& admitted = aSession.mAdmitted;
+  return PriceOf(admitted.mPrice, EstimatePromptTokens(admitted.mChat), events);
+}
+
+/// Charges what has been generated so far, or gives the reservation back.
+void chat_system::SettleDelivered(chat_session& aSession)
+{
+  const std::int64_t units = DeliveredPrice(aSession);
+  if (units > 0) {
+    Settle(aSession, units);
+  } else {
+    Release(aSession);
+  }
+}
+
+void chat_system::Settle(chat_session& aSession, std::int64_t aUnits)
+{
+  if (!std::exchange(aSession.mReserved, false)) {
+    return;
+  }
+  mContext.mBudget->Settle(aSession.mRequest,
+                           aUnits,
+                           mContext.mTime->WallNow(),
+                           mContext.mTime->Now());
+  mContext.mMetrics->CountTokens(aSession.Account().mId, aUnits);
+}
+
+void chat_system::Release(chat_session& aSession)
+{
+  if (std::exchange(aSession.mReserved, false)) {
+    mContext.mBudget->Release(aSession.mRequest, mContext.mTime->Now());
+  }
+}
+
+/// Sends what was held back until the charge was protected.
+void chat_system::Deliver(chat_session& aSession)
+{
+  const http_exchange_ptr exchange = aSession.mExchange;
+  if (aSession.mAdmitted.mChat.mStream) {
+    if (!aSession.mBegun) {
+      exchange->BeginStream(SOUP_STATUS_OK, kEventStream);
+    }
+    exchange->Write(aSession.mScanner.HeldBack());
+    exchange->End();
+  } else {
+    exchange->Reply(SOUP_STATUS_OK, "application/json", aSession.mWhole);
+  }
+  mContext.mMetrics->CountRequest(
+    aSession.Account().mId, aSession.mAdmitted.mRank, "ok");
+  Remove(aSession);
+}
+
+/// Ends a request with an error: as a status while nothing was sent, else as
+/// the last event of the stream.
+void chat_system::Fail(chat_session& aSession, const request_error& aError)
+{
+  aSession.mStream.reset();
+  SettleDelivered(aSession);
+  mContext.mMetrics->CountRequest(aSession.Account().mId,
+                                  aSession.mAdmitted.mRank,
+                                  RequestErrorName(aError.mCode));
+  const http_exchange_ptr exchange = aSession.mExchange;
+  if (aSession.mBegun) {
+    exchange->Write(FormatRequestErrorEvent(aError));
+    exchange->End();
+  } else {
+    ReplyRequestError(*exchange, aError);
+  }
+  mContext.mWake();
+  Remove(aSession);
+}
+
+void chat_system::Refuse(const http_exchange_ptr& aExchange,
+                         const request_error& aError)
+{
+  mContext.mMetrics->Count("refused_at_entry_total",
+                           "Requests refused before they were queued.");
+  ReplyRequestError(*aExchange, aError);
+}
+
+void chat_system::Remove(chat_session& aSession)
+{
+  aSession.mExchange->OnClosed(nullptr);
+  aSession.mExchange->OnDrained(nullptr);
+  aSession.mSpans.mUpstream.Finish();
+  aSession.mSpans.mRequest.Finish();
+  mSessions.erase(aSession.mRequest);
+}
--- /dev/null
+++ b/Source/Core/Node/ChatSystem.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "Budget/BudgetSystem.h"
+#include "Common/Time.h"
+#include "Config/FleetDocument.h"
+#include "Dispatch/DispatchSystem.h"
+#include "Node/ChatSession.h"
+#include "Node/NodeMetrics.h"
+#include "Node/Trace.h"
+#include "Platform/HttpClient.h"
+
+/// What the chat system works with; all outlive it.
+struct chat_context
+{
+  budget_system* mBudget = nullptr;
+  dispatch_system* mDispatch = nullptr;
+  http_client* mClient = nullptr;
+  node_metrics* mMetrics = nullptr;
+  tracer* mTracer = nullptr;
+  const time_source* mTime = nullptr;
+  /// Asks for a tick soon, since something changed.
+  std::function<void()> mWake;
+};
+
+/// Takes chat requests from callers to upstreams and back: checks, budget
+/// reservation, dispatch, streaming, settlement.
+class chat_system
+{
+public:
+  chat_system(chat_context aContext,
+              std::uint32_t aMaxOpen,
+              std::uint64_t aSeed);
+  ~chat_system();
+  chat_system(const chat_system&) = delete;
+  chat_system& operator=(const chat_system&) = delete;
+
+  void ApplyDocument(std::shared_ptr<const fleet_document> aDocument);
+  /// `IP:port` of each upstream.
+  void SetUpstreamAddresses(std::map<upstream_id, std::string> aAddresses);
+  /// After a fence: open requests are ended, new ones use the new holder.
+  void ReplaceBudget(budget_system& aBudget);
+
+  /// Takes a `POST /v1/chat/completions`.
+  void Accept(const http_exchange_ptr& aExchange);
+
+  /// Acts on grants, dispatch decisions and protected charges. Gives the
+  /// quarantine notices for the other nodes.
+  std::vector<quarantine_notice> Tick(time_point aNow);
+
+  /// Refuses new requests; open ones go on.
+  void BeginShutdown() { mShuttingDown = true; }
+  /// Ends every open request with an error; tells how many were cut.
+  std::size_t CutAll();
+  std::size_t Open() const { return mSessions.size(); }
+
+private:
+  void Enter(admitted_chat aAdmitted, const http_exchange_ptr& aExchange);
+  request_id ChooseIdentity(const account_id& aAccount,
+                            std::string_view aIdempotencyKey);
+  bool TryReserve(chat_session& aSession, time_point aNow);
+  void Enqueue(chat_session& aSession, time_point aNow);
+  void RetryGrants(time_point aNow);
+  void ApplyStarts(const std::vector<start_decision>& aStarts, time_point aNow);
+  void ApplyRejects(const std::vector<reject_decision>& aRejects);
+  void ApplyCancels(const std::vector<cancel_decision>& aCancels);
+  void ReleaseProtected(time_point aNow);
+
+  void Start(chat_session& aSession,
+             const start_decision& aStart,
+             time_point aNow);
+  http_request MakeUpstreamRequest(chat_session& aSession,
+                                   const std::string& aAddress,
+                                   const start_decision& aStart);
+  void HandleHead(chat_session& aSession, const http_head& aHead);
+  void HandleData(chat_session& aSession, std::string_view aBytes);
+  void ForwardEvents(chat_session& aSession, std::string_view aBytes);
+  void NoteProgress(chat_session& aSession, std::int64_t aTokens);
+  void HandleEnd(chat_session& aSession, std::optional<http_failure> aFailure);
+  void HandleRejectedByUpstream(chat_session& aSession);
+  bool ResponseComplete(const chat_session& aSession) const;
+  std::optional<token_usage> ReportedUsage(chat_session& aSession);
+  void Complete(chat_session& aSession);
+  void HandleBroken(chat_session& aSession);
+  void FinishProbe(const request_id& aRequest, bool aCrashed);
+  bool CanResume(const model_id& aModel) const;
+  void HandleClosed(const request_id& aRequest);
+
+  std::int64_t DeliveredPrice(const chat_session& aSession) const;
+  void SettleDelivered(chat_session& aSession);
+  void Settle(chat_session& aSession, std::int64_t aUnits);
+  void Release(chat_session& aSession);
+  void Deliver(chat_session& aSession);
+  void Fail(chat_session& aSession, const request_error& aError);
+  void Refuse(const http_exchange_ptr& aExchange, const request_error& aError);
+  void Remove(chat_session& aSession);
+
+  chat_context mContext;
+  std::uint32_t mMaxOpen;
+  std::mt19937_64 mRandom;
+  std::shared_ptr<const fleet_document> mDocument;
+  std::map<upstream_id, std::string> mAddresses;
+  chat_table mSessions;
+  /// Sessions in these steps, so that a tick visits no others.
+  std::vector<request_id> mAwaitingGrant;
+  std::vector<request_id> mAwaitingProtection;
+  http_owner mProbes;
+  bool mShuttingDown = false;
+};
--- /dev/null
+++ b/Source/Core/Node/ChatSystemUpstream.cpp
@@ -0,0 +1,337 @@
+// The upstream side of the chat system: attempts, streaming, and how they end.
+
+#include "Node/ChatSystem.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "Node/ChatReply.h"
+
+namespace {
+
+// A whole response is kept until it is charged.
+constexpr std::size_t kMaxWholeBody = 16U << 20U;
+// More queued bytes than this stop reading from the upstream.
+constexpr std::size_t kMaxBuffered = 256U << 10U;
+// An unfinished event beyond this is not a chat stream.
+constexpr std::size_t kMaxEvent = 1U << 20U;
+// Upstreams may take long before the response head; the first-token target of
+// a rank ends a waiting request earlier.
+constexpr std::chrono::milliseconds kHeadLimit(120'000);
+constexpr std::chrono::milliseconds kProbeLimit(500);
+// The backup answers within milliseconds and the store within a second; past
+// this the response is finished with the charge in this process only.
+constexpr std::chrono::milliseconds kProtectLimit(2000);
+constexpr unsigned kTooManyRequests = 429;
+constexpr unsigned kFirstServerError = 500;
+constexpr unsigned kFirstClientError = 400;
+
+bool IsRefusalStatus(unsigned aStatus)
+{
+  return aStatus == kTooManyRequests ||
+         aStatus == SOUP_STATUS_SERVICE_UNAVAILABLE;
+}
+
+} // namespace
+
+void chat_system::Start(chat_session& aSession,
+                        const start_decision& aStart,
+                        time_point aNow)
+{
+  const auto address = mAddresses.find(aStart.mUpstream);
+  if (address == mAddresses.end()) {
+    mContext.mDispatch->OnFinished(
+      aSession.mRequest, attempt_outcome::RefusedBeforeRunning, aNow);
+    mContext.mWake();
+    return;
+  }
+  aSession.mStep = chat_step::Running;
+  aSession.mUpstream = aStart.mUpstream;
+  aSession.mStatus = 0;
+  aSession.mUpstreamClosing = false;
+  aSession.mWhole.clear();
+  aSession.mScanner.DropPartial();
+  aSession.mResumedFrom = aSession.mScanner.Events();
+  aSession.mLastRead = aNow;
+  aSession.mPaused = false;
+  aSession.mAttemptToken = false;
+  aSession.mSpans.mQueue.Finish();
+  aSession.mSpans.mUpstream =
+    mContext.mTracer->StartChild("upstream", aSession.mSpans.mRequest);
+  aSession.mSpans.mUpstream.SetTag("upstream", aStart.mUpstream.mName);
+
+  chat_session* session = &aSession;
+  http_stream_handlers handlers;
+  handlers.mOnHead = [this, session](const http_head& aHead) {
+    HandleHead(*session, aHead);
+  };
+  handlers.mOnData = [this, session](std::string_view aBytes) {
+    HandleData(*session, aBytes);
+  };
+  handlers.mOnEnd = [this, session](std::optional<http_failure> aFailure) {
+    HandleEnd(*session, aFailure);
+  };
+  aSession.mStream = std::make_unique<http_stream>(
+    *mContext.mClient,
+    MakeUpstreamRequest(aSession, address->second, aStart),
+    std::move(handlers));
+}
+
+http_request chat_system::MakeUpstreamRequest(chat_session& aSession,
+                                              const std::string& aAddress,
+                                              const start_decision& aStart)
+{
+  http_request request;
+  request.mMethod = "POST";
+  request.mUrl = fmt::format("http://{}/v1/chat/completions", aAddress);
+  request.mBody =
+    MakeUpstreamBody(aSession.mAdmitted.mChat,
+                     { aSession.mAdmitted.mMaxOutput, aStart.mPriority });
+  request.mTimeout = kHeadLimit;
+  request.mHeaders = {
+    { "X-Request-Id", FormatWide(aSession.mRequest) },
+    { "traceparent", FormatTraceParent(aSession.mSpans.mUpstream.Context()) },
+  };
+  if (aSession.mResumedFrom > 0) {
+    request.mHeaders.emplace_back("X-Resume-From",
+                                  fmt::format("{}", aSession.mResumedFrom));
+  }
+  return request;
+}
+
+void chat_system::HandleHead(chat_session& aSession, const http_head& aHead)
+{
+  aSession.mStatus = aHead.mStatus;
+  aSession.mUpstreamClosing =
+    FindHeader(aHead.mHeaders, "Connection") == "close";
+}
+
+void chat_system::HandleData(chat_session& aSession, std::string_view aBytes)
+{
+  const bool streams =
+    aSession.mAdmitted.mChat.mStream && aSession.mStatus == SOUP_STATUS_OK;
+  if (streams) {
+    ForwardEvents(aSession, aBytes);
+    return;
+  }
+  if (aSession.mWhole.size() + aBytes.size() > kMaxWholeBody) {
+    aSession.mStream.reset();
+    HandleBroken(aSession);
+    return;
+  }
+  aSession.mWhole.append(aBytes);
+}
+
+void chat_system::ForwardEvents(chat_session& aSession, std::string_view aBytes)
+{
+  const std::int64_t before = aSession.mScanner.Events();
+  const std::string forward = aSession.mScanner.Feed(aBytes);
+  NoteProgress(aSession, aSession.mScanner.Events() - before);
+  if (aSession.mScanner.BufferedBytes() > kMaxEvent) {
+    aSession.mStream.reset();
+    HandleBroken(aSession);
+    return;
+  }
+  if (forward.empty()) {
+    return;
+  }
+  http_exchange& exchange = *aSession.mExchange;
+  if (!std::exchange(aSession.mBegun, true)) {
+    exchange.BeginStream(SOUP_STATUS_OK, kEventStream);
+  }
+  exchange.Write(forward);
+  if (exchange.Buffered() <= kMaxBuffered) {
+    return;
+  }
+  aSession.mPaused = true;
+  aSession.mStream->Pause();
+  chat_session* session = &aSession;
+  exchange.OnDrained([session] {
+    if (session->mStream && std::exchange(session->mPaused, false)) {
+      session->mStream->Resume();
+    }
+  });
+}
+
+void chat_system::NoteProgress(chat_session& aSession, std::int64_t aTokens)
+{
+  if (aTokens == 0) {
+    return;
+  }
+  const time_point now = mContext.mTime->Now();
+  const work_rank rank = aSession.mAdmitted.mRank;
+  if (!std::exchange(aSession.mAttemptToken, true)) {
+    mContext.mDispatch->OnFirstToken(aSession.mRequest, now);
+  }
+  if (!std::exchange(aSession.mFirstToken, true)) {
+    mContext.mMetrics->ObserveFirstToken(rank, now - aSession.mArrival);
+  } else {
+    mContext.mMetrics->ObserveTokenGap(rank, now - aSession.mLastRead);
+  }
+  aSession.mLastRead = now;
+  mContext.mDispatch->OnTokens(aSession.mRequest, aTokens, now);
+}
+
+void chat_system::HandleEnd(chat_session& aSession,
+                            std::optional<http_failure> aFailure)
+{
+  aSession.mStream.reset();
+  aSession.mSpans.mUpstream.Finish();
+  if (aFailure == http_failure::Unavailable) {
+    mContext.mDispatch->OnFinished(aSession.mRequest,
+                                   attempt_outcome::RefusedBeforeRunning,
+                                   mContext.mTime->Now());
+    aSession.mStep = chat_step::Queued;
+    mContext.mWake();
+    return;
+  }
+  if (!aFailure && aSession.mStatus != SOUP_STATUS_OK) {
+    HandleRejectedByUpstream(aSession);
+    return;
+  }
+  if (aFailure || !ResponseComplete(aSession)) {
+    HandleBroken(aSession);
+    return;
+  }
+  Complete(aSession);
+}
+
+/// A complete response with an error status.
+void chat_system::HandleRejectedByUpstream(chat_session& aSession)
+{
+  const time_point now = mContext.mTime->Now();
+  if (IsRefusalStatus(aSession.mStatus)) {
+    if (aSession.mUpstreamClosing) {
+      mContext.mDispatch->OnUpstreamLeaving(aSession.mUpstream, now);
+    }
+    mContext.mDispatch->OnFinished(
+      aSession.mRequest, attempt_outcome::RefusedBeforeRunning, now);
+    aSession.mStep = chat_step::Queued;
+    mContext.mWake();
+    return;
+  }
+  const bool callersFault = aSession.mStatus >= kFirstClientError &&
+                            aSession.mStatus < kFirstServerError;
+  if (!callersFault) {
+    HandleBroken(aSession);
+    return;
+  }
+  // Another upstream would answer the same, so the request ends here.
+  mContext.mDispatch->OnFinished(
+    aSession.mRequest, attempt_outcome::Completed, now);
+  Fail(aSession, UpstreamRefusal(aSession.mStatus, aSession.mWhole));
+}
+
+bool chat_system::ResponseComplete(const chat_session& aSession) const
+{
+  if (aSession.mAdmitted.mChat.mStream) {
+    return aSession.mScanner.Done();
+  }
+  return nlohmann::json::accept(aSession.mWhole);
+}
+
+/// Usage of the whole response, over all attempts.
+std::optional<token_usage> chat_system::ReportedUsage(chat_session& aSession)
+{
+  if (!aSession.mAdmitted.mChat.mStream) {
+    return ParseUsage(aSession.mWhole);
+  }
+  if (aSession.mResumedFrom > 0 && aSession.mScanner.Usage()) {
+    token_usage usage = *aSession.mScanner.Usage();
+    usage.mCompletionTokens += aSession.mResumedFrom;
+    aSession.mScanner.ReplaceUsage(usage);
+  }
+  return aSession.mScanner.Usage();
+}
+
+void chat_system::Complete(chat_session& aSession)
+{
+  const time_point now = mContext.mTime->Now();
+  const admitted_chat& admitted = aSession.mAdmitted;
+  const auto usage = ReportedUsage(aSession);
+  if (!admitted.mChat.mStream) {
+    NoteProgress(aSession, usage ? usage->mCompletionTokens : 1);
+  }
+  mContext.mDispatch->OnFinished(
+    aSession.mRequest, attempt_outcome::Completed, now);
+  aSession.mSpans.mUpstream.Finish();
+  mContext.mWake();
+  if (aSession.FreeTier()) {
+    Deliver(aSession);
+    return;
+  }
+  // Without usage the budget charges the whole reservation.
+  constexpr std::int64_t kUnknownUsage = -1;
+  Settle(
+    aSession,
+    usage
+      ? PriceOf(admitted.mPrice, usage->mPromptTokens, usage->mCompletionTokens)
+      : kUnknownUsage);
+  aSession.mStep = chat_step::AwaitingProtection;
+  aSession.mProtectDeadline = now + kProtectLimit;
+  mAwaitingProtection.push_back(aSession.mRequest);
+}
+
+/// The attempt ended before the response did. A probe tells a crashed upstream
+/// from a broken connection, since only a crash counts against the content.
+void chat_system::HandleBroken(chat_session& aSession)
+{
+  aSession.mStep = chat_step::Probing;
+  const auto address = mAddresses.find(aSession.mUpstream);
+  const request_id request = aSession.mRequest;
+  if (address == mAddresses.end()) {
+    FinishProbe(request, false);
+    return;
+  }
+  http_request probe;
+  probe.mUrl = fmt::format("http://{}/v1/load", address->second);
+  probe.mTimeout = kProbeLimit;
+  mContext.mClient->Send(
+    probe,
+    mProbes,
+    [this, request](const result<http_reply, http_failure>& aReply) {
+      const bool refused =
+        aReply.has_error() && aReply.error() == http_failure::Unavailable;
+      FinishProbe(request, refused);
+    });
+}
+
+void chat_system::FinishProbe(const request_id& aRequest, bool aCrashed)
+{
+  const auto found = mSessions.find(aRequest);
+  if (found == mSessions.end() || found->second->mStep != chat_step::Probing) {
+    return;
+  }
+  chat_session& session = *found->second;
+  attempt_outcome outcome = attempt_outcome::BrokeBeforeFirstToken;
+  if (aCrashed) {
+    outcome = attempt_outcome::UpstreamCrashed;
+  } else if (session.mBegun) {
+    outcome = attempt_outcome::BrokeMidStream;
+  }
+  session.mStep = chat_step::Queued;
+  mContext.mDispatch->OnFinished(aRequest, outcome, mContext.mTime->Now());
+  mContext.mWake();
+}
+
+/// Any upstream of the model may get the rest, so all of them must resume.
+bool chat_system::CanResume(const model_id& aModel) const
+{
+  bool any = false;
+  for (const upstream_group& group : mDocument->Capacity().mUpstreamGroups) {
+    const bool serves =
+      group.mModels.empty() ||
+      std::find(group.mModels.begin(), group.mModels.end(), aModel) !=
+        group.mModels.end();
+    if (!serves) {
+      continue;
+    }
+    if (!group.mResumesStreams) {
+      return false;
+    }
+    any = true;
+  }
+  return any;
+}
--- /dev/null
+++ b/Source/Core/Node/NodeApp.cpp
@@ -0,0 +1,564 @@
+#include "Node/NodeApp.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include "Common/Hash.h"
+#include "Common/Log.h"
+#include "Node/AdminApi.h"
+#include "Node/ChatAdmission.h"
+#include "Node/ChatReply.h"
+#include "Node/NodeStatus.h"
+#include "Platform/HttpHostList.h"
+#include "Platform/HttpTableService.h"
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Waiting requests are looked at this often; events wake the loop earlier.
+constexpr milliseconds kFastTick(20);
+constexpr milliseconds kSlowTick(250);
+// Open responses that take longer than this are cut at a planned stop.
+constexpr std::chrono::minutes kDrainLimit(15);
+
+std::uint64_t RandomSeed()
+{
+  std::random_device device;
+  return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+/// Rises with every start, as long as the host's clock does not go back by
+/// more than the time between two starts.
+std::uint64_t NewIncarnation(const time_source& aTime)
+{
+  return static_cast<std::uint64_t>(aTime.WallNow().time_since_epoch().count());
+}
+
+/// The advertised address, or the one that a listener on port 0 got.
+std::string Advertised(const socket_address& aAdvertised,
+                       const std::string& aListening)
+{
+  return aAdvertised.mPort == 0 ? aListening : FormatSocketAddress(aAdvertised);
+}
+
+platform_endpoint Endpoint(std::string_view aUrl)
+{
+  constexpr std::string_view kScheme = "http://";
+  if (aUrl.starts_with(kScheme)) {
+    aUrl.remove_prefix(kScheme.size());
+  }
+  return { std::string(aUrl) };
+}
+
+peer_key_ring MakeKeys(const node_settings& aSettings)
+{
+  std::vector<peer_key> keys;
+  for (const peer_key_setting& key : aSettings.mPeerKeys) {
+    keys.push_back({ key.mId, key.mSecret });
+  }
+  return peer_key_ring(std::move(keys));
+}
+
+rank_settings MakeRank(const rank_policy& aPolicy,
+                       const rank_settings& aDefault)
+{
+  rank_settings rank = aDefault;
+  rank.mFloorShare = aPolicy.mFloorShare;
+  rank.mFirstTokenTarget = aPolicy.mFirstToken;
+  rank.mMaxQueued = aPolicy.mQueueBound;
+  return rank;
+}
+
+dispatch_settings MakeDispatchSettings(const node_settings& aSettings,
+                                       const capacity_section& aCapacity,
+                                       std::size_t aNodes)
+{
+  dispatch_settings settings;
+  settings.mZone = aSettings.mZone;
+  settings.mRegion = aSettings.mRegion;
+  settings.mNode = aSettings.mName;
+  settings.mSeed = StableHash(aSettings.mName.mName);
+  settings.mSharingNodes =
+    static_cast<std::uint32_t>(std::max<std::size_t>(aNodes, 1));
+  for (std::size_t i = 0; i < kWorkRanks; ++i) {
+    settings.mRanks[i] = MakeRank(aCapacity.mRanks[i], settings.mRanks[i]);
+  }
+  const auto background = static_cast<std::size_t>(work_rank::Background);
+  settings.mFreeTier.mFirstTokenTarget =
+    settings.mRanks[background].mFirstTokenTarget;
+  settings.mFreeTier.mMaxQueued = settings.mRanks[background].mMaxQueued;
+  return settings;
+}
+
+} // namespace
+
+std::string_view NodePhaseName(node_phase aPhase)
+{
+  switch (aPhase) {
+    case node_phase::Starting:
+      return "starting";
+    case node_phase::Serving:
+      return "serving";
+    case node_phase::Leaving:
+      return "leaving";
+    case node_phase::Draining:
+      return "draining";
+    case node_phase::Stopped:
+      return "stopped";
+  }
+  return "unknown";
+}
+
+result<std::unique_ptr<node_app>, node_error> node_app::Start(
+  const node_settings& aSettings,
+  std::function<void()> aOnStopped)
+{
+  std::unique_ptr<node_app> app(new node_app(aSettings, std::move(aOnStopped)));
+  const auto listening = app->Listen();
+  if (!listening) {
+    return listening.error();
+  }
+  app->CreateSystems();
+  app->AddRoutes();
+  app->mFastTimer.Every(kFastTick, [self = app.get()] { self->TickFast(); });
+  app->mSlowTimer.Every(kSlowTick, [self = app.get()] { self->TickSlow(); });
+  app->Wake();
+  Log(log_level::Info,
+      "node_started",
+      { Field("node", aSettings.mName.mName),
+        Field("zone", aSettings.mZone.mName),
+        Field("http", app->HttpAddress()),
+        Field("peer", app->mPeerServer->Address()) });
+  return app;
+}
+
+node_app::node_app(const node_settings& aSettings,
+                   std::function<void()> aOnStopped)
+  : mSettings(aSettings)
+  , mOnStopped(std::move(aOnStopped))
+  , mSeed(RandomSeed())
+  , mIncarnation(NewIncarnation(mTime))
+  , mServer({ aSettings.mLimits.mBodyBytes })
+  , mTracer(aSettings.mTrace.mSampling, mSeed)
+  , mDispatch(dispatch_settings{})
+{
+}
+
+node_app::~node_app() = default;
+
+result<void, node_error> node_app::Listen()
+{
+  const auto http =
+    mServer.Listen(FormatSocketAddress(mSettings.mListen.mHttp));
+  if (!http) {
+    return node_error{ fmt::format(
+      "listen.http {}: {}", http.error().mAddress, http.error().mMessage) };
+  }
+  mPeers = std::make_unique<peer_bridge>();
+  peer_server_settings settings;
+  settings.mSelf = mSettings.mName;
+  settings.mAddress = FormatSocketAddress(mSettings.mListen.mPeer);
+  auto peer = peer_server::Listen(settings, MakeKeys(mSettings), *mPeers);
+  if (!peer) {
+    return node_error{ fmt::format("listen.peer {}: cannot listen",
+                                   settings.mAddress) };
+  }
+  mPeerServer = std::move(peer.value());
+  return success();
+}
+
+void node_app::CreateSystems()
+{
+  mTable = std::make_unique<http_table_service>(
+    mClient, Endpoint(mSettings.mPlatform.mTable));
+  mHosts = std::make_unique<http_host_list>(
+    mClient, Endpoint(mSettings.mPlatform.mHosts));
+  mDriver = std::make_unique<table_driver>(*mTable, mTime, [this] { Wake(); });
+
+  follower_options follower;
+  follower.mPollPeriod = mSettings.mTiming.mConfigPoll;
+  follower.mSeed = StableHash(mSettings.mName.mName);
+  mConfig = std::make_shared<config_follower>(follower);
+
+  peer_client_settings client;
+  client.mSelf = mSettings.mName;
+  mPeerClient = std::make_unique<peer_client>(client, MakeKeys(mSettings));
+
+  endpoint_settings endpoints;
+  endpoints.mLifetime =
+    std::chrono::ceil<std::chrono::seconds>(mSettings.mTiming.mEndpointCache);
+  mSelector = endpoint_selector(endpoints);
+
+  CreateHolder();
+  mCalls = std::make_shared<service_call_system>(
+    holder_id{ mSettings.mName, mIncarnation }, service_call_settings{});
+  mChat = std::make_unique<chat_system>(chat_context{ mBudget.get(),
+                                                      &mDispatch,
+                                                      &mClient,
+                                                      &mMetrics,
+                                                      &mTracer,
+                                                      &mTime,
+                                                      [this] { Wake(); } },
+                                        mSettings.mLimits.mOpenStreams,
+                                        mSeed + 1);
+  mServices = std::make_unique<service_proxy>(service_context{
+    mCalls.get(), &mClient, &mMetrics, &mTracer, &mTime, [this] { Wake(); } });
+  mWatch = std::make_unique<upstream_watch>(*mHosts, mClient, mTime, *this);
+  mAdmin = std::make_unique<admin_api>(*this);
+}
+
+/// Creates what is bound to this run's incarnation.
+void node_app::CreateHolder()
+{
+  const holder_id self{ mSettings.mName, mIncarnation };
+  mBudget = std::make_shared<budget_system>(self, budget_settings{}, mSeed + 2);
+  mBackup = std::make_shared<charge_backup>(self, budget_settings{}, mSeed + 3);
+  member_self member;
+  member.mId = mSettings.mName;
+  member.mIncarnation = mIncarnation;
+  member.mWhere = {
+    mSettings.mZone,
+    mSettings.mRegion,
+    Advertised(mSettings.mListen.mAdvertisedHttp, mServer.Address()),
+    Advertised(mSettings.mListen.mAdvertisedPeer, mPeerServer->Address())
+  };
+  mMembership = std::make_unique<membership_system>(
+    member, membership_settings{}, mSeed + 4);
+  mMembersVersion = 0;
+  ConnectPeers();
+}
+
+void node_app::ConnectPeers()
+{
+  mPeers->Connect({ mMembership.get(),
+                    mBackup.get(),
+                    &mDispatch,
+                    mConfig.get(),
+                    mPeerClient.get(),
+                    &mTime,
+                    [this] { Wake(); } });
+}
+
+void node_app::AddRoutes()
+{
+  mServer.Route("/v1/chat/completions",
+                [this](const http_exchange_ptr& aExchange) {
+                  if (aExchange->Method() != "POST") {
+                    ReplyRequestError(*aExchange, MethodError("POST"));
+                    return;
+                  }
+                  mChat->Accept(aExchange);
+                });
+  mServer.Route("/v1/services", [this](const http_exchange_ptr& aExchange) {
+    mServices->Accept(aExchange);
+  });
+  mServer.Route("/v1/endpoints", [this](const http_exchange_ptr& aExchange) {
+    ServeEndpoints(*aExchange);
+  });
+  mServer.Route("/metrics", [this](const http_exchange_ptr& aExchange) {
+    UpdateNodeMetrics(*this, mMetrics);
+    aExchange->Reply(
+      SOUP_STATUS_OK, "text/plain; version=0.0.4", mMetrics.Render());
+  });
+  mServer.Route("/healthz", [](const http_exchange_ptr& aExchange) {
+    aExchange->Reply(SOUP_STATUS_OK, "text/plain", "ok\n");
+  });
+  mServer.Route("/readyz", [this](const http_exchange_ptr& aExchange) {
+    ServeReadiness(*aExchange);
+  });
+  mServer.Route("/traces", [this](const http_exchange_ptr& aExchange) {
+    aExchange->Reply(SOUP_STATUS_OK, "application/x-ndjson", mTracer.Dump());
+  });
+  mServer.Route("/admin/v1", [this](const http_exchange_ptr& aExchange) {
+    mAdmin->Accept(aExchange);
+  });
+}
+
+void node_app::Wake()
+{
+  if (std::exchange(mWakePending, true)) {
+    return;
+  }
+  mWakeTimer.Once(milliseconds(0), [this] {
+    mWakePending = false;
+    TickFast();
+  });
+}
+
+void node_app::TickFast()
+{
+  if (mPhase == node_phase::Stopped) {
+    return;
+  }
+  const time_point now = mTime.Now();
+  TickBudget(now);
+  mPeers->Send(mChat->Tick(now));
+  call_work calls = mCalls->Tick(now, mTime.WallNow());
+  mDriver->Run(mCalls, calls);
+  mServices->Apply(calls);
+  if (mBudget->IsFenced()) {
+    ReplaceHolder();
+  }
+}
+
+void node_app::TickBudget(time_point aNow)
+{
+  budget_output own = mBudget->Tick(aNow);
+  mPeers->Send(mBudget, own);
+  mDriver->Run(mBudget, own);
+  budget_output backup = mBackup->Tick(aNow);
+  mDriver->Run(mBackup, backup);
+  for (const auto& retired : mRetiredBackups) {
+    budget_output output = retired->Tick(aNow);
+    mDriver->Run(retired, output);
+  }
+  std::erase_if(mRetiredBackups,
+                [](const auto& aBackup) { return aBackup->IsDrained(); });
+}
+
+void node_app::TickSlow()
+{
+  if (mPhase == node_phase::Stopped) {
+    return;
+  }
+  const time_point now = mTime.Now();
+  TickConfig(now);
+  TickMembership(now);
+  mWatch->Tick(now);
+  mAdmin->Tick(now);
+  if (mPhase == node_phase::Starting && mConfig->Ready() && mHostsSeen) {
+    SetPhase(node_phase::Serving);
+  }
+  TickShutdown(now);
+}
+
+void node_app::TickConfig(time_point aNow)
+{
+  mDriver->Run(mConfig, mConfig->Tick(aNow));
+  if (mConfig->Ready() && mConfig->Current().mVersion != mAppliedVersion) {
+    ApplyDocument();
+  }
+}
+
+void node_app::ApplyDocument()
+{
+  const config_snapshot& snapshot = mConfig->Current();
+  mAppliedVersion = snapshot.mVersion;
+  mMembership->SetConfigVersion(snapshot.mVersion);
+  mChat->ApplyDocument(snapshot.mDocument);
+  mServices->ApplyDocument(snapshot.mDocument);
+  mDispatch.ApplySettings(MakeDispatchSettings(
+    mSettings, snapshot.mDocument->Capacity(), mMembership->Members().size()));
+  Log(log_level::Info,
+      "config_applied",
+      { Field("node", mSettings.mName.mName),
+        Field("version", snapshot.mVersion) });
+}
+
+void node_app::RefreshConfig()
+{
+  mConfig->PollNow(mTime.Now());
+}
+
+void node_app::TickMembership(time_point aNow)
+{
+  mPeers->Send(mMembership->Tick(aNow));
+  HandleEvents(aNow);
+  if (mMembership->Version() != mMembersVersion) {
+    ApplyMembers();
+  }
+}
+
+void node_app::HandleEvents(time_point aNow)
+{
+  for (const member_event& event : mMembership->TakeEvents()) {
+    const std::string run = FormatHolder(event.mRun);
+    switch (event.mKind) {
+      case member_event_kind::Joined:
+        Log(log_level::Info, "member_joined", { Field("member", run) });
+        break;
+      case member_event_kind::Returned:
+        Log(log_level::Info, "member_returned", { Field("member", run) });
+        break;
+      case member_event_kind::Leaving:
+        Log(log_level::Info, "member_leaving", { Field("member", run) });
+        break;
+      case member_event_kind::Dead:
+        Log(log_level::Warning, "member_dead", { Field("member", run) });
+        mBudget->OnHolderDead(event.mRun, aNow);
+        mBackup->OnHolderDead(event.mRun, aNow);
+        break;
+    }
+  }
+}
+
+void node_app::ApplyMembers()
+{
+  mMembersVersion = mMembership->Version();
+  const std::vector<member> members = mMembership->Members();
+  mPeers->SetMembers(members, mSettings.mName);
+  mSelector.SetMembers(members);
+  std::vector<holder_id> backups;
+  for (const member& candidate : mSelector.BackupCandidates(mSettings.mName)) {
+    // A node that was never heard of has no incarnation to list.
+    if (candidate.mIncarnation != 0 &&
+        candidate.mState == member_state::Alive) {
+      backups.push_back({ candidate.mId, candidate.mIncarnation });
+    }
+  }
+  mBudget->SetBackups(std::move(backups));
+  if (mConfig->Ready()) {
+    mDispatch.ApplySettings(MakeDispatchSettings(
+      mSettings, mConfig->Current().mDocument->Capacity(), members.size()));
+  }
+}
+
+/// Others took this run for dead and closed its holder row. Its grants are
+/// gone, so open requests end here and the node goes on as a new run.
+void node_app::ReplaceHolder()
+{
+  const std::size_t cut = mChat->CutAll();
+  Log(log_level::Warning,
+      "holder_fenced",
+      { Field("node", mSettings.mName.mName),
+        Field("incarnation", mIncarnation),
+        Field("requests_cut", cut) });
+  mMetrics.Count("holder_fenced_total",
+                 "Times that others closed this node's holder row.");
+  mBackup->BeginShutdown();
+  mRetiredBackups.push_back(mBackup);
+  mIncarnation = std::max(mIncarnation + 1, NewIncarnation(mTime));
+  CreateHolder();
+  mChat->ReplaceBudget(*mBudget);
+  mMembership->SetConfigVersion(mAppliedVersion);
+  mWatch->Refresh();
+}
+
+void node_app::OnHosts(const host_listing& aListing)
+{
+  const time_point now = mTime.Now();
+  mHostsSeen = true;
+  mMembership->OnHostList(aListing, now);
+  host_tables tables = SplitHosts(aListing);
+  mDispatch.SetUpstreams(tables.mUpstreams, now);
+  mWatch->SetEngines(tables.mEngineAddresses);
+  mChat->SetUpstreamAddresses(std::move(tables.mEngineAddresses));
+  mServices->SetHosts(std::move(tables.mServiceHosts));
+  Wake();
+}
+
+void node_app::OnLoad(const upstream_id& aUpstream, const load_report& aReport)
+{
+  mDispatch.OnLoadReport(aUpstream, aReport, mTime.Now());
+}
+
+void node_app::OnCache(const upstream_id& aUpstream,
+                       const cache_events& aEvents)
+{
+  mDispatch.OnCacheEvents(aUpstream, aEvents, mTime.Now());
+}
+
+void node_app::Stop()
+{
+  if (mPhase == node_phase::Stopped) {
+    return;
+  }
+  if (mPhase == node_phase::Leaving || mPhase == node_phase::Draining) {
+    ForceStop();
+    return;
+  }
+  const time_point now = mTime.Now();
+  mMembership->BeginLeaving(now);
+  mLeaveUntil = now + mSettings.mTiming.mEndpointCache;
+  mDrainDeadline = mLeaveUntil + kDrainLimit;
+  SetPhase(node_phase::Leaving);
+}
+
+void node_app::TickShutdown(time_point aNow)
+{
+  if (mPhase == node_phase::Leaving && aNow >= mLeaveUntil) {
+    mChat->BeginShutdown();
+    mServices->BeginShutdown();
+    SetPhase(node_phase::Draining);
+  }
+  if (mPhase != node_phase::Draining) {
+    return;
+  }
+  if (aNow >= mDrainDeadline) {
+    ForceStop();
+    return;
+  }
+  if (!WorkFinished()) {
+    return;
+  }
+  mBudget->BeginShutdown(aNow);
+  mBackup->BeginShutdown();
+  if (mBudget->IsDrained() && mBackup->IsDrained()) {
+    SetPhase(node_phase::Stopped);
+    mOnStopped();
+  }
+}
+
+bool node_app::WorkFinished() const
+{
+  return mChat->Open() == 0 && mServices->Open() == 0 && mCalls->Open() == 0;
+}
+
+/// Ends what is open and says what was cut.
+void node_app::ForceStop()
+{
+  const std::size_t calls = mServices->Open();
+  const std::size_t cut = mChat->CutAll();
+  Log(log_level::Warning,
+      "stop_forced",
+      { Field("node", mSettings.mName.mName),
+        Field("requests_cut", cut),
+        Field("service_calls_cut", calls),
+        Field("budget_drained", mBudget->IsDrained()) });
+  SetPhase(node_phase::Stopped);
+  mOnStopped();
+}
+
+void node_app::SetPhase(node_phase aPhase)
+{
+  mPhase = aPhase;
+  Log(log_level::Info,
+      "node_phase",
+      { Field("node", mSettings.mName.mName),
+        Field("phase", NodePhaseName(aPhase)) });
+}
+
+void node_app::ServeEndpoints(http_exchange& aExchange)
+{
+  const auto document = mConfig->Current().mDocument;
+  if (!mConfig->Ready()) {
+    ReplyRequestError(aExchange, StartingError());
+    return;
+  }
+  const auto account =
+    Authenticate(*document, aExchange.Header("Authorization"));
+  if (!account) {
+    ReplyRequestError(aExchange, account.error());
+    return;
+  }
+  endpoint_query query;
+  query.mAccount = account.value()->mId;
+  const std::string zone = aExchange.Query("zone");
+  if (!zone.empty()) {
+    query.mZone = zone_id{ zone };
+  }
+  aExchange.ReplyJson(SOUP_STATUS_OK, FormatEndpoints(mSelector.Select(query)));
+}
+
+void node_app::ServeReadiness(http_exchange& aExchange)
+{
+  const unsigned status =
+    Ready() ? SOUP_STATUS_OK : SOUP_STATUS_SERVICE_UNAVAILABLE;
+  aExchange.Reply(
+    status, "text/plain", fmt::format("{}\n", NodePhaseName(mPhase)));
+}
--- /dev/null
+++ b/Source/Core/Node/NodeApp.h
@@ -0,0 +1,158 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "Budget/BudgetSystem.h"
+#include "Budget/ChargeBackup.h"
+#include "Common/EventLoop.h"
+#include "Common/Result.h"
+#include "Config/ConfigFollower.h"
+#include "Config/NodeSettings.h"
+#include "Dispatch/DispatchSystem.h"
+#include "Membership/EndpointSelector.h"
+#include "Membership/MembershipSystem.h"
+#include "Node/ChatSystem.h"
+#include "Node/NodeMetrics.h"
+#include "Node/PeerBridge.h"
+#include "Node/ServiceProxy.h"
+#include "Node/TableDriver.h"
+#include "Node/Trace.h"
+#include "Node/UpstreamWatch.h"
+#include "Peer/PeerClient.h"
+#include "Peer/PeerServer.h"
+#include "Platform/HttpClient.h"
+#include "Platform/HttpServer.h"
+
+class admin_api;
+
+/// Why a node does not start.
+struct node_error
+{
+  std::string mMessage;
+  auto operator<=>(const node_error&) const = default;
+};
+
+/// Step of a node's life as `/readyz` and `status` show it.
+enum class node_phase : std::uint8_t
+{
+  /// No configuration or host list yet.
+  Starting,
+  Serving,
+  /// Left the endpoint answers; callers' cached answers still lead here.
+  Leaving,
+  /// Takes no new requests, finishes the open ones.
+  Draining,
+  /// Nothing is left to do.
+  Stopped,
+};
+
+std::string_view NodePhaseName(node_phase aPhase);
+
+/// One node: all systems wired to the network and to each other.
+class node_app final : public upstream_watch_handler
+{
+public:
+  static result<std::unique_ptr<node_app>, node_error> Start(
+    const node_settings& aSettings,
+    std::function<void()> aOnStopped);
+  ~node_app() override;
+  node_app(const node_app&) = delete;
+  node_app& operator=(const node_app&) = delete;
+
+  /// Starts a graceful stop; the second call ends what is still open.
+  void Stop();
+
+  const std::string& HttpAddress() const { return mServer.Address(); }
+  const std::string& PeerAddress() const { return mPeerServer->Address(); }
+  node_phase Phase() const { return mPhase; }
+  bool Ready() const { return mPhase == node_phase::Serving; }
+  const node_settings& Settings() const { return mSettings; }
+  const config_follower& Config() const { return *mConfig; }
+  const membership_system& Membership() const { return *mMembership; }
+  budget_system& Budget() { return *mBudget; }
+  const charge_backup& Backup() const { return *mBackup; }
+  const dispatch_system& Dispatch() const { return mDispatch; }
+  const chat_system& Chat() const { return *mChat; }
+  table_service& Table() { return *mTable; }
+  table_driver& Driver() { return *mDriver; }
+  const time_source& Time() const { return mTime; }
+  /// Reads the configuration again at once, after a change made here.
+  void RefreshConfig();
+
+  void OnHosts(const host_listing& aListing) override;
+  void OnLoad(const upstream_id& aUpstream,
+              const load_report& aReport) override;
+  void OnCache(const upstream_id& aUpstream,
+               const cache_events& aEvents) override;
+
+private:
+  node_app(const node_settings& aSettings, std::function<void()> aOnStopped);
+  result<void, node_error> Listen();
+  void CreateSystems();
+  void CreateHolder();
+  void ConnectPeers();
+  void AddRoutes();
+
+  void Wake();
+  void TickFast();
+  void TickSlow();
+  void TickBudget(time_point aNow);
+  void TickConfig(time_point aNow);
+  void TickMembership(time_point aNow);
+  void TickShutdown(time_point aNow);
+  bool WorkFinished() const;
+  void ForceStop();
+  void ApplyDocument();
+  void ApplyMembers();
+  void HandleEvents(time_point aNow);
+  void ReplaceHolder();
+  void UpdateMetrics();
+  void SetPhase(node_phase aPhase);
+  void ServeEndpoints(http_exchange& aExchange);
+  void ServeReadiness(http_exchange& aExchange);
+
+  node_settings mSettings;
+  std::function<void()> mOnStopped;
+  system_time_source mTime;
+  std::uint64_t mSeed;
+  std::uint64_t mIncarnation;
+  http_client mClient;
+  http_server mServer;
+  node_metrics mMetrics;
+  tracer mTracer;
+  std::unique_ptr<table_service> mTable;
+  std::unique_ptr<host_list> mHosts;
+
+  std::shared_ptr<config_follower> mConfig;
+  std::shared_ptr<budget_system> mBudget;
+  std::shared_ptr<charge_backup> mBackup;
+  /// Backups of earlier incarnations that still write charges.
+  std::vector<std::shared_ptr<charge_backup>> mRetiredBackups;
+  std::shared_ptr<service_call_system> mCalls;
+  std::unique_ptr<membership_system> mMembership;
+  endpoint_selector mSelector;
+  dispatch_system mDispatch;
+  std::unique_ptr<table_driver> mDriver;
+  std::unique_ptr<peer_client> mPeerClient;
+  std::unique_ptr<peer_bridge> mPeers;
+  std::unique_ptr<peer_server> mPeerServer;
+  std::unique_ptr<chat_system> mChat;
+  std::unique_ptr<service_proxy> mServices;
+  std::unique_ptr<upstream_watch> mWatch;
+  std::unique_ptr<admin_api> mAdmin;
+
+  loop_timer mFastTimer;
+  loop_timer mSlowTimer;
+  loop_timer mWakeTimer;
+  node_phase mPhase = node_phase::Starting;
+  bool mHostsSeen = false;
+  std::uint64_t mAppliedVersion = 0;
+  std::uint64_t mMembersVersion = 0;
+  bool mWakePending = false;
+  time_point mLeaveUntil{};
+  time_point mDrainDeadline{};
+};
--- /dev/null
+++ b/Source/Core/Node/NodeStatus.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json_fwd.hpp>
+
+#include "Dispatch/DispatchTypes.h"
+#include "Membership/EndpointSelector.h"
+#include "Node/NodeMetrics.h"
+#include "Node/RequestError.h"
+#include "Node/ServiceProxy.h"
+#include "Platform/HostList.h"
+
+class node_app;
+
+/// The host list by what runs on the hosts.
+struct host_tables
+{
+  std::vector<upstream_entry> mUpstreams;
+  std::map<upstream_id, std::string> mEngineAddresses;
+  /// Hosts that are not leaving.
+  std::map<service_id, std::vector<service_host>> mServiceHosts;
+};
+
+host_tables SplitHosts(const host_listing& aListing);
+
+/// Body of `GET /v1/endpoints`.
+nlohmann::json FormatEndpoints(const endpoint_answer& aAnswer);
+
+/// Body of `GET /admin/v1/status`.
+nlohmann::json FormatNodeStatus(node_app& aNode);
+
+/// Copies the systems' counters into the metrics.
+void UpdateNodeMetrics(node_app& aNode, node_metrics& aMetrics);
+
+request_error MethodError(std::string_view aAllowed);
+
+request_error StartingError();
--- /dev/null
+++ b/Source/Core/Node/ServiceProxy.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Config/FleetDocument.h"
+#include "Node/NodeMetrics.h"
+#include "Node/RequestError.h"
+#include "Node/Trace.h"
+#include "Node/UpstreamWatch.h"
+#include "Platform/HttpClient.h"
+#include "Platform/HttpExchange.h"
+#include "Services/ServiceCallSystem.h"
+
+/// What the service proxy works with; all outlive it.
+struct service_context
+{
+  service_call_system* mCalls = nullptr;
+  http_client* mClient = nullptr;
+  node_metrics* mMetrics = nullptr;
+  tracer* mTracer = nullptr;
+  const time_source* mTime = nullptr;
+  std::function<void()> mWake;
+};
+
+/// Takes `/v1/services/NAME/...` to the hosts of plain services. Calls that
+/// must not be repeated go through the call system, others are tried on the
+/// next host when the first cannot be reached.
+class service_proxy
+{
+public:
+  explicit service_proxy(service_context aContext);
+
+  void ApplyDocument(std::shared_ptr<const fleet_document> aDocument);
+  /// Live hosts of each service; leaving ones are not in it.
+  void SetHosts(std::map<service_id, std::vector<service_host>> aHosts);
+
+  void Accept(const http_exchange_ptr& aExchange);
+  /// Sends and answers that the call system decided on.
+  void Apply(const call_work& aWork);
+  /// Calls that have no answer yet.
+  std::size_t Open() const { return mOnce.size() + mRepeatable; }
+  void BeginShutdown() { mShuttingDown = true; }
+
+private:
+  struct service_request
+  {
+    account_id mAccount;
+    service_id mService;
+    /// Path at the service, with the query.
+    std::string mPath;
+    std::string mMethod;
+    std::string mContentType;
+    std::string mBody;
+    trace_span mSpan;
+  };
+  struct once_call
+  {
+    http_exchange_ptr mExchange;
+    std::shared_ptr<service_request> mRequest;
+  };
+
+  result<std::shared_ptr<service_request>, request_error> Admit(
+    http_exchange& aExchange);
+  void BeginOnce(const http_exchange_ptr& aExchange,
+                 std::shared_ptr<service_request> aRequest);
+  void SendRepeatable(const http_exchange_ptr& aExchange,
+                      const std::shared_ptr<service_request>& aRequest,
+                      std::size_t aAttempt);
+  void SendOnce(call_number aCall);
+  void Answer(const call_answer& aAnswer);
+  const service_host* NextHost(const service_id& aService);
+  http_request MakeRequest(const service_request& aRequest,
+                           const service_host& aHost) const;
+  void Refuse(const http_exchange_ptr& aExchange, const request_error& aError);
+
+  service_context mContext;
+  std::shared_ptr<const fleet_document> mDocument;
+  std::map<service_id, std::vector<service_host>> mHosts;
+  std::map<service_id, std::size_t> mNextHost;
+  std::map<call_number, once_call> mOnce;
+  std::size_t mRepeatable = 0;
+  http_owner mRequests;
+  bool mShuttingDown = false;
+};
--- /dev/null
+++ b/Source/Core/Node/UpstreamWatch.cpp
@@ -0,0 +1,208 @@
+#include "Node/UpstreamWatch.h"
+
+#include <utility>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include "Common/Identity.h"
+
+namespace {
+
+using json = nlohmann::json;
+using std::chrono::milliseconds;
+
+// A leaving host must get no new work 3 s after the first sign.
+constexpr milliseconds kHostPeriod(1000);
+// One engine at a time, so that the traffic does not grow with their number.
+constexpr milliseconds kEnginePeriod(250);
+constexpr milliseconds kEngineLimit(1000);
+constexpr std::string_view kPrefillRole = "prefill";
+
+bool IsCount(const json& aBody, const char* aField)
+{
+  return aBody.contains(aField) && aBody.at(aField).is_number_unsigned();
+}
+
+std::uint32_t ReadCount(const json& aBody, const char* aField)
+{
+  return IsCount(aBody, aField) ? aBody.at(aField).get<std::uint32_t>() : 0;
+}
+
+void ReadModels(const json& aBody, load_report& aReport)
+{
+  if (!aBody.contains("models") || !aBody.at("models").is_array()) {
+    return;
+  }
+  for (const json& model : aBody.at("models")) {
+    if (model.is_string()) {
+      aReport.mModels.push_back({ model.get<std::string>() });
+    }
+  }
+}
+
+/// One event of an engine's prefix cache; false when it is malformed.
+bool ReadCacheEvent(const json& aEvent, cache_events& aRead)
+{
+  const bool shape = aEvent.is_object() && IsCount(aEvent, "sequence") &&
+                     aEvent.contains("kind") && aEvent.at("kind").is_string() &&
+                     aEvent.contains("block") && aEvent.at("block").is_string();
+  if (!shape) {
+    return false;
+  }
+  const std::string padded =
+    std::string(16, '0') + aEvent.at("block").get<std::string>();
+  std::uint64_t high = 0;
+  cache_change change;
+  if (!ParseHex(padded, high, change.mBlock)) {
+    return false;
+  }
+  change.mAction = aEvent.at("kind") == "stored" ? cache_action::Stored
+                                                 : cache_action::Removed;
+  aRead.mSequence = aEvent.at("sequence").get<std::uint64_t>();
+  aRead.mChanges.push_back(change);
+  return true;
+}
+
+} // namespace
+
+bool ParseLoadReport(std::string_view aBody,
+                     time_point aNow,
+                     load_report& aReport)
+{
+  const json body = json::parse(aBody, nullptr, false);
+  if (!body.is_object() || !IsCount(body, "running") ||
+      !IsCount(body, "waiting")) {
+    return false;
+  }
+  aReport.mAsOf = aNow;
+  aReport.mRunning = ReadCount(body, "running");
+  aReport.mWaiting = ReadCount(body, "waiting");
+  aReport.mSlots = ReadCount(body, "capacity");
+  const bool prefill = body.contains("role") && body.at("role") == kPrefillRole;
+  aReport.mRole = prefill ? upstream_role::Reserved : upstream_role::Serving;
+  ReadModels(body, aReport);
+  return true;
+}
+
+bool ParseCacheEvents(std::string_view aBody,
+                      std::vector<cache_events>& aEvents)
+{
+  const json body = json::parse(aBody, nullptr, false);
+  if (!body.is_object() || !body.contains("events") ||
+      !body.at("events").is_array()) {
+    return false;
+  }
+  for (const json& event : body.at("events")) {
+    cache_events read;
+    if (!ReadCacheEvent(event, read)) {
+      return false;
+    }
+    aEvents.push_back(std::move(read));
+  }
+  return true;
+}
+
+upstream_watch::upstream_watch(host_list& aHosts,
+                               http_client& aClient,
+                               const time_source& aTime,
+                               upstream_watch_handler& aHandler)
+  : mHosts(aHosts)
+  , mClient(aClient)
+  , mTime(aTime)
+  , mHandler(aHandler)
+{
+}
+
+void upstream_watch::Tick(time_point aNow)
+{
+  if (aNow >= mNextFetch && !mFetching) {
+    FetchHosts(aNow);
+  }
+  if (aNow >= mNextAsk && !mEngines.empty()) {
+    AskNextEngine(aNow);
+  }
+}
+
+void upstream_watch::SetEngines(std::map<upstream_id, std::string> aAddresses)
+{
+  mEngines = std::move(aAddresses);
+}
+
+void upstream_watch::Refresh()
+{
+  mListVersion = 0;
+  mNextFetch = {};
+}
+
+void upstream_watch::FetchHosts(time_point aNow)
+{
+  mNextFetch = aNow + kHostPeriod;
+  mFetching = true;
+  mHosts.Fetch(mListVersion,
+               [this](const result<host_listing, host_list_error>& aReply) {
+                 mFetching = false;
+                 if (aReply.has_value()) {
+                   mListVersion = aReply.value().mVersion;
+                   mHandler.OnHosts(aReply.value());
+                 }
+               });
+}
+
+void upstream_watch::AskNextEngine(time_point aNow)
+{
+  mNextAsk = aNow + kEnginePeriod;
+  auto next = mEngines.upper_bound(mLastAsked);
+  if (next == mEngines.end()) {
+    next = mEngines.begin();
+  }
+  mLastAsked = next->first;
+  AskLoad(next->first, next->second);
+  AskCache(next->first, next->second);
+}
+
+void upstream_watch::AskLoad(const upstream_id& aUpstream,
+                             const std::string& aAddress)
+{
+  http_request request;
+  request.mUrl = fmt::format("http://{}/v1/load", aAddress);
+  request.mTimeout = kEngineLimit;
+  mClient.Send(
+    request,
+    mRequests,
+    [this, aUpstream](const result<http_reply, http_failure>& aReply) {
+      load_report report;
+      const bool read =
+        aReply.has_value() &&
+        ParseLoadReport(aReply.value().mBody, mTime.Now(), report);
+      if (read) {
+        mHandler.OnLoad(aUpstream, report);
+      }
+    });
+}
+
+void upstream_watch::AskCache(const upstream_id& aUpstream,
+                              const std::string& aAddress)
+{
+  http_request request;
+  request.mUrl = fmt::format(
+    "http://{}/v1/cache_events?after={}", aAddress, mCacheSequence[aUpstream]);
+  request.mTimeout = kEngineLimit;
+  mClient.Send(
+    request,
+    mRequests,
+    [this, aUpstream](const result<http_reply, http_failure>& aReply) {
+      std::vector<cache_events> events;
+      const bool read =
+        aReply.has_value() && ParseCacheEvents(aReply.value().mBody, events);
+      if (!read) {
+        // A restarted engine numbers its events anew.
+        mCacheSequence[aUpstream] = 0;
+        return;
+      }
+      for (const cache_events& event : events) {
+        mCacheSequence[aUpstream] = event.mSequence;
+        mHandler.OnCache(aUpstream, event);
+      }
+    });
+}
--- /dev/null
+++ b/Source/Core/Node/UpstreamWatch.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "Common/Time.h"
+#include "Config/FleetDocument.h"
+#include "Dispatch/DispatchTypes.h"
+#include "Platform/HostList.h"
+#include "Platform/HttpClient.h"
+
+/// One host of a plain service.
+struct service_host
+{
+  std::string mName;
+  std::string mAddress;
+  std::string mZone;
+  auto operator<=>(const service_host&) const = default;
+};
+
+/// What the watch tells the node.
+class upstream_watch_handler
+{
+public:
+  virtual ~upstream_watch_handler() = default;
+  virtual void OnHosts(const host_listing& aListing) = 0;
+  virtual void OnLoad(const upstream_id& aUpstream,
+                      const load_report& aReport) = 0;
+  virtual void OnCache(const upstream_id& aUpstream,
+                       const cache_events& aEvents) = 0;
+};
+
+/// Polls the host list and asks the engines for load and cache events, a few
+/// requests a second whatever the size of the fleet.
+class upstream_watch
+{
+public:
+  upstream_watch(host_list& aHosts,
+                 http_client& aClient,
+                 const time_source& aTime,
+                 upstream_watch_handler& aHandler);
+
+  /// Sends what is due.
+  void Tick(time_point aNow);
+  /// Engines to ask, by identity.
+  void SetEngines(std::map<upstream_id, std::string> aAddresses);
+  /// Fetches the whole host list at the next tick.
+  void Refresh();
+
+private:
+  void FetchHosts(time_point aNow);
+  void AskNextEngine(time_point aNow);
+  void AskLoad(const upstream_id& aUpstream, const std::string& aAddress);
+  void AskCache(const upstream_id& aUpstream, const std::string& aAddress);
+
+  host_list& mHosts;
+  http_client& mClient;
+  const time_source& mTime;
+  upstream_watch_handler& mHandler;
+  http_owner mRequests;
+  std::map<upstream_id, std::string> mEngines;
+  std::map<upstream_id, std::uint64_t> mCacheSequence;
+  upstream_id mLastAsked;
+  std::uint64_t mListVersion = 0;
+  bool mFetching = false;
+  time_point mNextFetch{};
+  time_point mNextAsk{};
+};
+
+/// Reads the body of `GET /v1/load`; false when it is malformed.
+bool ParseLoadReport(std::string_view aBody,
+                     time_point aNow,
+                     load_report& aReport);
+
+/// Reads the body of `GET /v1/cache_events`; false when it is malformed.
+bool ParseCacheEvents(std::string_view aBody,
+                      std::vector<cache_events>& aEvents);
--- a/Source/Core/Platform/HttpServer.cpp
+++ b/Source/Core/Platform/HttpServer.cpp
@@ -134,6 +134,10 @@
 
 void http_server::Attach(route& aRoute)
 {
+  // libsoup asks only the handler of the longest prefix, so each route needs
+  // the early check of the body's length.
+  soup_server_add_early_handler(
+    mServer, aRoute.mPrefix.c_str(), OnEarly, this, nullptr);
   soup_server_add_handler(
     mServer, aRoute.mPrefix.c_str(), OnRequest, &aRoute, nullptr);
 }
--- a/Source/UnitTests/Common/JsonTextTest.cpp
+++ b/Source/UnitTests/Common/JsonTextTest.cpp
@@ -32,6 +32,14 @@
   EXPECT_NE(text.error().mMessage.find("nested"), std::string::npos);
 }
 
+// Guards against an error message that repeats the whole input.
+TEST(JsonText, QuotesLittleOfAMalformedText)
+{
+  const auto text = ParseJsonText(std::string(1000000, ' '), "file");
+  ASSERT_TRUE(text.has_error());
+  EXPECT_LT(FormatJsonError(text.error()).size(), 200U);
+}
+
 TEST(JsonText, NamesTheLineOfASyntaxError)
 {
   const auto text = ParseJsonText("{\n\n\"a\": }", "file");
--- /dev/null
+++ b/Source/UnitTests/Node/RequestErrorTest.cpp
@@ -0,0 +1,18 @@
+#include "Node/RequestError.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+// Guards against a body that does not say whether the request ran.
+TEST(RequestError, BodyHasCodeRunAndRetry)
+{
+  const request_error error{ request_error_code::Overloaded,
+                             "too \"many\" \xff",
+                             run_state::NotRun,
+                             std::chrono::milliseconds(1500) };
+  const auto body = nlohmann::json::parse(FormatRequestError(error));
+  EXPECT_EQ(body.at("error").at("code"), "overloaded");
+  EXPECT_EQ(body.at("error").at("run"), "not_run");
+  EXPECT_EQ(body.at("error").at("retry_after_ms"), 1500);
+  EXPECT_EQ(RequestErrorStatus(error.mCode), 429U);
+}
