--- a/Source/UnitTests/Config/ConfigFollowerTest.cpp
+++ b/Source/UnitTests/Config/ConfigFollowerTest.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include "Config/ConfigEditor.h"
+#include "Config/TextDiff.h"
 
 #include "FakeTable.h"
 #include "FleetFixture.h"
@@ -281,3 +282,19 @@
   EXPECT_EQ(Put("accounts/clinic", std::nullopt, 3).mVersion, 4U);
   EXPECT_EQ(Put("billing", std::nullopt, 2).mVersion, 5U);
 }
+
+TEST(ConfigHistory, ListsNewestChangesFirst)
+{
+  EXPECT_EQ(HistoryKeys(2, 5),
+            (std::vector<std::string>{ "config/change/000000000002",
+                                       "config/change/000000000001" }));
+}
+
+TEST(TextDiff, ShowsChangedLinesWithContext)
+{
+  EXPECT_EQ(DiffText("a\nb\nc\nd\ne\n", "a\nb\nx\nd\ne\n", 1),
+            " b\n-c\n+x\n d\n");
+  EXPECT_EQ(DiffText("a\nb\n", "a\nnew\nb\n", 0), "+new\n");
+  EXPECT_EQ(DiffText("same\n", "same\n"), "");
+  EXPECT_EQ(DiffText("", "a\n"), "+a\n");
+}
--- a/Source/UnitTests/Load/LoadTest.cpp
+++ b/Source/UnitTests/Load/LoadTest.cpp
@@ -1,3 +1,6 @@
+#include <fstream>
+#include <sstream>
+
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
@@ -285,3 +288,13 @@
             "load.json:3: /sources/0/prompt_tokens: \"least\" is more than "
             "\"most\"\n");
 }
+
+TEST(Workload, ReferenceParses)
+{
+  std::ifstream file(LENTILSWITCH_ROOT "/Reference/workload.json");
+  std::ostringstream text;
+  text << file.rdbuf();
+  const auto load = ParseWorkload(text.str(), "workload.json");
+  ASSERT_TRUE(load.has_value()) << FormatConfigErrors(load.error());
+  EXPECT_EQ(load.value().mSources.size(), 3U);
+}
