--- a/Source/Benchmarks/ConfigBenchmark.cpp
+++ b/Source/Benchmarks/ConfigBenchmark.cpp
@@ -97,7 +97,7 @@
 {
   std::map<std::string, table_row> rows;
   config_head head;
-  const auto put = [&rows, &head](std::string aKey, std::string aValue) {
+  const auto put = [&rows, &head](const std::string& aKey, std::string aValue) {
     rows[aKey] = { aKey, head.mVersion, std::move(aValue) };
   };
   for (const section_change& change : aList) {
@@ -224,7 +224,8 @@
     head.mVersion = version;
     head.mDigest ^= SectionDigest(name, previous);
     head.mDigest ^= SectionDigest(name, version);
-    const auto put = [&rows, version](std::string aKey, std::string aValue) {
+    const auto put = [&rows, version](const std::string& aKey,
+                                      std::string aValue) {
       rows[aKey] = { aKey, version, std::move(aValue) };
     };
     put(std::string(kConfigHeadKey), WriteConfigHead(head));
--- a/Source/UnitTests/Config/FleetDocumentTest.cpp
+++ b/Source/UnitTests/Config/FleetDocumentTest.cpp
@@ -230,6 +230,7 @@
       next[change.mName] = *change.mText;
     }
     std::vector<section_change> whole;
+    whole.reserve(next.size());
     for (const auto& [name, text] : next) {
       whole.push_back({ name, text });
     }
