--- a/Source/UnitTests/Config/ConfigFollowerTest.cpp
+++ b/Source/UnitTests/Config/ConfigFollowerTest.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include "Config/ConfigEditor.h"
+#include "Config/TextDiff.h"
 
 #include "FakeTable.h"
 #include "FleetFixture.h"
@@ -175,6 +176,28 @@
   EXPECT_GT(follower.Counters().mStaleRows, 0U);
 }
 
+// Guards against a start-up scan answered by a lagging replica giving a
+// document that never existed: new head, old sections.
+TEST_F(config_follower_test, RejectsSectionsOlderThanTheHead)
+{
+  PutBase();
+  const auto old = mTable.mRows;
+  Put("accounts/clinic", AccountText("key-2"), 3);
+  config_follower follower({});
+  for (; follower.Counters().mScansStarted == 0; mNow += milliseconds(10)) {
+    const config_requests requests = follower.Tick(mNow);
+    Answer(follower, { requests.mReads, {} });
+    for (const config_scan& scan : requests.mScans) {
+      follower.OnScan(scan.mRequest, fake_table::Scan(old, scan.mScan), mNow);
+    }
+  }
+  follower.Tick(mNow);
+  EXPECT_FALSE(follower.Ready());
+  EXPECT_EQ(follower.Counters().mMismatches, 1U);
+  Run(follower, seconds(2));
+  EXPECT_EQ(follower.Current().mVersion, 4U);
+}
+
 // Guards against unbounded reads after a long partition, and against reading
 // thousands of changes one by one where a scan is shorter.
 TEST_F(config_follower_test, BoundsReadsWhenFarBehind)
@@ -259,3 +282,19 @@
   EXPECT_EQ(Put("accounts/clinic", std::nullopt, 3).mVersion, 4U);
   EXPECT_EQ(Put("billing", std::nullopt, 2).mVersion, 5U);
 }
+
+TEST(ConfigHistory, ListsNewestChangesFirst)
+{
+  EXPECT_EQ(HistoryKeys(2, 5),
+            (std::vector<std::string>{ "config/change/000000000002",
+                                       "config/change/000000000001" }));
+}
+
+TEST(TextDiff, ShowsChangedLinesWithContext)
+{
+  EXPECT_EQ(DiffText("a\nb\nc\nd\ne\n", "a\nb\nx\nd\ne\n", 1),
+            " b\n-c\n+x\n d\n");
+  EXPECT_EQ(DiffText("a\nb\n", "a\nnew\nb\n", 0), "+new\n");
+  EXPECT_EQ(DiffText("same\n", "same\n"), "");
+  EXPECT_EQ(DiffText("", "a\n"), "+a\n");
+}
