Reuse connections for every method without ever resending a request

libsoup opened one connection per POST and kept each for 30 seconds. Marking requests idempotent allows reuse; cancelling on "restarted" keeps libsoup from sending a request twice when a kept connection breaks.

--- a/Source/Core/Platform/HttpClient.cpp
+++ b/Source/Core/Platform/HttpClient.cpp
@@ -13,14 +13,6 @@
 constexpr int kMaxConnectionsPerHost = 1024;
 constexpr unsigned kIdleTimeoutSeconds = 30;
 
-// When a reused connection breaks, libsoup sends any request again whose
-// method it takes for idempotent, and a PUT then goes out with an empty body.
-// It never does so on a new connection.
-bool MayBeResent(std::string_view aMethod)
-{
-  return aMethod != "GET" && aMethod != "HEAD" && aMethod != "POST";
-}
-
 bool EqualIgnoringCase(std::string_view aLeft, std::string_view aRight)
 {
   return aLeft.size() == aRight.size() &&
@@ -141,9 +133,7 @@
     return nullptr;
   }
   soup_message_add_flags(message, SOUP_MESSAGE_NO_REDIRECT);
-  if (MayBeResent(aRequest.mMethod)) {
-    soup_message_add_flags(message, SOUP_MESSAGE_NEW_CONNECTION);
-  }
+
   SoupMessageHeaders* headers = soup_message_get_request_headers(message);
   for (const auto& [name, value] : aRequest.mHeaders) {
     soup_message_headers_append(headers, name.c_str(), value.c_str());
@@ -157,6 +147,20 @@
   return message;
 }
 
+// libsoup opens a connection for every request that it does not take for
+// idempotent, and keeps it afterwards: each later request looks at all of
+// them. The flag allows reuse; it also allows libsoup to send the request
+// again when a reused connection breaks, which the handler prevents.
+void SendOnlyOnce(SoupMessage* aMessage, GCancellable* aCancellable)
+{
+  soup_message_add_flags(aMessage, SOUP_MESSAGE_IDEMPOTENT);
+  g_signal_connect_object(aMessage,
+                          "restarted",
+                          G_CALLBACK(g_cancellable_cancel),
+                          aCancellable,
+                          G_CONNECT_SWAPPED);
+}
+
 void http_owner::CancelAll()
 {
   const std::set<http_call*> calls = std::exchange(mCalls, {});
@@ -199,6 +203,7 @@
     g_idle_add(http_call::OnInvalid, call);
     return;
   }
+  SendOnlyOnce(call->mMessage, call->mCancellable);
   g_signal_connect(call->mMessage,
                    "starting",
                    G_CALLBACK(+[](SoupMessage*, gpointer aCall) {
--- a/Source/Core/Platform/HttpClient.h
+++ b/Source/Core/Platform/HttpClient.h
@@ -88,10 +88,9 @@
   http_client(const http_client&) = delete;
   http_client& operator=(const http_client&) = delete;
 
-  /// Sends a request once and reads the whole reply; only `GET` and `HEAD` may
-  /// go out again when a kept connection turns out to be closed. The callback
-  /// runs on the loop, never from inside this call, and not after `aOwner` is
-  /// destroyed.
+  /// Sends a request, never more than once, and reads the whole reply. The
+  /// callback runs on the loop, never from inside this call, and not after
+  /// `aOwner` is destroyed.
   void Send(const http_request& aRequest,
             http_owner& aOwner,
             callback aCallback);
@@ -106,5 +105,9 @@
 /// owns the reference.
 SoupMessage* MakeSoupMessage(const http_request& aRequest);
 
+/// Lets a message use a kept connection and keeps libsoup from sending it a
+/// second time when that connection breaks.
+void SendOnlyOnce(SoupMessage* aMessage, GCancellable* aCancellable);
+
 /// Headers of a response.
 http_headers CopyHeaders(SoupMessageHeaders* aHeaders);
--- a/Source/Core/Platform/HttpExchange.cpp
+++ b/Source/Core/Platform/HttpExchange.cpp
@@ -49,7 +49,8 @@
 }
 
 // libsoup does not read from a connection whose message is paused, so it would
-// notice a caller that went away only at the next write.
+// notice a caller that went away only at the next write. A caller that shuts
+// down its sending side counts as gone.
 void http_exchange::WatchPeer()
 {
   GSocket* socket = soup_server_message_get_socket(mMessage);
@@ -78,7 +79,8 @@
 {
   auto* self = static_cast<http_exchange*>(aSelf);
   const auto keep = self->shared_from_this();
-  if (self->PeerClosed()) {
+  // A complete response is left to libsoup, also when it is not yet written.
+  if (!self->mCompleted && self->PeerClosed()) {
     self->Abort();
   }
   // Readable without an end of file is the caller's next request, which
@@ -241,9 +243,10 @@
 
 void http_exchange::Abort()
 {
-  if (mFinished) {
+  if (mFinished || mCompleted) {
     return;
   }
+  mPending.clear();
   GSocket* socket = soup_server_message_get_socket(mMessage);
   if (socket != nullptr) {
     g_socket_shutdown(socket, TRUE, TRUE, nullptr);
--- a/Source/Core/Platform/HttpExchange.h
+++ b/Source/Core/Platform/HttpExchange.h
@@ -59,7 +59,8 @@
   void OnDrained(callback aCallback) { mOnDrained = std::move(aCallback); }
   /// Called once when the connection ends before the response is complete.
   void OnClosed(callback aCallback) { mOnClosed = std::move(aCallback); }
-  /// Breaks the connection without completing the response.
+  /// Breaks the connection without completing the response; without effect
+  /// after `Reply`.
   void Abort();
   /// Whether the response can still be written.
   bool Open() const { return !mFinished; }
--- a/Source/Core/Platform/HttpHostList.cpp
+++ b/Source/Core/Platform/HttpHostList.cpp
@@ -51,10 +51,10 @@
   request.mUrl =
     mEndpoint.Url(fmt::format("/v1/hosts?version={}", aKnownVersion));
   request.mTimeout = mEndpoint.mTimeout;
-  mClient.Send(
-    request,
-    mOwner,
-    [reply = std::move(aReply)](result<http_reply, http_failure> aResult) {
-      reply(Translate(aResult));
-    });
+  mClient.Send(request,
+               mOwner,
+               [reply = std::move(aReply)](
+                 const result<http_reply, http_failure>& aResult) {
+                 reply(Translate(aResult));
+               });
 }
--- a/Source/Core/Platform/HttpObjectStore.cpp
+++ b/Source/Core/Platform/HttpObjectStore.cpp
@@ -5,15 +5,12 @@
 
 namespace {
 
-// libsoup 3.2 has no name for this status.
-constexpr unsigned kTooManyRequests = 429;
-
 object_error TranslateStatus(unsigned aStatus)
 {
   switch (aStatus) {
     case SOUP_STATUS_NOT_FOUND:
       return object_error::NotFound;
-    case kTooManyRequests:
+    case kHttpTooManyRequests:
       return object_error::RateLimited;
     case SOUP_STATUS_SERVICE_UNAVAILABLE:
       return object_error::Unavailable;
@@ -69,17 +66,17 @@
   http_request request = Request("PUT", aName);
   request.mContentType = "application/octet-stream";
   request.mBody = std::move(aBytes);
-  mClient.Send(
-    request,
-    mOwner,
-    [reply = std::move(aReply)](result<http_reply, http_failure> aResult) {
-      const auto error = Error(aResult);
-      if (error) {
-        reply(*error);
-      } else {
-        reply(success());
-      }
-    });
+  mClient.Send(request,
+               mOwner,
+               [reply = std::move(aReply)](
+                 const result<http_reply, http_failure>& aResult) {
+                 const auto error = Error(aResult);
+                 if (error) {
+                   reply(*error);
+                 } else {
+                   reply(success());
+                 }
+               });
 }
 
 http_request http_object_store::Request(const char* aMethod,
--- a/Source/Core/Platform/HttpStream.cpp
+++ b/Source/Core/Platform/HttpStream.cpp
@@ -156,14 +156,39 @@
       }
       return;
     }
+    if (self->mOwner != nullptr && size == 0) {
+      self->CloseAtEnd();
+      return;
+    }
     if (self->mOwner != nullptr) {
-      self->End(size == 0 ? std::nullopt : std::optional(http_failure::Broken));
+      self->End(http_failure::Broken);
     }
     self->mBusy = false;
     if (self->mOwner == nullptr) {
       self->Close();
     }
   }
+
+  /// Closes the input at its end, which lets the next request reuse the
+  /// connection.
+  void CloseAtEnd()
+  {
+    g_input_stream_close_async(
+      mInput,
+      G_PRIORITY_DEFAULT,
+      nullptr,
+      [](GObject* aInput, GAsyncResult* aResult, gpointer aState) {
+        g_input_stream_close_finish(G_INPUT_STREAM(aInput), aResult, nullptr);
+        auto* self = static_cast<state*>(aState);
+        g_clear_object(&self->mInput);
+        self->End(std::nullopt);
+        self->mBusy = false;
+        if (self->mOwner == nullptr) {
+          self->Close();
+        }
+      },
+      this);
+  }
 };
 
 http_stream::http_stream(http_client& aClient,
@@ -185,6 +210,7 @@
     });
     return;
   }
+  SendOnlyOnce(mState->mMessage, mState->mCancellable);
   g_signal_connect(mState->mMessage,
                    "starting",
                    G_CALLBACK(+[](SoupMessage*, gpointer aState) {
--- a/Source/Core/Platform/HttpTableService.cpp
+++ b/Source/Core/Platform/HttpTableService.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-// libsoup 3.2 has no name for this status.
-constexpr unsigned kTooManyRequests = 429;
-
 // A connection that broke after the request was sent says no more about a
 // commit than a timeout does.
 table_error TranslateFailure(http_failure aFailure)
@@ -19,7 +16,7 @@
 
 table_error TranslateStatus(unsigned aStatus)
 {
-  if (aStatus == kTooManyRequests) {
+  if (aStatus == kHttpTooManyRequests) {
     return table_error::RateLimited;
   }
   const bool refused = aStatus >= 400 && aStatus < 500;
--- a/Source/Core/Platform/HttpWeightStore.cpp
+++ b/Source/Core/Platform/HttpWeightStore.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-// libsoup 3.2 has no name for this status.
-constexpr unsigned kTooManyRequests = 429;
-
 result<weight_ticket, weight_error> ParseTicket(const std::string& aText)
 {
   try {
@@ -34,7 +31,7 @@
       return ParseTicket(aReply.value().mBody);
     case SOUP_STATUS_NOT_FOUND:
       return weight_error::NotFound;
-    case kTooManyRequests:
+    case kHttpTooManyRequests:
       return weight_error::RateLimited;
     default:
       return weight_error::Unavailable;
@@ -58,10 +55,10 @@
   request.mTimeout = mEndpoint.mTimeout;
   const json body{ { "model", aModel } };
   request.mBody = body.dump(-1, ' ', false, json::error_handler_t::replace);
-  mClient.Send(
-    request,
-    mOwner,
-    [reply = std::move(aReply)](result<http_reply, http_failure> aResult) {
-      reply(Translate(aResult));
-    });
+  mClient.Send(request,
+               mOwner,
+               [reply = std::move(aReply)](
+                 const result<http_reply, http_failure>& aResult) {
+                 reply(Translate(aResult));
+               });
 }
--- a/Source/Core/Platform/PlatformEndpoint.h
+++ b/Source/Core/Platform/PlatformEndpoint.h
@@ -3,6 +3,9 @@
 #include <chrono>
 #include <string>
 
+/// Status that libsoup 3.2 has no name for.
+inline constexpr unsigned kHttpTooManyRequests = 429;
+
 /// Where a service of the platform listens.
 struct platform_endpoint
 {
--- a/Source/Core/StandIn/EngineBatch.h
+++ b/Source/Core/StandIn/EngineBatch.h
@@ -62,6 +62,8 @@
   /// Slows every step down; 100 is the normal speed.
   void SetSlowPercent(std::uint32_t aPercent) { mSlowPercent = aPercent; }
 
+  std::uint32_t SlowPercent() const { return mSlowPercent; }
+
   std::uint32_t Running() const;
   std::uint32_t Waiting() const;
 
--- a/Source/Core/StandIn/EngineStandIn.cpp
+++ b/Source/Core/StandIn/EngineStandIn.cpp
@@ -17,6 +17,7 @@
 constexpr std::chrono::milliseconds kTickPeriod{ 2 };
 // A reader with more than this waiting gets no further tokens.
 constexpr std::size_t kHoldBytes = 64U << 10U;
+constexpr std::chrono::milliseconds kRestartRetry{ 500 };
 constexpr std::size_t kRunsKept = 100000;
 
 std::optional<std::uint32_t> ReadNumber(std::string_view aText)
@@ -84,14 +85,19 @@
   ++mEpoch;
   Stop();
   mCache.Clear();
-  mRestart.Once(aDowntime, [this] {
-    const std::string address = Address();
-    if (!Start(address).has_value()) {
-      Log(log_level::Error,
-          "engine_restart_failed",
-          { Field("address", address) });
-    }
-  });
+  mRestart.Once(aDowntime, [this] { RestartAfterCrash(); });
+}
+
+void engine_stand_in::RestartAfterCrash()
+{
+  const std::string address = Address();
+  if (Start(address).has_value()) {
+    return;
+  }
+  // An outgoing connection may hold the port meanwhile.
+  Log(
+    log_level::Warning, "engine_restart_failed", { Field("address", address) });
+  mRestart.Once(kRestartRetry, [this] { RestartAfterCrash(); });
 }
 
 void engine_stand_in::SetSlowPercent(std::uint32_t aPercent)
@@ -342,7 +348,7 @@
   try {
     const json body = json::parse(aExchange->Body());
     mLeaving = body.value("leaving", mLeaving);
-    SetSlowPercent(body.value("slow_percent", 100U));
+    SetSlowPercent(body.value("slow_percent", mBatch.SlowPercent()));
     const std::chrono::milliseconds crash(body.value("crash_ms", 0U));
     if (crash.count() > 0) {
       // The reply leaves first, and a server is not closed inside a handler.
--- a/Source/Core/StandIn/EngineStandIn.h
+++ b/Source/Core/StandIn/EngineStandIn.h
@@ -61,7 +61,7 @@
 ///   16 hexadecimal digits |
 /// | `POST /v1/admin/commands`, `GET /v1/admin/state` | see `engine_control` |
 /// | `POST /v1/admin/faults` | sets `leaving`, `slow_percent`; `crash_ms`
-///   crashes the engine for that time |
+///   crashes the engine for that time; absent members stay |
 ///
 /// A streamed answer has one event per token, a chunk with the finish reason,
 /// a chunk with the usage, and `data: [DONE]`. With `X-Resume-From: N` the
@@ -133,6 +133,7 @@
   void Forget(std::uint64_t aId);
   void SampleLoad();
   void DropStreams();
+  void RestartAfterCrash();
 
   engine_stand_in_options mOptions;
   system_time_source mTime;
--- a/Source/Core/StandIn/StandInCluster.h
+++ b/Source/Core/StandIn/StandInCluster.h
@@ -47,7 +47,8 @@
 public:
   explicit stand_in_cluster(stand_in_cluster_options aOptions = {});
 
-  /// Starts everything and publishes engines and services in the host list.
+  /// Starts everything, once, and publishes engines and services in the host
+  /// list.
   result<void, http_listen_error> Start();
 
   table_stand_in& Table() { return mTable; }
--- a/Source/UnitTests/Platform/HttpTest.cpp
+++ b/Source/UnitTests/Platform/HttpTest.cpp
@@ -1,6 +1,8 @@
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <vector>
 
 #include <gtest/gtest.h>
 
@@ -16,7 +18,7 @@
 constexpr milliseconds kWait{ 5000 };
 using reply_result = result<http_reply, http_failure>;
 
-class Http : public testing::Test
+class http_test : public testing::Test
 {
 protected:
   void Start() { ASSERT_TRUE(mServer.Listen("127.0.0.1:0").has_value()); }
@@ -48,7 +50,7 @@
 
 } // namespace
 
-TEST_F(Http, RoutesByLongestPrefixAndEchoesTheBody)
+TEST_F(http_test, RoutesByLongestPrefixAndEchoesTheBody)
 {
   mServer.Route("/", [](const http_exchange_ptr& aExchange) {
     aExchange->ReplyError(404, "not_found", "no such path");
@@ -67,7 +69,7 @@
 
 // Guards against a refused connection reported as a timeout, which would make
 // callers treat work that never ran as possibly done.
-TEST_F(Http, RefusedConnectionIsUnavailable)
+TEST_F(http_test, RefusedConnectionIsUnavailable)
 {
   Start();
   const http_request request = Request("/");
@@ -77,7 +79,7 @@
 
 // Guards against the opposite error: a request that reached the server
 // reported as never sent.
-TEST_F(Http, NoReplyIsTimeoutAndBrokenConnectionIsBroken)
+TEST_F(http_test, NoReplyIsTimeoutAndBrokenConnectionIsBroken)
 {
   http_exchange_ptr kept;
   mServer.Route("/slow",
@@ -91,8 +93,32 @@
   EXPECT_EQ(Send(Request("/break", "x"))->error(), http_failure::Broken);
 }
 
+// Guards against a request that libsoup sends again by itself when a kept
+// connection breaks.
+TEST_F(http_test, BrokenRequestsAreNotSentAgain)
+{
+  std::vector<std::string> bodies;
+  mServer.Route("/", [&](const http_exchange_ptr& aExchange) {
+    if (aExchange->Body() == "warm up") {
+      aExchange->Reply(200, "text/plain", "");
+      return;
+    }
+    bodies.emplace_back(aExchange->Body());
+    aExchange->Abort();
+  });
+  Start();
+  const std::vector<std::string> methods{ "PUT", "POST", "DELETE", "PATCH" };
+  for (const std::string& method : methods) {
+    EXPECT_TRUE(Send(Request("/", "warm up"))->has_value());
+    http_request request = Request("/", method);
+    request.mMethod = method;
+    EXPECT_EQ(Send(request)->error(), http_failure::Broken);
+  }
+  EXPECT_EQ(bodies, methods);
+}
+
 // Guards against a callback into an owner that no longer exists.
-TEST_F(Http, NoCallbackAfterTheOwnerIsDestroyed)
+TEST_F(http_test, NoCallbackAfterTheOwnerIsDestroyed)
 {
   http_exchange_ptr kept;
   bool closed = false;
@@ -103,7 +129,8 @@
   Start();
   bool called = false;
   auto owner = std::make_unique<http_owner>();
-  mClient.Send(Request("/", "x"), *owner, [&](reply_result) { called = true; });
+  mClient.Send(
+    Request("/", "x"), *owner, [&](const reply_result&) { called = true; });
   ASSERT_TRUE(mLoop.RunUntil([&] { return kept != nullptr; }, kWait));
   owner.reset();
   EXPECT_TRUE(mLoop.RunUntil([&] { return closed; }, kWait));
@@ -112,7 +139,7 @@
 }
 
 // Guards against a request body that fills the memory.
-TEST_F(Http, RefusesLongBodies)
+TEST_F(http_test, RefusesLongBodies)
 {
   http_server small({ .mMaxBody = 1000 });
   bool handled = false;
@@ -131,7 +158,7 @@
   EXPECT_EQ(Send(request)->value().mStatus, 200U);
 }
 
-TEST_F(Http, ReportsAddressesThatCannotBeUsed)
+TEST_F(http_test, ReportsAddressesThatCannotBeUsed)
 {
   EXPECT_FALSE(mServer.Listen("nonsense").has_value());
   EXPECT_FALSE(mServer.Listen("127.0.0.1:99999").has_value());
@@ -142,7 +169,7 @@
 
 // Guards against chunks lost or reordered when they are queued faster than
 // they are written, and against an end that overtakes them.
-TEST_F(Http, StreamsEveryByteInOrder)
+TEST_F(http_test, StreamsEveryByteInOrder)
 {
   mServer.Route("/", [](const http_exchange_ptr& aExchange) {
     aExchange->BeginStream(200, "text/event-stream");
@@ -171,7 +198,7 @@
 
 // Guards against memory growth behind a reader that does not read: the writer
 // sees its bytes stay in the buffer and stops.
-TEST_F(Http, PausedReaderHoldsTheWriterBack)
+TEST_F(http_test, PausedReaderHoldsTheWriterBack)
 {
   constexpr std::size_t kPiece = 64U << 10U;
   constexpr std::size_t kTotal = 64U << 20U;
@@ -210,8 +237,34 @@
   EXPECT_EQ(got, kTotal);
 }
 
+// Guards against a new connection for every stream, which costs a round trip
+// and a port each.
+TEST_F(http_test, EndedStreamsLeaveTheirConnectionForTheNext)
+{
+  std::set<std::uint16_t> ports;
+  mServer.Route("/", [&](const http_exchange_ptr& aExchange) {
+    GSocketAddress* caller =
+      soup_server_message_get_remote_address(aExchange->Message());
+    ports.insert(g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(caller)));
+    aExchange->BeginStream(200, "text/plain");
+    aExchange->Write("text");
+    aExchange->End();
+  });
+  Start();
+  for (int i = 0; i < 3; ++i) {
+    bool ended = false;
+    http_stream stream(mClient,
+                       Request("/"),
+                       { [](const http_head&) {},
+                         [](std::string_view) {},
+                         [&](std::optional<http_failure>) { ended = true; } });
+    ASSERT_TRUE(mLoop.RunUntil([&] { return ended; }, kWait));
+  }
+  EXPECT_EQ(ports.size(), 1U);
+}
+
 // Guards against a server that works on for a caller that has gone.
-TEST_F(Http, CancelledStreamIsNoticedByTheServer)
+TEST_F(http_test, CancelledStreamIsNoticedByTheServer)
 {
   bool closed = false;
   http_exchange_ptr writer;
@@ -240,7 +293,7 @@
 
 // Guards against a truncated response taken for a complete one, and against
 // bytes that follow the break.
-TEST_F(Http, AbortedWholeReplyEndsInFailure)
+TEST_F(http_test, AbortedWholeReplyEndsInFailure)
 {
   constexpr std::size_t kTotal = 64U << 20U;
   mServer.Route("/", [&](const http_exchange_ptr& aExchange) {
@@ -262,7 +315,7 @@
 }
 
 // Guards against open connections that survive a server that went down.
-TEST_F(Http, CloseEndsOpenStreamsAndRefusesNewConnections)
+TEST_F(http_test, CloseEndsOpenStreamsAndRefusesNewConnections)
 {
   mServer.Route("/", [&](const http_exchange_ptr& aExchange) {
     aExchange->BeginStream(200, "text/plain");
--- a/Source/UnitTests/StandIn/EngineStandInTest.cpp
+++ b/Source/UnitTests/StandIn/EngineStandInTest.cpp
@@ -69,10 +69,10 @@
                { { { "role", "user" }, { "content", aPrompt } } }) } };
 }
 
-class Engine : public testing::Test
+class engine_test : public testing::Test
 {
 protected:
-  void Start(engine_stand_in_options aOptions = Fast())
+  void Start(const engine_stand_in_options& aOptions = Fast())
   {
     mEngine = std::make_unique<engine_stand_in>(aOptions);
     ASSERT_TRUE(mEngine->Start().has_value());
@@ -151,10 +151,11 @@
 } // namespace
 
 // Guards against two streams that mix: every caller gets its own answer.
-TEST_F(Engine, ConcurrentStreamsKeepTheirAnswers)
+TEST_F(engine_test, ConcurrentStreamsKeepTheirAnswers)
 {
   Start();
   std::vector<std::unique_ptr<chat>> calls;
+  calls.reserve(100);
   for (int i = 0; i < 100; ++i) {
     calls.push_back(Chat(ChatBody("question " + std::to_string(i))));
   }
@@ -167,7 +168,7 @@
   EXPECT_EQ(mEngine->Counters().mFinished, 100U);
 }
 
-TEST_F(Engine, WholeAnswerObeysMaxTokensAndReportsUsage)
+TEST_F(engine_test, WholeAnswerObeysMaxTokensAndReportsUsage)
 {
   Start();
   json body = ChatBody("question", false);
@@ -181,7 +182,7 @@
 }
 
 // Guards against a resumed answer that repeats or skips tokens.
-TEST_F(Engine, ResumedStreamContinuesTheSameAnswer)
+TEST_F(engine_test, ResumedStreamContinuesTheSameAnswer)
 {
   Start();
   const json body = ChatBody("question");
@@ -197,7 +198,7 @@
 }
 
 // Guards against a cancelled stream that continues to run.
-TEST_F(Engine, CancelledStreamStopsGenerating)
+TEST_F(engine_test, CancelledStreamStopsGenerating)
 {
   engine_stand_in_options options = Fast();
   options.mShortestAnswer = options.mLongestAnswer = 100000;
@@ -217,7 +218,7 @@
 }
 
 // Guards against memory growth behind a reader that does not read.
-TEST_F(Engine, SlowReaderHoldsItsStreamBack)
+TEST_F(engine_test, SlowReaderHoldsItsStreamBack)
 {
   constexpr std::uint32_t kTokens = 300000;
   constexpr std::size_t kLimit = 1U << 20U;
@@ -237,7 +238,7 @@
 }
 
 // Guards against a crash that leaves callers waiting or reports success.
-TEST_F(Engine, MarkedRequestCrashesTheEngineForAWhile)
+TEST_F(engine_test, MarkedRequestCrashesTheEngineForAWhile)
 {
   Start();
   const auto bystander = Chat(ChatBody(std::string(200000, 'x')));
@@ -253,7 +254,7 @@
 }
 
 // Guards against a leaving engine that takes new work or cuts running work.
-TEST_F(Engine, LeavingEngineFinishesWhatRuns)
+TEST_F(engine_test, LeavingEngineFinishesWhatRuns)
 {
   Start();
   const auto running = Chat(ChatBody("before"));
@@ -271,7 +272,7 @@
 
 // Guards against a stale command applied where tokens are checked, and against
 // an engine that is meant to ignore them and does not.
-TEST_F(Engine, StaleFencingTokenIsRejectedWhereChecked)
+TEST_F(engine_test, StaleFencingTokenIsRejectedWhereChecked)
 {
   for (const bool checks : { true, false }) {
     engine_stand_in_options options = Fast();
@@ -296,7 +297,7 @@
 
 // Guards against load reports and cache events that are not late, and against
 // counts that ignore what runs.
-TEST_F(Engine, LoadAndCacheEventsLag)
+TEST_F(engine_test, LoadAndCacheEventsLag)
 {
   engine_stand_in_options options = Fast();
   options.mShortestAnswer = options.mLongestAnswer = 100000;
--- a/Source/UnitTests/StandIn/StandInClusterTest.cpp
+++ b/Source/UnitTests/StandIn/StandInClusterTest.cpp
@@ -15,7 +15,7 @@
 
 constexpr milliseconds kWait{ 5000 };
 
-class Cluster : public testing::Test
+class cluster_test : public testing::Test
 {
 protected:
   void SetUp() override { ASSERT_TRUE(mCluster.Start().has_value()); }
@@ -44,7 +44,7 @@
 
 // Guards against changes that are seen at once, and against a list sent again
 // although nothing changed.
-TEST_F(Cluster, HostListLagsAndTellsWhenItIsUnchanged)
+TEST_F(cluster_test, HostListLagsAndTellsWhenItIsUnchanged)
 {
   using listing = result<host_listing, host_list_error>;
   http_host_list hosts(mClient, Endpoint(mCluster.Hosts().Server()));
@@ -68,7 +68,7 @@
 
 // Guards against names and bytes changed on the way, and against a stored
 // object whose lost reply is reported as not stored.
-TEST_F(Cluster, ObjectsKeepNamesAndBytes)
+TEST_F(cluster_test, ObjectsKeepNamesAndBytes)
 {
   using get_result = result<std::string, object_error>;
   using put_result = result<void, object_error>;
@@ -93,7 +93,7 @@
 }
 
 // Guards against a rate limit or an unknown model reported as an outage.
-TEST_F(Cluster, WeightTicketsAreRateLimited)
+TEST_F(cluster_test, WeightTicketsAreRateLimited)
 {
   using ticket = result<weight_ticket, weight_error>;
   http_weight_store store(mClient, Endpoint(mCluster.Weights().Server()));
@@ -109,7 +109,7 @@
 
 // Guards against double runs that the stand-in does not show: it runs a call
 // as often as it receives it.
-TEST_F(Cluster, ServiceCountsEveryRunOfAKey)
+TEST_F(cluster_test, ServiceCountsEveryRunOfAKey)
 {
   using reply = result<http_reply, http_failure>;
   http_owner owner;
@@ -134,7 +134,7 @@
 }
 
 // Guards against faults that cannot be set from another process.
-TEST_F(Cluster, FaultsAreSetOverHttp)
+TEST_F(cluster_test, FaultsAreSetOverHttp)
 {
   using reply = result<http_reply, http_failure>;
   http_owner owner;
--- a/Source/UnitTests/StandIn/TableStandInTest.cpp
+++ b/Source/UnitTests/StandIn/TableStandInTest.cpp
@@ -22,7 +22,7 @@
 }
 
 /// The table stand-in over HTTP and in process, under the same tests.
-class TableStandIn : public testing::TestWithParam<bool>
+class table_stand_in_test : public testing::TestWithParam<bool>
 {
 protected:
   void Start(table_stand_in_options aOptions = {})
@@ -67,7 +67,7 @@
 };
 
 INSTANTIATE_TEST_SUITE_P(Transports,
-                         TableStandIn,
+                         table_stand_in_test,
                          testing::Bool(),
                          [](const auto& aInfo) {
                            return aInfo.param ? "Http" : "Memory";
@@ -76,7 +76,7 @@
 } // namespace
 
 // Guards against a write that is applied twice because its reply was lost.
-TEST_P(TableStandIn, LostReplyIsTimeoutAndTheRepeatSettlesIt)
+TEST_P(table_stand_in_test, LostReplyIsTimeoutAndTheRepeatSettlesIt)
 {
   Start();
   mTable->Faults().mLoseReplies = 1;
@@ -90,7 +90,7 @@
 }
 
 // Guards against a conflict reported as an error or as success.
-TEST_P(TableStandIn, ConflictIsAReply)
+TEST_P(table_stand_in_test, ConflictIsAReply)
 {
   Start();
   EXPECT_TRUE(Commit(Put(1, 0)).value().mCommitted);
@@ -102,7 +102,7 @@
 }
 
 // Guards against a rate limit taken for an outage or for a lost reply.
-TEST_P(TableStandIn, RateLimitedCommitIsNotApplied)
+TEST_P(table_stand_in_test, RateLimitedCommitIsNotApplied)
 {
   Start({ .mReadsPerSecond = 0, .mWritesPerSecond = 1 });
   EXPECT_TRUE(Commit(Put(1, 0)).has_value());
@@ -110,7 +110,7 @@
   EXPECT_EQ(mTable->Table().Version(), 1U);
 }
 
-TEST_P(TableStandIn, DownIsUnavailableAndNotApplied)
+TEST_P(table_stand_in_test, DownIsUnavailableAndNotApplied)
 {
   Start();
   mTable->Faults().mDown = true;
@@ -120,7 +120,7 @@
 }
 
 // Guards against a callback into the user of a destroyed service.
-TEST_P(TableStandIn, NoCallbackAfterTheServiceIsDestroyed)
+TEST_P(table_stand_in_test, NoCallbackAfterTheServiceIsDestroyed)
 {
   Start();
   mTable->Faults().mDelay = milliseconds(30);
@@ -134,15 +134,15 @@
 
 namespace {
 
-class HttpTable : public TableStandIn
+class http_table_test : public table_stand_in_test
 {};
 
-INSTANTIATE_TEST_SUITE_P(Http, HttpTable, testing::Values(true));
+INSTANTIATE_TEST_SUITE_P(Http, http_table_test, testing::Values(true));
 
 } // namespace
 
 // Guards against a slow commit reported as not applied: it is applied later.
-TEST_P(HttpTable, SlowCommitIsTimeoutAndAppliedLater)
+TEST_P(http_table_test, SlowCommitIsTimeoutAndAppliedLater)
 {
   Start();
   mTable->Faults().mDelay = milliseconds(300);
@@ -156,7 +156,7 @@
 }
 
 // Guards against a refused connection reported as unknown.
-TEST_P(HttpTable, RefusedConnectionIsUnavailable)
+TEST_P(http_table_test, RefusedConnectionIsUnavailable)
 {
   Start();
   mTable->Server().Stop();
@@ -167,7 +167,7 @@
 
 // Guards against failures of the service reported as not applied, and against
 // bodies that cannot be sent reported as applied.
-TEST_P(HttpTable, StatusAndBodyDecideTheError)
+TEST_P(http_table_test, StatusAndBodyDecideTheError)
 {
   Start();
   unsigned status = 500;
