--- a/Source/UnitTests/Platform/HttpTest.cpp
+++ b/Source/UnitTests/Platform/HttpTest.cpp
@@ -158,6 +158,43 @@
   EXPECT_EQ(Send(request)->value().mStatus, 200U);
 }
 
+// Guards against a long body that announces no length.
+TEST_F(http_test, RefusesLongChunkedBodies)
+{
+  http_server small({ .mMaxBody = 1000 });
+  bool handled = false;
+  small.Route("/", [&](const http_exchange_ptr&) { handled = true; });
+  ASSERT_TRUE(small.Listen("127.0.0.1:0").has_value());
+  http_request request;
+  request.mMethod = "POST";
+  request.mUrl = "http://" + small.Address() + "/";
+  for (const gssize size : { 1500, 1 << 24 }) {
+    SoupMessage* message = MakeSoupMessage(request);
+    GInputStream* body =
+      g_memory_input_stream_new_from_data(g_malloc0(size), size, g_free);
+    soup_message_set_request_body(message, "text/plain", body, -1);
+    bool ended = false;
+    soup_session_send_and_read_async(
+      mClient.Session(),
+      message,
+      G_PRIORITY_DEFAULT,
+      nullptr,
+      [](GObject* aSession, GAsyncResult* aResult, gpointer aEnded) {
+        GBytes* bytes = soup_session_send_and_read_finish(
+          SOUP_SESSION(aSession), aResult, nullptr);
+        g_clear_pointer(&bytes, g_bytes_unref);
+        *static_cast<bool*>(aEnded) = true;
+      },
+      &ended);
+    EXPECT_TRUE(mLoop.RunUntil([&] { return ended; }, kWait));
+    // The longer body is cut off, so that there is no status.
+    EXPECT_EQ(soup_message_get_status(message), size < 2000 ? 413U : 0U);
+    g_object_unref(body);
+    g_object_unref(message);
+  }
+  EXPECT_FALSE(handled);
+}
+
 TEST_F(http_test, ReportsAddressesThatCannotBeUsed)
 {
   EXPECT_FALSE(mServer.Listen("nonsense").has_value());
