--- a/Source/Core/Platform/HttpClient.cpp
+++ b/Source/Core/Platform/HttpClient.cpp
@@ -11,7 +11,9 @@
 // libsoup's defaults are 10 and 2.
 constexpr int kMaxConnections = 4096;
 constexpr int kMaxConnectionsPerHost = 1024;
-constexpr unsigned kIdleTimeoutSeconds = 30;
+// libsoup looks at every idle connection for every request: with 400 of them a
+// small request took 730 us instead of 200.
+constexpr unsigned kIdleTimeoutSeconds = 5;
 
 bool EqualIgnoringCase(std::string_view aLeft, std::string_view aRight)
 {
