Bound the engine stand-in's bursts and make tests independent of machine load

After a stall of the loop the engine wrote all tokens that were due at once; under load a slow reader's buffer reached 4.5 MB against its bound of 1 MB. A step now writes at most 512 tokens and does not make up for the rest. Tests wait for conditions or use delays that a busy machine does not exceed.

--- a/Source/Core/StandIn/EngineBatch.cpp
+++ b/Source/Core/StandIn/EngineBatch.cpp
@@ -2,6 +2,14 @@
 
 #include <algorithm>
 
+namespace {
+
+// After a stall of the loop, everything due at once filled a slow reader's
+// buffer with megabytes before the stream could be held.
+constexpr std::uint32_t kMaxBurst = 512;
+
+} // namespace
+
 engine_batch::engine_batch(engine_speed aSpeed)
   : mSpeed(aSpeed)
 {
@@ -42,10 +50,14 @@
       continue;
     }
     batch_step step{ id, stream.mNext, stream.mNext, false };
-    while (step.mTo < stream.mTo && stream.mDue <= aNow) {
+    const std::uint32_t last =
+      step.mFrom + std::min(stream.mTo - step.mFrom, kMaxBurst);
+    while (step.mTo < last && stream.mDue <= aNow) {
       ++step.mTo;
       stream.mDue += perToken;
     }
+    // The rest of a burst is not made up for.
+    stream.mDue = std::max(stream.mDue, aNow);
     stream.mNext = step.mTo;
     step.mDone = step.mTo >= stream.mTo;
     steps.push_back(step);
--- a/Source/UnitTests/Platform/HttpTest.cpp
+++ b/Source/UnitTests/Platform/HttpTest.cpp
@@ -88,7 +88,7 @@
                 [](const http_exchange_ptr& aExchange) { aExchange->Abort(); });
   Start();
   http_request request = Request("/slow", "x");
-  request.mTimeout = milliseconds(50);
+  request.mTimeout = milliseconds(500);
   EXPECT_EQ(Send(request)->error(), http_failure::Timeout);
   EXPECT_EQ(Send(Request("/break", "x"))->error(), http_failure::Broken);
 }
--- a/Source/UnitTests/StandIn/EngineBatchTest.cpp
+++ b/Source/UnitTests/StandIn/EngineBatchTest.cpp
@@ -77,6 +77,17 @@
   EXPECT_EQ(steps[0].mTo, 2U);
 }
 
+// Guards against a burst without limit after a stall of the loop, which filled
+// a reader's buffer.
+TEST(EngineBatch, StallIsNotMadeUpFor)
+{
+  engine_batch batch(Speed());
+  batch.Add({ 1, 0, 0, 0, 100000 }, kStart);
+  const time_point late = kStart + std::chrono::seconds(60);
+  EXPECT_EQ(batch.Tick(late)[0].mTo, 512U);
+  EXPECT_EQ(batch.Tick(late + milliseconds(5))[0].mTo, 518U);
+}
+
 // Guards against events that are complete or immediate, which real engines'
 // are not, and against evictions without an event.
 TEST(PrefixCache, EventsAreLateAndHaveGaps)
--- a/Source/UnitTests/StandIn/StandInClusterTest.cpp
+++ b/Source/UnitTests/StandIn/StandInClusterTest.cpp
@@ -32,12 +32,12 @@
 
   static platform_endpoint Endpoint(stand_in_server& aServer)
   {
-    return { aServer.Address(), milliseconds(300) };
+    return { aServer.Address(), milliseconds(5000) };
   }
 
   event_loop mLoop;
   http_client mClient;
-  stand_in_cluster mCluster{ { .mHosts = { milliseconds(50) } } };
+  stand_in_cluster mCluster{ { .mHosts = { milliseconds(500) } } };
 };
 
 } // namespace
@@ -52,7 +52,8 @@
     return Await<listing>([&](auto aReply) { hosts.Fetch(aKnown, aReply); });
   };
   EXPECT_TRUE(fetch(0).value().mHosts.empty());
-  mLoop.RunUntil([] { return false; }, milliseconds(100));
+  EXPECT_TRUE(mLoop.RunUntil(
+    [&] { return mCluster.Hosts().Visible().mHosts.size() == 5; }, kWait));
   const host_listing all = fetch(0).value();
   ASSERT_EQ(all.mHosts.size(), 5U);
   EXPECT_EQ(all.mHosts[1].mAddress, mCluster.Engine(1).Address());
@@ -60,7 +61,8 @@
   EXPECT_EQ(all.mHosts[3].mService, "orders");
   EXPECT_EQ(fetch(all.mVersion).error(), host_list_error::NotModified);
   mCluster.Hosts().SetState("engine-1", host_state::Leaving);
-  mLoop.RunUntil([] { return false; }, milliseconds(100));
+  EXPECT_TRUE(mLoop.RunUntil(
+    [&] { return mCluster.Hosts().Visible().mVersion > all.mVersion; }, kWait));
   EXPECT_EQ(fetch(all.mVersion).value().mHosts[0].mState, host_state::Leaving);
   mCluster.Hosts().Server().Stop();
   EXPECT_EQ(fetch(0).error(), host_list_error::Unavailable);
--- a/Source/UnitTests/StandIn/TableStandInTest.cpp
+++ b/Source/UnitTests/StandIn/TableStandInTest.cpp
@@ -32,7 +32,7 @@
     if (GetParam()) {
       mService = std::make_unique<http_table_service>(
         mClient,
-        platform_endpoint{ mTable->Server().Address(), milliseconds(200) });
+        platform_endpoint{ mTable->Server().Address(), milliseconds(1000) });
     } else {
       mService = std::make_unique<memory_table_service>(*mTable);
     }
@@ -123,10 +123,14 @@
 TEST_P(table_stand_in_test, NoCallbackAfterTheServiceIsDestroyed)
 {
   Start();
-  mTable->Faults().mDelay = milliseconds(30);
+  // Over HTTP the call is under way when it is cancelled, in process it is
+  // about to be answered.
+  mTable->Faults().mDelay = milliseconds(GetParam() ? 3600000 : 0);
   bool called = false;
   mService->Commit(Put(1, 0), [&](commit_result) { called = true; });
-  mLoop.RunUntil([] { return false; }, milliseconds(10));
+  if (GetParam()) {
+    mLoop.RunUntil([] { return false; }, milliseconds(50));
+  }
   mService.reset();
   mLoop.RunUntil([] { return false; }, milliseconds(60));
   EXPECT_FALSE(called);
@@ -145,7 +149,7 @@
 TEST_P(http_table_test, SlowCommitIsTimeoutAndAppliedLater)
 {
   Start();
-  mTable->Faults().mDelay = milliseconds(300);
+  mTable->Faults().mDelay = milliseconds(1500);
   EXPECT_EQ(Commit(Put(1, 0)).error(), table_error::Timeout);
   EXPECT_EQ(mTable->Table().Version(), 0U);
   EXPECT_TRUE(
