--- a/Source/UnitTests/StandIn/StandInClusterTest.cpp
+++ b/Source/UnitTests/StandIn/StandInClusterTest.cpp
@@ -15,7 +15,7 @@
 
 constexpr milliseconds kWait{ 5000 };
 
-class Cluster : public testing::Test
+class cluster_test : public testing::Test
 {
 protected:
   void SetUp() override { ASSERT_TRUE(mCluster.Start().has_value()); }
@@ -32,19 +32,19 @@
 
   static platform_endpoint Endpoint(stand_in_server& aServer)
   {
-    return { aServer.Address(), milliseconds(300) };
+    return { aServer.Address(), milliseconds(5000) };
   }
 
   event_loop mLoop;
   http_client mClient;
-  stand_in_cluster mCluster{ { .mHosts = { milliseconds(50) } } };
+  stand_in_cluster mCluster{ { .mHosts = { milliseconds(500) } } };
 };
 
 } // namespace
 
 // Guards against changes that are seen at once, and against a list sent again
 // although nothing changed.
-TEST_F(Cluster, HostListLagsAndTellsWhenItIsUnchanged)
+TEST_F(cluster_test, HostListLagsAndTellsWhenItIsUnchanged)
 {
   using listing = result<host_listing, host_list_error>;
   http_host_list hosts(mClient, Endpoint(mCluster.Hosts().Server()));
@@ -52,7 +52,8 @@
     return Await<listing>([&](auto aReply) { hosts.Fetch(aKnown, aReply); });
   };
   EXPECT_TRUE(fetch(0).value().mHosts.empty());
-  mLoop.RunUntil([] { return false; }, milliseconds(100));
+  EXPECT_TRUE(mLoop.RunUntil(
+    [&] { return mCluster.Hosts().Visible().mHosts.size() == 5; }, kWait));
   const host_listing all = fetch(0).value();
   ASSERT_EQ(all.mHosts.size(), 5U);
   EXPECT_EQ(all.mHosts[1].mAddress, mCluster.Engine(1).Address());
@@ -60,7 +61,8 @@
   EXPECT_EQ(all.mHosts[3].mService, "orders");
   EXPECT_EQ(fetch(all.mVersion).error(), host_list_error::NotModified);
   mCluster.Hosts().SetState("engine-1", host_state::Leaving);
-  mLoop.RunUntil([] { return false; }, milliseconds(100));
+  EXPECT_TRUE(mLoop.RunUntil(
+    [&] { return mCluster.Hosts().Visible().mVersion > all.mVersion; }, kWait));
   EXPECT_EQ(fetch(all.mVersion).value().mHosts[0].mState, host_state::Leaving);
   mCluster.Hosts().Server().Stop();
   EXPECT_EQ(fetch(0).error(), host_list_error::Unavailable);
@@ -68,7 +70,7 @@
 
 // Guards against names and bytes changed on the way, and against a stored
 // object whose lost reply is reported as not stored.
-TEST_F(Cluster, ObjectsKeepNamesAndBytes)
+TEST_F(cluster_test, ObjectsKeepNamesAndBytes)
 {
   using get_result = result<std::string, object_error>;
   using put_result = result<void, object_error>;
@@ -93,7 +95,7 @@
 }
 
 // Guards against a rate limit or an unknown model reported as an outage.
-TEST_F(Cluster, WeightTicketsAreRateLimited)
+TEST_F(cluster_test, WeightTicketsAreRateLimited)
 {
   using ticket = result<weight_ticket, weight_error>;
   http_weight_store store(mClient, Endpoint(mCluster.Weights().Server()));
@@ -109,7 +111,7 @@
 
 // Guards against double runs that the stand-in does not show: it runs a call
 // as often as it receives it.
-TEST_F(Cluster, ServiceCountsEveryRunOfAKey)
+TEST_F(cluster_test, ServiceCountsEveryRunOfAKey)
 {
   using reply = result<http_reply, http_failure>;
   http_owner owner;
@@ -134,7 +136,7 @@
 }
 
 // Guards against faults that cannot be set from another process.
-TEST_F(Cluster, FaultsAreSetOverHttp)
+TEST_F(cluster_test, FaultsAreSetOverHttp)
 {
   using reply = result<http_reply, http_failure>;
   http_owner owner;
