--- a/Source/Core/Dispatch/DispatchSettings.h
+++ b/Source/Core/Dispatch/DispatchSettings.h
@@ -72,6 +72,8 @@
   };
   /// The free tier, whatever its rank: no floor, spare capacity only.
   rank_settings mFreeTier{ 0.0, std::chrono::milliseconds(30'000), 500, 0.7 };
+  /// Bound of the tokens that a rank may be owed under its floor.
+  double mMaxFloorCredit = 5'000.0;
   /// Zone and region of this node.
   zone_id mZone;
   region_id mRegion;
@@ -85,6 +87,9 @@
   /// Nodes that use an upstream at the same time. Free room seen in a lagging
   /// report is divided between them.
   std::uint32_t mSharingNodes = 1;
+  /// Tokens that an account of weight 1 may be served ahead of its fair share
+  /// after it used less.
+  double mAccountBurst = 2'000.0;
   /// Cost of a prompt token in output tokens. Prompts are computed in parallel
   /// and occupy an upstream for less time per token.
   double mPromptTokenCost = 0.1;
--- a/Source/Core/Dispatch/DispatchSystem.cpp
+++ b/Source/Core/Dispatch/DispatchSystem.cpp
@@ -62,6 +62,7 @@
 {
   const std::size_t index = Index(aEntry.mClass);
   fair_queue& queue = aTables.mLanes[aEntry.mLane].mQueues[index];
+  queue.SetBurst(aTables.mSettings.mAccountBurst);
   queue.Push({ aEntry.mRequest.mRequest, aEntry.mAccount, aEntry.mCost },
              std::max(aEntry.mRequest.mWeight, 1e-6),
              aNow);
@@ -172,11 +173,14 @@
   }
   entry->mFirstToken = true;
   upstream_state& upstream = mTables->mUpstreams.At(entry->mUpstream);
-  upstream.mLimit.OnFirstToken(entry->mStartedAt,
-                               aNow,
-                               entry->mRequest.mPromptTokens,
-                               upstream.InUse(),
-                               mTables->mSettings.mConcurrency);
+  concurrency_limit& limit = entry->mClass == service_class::Urgent
+                               ? upstream.mLimit
+                               : upstream.mLowerLimit;
+  limit.OnFirstToken(entry->mStartedAt,
+                     aNow,
+                     entry->mRequest.mPromptTokens,
+                     upstream.InUse(),
+                     mTables->mSettings.mConcurrency);
 }
 
 void dispatch_system::OnTokens(const request_id& aRequest,
--- a/Source/Core/Dispatch/DispatchTypes.h
+++ b/Source/Core/Dispatch/DispatchTypes.h
@@ -47,7 +47,8 @@
   upstream_id mUpstream;
   /// Number of the attempt, from 1.
   std::uint32_t mAttempt = 1;
-  /// Priority at the engine, 0 first; the number of the service class.
+  /// Priority at the engine, 0 first: the number of the service class, or 0
+  /// when a rank gets its floor.
   std::uint8_t mPriority = 0;
   auto operator<=>(const start_decision&) const = default;
 };
--- a/Source/Core/Dispatch/FairQueue.cpp
+++ b/Source/Core/Dispatch/FairQueue.cpp
@@ -29,10 +29,14 @@
     mRateFrom = aNow;
     mRateFromVirtual = mVirtualTime;
   }
-  account_queue& queue = mAccounts[aRequest.mAccount];
+  const auto [found, isNew] = mAccounts.try_emplace(aRequest.mAccount);
+  account_queue& queue = found->second;
   Unlink(aRequest.mAccount, queue);
   if (queue.mWaiting.empty()) {
-    queue.mHeadTag = std::max(queue.mHeadTag, mVirtualTime);
+    // An account that used less than its share may be ahead by a burst; a new
+    // one too.
+    const double earliest = mVirtualTime - mBurst / aWeight;
+    queue.mHeadTag = isNew ? earliest : std::max(queue.mHeadTag, earliest);
   }
   queue.mWeight = aWeight;
   queue.mWaiting.push_back(aRequest);
@@ -111,8 +115,8 @@
   }
   account_queue& queue = found->second;
   Unlink(aAccount, queue);
-  queue.mHeadTag =
-    std::max(mVirtualTime, queue.mHeadTag + aTokens / queue.mWeight);
+  queue.mHeadTag = std::max(mVirtualTime - mBurst / queue.mWeight,
+                            queue.mHeadTag + aTokens / queue.mWeight);
   Link(aAccount, queue);
 }
 
@@ -181,7 +185,8 @@
   }
   std::erase_if(mAccounts, [&](const auto& aEntry) {
     return aEntry.second.mWaiting.empty() &&
-           aEntry.second.mHeadTag <= mVirtualTime;
+           aEntry.second.mHeadTag <=
+             mVirtualTime - mBurst / aEntry.second.mWeight;
   });
   mKept = mAccounts.size();
 }
--- a/Source/Core/Dispatch/FairQueue.h
+++ b/Source/Core/Dispatch/FairQueue.h
@@ -27,6 +27,10 @@
 class fair_queue
 {
 public:
+  /// `aBurst`: tokens that an account may be served ahead of its share after it
+  /// used less.
+  void SetBurst(double aBurst) { mBurst = aBurst; }
+
   void Push(const queued_request& aRequest, double aWeight, time_point aNow);
 
   /// The request that is served next, nothing when empty.
@@ -79,6 +83,7 @@
   /// The queue became empty by service, not by rejections.
   bool mEmptiedByService = true;
   double mVirtualTime = 0.0;
+  double mBurst = 0.0;
   /// Accounts kept at the last clean-up.
   std::size_t mKept = 0;
   time_point mRateFrom;
--- a/Source/Core/Dispatch/RankCredit.h
+++ b/Source/Core/Dispatch/RankCredit.h
@@ -5,8 +5,10 @@
 
 #include "Dispatch/DispatchSettings.h"
 
-/// Floors of the lower ranks. Every started token earns each waiting rank its
-/// floor share of credit; a rank with credit is due before the ranks above it.
+/// Floors of the lower ranks. Every started token earns each rank its floor
+/// share of credit, up to a bound; a waiting rank with credit is due before the
+/// ranks above it. Credit is also earned while nothing waits: a rank whose
+/// short queue is empty now and then would otherwise stay below its floor.
 class rank_credit
 {
 public:
@@ -16,18 +18,12 @@
   /// The waiting rank that is owed most, nothing when none is.
   std::optional<work_rank> Due(const waiting_ranks& aWaiting) const;
 
-  /// Accounts for a started request. `aFromFloor`: it started because its rank
-  /// was due.
+  /// Accounts for a started request. Service beyond the floor is not held
+  /// against a rank for longer than one request.
   void OnStarted(work_rank aRank,
                  double aTokens,
-                 bool aFromFloor,
-                 const waiting_ranks& aWaiting,
                  const dispatch_settings& aSettings);
 
-  /// A rank without waiting requests keeps no credit, or it could later
-  /// claim the whole capacity at once.
-  void DropIdle(const waiting_ranks& aWaiting);
-
 private:
   std::array<double, kWorkRanks> mCredit{};
 };
--- a/Source/Core/Dispatch/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -32,6 +32,7 @@
 void Start(dispatch_tables& aTables,
            request_entry& aEntry,
            std::uint32_t aUpstream,
+           std::uint8_t aPriority,
            time_point aNow)
 {
   const std::size_t index = Index(aEntry.mClass);
@@ -56,7 +57,7 @@
     { request.mRequest,
       aTables.mUpstreams.At(aUpstream).mEntry.mUpstream,
       aEntry.mAttempts,
-      static_cast<std::uint8_t>(index) });
+      aPriority });
 }
 
 rank_credit::waiting_ranks WaitingRanks(const model_lane& aLane)
@@ -132,7 +133,8 @@
     }
     aLane.mRetries.erase(aLane.mRetries.begin() +
                          static_cast<std::ptrdiff_t>(i));
-    Start(aTables, entry, *upstream, aNow);
+    const auto priority = static_cast<std::uint8_t>(entry.mClass);
+    Start(aTables, entry, *upstream, priority, aNow);
   }
 }
 
@@ -175,6 +177,7 @@
                       model_lane& aLane,
                       service_class aClass,
                       upstream_query aQuery,
+                      std::uint8_t aPriority,
                       time_point aNow)
 {
   fair_queue& queue = aLane.mQueues[Index(aClass)];
@@ -189,7 +192,7 @@
     return head_result::NoRoom;
   }
   queue.PopFront(aNow);
-  Start(aTables, entry, *upstream, aNow);
+  Start(aTables, entry, *upstream, aPriority, aNow);
   return head_result::Started;
 }
 
@@ -215,11 +218,13 @@
     // or a flood of those would keep it out.
     const double share =
       fromFloor ? 1.0 : aTables.ClassSettings(kind).mUpstreamShare;
+    // At the engine too, or it would wait there behind the flood.
+    const auto priority =
+      static_cast<std::uint8_t>(fromFloor ? service_class::Urgent : kind);
     const head_result result =
-      StartHead(aTables, aLane, kind, { nullptr, share }, aNow);
+      StartHead(aTables, aLane, kind, { nullptr, share }, priority, aNow);
     if (result == head_result::Started) {
-      aLane.mCredit.OnStarted(
-        rank, front->mCost, fromFloor, waiting, aTables.mSettings);
+      aLane.mCredit.OnStarted(rank, front->mCost, aTables.mSettings);
     }
     if (result != head_result::NoRoom) {
       return true;
@@ -244,7 +249,6 @@
   StartRetries(aTables, aLane, aNow);
   while (PaidWaiting(aLane) && StartPaid(aTables, aLane, aNow)) {
   }
-  aLane.mCredit.DropIdle(WaitingRanks(aLane));
 }
 
 /// Running free-tier request that was started last on an upstream of the lane
@@ -310,9 +314,11 @@
   const fair_queue& queue = aLane.mQueues[Index(service_class::Free)];
   const double share = aTables.mSettings.mFreeTier.mUpstreamShare;
   const upstream_query query{ nullptr, share, nullptr, aTables.mTicks };
-  while (!queue.Empty() &&
-         StartHead(aTables, aLane, service_class::Free, query, aNow) !=
-           head_result::NoRoom) {
+  const auto priority = static_cast<std::uint8_t>(service_class::Free);
+  while (
+    !queue.Empty() &&
+    StartHead(aTables, aLane, service_class::Free, query, priority, aNow) !=
+      head_result::NoRoom) {
   }
 }
 
--- a/Source/Core/Dispatch/UpstreamTable.cpp
+++ b/Source/Core/Dispatch/UpstreamTable.cpp
@@ -19,8 +19,12 @@
 // together.
 constexpr double kContentWeight = 0.1;
 
-// An upstream is congested for a class when it is this full.
-constexpr double kCongestedUse = 0.9;
+// An upstream is congested for a class when less than this part is free.
+constexpr double kCongestedRoom = 0.1;
+// Parts of its equal share that a node may always fill: with lower ranks, and
+// with work that may use the whole upstream.
+constexpr double kAssuredPart = 0.25;
+constexpr double kAssuredFirstPart = 0.5;
 // Part of its excess over the equal share that a node gives back per report.
 constexpr double kGiveBack = 0.1;
 
@@ -67,7 +71,10 @@
     mStates.emplace_back();
     mStates.back().mEntry.mUpstream = aUpstream;
     mStates.back().mNameHash = StableHash(aUpstream.mName);
+    mStates.back().mAssuredRounding =
+      Unit(StableHash(aUpstream.mName, StableHash(mSettings.mNode.mName)));
     mStates.back().mLimit.Reset(0, mSettings.mConcurrency);
+    mStates.back().mLowerLimit.Reset(0, mSettings.mConcurrency);
     mMarks.push_back(0);
   }
   return found->second;
@@ -120,6 +127,7 @@
   }
   state.mReportedAt = aReport.mAsOf;
   state.mLimit.OnSlots(aReport.mSlots, mSettings.mConcurrency);
+  state.mLowerLimit.OnSlots(aReport.mSlots, mSettings.mConcurrency);
   double ownThen = state.mHistory.empty() ? state.Own() : 0.0;
   for (const auto& [at, count] : state.mHistory) {
     if (at > aReport.mAsOf) {
@@ -129,7 +137,9 @@
   }
   const double total = aReport.mRunning + aReport.mWaiting;
   state.mOthers = std::max(0.0, total - ownThen);
-  state.mOwnAtReport = state.Own();
+  // The room is divided as it was when the report was taken: nodes that start
+  // more before a report shows the last starts would together overfill.
+  state.mOwnAtReport = ownThen;
   state.mRounding = Unit(mRandom());
   const bool models =
     !aReport.mModels.empty() && aReport.mModels != state.mModels;
@@ -290,17 +300,28 @@
     return aState.mRunning.empty();
   }
   const double nodes = std::max(1U, mSettings.mSharingNodes);
-  const double capacity = aShare * aState.mLimit.Value();
+  const concurrency_limit& limit =
+    aShare < 1.0 ? aState.mLowerLimit : aState.mLimit;
+  const double capacity = aShare * limit.Value();
   const double equalShare = capacity / nodes;
-  const double total = aState.mOwnAtReport + aState.mOthers;
-  double allowed = aState.mOwnAtReport + (capacity - total) / nodes;
-  if (total >= kCongestedUse * capacity && aState.mOwnAtReport > equalShare) {
+  const double room = capacity - aState.mOwnAtReport - aState.mOthers;
+  // Places beyond the capacity are not filled again. Free room is divided, and
+  // rounded at random, so that nodes that see the same room do not all take it.
+  double allowed = aState.mOwnAtReport;
+  if (room >= 0.0) {
+    allowed += room / nodes + aState.mRounding;
+  } else {
+    allowed -= 1.0;
+  }
+  if (room <= capacity * kCongestedRoom && aState.mOwnAtReport > equalShare) {
     allowed -= kGiveBack * (aState.mOwnAtReport - equalShare);
   }
-  // Half of the equal share is always there, so that a node that comes late is
-  // not kept out by those that refill their places.
-  const double assured = equalShare / 2;
-  allowed = std::floor(std::max(allowed, assured) + aState.mRounding);
+  // A part of the equal share is always there, so that a node that comes late
+  // is not kept out by those that refill their places. It is rounded by a fixed
+  // hash: a new draw per report would in time give every node a whole place.
+  const double part = aShare < 1.0 ? kAssuredPart : kAssuredFirstPart;
+  const double assured = equalShare * part + aState.mAssuredRounding;
+  allowed = std::floor(std::max(allowed, assured));
   return aState.Own() < allowed;
 }
 
--- a/Source/Core/Dispatch/UpstreamTable.h
+++ b/Source/Core/Dispatch/UpstreamTable.h
@@ -22,18 +22,24 @@
   bool mListed = false;
   /// Models that it says are loaded; without a report those of the list.
   std::vector<model_id> mModels;
+  /// Limits for work that may use the whole upstream, and for the rest. Engines
+  /// honour priorities, so a long wait of a low one says nothing about the
+  /// first.
   concurrency_limit mLimit;
+  concurrency_limit mLowerLimit;
   /// Running attempts of this node.
   std::vector<request_id> mRunning;
   /// Own in-flight count over the last seconds, to compare with late reports.
   std::deque<std::pair<time_point, std::uint32_t>> mHistory;
   /// Requests of other nodes at the last report.
   double mOthers = 0.0;
-  /// Own in-flight count when the last report arrived.
+  /// Own in-flight count when the last report was taken.
   double mOwnAtReport = 0.0;
   /// Fraction in [0, 1) by which room is rounded until the next report, so that
   /// nodes that see the same room do not all take it.
   double mRounding = 0.5;
+  /// The same for the part of the upstream that is assured to this node.
+  double mAssuredRounding = 0.5;
   time_point mReportedAt;
   /// Failures in a row.
   std::uint32_t mFailures = 0;
