--- a/Source/Core/Dispatch/DispatchSystem.cpp
+++ b/Source/Core/Dispatch/DispatchSystem.cpp
@@ -205,9 +205,9 @@
 
 void dispatch_system::OnLoadReport(const upstream_id& aUpstream,
                                    const load_report& aReport,
-                                   time_point)
+                                   time_point aNow)
 {
-  mTables->mUpstreams.OnReport(aUpstream, aReport);
+  mTables->mUpstreams.OnReport(aUpstream, aReport, aNow);
 }
 
 void dispatch_system::OnCacheEvents(const upstream_id& aUpstream,
--- a/Source/Core/Dispatch/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+// Running requests are a coarse measure of a floor in tokens.
+constexpr double kFloorSlack = 2.0;
+
 std::size_t Index(service_class aClass)
 {
   return static_cast<std::size_t>(aClass);
@@ -196,6 +199,19 @@
   return head_result::Started;
 }
 
+/// Whether a rank has few requests running for its floor. A rank that already
+/// fills the upstreams needs no room of the ranks before it.
+bool RunsLittle(const dispatch_tables& aTables, work_rank aRank)
+{
+  std::uint32_t running = 0;
+  for (const std::uint32_t count : aTables.mRunning) {
+    running += count;
+  }
+  const auto index = static_cast<std::size_t>(aRank);
+  const double floor = aTables.mSettings.mRanks[index].mFloorShare * running;
+  return aTables.mRunning[index] < std::max(1.0, kFloorSlack * floor);
+}
+
 /// Starts one paid request of a lane; false when nothing has room.
 bool StartPaid(dispatch_tables& aTables, model_lane& aLane, time_point aNow)
 {
@@ -215,12 +231,12 @@
     const auto kind = static_cast<service_class>(rank);
     const auto front = aLane.mQueues[Index(kind)].Front();
     // A rank that is owed its floor may use the room of the ranks before it,
-    // or a flood of those would keep it out.
+    // or a flood of those would keep it out; at the engine too.
+    const bool asFirst = fromFloor && RunsLittle(aTables, rank);
     const double share =
-      fromFloor ? 1.0 : aTables.ClassSettings(kind).mUpstreamShare;
-    // At the engine too, or it would wait there behind the flood.
+      asFirst ? 1.0 : aTables.ClassSettings(kind).mUpstreamShare;
     const auto priority =
-      static_cast<std::uint8_t>(fromFloor ? service_class::Urgent : kind);
+      static_cast<std::uint8_t>(asFirst ? service_class::Urgent : kind);
     const head_result result =
       StartHead(aTables, aLane, kind, { nullptr, share }, priority, aNow);
     if (result == head_result::Started) {
--- a/Source/Core/Dispatch/UpstreamTable.cpp
+++ b/Source/Core/Dispatch/UpstreamTable.cpp
@@ -115,7 +115,8 @@
 }
 
 void upstream_table::OnReport(const upstream_id& aUpstream,
-                              const load_report& aReport)
+                              const load_report& aReport,
+                              time_point aNow)
 {
   const auto found = mNumbers.find(aUpstream);
   if (found == mNumbers.end()) {
@@ -140,7 +141,12 @@
   // The room is divided as it was when the report was taken: nodes that start
   // more before a report shows the last starts would together overfill.
   state.mOwnAtReport = ownThen;
-  state.mRounding = Unit(mRandom());
+  if (aReport.mAsOf >= state.mRoundedAt) {
+    // A new draw before the starts of the last one show would in time give
+    // every node the room of its luckiest draw.
+    state.mRounding = Unit(mRandom());
+    state.mRoundedAt = aNow;
+  }
   const bool models =
     !aReport.mModels.empty() && aReport.mModels != state.mModels;
   if (models) {
--- a/Source/Core/Dispatch/UpstreamTable.h
+++ b/Source/Core/Dispatch/UpstreamTable.h
@@ -35,9 +35,10 @@
   double mOthers = 0.0;
   /// Own in-flight count when the last report was taken.
   double mOwnAtReport = 0.0;
-  /// Fraction in [0, 1) by which room is rounded until the next report, so that
+  /// Fraction in [0, 1) by which room is rounded for a while, so that
   /// nodes that see the same room do not all take it.
   double mRounding = 0.5;
+  time_point mRoundedAt;
   /// The same for the part of the upstream that is assured to this node.
   double mAssuredRounding = 0.5;
   time_point mReportedAt;
@@ -80,7 +81,9 @@
   void ApplySettings(const dispatch_settings& aSettings);
   void SetUpstreams(const std::vector<upstream_entry>& aUpstreams);
   void OnLeaving(const upstream_id& aUpstream);
-  void OnReport(const upstream_id& aUpstream, const load_report& aReport);
+  void OnReport(const upstream_id& aUpstream,
+                const load_report& aReport,
+                time_point aNow);
 
   std::optional<std::uint32_t> Find(const upstream_id& aUpstream) const;
   upstream_state& At(std::uint32_t aUpstream) { return mStates[aUpstream]; }
--- a/Source/Core/Replay/EngineModel.h
+++ b/Source/Core/Replay/EngineModel.h
@@ -12,7 +12,7 @@
 
 /// Speed of the engines in the replay: continuous batching with chunked prompt
 /// computing.
-struct engine_speed
+struct replay_engine_speed
 {
   /// Time of a step with an empty batch, per decoding request, and per prompt
   /// token.
@@ -24,7 +24,7 @@
   /// Tokens in a block of the prefix cache, and blocks that it holds.
   std::int64_t mBlockTokens = 64;
   std::size_t mCacheBlocks = 4'000;
-  auto operator<=>(const engine_speed&) const = default;
+  auto operator<=>(const replay_engine_speed&) const = default;
 };
 
 /// An attempt at an engine.
@@ -61,7 +61,7 @@
 class engine_model
 {
 public:
-  engine_model(std::uint32_t aSlots, const engine_speed& aSpeed);
+  engine_model(std::uint32_t aSlots, const replay_engine_speed& aSpeed);
 
   void Submit(const engine_attempt& aAttempt);
   /// Removes an attempt; returns the tokens that it generated.
@@ -93,7 +93,7 @@
   void StoreBlocks(const engine_attempt& aAttempt);
 
   std::uint32_t mSlots;
-  engine_speed mSpeed;
+  replay_engine_speed mSpeed;
   std::vector<engine_attempt> mBatch;
   std::vector<engine_attempt> mWaiting;
   /// Cached blocks, most recently used first.
--- a/Source/Core/Replay/ReplayFleet.cpp
+++ b/Source/Core/Replay/ReplayFleet.cpp
@@ -44,7 +44,7 @@
                            policy_kind aPolicy,
                            const dispatch_settings& aSettings,
                            const replay_delays& aDelays,
-                           const engine_speed& aSpeed)
+                           const replay_engine_speed& aSpeed)
   : mTrace(aTrace)
   , mDelays(aDelays)
   , mSpeed(aSpeed)
--- a/Source/Core/Replay/ReplayFleet.h
+++ b/Source/Core/Replay/ReplayFleet.h
@@ -75,7 +75,7 @@
                policy_kind aPolicy,
                const dispatch_settings& aSettings,
                const replay_delays& aDelays = {},
-               const engine_speed& aSpeed = {});
+               const replay_engine_speed& aSpeed = {});
 
   /// Plays the trace, and a while beyond its end for what is still running.
   replay_result Run();
@@ -132,7 +132,7 @@
 
   const trace& mTrace;
   replay_delays mDelays;
-  engine_speed mSpeed;
+  replay_engine_speed mSpeed;
   event_queue mEvents;
   std::vector<node> mNodes;
   std::vector<engine> mEngines;
