--- a/Source/Core/Dispatch/DispatchSettings.h
+++ b/Source/Core/Dispatch/DispatchSettings.h
@@ -89,7 +89,7 @@
   std::uint32_t mSharingNodes = 1;
   /// Tokens that an account of weight 1 may be served ahead of its fair share
   /// after it used less.
-  double mAccountBurst = 2'000.0;
+  double mAccountBurst = 5'000.0;
   /// Cost of a prompt token in output tokens. Prompts are computed in parallel
   /// and occupy an upstream for less time per token.
   double mPromptTokenCost = 0.1;
--- a/Source/Core/Dispatch/DispatchTables.cpp
+++ b/Source/Core/Dispatch/DispatchTables.cpp
@@ -131,7 +131,7 @@
       break;
     case request_state::Running:
       mUpstreams.RemoveRunning(
-        aEntry.mUpstream, aEntry.mRequest.mRequest, aNow);
+        aEntry.mUpstream, aEntry.mRequest.mRequest, aEntry.mAsFirst, aNow);
       --mRunning[index];
       break;
   }
--- a/Source/Core/Dispatch/DispatchTables.h
+++ b/Source/Core/Dispatch/DispatchTables.h
@@ -52,6 +52,8 @@
   std::vector<std::uint32_t> mTried;
   std::uint32_t mUpstream = 0;
   time_point mStartedAt;
+  /// Started with the room and the engine priority of the first rank.
+  bool mAsFirst = false;
   bool mFirstToken = false;
   std::int64_t mOutputTokens = 0;
 };
--- a/Source/Core/Dispatch/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -35,7 +35,7 @@
 void Start(dispatch_tables& aTables,
            request_entry& aEntry,
            std::uint32_t aUpstream,
-           std::uint8_t aPriority,
+           bool aAsFirst,
            time_point aNow)
 {
   const std::size_t index = Index(aEntry.mClass);
@@ -46,6 +46,7 @@
   aEntry.mUpstream = aUpstream;
   aEntry.mStartedAt = aNow;
   aEntry.mFirstToken = false;
+  aEntry.mAsFirst = aAsFirst;
   ++aEntry.mAttempts;
   if (aEntry.mAttempts == 1) {
     ++aTables.CountersOf(aEntry.mClass).mStarted;
@@ -55,12 +56,12 @@
     ++aTables.mCounters.mPrefixHits;
   }
   aTables.mPrefixes.Expect(aUpstream, request.mPrefixBlocks);
-  aTables.mUpstreams.AddRunning(aUpstream, request.mRequest, aNow);
+  aTables.mUpstreams.AddRunning(aUpstream, request.mRequest, aAsFirst, aNow);
   aTables.mOutput.mStarts.push_back(
     { request.mRequest,
       aTables.mUpstreams.At(aUpstream).mEntry.mUpstream,
       aEntry.mAttempts,
-      aPriority });
+      static_cast<std::uint8_t>(aAsFirst ? 0 : index) });
 }
 
 rank_credit::waiting_ranks WaitingRanks(const model_lane& aLane)
@@ -136,8 +137,8 @@
     }
     aLane.mRetries.erase(aLane.mRetries.begin() +
                          static_cast<std::ptrdiff_t>(i));
-    const auto priority = static_cast<std::uint8_t>(entry.mClass);
-    Start(aTables, entry, *upstream, priority, aNow);
+    const bool asFirst = entry.mClass == service_class::Urgent;
+    Start(aTables, entry, *upstream, asFirst, aNow);
   }
 }
 
@@ -180,7 +181,6 @@
                       model_lane& aLane,
                       service_class aClass,
                       upstream_query aQuery,
-                      std::uint8_t aPriority,
                       time_point aNow)
 {
   fair_queue& queue = aLane.mQueues[Index(aClass)];
@@ -195,7 +195,7 @@
     return head_result::NoRoom;
   }
   queue.PopFront(aNow);
-  Start(aTables, entry, *upstream, aPriority, aNow);
+  Start(aTables, entry, *upstream, aQuery.mShare >= 1.0, aNow);
   return head_result::Started;
 }
 
@@ -235,10 +235,8 @@
     const bool asFirst = fromFloor && RunsLittle(aTables, rank);
     const double share =
       asFirst ? 1.0 : aTables.ClassSettings(kind).mUpstreamShare;
-    const auto priority =
-      static_cast<std::uint8_t>(asFirst ? service_class::Urgent : kind);
     const head_result result =
-      StartHead(aTables, aLane, kind, { nullptr, share }, priority, aNow);
+      StartHead(aTables, aLane, kind, { nullptr, share }, aNow);
     if (result == head_result::Started) {
       aLane.mCredit.OnStarted(rank, front->mCost, aTables.mSettings);
     }
@@ -330,11 +328,9 @@
   const fair_queue& queue = aLane.mQueues[Index(service_class::Free)];
   const double share = aTables.mSettings.mFreeTier.mUpstreamShare;
   const upstream_query query{ nullptr, share, nullptr, aTables.mTicks };
-  const auto priority = static_cast<std::uint8_t>(service_class::Free);
-  while (
-    !queue.Empty() &&
-    StartHead(aTables, aLane, service_class::Free, query, priority, aNow) !=
-      head_result::NoRoom) {
+  while (!queue.Empty() &&
+         StartHead(aTables, aLane, service_class::Free, query, aNow) !=
+           head_result::NoRoom) {
   }
 }
 
--- a/Source/Core/Dispatch/UpstreamTable.cpp
+++ b/Source/Core/Dispatch/UpstreamTable.cpp
@@ -9,6 +9,8 @@
 
 // Reports lag by less than this.
 constexpr std::chrono::seconds kHistoryPeriod{ 5 };
+// Longer than a report period and its lag.
+constexpr std::chrono::milliseconds kRoundingPeriod{ 500 };
 constexpr std::uint32_t kMaxEjectionDoublings = 5;
 
 // Weights of the score, in units of a whole upstream's load.
@@ -141,7 +143,7 @@
   // The room is divided as it was when the report was taken: nodes that start
   // more before a report shows the last starts would together overfill.
   state.mOwnAtReport = ownThen;
-  if (aReport.mAsOf >= state.mRoundedAt) {
+  if (aReport.mAsOf >= state.mRoundedAt + kRoundingPeriod) {
     // A new draw before the starts of the last one show would in time give
     // every node the room of its luckiest draw.
     state.mRounding = Unit(mRandom());
@@ -180,16 +182,20 @@
 
 void upstream_table::AddRunning(std::uint32_t aUpstream,
                                 const request_id& aRequest,
+                                bool aFirst,
                                 time_point aNow)
 {
+  mStates[aUpstream].mOwnFirst += aFirst ? 1 : 0;
   mStates[aUpstream].mRunning.push_back(aRequest);
   Record(mStates[aUpstream], aNow);
 }
 
 void upstream_table::RemoveRunning(std::uint32_t aUpstream,
                                    const request_id& aRequest,
+                                   bool aFirst,
                                    time_point aNow)
 {
+  mStates[aUpstream].mOwnFirst -= aFirst ? 1 : 0;
   std::erase(mStates[aUpstream].mRunning, aRequest);
   Record(mStates[aUpstream], aNow);
 }
@@ -325,10 +331,14 @@
   // A part of the equal share is always there, so that a node that comes late
   // is not kept out by those that refill their places. It is rounded by a fixed
   // hash: a new draw per report would in time give every node a whole place.
-  const double part = aShare < 1.0 ? kAssuredPart : kAssuredFirstPart;
-  const double assured = equalShare * part + aState.mAssuredRounding;
-  allowed = std::floor(std::max(allowed, assured));
-  return aState.Own() < allowed;
+  // First work has a part of its own; beyond the capacity it waits in the
+  // engine, where it gets the next place of any node.
+  const bool first = aShare >= 1.0;
+  const double part = first ? kAssuredFirstPart : kAssuredPart;
+  const double own = first ? aState.mOwnFirst : aState.Own();
+  const double assured =
+    std::floor(equalShare * part + aState.mAssuredRounding);
+  return aState.Own() < std::floor(allowed) || own < assured;
 }
 
 double upstream_table::Distance(const upstream_state& aState) const
--- a/Source/Core/Dispatch/UpstreamTable.h
+++ b/Source/Core/Dispatch/UpstreamTable.h
@@ -29,6 +29,8 @@
   concurrency_limit mLowerLimit;
   /// Running attempts of this node.
   std::vector<request_id> mRunning;
+  /// Those of them that may use the whole upstream.
+  std::uint32_t mOwnFirst = 0;
   /// Own in-flight count over the last seconds, to compare with late reports.
   std::deque<std::pair<time_point, std::uint32_t>> mHistory;
   /// Requests of other nodes at the last report.
@@ -96,11 +98,14 @@
     return static_cast<std::uint32_t>(mStates.size());
   }
 
+  /// `aFirst`: the attempt may use the whole upstream.
   void AddRunning(std::uint32_t aUpstream,
                   const request_id& aRequest,
+                  bool aFirst,
                   time_point aNow);
   void RemoveRunning(std::uint32_t aUpstream,
                      const request_id& aRequest,
+                     bool aFirst,
                      time_point aNow);
 
   /// A failed attempt keeps the upstream out of use for a while.
--- a/Source/Core/Replay/EngineModel.cpp
+++ b/Source/Core/Replay/EngineModel.cpp
@@ -21,7 +21,8 @@
 
 } // namespace
 
-engine_model::engine_model(std::uint32_t aSlots, const replay_engine_speed& aSpeed)
+engine_model::engine_model(std::uint32_t aSlots,
+                           const replay_engine_speed& aSpeed)
   : mSlots(aSlots)
   , mSpeed(aSpeed)
 {
