Estimate the wait in a fair queue from the cost ahead and the served cost

The rate of virtual time depends on how many accounts wait and stands still while accounts with unused share are served, so the estimate rejected requests of ranks that were served slowly but in time.

--- a/Source/Core/Dispatch/DispatchSystem.cpp
+++ b/Source/Core/Dispatch/DispatchSystem.cpp
@@ -47,7 +47,7 @@
 {
   const model_lane& lane = aTables.mLanes[aEntry.mLane];
   const auto wait =
-    lane.mQueues[Index(aEntry.mClass)].ExpectedWait(aEntry.mAccount, aNow);
+    lane.mQueues[Index(aEntry.mClass)].ExpectedWait(aEntry.mAccount);
   if (!wait) {
     return false;
   }
--- a/Source/Core/Dispatch/FairQueue.cpp
+++ b/Source/Core/Dispatch/FairQueue.cpp
@@ -4,10 +4,14 @@
 
 namespace {
 
-// A shorter window makes the estimated wait jump with single long requests.
+// Shorter windows, or fewer requests in one, make the estimated wait jump with
+// single long requests.
 constexpr std::chrono::milliseconds kRateWindow{ 500 };
+constexpr std::uint32_t kRateRequests = 4;
 constexpr double kRateMemory = 0.5;
 constexpr std::size_t kMinKeptAccounts = 64;
+// Accounts looked at for an estimate of the wait.
+constexpr std::uint32_t kMaxLookedAt = 64;
 
 double Seconds(std::chrono::microseconds aPeriod)
 {
@@ -27,7 +31,8 @@
       mRate = 0.0;
     }
     mRateFrom = aNow;
-    mRateFromVirtual = mVirtualTime;
+    mServedCost = 0.0;
+    mServed = 0;
   }
   const auto [found, isNew] = mAccounts.try_emplace(aRequest.mAccount);
   account_queue& queue = found->second;
@@ -66,6 +71,8 @@
   Link(account, queue);
   --mSize;
   mEmptiedByService = mSize == 0;
+  mServedCost += cost;
+  ++mServed;
   MeasureRate(aNow);
   ForgetIdle();
 }
@@ -121,31 +128,43 @@
 }
 
 std::optional<std::chrono::microseconds> fair_queue::ExpectedWait(
-  std::uint32_t aAccount,
-  time_point aNow) const
+  std::uint32_t aAccount) const
 {
   if (mSize == 0) {
     return std::chrono::microseconds(0);
   }
-  double rate = mRate;
-  const double elapsed = Seconds(aNow - mRateFrom);
-  if (elapsed >= 2 * Seconds(kRateWindow)) {
-    // Nothing was served for two windows: the last rate is too optimistic.
-    rate = std::min(rate, (mVirtualTime - mRateFromVirtual) / elapsed);
-  }
   const auto found = mAccounts.find(aAccount);
-  if (rate <= 0.0 || found == mAccounts.end()) {
+  if (mRate <= 0.0 || found == mAccounts.end()) {
     return std::nullopt;
   }
   const account_queue& queue = found->second;
-  const double cost =
-    queue.mWaiting.empty() ? 0.0 : queue.mWaiting.back().mCost;
-  const double start = queue.TailTag() - cost / queue.mWeight;
-  const double distance = start - mVirtualTime;
-  const double wait = std::max(0.0, distance) / rate;
+  if (queue.mWaiting.size() <= 1) {
+    return std::chrono::microseconds(0);
+  }
+  const double start =
+    queue.TailTag() - queue.mWaiting.back().mCost / queue.mWeight;
+  const double wait = CostBefore(start) / mRate;
   return std::chrono::microseconds(static_cast<std::int64_t>(wait * 1e6));
 }
 
+double fair_queue::CostBefore(double aTag) const
+{
+  double cost = 0.0;
+  std::uint32_t looked = 0;
+  for (const auto& [head, account] : mHeads) {
+    if (head >= aTag) {
+      return cost;
+    }
+    if (looked++ == kMaxLookedAt) {
+      // The rest is taken to be like those before it.
+      return cost * static_cast<double>(mHeads.size()) / kMaxLookedAt;
+    }
+    const account_queue& queue = mAccounts.at(account);
+    cost += std::min(queue.mWaitingCost, (aTag - head) * queue.mWeight);
+  }
+  return cost;
+}
+
 void fair_queue::Unlink(std::uint32_t aAccount, const account_queue& aQueue)
 {
   if (!aQueue.mWaiting.empty()) {
@@ -169,13 +188,14 @@
 void fair_queue::MeasureRate(time_point aNow)
 {
   const auto elapsed = aNow - mRateFrom;
-  if (elapsed < kRateWindow) {
+  if (elapsed < kRateWindow || mServed < kRateRequests) {
     return;
   }
-  const double rate = (mVirtualTime - mRateFromVirtual) / Seconds(elapsed);
+  const double rate = mServedCost / Seconds(elapsed);
   mRate = mRate > 0.0 ? kRateMemory * mRate + (1.0 - kRateMemory) * rate : rate;
   mRateFrom = aNow;
-  mRateFromVirtual = mVirtualTime;
+  mServedCost = 0.0;
+  mServed = 0;
 }
 
 void fair_queue::ForgetIdle()
--- a/Source/Core/Dispatch/FairQueue.h
+++ b/Source/Core/Dispatch/FairQueue.h
@@ -48,9 +48,11 @@
   void Charge(std::uint32_t aAccount, double aTokens);
 
   /// How long the last waiting request of the account will wait at the present
-  /// rate of service; nothing while the rate is not known.
-  std::optional<std::chrono::microseconds> ExpectedWait(std::uint32_t aAccount,
-                                                        time_point aNow) const;
+  /// rate of service; nothing while the rate is not known. 0 for the only
+  /// waiting request of an account: its place depends on how little the account
+  /// used before, and one request per account cannot fill the queue.
+  std::optional<std::chrono::microseconds> ExpectedWait(
+    std::uint32_t aAccount) const;
 
   bool Empty() const { return mSize == 0; }
   std::uint32_t Size() const { return mSize; }
@@ -73,6 +75,8 @@
 
   void Unlink(std::uint32_t aAccount, const account_queue& aQueue);
   void Link(std::uint32_t aAccount, account_queue& aQueue);
+  /// Cost of the waiting requests that are served before a virtual time.
+  double CostBefore(double aTag) const;
   void MeasureRate(time_point aNow);
   void ForgetIdle();
 
@@ -87,7 +91,8 @@
   /// Accounts kept at the last clean-up.
   std::size_t mKept = 0;
   time_point mRateFrom;
-  double mRateFromVirtual = 0.0;
-  /// Virtual time per second while requests wait; 0 when not known.
+  double mServedCost = 0.0;
+  std::uint32_t mServed = 0;
+  /// Cost served per second while requests wait; 0 when not known.
   double mRate = 0.0;
 };
