--- a/Source/Core/Dispatch/DispatchSettings.h
+++ b/Source/Core/Dispatch/DispatchSettings.h
@@ -67,11 +67,11 @@
 {
   std::array<rank_settings, kWorkRanks> mRanks{
     rank_settings{ 0.0, std::chrono::milliseconds(1'200), 1'000, 1.0 },
-    rank_settings{ 0.15, std::chrono::milliseconds(10'000), 2'000, 0.85 },
-    rank_settings{ 0.05, std::chrono::milliseconds(30'000), 2'000, 0.8 },
+    rank_settings{ 0.15, std::chrono::milliseconds(10'000), 2'000, 0.75 },
+    rank_settings{ 0.05, std::chrono::milliseconds(30'000), 2'000, 0.7 },
   };
   /// The free tier, whatever its rank: no floor, spare capacity only.
-  rank_settings mFreeTier{ 0.0, std::chrono::milliseconds(30'000), 500, 0.7 };
+  rank_settings mFreeTier{ 0.0, std::chrono::milliseconds(30'000), 500, 0.6 };
   /// Bound of the tokens that a rank may be owed under its floor.
   double mMaxFloorCredit = 5'000.0;
   /// Zone and region of this node.
@@ -90,6 +90,9 @@
   /// Tokens that an account of weight 1 may be served ahead of its fair share
   /// after it used less.
   double mAccountBurst = 5'000.0;
+  /// Part of its rank's room that an account may fill which has more than a
+  /// third of the rank's running requests.
+  double mHeavyAccountPart = 0.9;
   /// Cost of a prompt token in output tokens. Prompts are computed in parallel
   /// and occupy an upstream for less time per token.
   double mPromptTokenCost = 0.1;
--- a/Source/Core/Dispatch/DispatchTables.cpp
+++ b/Source/Core/Dispatch/DispatchTables.cpp
@@ -65,7 +65,11 @@
 std::uint32_t dispatch_tables::AccountOf(const account_id& aAccount)
 {
   const auto number = static_cast<std::uint32_t>(mAccountNumbers.size());
-  return mAccountNumbers.try_emplace(aAccount, number).first->second;
+  const auto [found, isNew] = mAccountNumbers.try_emplace(aAccount, number);
+  if (isNew) {
+    mAccountRunning.emplace_back();
+  }
+  return found->second;
 }
 
 double dispatch_tables::CostOf(const dispatch_request& aRequest,
@@ -133,6 +137,7 @@
       mUpstreams.RemoveRunning(
         aEntry.mUpstream, aEntry.mRequest.mRequest, aEntry.mAsFirst, aNow);
       --mRunning[index];
+      --mAccountRunning[aEntry.mAccount][index];
       break;
   }
 }
--- a/Source/Core/Dispatch/DispatchTables.h
+++ b/Source/Core/Dispatch/DispatchTables.h
@@ -112,6 +112,8 @@
   std::unordered_map<account_id, std::uint32_t> mAccountNumbers;
   std::array<std::uint32_t, kServiceClasses> mQueued{};
   std::array<std::uint32_t, kServiceClasses> mRunning{};
+  /// The same by account number.
+  std::vector<std::array<std::uint32_t, kServiceClasses>> mAccountRunning;
   /// Mean ratio of real to largest output, by class.
   std::array<double, kServiceClasses> mOutputRatio{};
   using latest_start = std::pair<time_point, request_id>;
--- a/Source/Core/Dispatch/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -8,6 +8,9 @@
 
 // Running requests are a coarse measure of a floor in tokens.
 constexpr double kFloorSlack = 2.0;
+// An account with more than this share of its class's running requests is
+// heavy.
+constexpr double kHeavyShare = 0.34;
 
 std::size_t Index(service_class aClass)
 {
@@ -42,6 +45,7 @@
   const dispatch_request& request = aEntry.mRequest;
   --aTables.mQueued[index];
   ++aTables.mRunning[index];
+  ++aTables.mAccountRunning[aEntry.mAccount][index];
   aEntry.mState = request_state::Running;
   aEntry.mUpstream = aUpstream;
   aEntry.mStartedAt = aNow;
@@ -121,9 +125,11 @@
   const double share = aEntry.mClass == service_class::Free
                          ? aTables.mSettings.mFreeTier.mUpstreamShare
                          : 1.0;
-  return aTables.mUpstreams.Choose(aLane.mSubset,
-                                   { &aEntry.mRequest, share, &aEntry.mTried },
-                                   aTables.mPrefixes);
+  const bool first = aEntry.mClass == service_class::Urgent;
+  return aTables.mUpstreams.Choose(
+    aLane.mSubset,
+    { &aEntry.mRequest, share, first, &aEntry.mTried },
+    aTables.mPrefixes);
 }
 
 void StartRetries(dispatch_tables& aTables, model_lane& aLane, time_point aNow)
@@ -176,6 +182,17 @@
   return true;
 }
 
+/// Part of its class's room that an account may fill. One that holds much of
+/// what runs leaves some for the others, which would else have to wait for one
+/// of its long requests to end.
+double HeavyPart(const dispatch_tables& aTables, const request_entry& aEntry)
+{
+  const std::size_t index = Index(aEntry.mClass);
+  const std::uint32_t own = aTables.mAccountRunning[aEntry.mAccount][index];
+  const bool heavy = own > kHeavyShare * aTables.mRunning[index];
+  return heavy ? aTables.mSettings.mHeavyAccountPart : 1.0;
+}
+
 /// Starts the first request of a class if there is room.
 head_result StartHead(dispatch_tables& aTables,
                       model_lane& aLane,
@@ -189,13 +206,14 @@
     return head_result::Moved;
   }
   aQuery.mRequest = &entry.mRequest;
+  aQuery.mShare *= HeavyPart(aTables, entry);
   const auto upstream =
     aTables.mUpstreams.Choose(aLane.mSubset, aQuery, aTables.mPrefixes);
   if (!upstream) {
     return head_result::NoRoom;
   }
   queue.PopFront(aNow);
-  Start(aTables, entry, *upstream, aQuery.mShare >= 1.0, aNow);
+  Start(aTables, entry, *upstream, aQuery.mFirst, aNow);
   return head_result::Started;
 }
 
@@ -232,11 +250,12 @@
     const auto front = aLane.mQueues[Index(kind)].Front();
     // A rank that is owed its floor may use the room of the ranks before it,
     // or a flood of those would keep it out; at the engine too.
-    const bool asFirst = fromFloor && RunsLittle(aTables, rank);
+    const bool floor = fromFloor && RunsLittle(aTables, rank);
+    const bool asFirst = floor || rank == work_rank::Urgent;
     const double share =
-      asFirst ? 1.0 : aTables.ClassSettings(kind).mUpstreamShare;
+      floor ? 1.0 : aTables.ClassSettings(kind).mUpstreamShare;
     const head_result result =
-      StartHead(aTables, aLane, kind, { nullptr, share }, aNow);
+      StartHead(aTables, aLane, kind, { nullptr, share, asFirst }, aNow);
     if (result == head_result::Started) {
       aLane.mCredit.OnStarted(rank, front->mCost, aTables.mSettings);
     }
@@ -327,7 +346,7 @@
 {
   const fair_queue& queue = aLane.mQueues[Index(service_class::Free)];
   const double share = aTables.mSettings.mFreeTier.mUpstreamShare;
-  const upstream_query query{ nullptr, share, nullptr, aTables.mTicks };
+  const upstream_query query{ nullptr, share, false, nullptr, aTables.mTicks };
   while (!queue.Empty() &&
          StartHead(aTables, aLane, service_class::Free, query, aNow) !=
            head_result::NoRoom) {
--- a/Source/Core/Dispatch/UpstreamTable.cpp
+++ b/Source/Core/Dispatch/UpstreamTable.cpp
@@ -305,7 +305,8 @@
   }
 }
 
-bool upstream_table::HasRoom(const upstream_state& aState, double aShare) const
+bool upstream_table::HasRoom(const upstream_state& aState,
+                             const upstream_query& aQuery) const
 {
   if (aState.mFailures > 0) {
     // One attempt shows whether the upstream is back.
@@ -313,8 +314,8 @@
   }
   const double nodes = std::max(1U, mSettings.mSharingNodes);
   const concurrency_limit& limit =
-    aShare < 1.0 ? aState.mLowerLimit : aState.mLimit;
-  const double capacity = aShare * limit.Value();
+    aQuery.mFirst ? aState.mLimit : aState.mLowerLimit;
+  const double capacity = aQuery.mShare * limit.Value();
   const double equalShare = capacity / nodes;
   const double room = capacity - aState.mOwnAtReport - aState.mOthers;
   // Places beyond the capacity are not filled again. Free room is divided, and
@@ -333,9 +334,8 @@
   // hash: a new draw per report would in time give every node a whole place.
   // First work has a part of its own; beyond the capacity it waits in the
   // engine, where it gets the next place of any node.
-  const bool first = aShare >= 1.0;
-  const double part = first ? kAssuredFirstPart : kAssuredPart;
-  const double own = first ? aState.mOwnFirst : aState.Own();
+  const double part = aQuery.mFirst ? kAssuredFirstPart : kAssuredPart;
+  const double own = aQuery.mFirst ? aState.mOwnFirst : aState.Own();
   const double assured =
     std::floor(equalShare * part + aState.mAssuredRounding);
   return aState.Own() < std::floor(allowed) || own < assured;
@@ -372,7 +372,7 @@
   double bestScore = 0.0;
   for (const std::uint32_t upstream : aSubset.mUpstreams) {
     const bool marked = aQuery.mMark != 0 && mMarks[upstream] == aQuery.mMark;
-    if (marked || !HasRoom(mStates[upstream], aQuery.mShare) ||
+    if (marked || !HasRoom(mStates[upstream], aQuery) ||
         Contains(aQuery.mExcluded, upstream)) {
       continue;
     }
--- a/Source/Core/Dispatch/UpstreamTable.h
+++ b/Source/Core/Dispatch/UpstreamTable.h
@@ -22,14 +22,14 @@
   bool mListed = false;
   /// Models that it says are loaded; without a report those of the list.
   std::vector<model_id> mModels;
-  /// Limits for work that may use the whole upstream, and for the rest. Engines
+  /// Limits for work of the first priority, and for the rest. Engines
   /// honour priorities, so a long wait of a low one says nothing about the
   /// first.
   concurrency_limit mLimit;
   concurrency_limit mLowerLimit;
   /// Running attempts of this node.
   std::vector<request_id> mRunning;
-  /// Those of them that may use the whole upstream.
+  /// Those of them that have the engine's first priority.
   std::uint32_t mOwnFirst = 0;
   /// Own in-flight count over the last seconds, to compare with late reports.
   std::deque<std::pair<time_point, std::uint32_t>> mHistory;
@@ -60,6 +60,8 @@
   const dispatch_request* mRequest = nullptr;
   /// Share of the limit that the request may fill.
   double mShare = 1.0;
+  /// Has the engine's first priority.
+  bool mFirst = false;
   /// Upstreams that must not be chosen.
   const std::vector<std::uint32_t>* mExcluded = nullptr;
   /// Not chosen when marked with this number in `Marks()`; 0 for none.
@@ -98,7 +100,7 @@
     return static_cast<std::uint32_t>(mStates.size());
   }
 
-  /// `aFirst`: the attempt may use the whole upstream.
+  /// `aFirst`: the attempt has the engine's first priority.
   void AddRunning(std::uint32_t aUpstream,
                   const request_id& aRequest,
                   bool aFirst,
@@ -140,7 +142,8 @@
 private:
   std::uint32_t Intern(const upstream_id& aUpstream);
   bool Usable(const upstream_state& aState, const model_id& aModel) const;
-  bool HasRoom(const upstream_state& aState, double aShare) const;
+  bool HasRoom(const upstream_state& aState,
+               const upstream_query& aQuery) const;
   double Score(std::uint32_t aUpstream,
                const dispatch_request& aRequest,
                const prefix_index& aPrefixes) const;
