--- a/Source/Core/Dispatch/DispatchSettings.h
+++ b/Source/Core/Dispatch/DispatchSettings.h
@@ -14,8 +14,8 @@
 /// Settings of one rank.
 struct rank_settings
 {
-  /// Least share of the started tokens that the rank keeps while it has work
-  /// waiting, from 0 to 1. Ignored for the first rank.
+  /// Guaranteed minimum: least share of the served tokens that the rank keeps
+  /// while it has work waiting, from 0 to 1. Ignored for the first rank.
   double mFloorShare = 0.0;
   /// Longest useful time from arrival to first token.
   std::chrono::milliseconds mFirstTokenTarget{ 1'200 };
@@ -72,6 +72,10 @@
   };
   /// The free tier, whatever its rank: no floor, spare capacity only.
   rank_settings mFreeTier{ 0.0, std::chrono::milliseconds(30'000), 500, 0.6 };
+  /// Factor on the floors at each node. Nodes without waiting work of a rank
+  /// give it less than its floor, so the others give it more, or the fleet as a
+  /// whole would stay below the guaranteed minimum.
+  double mFloorMargin = 1.3;
   /// Bound of the tokens that a rank may be owed under its floor.
   double mMaxFloorCredit = 5'000.0;
   /// Zone and region of this node.
--- a/Source/Core/Dispatch/RankCredit.cpp
+++ b/Source/Core/Dispatch/RankCredit.cpp
@@ -20,7 +20,8 @@
                             const dispatch_settings& aSettings)
 {
   for (std::size_t rank = 1; rank < kWorkRanks; ++rank) {
-    const double earned = aSettings.mRanks[rank].mFloorShare * aTokens;
+    const double earned =
+      aSettings.mFloorMargin * aSettings.mRanks[rank].mFloorShare * aTokens;
     mCredit[rank] = std::min(mCredit[rank] + earned, aSettings.mMaxFloorCredit);
   }
   double& own = mCredit[static_cast<std::size_t>(aRank)];
