--- a/Source/Core/Dispatch/AttemptEnd.cpp
+++ b/Source/Core/Dispatch/AttemptEnd.cpp
@@ -35,6 +35,18 @@
   aTables.mRequests.erase(request.mRequest);
 }
 
+std::vector<request_id> RequestsOf(const dispatch_tables& aTables,
+                                   const content_id& aContent)
+{
+  std::vector<request_id> found;
+  for (const auto& [request, entry] : aTables.mRequests) {
+    if (entry.mRequest.mContent == aContent) {
+      found.push_back(request);
+    }
+  }
+  return found;
+}
+
 /// Looks at what was in flight when an upstream crashed.
 void RecordCrash(dispatch_tables& aTables,
                  std::uint32_t aUpstream,
@@ -52,6 +64,8 @@
   }
   aTables.mQuarantine.OnCrash(upstream.mEntry.mUpstream, contents, aNow);
   aTables.mPrefixes.Forget(aUpstream);
+  aTables.mCrashed.insert(
+    aTables.mCrashed.end(), contents.begin(), contents.end());
 }
 
 void Fail(dispatch_tables& aTables, std::uint32_t aUpstream, time_point aNow)
@@ -150,17 +164,27 @@
   aTables.Retry(aEntry, notBefore, aNow);
 }
 
+void StopCopies(dispatch_tables& aTables,
+                const content_id& aContent,
+                time_point aNow)
+{
+  if (aTables.mQuarantine.IsRetrying(aContent, aNow)) {
+    return;
+  }
+  for (const request_id& request : RequestsOf(aTables, aContent)) {
+    request_entry& entry = *aTables.FindRequest(request);
+    if (entry.mState == request_state::Running) {
+      aTables.CancelRunning(entry, cancel_reason::Quarantined, aNow);
+      aTables.Reject(request, reject_reason::Suspect, run_state::Ran);
+    }
+  }
+}
+
 void StopContent(dispatch_tables& aTables,
                  const content_id& aContent,
                  time_point aNow)
 {
-  std::vector<request_id> found;
-  for (const auto& [request, entry] : aTables.mRequests) {
-    if (entry.mRequest.mContent == aContent) {
-      found.push_back(request);
-    }
-  }
-  for (const request_id& request : found) {
+  for (const request_id& request : RequestsOf(aTables, aContent)) {
     request_entry& entry = *aTables.FindRequest(request);
     run_state run = entry.mRun;
     if (entry.mState == request_state::Running) {
--- a/Source/Core/Dispatch/AttemptEnd.h
+++ b/Source/Core/Dispatch/AttemptEnd.h
@@ -16,6 +16,12 @@
                   request_entry& aEntry,
                   time_point aNow);
 
+/// Cancels running attempts with a content that became suspect, but for a try
+/// in isolation by this node. More of them could crash more upstreams.
+void StopCopies(dispatch_tables& aTables,
+                const content_id& aContent,
+                time_point aNow);
+
 /// Rejects the waiting requests of a quarantined content and cancels the
 /// running ones.
 void StopContent(dispatch_tables& aTables,
--- a/Source/Core/Dispatch/DispatchSettings.h
+++ b/Source/Core/Dispatch/DispatchSettings.h
@@ -67,11 +67,11 @@
 {
   std::array<rank_settings, kWorkRanks> mRanks{
     rank_settings{ 0.0, std::chrono::milliseconds(1'200), 1'000, 1.0 },
-    rank_settings{ 0.15, std::chrono::milliseconds(10'000), 2'000, 0.75 },
-    rank_settings{ 0.05, std::chrono::milliseconds(30'000), 2'000, 0.7 },
+    rank_settings{ 0.15, std::chrono::milliseconds(10'000), 2'000, 0.85 },
+    rank_settings{ 0.05, std::chrono::milliseconds(30'000), 2'000, 0.8 },
   };
   /// The free tier, whatever its rank: no floor, spare capacity only.
-  rank_settings mFreeTier{ 0.0, std::chrono::milliseconds(30'000), 500, 0.6 };
+  rank_settings mFreeTier{ 0.0, std::chrono::milliseconds(30'000), 500, 0.7 };
   /// Factor on the floors at each node. Nodes without waiting work of a rank
   /// give it less than its floor, so the others give it more, or the fleet as a
   /// whole would stay below the guaranteed minimum.
--- a/Source/Core/Dispatch/DispatchSystem.cpp
+++ b/Source/Core/Dispatch/DispatchSystem.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 #include "Dispatch/AttemptEnd.h"
 #include "Dispatch/DispatchTables.h"
@@ -56,6 +57,24 @@
   return *wait > bearable;
 }
 
+/// Stops what must not go on with a content that crashed an upstream.
+void StopSuspect(dispatch_tables& aTables,
+                 const content_id& aContent,
+                 time_point aNow)
+{
+  switch (aTables.mQuarantine.Check(aContent, aNow).mVerdict) {
+    case content_verdict::Quarantined:
+      StopContent(aTables, aContent, aNow);
+      break;
+    case content_verdict::Suspect:
+    case content_verdict::Held:
+      StopCopies(aTables, aContent, aNow);
+      break;
+    case content_verdict::Clear:
+      break;
+  }
+}
+
 /// Queues an entry; rejects the one that would be served last when the queue of
 /// the class is full.
 void QueueNew(dispatch_tables& aTables, request_entry& aEntry, time_point aNow)
@@ -157,6 +176,9 @@
 
 dispatch_output dispatch_system::Tick(time_point aNow)
 {
+  for (const content_id& content : std::exchange(mTables->mCrashed, {})) {
+    StopSuspect(*mTables, content, aNow);
+  }
   RunScheduler(*mTables, aNow);
   dispatch_output output = std::move(mTables->mOutput);
   mTables->mOutput = {};
@@ -230,9 +252,8 @@
                                          time_point aNow)
 {
   mTables->mQuarantine.OnNotice(aNotice, aNow);
-  if (mTables->mQuarantine.Check(aNotice.mContent, aNow).mVerdict ==
-      content_verdict::Quarantined) {
-    StopContent(*mTables, aNotice.mContent, aNow);
+  if (aNotice.mState != quarantine_state::Cleared) {
+    StopSuspect(*mTables, aNotice.mContent, aNow);
   }
 }
 
--- a/Source/Core/Dispatch/DispatchTables.h
+++ b/Source/Core/Dispatch/DispatchTables.h
@@ -120,6 +120,8 @@
   /// Latest starts, earliest first; entries of started requests are skipped.
   std::priority_queue<latest_start, std::vector<latest_start>, std::greater<>>
     mLatestStarts;
+  /// Contents in flight on upstreams that crashed since the last tick.
+  std::vector<content_id> mCrashed;
   /// Recorded by handlers, given out by the next tick.
   dispatch_output mOutput;
   dispatch_counters mCounters;
--- a/Source/Core/Dispatch/QuarantineTable.cpp
+++ b/Source/Core/Dispatch/QuarantineTable.cpp
@@ -94,6 +94,14 @@
   mChanged.try_emplace(aContent, found->second.mCrashes.back().mUpstream);
 }
 
+bool quarantine_table::IsRetrying(const content_id& aContent,
+                                  time_point aNow) const
+{
+  const auto found = mEntries.find(aContent);
+  return found != mEntries.end() && found->second.mRetryNode == mNode &&
+         found->second.mRetryUntil > aNow;
+}
+
 void quarantine_table::OnCompleted(const content_id& aContent)
 {
   const auto found = mEntries.find(aContent);
--- a/Source/Core/Dispatch/QuarantineTable.h
+++ b/Source/Core/Dispatch/QuarantineTable.h
@@ -57,6 +57,9 @@
   /// This node gave up trying a suspect.
   void EndRetry(const content_id& aContent);
 
+  /// Whether this node is trying a suspect or going to.
+  bool IsRetrying(const content_id& aContent, time_point aNow) const;
+
   /// The content ran to its end.
   void OnCompleted(const content_id& aContent);
 
--- a/Source/Core/Dispatch/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -110,7 +110,7 @@
 
 std::optional<std::uint32_t> RetryUpstream(dispatch_tables& aTables,
                                            const model_lane& aLane,
-                                           const request_entry& aEntry,
+                                           request_entry& aEntry,
                                            time_point aNow)
 {
   if (aEntry.mNotBefore > aNow) {
@@ -118,6 +118,13 @@
   }
   const content_check check =
     aTables.mQuarantine.Check(aEntry.mRequest.mContent, aNow);
+  if (check.mVerdict != content_verdict::Clear &&
+      !aTables.mQuarantine.IsRetrying(aEntry.mRequest.mContent, aNow)) {
+    // The turn is over: other nodes no longer wait for this one.
+    aEntry.mNotBefore =
+      aTables.mQuarantine.BeginRetry(aEntry.mRequest.mContent, aNow);
+    return std::nullopt;
+  }
   if (check.mVerdict != content_verdict::Clear) {
     return TestUpstream(aTables, aLane, aEntry, aNow);
   }
--- a/Source/Core/Replay/ReplayScenarios.cpp
+++ b/Source/Core/Replay/ReplayScenarios.cpp
@@ -64,7 +64,7 @@
              8,
              { { work_rank::Urgent, false, 10.0, 300, 60, 2 },
                { work_rank::Routine, false, 5.0, 3'000, 350, 12 },
-               { work_rank::Background, false, 2.0, 800, 250, 4 },
+               { work_rank::Background, false, 3.0, 800, 250, 4 },
                { work_rank::Background, true, 3.0, 500, 200, 2 } } };
   }
   return { 3,
@@ -72,7 +72,7 @@
            { { work_rank::Urgent, false, 12.0, 400, 50, 3 },
              { work_rank::Routine, false, 3.0, 5'000, 400, 20 },
              { work_rank::Routine, false, 4.0, 600, 150, 3 },
-             { work_rank::Background, false, 2.0, 700, 250, 4 },
+             { work_rank::Background, false, 3.0, 700, 250, 4 },
              { work_rank::Background, true, 2.0, 500, 200, 2 } } };
 }
 
