--- a/Source/Core/Dispatch/DispatchSettings.h
+++ b/Source/Core/Dispatch/DispatchSettings.h
@@ -14,8 +14,8 @@
 /// Settings of one rank.
 struct rank_settings
 {
-  /// Least share of the started tokens that the rank keeps while it has work
-  /// waiting, from 0 to 1. Ignored for the first rank.
+  /// Guaranteed minimum: least share of the served tokens that the rank keeps
+  /// while it has work waiting, from 0 to 1. Ignored for the first rank.
   double mFloorShare = 0.0;
   /// Longest useful time from arrival to first token.
   std::chrono::milliseconds mFirstTokenTarget{ 1'200 };
@@ -72,6 +72,12 @@
   };
   /// The free tier, whatever its rank: no floor, spare capacity only.
   rank_settings mFreeTier{ 0.0, std::chrono::milliseconds(30'000), 500, 0.7 };
+  /// Factor on the floors at each node. Nodes without waiting work of a rank
+  /// give it less than its floor, so the others give it more, or the fleet as a
+  /// whole would stay below the guaranteed minimum.
+  double mFloorMargin = 1.3;
+  /// Bound of the tokens that a rank may be owed under its floor.
+  double mMaxFloorCredit = 5'000.0;
   /// Zone and region of this node.
   zone_id mZone;
   region_id mRegion;
@@ -85,6 +91,12 @@
   /// Nodes that use an upstream at the same time. Free room seen in a lagging
   /// report is divided between them.
   std::uint32_t mSharingNodes = 1;
+  /// Tokens that an account of weight 1 may be served ahead of its fair share
+  /// after it used less.
+  double mAccountBurst = 5'000.0;
+  /// Part of its rank's room that an account may fill which has more than a
+  /// third of the rank's running requests.
+  double mHeavyAccountPart = 0.9;
   /// Cost of a prompt token in output tokens. Prompts are computed in parallel
   /// and occupy an upstream for less time per token.
   double mPromptTokenCost = 0.1;
--- a/Source/Core/Dispatch/DispatchSystem.cpp
+++ b/Source/Core/Dispatch/DispatchSystem.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 #include "Dispatch/AttemptEnd.h"
 #include "Dispatch/DispatchTables.h"
@@ -47,7 +48,7 @@
 {
   const model_lane& lane = aTables.mLanes[aEntry.mLane];
   const auto wait =
-    lane.mQueues[Index(aEntry.mClass)].ExpectedWait(aEntry.mAccount, aNow);
+    lane.mQueues[Index(aEntry.mClass)].ExpectedWait(aEntry.mAccount);
   if (!wait) {
     return false;
   }
@@ -56,12 +57,31 @@
   return *wait > bearable;
 }
 
+/// Stops what must not go on with a content that crashed an upstream.
+void StopSuspect(dispatch_tables& aTables,
+                 const content_id& aContent,
+                 time_point aNow)
+{
+  switch (aTables.mQuarantine.Check(aContent, aNow).mVerdict) {
+    case content_verdict::Quarantined:
+      StopContent(aTables, aContent, aNow);
+      break;
+    case content_verdict::Suspect:
+    case content_verdict::Held:
+      StopCopies(aTables, aContent, aNow);
+      break;
+    case content_verdict::Clear:
+      break;
+  }
+}
+
 /// Queues an entry; rejects the one that would be served last when the queue of
 /// the class is full.
 void QueueNew(dispatch_tables& aTables, request_entry& aEntry, time_point aNow)
 {
   const std::size_t index = Index(aEntry.mClass);
   fair_queue& queue = aTables.mLanes[aEntry.mLane].mQueues[index];
+  queue.SetBurst(aTables.mSettings.mAccountBurst);
   queue.Push({ aEntry.mRequest.mRequest, aEntry.mAccount, aEntry.mCost },
              std::max(aEntry.mRequest.mWeight, 1e-6),
              aNow);
@@ -156,6 +176,9 @@
 
 dispatch_output dispatch_system::Tick(time_point aNow)
 {
+  for (const content_id& content : std::exchange(mTables->mCrashed, {})) {
+    StopSuspect(*mTables, content, aNow);
+  }
   RunScheduler(*mTables, aNow);
   dispatch_output output = std::move(mTables->mOutput);
   mTables->mOutput = {};
@@ -172,11 +195,14 @@
   }
   entry->mFirstToken = true;
   upstream_state& upstream = mTables->mUpstreams.At(entry->mUpstream);
-  upstream.mLimit.OnFirstToken(entry->mStartedAt,
-                               aNow,
-                               entry->mRequest.mPromptTokens,
-                               upstream.InUse(),
-                               mTables->mSettings.mConcurrency);
+  concurrency_limit& limit = entry->mClass == service_class::Urgent
+                               ? upstream.mLimit
+                               : upstream.mLowerLimit;
+  limit.OnFirstToken(entry->mStartedAt,
+                     aNow,
+                     entry->mRequest.mPromptTokens,
+                     upstream.InUse(),
+                     mTables->mSettings.mConcurrency);
 }
 
 void dispatch_system::OnTokens(const request_id& aRequest,
@@ -201,9 +227,9 @@
 
 void dispatch_system::OnLoadReport(const upstream_id& aUpstream,
                                    const load_report& aReport,
-                                   time_point)
+                                   time_point aNow)
 {
-  mTables->mUpstreams.OnReport(aUpstream, aReport);
+  mTables->mUpstreams.OnReport(aUpstream, aReport, aNow);
 }
 
 void dispatch_system::OnCacheEvents(const upstream_id& aUpstream,
@@ -226,9 +252,8 @@
                                          time_point aNow)
 {
   mTables->mQuarantine.OnNotice(aNotice, aNow);
-  if (mTables->mQuarantine.Check(aNotice.mContent, aNow).mVerdict ==
-      content_verdict::Quarantined) {
-    StopContent(*mTables, aNotice.mContent, aNow);
+  if (aNotice.mState != quarantine_state::Cleared) {
+    StopSuspect(*mTables, aNotice.mContent, aNow);
   }
 }
 
--- a/Source/Core/Dispatch/DispatchTables.h
+++ b/Source/Core/Dispatch/DispatchTables.h
@@ -52,6 +52,8 @@
   std::vector<std::uint32_t> mTried;
   std::uint32_t mUpstream = 0;
   time_point mStartedAt;
+  /// Started with the room and the engine priority of the first rank.
+  bool mAsFirst = false;
   bool mFirstToken = false;
   std::int64_t mOutputTokens = 0;
 };
@@ -110,12 +112,16 @@
   std::unordered_map<account_id, std::uint32_t> mAccountNumbers;
   std::array<std::uint32_t, kServiceClasses> mQueued{};
   std::array<std::uint32_t, kServiceClasses> mRunning{};
+  /// The same by account number.
+  std::vector<std::array<std::uint32_t, kServiceClasses>> mAccountRunning;
   /// Mean ratio of real to largest output, by class.
   std::array<double, kServiceClasses> mOutputRatio{};
   using latest_start = std::pair<time_point, request_id>;
   /// Latest starts, earliest first; entries of started requests are skipped.
   std::priority_queue<latest_start, std::vector<latest_start>, std::greater<>>
     mLatestStarts;
+  /// Contents in flight on upstreams that crashed since the last tick.
+  std::vector<content_id> mCrashed;
   /// Recorded by handlers, given out by the next tick.
   dispatch_output mOutput;
   dispatch_counters mCounters;
--- a/Source/Core/Dispatch/FairQueue.h
+++ b/Source/Core/Dispatch/FairQueue.h
@@ -27,6 +27,10 @@
 class fair_queue
 {
 public:
+  /// `aBurst`: tokens that an account may be served ahead of its share after it
+  /// used less.
+  void SetBurst(double aBurst) { mBurst = aBurst; }
+
   void Push(const queued_request& aRequest, double aWeight, time_point aNow);
 
   /// The request that is served next, nothing when empty.
@@ -44,9 +48,11 @@
   void Charge(std::uint32_t aAccount, double aTokens);
 
   /// How long the last waiting request of the account will wait at the present
-  /// rate of service; nothing while the rate is not known.
-  std::optional<std::chrono::microseconds> ExpectedWait(std::uint32_t aAccount,
-                                                        time_point aNow) const;
+  /// rate of service; nothing while the rate is not known. 0 for the only
+  /// waiting request of an account: its place depends on how little the account
+  /// used before, and one request per account cannot fill the queue.
+  std::optional<std::chrono::microseconds> ExpectedWait(
+    std::uint32_t aAccount) const;
 
   bool Empty() const { return mSize == 0; }
   std::uint32_t Size() const { return mSize; }
@@ -69,6 +75,8 @@
 
   void Unlink(std::uint32_t aAccount, const account_queue& aQueue);
   void Link(std::uint32_t aAccount, account_queue& aQueue);
+  /// Cost of the waiting requests that are served before a virtual time.
+  double CostBefore(double aTag) const;
   void MeasureRate(time_point aNow);
   void ForgetIdle();
 
@@ -79,10 +87,12 @@
   /// The queue became empty by service, not by rejections.
   bool mEmptiedByService = true;
   double mVirtualTime = 0.0;
+  double mBurst = 0.0;
   /// Accounts kept at the last clean-up.
   std::size_t mKept = 0;
   time_point mRateFrom;
-  double mRateFromVirtual = 0.0;
-  /// Virtual time per second while requests wait; 0 when not known.
+  double mServedCost = 0.0;
+  std::uint32_t mServed = 0;
+  /// Cost served per second while requests wait; 0 when not known.
   double mRate = 0.0;
 };
--- a/Source/Core/Dispatch/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -6,6 +6,12 @@
 
 namespace {
 
+// Running requests are a coarse measure of a floor in tokens.
+constexpr double kFloorSlack = 2.0;
+// An account with more than this share of its class's running requests is
+// heavy.
+constexpr double kHeavyShare = 0.34;
+
 std::size_t Index(service_class aClass)
 {
   return static_cast<std::size_t>(aClass);
@@ -32,16 +38,19 @@
 void Start(dispatch_tables& aTables,
            request_entry& aEntry,
            std::uint32_t aUpstream,
+           bool aAsFirst,
            time_point aNow)
 {
   const std::size_t index = Index(aEntry.mClass);
   const dispatch_request& request = aEntry.mRequest;
   --aTables.mQueued[index];
   ++aTables.mRunning[index];
+  ++aTables.mAccountRunning[aEntry.mAccount][index];
   aEntry.mState = request_state::Running;
   aEntry.mUpstream = aUpstream;
   aEntry.mStartedAt = aNow;
   aEntry.mFirstToken = false;
+  aEntry.mAsFirst = aAsFirst;
   ++aEntry.mAttempts;
   if (aEntry.mAttempts == 1) {
     ++aTables.CountersOf(aEntry.mClass).mStarted;
@@ -51,12 +60,12 @@
     ++aTables.mCounters.mPrefixHits;
   }
   aTables.mPrefixes.Expect(aUpstream, request.mPrefixBlocks);
-  aTables.mUpstreams.AddRunning(aUpstream, request.mRequest, aNow);
+  aTables.mUpstreams.AddRunning(aUpstream, request.mRequest, aAsFirst, aNow);
   aTables.mOutput.mStarts.push_back(
     { request.mRequest,
       aTables.mUpstreams.At(aUpstream).mEntry.mUpstream,
       aEntry.mAttempts,
-      static_cast<std::uint8_t>(index) });
+      static_cast<std::uint8_t>(aAsFirst ? 0 : index) });
 }
 
 rank_credit::waiting_ranks WaitingRanks(const model_lane& aLane)
@@ -101,7 +110,7 @@
 
 std::optional<std::uint32_t> RetryUpstream(dispatch_tables& aTables,
                                            const model_lane& aLane,
-                                           const request_entry& aEntry,
+                                           request_entry& aEntry,
                                            time_point aNow)
 {
   if (aEntry.mNotBefore > aNow) {
@@ -109,6 +118,13 @@
   }
   const content_check check =
     aTables.mQuarantine.Check(aEntry.mRequest.mContent, aNow);
+  if (check.mVerdict != content_verdict::Clear &&
+      !aTables.mQuarantine.IsRetrying(aEntry.mRequest.mContent, aNow)) {
+    // The turn is over: other nodes no longer wait for this one.
+    aEntry.mNotBefore =
+      aTables.mQuarantine.BeginRetry(aEntry.mRequest.mContent, aNow);
+    return std::nullopt;
+  }
   if (check.mVerdict != content_verdict::Clear) {
     return TestUpstream(aTables, aLane, aEntry, aNow);
   }
@@ -116,9 +132,11 @@
   const double share = aEntry.mClass == service_class::Free
                          ? aTables.mSettings.mFreeTier.mUpstreamShare
                          : 1.0;
-  return aTables.mUpstreams.Choose(aLane.mSubset,
-                                   { &aEntry.mRequest, share, &aEntry.mTried },
-                                   aTables.mPrefixes);
+  const bool first = aEntry.mClass == service_class::Urgent;
+  return aTables.mUpstreams.Choose(
+    aLane.mSubset,
+    { &aEntry.mRequest, share, first, &aEntry.mTried },
+    aTables.mPrefixes);
 }
 
 void StartRetries(dispatch_tables& aTables, model_lane& aLane, time_point aNow)
@@ -132,7 +150,8 @@
     }
     aLane.mRetries.erase(aLane.mRetries.begin() +
                          static_cast<std::ptrdiff_t>(i));
-    Start(aTables, entry, *upstream, aNow);
+    const bool asFirst = entry.mClass == service_class::Urgent;
+    Start(aTables, entry, *upstream, asFirst, aNow);
   }
 }
 
@@ -170,6 +189,17 @@
   return true;
 }
 
+/// Part of its class's room that an account may fill. One that holds much of
+/// what runs leaves some for the others, which would else have to wait for one
+/// of its long requests to end.
+double HeavyPart(const dispatch_tables& aTables, const request_entry& aEntry)
+{
+  const std::size_t index = Index(aEntry.mClass);
+  const std::uint32_t own = aTables.mAccountRunning[aEntry.mAccount][index];
+  const bool heavy = own > kHeavyShare * aTables.mRunning[index];
+  return heavy ? aTables.mSettings.mHeavyAccountPart : 1.0;
+}
+
 /// Starts the first request of a class if there is room.
 head_result StartHead(dispatch_tables& aTables,
                       model_lane& aLane,
@@ -183,16 +213,30 @@
     return head_result::Moved;
   }
   aQuery.mRequest = &entry.mRequest;
+  aQuery.mShare *= HeavyPart(aTables, entry);
   const auto upstream =
     aTables.mUpstreams.Choose(aLane.mSubset, aQuery, aTables.mPrefixes);
   if (!upstream) {
     return head_result::NoRoom;
   }
   queue.PopFront(aNow);
-  Start(aTables, entry, *upstream, aNow);
+  Start(aTables, entry, *upstream, aQuery.mFirst, aNow);
   return head_result::Started;
 }
 
+/// Whether a rank has few requests running for its floor. A rank that already
+/// fills the upstreams needs no room of the ranks before it.
+bool RunsLittle(const dispatch_tables& aTables, work_rank aRank)
+{
+  std::uint32_t running = 0;
+  for (const std::uint32_t count : aTables.mRunning) {
+    running += count;
+  }
+  const auto index = static_cast<std::size_t>(aRank);
+  const double floor = aTables.mSettings.mRanks[index].mFloorShare * running;
+  return aTables.mRunning[index] < std::max(1.0, kFloorSlack * floor);
+}
+
 /// Starts one paid request of a lane; false when nothing has room.
 bool StartPaid(dispatch_tables& aTables, model_lane& aLane, time_point aNow)
 {
@@ -212,14 +256,15 @@
     const auto kind = static_cast<service_class>(rank);
     const auto front = aLane.mQueues[Index(kind)].Front();
     // A rank that is owed its floor may use the room of the ranks before it,
-    // or a flood of those would keep it out.
+    // or a flood of those would keep it out; at the engine too.
+    const bool floor = fromFloor && RunsLittle(aTables, rank);
+    const bool asFirst = floor || rank == work_rank::Urgent;
     const double share =
-      fromFloor ? 1.0 : aTables.ClassSettings(kind).mUpstreamShare;
+      floor ? 1.0 : aTables.ClassSettings(kind).mUpstreamShare;
     const head_result result =
-      StartHead(aTables, aLane, kind, { nullptr, share }, aNow);
+      StartHead(aTables, aLane, kind, { nullptr, share, asFirst }, aNow);
     if (result == head_result::Started) {
-      aLane.mCredit.OnStarted(
-        rank, front->mCost, fromFloor, waiting, aTables.mSettings);
+      aLane.mCredit.OnStarted(rank, front->mCost, aTables.mSettings);
     }
     if (result != head_result::NoRoom) {
       return true;
@@ -244,7 +289,6 @@
   StartRetries(aTables, aLane, aNow);
   while (PaidWaiting(aLane) && StartPaid(aTables, aLane, aNow)) {
   }
-  aLane.mCredit.DropIdle(WaitingRanks(aLane));
 }
 
 /// Running free-tier request that was started last on an upstream of the lane
@@ -309,7 +353,7 @@
 {
   const fair_queue& queue = aLane.mQueues[Index(service_class::Free)];
   const double share = aTables.mSettings.mFreeTier.mUpstreamShare;
-  const upstream_query query{ nullptr, share, nullptr, aTables.mTicks };
+  const upstream_query query{ nullptr, share, false, nullptr, aTables.mTicks };
   while (!queue.Empty() &&
          StartHead(aTables, aLane, service_class::Free, query, aNow) !=
            head_result::NoRoom) {
--- a/Source/Core/Dispatch/UpstreamTable.cpp
+++ b/Source/Core/Dispatch/UpstreamTable.cpp
@@ -9,6 +9,8 @@
 
 // Reports lag by less than this.
 constexpr std::chrono::seconds kHistoryPeriod{ 5 };
+// Longer than a report period and its lag.
+constexpr std::chrono::milliseconds kRoundingPeriod{ 500 };
 constexpr std::uint32_t kMaxEjectionDoublings = 5;
 
 // Weights of the score, in units of a whole upstream's load.
@@ -19,8 +21,12 @@
 // together.
 constexpr double kContentWeight = 0.1;
 
-// An upstream is congested for a class when it is this full.
-constexpr double kCongestedUse = 0.9;
+// An upstream is congested for a class when less than this part is free.
+constexpr double kCongestedRoom = 0.1;
+// Parts of its equal share that a node may always fill: with lower ranks, and
+// with work that may use the whole upstream.
+constexpr double kAssuredPart = 0.25;
+constexpr double kAssuredFirstPart = 0.5;
 // Part of its excess over the equal share that a node gives back per report.
 constexpr double kGiveBack = 0.1;
 
@@ -67,7 +73,10 @@
     mStates.emplace_back();
     mStates.back().mEntry.mUpstream = aUpstream;
     mStates.back().mNameHash = StableHash(aUpstream.mName);
+    mStates.back().mAssuredRounding =
+      Unit(StableHash(aUpstream.mName, StableHash(mSettings.mNode.mName)));
     mStates.back().mLimit.Reset(0, mSettings.mConcurrency);
+    mStates.back().mLowerLimit.Reset(0, mSettings.mConcurrency);
     mMarks.push_back(0);
   }
   return found->second;
@@ -108,7 +117,8 @@
 }
 
 void upstream_table::OnReport(const upstream_id& aUpstream,
-                              const load_report& aReport)
+                              const load_report& aReport,
+                              time_point aNow)
 {
   const auto found = mNumbers.find(aUpstream);
   if (found == mNumbers.end()) {
@@ -120,6 +130,7 @@
   }
   state.mReportedAt = aReport.mAsOf;
   state.mLimit.OnSlots(aReport.mSlots, mSettings.mConcurrency);
+  state.mLowerLimit.OnSlots(aReport.mSlots, mSettings.mConcurrency);
   double ownThen = state.mHistory.empty() ? state.Own() : 0.0;
   for (const auto& [at, count] : state.mHistory) {
     if (at > aReport.mAsOf) {
@@ -129,8 +140,15 @@
   }
   const double total = aReport.mRunning + aReport.mWaiting;
   state.mOthers = std::max(0.0, total - ownThen);
-  state.mOwnAtReport = state.Own();
-  state.mRounding = Unit(mRandom());
+  // The room is divided as it was when the report was taken: nodes that start
+  // more before a report shows the last starts would together overfill.
+  state.mOwnAtReport = ownThen;
+  if (aReport.mAsOf >= state.mRoundedAt + kRoundingPeriod) {
+    // A new draw before the starts of the last one show would in time give
+    // every node the room of its luckiest draw.
+    state.mRounding = Unit(mRandom());
+    state.mRoundedAt = aNow;
+  }
   const bool models =
     !aReport.mModels.empty() && aReport.mModels != state.mModels;
   if (models) {
@@ -164,16 +182,20 @@
 
 void upstream_table::AddRunning(std::uint32_t aUpstream,
                                 const request_id& aRequest,
+                                bool aFirst,
                                 time_point aNow)
 {
+  mStates[aUpstream].mOwnFirst += aFirst ? 1 : 0;
   mStates[aUpstream].mRunning.push_back(aRequest);
   Record(mStates[aUpstream], aNow);
 }
 
 void upstream_table::RemoveRunning(std::uint32_t aUpstream,
                                    const request_id& aRequest,
+                                   bool aFirst,
                                    time_point aNow)
 {
+  mStates[aUpstream].mOwnFirst -= aFirst ? 1 : 0;
   std::erase(mStates[aUpstream].mRunning, aRequest);
   Record(mStates[aUpstream], aNow);
 }
@@ -283,25 +305,40 @@
   }
 }
 
-bool upstream_table::HasRoom(const upstream_state& aState, double aShare) const
+bool upstream_table::HasRoom(const upstream_state& aState,
+                             const upstream_query& aQuery) const
 {
   if (aState.mFailures > 0) {
     // One attempt shows whether the upstream is back.
     return aState.mRunning.empty();
   }
   const double nodes = std::max(1U, mSettings.mSharingNodes);
-  const double capacity = aShare * aState.mLimit.Value();
+  const concurrency_limit& limit =
+    aQuery.mFirst ? aState.mLimit : aState.mLowerLimit;
+  const double capacity = aQuery.mShare * limit.Value();
   const double equalShare = capacity / nodes;
-  const double total = aState.mOwnAtReport + aState.mOthers;
-  double allowed = aState.mOwnAtReport + (capacity - total) / nodes;
-  if (total >= kCongestedUse * capacity && aState.mOwnAtReport > equalShare) {
+  const double room = capacity - aState.mOwnAtReport - aState.mOthers;
+  // Places beyond the capacity are not filled again. Free room is divided, and
+  // rounded at random, so that nodes that see the same room do not all take it.
+  double allowed = aState.mOwnAtReport;
+  if (room >= 0.0) {
+    allowed += room / nodes + aState.mRounding;
+  } else {
+    allowed -= 1.0;
+  }
+  if (room <= capacity * kCongestedRoom && aState.mOwnAtReport > equalShare) {
     allowed -= kGiveBack * (aState.mOwnAtReport - equalShare);
   }
-  // Half of the equal share is always there, so that a node that comes late is
-  // not kept out by those that refill their places.
-  const double assured = equalShare / 2;
-  allowed = std::floor(std::max(allowed, assured) + aState.mRounding);
-  return aState.Own() < allowed;
+  // A part of the equal share is always there, so that a node that comes late
+  // is not kept out by those that refill their places. It is rounded by a fixed
+  // hash: a new draw per report would in time give every node a whole place.
+  // First work has a part of its own; beyond the capacity it waits in the
+  // engine, where it gets the next place of any node.
+  const double part = aQuery.mFirst ? kAssuredFirstPart : kAssuredPart;
+  const double own = aQuery.mFirst ? aState.mOwnFirst : aState.Own();
+  const double assured =
+    std::floor(equalShare * part + aState.mAssuredRounding);
+  return aState.Own() < std::floor(allowed) || own < assured;
 }
 
 double upstream_table::Distance(const upstream_state& aState) const
@@ -335,7 +372,7 @@
   double bestScore = 0.0;
   for (const std::uint32_t upstream : aSubset.mUpstreams) {
     const bool marked = aQuery.mMark != 0 && mMarks[upstream] == aQuery.mMark;
-    if (marked || !HasRoom(mStates[upstream], aQuery.mShare) ||
+    if (marked || !HasRoom(mStates[upstream], aQuery) ||
         Contains(aQuery.mExcluded, upstream)) {
       continue;
     }
--- a/Source/Core/Dispatch/UpstreamTable.h
+++ b/Source/Core/Dispatch/UpstreamTable.h
@@ -22,18 +22,27 @@
   bool mListed = false;
   /// Models that it says are loaded; without a report those of the list.
   std::vector<model_id> mModels;
+  /// Limits for work of the first priority, and for the rest. Engines
+  /// honour priorities, so a long wait of a low one says nothing about the
+  /// first.
   concurrency_limit mLimit;
+  concurrency_limit mLowerLimit;
   /// Running attempts of this node.
   std::vector<request_id> mRunning;
+  /// Those of them that have the engine's first priority.
+  std::uint32_t mOwnFirst = 0;
   /// Own in-flight count over the last seconds, to compare with late reports.
   std::deque<std::pair<time_point, std::uint32_t>> mHistory;
   /// Requests of other nodes at the last report.
   double mOthers = 0.0;
-  /// Own in-flight count when the last report arrived.
+  /// Own in-flight count when the last report was taken.
   double mOwnAtReport = 0.0;
-  /// Fraction in [0, 1) by which room is rounded until the next report, so that
+  /// Fraction in [0, 1) by which room is rounded for a while, so that
   /// nodes that see the same room do not all take it.
   double mRounding = 0.5;
+  time_point mRoundedAt;
+  /// The same for the part of the upstream that is assured to this node.
+  double mAssuredRounding = 0.5;
   time_point mReportedAt;
   /// Failures in a row.
   std::uint32_t mFailures = 0;
@@ -51,6 +60,8 @@
   const dispatch_request* mRequest = nullptr;
   /// Share of the limit that the request may fill.
   double mShare = 1.0;
+  /// Has the engine's first priority.
+  bool mFirst = false;
   /// Upstreams that must not be chosen.
   const std::vector<std::uint32_t>* mExcluded = nullptr;
   /// Not chosen when marked with this number in `Marks()`; 0 for none.
@@ -74,7 +85,9 @@
   void ApplySettings(const dispatch_settings& aSettings);
   void SetUpstreams(const std::vector<upstream_entry>& aUpstreams);
   void OnLeaving(const upstream_id& aUpstream);
-  void OnReport(const upstream_id& aUpstream, const load_report& aReport);
+  void OnReport(const upstream_id& aUpstream,
+                const load_report& aReport,
+                time_point aNow);
 
   std::optional<std::uint32_t> Find(const upstream_id& aUpstream) const;
   upstream_state& At(std::uint32_t aUpstream) { return mStates[aUpstream]; }
@@ -87,11 +100,14 @@
     return static_cast<std::uint32_t>(mStates.size());
   }
 
+  /// `aFirst`: the attempt has the engine's first priority.
   void AddRunning(std::uint32_t aUpstream,
                   const request_id& aRequest,
+                  bool aFirst,
                   time_point aNow);
   void RemoveRunning(std::uint32_t aUpstream,
                      const request_id& aRequest,
+                     bool aFirst,
                      time_point aNow);
 
   /// A failed attempt keeps the upstream out of use for a while.
@@ -126,7 +142,8 @@
 private:
   std::uint32_t Intern(const upstream_id& aUpstream);
   bool Usable(const upstream_state& aState, const model_id& aModel) const;
-  bool HasRoom(const upstream_state& aState, double aShare) const;
+  bool HasRoom(const upstream_state& aState,
+               const upstream_query& aQuery) const;
   double Score(std::uint32_t aUpstream,
                const dispatch_request& aRequest,
                const prefix_index& aPrefixes) const;
