--- /dev/null
+++ b/Source/Benchmarks/MembershipBenchmark.cpp
@@ -0,0 +1,255 @@
+#include <benchmark/benchmark.h>
+
+#include "Common/EventLoop.h"
+#include "Peer/PeerClient.h"
+#include "Peer/PeerServer.h"
+
+#include "../UnitTests/Membership/MembershipNetwork.h"
+
+namespace {
+
+using std::chrono::seconds;
+
+constexpr std::size_t kZones = 4;
+constexpr std::size_t kBaseNodes = 8;
+/// Time in which the news of a fleet's start has gone round.
+constexpr seconds kSettle{ 400 };
+constexpr seconds kMeasured{ 30 };
+
+/// Node that answers all messages.
+class echo_handler final : public peer_handler
+{
+public:
+  heartbeat OnHeartbeat(const node_id& /*aFrom*/,
+                        const heartbeat& aMessage) override
+  {
+    return aMessage;
+  }
+  hold_charges_reply OnHoldCharges(const node_id& /*aFrom*/,
+                                   const hold_charges& /*aMessage*/) override
+  {
+    return {};
+  }
+  void OnDropCharges(const node_id& /*aFrom*/,
+                     const drop_charges& /*aMessage*/) override
+  {
+  }
+  void OnQuarantine(const node_id& /*aFrom*/,
+                    const peer_quarantine& /*aMessage*/) override
+  {
+  }
+};
+
+/// A server and a client of it on one loop.
+struct loopback
+{
+  loopback()
+  {
+    const peer_key_ring keys(std::vector<peer_key>{ { "k1", "secret" } });
+    peer_server_settings server;
+    server.mSelf = { "b" };
+    server.mAddress = "127.0.0.1:0";
+    mServer = std::move(peer_server::Listen(server, keys, mHandler)).value();
+    peer_client_settings client;
+    client.mSelf = { "a" };
+    mClient = std::make_unique<peer_client>(client, keys);
+    mTarget = { { "b" }, mServer->Address() };
+  }
+
+  void Beat(const heartbeat& aMessage)
+  {
+    bool done = false;
+    mClient->Heartbeat(
+      mTarget, aMessage, [&done](const auto&) { done = true; });
+    while (!done) {
+      g_main_context_iteration(nullptr, TRUE);
+    }
+  }
+
+  echo_handler mHandler;
+  std::unique_ptr<peer_server> mServer;
+  std::unique_ptr<peer_client> mClient;
+  peer_target mTarget;
+};
+
+/// Bytes of a heartbeat exchange beyond the two encoded messages.
+double ExchangeOverhead()
+{
+  constexpr int kCalls = 100;
+  loopback pair;
+  pair.Beat({});
+  const auto before = pair.mClient->Counters();
+  for (int i = 0; i < kCalls; ++i) {
+    pair.Beat({});
+  }
+  const auto& after = pair.mClient->Counters();
+  const auto bytes =
+    after.mBytesIn - before.mBytesIn + after.mBytesOut - before.mBytesOut;
+  return static_cast<double>(bytes) / kCalls -
+         2 * static_cast<double>(EncodeMessage(heartbeat{}).size());
+}
+
+/// A fleet in which the news of its start has gone round, made once per size.
+membership_network& SettledNetwork(std::size_t aNodes)
+{
+  static std::map<std::size_t, std::unique_ptr<membership_network>> sNetworks;
+  auto& network = sNetworks[aNodes];
+  if (!network) {
+    network = std::make_unique<membership_network>(aNodes, kZones);
+    network->Run(kSettle);
+  }
+  network->mOnMessage = {};
+  return *network;
+}
+
+/// Bytes that a node sends per second, on average over the nodes.
+double BytesPerSecond(membership_network& aNetwork, seconds aTime)
+{
+  static const double sOverhead = ExchangeOverhead();
+  double bytes = 0;
+  aNetwork.mOnMessage = [&](const heartbeat& aMessage) {
+    bytes +=
+      static_cast<double>(EncodeMessage(aMessage).size()) + sOverhead / 2;
+  };
+  aNetwork.Run(aTime);
+  aNetwork.mOnMessage = {};
+  return bytes / static_cast<double>(aNetwork.mNodes.size()) /
+         static_cast<double>(aTime.count());
+}
+
+/// One tick of a node with its share of the messages, without encoding.
+void MembershipTick(benchmark::State& aState)
+{
+  const auto nodes = static_cast<std::size_t>(aState.range(0));
+  membership_network& network = SettledNetwork(nodes);
+  std::int64_t messages = 0;
+  network.mOnMessage = [&](const heartbeat&) { ++messages; };
+  const auto start = std::chrono::steady_clock::now();
+  for (auto _ : aState) {
+    network.Run(membership_network::kStep);
+  }
+  const std::chrono::duration<double, std::micro> time =
+    std::chrono::steady_clock::now() - start;
+  const auto ticks =
+    static_cast<double>(aState.iterations()) * static_cast<double>(nodes);
+  aState.counters["us_per_tick"] = time.count() / ticks;
+  aState.counters["messages_per_tick"] = static_cast<double>(messages) / ticks;
+}
+
+/// Encoding and decoding of a heartbeat of a settled fleet.
+void MembershipMessage(benchmark::State& aState)
+{
+  membership_network& network =
+    SettledNetwork(static_cast<std::size_t>(aState.range(0)));
+  heartbeat message;
+  network.mOnMessage = [&](const heartbeat& aMessage) { message = aMessage; };
+  network.Run(seconds(5));
+  network.mOnMessage = {};
+  heartbeat read;
+  for (auto _ : aState) {
+    benchmark::DoNotOptimize(DecodeMessage(EncodeMessage(message), read));
+  }
+  aState.counters["bytes"] = static_cast<double>(EncodeMessage(message).size());
+}
+
+/// Bytes that a node sends per second, and what each further node adds.
+void MembershipTraffic(benchmark::State& aState)
+{
+  const auto nodes = static_cast<std::size_t>(aState.range(0));
+  double bytes = 0;
+  for (auto _ : aState) {
+    bytes = BytesPerSecond(SettledNetwork(nodes), kMeasured);
+  }
+  aState.counters["bytes_per_s"] = bytes;
+  if (nodes > kBaseNodes) {
+    aState.counters["slope_per_node"] =
+      (bytes - BytesPerSecond(SettledNetwork(kBaseNodes), kMeasured)) /
+      static_cast<double>(nodes - kBaseNodes);
+  }
+}
+
+/// Time until all nodes are back after a partition into halves, and until all
+/// know of a death, in seconds of the simulated network. Traffic while the
+/// sides find out, and while they come together.
+void MembershipFailures(benchmark::State& aState)
+{
+  const auto nodes = static_cast<std::size_t>(aState.range(0));
+  for (auto _ : aState) {
+    membership_network network(nodes, kZones);
+    network.Run(seconds(30));
+    network.mPasses = [](std::size_t aFrom, std::size_t aTo) {
+      return (aFrom % kZones < 2) == (aTo % kZones < 2);
+    };
+    aState.counters["split_bytes_per_s"] = BytesPerSecond(network, kMeasured);
+    network.Run(seconds(90));
+    network.mPasses = [](std::size_t, std::size_t) { return true; };
+    const time_point healed = network.mNow;
+    aState.counters["heal_bytes_per_s"] = BytesPerSecond(network, seconds(10));
+    network.RunUntil([&] { return network.AllSeeAllAlive(); }, seconds(300));
+    const std::chrono::duration<double> heal = network.mNow - healed;
+    network.mNodes[3].mRuns = false;
+    const std::chrono::duration<double> death = network.RunUntil(
+      [&] { return network.AllSee(3, member_state::Dead); }, seconds(120));
+    // Not below the 10 s of the measurement of traffic.
+    aState.counters["heal_s"] = heal.count();
+    aState.counters["death_s"] = death.count();
+  }
+}
+
+void EndpointSelection(benchmark::State& aState)
+{
+  const membership_network network(static_cast<std::size_t>(aState.range(0)),
+                                   kZones);
+  endpoint_selector selector;
+  selector.SetMembers(network.mNodes.front().mSystem->Members());
+  std::uint64_t account = 0;
+  for (auto _ : aState) {
+    benchmark::DoNotOptimize(selector.Select(
+      { { fmt::format("account-{}", ++account) }, 0.01, zone_id{ "zone-1" } }));
+  }
+}
+
+void PeerCall(benchmark::State& aState)
+{
+  loopback pair;
+  heartbeat message;
+  message.mFrom.mNode = { "entry-001" };
+  for (auto _ : aState) {
+    pair.Beat(message);
+  }
+}
+
+/// Charges of 16 requests, 32 calls in flight.
+void PeerHoldCharges(benchmark::State& aState)
+{
+  constexpr int kInFlight = 32;
+  constexpr std::size_t kCharges = 16;
+  loopback pair;
+  hold_charges message;
+  message.mCharges.resize(kCharges);
+  const auto start = std::chrono::steady_clock::now();
+  for (auto _ : aState) {
+    int done = 0;
+    for (int i = 0; i < kInFlight; ++i) {
+      pair.mClient->HoldCharges(
+        pair.mTarget, message, [&done](const auto&) { ++done; });
+    }
+    while (done < kInFlight) {
+      g_main_context_iteration(nullptr, TRUE);
+    }
+  }
+  const std::chrono::duration<double, std::micro> time =
+    std::chrono::steady_clock::now() - start;
+  aState.counters["us_per_call"] =
+    time.count() / static_cast<double>(aState.iterations() * kInFlight);
+}
+
+} // namespace
+
+BENCHMARK(MembershipTick)->Arg(8)->Arg(64)->Arg(340);
+BENCHMARK(MembershipMessage)->Arg(8)->Arg(64)->Arg(340);
+BENCHMARK(MembershipTraffic)->Arg(8)->Arg(64)->Arg(340)->Iterations(1);
+BENCHMARK(MembershipFailures)->Arg(8)->Arg(64)->Arg(340)->Iterations(1);
+BENCHMARK(EndpointSelection)->Arg(8)->Arg(340);
+BENCHMARK(PeerCall);
+BENCHMARK(PeerHoldCharges);
--- a/Source/Core/Membership/EndpointSelector.cpp
+++ b/Source/Core/Membership/EndpointSelector.cpp
@@ -185,6 +185,7 @@
              std::tie(aRight.mSuspect, aRight.mOtherRegion, aLeft.mWeight);
     });
   std::vector<member> candidates;
+  candidates.reserve(order.size());
   for (const ranked& entry : order) {
     candidates.push_back(*entry.mMember);
   }
--- a/Source/UnitTests/Membership/MembershipNetwork.h
+++ b/Source/UnitTests/Membership/MembershipNetwork.h
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -49,6 +50,7 @@
       mNodes.resize(aIndex + 1);
     }
     node& added = mNodes[aIndex];
+    mIndexes[{ fmt::format("entry-{:03}", aIndex) }] = aIndex;
     const std::string zone = fmt::format("zone-{}", aIndex % mZones);
     added = {};
     added.mSelf = { { fmt::format("entry-{:03}", aIndex) },
@@ -223,16 +225,14 @@
 
   std::size_t IndexAt(const outgoing_heartbeat& aMessage) const
   {
-    for (std::size_t i = 0; i < mNodes.size(); ++i) {
-      const member_self& self = mNodes[i].mSelf;
-      if (mNodes[i].mRuns && self.mId == aMessage.mPeer &&
-          self.mWhere.mPeerAddress == aMessage.mPeerAddress) {
-        return i;
-      }
-    }
-    return mNodes.size();
+    const std::size_t index = mIndexes.at(aMessage.mPeer);
+    const node& peer = mNodes[index];
+    const bool there =
+      peer.mRuns && peer.mSelf.mWhere.mPeerAddress == aMessage.mPeerAddress;
+    return there ? index : mNodes.size();
   }
 
+  std::map<node_id, std::size_t> mIndexes;
   std::size_t mZones;
   std::vector<late_report> mLost;
 };
