--- a/Source/Core/Budget/BudgetRows.h
+++ b/Source/Core/Budget/BudgetRows.h
@@ -104,8 +104,9 @@
 std::string SegmentKey(const budget_id& aBudget, std::uint64_t aSegment);
 std::string HolderKey(const holder_id& aHolder);
 /// Prefix of all holder rows. Nodes scan it from time to time and report the
-/// holders that membership knows to be gone to their charge backup; otherwise
-/// a holder whose peers all died with it would never be reclaimed.
+/// holders that membership knows to be gone to their charge backup, every time;
+/// otherwise a holder whose peers all died with it, or which was taken for dead
+/// before it wrote its row, would never be reclaimed.
 inline constexpr std::string_view kHolderPrefix = "holder/";
 /// Holder of a holder row's key, nothing for another key.
 std::optional<holder_id> ParseHolderKey(std::string_view aKey);
--- a/Source/Core/Budget/BudgetSystem.cpp
+++ b/Source/Core/Budget/BudgetSystem.cpp
@@ -197,7 +197,13 @@
     return false;
   }
   const auto found = mCharges.find(aRequest);
-  return found == mCharges.end() || !found->second.mHeldBy.empty();
+  if (found == mCharges.end()) {
+    return true;
+  }
+  const auto& held = found->second.mHeldBy;
+  return std::any_of(held.begin(), held.end(), [this](const holder_id& aPeer) {
+    return mDeadPeers.count(aPeer) == 0;
+  });
 }
 
 budget_output budget_system::Tick(time_point aNow)
--- a/Source/Core/Budget/BudgetSystem.h
+++ b/Source/Core/Budget/BudgetSystem.h
@@ -244,7 +244,7 @@
   void AddToLog(budget_entry& aEntry,
                 std::uint64_t aNumber,
                 const std::vector<charge>& aCharges);
-  void ResolveCharge(const request_id& aRequest, bool aDuplicate);
+  bool ResolveCharge(const request_id& aRequest, bool aDuplicate);
   void Compose(time_point aNow);
   void TakeCharges(round_item& aItem, std::size_t aMost) const;
   std::int64_t SizeItem(const round_item& aItem, time_point aNow) const;
@@ -304,6 +304,7 @@
   bool mShuttingDown = false;
 
   std::vector<holder_id> mPeers;
+  std::set<holder_id> mDeadPeers;
   std::map<holder_id, time_point> mPeerFailedUntil;
   std::map<std::uint64_t, sent_hold> mHolds;
   std::deque<request_id> mUnheld;
--- a/Source/Core/Budget/BudgetSystemBackup.cpp
+++ b/Source/Core/Budget/BudgetSystemBackup.cpp
@@ -138,16 +138,19 @@
 void budget_system::SetBackups(std::vector<holder_id> aPeers)
 {
   mPeers = std::move(aPeers);
-  std::erase(mPeers, mSelf);
+  std::erase_if(mPeers, [this](const holder_id& aPeer) {
+    return aPeer == mSelf || mDeadPeers.count(aPeer) > 0;
+  });
   RequeueUnheld();
 }
 
 void budget_system::OnHolderDead(const holder_id& aHolder, time_point aNow)
 {
+  // The acknowledgements of the dead peer stay on record: it remains listed
+  // until every charge that only it had is elsewhere. Otherwise a new backup
+  // that takes this holder for dead could close it without these charges.
   std::erase(mPeers, aHolder);
-  for (auto& [request, kept] : mCharges) {
-    kept.mHeldBy.erase(aHolder);
-  }
+  mDeadPeers.insert(aHolder);
   RequeueUnheld();
   CheckBackupMode(aNow);
 }
--- a/Source/Core/Budget/BudgetSystemStore.cpp
+++ b/Source/Core/Budget/BudgetSystemStore.cpp
@@ -332,15 +332,20 @@
     segment.mNewest = std::max(segment.mNewest, item.mAt);
     segment.mRequests.push_back(item.mRequest);
     log.mRequests.insert(item.mRequest);
-    ResolveCharge(item.mRequest, item.mHolder != mSelf);
+    const bool own = item.mHolder == mSelf;
+    if (ResolveCharge(item.mRequest, !own) && own) {
+      // Whoever wrote it took the tokens out of this grant. Without this, they
+      // would look free until the next row is taken over.
+      SetEntryGrant(aEntry, aEntry.mGrant - item.mTokens);
+    }
   }
 }
 
-void budget_system::ResolveCharge(const request_id& aRequest, bool aDuplicate)
+bool budget_system::ResolveCharge(const request_id& aRequest, bool aDuplicate)
 {
   const auto found = mCharges.find(aRequest);
   if (found == mCharges.end()) {
-    return;
+    return false;
   }
   if (aDuplicate) {
     ++mCounters.mDuplicateCharges;
@@ -350,6 +355,7 @@
   std::erase(entry.mPending, aRequest);
   DropCopies(found->second);
   mCharges.erase(found);
+  return true;
 }
 
 void budget_system::Submit(time_point aNow)
--- a/Source/Core/Budget/ChargeBackup.cpp
+++ b/Source/Core/Budget/ChargeBackup.cpp
@@ -29,6 +29,7 @@
     });
   holder_entry& entry = mHolders[aFrom];
   if (entry.mClosed) {
+    Plan(aFrom, aNow);
     return hold_outcome::Closed;
   }
   if (mDraining || foreign ||
--- a/Source/Core/Budget/ChargeBackupJob.cpp
+++ b/Source/Core/Budget/ChargeBackupJob.cpp
@@ -65,10 +65,16 @@
   // byte, and a closed one has them there, so anyone can return the grants.
   const bool complete =
     mJob.mRow.mBackups.empty() || mJob.mRow.mState == holder_state::Closed;
-  if (!entry.mClosed || !complete) {
+  if (!entry.mClosed || mJob.mRow.mState == holder_state::WrittenOff) {
     EndJob(std::nullopt);
     return false;
   }
+  if (!complete) {
+    // A holder taken for dead too early can still add this backup to its
+    // list; then its row waits for this seal.
+    EndJob(aNow + mSettings.mBackupCheck);
+    return false;
+  }
   // The pause lets the listed backups finish first.
   if (!std::exchange(entry.mWaited, true)) {
     EndJob(aNow + mSettings.mBackupCheck);
--- a/Source/Core/Budget/GrantSizing.cpp
+++ b/Source/Core/Budget/GrantSizing.cpp
@@ -38,5 +38,5 @@
   if (aDemand.mSmallestWaiting > 0 && aDemand.mSmallestWaiting <= rest) {
     free = std::max(free, std::min(aDemand.mWaiting, rest));
   }
-  return aDemand.mReserved + std::min(free, rest);
+  return std::min(pool, aDemand.mReserved + std::min(free, rest));
 }
--- a/Source/UnitTests/Budget/BudgetFailureTest.cpp
+++ b/Source/UnitTests/Budget/BudgetFailureTest.cpp
@@ -1,6 +1,9 @@
 #include <cstdlib>
 #include <iostream>
+#include <set>
+#include <string>
 
+#include <fmt/ranges.h>
 #include <gtest/gtest.h>
 
 #include "FleetSimulation.h"
@@ -13,6 +16,12 @@
   return text == nullptr ? aDefault : std::strtoull(text, nullptr, 10);
 }
 
+std::set<std::string> Distinct(const fleet_simulation& aSimulation)
+{
+  const auto& all = aSimulation.Violations();
+  return { all.begin(), all.end() };
+}
+
 } // namespace
 
 // Guards against overspend, double charges, lost charges of delivered
@@ -32,9 +41,8 @@
     }
     failed += simulation.Violations().empty() ? 0 : 1;
     if (!simulation.Violations().empty() && failed <= 5) {
-      ADD_FAILURE() << "seed " << seed << ": "
-                    << simulation.Violations().front() << " ("
-                    << simulation.Violations().size() << " in all)";
+      ADD_FAILURE() << "seed " << seed << ":\n"
+                    << fmt::format("{}", fmt::join(Distinct(simulation), "\n"));
     }
   }
   for (const auto& [name, count] : counts) {
--- a/Source/UnitTests/Budget/FakeTable.cpp
+++ b/Source/UnitTests/Budget/FakeTable.cpp
@@ -85,7 +85,7 @@
   if (log == mLog.end()) {
     return -1;
   }
-  const auto found = log->second.find(FormatWide(aRequest));
+  const auto found = log->second.find(aRequest);
   return found == log->second.end() ? -1 : found->second;
 }
 
@@ -119,7 +119,8 @@
   for (const json& item : segment["charges"]) {
     const std::int64_t tokens = item[3];
     mLogged[budget] += tokens;
-    if (!mLog[budget].emplace(item[0], tokens).second) {
+    const auto request = ParseWide<request_tag>(item[0].get<std::string>());
+    if (!request || !mLog[budget].emplace(*request, tokens).second) {
       mViolations.push_back("charged twice: " + aKey);
     }
   }
--- a/Source/UnitTests/Budget/FakeTable.h
+++ b/Source/UnitTests/Budget/FakeTable.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "Budget/BudgetTypes.h"
@@ -35,7 +36,7 @@
 
   std::map<std::string, table_row> mRows;
   std::map<transaction_id, commit_reply> mReplies;
-  std::map<std::string, std::map<std::string, std::int64_t>> mLog;
+  std::map<std::string, std::unordered_map<request_id, std::int64_t>> mLog;
   std::map<std::string, std::int64_t> mLogged;
   std::vector<std::string> mViolations;
   std::uint64_t mVersion = 0;
--- a/Source/UnitTests/Budget/FleetSimulation.cpp
+++ b/Source/UnitTests/Budget/FleetSimulation.cpp
@@ -30,8 +30,8 @@
   mSettings.mBackupCheck = seconds(5);
   mSettings.mTransactionRate = 5;
   mSettings.mMaxRows = Chance(50) ? 100 : Random(4, 12);
-  mSettings.mMaxCharges = Chance(50) ? 1000 : Random(1, 8);
-  mSettings.mMaxKeys = Chance(50) ? 200 : Random(1, 8);
+  mSettings.mMaxCharges = Chance(50) ? 1000 : Random(3, 12);
+  mSettings.mMaxKeys = Chance(50) ? 200 : Random(4, 12);
   mSettings.mBackups = Random(1, 2);
   for (std::int64_t i = Random(1, 3); i > 0; --i) {
     const budget_id budget{ "budget-" + std::to_string(i) };
@@ -59,10 +59,11 @@
   }
   RunUntil(mNow + milliseconds(kFaultMs));
   Heal();
-  RunUntil(mNow + kSettle);
+  RunUntil(mNow + kSettle + seconds(10));
   WriteOffStranded();
   RunUntil(mNow + seconds(10));
   CheckFundsUsable();
+  mStopping = true;
   for (process& node : mProcesses) {
     node.mSystem->BeginShutdown(mNow);
     node.mLeaving = true;
@@ -85,10 +86,17 @@
                           std::int64_t aMilliseconds,
                           step aStep)
 {
-  const std::uint64_t incarnation = mProcesses[aProcess].mIncarnation;
-  After(aMilliseconds, [this, aProcess, incarnation, doIt = std::move(aStep)] {
+  AtLife(aProcess, mProcesses[aProcess].mIncarnation, aMilliseconds, aStep);
+}
+
+void fleet_simulation::AtLife(std::size_t aProcess,
+                              std::uint64_t aLife,
+                              std::int64_t aMilliseconds,
+                              step aStep)
+{
+  After(aMilliseconds, [this, aProcess, aLife, doIt = std::move(aStep)] {
     process& node = mProcesses[aProcess];
-    if (!node.mAlive || node.mIncarnation != incarnation) {
+    if (!node.mAlive || node.mIncarnation != aLife) {
       return;
     }
     if (node.mPaused) {
@@ -128,7 +136,7 @@
 
 void fleet_simulation::Poll(std::size_t aProcess)
 {
-  At(aProcess, 100, [this, aProcess] { Poll(aProcess); });
+  At(aProcess, 150, [this, aProcess] { Poll(aProcess); });
 }
 
 void fleet_simulation::End(std::size_t aProcess)
@@ -206,7 +214,7 @@
 {
   process& node = mProcesses[aProcess];
   const bool ready = node.mSystem->IsDrained() && node.mBackup->IsDrained();
-  if (ready && CanLose(aProcess) && mFaults) {
+  if (ready && CanLose(aProcess) && !mStopping) {
     ++mCounts["replaced"];
     End(aProcess);
     Start(aProcess);
@@ -219,14 +227,15 @@
   const budget_output out = node.mSystem->Tick(mNow);
   Carry(aProcess, false, out);
   Carry(aProcess, true, node.mBackup->Tick(mNow));
-  for (auto& [id, state] : node.mAttempts) {
-    caller_request& request = mRequests[state.mRequest];
-    if (state.mSettled && !request.mDelivered &&
-        node.mSystem->IsProtected(id)) {
-      request.mDelivered = true;
-      ++mCounts["delivered"];
+  std::erase_if(node.mAttempts, [&](const auto& aEntry) {
+    const attempt& state = aEntry.second;
+    if (!state.mSettled || !node.mSystem->IsProtected(aEntry.first)) {
+      return false;
     }
-  }
+    ++mCounts["delivered"];
+    mRequests[state.mRequest].mDelivered = true;
+    return true;
+  });
   if (node.mSystem->IsFenced() && !node.mLeaving) {
     ++mCounts["fenced"];
     node.mLeaving = true;
@@ -262,9 +271,10 @@
     }
     return;
   }
-  After(delay, [this, aProcess, aEffect, aReply, delay] {
+  const std::uint64_t life = mProcesses[aProcess].mIncarnation;
+  After(delay, [=, this] {
     const Reply reply = aEffect();
-    At(aProcess, delay, [aReply, reply] { aReply(reply); });
+    AtLife(aProcess, life, delay, [aReply, reply] { aReply(reply); });
   });
 }
 
@@ -392,7 +402,7 @@
       }
     }
     node.mSystem->SetBackups(peers);
-    if (Chance(10)) {
+    if (Chance(mFaults ? 10 : 50)) {
       Sweep(i);
     }
   }
@@ -407,8 +417,10 @@
   for (const table_row& row : mTable.Scan({ "holder/", "", 1000 })) {
     const auto holder = ParseHolderKey(row.mKey);
     for (const auto& [seen, at] : node.mSeen) {
-      if (seen.mNode == holder->mNode && *holder < seen &&
-          node.mDead.insert(*holder).second) {
+      // Repeated, because a verdict from before the row was written, or before
+      // this backup was listed in it, has no effect.
+      if (seen.mNode == holder->mNode && *holder < seen) {
+        node.mDead.insert(*holder);
         node.mSystem->OnHolderDead(*holder, mNow);
         node.mBackup->OnHolderDead(*holder, mNow);
       }
--- a/Source/UnitTests/Budget/FleetSimulation.h
+++ b/Source/UnitTests/Budget/FleetSimulation.h
@@ -65,7 +65,10 @@
     request_id mId;
     budget_id mBudget;
     std::int64_t mTokens = 0;
+    bool mReserved = false;
     bool mDelivered = false;
+    /// Its charge was seen in the table, where it stays.
+    mutable bool mWritten = false;
   };
 
   using step = std::function<void()>;
@@ -75,6 +78,10 @@
   void After(std::int64_t aMilliseconds, step aStep);
   /// Runs a step in a process, if that same process is still alive.
   void At(std::size_t aProcess, std::int64_t aMilliseconds, step aStep);
+  void AtLife(std::size_t aProcess,
+              std::uint64_t aLife,
+              std::int64_t aMilliseconds,
+              step aStep);
   void RunUntil(time_point aEnd);
 
   void Start(std::size_t aProcess);
@@ -123,6 +130,7 @@
   std::vector<caller_request> mRequests;
   std::map<transaction_id, std::pair<holder_id, table_transaction>> mInFlight;
   bool mFaults = true;
+  bool mStopping = false;
   std::vector<std::string> mViolations;
   std::map<std::string, std::uint64_t> mCounts;
 };
--- a/Source/UnitTests/Budget/FleetSimulationFaults.cpp
+++ b/Source/UnitTests/Budget/FleetSimulationFaults.cpp
@@ -42,6 +42,7 @@
     const auto reserved = node.mSystem->Reserve(
       request.mId, kAccount, request.mBudget, request.mTokens, mNow);
     if (reserved.has_value()) {
+      mRequests[aRequest].mReserved = true;
       node.mAttempts[request.mId] = { aRequest, aTries, true, false };
       At(aProcess, Random(20, 2500), [=, this, id = request.mId] {
         Finish(aProcess, id);
@@ -66,6 +67,7 @@
   found->second.mOpen = false;
   if (Chance(8)) {
     node.mSystem->Release(aRequest, mNow);
+    node.mAttempts.erase(found);
     return;
   }
   const std::int64_t tokens = mRequests[found->second.mRequest].mTokens;
@@ -81,14 +83,15 @@
 void fleet_simulation::CancelOpen(std::size_t aProcess)
 {
   process& node = mProcesses[aProcess];
-  for (auto& [id, state] : node.mAttempts) {
-    if (state.mOpen && Chance(50)) {
-      state.mOpen = false;
-      node.mSystem->Release(id, mNow);
-    } else if (state.mOpen) {
-      Finish(aProcess, id);
+  std::vector<request_id> open;
+  for (const auto& [id, state] : node.mAttempts) {
+    if (state.mOpen) {
+      open.push_back(id);
     }
   }
+  for (const request_id& id : open) {
+    Finish(aProcess, id);
+  }
 }
 
 void fleet_simulation::TopUp()
@@ -170,17 +173,11 @@
       At(i, Random(0, 5), std::move(late));
     }
   }
-  // Processes that stop or are fenced end before the checks.
-  After(12'000, [this] {
-    for (std::size_t i = 0; i < mProcesses.size(); ++i) {
-      process& node = mProcesses[i];
+  After(15'000, [this] {
+    for (const process& node : mProcesses) {
       if (node.mLeaving && !node.mSystem->IsDrained()) {
         Violate("a stopping node is not drained");
       }
-      if (node.mLeaving && CanLose(i)) {
-        End(i);
-        Start(i);
-      }
     }
   });
 }
@@ -221,8 +218,12 @@
 void fleet_simulation::CheckFundsUsable()
 {
   for (std::size_t i = 0; i < mBudgets.size(); ++i) {
-    const budget_row row =
-      ParseBudgetRow(mTable.Row(BudgetKey(mBudgets[i])).mValue).value();
+    const auto parsed =
+      ParseBudgetRow(mTable.Row(BudgetKey(mBudgets[i])).mValue);
+    if (!parsed.has_value()) {
+      continue;
+    }
+    const budget_row& row = parsed.value();
     caller_request request;
     request.mId = MakeRequestId({ "last" }, std::to_string(i));
     request.mBudget = mBudgets[i];
@@ -231,10 +232,13 @@
       continue;
     }
     mRequests.push_back(request);
-    Try(i % mProcesses.size(), mRequests.size() - 1, 0);
+    std::size_t node = 0;
+    while (node + 1 < mProcesses.size() && mProcesses[node].mLeaving) {
+      ++node;
+    }
+    Try(node, mRequests.size() - 1, 0);
     RunUntil(mNow + seconds(6));
-    const auto& attempts = mProcesses[i % mProcesses.size()].mAttempts;
-    if (attempts.count(request.mId) == 0) {
+    if (!mRequests.back().mReserved) {
       Violate("the remaining tokens of " + mBudgets[i].mName +
               " cannot be used: " + mTable.Row(BudgetKey(mBudgets[i])).mValue);
     }
