--- a/Source/Core/Budget/BudgetSystem.cpp
+++ b/Source/Core/Budget/BudgetSystem.cpp
@@ -4,6 +4,8 @@
 #include <chrono>
 #include <cmath>
 
+#include "Budget/GrantSizing.h"
+
 namespace {
 
 using std::chrono::duration;
@@ -21,13 +23,13 @@
 // Pause before a budget whose segments cannot be read is tried again.
 constexpr seconds kUnreadablePause(30);
 
+// A grant above this part of what is left is compared with the row now and
+// then even without use, because others may have drawn the rest meanwhile.
+constexpr std::int64_t kLargeGrantPart = 16;
+
 // The largest request is forgotten by an eighth with every reservation.
 constexpr std::int64_t kLargestDecay = 8;
 
-// Below this many of the largest requests, or of its own grant, a budget is
-// scarce: it is read again and unused grants go back quickly.
-constexpr std::int64_t kScarceRequests = 8;
-
 } // namespace
 
 budget_system::budget_system(holder_id aSelf,
@@ -286,8 +288,8 @@
 
 bool budget_system::IsScarce(const budget_entry& aEntry) const
 {
-  return aEntry.mAvailable <
-         std::max(kScarceRequests * aEntry.mLargest, aEntry.mGrant);
+  return IsScarceBudget(
+    aEntry.mTotal - aEntry.mSpent, aEntry.mTotal, aEntry.mLargest);
 }
 
 void budget_system::Reschedule(budget_entry& aEntry, time_point aNow)
@@ -317,6 +319,9 @@
                           : std::max(aNow + mSettings.mScarceReturn,
                                      aEntry.mLastUse + idle));
     }
+    if (aEntry.mGrant > (aEntry.mTotal - aEntry.mSpent) / kLargeGrantPart) {
+      Schedule(aEntry, aNow + mSettings.mLargeGrantCheck);
+    }
   } else if (aEntry.mPending.empty() && aEntry.mReserved == 0) {
     Schedule(aEntry, std::max(aNow, aEntry.mLastUse + mSettings.mForgetAfter));
   }
--- a/Source/Core/Budget/BudgetSystem.h
+++ b/Source/Core/Budget/BudgetSystem.h
@@ -294,6 +294,7 @@
   bool mStoreUp = true;
   double mAllowance = 0;
   time_point mAllowanceAt;
+  time_point mLastSubmit;
 
   std::uint64_t mHolderVersion = 0;
   holder_row mHolder;
--- a/Source/Core/Budget/BudgetSystemCompose.cpp
+++ b/Source/Core/Budget/BudgetSystemCompose.cpp
@@ -82,8 +82,9 @@
         ? waiting.mTokens
         : std::min(demand.mSmallestWaiting, waiting.mTokens);
   }
+  demand.mScarce = IsScarce(entry);
   const auto idle =
-    IsScarce(entry) ? mSettings.mScarceReturn : mSettings.mIdleReturn;
+    demand.mScarce ? mSettings.mScarceReturn : mSettings.mIdleReturn;
   demand.mInUse = entry.mLastUse + idle > aNow;
   demand.mLargest = entry.mLargest;
   demand.mRate = entry.mRate;
--- a/Source/Core/Budget/BudgetSystemStore.cpp
+++ b/Source/Core/Budget/BudgetSystemStore.cpp
@@ -16,6 +16,9 @@
 // Pause before a budget whose rows cannot be read is tried again.
 constexpr std::chrono::seconds kUnreadablePause(30);
 
+// Longest pause between two transactions while there is an allowance.
+constexpr std::chrono::microseconds kLongestGap = std::chrono::seconds(1);
+
 constexpr std::uint32_t kMaxBackoffSteps = 10;
 
 } // namespace
@@ -51,7 +54,15 @@
   if (mOver || aNow < mTableRetryAt) {
     return false;
   }
-  return mAllowance >= 1 || IsEnding() || !HasBackup();
+  if (IsEnding() || !HasBackup()) {
+    return true;
+  }
+  // The emptier the allowance, the longer a round waits for others to join, so
+  // that a burst of new budgets does not use it up one by one.
+  const double used = 1 - mAllowance / mSettings.mTransactionBurst;
+  const auto gap = std::chrono::duration_cast<std::chrono::microseconds>(
+    kLongestGap * std::clamp(used, 0.0, 1.0));
+  return mAllowance >= 1 && aNow >= mLastSubmit + gap;
 }
 
 bool budget_system::NeedsHolderRound() const
@@ -363,6 +374,7 @@
   mRound.mPhase = round_phase::Commit;
   mRound.mToSend = true;
   mRound.mSendAt = aNow;
+  mLastSubmit = aNow;
   mAllowance = std::max(0.0, mAllowance - 1);
   ++mCounters.mTransactions;
   mCounters.mRowsWritten += mRound.mTransaction.mWrites.size();
--- a/Source/Core/Budget/BudgetTypes.h
+++ b/Source/Core/Budget/BudgetTypes.h
@@ -98,10 +98,14 @@
   std::chrono::microseconds mJoinAfter = std::chrono::seconds(10);
   /// Use that a full grant covers; longer than the partitions to outlast.
   std::chrono::microseconds mGrantCovers = std::chrono::minutes(15);
+  /// The same when little of the budget can still be granted.
+  std::chrono::microseconds mScarceCovers = std::chrono::seconds(15);
   /// An unused grant is returned after this time.
   std::chrono::microseconds mIdleReturn = std::chrono::minutes(10);
   /// The same when little of the budget can still be granted.
   std::chrono::microseconds mScarceReturn = std::chrono::seconds(10);
+  /// A grant that is a large part of what is left is checked this often.
+  std::chrono::microseconds mLargeGrantCheck = std::chrono::seconds(30);
   /// A budget without grant, charges or use is forgotten after this time.
   std::chrono::microseconds mForgetAfter = std::chrono::minutes(20);
   /// An exhausted budget with demand is read again after this time.
@@ -127,8 +131,10 @@
   std::uint32_t mMaxCharges = 1000;
   /// Keys in one read at most.
   std::uint32_t mMaxKeys = 200;
-  /// Backups listed in a holder row.
-  std::uint32_t mBackups = 2;
+  /// Backups listed in a holder row. One more makes it likelier that one is
+  /// reachable during a partition, and likelier that one dies with the holder,
+  /// which strands the grants until an operator writes them off.
+  std::uint32_t mBackups = 3;
   /// Charges that one backup keeps at most.
   std::uint32_t mMaxHeld = 200'000;
 };
--- a/Source/Core/Budget/GrantSizing.h
+++ b/Source/Core/Budget/GrantSizing.h
@@ -22,10 +22,17 @@
   double mRate = 0;
   /// The budget was used within the idle period.
   bool mInUse = false;
-  /// Others hold grants of the same budget.
-  bool mShared = false;
+  /// Little of the budget is left.
+  bool mScarce = false;
 };
 
+/// Whether little is left of a budget: less than a part of the total, or than a
+/// few of the largest requests. What is left is the total less what is spent;
+/// what is available would swing with every grant.
+bool IsScarceBudget(std::int64_t aLeft,
+                    std::int64_t aTotal,
+                    std::int64_t aLargest);
+
 /// Outstanding grant that the holder should have. Never below the reserved
 /// part, never above what the row can give.
 std::int64_t SizeGrant(const grant_demand& aDemand,
--- a/Source/UnitTests/Budget/FleetSimulation.cpp
+++ b/Source/UnitTests/Budget/FleetSimulation.cpp
@@ -21,6 +21,7 @@
   mSettings.mFlushAfter = seconds(2);
   mSettings.mJoinAfter = milliseconds(500);
   mSettings.mGrantCovers = seconds(20);
+  mSettings.mScarceCovers = seconds(2);
   mSettings.mIdleReturn = seconds(4);
   mSettings.mScarceReturn = seconds(1);
   mSettings.mForgetAfter = seconds(8);
@@ -32,7 +33,7 @@
   mSettings.mMaxRows = Chance(50) ? 100 : Random(4, 12);
   mSettings.mMaxCharges = Chance(50) ? 1000 : Random(3, 12);
   mSettings.mMaxKeys = Chance(50) ? 200 : Random(4, 12);
-  mSettings.mBackups = Random(1, 2);
+  mSettings.mBackups = Random(1, 3);
   for (std::int64_t i = Random(1, 3); i > 0; --i) {
     const budget_id budget{ "budget-" + std::to_string(i) };
     const auto created =
