--- a/Source/Core/Budget/BudgetSystemStore.cpp
+++ b/Source/Core/Budget/BudgetSystemStore.cpp
@@ -16,6 +16,9 @@
 // Pause before a budget whose rows cannot be read is tried again.
 constexpr std::chrono::seconds kUnreadablePause(30);
 
+// Longest pause between two transactions while there is an allowance.
+constexpr std::chrono::microseconds kLongestGap = std::chrono::seconds(1);
+
 constexpr std::uint32_t kMaxBackoffSteps = 10;
 
 } // namespace
@@ -51,7 +54,15 @@
   if (mOver || aNow < mTableRetryAt) {
     return false;
   }
-  return mAllowance >= 1 || IsEnding() || !HasBackup();
+  if (IsEnding() || !HasBackup()) {
+    return true;
+  }
+  // The emptier the allowance, the longer a round waits for others to join, so
+  // that a burst of new budgets does not use it up one by one.
+  const double used = 1 - mAllowance / mSettings.mTransactionBurst;
+  const auto gap = std::chrono::duration_cast<std::chrono::microseconds>(
+    kLongestGap * std::clamp(used, 0.0, 1.0));
+  return mAllowance >= 1 && aNow >= mLastSubmit + gap;
 }
 
 bool budget_system::NeedsHolderRound() const
@@ -332,15 +343,20 @@
     segment.mNewest = std::max(segment.mNewest, item.mAt);
     segment.mRequests.push_back(item.mRequest);
     log.mRequests.insert(item.mRequest);
-    ResolveCharge(item.mRequest, item.mHolder != mSelf);
+    const bool own = item.mHolder == mSelf;
+    if (ResolveCharge(item.mRequest, !own) && own) {
+      // Whoever wrote it took the tokens out of this grant. Without this, they
+      // would look free until the next row is taken over.
+      SetEntryGrant(aEntry, aEntry.mGrant - item.mTokens);
+    }
   }
 }
 
-void budget_system::ResolveCharge(const request_id& aRequest, bool aDuplicate)
+bool budget_system::ResolveCharge(const request_id& aRequest, bool aDuplicate)
 {
   const auto found = mCharges.find(aRequest);
   if (found == mCharges.end()) {
-    return;
+    return false;
   }
   if (aDuplicate) {
     ++mCounters.mDuplicateCharges;
@@ -350,6 +366,7 @@
   std::erase(entry.mPending, aRequest);
   DropCopies(found->second);
   mCharges.erase(found);
+  return true;
 }
 
 void budget_system::Submit(time_point aNow)
@@ -357,6 +374,7 @@
   mRound.mPhase = round_phase::Commit;
   mRound.mToSend = true;
   mRound.mSendAt = aNow;
+  mLastSubmit = aNow;
   mAllowance = std::max(0.0, mAllowance - 1);
   ++mCounters.mTransactions;
   mCounters.mRowsWritten += mRound.mTransaction.mWrites.size();
