--- a/Source/Core/StandIn/Faults.h
+++ b/Source/Core/StandIn/Faults.h
@@ -6,7 +6,8 @@
 #include "Common/Time.h"
 
 /// Faults of a stand-in, set by tests or by `POST /v1/admin/faults` with the
-/// members `down`, `delay_ms` and `lose_replies`; absent members stay.
+/// members `down`, `delay_ms` and `lose_replies`; absent members stay. The
+/// member `refuse_ms` makes the stand-in refuse connections for that time.
 struct stand_in_faults
 {
   /// Every call is refused with 503 before it has an effect.
--- a/Source/Core/StandIn/HostListStandIn.cpp
+++ b/Source/Core/StandIn/HostListStandIn.cpp
@@ -13,9 +13,10 @@
   mServer.Serve("/v1/hosts", call_effect::None, [this](http_exchange& aCall) {
     return HandleGet(aCall);
   });
-  mServer.Serve("/v1/admin/hosts",
-                call_effect::Changes,
-                [this](http_exchange& aCall) { return HandleAdmin(aCall); });
+  mServer.Route("/v1/admin/hosts", [this](const http_exchange_ptr& aCall) {
+    const stand_in_reply reply = HandleAdmin(*aCall);
+    aCall->Reply(reply.mStatus, reply.mContentType, reply.mBody);
+  });
 }
 
 void host_list_stand_in::Put(const host_entry& aHost)
--- a/Source/Core/StandIn/HostListStandIn.h
+++ b/Source/Core/StandIn/HostListStandIn.h
@@ -16,7 +16,7 @@
 
 /// The list of hosts. `GET /v1/hosts` follows `Platform/HttpHostList.h`.
 /// `POST /v1/admin/hosts` with `{"put":[entry..],"remove":[name..]}` changes
-/// the list.
+/// the list, whatever the faults.
 class host_list_stand_in
 {
 public:
--- a/Source/Core/StandIn/StandInServer.cpp
+++ b/Source/Core/StandIn/StandInServer.cpp
@@ -4,6 +4,13 @@
 
 using nlohmann::json;
 
+namespace {
+
+constexpr std::chrono::milliseconds kReplyTime{ 5 };
+constexpr std::chrono::milliseconds kRestartRetry{ 500 };
+
+} // namespace
+
 stand_in_reply JsonReply(unsigned aStatus, const json& aBody)
 {
   return { aStatus,
@@ -58,6 +65,7 @@
 void stand_in_server::Stop()
 {
   mDeferred.CancelAll();
+  mRestart.Cancel();
   mServer.Close();
 }
 
@@ -86,6 +94,20 @@
   aExchange->Reply(reply.mStatus, reply.mContentType, reply.mBody);
 }
 
+void stand_in_server::Refuse(std::chrono::milliseconds aTime)
+{
+  Stop();
+  mRestart.Once(aTime, [this] { RestartAfterRefusal(); });
+}
+
+void stand_in_server::RestartAfterRefusal()
+{
+  // An outgoing connection may hold the port meanwhile.
+  if (!Restart().has_value()) {
+    mRestart.Once(kRestartRetry, [this] { RestartAfterRefusal(); });
+  }
+}
+
 void stand_in_server::SetFaults(const http_exchange_ptr& aExchange)
 {
   try {
@@ -95,7 +117,12 @@
     faults.mDelay = std::chrono::milliseconds(
       body.value("delay_ms", std::uint32_t(faults.mDelay.count())));
     faults.mLoseReplies = body.value("lose_replies", faults.mLoseReplies);
+    const std::chrono::milliseconds refuse(body.value("refuse_ms", 0U));
     mFaults = faults;
+    if (refuse.count() > 0) {
+      // The reply leaves first, and a server is not closed inside a handler.
+      mDeferred.After(kReplyTime, [this, refuse] { Refuse(refuse); });
+    }
   } catch (const json::exception& error) {
     aExchange->ReplyError(400, "bad_request", error.what());
     return;
--- a/Source/Core/StandIn/StandInServer.h
+++ b/Source/Core/StandIn/StandInServer.h
@@ -58,8 +58,11 @@
            call_effect aEffect,
            const handler& aHandler);
   void SetFaults(const http_exchange_ptr& aExchange);
+  void Refuse(std::chrono::milliseconds aTime);
+  void RestartAfterRefusal();
 
   stand_in_faults mFaults;
   deferred_calls mDeferred;
+  loop_timer mRestart;
   http_server mServer;
 };
--- a/Source/UnitTests/StandIn/StandInClusterTest.cpp
+++ b/Source/UnitTests/StandIn/StandInClusterTest.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include "Common/EventLoop.h"
+#include "Platform/HostListJson.h"
 #include "Platform/HttpHostList.h"
 #include "Platform/HttpObjectStore.h"
 #include "Platform/HttpWeightStore.h"
@@ -153,4 +154,38 @@
   EXPECT_EQ(post(R"({"down":true})").value().mStatus, 200U);
   EXPECT_EQ(server.Faults(), (stand_in_faults{ true, milliseconds(20), 2 }));
   EXPECT_EQ(post(R"({"down":"yes"})").value().mStatus, 400U);
+  EXPECT_EQ(post(R"({"refuse_ms":300})").value().mStatus, 200U);
+  EXPECT_TRUE(mLoop.RunUntil([&] { return !server.Running(); }, kWait));
+  EXPECT_EQ(post("{}").error(), http_failure::Unavailable);
+  EXPECT_TRUE(mLoop.RunUntil([&] { return server.Running(); }, kWait));
+  EXPECT_EQ(post("{}").value().mStatus, 200U);
+}
+
+// Guards against hosts that cannot be announced from another process.
+TEST_F(cluster_test, HostsAreChangedOverHttp)
+{
+  using reply = result<http_reply, http_failure>;
+  http_owner owner;
+  http_request request;
+  request.mMethod = "POST";
+  request.mUrl =
+    "http://" + mCluster.Hosts().Server().Address() + "/v1/admin/hosts";
+  const auto post = [&](const std::string& aBody) {
+    request.mBody = aBody;
+    return Await<reply>(
+      [&](auto aReply) { mClient.Send(request, owner, aReply); });
+  };
+  const host_entry node{ "node-1",         host_role::Node,
+                         host_state::Live, "zone-a",
+                         "region-1",       "127.0.0.1:1",
+                         "127.0.0.1:2",    "" };
+  const std::string put = HostEntryJson(node).dump();
+  EXPECT_EQ(
+    post(R"({"put":[)" + put + R"(],"remove":["engine-1"]})").value().mStatus,
+    200U);
+  EXPECT_EQ(post(R"({"put":[{"name":"x"}]})").value().mStatus, 400U);
+  const auto& hosts = mCluster.Hosts().Visible().mHosts;
+  EXPECT_TRUE(mLoop.RunUntil(
+    [&] { return !hosts.empty() && hosts[0].mName == "engine-2"; }, kWait));
+  EXPECT_EQ(hosts[2], node);
 }
