--- a/Source/Core/Dispatch/DispatchSettings.h
+++ b/Source/Core/Dispatch/DispatchSettings.h
@@ -96,7 +96,7 @@
   double mAccountBurst = 5'000.0;
   /// Part of its rank's room that an account may fill which has more than a
   /// third of the rank's running requests.
-  double mHeavyAccountPart = 0.9;
+  double mHeavyAccountPart = 0.85;
   /// Cost of a prompt token in output tokens. Prompts are computed in parallel
   /// and occupy an upstream for less time per token.
   double mPromptTokenCost = 0.1;
--- a/Source/Core/Dispatch/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -315,11 +315,25 @@
   return last;
 }
 
-/// Cancels free-tier streams while paid work waits that could use their room.
+std::uint32_t PaidCount(const model_lane& aLane)
+{
+  std::uint32_t count = 0;
+  for (std::size_t rank = 0; rank < kWorkRanks; ++rank) {
+    count += aLane.mQueues[rank].Size();
+  }
+  return count;
+}
+
+/// Cancels free-tier streams while paid work waits that could use their room,
+/// at most one per waiting request: an upstream that is filled beyond its limit
+/// needs more than one cancel before the first start.
 void Displace(dispatch_tables& aTables, model_lane& aLane, time_point aNow)
 {
-  while (aTables.mRunning[Index(service_class::Free)] > 0 &&
-         PaidWaiting(aLane)) {
+  const std::uint32_t most = PaidCount(aLane);
+  for (std::uint32_t i = 0; i < most && PaidWaiting(aLane); ++i) {
+    if (aTables.mRunning[Index(service_class::Free)] == 0) {
+      return;
+    }
     request_entry* free = LastFree(aTables, aLane);
     if (free == nullptr) {
       return;
@@ -330,9 +344,7 @@
     aTables.CancelRunning(*free, cancel_reason::Displaced, aNow);
     aTables.Reject(request, reject_reason::Displaced, run);
     ++aTables.mCounters.mDisplaced;
-    if (!StartPaid(aTables, aLane, aNow)) {
-      return;
-    }
+    StartPaid(aTables, aLane, aNow);
   }
 }
 
--- a/Source/UnitTests/Dispatch/DispatchTestTools.h
+++ b/Source/UnitTests/Dispatch/DispatchTestTools.h
@@ -20,6 +20,8 @@
     settings.mZone = { "zone-a" };
     settings.mRegion = { "region" };
     settings.mConcurrency.mDefaultLimit = 10.0;
+    // Most tests use one account, which would be heavy.
+    settings.mHeavyAccountPart = 1.0;
     return settings;
   }
 
