Pace how fast a node fills upstreams with lower ranks

When a flood began at 8 nodes at once, they overfilled the engines while reports lagged, and small callers' urgent work waited for long requests to end.

--- a/Source/Core/Dispatch/UpstreamTable.cpp
+++ b/Source/Core/Dispatch/UpstreamTable.cpp
@@ -23,6 +23,10 @@
 
 // An upstream is congested for a class when less than this part is free.
 constexpr double kCongestedRoom = 0.1;
+// Part of its room that a node fills with lower ranks per report, so that a
+// flood that begins at every node at once does not overfill upstreams in the
+// time that reports lag.
+constexpr double kLowerPace = 0.5;
 // Parts of its equal share that a node may always fill: with lower ranks, and
 // with work that may use the whole upstream.
 constexpr double kAssuredPart = 0.25;
@@ -322,7 +326,8 @@
   // rounded at random, so that nodes that see the same room do not all take it.
   double allowed = aState.mOwnAtReport;
   if (room >= 0.0) {
-    allowed += room / nodes + aState.mRounding;
+    const double pace = nodes > 1.0 && !aQuery.mFirst ? kLowerPace : 1.0;
+    allowed += pace * room / nodes + aState.mRounding;
   } else {
     allowed -= 1.0;
   }
--- a/Source/Core/Replay/ReplayScenarios.cpp
+++ b/Source/Core/Replay/ReplayScenarios.cpp
@@ -306,6 +306,7 @@
                                  service_class::Urgent,
                                  kSmallCallerRatio);
   ratio.mAccounts = small;
+  aOutcomes.mOutcomes.push_back(UrgentInTime());
   aOutcomes.mOutcomes.push_back(ratio);
 }
 
