Correct a scan that never ended with a slow store, and odd keys and byte order marks

With replies slower than the reply limit, each page was asked for again and its late reply ignored, so a node never started. Keys with ~ gave an invalid JSON pointer, and a byte order mark shifted the split of a document. A test feeds damaged reference texts to both parsers.

--- a/Source/Core/Config/ConfigFollower.cpp
+++ b/Source/Core/Config/ConfigFollower.cpp
@@ -80,13 +80,14 @@
   for (const table_row& row : rows) {
     TakeRow(row);
   }
-  if (!mScan.mActive || aRequest != mScan.mRequest) {
+  if (!mScan.mActive || aRequest < mScan.mFirstRequest) {
     return;
   }
   if (rows.size() < mOptions.mScanPage) {
     mScan.mActive = false;
   } else {
     mScan.mAfter = rows.back().mKey;
+    mScan.mFirstRequest = mNextRequest;
   }
 }
 
@@ -188,8 +189,7 @@
 void config_follower::RequestScanPage(time_point aNow,
                                       config_requests& aRequests)
 {
-  mScan.mRequest = OpenRequest(aNow);
-  aRequests.mScans.push_back({ mScan.mRequest,
+  aRequests.mScans.push_back({ OpenRequest(aNow),
                                { std::string(kConfigSectionPrefix),
                                  mScan.mAfter,
                                  mOptions.mScanPage } });
@@ -200,6 +200,7 @@
   ++mCounters.mScansStarted;
   mScan.mActive = true;
   mScan.mAfter.clear();
+  mScan.mFirstRequest = mNextRequest;
   mScan.mNotBefore = aNow;
   if (mScan.mAttempts > 0) {
     const std::uint32_t doublings =
--- a/Source/Core/Config/ConfigFollower.h
+++ b/Source/Core/Config/ConfigFollower.h
@@ -128,7 +128,10 @@
   {
     bool mActive = false;
     std::string mAfter;
-    std::uint64_t mRequest = 0;
+    /// First request for the current page. Any reply to it or to a repetition
+    /// advances the scan; else a store slower than the reply limit would never
+    /// let it end.
+    std::uint64_t mFirstRequest = 0;
     /// Earliest start of the next scan.
     time_point mNotBefore{};
     std::uint32_t mAttempts = 0;
--- a/Source/Core/Config/FleetSections.cpp
+++ b/Source/Core/Config/FleetSections.cpp
@@ -178,12 +178,10 @@
   }
 }
 
-std::string Escaped(std::string aKey)
+/// The key as a part of a JSON pointer.
+std::string Escaped(std::string_view aKey)
 {
-  for (std::size_t at = 0; (at = aKey.find('/', at)) != std::string::npos;) {
-    aKey.replace(at, 1, "~1");
-  }
-  return aKey;
+  return (json::json_pointer() / std::string(aKey)).to_string().substr(1);
 }
 
 void CheckGroupModels(const json_text& aText, std::vector<json_error>& aErrors)
--- a/Source/Core/Config/SplitDocument.cpp
+++ b/Source/Core/Config/SplitDocument.cpp
@@ -187,8 +187,10 @@
   if (!errors.mErrors.empty()) {
     return errors;
   }
+  // The parser skips a byte order mark.
+  const std::size_t start = aText.starts_with("\xEF\xBB\xBF") ? 3 : 0;
   std::vector<document_slice> slices;
-  for (const member_slice& member : member_scanner(aText, 0).Members()) {
+  for (const member_slice& member : member_scanner(aText, start).Members()) {
     if (member.mKey != "accounts") {
       slices.push_back(MakeSlice(aText, member.mKey, member));
       continue;
--- a/Source/UnitTests/Config/ConfigFollowerTest.cpp
+++ b/Source/UnitTests/Config/ConfigFollowerTest.cpp
@@ -1,5 +1,7 @@
 #include "Config/ConfigFollower.h"
 
+#include <map>
+
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
@@ -228,6 +230,26 @@
   EXPECT_EQ(follower.Counters().mScansStarted, 2U);
 }
 
+// Guards against a node that never starts because every reply of a slow store
+// comes after the reply limit.
+TEST_F(config_follower_test, StartsFromASlowStore)
+{
+  PutBase();
+  follower_options options;
+  options.mScanPage = 1;
+  config_follower follower(options);
+  std::multimap<time_point, config_requests> late;
+  for (const time_point end = mNow + seconds(40); mNow < end;
+       mNow += milliseconds(10)) {
+    late.emplace(mNow + seconds(3), follower.Tick(mNow));
+    while (late.begin()->first <= mNow) {
+      Answer(follower, late.begin()->second);
+      late.erase(late.begin());
+    }
+  }
+  EXPECT_EQ(follower.Current().mVersion, 3U);
+}
+
 // Guards against a hint costing unbounded polls or blocking the start.
 TEST_F(config_follower_test, PollsForHintsWithinBounds)
 {
@@ -256,6 +278,38 @@
   EXPECT_EQ(outcome.mStoredText, AccountText("key-2"));
 }
 
+// Guards against an edit that is applied twice, or reported as refused, when
+// the reply to its commit is lost.
+TEST_F(config_follower_test, EditorSettlesLostReplyByTheSameTransaction)
+{
+  PutBase();
+  mEditor.Put(
+    { "accounts/clinic", AccountText("key-2"), 3, "ops", "secret", "" },
+    {},
+    mNow,
+    mNow + seconds(10));
+  std::vector<transaction_id> sent;
+  for (; !mEditor.Outcome() && sent.size() < 3; mNow += milliseconds(10)) {
+    const editor_requests requests = mEditor.Tick(mNow);
+    Answer(mEditor, requests.mRows);
+    if (!requests.mCommit) {
+      continue;
+    }
+    const auto reply = mTable.Commit(*requests.mCommit, mNow);
+    sent.push_back(requests.mCommit->mId);
+    if (sent.size() == 1) {
+      mEditor.OnCommit(sent[0], table_error::Timeout, mNow);
+    } else if (sent.size() == 3) {
+      mEditor.OnCommit(sent[2], reply, mNow);
+    }
+  }
+  ASSERT_EQ(sent.size(), 3U);
+  EXPECT_EQ(sent[0], sent[2]);
+  EXPECT_EQ(mEditor.Outcome()->mStatus, edit_status::Committed);
+  EXPECT_EQ(mEditor.Outcome()->mVersion, 4U);
+  EXPECT_FALSE(mTable.mRows.contains(ConfigChangeKey(5)));
+}
+
 // Guards against a team changing a section that another team owns.
 TEST_F(config_follower_test, EditorChecksOwner)
 {
--- a/Source/UnitTests/Config/FleetDocumentTest.cpp
+++ b/Source/UnitTests/Config/FleetDocumentTest.cpp
@@ -138,6 +138,7 @@
   EXPECT_EQ(slices.value()[2].mName, "accounts/clinic");
   EXPECT_TRUE(slices.value()[2].mText.starts_with("/* { \"x\" */\n"));
   EXPECT_TRUE(ParseFleetDocument(file, "fleet.json").value() == Base());
+  EXPECT_TRUE(ParseFleetDocument("\xEF\xBB\xBF" + file, "f").value() == Base());
 
   std::string wrong = file;
   wrong.replace(wrong.find("\"budget\": \"prepaid\""), 19, "\"budgit\": 1");
@@ -155,6 +156,21 @@
     << errors;
 }
 
+// Guards against an exception on keys that JSON pointers have to escape.
+TEST(FleetDocument, ChecksOddKeys)
+{
+  const std::string text =
+    R"({ "models": { "a~b/c": {} }, "upstream_groups": { "~": { "hosts": [],
+       "models": [ "x" ] }, "": 3 } })";
+  const std::string errors = Errors(Base(), { { "capacity", text } });
+  EXPECT_NE(errors.find("/models/a~0b~1c: \"a~b/c\" is not a name"),
+            std::string::npos)
+    << errors;
+  EXPECT_NE(errors.find("/upstream_groups/~0/models/0: unknown model \"x\""),
+            std::string::npos)
+    << errors;
+}
+
 TEST(FleetDocument, MatchesCallsThatMustNotRepeat)
 {
   const service_settings service{ { "orders" }, { { "POST", "/v1/orders*" } } };
--- a/Source/UnitTests/Config/ReferenceTest.cpp
+++ b/Source/UnitTests/Config/ReferenceTest.cpp
@@ -1,5 +1,6 @@
 #include <cstdlib>
 #include <fstream>
+#include <random>
 #include <sstream>
 
 #include <gtest/gtest.h>
@@ -59,6 +60,27 @@
   EXPECT_EQ(settings.value().mListen.mAdvertisedHttp.mIp, "10.20.1.11");
 }
 
+// Guards against a crash or an exception on a damaged file.
+TEST(Reference, DamagedTextsAreErrors)
+{
+  std::mt19937 random(3);
+  const std::string fleet = ReadFile("Reference/trituradores.json");
+  const std::string node = ReadFile("Reference/node-settings.json");
+  const std::string bytes = "{}[],:\"\\/*~-0a. \n";
+  int rejected = 0;
+  for (int i = 0; i < 1500; ++i) {
+    std::string text = i % 3 == 0 ? fleet : node;
+    for (int change = 0; change < 3; ++change) {
+      const std::size_t at = random() % text.size();
+      text.replace(at, random() % 20, 1, bytes[random() % bytes.size()]);
+    }
+    const bool parsed = i % 3 == 0 ? ParseFleetDocument(text, "f").has_value()
+                                   : ParseNodeSettings(text, "n").has_value();
+    rejected += parsed ? 0 : 1;
+  }
+  EXPECT_GT(rejected, 500);
+}
+
 // Guards against a settings page that differs from the descriptor tables. On a
 // failure, write the page again by running this test with
 // LENTILSWITCH_WRITE_PAGES=1 in its environment.
