--- a/Source/Core/Node/ChatAdmission.cpp
+++ b/Source/Core/Node/ChatAdmission.cpp
@@ -77,8 +77,8 @@
   if (budget == nullptr) {
     return kDefaultPrice;
   }
-  const auto price = budget->mPrices.find(aModel);
-  return price == budget->mPrices.end() ? kDefaultPrice : price->second;
+  const auto price = budget->mPrices.Find(aModel);
+  return price ? *price : kDefaultPrice;
 }
 
 } // namespace
--- a/Source/Core/Node/NodeApp.cpp
+++ b/Source/Core/Node/NodeApp.cpp
@@ -143,7 +143,9 @@
   , mOnStopped(std::move(aOnStopped))
   , mSeed(RandomSeed())
   , mIncarnation(NewIncarnation(mTime))
-  , mServer({ aSettings.mLimits.mBodyBytes })
+  , mServer({ aSettings.mLimits.mBodyBytes,
+              aSettings.mLimits.mHeaderBytes,
+              aSettings.mLimits.mSlowSender })
   , mTracer(aSettings.mTrace.mSampling, mSeed)
   , mDispatch(dispatch_settings{})
 {
--- a/Source/Core/Node/NodeApp.h
+++ b/Source/Core/Node/NodeApp.h
@@ -74,6 +74,8 @@
   const config_follower& Config() const { return *mConfig; }
   const membership_system& Membership() const { return *mMembership; }
   budget_system& Budget() { return *mBudget; }
+  const peer_client& Peers() const { return *mPeerClient; }
+  const peer_server& PeerServer() const { return *mPeerServer; }
   const charge_backup& Backup() const { return *mBackup; }
   const dispatch_system& Dispatch() const { return mDispatch; }
   const chat_system& Chat() const { return *mChat; }
--- a/Source/Core/Node/NodeStatus.cpp
+++ b/Source/Core/Node/NodeStatus.cpp
@@ -129,6 +129,25 @@
                     aDispatch.QueuedCount());
 }
 
+void UpdatePeerMetrics(const node_app& aNode, node_metrics& aMetrics)
+{
+  const peer_client_counters& client = aNode.Peers().Counters();
+  const peer_server_counters& server = aNode.PeerServer().Counters();
+  aMetrics.SetTotal("peer_bytes_out_total",
+                    "Bytes sent to other nodes.",
+                    static_cast<double>(client.mBytesOut + server.mBytesOut));
+  aMetrics.SetTotal("peer_bytes_in_total",
+                    "Bytes received from other nodes.",
+                    static_cast<double>(client.mBytesIn + server.mBytesIn));
+  aMetrics.SetTotal("peer_call_failures_total",
+                    "Calls to other nodes without an answer.",
+                    static_cast<double>(client.mFailed));
+  aMetrics.SetTotal(
+    "peer_auth_failures_total",
+    "Calls from other nodes with a wrong key or signature.",
+    static_cast<double>(server.mUnknownKey + server.mBadSignature));
+}
+
 } // namespace
 
 host_tables SplitHosts(const host_listing& aListing)
@@ -162,7 +181,8 @@
                           { "zone", node.mWhere.mZone.mName } });
   }
   return { { "endpoints", std::move(endpoints) },
-           { "lifetime_seconds", aAnswer.mLifetime.count() } };
+           { "cache_ms",
+             std::chrono::milliseconds(aAnswer.mLifetime).count() } };
 }
 
 json FormatNodeStatus(node_app& aNode)
@@ -190,6 +210,7 @@
 {
   UpdateBudgetMetrics(aNode.Budget().Counters(), aMetrics);
   UpdateDispatchMetrics(aNode.Dispatch(), aMetrics);
+  UpdatePeerMetrics(aNode, aMetrics);
   aMetrics.SetGauge("open_requests",
                     "Chat requests without a final answer.",
                     static_cast<double>(aNode.Chat().Open()));
--- a/Source/Core/Platform/HttpServer.cpp
+++ b/Source/Core/Platform/HttpServer.cpp
@@ -9,13 +9,19 @@
 namespace {
 
 constexpr const char* kTooLarge =
-  R"({"error":{"code":"too_large","message":"request body is too long"}})";
+  R"({"error":{"code":"too_large","message":"request body is too long",)"
+  R"("run":"not_run"}})";
+constexpr const char* kHeadersTooLarge =
+  R"({"error":{"code":"too_large","message":"request headers are too long",)"
+  R"("run":"not_run"}})";
 
 /// State of a request body that is still being received.
 struct body_limit
 {
   std::size_t mLimit = 0;
   std::size_t mReceived = 0;
+  /// Closes the connection of a sender that is too slow.
+  loop_timer mSlowSender;
 };
 
 void RefuseBody(SoupServerMessage* aMessage)
@@ -48,6 +54,49 @@
   }
 }
 
+void OnBodyComplete(SoupServerMessage*, gpointer aLimit)
+{
+  static_cast<body_limit*>(aLimit)->mSlowSender.Cancel();
+}
+
+/// Bytes of the header fields as they were received, without the first line.
+std::size_t HeaderBytes(SoupMessageHeaders* aHeaders)
+{
+  constexpr std::size_t kSeparators = 4;
+  std::size_t bytes = 0;
+  SoupMessageHeadersIter iterator;
+  soup_message_headers_iter_init(&iterator, aHeaders);
+  const char* name = nullptr;
+  const char* value = nullptr;
+  while (soup_message_headers_iter_next(&iterator, &name, &value)) {
+    bytes += std::strlen(name) + std::strlen(value) + kSeparators;
+  }
+  return bytes;
+}
+
+void RefuseHeaders(SoupServerMessage* aMessage)
+{
+  constexpr guint kHeaderFieldsTooLarge = 431;
+  soup_message_body_set_accumulate(
+    soup_server_message_get_request_body(aMessage), FALSE);
+  soup_server_message_set_status(aMessage, kHeaderFieldsTooLarge, nullptr);
+  soup_server_message_set_response(aMessage,
+                                   "application/json",
+                                   SOUP_MEMORY_STATIC,
+                                   kHeadersTooLarge,
+                                   std::strlen(kHeadersTooLarge));
+  soup_message_headers_replace(
+    soup_server_message_get_response_headers(aMessage), "Connection", "close");
+}
+
+void CloseConnection(SoupServerMessage* aMessage)
+{
+  GSocket* socket = soup_server_message_get_socket(aMessage);
+  if (socket != nullptr) {
+    g_socket_shutdown(socket, TRUE, TRUE, nullptr);
+  }
+}
+
 void FreeLimit(gpointer aLimit, GClosure*)
 {
   delete static_cast<body_limit*>(aLimit);
@@ -195,7 +244,14 @@
   SoupMessageHeaders* headers =
     soup_server_message_get_request_headers(aMessage);
   const goffset length = soup_message_headers_get_content_length(headers);
-  auto* limit = new body_limit{ self->mOptions.mMaxBody, 0 };
+  if (HeaderBytes(headers) > self->mOptions.mMaxHeader) {
+    RefuseHeaders(aMessage);
+    return;
+  }
+  auto* limit = new body_limit;
+  limit->mLimit = self->mOptions.mMaxBody;
+  limit->mSlowSender.Once(self->mOptions.mSlowSender,
+                          [aMessage] { CloseConnection(aMessage); });
   if (length > static_cast<goffset>(limit->mLimit)) {
     RefuseBody(aMessage);
   }
@@ -205,6 +261,7 @@
                         limit,
                         FreeLimit,
                         static_cast<GConnectFlags>(0));
+  g_signal_connect(aMessage, "got-body", G_CALLBACK(OnBodyComplete), limit);
 }
 
 void http_server::OnRequest(SoupServer*,
--- a/Source/Core/Platform/HttpServer.h
+++ b/Source/Core/Platform/HttpServer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -10,6 +11,7 @@
 #include <libsoup/soup.h>
 #include <nlohmann/json_fwd.hpp>
 
+#include "Common/EventLoop.h"
 #include "Common/Result.h"
 #include "Platform/HttpExchange.h"
 
@@ -34,6 +36,11 @@
 {
   /// Requests with a longer body get status 413.
   std::size_t mMaxBody = 8U << 20U;
+  /// Requests with longer header fields get status 431.
+  std::size_t mMaxHeader = 64U << 10U;
+  /// A connection whose body is not complete this long after its headers is
+  /// closed.
+  std::chrono::milliseconds mSlowSender{ 30'000 };
 };
 
 /// HTTP server on the process's loop.
--- a/Source/Core/StandIn/EngineStandIn.cpp
+++ b/Source/Core/StandIn/EngineStandIn.cpp
@@ -45,6 +45,8 @@
   });
   mServer.Route("/v1/chat/completions",
                 [this](call aCall) { HandleChat(aCall); });
+  mServer.Route("/v1/endpoints",
+                [this](call aCall) { HandleEndpoints(aCall); });
   mServer.Route("/v1/load", [this](call aCall) { HandleLoad(aCall); });
   mServer.Route("/v1/cache_events",
                 [this](call aCall) { HandleCacheEvents(aCall); });
@@ -303,6 +305,14 @@
             { "epoch", mEpoch } };
 }
 
+void engine_stand_in::HandleEndpoints(const http_exchange_ptr& aExchange)
+{
+  aExchange->ReplyJson(
+    200,
+    { { "endpoints", { { { "address", Address() }, { "zone", "" } } } },
+      { "cache_ms", 60000 } });
+}
+
 void engine_stand_in::HandleLoad(const http_exchange_ptr& aExchange)
 {
   aExchange->ReplyJson(200, mLoad);
--- a/Source/Core/StandIn/EngineStandIn.h
+++ b/Source/Core/StandIn/EngineStandIn.h
@@ -54,6 +54,9 @@
 /// | path | answer |
 /// | --- | --- |
 /// | `POST /v1/chat/completions` | the answer, streamed or whole |
+/// | `GET /v1/endpoints` | this engine as the only address, so that a load
+/// meant
+///   for nodes can be sent to an engine for comparison |
 /// | `GET /v1/load` | `{"models","adapters","role","running","waiting",`
 ///   `"capacity","cached_blocks","leaving","epoch"}`, some time old |
 /// | `GET /v1/cache_events?after=N` | `{"epoch","events":[{"sequence",`
@@ -119,6 +122,7 @@
   void StartStream(const http_exchange_ptr& aExchange,
                    engine_request aRequest,
                    std::uint32_t aFrom);
+  void HandleEndpoints(const http_exchange_ptr& aExchange);
   void HandleLoad(const http_exchange_ptr& aExchange);
   void HandleCacheEvents(const http_exchange_ptr& aExchange);
   void HandleCommand(const http_exchange_ptr& aExchange);
--- a/Source/LentilSwitch/DemoCommand.cpp
+++ b/Source/LentilSwitch/DemoCommand.cpp
@@ -14,6 +14,7 @@
   demo_options mOptions;
   std::uint32_t mSeconds = 5;
   bool mKeepRunning = false;
+  bool mPrintDocument = false;
 };
 
 void PrintAddresses(embedded_fleet& aFleet)
@@ -53,6 +54,10 @@
 
 exit_code RunDemo(const demo_arguments& aArguments)
 {
+  if (aArguments.mPrintDocument) {
+    fmt::print("{}", DemoDocument(DemoAccounts()));
+    return exit_code::Ok;
+  }
   demo_options options = aArguments.mOptions;
   options.mDuration = std::chrono::seconds(aArguments.mSeconds);
   event_loop loop;
@@ -89,6 +94,9 @@
   command->add_flag("--keep-running",
                     arguments->mKeepRunning,
                     "Print the addresses and run until SIGINT, without load");
+  command->add_flag("--print-document",
+                    arguments->mPrintDocument,
+                    "Only print the demo's fleet document");
   command->callback(
     [arguments, &aContext] { aContext.mExit = RunDemo(*arguments); });
 }
--- a/Source/LentilSwitch/StandInCommand.cpp
+++ b/Source/LentilSwitch/StandInCommand.cpp
@@ -15,6 +15,9 @@
   stand_in_cluster_options mOptions;
   std::uint32_t mLoadLagMs = 100;
   std::uint32_t mHostLagMs = 0;
+  std::uint32_t mFirstTokenUs = 20'000;
+  std::uint32_t mTokenUs = 5'000;
+  std::uint32_t mAnswerTokens = 0;
 };
 
 exit_code RunStandIns(stand_in_arguments aArguments)
@@ -22,6 +25,13 @@
   using std::chrono::milliseconds;
   aArguments.mOptions.mEngine.mLoadLag = milliseconds(aArguments.mLoadLagMs);
   aArguments.mOptions.mHosts.mLag = milliseconds(aArguments.mHostLagMs);
+  engine_speed& speed = aArguments.mOptions.mEngine.mSpeed;
+  speed.mFirstToken = std::chrono::microseconds(aArguments.mFirstTokenUs);
+  speed.mPerToken = std::chrono::microseconds(aArguments.mTokenUs);
+  if (aArguments.mAnswerTokens > 0) {
+    aArguments.mOptions.mEngine.mShortestAnswer = aArguments.mAnswerTokens;
+    aArguments.mOptions.mEngine.mLongestAnswer = aArguments.mAnswerTokens;
+  }
   event_loop loop;
   stand_in_cluster cluster(aArguments.mOptions);
   const auto started = cluster.Start();
@@ -63,6 +73,20 @@
   command->add_option("--zones", options.mZones, "Availability zones");
   command->add_option(
     "--models", options.mEngine.mControl.mModels, "Models that are loaded");
+  command->add_option("--slots",
+                      options.mEngine.mSpeed.mCapacity,
+                      "Streams that an engine runs at full speed");
+  command->add_option("--max-running",
+                      options.mEngine.mSpeed.mMaxRunning,
+                      "Streams that an engine runs together");
+  command->add_option(
+    "--first-token-us", arguments->mFirstTokenUs, "Time to the first token");
+  command->add_option(
+    "--token-us", arguments->mTokenUs, "Time between two tokens");
+  command->add_option("--answer-tokens",
+                      arguments->mAnswerTokens,
+                      "Length of every answer without a smaller max_tokens; 0 "
+                      "lets it vary");
   command->add_option("--writes",
                       options.mTable.mWritesPerSecond,
                       "Table writes a second; 0 means no limit");
