--- a/Source/UnitTests/Membership/MembershipSystemTest.cpp
+++ b/Source/UnitTests/Membership/MembershipSystemTest.cpp
@@ -83,6 +83,37 @@
   EXPECT_TRUE(network.AllSeeAllAlive());
 }
 
+// Guards against deaths when two zones lose contact although both reach a
+// third, which must confirm that the nodes live.
+TEST(membership_system, ThirdZoneSpeaksForACutOffZone)
+{
+  membership_network network(12, 3);
+  network.Run(kSettle);
+  network.mPasses = [](std::size_t aFrom, std::size_t aTo) {
+    return aFrom % 3 + aTo % 3 != 2 || aFrom % 3 == 1;
+  };
+  network.Run(seconds(120));
+  EXPECT_GT(network.mNodes[0].mSystem->Counters().mSuspicions, 0);
+  EXPECT_EQ(network.Count(member_event_kind::Dead), 0);
+}
+
+// Guards against a node with a wrong key being called dead while it serves
+// callers.
+TEST(membership_system, RefusalIsNoSignOfDeath)
+{
+  membership_network network(3, 3);
+  membership_system& system = *network.mNodes[0].mSystem;
+  for (int i = 0; i < 200; ++i) {
+    network.mNow += membership_network::kStep;
+    for (const auto& message : system.Tick(network.mNow)) {
+      system.OnReply(message.mPeer, heartbeat_error::Refused, network.mNow);
+    }
+  }
+  EXPECT_GT(system.Counters().mRefused, 10);
+  EXPECT_EQ(network.StateAt(0, 1), kAlive);
+  EXPECT_EQ(network.StateAt(0, 2), kAlive);
+}
+
 // Guards against a running node staying dead because one node claims it.
 TEST(membership_system, RunningNodeRefutesItsDeath)
 {
