--- a/Source/Core/Membership/MemberTable.cpp
+++ b/Source/Core/Membership/MemberTable.cpp
@@ -44,7 +44,7 @@
   const auto [it, added] = mRows.try_emplace(aId);
   if (added) {
     it->second.mId = aId;
-    Touch();
+    TouchShape();
   }
   return it->second;
 }
@@ -52,6 +52,6 @@
 void member_table::Erase(const node_id& aId)
 {
   if (mRows.erase(aId) > 0) {
-    Touch();
+    TouchShape();
   }
 }
--- a/Source/Core/Membership/MemberTable.h
+++ b/Source/Core/Membership/MemberTable.h
@@ -89,8 +89,17 @@
   /// Notes a visible change.
   void Touch() { ++mVersion; }
   std::uint64_t Version() const { return mVersion; }
+  /// Notes a change of what peers are chosen from: the members that are not
+  /// dead, and their zones.
+  void TouchShape()
+  {
+    Touch();
+    ++mShape;
+  }
+  std::uint64_t Shape() const { return mShape; }
 
 private:
   rows mRows;
   std::uint64_t mVersion = 1;
+  std::uint64_t mShape = 1;
 };
--- a/Source/Core/Membership/MembershipDetection.cpp
+++ b/Source/Core/Membership/MembershipDetection.cpp
@@ -200,7 +200,7 @@
   aRow.mSuspicionEnds.reset();
   aRow.mForgetAt.reset();
   mChecks.erase(aRow.mId);
-  mTable.Touch();
+  mTable.TouchShape();
   if (aHealth == member_health::Suspect) {
     aRow.mSuspicionEnds = aNow + kToldSuspicionFactor * mSettings.mSuspicion;
   }
--- a/Source/Core/Membership/MembershipMessages.cpp
+++ b/Source/Core/Membership/MembershipMessages.cpp
@@ -73,6 +73,9 @@
     // The list told of the earlier run.
     aRow.mListedLeaving = false;
   }
+  if (aRow.mHealth == member_health::Dead) {
+    mTable.TouchShape();
+  }
   aRow.mIncarnation = aUpdate.mIncarnation;
   aRow.mCounter = aUpdate.mCounter;
   aRow.mHealth = member_health::Alive;
@@ -102,7 +105,7 @@
   aRow.mDescribed = true;
   if (aRow.mWhere != *aUpdate.mDescriptor) {
     aRow.mWhere = *aUpdate.mDescriptor;
-    mTable.Touch();
+    mTable.TouchShape();
     Spread(aRow, true);
   }
 }
@@ -313,7 +316,7 @@
   // The list lags, so what the node told itself counts more.
   if (!row.mDescribed && row.mWhere != where) {
     row.mWhere = where;
-    mTable.Touch();
+    mTable.TouchShape();
   }
   const bool leaving = aHost.mState == host_state::Leaving;
   if (leaving && !row.mLastListedLeaving) {
--- a/Source/Core/Membership/MembershipSystem.cpp
+++ b/Source/Core/Membership/MembershipSystem.cpp
@@ -164,10 +164,10 @@
 // peers, and few change when a node comes or goes.
 void membership_system::ChoosePeers(time_point aNow)
 {
-  if (mPeersVersion == mTable.Version()) {
+  if (mPeersShape == mTable.Shape()) {
     return;
   }
-  mPeersVersion = mTable.Version();
+  mPeersShape = mTable.Shape();
   for (auto& [id, row] : mTable.Rows()) {
     if (row.mRingPlaces.empty()) {
       row.mRingPlaces = RingPlaces(id, mSettings.mPeers);
--- a/Source/Core/Membership/MembershipSystem.h
+++ b/Source/Core/Membership/MembershipSystem.h
@@ -206,7 +206,7 @@
   member_table mTable;
   rumor_queue mRumors;
   std::map<node_id, schedule> mPeers;
-  std::uint64_t mPeersVersion = 0;
+  std::uint64_t mPeersShape = 0;
   /// Heartbeats without a reply yet.
   std::map<node_id, time_point> mReplyBy;
   /// Heartbeats to send at the next tick.
--- a/Source/UnitTests/Membership/MembershipSystemTest.cpp
+++ b/Source/UnitTests/Membership/MembershipSystemTest.cpp
@@ -158,6 +158,31 @@
   }
 }
 
+// Guards against a death declared right after a pause, when the refutation is
+// still unread.
+TEST(membership_system, PausedNodeWaitsForUnreadReplies)
+{
+  for (const bool paused : { false, true }) {
+    membership_network network(4, 4);
+    membership_system& system = *network.mNodes[0].mSystem;
+    const node_id target = network.mNodes[1].mSelf.mId;
+    system.Tick(network.mNow);
+    heartbeat message;
+    message.mFrom = { network.mNodes[2].mSelf.mId, 1, 0, {}, false, {} };
+    message.mUpdates = { { target, 1, 0, {}, false, {} } };
+    message.mUnreached = { target };
+    system.OnReply(target, heartbeat_error::NoAnswer, network.mNow);
+    system.OnHeartbeat(message, network.mNow);
+    system.OnReply(target, heartbeat_error::NoAnswer, network.mNow);
+    system.OnHeartbeat(message, network.mNow);
+    for (int i = 0; i < 20; ++i) {
+      network.mNow += milliseconds(paused ? 3000 : 250);
+      system.Tick(network.mNow);
+    }
+    EXPECT_EQ(network.StateAt(0, 1) == kDead, !paused);
+  }
+}
+
 // Guards against callers sent to a node that leaves, on any node, and against
 // its being forgotten or called dead while it finishes its work.
 TEST(membership_system, LeavingNodeIsOutOfTheAnswers)
--- a/Source/UnitTests/Peer/PeerBytesTest.cpp
+++ b/Source/UnitTests/Peer/PeerBytesTest.cpp
@@ -74,9 +74,9 @@
   EXPECT_GT(overhead, 100);
   membership_network network(GetParam(), 4);
   network.Run(seconds(2));
-  const double starting = MeasureTraffic(network, overhead, seconds(20));
+  const double starting = MeasureTraffic(network, overhead, seconds(10));
   network.mNodes[1].mRuns = false;
-  const double losing = MeasureTraffic(network, overhead, seconds(20));
+  const double losing = MeasureTraffic(network, overhead, seconds(12));
   RecordProperty("overhead", static_cast<int>(overhead));
   RecordProperty("starting", static_cast<int>(starting));
   RecordProperty("losing", static_cast<int>(losing));
