Bound the news of a fleet's start and keep unlisted members that may run

Cause: in the first 10 s after a start of 340 nodes each sent 2,056 bytes/s, over the target of 2,048; a member that the list dropped before its run was heard of was lost.

--- a/Source/Core/Membership/MemberTable.h
+++ b/Source/Core/Membership/MemberTable.h
@@ -62,7 +62,8 @@
   bool mConfirmed = false;
   /// Another node told that the member is dead; this node checks it first.
   bool mDeadTold = false;
-  /// When a dead member that is no longer listed is forgotten.
+  /// When a member that is no longer listed, and is dead or was never heard of,
+  /// is forgotten.
   std::optional<time_point> mForgetAt;
 
   /// Places on the rings that peers are chosen from; filled when first needed.
--- a/Source/Core/Membership/MembershipDetection.cpp
+++ b/Source/Core/Membership/MembershipDetection.cpp
@@ -198,14 +198,16 @@
   aRow.mConfirmed = false;
   aRow.mDeadTold = false;
   aRow.mSuspicionEnds.reset();
-  aRow.mForgetAt.reset();
+  if (aRow.mIncarnation != 0) {
+    aRow.mForgetAt.reset();
+  }
   mChecks.erase(aRow.mId);
   mTable.TouchShape();
   if (aHealth == member_health::Suspect) {
     aRow.mSuspicionEnds = aNow + kToldSuspicionFactor * mSettings.mSuspicion;
   }
   if (aHealth == member_health::Dead) {
-    if (!aRow.mListed) {
+    if (!aRow.mListed && !aRow.mForgetAt) {
       aRow.mForgetAt = aNow + mSettings.mForget;
     }
     Emit(member_event_kind::Dead, aRow);
--- a/Source/Core/Membership/MembershipMessages.cpp
+++ b/Source/Core/Membership/MembershipMessages.cpp
@@ -284,8 +284,7 @@
       listed.insert({ host.mName });
     }
   }
-  for (auto it = mTable.Rows().begin(); it != mTable.Rows().end();) {
-    member_row& row = (it++)->second;
+  for (auto& [id, row] : mTable.Rows()) {
     if (!listed.contains(row.mId)) {
       UnlistHost(row, aNow);
     }
@@ -329,14 +328,14 @@
   row.mLastListedLeaving = leaving;
 }
 
-// The list lags, so a node that was heard of stays until it is dead.
+// The list lags, so a node that was heard of stays until it is dead. One that
+// was not is kept for a while as well, since news of its run may be on the way.
 void membership_system::UnlistHost(member_row& aRow, time_point aNow)
 {
   aRow.mListed = false;
   aRow.mLastListedLeaving = false;
-  if (aRow.mIncarnation == 0) {
-    mTable.Erase(node_id(aRow.mId));
-  } else if (aRow.mHealth == member_health::Dead && !aRow.mForgetAt) {
+  const bool heard = aRow.mIncarnation != 0;
+  if ((!heard || aRow.mHealth == member_health::Dead) && !aRow.mForgetAt) {
     aRow.mForgetAt = aNow + mSettings.mForget;
   }
 }
--- a/Source/Core/Membership/RumorQueue.cpp
+++ b/Source/Core/Membership/RumorQueue.cpp
@@ -2,6 +2,16 @@
 
 #include <algorithm>
 
+namespace {
+
+/// Ordinary news comes in floods when a fleet starts, so it gets a part of the
+/// room and is told less often. Without these bounds a fleet of 340 nodes sent
+/// 2,056 bytes per second and node after its start.
+constexpr std::size_t kOrdinaryPerMessage = 4;
+constexpr std::uint32_t kOrdinaryLimitPart = 2;
+
+} // namespace
+
 void rumor_queue::Add(const node_id& aNode, bool aUrgent, bool aWithWhere)
 {
   entry& news = mEntries[aNode];
@@ -32,10 +42,16 @@
                                : left.mTold < right.mTold;
                     });
   std::vector<rumor> taken;
+  std::size_t ordinary = 0;
   for (std::size_t i = 0; i < count; ++i) {
     entry& news = order[i]->second;
+    if (!news.mUrgent && ordinary++ >= kOrdinaryPerMessage) {
+      break;
+    }
     taken.push_back({ order[i]->first, news.mWithWhere });
-    if (++news.mTold >= aLimit) {
+    const std::uint32_t limit =
+      news.mUrgent ? aLimit : aLimit / kOrdinaryLimitPart;
+    if (++news.mTold >= limit) {
       mEntries.erase(order[i]);
     }
   }
--- a/Source/Core/Membership/RumorQueue.h
+++ b/Source/Core/Membership/RumorQueue.h
@@ -22,8 +22,8 @@
   void Add(const node_id& aNode, bool aUrgent, bool aWithWhere);
   void Erase(const node_id& aNode) { mEntries.erase(aNode); }
 
-  /// Up to `aCount` members to tell about, except `aExcept`; each is dropped
-  /// once it was taken `aLimit` times.
+  /// Up to `aCount` members to tell about, except `aExcept`; urgent news is
+  /// dropped once it was taken `aLimit` times, other news sooner.
   std::vector<rumor> Take(std::size_t aCount,
                           std::uint32_t aLimit,
                           const node_id& aExcept);
