--- a/Source/Core/Peer/PeerServer.cpp
+++ b/Source/Core/Peer/PeerServer.cpp
@@ -7,7 +7,6 @@
 #include <glib-unix.h>
 
 #include "Common/EventLoop.h"
-#include "Common/Log.h"
 #include "Peer/Peer.capnp.h"
 #include "Peer/PeerLoop.h"
 #include "Peer/PeerStream.h"
--- a/Source/UnitTests/Membership/MembershipSystemTest.cpp
+++ b/Source/UnitTests/Membership/MembershipSystemTest.cpp
@@ -158,6 +158,16 @@
   }
 }
 
+// Guards against a fleet of two in which nobody is left to confirm a death.
+TEST(membership_system, LastNodeNoticesThatItIsAlone)
+{
+  membership_network network(2, 2);
+  network.Run(kSettle);
+  network.mNodes[1].mRuns = false;
+  network.Run(seconds(20));
+  EXPECT_EQ(network.StateAt(0, 1), kDead);
+}
+
 // Guards against a death declared right after a pause, when the refutation is
 // still unread.
 TEST(membership_system, PausedNodeWaitsForUnreadReplies)
