--- a/Source/Core/Membership/MemberTable.h
+++ b/Source/Core/Membership/MemberTable.h
@@ -62,7 +62,8 @@
   bool mConfirmed = false;
   /// Another node told that the member is dead; this node checks it first.
   bool mDeadTold = false;
-  /// When a dead member that is no longer listed is forgotten.
+  /// When a member that is no longer listed, and is dead or was never heard of,
+  /// is forgotten.
   std::optional<time_point> mForgetAt;
 
   /// Places on the rings that peers are chosen from; filled when first needed.
@@ -89,8 +90,17 @@
   /// Notes a visible change.
   void Touch() { ++mVersion; }
   std::uint64_t Version() const { return mVersion; }
+  /// Notes a change of what peers are chosen from: the members that are not
+  /// dead, and their zones.
+  void TouchShape()
+  {
+    Touch();
+    ++mShape;
+  }
+  std::uint64_t Shape() const { return mShape; }
 
 private:
   rows mRows;
   std::uint64_t mVersion = 1;
+  std::uint64_t mShape = 1;
 };
--- a/Source/Core/Membership/MembershipMessages.cpp
+++ b/Source/Core/Membership/MembershipMessages.cpp
@@ -73,6 +73,9 @@
     // The list told of the earlier run.
     aRow.mListedLeaving = false;
   }
+  if (aRow.mHealth == member_health::Dead) {
+    mTable.TouchShape();
+  }
   aRow.mIncarnation = aUpdate.mIncarnation;
   aRow.mCounter = aUpdate.mCounter;
   aRow.mHealth = member_health::Alive;
@@ -102,7 +105,7 @@
   aRow.mDescribed = true;
   if (aRow.mWhere != *aUpdate.mDescriptor) {
     aRow.mWhere = *aUpdate.mDescriptor;
-    mTable.Touch();
+    mTable.TouchShape();
     Spread(aRow, true);
   }
 }
@@ -281,8 +284,7 @@
       listed.insert({ host.mName });
     }
   }
-  for (auto it = mTable.Rows().begin(); it != mTable.Rows().end();) {
-    member_row& row = (it++)->second;
+  for (auto& [id, row] : mTable.Rows()) {
     if (!listed.contains(row.mId)) {
       UnlistHost(row, aNow);
     }
@@ -313,7 +315,7 @@
   // The list lags, so what the node told itself counts more.
   if (!row.mDescribed && row.mWhere != where) {
     row.mWhere = where;
-    mTable.Touch();
+    mTable.TouchShape();
   }
   const bool leaving = aHost.mState == host_state::Leaving;
   if (leaving && !row.mLastListedLeaving) {
@@ -326,14 +328,14 @@
   row.mLastListedLeaving = leaving;
 }
 
-// The list lags, so a node that was heard of stays until it is dead.
+// The list lags, so a node that was heard of stays until it is dead. One that
+// was not is kept for a while as well, since news of its run may be on the way.
 void membership_system::UnlistHost(member_row& aRow, time_point aNow)
 {
   aRow.mListed = false;
   aRow.mLastListedLeaving = false;
-  if (aRow.mIncarnation == 0) {
-    mTable.Erase(node_id(aRow.mId));
-  } else if (aRow.mHealth == member_health::Dead && !aRow.mForgetAt) {
+  const bool heard = aRow.mIncarnation != 0;
+  if ((!heard || aRow.mHealth == member_health::Dead) && !aRow.mForgetAt) {
     aRow.mForgetAt = aNow + mSettings.mForget;
   }
 }
--- a/Source/UnitTests/Membership/MembershipSystemTest.cpp
+++ b/Source/UnitTests/Membership/MembershipSystemTest.cpp
@@ -83,6 +83,37 @@
   EXPECT_TRUE(network.AllSeeAllAlive());
 }
 
+// Guards against deaths when two zones lose contact although both reach a
+// third, which must confirm that the nodes live.
+TEST(membership_system, ThirdZoneSpeaksForACutOffZone)
+{
+  membership_network network(12, 3);
+  network.Run(kSettle);
+  network.mPasses = [](std::size_t aFrom, std::size_t aTo) {
+    return aFrom % 3 + aTo % 3 != 2 || aFrom % 3 == 1;
+  };
+  network.Run(seconds(120));
+  EXPECT_GT(network.mNodes[0].mSystem->Counters().mSuspicions, 0);
+  EXPECT_EQ(network.Count(member_event_kind::Dead), 0);
+}
+
+// Guards against a node with a wrong key being called dead while it serves
+// callers.
+TEST(membership_system, RefusalIsNoSignOfDeath)
+{
+  membership_network network(3, 3);
+  membership_system& system = *network.mNodes[0].mSystem;
+  for (int i = 0; i < 200; ++i) {
+    network.mNow += membership_network::kStep;
+    for (const auto& message : system.Tick(network.mNow)) {
+      system.OnReply(message.mPeer, heartbeat_error::Refused, network.mNow);
+    }
+  }
+  EXPECT_GT(system.Counters().mRefused, 10);
+  EXPECT_EQ(network.StateAt(0, 1), kAlive);
+  EXPECT_EQ(network.StateAt(0, 2), kAlive);
+}
+
 // Guards against a running node staying dead because one node claims it.
 TEST(membership_system, RunningNodeRefutesItsDeath)
 {
@@ -127,6 +158,41 @@
   }
 }
 
+// Guards against a fleet of two in which nobody is left to confirm a death.
+TEST(membership_system, LastNodeNoticesThatItIsAlone)
+{
+  membership_network network(2, 2);
+  network.Run(kSettle);
+  network.mNodes[1].mRuns = false;
+  network.Run(seconds(20));
+  EXPECT_EQ(network.StateAt(0, 1), kDead);
+}
+
+// Guards against a death declared right after a pause, when the refutation is
+// still unread.
+TEST(membership_system, PausedNodeWaitsForUnreadReplies)
+{
+  for (const bool paused : { false, true }) {
+    membership_network network(4, 4);
+    membership_system& system = *network.mNodes[0].mSystem;
+    const node_id target = network.mNodes[1].mSelf.mId;
+    system.Tick(network.mNow);
+    heartbeat message;
+    message.mFrom = { network.mNodes[2].mSelf.mId, 1, 0, {}, false, {} };
+    message.mUpdates = { { target, 1, 0, {}, false, {} } };
+    message.mUnreached = { target };
+    system.OnReply(target, heartbeat_error::NoAnswer, network.mNow);
+    system.OnHeartbeat(message, network.mNow);
+    system.OnReply(target, heartbeat_error::NoAnswer, network.mNow);
+    system.OnHeartbeat(message, network.mNow);
+    for (int i = 0; i < 20; ++i) {
+      network.mNow += milliseconds(paused ? 3000 : 250);
+      system.Tick(network.mNow);
+    }
+    EXPECT_EQ(network.StateAt(0, 1) == kDead, !paused);
+  }
+}
+
 // Guards against callers sent to a node that leaves, on any node, and against
 // its being forgotten or called dead while it finishes its work.
 TEST(membership_system, LeavingNodeIsOutOfTheAnswers)
