--- a/Source/Core/Replay/ReplayFigures.cpp
+++ b/Source/Core/Replay/ReplayFigures.cpp
@@ -1,6 +1,7 @@
 #include "Replay/ReplayFigures.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 namespace {
@@ -57,7 +58,7 @@
   }
   std::sort(aValues.begin(), aValues.end());
   const auto last = static_cast<double>(aValues.size() - 1);
-  return aValues[static_cast<std::size_t>(aShare * last + 0.5)];
+  return aValues[static_cast<std::size_t>(std::llround(aShare * last))];
 }
 
 /// Sums of one class.
--- a/Source/Core/Replay/ReplayScenarios.cpp
+++ b/Source/Core/Replay/ReplayScenarios.cpp
@@ -79,6 +79,7 @@
 std::vector<account_id> MakeAccounts(const char* aPrefix, int aCount)
 {
   std::vector<account_id> accounts;
+  accounts.reserve(static_cast<std::size_t>(aCount));
   for (int i = 0; i < aCount; ++i) {
     accounts.push_back({ fmt::format("{}-{}", aPrefix, i + 1) });
   }
--- a/Source/UnitTests/Dispatch/FailuresTest.cpp
+++ b/Source/UnitTests/Dispatch/FailuresTest.cpp
@@ -21,7 +21,7 @@
   std::string CrashOnce(std::uint64_t aNumber)
   {
     Enqueue(Request(aNumber));
-    const std::string upstream = StartedOn();
+    std::string upstream = StartedOn();
     Finish(aNumber, attempt_outcome::UpstreamCrashed);
     return upstream;
   }
@@ -226,8 +226,8 @@
   CrashOnce(1);
   Enqueue(Request(2));
   Enqueue(Request(3));
-  const std::string second = StartedOn(600ms);
   // All three run on the upstream that is left.
+  EXPECT_EQ(Tick(600ms).mStarts.size(), 3U);
   Finish(1, attempt_outcome::UpstreamCrashed);
   Finish(2, attempt_outcome::UpstreamCrashed);
   Finish(3, attempt_outcome::UpstreamCrashed);
