--- a/Source/Core/Replay/ReplayScenarios.cpp
+++ b/Source/Core/Replay/ReplayScenarios.cpp
@@ -349,7 +349,8 @@
     case scenario_kind::ThreeUpstreamsLost:
       AddOrdinary(aBuilder, aDeployment, { 0, kDurationMs });
       for (const char* lost : { "engine-1", "engine-2", "engine-7" }) {
-        aBuilder.AddEvent({ kFlood.mFromMs,
+        // Inside the window, so that what is in flight counts.
+        aBuilder.AddEvent({ kFlood.mFromMs + 5'000,
                             trace_event_kind::UpstreamLost,
                             { lost },
                             0,
