--- a/Source/Core/Dispatch/DispatchSettings.h
+++ b/Source/Core/Dispatch/DispatchSettings.h
@@ -93,7 +93,7 @@
   std::uint32_t mSharingNodes = 1;
   /// Tokens that an account of weight 1 may be served ahead of its fair share
   /// after it used less.
-  double mAccountBurst = 5'000.0;
+  double mAccountBurst = 0.0;
   /// Part of its rank's room that an account may fill which has more than a
   /// third of the rank's running requests.
   double mHeavyAccountPart = 0.85;
--- a/Source/Core/Dispatch/FairQueue.cpp
+++ b/Source/Core/Dispatch/FairQueue.cpp
@@ -10,6 +10,10 @@
 constexpr std::uint32_t kRateRequests = 4;
 constexpr double kRateMemory = 0.5;
 constexpr std::size_t kMinKeptAccounts = 64;
+// Requests of one account that wait without an estimate. The estimate is too
+// coarse for short queues, and rejected small callers that would have been
+// served in time.
+constexpr std::size_t kFewWaiting = 3;
 // Accounts looked at for an estimate of the wait.
 constexpr std::uint32_t kMaxLookedAt = 64;
 
@@ -138,7 +142,7 @@
     return std::nullopt;
   }
   const account_queue& queue = found->second;
-  if (queue.mWaiting.size() <= 1) {
+  if (queue.mWaiting.size() <= kFewWaiting) {
     return std::chrono::microseconds(0);
   }
   const double start =
--- a/Source/Core/Dispatch/FairQueue.h
+++ b/Source/Core/Dispatch/FairQueue.h
@@ -48,9 +48,8 @@
   void Charge(std::uint32_t aAccount, double aTokens);
 
   /// How long the last waiting request of the account will wait at the present
-  /// rate of service; nothing while the rate is not known. 0 for the only
-  /// waiting request of an account: its place depends on how little the account
-  /// used before, and one request per account cannot fill the queue.
+  /// rate of service; nothing while the rate is not known, 0 for an account
+  /// with few requests waiting.
   std::optional<std::chrono::microseconds> ExpectedWait(
     std::uint32_t aAccount) const;
 
