--- a/Source/Core/Replay/ReplayScenarios.cpp
+++ b/Source/Core/Replay/ReplayScenarios.cpp
@@ -79,6 +79,7 @@
 std::vector<account_id> MakeAccounts(const char* aPrefix, int aCount)
 {
   std::vector<account_id> accounts;
+  accounts.reserve(static_cast<std::size_t>(aCount));
   for (int i = 0; i < aCount; ++i) {
     accounts.push_back({ fmt::format("{}-{}", aPrefix, i + 1) });
   }
@@ -348,7 +349,8 @@
     case scenario_kind::ThreeUpstreamsLost:
       AddOrdinary(aBuilder, aDeployment, { 0, kDurationMs });
       for (const char* lost : { "engine-1", "engine-2", "engine-7" }) {
-        aBuilder.AddEvent({ kFlood.mFromMs,
+        // Inside the window, so that what is in flight counts.
+        aBuilder.AddEvent({ kFlood.mFromMs + 5'000,
                             trace_event_kind::UpstreamLost,
                             { lost },
                             0,
