--- a/Source/Core/Budget/BudgetSystem.cpp
+++ b/Source/Core/Budget/BudgetSystem.cpp
@@ -360,6 +360,7 @@
     ordered.emplace(id, *Status(id));
   }
   std::vector<budget_status> all;
+  all.reserve(ordered.size());
   for (auto& [id, status] : ordered) {
     all.push_back(std::move(status));
   }
--- a/Source/Core/Budget/ChargeBackupJob.cpp
+++ b/Source/Core/Budget/ChargeBackupJob.cpp
@@ -97,7 +97,8 @@
 {
   holder_entry& entry = mHolders[mJob.mHolder];
   const bool sealed = mJob.mRow.mSealed.count(mSelf) > 0;
-  if (mJob.mRow.mState == holder_state::WrittenOff) {
+  const bool alive = !entry.mClosed && entry.mCharges.empty();
+  if (mJob.mRow.mState == holder_state::WrittenOff || alive) {
     EndJob(std::nullopt);
   } else if (mJob.mRow.mState == holder_state::Closed) {
     mJob.mPhase = job_phase::Scan;
@@ -106,8 +107,6 @@
     mOut.mScans.push_back(
       { mJob.mReadId,
         { GrantPrefix(mJob.mHolder), "", mSettings.mMaxRows / 2 } });
-  } else if (!entry.mClosed && entry.mCharges.empty()) {
-    EndJob(std::nullopt);
   } else if (!entry.mClosed || sealed) {
     EndJob(aNow + mSettings.mBackupCheck);
   } else {
--- a/Source/UnitTests/Budget/FleetSimulation.cpp
+++ b/Source/UnitTests/Budget/FleetSimulation.cpp
@@ -8,10 +8,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const account_id kAccount{ "clinic" };
 constexpr std::int64_t kFaultMs = 25'000;
 constexpr seconds kSettle(30);
-constexpr int kMostTries = 20;
 
 } // namespace
 
@@ -87,7 +85,10 @@
                           std::int64_t aMilliseconds,
                           step aStep)
 {
-  AtLife(aProcess, mProcesses[aProcess].mIncarnation, aMilliseconds, aStep);
+  AtLife(aProcess,
+         mProcesses[aProcess].mIncarnation,
+         aMilliseconds,
+         std::move(aStep));
 }
 
 void fleet_simulation::AtLife(std::size_t aProcess,
