--- a/Source/Core/Budget/BudgetSystem.h
+++ b/Source/Core/Budget/BudgetSystem.h
@@ -191,6 +191,8 @@
     std::vector<charge> mCharges;
     std::int64_t mNewGrant = 0;
     std::uint64_t mSegment = 0;
+    std::uint64_t mUngranted = 0;
+    std::uint64_t mUnfunded = 0;
     bool mWritten = false;
   };
 
--- a/Source/Core/Budget/BudgetSystemCompose.cpp
+++ b/Source/Core/Budget/BudgetSystemCompose.cpp
@@ -114,7 +114,8 @@
   if (aItem.mCharges.empty() && aItem.mNewGrant == before) {
     return;
   }
-  mCounters.mUnfundedCharges += written.mUnfunded;
+  aItem.mUngranted = written.mUngranted;
+  aItem.mUnfunded = written.mUnfunded;
   SetGrant(aItem.mRow, mSelf, aItem.mNewGrant);
   entry.mReturning = std::max<std::int64_t>(0, paid - aItem.mNewGrant);
   table_transaction& transaction = mRound.mTransaction;
@@ -199,6 +200,8 @@
     }
     log.mSegments.pop_front();
   }
+  mCounters.mUngrantedCharges += aItem.mUngranted;
+  mCounters.mUnfundedCharges += aItem.mUnfunded;
   SetEntryGrant(entry, aItem.mNewGrant);
   entry.mReturning = 0;
   entry.mConflicts = 0;
--- a/Source/Core/Budget/BudgetTypes.h
+++ b/Source/Core/Budget/BudgetTypes.h
@@ -155,6 +155,9 @@
   std::uint64_t mMissingUsage = 0;
   /// Responses finished with the charge in this process only.
   std::uint64_t mUnprotectedDeliveries = 0;
+  /// Charges that their holder's grant did not cover, so that the rest of the
+  /// budget paid. Above zero only after a write-off.
+  std::uint64_t mUngrantedCharges = 0;
   /// Charges that no grant or remaining budget could pay.
   std::uint64_t mUnfundedCharges = 0;
   std::uint64_t mTransactions = 0;
--- a/Source/Core/Budget/ChargeBackup.cpp
+++ b/Source/Core/Budget/ChargeBackup.cpp
@@ -162,6 +162,8 @@
     return;
   }
   entry.mFailures = 0;
+  mCounters.mUngrantedCharges += mJob.mUngranted;
+  mCounters.mUnfundedCharges += mJob.mUnfunded;
   mCounters.mCharges += mJob.mWritten.size();
   for (const request_id& request : mJob.mWritten) {
     Erase(entry, request);
--- a/Source/Core/Budget/ChargeBackup.h
+++ b/Source/Core/Budget/ChargeBackup.h
@@ -97,6 +97,8 @@
     std::size_t mSegmentsAsked = 0;
     table_transaction mTransaction;
     std::vector<request_id> mWritten;
+    std::uint64_t mUngranted = 0;
+    std::uint64_t mUnfunded = 0;
     bool mEnds = false;
     bool mToSend = false;
     time_point mSendAt;
--- a/Source/Core/Budget/ChargeBackupJob.cpp
+++ b/Source/Core/Budget/ChargeBackupJob.cpp
@@ -228,7 +228,8 @@
     }
     const std::int64_t before = GrantOf(item.mRow, mJob.mHolder);
     written_charges written = PayCharges(item.mRow, item.mCharges);
-    mCounters.mUnfundedCharges += written.mUnfunded;
+    mJob.mUngranted += written.mUngranted;
+    mJob.mUnfunded += written.mUnfunded;
     for (const charge& paid : written.mCharges) {
       mJob.mWritten.push_back(paid.mRequest);
     }
--- a/Source/Core/Budget/ChargeWriting.cpp
+++ b/Source/Core/Budget/ChargeWriting.cpp
@@ -31,6 +31,9 @@
     aRow.mSpent += granted + rest;
     written.mCharges.push_back(item);
     written.mCharges.back().mTokens = granted + rest;
+    if (granted < item.mTokens) {
+      ++written.mUngranted;
+    }
     if (granted + rest < item.mTokens) {
       ++written.mUnfunded;
     }
--- a/Source/Core/Budget/ChargeWriting.h
+++ b/Source/Core/Budget/ChargeWriting.h
@@ -14,6 +14,8 @@
 {
   /// The charges as written, with the tokens that were really paid.
   std::vector<charge> mCharges;
+  /// Charges that their holder's grant did not cover.
+  std::uint64_t mUngranted = 0;
   /// Charges that found too little in grant and budget.
   std::uint64_t mUnfunded = 0;
 };
--- a/Source/UnitTests/Budget/FleetSimulation.cpp
+++ b/Source/UnitTests/Budget/FleetSimulation.cpp
@@ -145,6 +145,7 @@
 {
   process& node = mProcesses[aProcess];
   node.mAlive = false;
+  CheckGranted(node);
   for (const auto& [id, state] : node.mAttempts) {
     // The caller of an unfinished response tries again at another node.
     if (!mRequests[state.mRequest].mDelivered && mFaults) {
--- a/Source/UnitTests/Budget/FleetSimulation.h
+++ b/Source/UnitTests/Budget/FleetSimulation.h
@@ -66,6 +66,8 @@
     budget_id mBudget;
     std::int64_t mTokens = 0;
     bool mReserved = false;
+    /// What its attempts used.
+    std::set<std::int64_t> mUsed;
     bool mDelivered = false;
     /// Its charge was seen in the table, where it stays.
     mutable bool mWritten = false;
@@ -116,6 +118,7 @@
   void Heal();
   void WriteOffStranded();
   void CheckFundsUsable();
+  void CheckGranted(const process& aProcess);
   void CheckEnd();
   void Violate(const std::string& aWhat);
 
--- a/Source/UnitTests/Budget/FleetSimulationFaults.cpp
+++ b/Source/UnitTests/Budget/FleetSimulationFaults.cpp
@@ -77,6 +77,8 @@
   // Clocks differ by up to two seconds.
   const wall_time at(mNow.time_since_epoch() + seconds(aProcess % 3));
   node.mSystem->Settle(aRequest, used, at, mNow);
+  mRequests[found->second.mRequest].mUsed.insert(
+    used < 0 ? tokens : std::min(used, tokens));
   found->second.mSettled = true;
 }
 
@@ -245,12 +247,24 @@
   }
 }
 
+void fleet_simulation::CheckGranted(const process& aProcess)
+{
+  // Only a written-off holder may be charged beyond its grant; here every
+  // holder that is written off is dead together with its backups.
+  const auto& held = aProcess.mBackup->Counters();
+  const auto& own = aProcess.mSystem->Counters();
+  if (own.mUngrantedCharges + held.mUngrantedCharges > 0) {
+    Violate("a charge was not covered by its holder's grant");
+  }
+}
+
 void fleet_simulation::CheckEnd()
 {
   for (const std::string& violation : mTable.Violations()) {
     Violate(violation);
   }
   for (const process& node : mProcesses) {
+    CheckGranted(node);
     if (!node.mSystem->IsDrained()) {
       Violate("a node is not drained after shutdown");
     }
@@ -260,8 +274,8 @@
     if (request.mDelivered && tokens < 0) {
       Violate("a delivered response is not charged");
     }
-    if (tokens > request.mTokens) {
-      Violate("a charge exceeds its reservation");
+    if (tokens >= 0 && request.mUsed.count(tokens) == 0) {
+      Violate("a charge differs from what any attempt used");
     }
   }
   for (const budget_id& budget : mBudgets) {
