--- a/Source/Core/Budget/BudgetSystem.h
+++ b/Source/Core/Budget/BudgetSystem.h
@@ -77,7 +77,11 @@
   /// Nothing is left to write. After a fence the process goes on with a new
   /// incarnation.
   bool IsDrained() const;
+  /// No new work; open streams can finish, each under `IsProtected` as ever.
   bool IsFenced() const { return mFenced; }
+  /// The grants are gone as well: open streams can no longer be charged, so
+  /// they have to be cancelled.
+  bool IsClosed() const { return mOver; }
 
   const holder_id& Self() const { return mSelf; }
   const budget_counters& Counters() const { return mCounters; }
--- a/Source/UnitTests/Budget/BudgetSystemTest.cpp
+++ b/Source/UnitTests/Budget/BudgetSystemTest.cpp
@@ -294,6 +294,25 @@
   EXPECT_EQ(ParseHolderRow(row.mValue).value().mBackups, std::vector{ third });
 }
 
+// Guards against a backup that discards charges because of a holder row that
+// was read before it was listed.
+TEST_F(budget_system_test, BackupKeepsWhatCameAfterTheRowWasAskedFor)
+{
+  charge held;
+  held.mHolder = kNode;
+  held.mRequest = Request(1);
+  mBackup.OnHold(kNode, { held }, mNow);
+  mNow += mSettings.mBackupCheck;
+  const budget_output asked = mBackup.Tick(mNow);
+  ASSERT_EQ(asked.mReads.size(), 1U);
+  held.mRequest = Request(2);
+  mBackup.OnHold(kNode, { held }, mNow);
+  const table_row row{ HolderKey(kNode), 1, FormatHolderRow({}) };
+  mBackup.OnRead(asked.mReads[0].mId, std::vector{ row }, mNow);
+  EXPECT_FALSE(mBackup.Holds(kNode, Request(1)));
+  EXPECT_TRUE(mBackup.Holds(kNode, Request(2)));
+}
+
 // Guards against an older program changing rows that it does not understand.
 TEST_F(budget_system_test, RefusesRowsOfANewerFormat)
 {
--- a/Source/UnitTests/Budget/FleetSimulation.cpp
+++ b/Source/UnitTests/Budget/FleetSimulation.cpp
@@ -242,6 +242,10 @@
   if (node.mSystem->IsFenced() && !node.mLeaving) {
     ++mCounts["fenced"];
     node.mLeaving = true;
+    node.mFinishes = Chance(50);
+  }
+  if (node.mSystem->IsClosed() ||
+      (node.mSystem->IsFenced() && !node.mFinishes)) {
     CancelOpen(aProcess);
   }
   if (node.mLeaving && node.mSystem->IsDrained()) {
--- a/Source/UnitTests/Budget/FleetSimulation.h
+++ b/Source/UnitTests/Budget/FleetSimulation.h
@@ -51,6 +51,8 @@
     bool mAlive = false;
     bool mPaused = false;
     bool mLeaving = false;
+    /// After a fence, open streams finish instead of being cancelled.
+    bool mFinishes = false;
     store_mode mStore = store_mode::Up;
     std::unique_ptr<budget_system> mSystem;
     std::unique_ptr<charge_backup> mBackup;
