--- a/Source/Core/Budget/BudgetSystem.h
+++ b/Source/Core/Budget/BudgetSystem.h
@@ -77,7 +77,11 @@
   /// Nothing is left to write. After a fence the process goes on with a new
   /// incarnation.
   bool IsDrained() const;
+  /// No new work; open streams can finish, each under `IsProtected` as ever.
   bool IsFenced() const { return mFenced; }
+  /// The grants are gone as well: open streams can no longer be charged, so
+  /// they have to be cancelled.
+  bool IsClosed() const { return mOver; }
 
   const holder_id& Self() const { return mSelf; }
   const budget_counters& Counters() const { return mCounters; }
@@ -191,6 +195,8 @@
     std::vector<charge> mCharges;
     std::int64_t mNewGrant = 0;
     std::uint64_t mSegment = 0;
+    std::uint64_t mUngranted = 0;
+    std::uint64_t mUnfunded = 0;
     bool mWritten = false;
   };
 
--- a/Source/UnitTests/Budget/FleetSimulation.cpp
+++ b/Source/UnitTests/Budget/FleetSimulation.cpp
@@ -8,10 +8,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const account_id kAccount{ "clinic" };
 constexpr std::int64_t kFaultMs = 25'000;
 constexpr seconds kSettle(30);
-constexpr int kMostTries = 20;
 
 } // namespace
 
@@ -87,7 +85,10 @@
                           std::int64_t aMilliseconds,
                           step aStep)
 {
-  AtLife(aProcess, mProcesses[aProcess].mIncarnation, aMilliseconds, aStep);
+  AtLife(aProcess,
+         mProcesses[aProcess].mIncarnation,
+         aMilliseconds,
+         std::move(aStep));
 }
 
 void fleet_simulation::AtLife(std::size_t aProcess,
@@ -144,6 +145,7 @@
 {
   process& node = mProcesses[aProcess];
   node.mAlive = false;
+  CheckGranted(node);
   for (const auto& [id, state] : node.mAttempts) {
     // The caller of an unfinished response tries again at another node.
     if (!mRequests[state.mRequest].mDelivered && mFaults) {
@@ -240,6 +242,10 @@
   if (node.mSystem->IsFenced() && !node.mLeaving) {
     ++mCounts["fenced"];
     node.mLeaving = true;
+    node.mFinishes = Chance(50);
+  }
+  if (node.mSystem->IsClosed() ||
+      (node.mSystem->IsFenced() && !node.mFinishes)) {
     CancelOpen(aProcess);
   }
   if (node.mLeaving && node.mSystem->IsDrained()) {
--- a/Source/UnitTests/Budget/FleetSimulation.h
+++ b/Source/UnitTests/Budget/FleetSimulation.h
@@ -51,6 +51,8 @@
     bool mAlive = false;
     bool mPaused = false;
     bool mLeaving = false;
+    /// After a fence, open streams finish instead of being cancelled.
+    bool mFinishes = false;
     store_mode mStore = store_mode::Up;
     std::unique_ptr<budget_system> mSystem;
     std::unique_ptr<charge_backup> mBackup;
@@ -66,6 +68,8 @@
     budget_id mBudget;
     std::int64_t mTokens = 0;
     bool mReserved = false;
+    /// What its attempts used.
+    std::set<std::int64_t> mUsed;
     bool mDelivered = false;
     /// Its charge was seen in the table, where it stays.
     mutable bool mWritten = false;
@@ -116,6 +120,7 @@
   void Heal();
   void WriteOffStranded();
   void CheckFundsUsable();
+  void CheckGranted(const process& aProcess);
   void CheckEnd();
   void Violate(const std::string& aWhat);
 
