--- a/Source/Core/Node/ChatSystem.cpp
+++ b/Source/Core/Node/ChatSystem.cpp
@@ -48,7 +48,6 @@
 
 void chat_system::ReplaceBudget(budget_system& aBudget)
 {
-  CutAll();
   mContext.mBudget = &aBudget;
 }
 
--- a/Source/Core/Node/ChatSystem.h
+++ b/Source/Core/Node/ChatSystem.h
@@ -45,7 +45,8 @@
   void ApplyDocument(std::shared_ptr<const fleet_document> aDocument);
   /// `IP:port` of each upstream.
   void SetUpstreamAddresses(std::map<upstream_id, std::string> aAddresses);
-  /// After a fence: open requests are ended, new ones use the new holder.
+  /// After a fence: requests reserve from the new holder. Requests with a
+  /// reservation of the old one must have ended.
   void ReplaceBudget(budget_system& aBudget);
 
   /// Takes a `POST /v1/chat/completions`.
--- /dev/null
+++ b/Source/Core/Node/HolderSweep.cpp
@@ -0,0 +1,78 @@
+#include "Node/HolderSweep.h"
+
+#include <utility>
+
+#include "Budget/BudgetRows.h"
+
+namespace {
+
+// A fleet of 340 nodes has a few hundred rows; a page every 15 s reads them
+// all within a minute.
+constexpr std::chrono::seconds kPeriod(15);
+constexpr std::uint32_t kPage = 200;
+// The host list lags, so a node that is not in it yet must not count as gone.
+constexpr std::chrono::seconds kUnknownLimit(60);
+
+} // namespace
+
+holder_sweep::holder_sweep(table_service& aTable,
+                           const time_source& aTime,
+                           verdict aOnGone)
+  : mTable(aTable)
+  , mTime(aTime)
+  , mOnGone(std::move(aOnGone))
+{
+}
+
+void holder_sweep::Tick(time_point aNow)
+{
+  if (mWaiting || aNow < mNext) {
+    return;
+  }
+  mWaiting = true;
+  mNext = aNow + kPeriod;
+  mTable.Scan(
+    { std::string(kHolderPrefix), mAfter, kPage },
+    [this](const result<std::vector<table_row>, table_error>& aReply) {
+      mWaiting = false;
+      if (aReply.has_value()) {
+        TakePage(aReply.value());
+      }
+    });
+}
+
+void holder_sweep::SetMembers(const std::vector<member>& aMembers)
+{
+  mMembers.clear();
+  for (const member& member : aMembers) {
+    mMembers.emplace(member.mId, member);
+  }
+}
+
+void holder_sweep::TakePage(const std::vector<table_row>& aRows)
+{
+  const time_point now = mTime.Now();
+  for (const table_row& row : aRows) {
+    const auto holder = ParseHolderKey(row.mKey);
+    if (holder && IsGone(*holder, now)) {
+      mOnGone(*holder);
+    }
+  }
+  mAfter = aRows.size() < kPage ? std::string() : aRows.back().mKey;
+}
+
+bool holder_sweep::IsGone(const holder_id& aHolder, time_point aNow)
+{
+  const auto found = mMembers.find(aHolder.mNode);
+  if (found == mMembers.end()) {
+    const auto entry = mGoneAt.try_emplace(aHolder, aNow + kUnknownLimit);
+    return aNow >= entry.first->second;
+  }
+  mGoneAt.erase(aHolder);
+  const member& member = found->second;
+  if (member.mIncarnation > aHolder.mIncarnation) {
+    return true;
+  }
+  return member.mIncarnation == aHolder.mIncarnation &&
+         member.mState == member_state::Dead;
+}
--- a/Source/Core/Node/NodeApp.cpp
+++ b/Source/Core/Node/NodeApp.cpp
@@ -199,6 +199,8 @@
   CreateHolder();
   mCalls = std::make_shared<service_call_system>(
     holder_id{ mSettings.mName, mIncarnation }, service_call_settings{});
+  mSweep = std::make_shared<call_sweep_system>(
+    holder_id{ mSettings.mName, mIncarnation }, call_sweep_settings{});
   mChat = std::make_unique<chat_system>(chat_context{ mBudget.get(),
                                                       &mDispatch,
                                                       &mClient,
@@ -211,6 +213,12 @@
   mServices = std::make_unique<service_proxy>(service_context{
     mCalls.get(), &mClient, &mMetrics, &mTracer, &mTime, [this] { Wake(); } });
   mWatch = std::make_unique<upstream_watch>(*mHosts, mClient, mTime, *this);
+  mHolders = std::make_unique<holder_sweep>(
+    *mTable, mTime, [this](const holder_id& aHolder) {
+      if (aHolder.mNode != mSettings.mName) {
+        TakeForDead(aHolder);
+      }
+    });
   mAdmin = std::make_unique<admin_api>(*this);
 }
 
@@ -303,9 +311,7 @@
   call_work calls = mCalls->Tick(now, mTime.WallNow());
   mDriver->Run(mCalls, calls);
   mServices->Apply(calls);
-  if (mBudget->IsFenced()) {
-    ReplaceHolder();
-  }
+  TickHolder();
 }
 
 void node_app::TickBudget(time_point aNow)
@@ -333,6 +339,10 @@
   TickMembership(now);
   mWatch->Tick(now);
   mAdmin->Tick(now);
+  TickSweep(now);
+  if (mPhase != node_phase::Starting) {
+    mHolders->Tick(now);
+  }
   if (mPhase == node_phase::Starting && mConfig->Ready() && mHostsSeen) {
     SetPhase(node_phase::Serving);
   }
@@ -370,13 +380,13 @@
 void node_app::TickMembership(time_point aNow)
 {
   mPeers->Send(mMembership->Tick(aNow));
-  HandleEvents(aNow);
+  HandleEvents();
   if (mMembership->Version() != mMembersVersion) {
     ApplyMembers();
   }
 }
 
-void node_app::HandleEvents(time_point aNow)
+void node_app::HandleEvents()
 {
   for (const member_event& event : mMembership->TakeEvents()) {
     const std::string run = FormatHolder(event.mRun);
@@ -391,45 +401,79 @@
         Log(log_level::Info, "member_leaving", { Field("member", run) });
         break;
       case member_event_kind::Dead:
+        if (event.mRun.mNode == mSettings.mName) {
+          EndReplaced(event.mRun);
+          return;
+        }
         Log(log_level::Warning, "member_dead", { Field("member", run) });
-        mBudget->OnHolderDead(event.mRun, aNow);
-        mBackup->OnHolderDead(event.mRun, aNow);
+        TakeForDead(event.mRun);
         break;
     }
   }
 }
 
-void node_app::ApplyMembers()
+/// Peers in other zones, and one of the own zone for when those are cut off.
+std::vector<holder_id> node_app::ChooseBackups(
+  const std::vector<member>& aMembers) const
 {
-  mMembersVersion = mMembership->Version();
-  const std::vector<member> members = mMembership->Members();
-  mPeers->SetMembers(members, mSettings.mName);
-  mSelector.SetMembers(members);
+  std::vector<member> candidates = mSelector.BackupCandidates(mSettings.mName);
+  for (const member& member : aMembers) {
+    const bool sameZone = member.mId != mSettings.mName &&
+                          member.mWhere.mZone == mSettings.mZone &&
+                          member.mState == member_state::Alive;
+    if (sameZone) {
+      candidates.push_back(member);
+      break;
+    }
+  }
   std::vector<holder_id> backups;
-  for (const member& candidate : mSelector.BackupCandidates(mSettings.mName)) {
+  for (const member& candidate : candidates) {
     // A node that was never heard of has no incarnation to list.
     if (candidate.mIncarnation != 0 &&
         candidate.mState == member_state::Alive) {
       backups.push_back({ candidate.mId, candidate.mIncarnation });
     }
   }
-  mBudget->SetBackups(std::move(backups));
+  return backups;
+}
+
+void node_app::ApplyMembers()
+{
+  mMembersVersion = mMembership->Version();
+  const std::vector<member> members = mMembership->Members();
+  mPeers->SetMembers(members, mSettings.mName);
+  mSelector.SetMembers(members);
+  mHolders->SetMembers(members);
+  mBudget->SetBackups(ChooseBackups(members));
   if (mConfig->Ready()) {
     mDispatch.ApplySettings(MakeDispatchSettings(
       mSettings, mConfig->Current().mDocument->Capacity(), members.size()));
   }
 }
 
-/// Others took this run for dead and closed its holder row. Its grants are
-/// gone, so open requests end here and the node goes on as a new run.
-void node_app::ReplaceHolder()
+/// Others may take this run for dead. While its row is closing, open requests
+/// finish and are charged; once it is closed, the grants are gone and what is
+/// still open ends. Then the node goes on as a new run.
+void node_app::TickHolder()
+{
+  // A holder that ends by itself is closed as well.
+  if (mReturningGrants) {
+    return;
+  }
+  if (mBudget->IsClosed()) {
+    ReplaceHolder(mChat->CutAll());
+  } else if (mBudget->IsFenced() && mBudget->IsDrained()) {
+    ReplaceHolder(0);
+  }
+}
+
+void node_app::ReplaceHolder(std::size_t aCut)
 {
-  const std::size_t cut = mChat->CutAll();
   Log(log_level::Warning,
       "holder_fenced",
       { Field("node", mSettings.mName.mName),
         Field("incarnation", mIncarnation),
-        Field("requests_cut", cut) });
+        Field("requests_cut", aCut) });
   mMetrics.Count("holder_fenced_total",
                  "Times that others closed this node's holder row.");
   mBackup->BeginShutdown();
@@ -441,6 +485,23 @@
   mWatch->Refresh();
 }
 
+void node_app::TakeForDead(const holder_id& aRun)
+{
+  const time_point now = mTime.Now();
+  mBudget->OnHolderDead(aRun, now);
+  mBackup->OnHolderDead(aRun, now);
+}
+
+/// A later run of the same name exists; two would fight over addresses.
+void node_app::EndReplaced(const holder_id& aRun)
+{
+  Log(log_level::Error,
+      "node_replaced",
+      { Field("node", mSettings.mName.mName),
+        Field("incarnation", aRun.mIncarnation) });
+  ForceStop();
+}
+
 void node_app::OnHosts(const host_listing& aListing)
 {
   const time_point now = mTime.Now();
@@ -498,6 +559,7 @@
   if (!WorkFinished()) {
     return;
   }
+  mReturningGrants = true;
   mBudget->BeginShutdown(aNow);
   mBackup->BeginShutdown();
   if (mBudget->IsDrained() && mBackup->IsDrained()) {
@@ -506,6 +568,25 @@
   }
 }
 
+/// Cleans up rows of finished calls, at the first node that takes work. Two at
+/// once do no harm, so no agreement is needed.
+void node_app::TickSweep(time_point aNow)
+{
+  if (Ready() && IsSweeper()) {
+    mDriver->Run(mSweep, mSweep->Tick(aNow, mTime.WallNow()));
+  }
+}
+
+bool node_app::IsSweeper() const
+{
+  for (const member& member : mMembership->Members()) {
+    if (member.mState == member_state::Alive) {
+      return member.mId == mSettings.mName;
+    }
+  }
+  return true;
+}
+
 bool node_app::WorkFinished() const
 {
   return mChat->Open() == 0 && mServices->Open() == 0 && mCalls->Open() == 0;
--- a/Source/Core/Node/NodeApp.h
+++ b/Source/Core/Node/NodeApp.h
@@ -16,6 +16,7 @@
 #include "Membership/EndpointSelector.h"
 #include "Membership/MembershipSystem.h"
 #include "Node/ChatSystem.h"
+#include "Node/HolderSweep.h"
 #include "Node/NodeMetrics.h"
 #include "Node/PeerBridge.h"
 #include "Node/ServiceProxy.h"
@@ -105,13 +106,20 @@
   void TickBudget(time_point aNow);
   void TickConfig(time_point aNow);
   void TickMembership(time_point aNow);
+  void TickSweep(time_point aNow);
+  bool IsSweeper() const;
   void TickShutdown(time_point aNow);
   bool WorkFinished() const;
   void ForceStop();
   void ApplyDocument();
   void ApplyMembers();
-  void HandleEvents(time_point aNow);
-  void ReplaceHolder();
+  std::vector<holder_id> ChooseBackups(
+    const std::vector<member>& aMembers) const;
+  void HandleEvents();
+  void TickHolder();
+  void ReplaceHolder(std::size_t aCut);
+  void TakeForDead(const holder_id& aRun);
+  void EndReplaced(const holder_id& aRun);
   void UpdateMetrics();
   void SetPhase(node_phase aPhase);
   void ServeEndpoints(http_exchange& aExchange);
@@ -135,6 +143,7 @@
   /// Backups of earlier incarnations that still write charges.
   std::vector<std::shared_ptr<charge_backup>> mRetiredBackups;
   std::shared_ptr<service_call_system> mCalls;
+  std::shared_ptr<call_sweep_system> mSweep;
   std::unique_ptr<membership_system> mMembership;
   endpoint_selector mSelector;
   dispatch_system mDispatch;
@@ -145,6 +154,7 @@
   std::unique_ptr<chat_system> mChat;
   std::unique_ptr<service_proxy> mServices;
   std::unique_ptr<upstream_watch> mWatch;
+  std::unique_ptr<holder_sweep> mHolders;
   std::unique_ptr<admin_api> mAdmin;
 
   loop_timer mFastTimer;
@@ -155,6 +165,8 @@
   std::uint64_t mAppliedVersion = 0;
   std::uint64_t mMembersVersion = 0;
   bool mWakePending = false;
+  /// The work is finished; grants are returned and charges written.
+  bool mReturningGrants = false;
   time_point mLeaveUntil{};
   time_point mDrainDeadline{};
 };
--- a/Source/Core/Node/PeerBridge.cpp
+++ b/Source/Core/Node/PeerBridge.cpp
@@ -28,20 +28,18 @@
 
 peer_quarantine ToPeer(const quarantine_notice& aNotice)
 {
-  return { aNotice.mContent,
-           static_cast<peer_quarantine_state>(aNotice.mState),
-           aNotice.mUpstream,
-           aNotice.mNode,
-           aNotice.mCrashes };
+  return {
+    aNotice.mContent,  static_cast<peer_quarantine_state>(aNotice.mState),
+    aNotice.mUpstream, aNotice.mNode,
+    aNotice.mCrashes,  aNotice.mRetrying
+  };
 }
 
 quarantine_notice FromPeer(const peer_quarantine& aNotice)
 {
-  return { aNotice.mContent,
-           static_cast<quarantine_state>(aNotice.mState),
-           aNotice.mUpstream,
-           aNotice.mNode,
-           aNotice.mCrashes };
+  return { aNotice.mContent,  static_cast<quarantine_state>(aNotice.mState),
+           aNotice.mUpstream, aNotice.mNode,
+           aNotice.mCrashes,  aNotice.mRetrying };
 }
 
 hold_outcome OutcomeOf(const result<hold_charges_reply, peer_error>& aReply)
--- a/Source/Core/Node/ServiceProxy.cpp
+++ b/Source/Core/Node/ServiceProxy.cpp
@@ -162,6 +162,8 @@
   call.mContent = MakeContentId(aRequest->mAccount,
                                 aRequest->mMethod + ' ' + aRequest->mPath +
                                   '\n' + aRequest->mBody);
+  // Only a first attempt can be told for sure that nothing ran.
+  call.mMayBeRetry = aExchange->Header("X-Attempt") != "1";
   call.mDeadline = mContext.mTime->Now() + kCallLimit;
   call.mWallDeadline = mContext.mTime->WallNow() + kCallLimit;
   const call_number number =
--- a/Source/Core/Node/TableDriver.cpp
+++ b/Source/Core/Node/TableDriver.cpp
@@ -82,3 +82,22 @@
         }));
   }
 }
+
+void table_driver::Run(const std::shared_ptr<call_sweep_system>& aSystem,
+                       const call_sweep_work& aWork)
+{
+  if (aWork.mScan) {
+    mTable.Scan(*aWork.mScan,
+                Handing<call_sweep_system, rows_reply>(
+                  aSystem, [](call_sweep_system& aTo, auto& aReply, auto) {
+                    aTo.OnScan(aReply);
+                  }));
+  }
+  if (aWork.mCommit) {
+    mTable.Commit(*aWork.mCommit,
+                  Handing<call_sweep_system, result<commit_reply, table_error>>(
+                    aSystem, [](call_sweep_system& aTo, auto& aReply, auto) {
+                      aTo.OnCommit(aReply);
+                    }));
+  }
+}
--- a/Source/Core/Node/TableDriver.h
+++ b/Source/Core/Node/TableDriver.h
@@ -9,6 +9,7 @@
 #include "Config/ConfigEditor.h"
 #include "Config/ConfigFollower.h"
 #include "Platform/TableService.h"
+#include "Services/CallSweepSystem.h"
 #include "Services/ServiceCallSystem.h"
 
 /// Sends the table requests of the pure systems and hands the replies back.
@@ -30,6 +31,8 @@
            editor_requests aRequests);
   void Run(const std::shared_ptr<service_call_system>& aSystem,
            call_work& aWork);
+  void Run(const std::shared_ptr<call_sweep_system>& aSystem,
+           const call_sweep_work& aWork);
 
 private:
   using rows_reply = result<std::vector<table_row>, table_error>;
--- a/Source/Core/Peer/Peer.capnp
+++ b/Source/Core/Peer/Peer.capnp
@@ -119,6 +119,7 @@
   upstream @2 :Text;
   node @3 :Text;
   crashes @4 :UInt32;
+  retrying @5 :Bool;
 }
 
 struct Ack {
--- a/Source/Core/Peer/Peer.capnp.h
+++ b/Source/Core/Peer/Peer.capnp.h
@@ -1686,6 +1686,8 @@
 
   inline  ::uint32_t getCrashes() const;
 
+  inline bool getRetrying() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1741,6 +1743,9 @@
   inline  ::uint32_t getCrashes();
   inline void setCrashes( ::uint32_t value);
 
+  inline bool getRetrying();
+  inline void setRetrying(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3194,6 +3199,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool QuarantineNotice::Reader::getRetrying() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+
+inline bool QuarantineNotice::Builder::getRetrying() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+inline void QuarantineNotice::Builder::setRetrying(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 
 CAPNP_END_HEADER
--- a/Source/Core/Peer/PeerMessages.cpp
+++ b/Source/Core/Peer/PeerMessages.cpp
@@ -219,6 +219,7 @@
     aWire.setUpstream(ToText(aMessage.mUpstream.mName));
     aWire.setNode(ToText(aMessage.mNode.mName));
     aWire.setCrashes(aMessage.mCrashes);
+    aWire.setRetrying(aMessage.mRetrying);
   });
 }
 
@@ -287,6 +288,7 @@
     aMessage.mUpstream.mName = FromText(aWire.getUpstream());
     aMessage.mNode.mName = FromText(aWire.getNode());
     aMessage.mCrashes = aWire.getCrashes();
+    aMessage.mRetrying = aWire.getRetrying();
   });
 }
 
--- a/Source/Core/Peer/PeerMessages.h
+++ b/Source/Core/Peer/PeerMessages.h
@@ -78,6 +78,8 @@
   node_id mNode;
   /// Crashes that the sender knows of.
   std::uint32_t mCrashes = 0;
+  /// The sender is going to try the content again.
+  bool mRetrying = false;
   auto operator<=>(const peer_quarantine&) const = default;
 };
 
