--- a/Source/Core/Budget/BudgetSystem.h
+++ b/Source/Core/Budget/BudgetSystem.h
@@ -264,6 +264,7 @@
   void EndRound(time_point aNow);
   void FailTable(time_point aNow);
   time_point BackoffEnd(std::uint32_t aFailures, time_point aNow);
+  time_point ContentionEnd(const budget_entry& aEntry, time_point aNow);
   void Fence(time_point aNow);
 
   // BudgetSystemBackup.cpp: copies of charges at peers.
--- a/Source/Core/Budget/BudgetSystemStore.cpp
+++ b/Source/Core/Budget/BudgetSystemStore.cpp
@@ -21,6 +21,10 @@
 
 constexpr std::uint32_t kMaxBackoffSteps = 10;
 
+// Longest pause after a conflict while requests wait for the grant.
+constexpr std::chrono::microseconds kContentionMost =
+  std::chrono::milliseconds(100);
+
 } // namespace
 
 void budget_system::StepRound(time_point aNow)
@@ -259,7 +263,7 @@
   if (contended) {
     ++entry.mConflicts;
     if (mRound.mItems.size() > 1 || entry.mConflicts > 1) {
-      Schedule(entry, BackoffEnd(entry.mConflicts, aNow));
+      Schedule(entry, ContentionEnd(entry, aNow));
       return false;
     }
   }
@@ -437,6 +441,21 @@
   mTableRetryAt = BackoffEnd(mTableFailures, aNow);
 }
 
+/// Requests that wait for the grant give up after a second or so, so the pause
+/// must not grow beyond that while another holder goes on at full pace: with
+/// doubling pauses one of two nodes got nothing for 2 s.
+time_point budget_system::ContentionEnd(const budget_entry& aEntry,
+                                        time_point aNow)
+{
+  const time_point end = BackoffEnd(aEntry.mConflicts, aNow);
+  if (aEntry.mWaiting.empty()) {
+    return end;
+  }
+  std::uniform_int_distribution<std::int64_t> pause(kContentionMost.count() / 4,
+                                                    kContentionMost.count());
+  return std::min(end, aNow + std::chrono::microseconds(pause(mRandom)));
+}
+
 time_point budget_system::BackoffEnd(std::uint32_t aFailures, time_point aNow)
 {
   const std::uint32_t steps = std::min(aFailures, kMaxBackoffSteps);
--- a/Source/Core/Node/ChatSystem.cpp
+++ b/Source/Core/Node/ChatSystem.cpp
@@ -51,6 +51,11 @@
   mContext.mBudget = &aBudget;
 }
 
+void chat_system::NoteChangedBudgets(const std::vector<budget_id>& aBudgets)
+{
+  mChangedBudgets.insert(aBudgets.begin(), aBudgets.end());
+}
+
 void chat_system::Accept(const http_exchange_ptr& aExchange)
 {
   if (mShuttingDown) {
@@ -106,6 +111,7 @@
     mContext.mTracer->StartChild("reserve", session.mSpans.mRequest);
   if (TryReserve(session, now) && session.mStep == chat_step::AwaitingGrant) {
     mAwaitingGrant.push_back(request);
+    mContext.mWake();
   }
 }
 
@@ -139,7 +145,6 @@
   const bool waits = reserved.error() == budget_error::AwaitingGrant &&
                      aNow < aSession.mGrantDeadline;
   if (waits) {
-    mContext.mWake();
     return true;
   }
   Fail(aSession, BudgetRefusal(reserved.error()));
@@ -194,11 +199,18 @@
       continue;
     }
     chat_session& session = *found->second;
+    const bool due = mChangedBudgets.contains(session.Account().mBudget) ||
+                     aNow >= session.mGrantDeadline;
+    if (!due) {
+      mAwaitingGrant.push_back(request);
+      continue;
+    }
     if (TryReserve(session, aNow) &&
         session.mStep == chat_step::AwaitingGrant) {
       mAwaitingGrant.push_back(request);
     }
   }
+  mChangedBudgets.clear();
 }
 
 void chat_system::ApplyStarts(const std::vector<start_decision>& aStarts,
--- a/Source/Core/Node/ChatSystem.h
+++ b/Source/Core/Node/ChatSystem.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -49,6 +50,9 @@
   /// reservation of the old one must have ended.
   void ReplaceBudget(budget_system& aBudget);
 
+  /// Budgets for which waiting reservations are worth another try.
+  void NoteChangedBudgets(const std::vector<budget_id>& aBudgets);
+
   /// Takes a `POST /v1/chat/completions`.
   void Accept(const http_exchange_ptr& aExchange);
 
@@ -111,6 +115,7 @@
   chat_table mSessions;
   /// Sessions in these steps, so that a tick visits no others.
   std::vector<request_id> mAwaitingGrant;
+  std::set<budget_id> mChangedBudgets;
   std::vector<request_id> mAwaitingProtection;
   http_owner mProbes;
   bool mShuttingDown = false;
--- a/Source/Core/Node/NodeApp.cpp
+++ b/Source/Core/Node/NodeApp.cpp
@@ -246,6 +246,7 @@
   budget_output own = mBudget->Tick(aNow);
   mPeers->Send(mBudget, own);
   mDriver->Run(mBudget, own);
+  mChat->NoteChangedBudgets(own.mChanged);
   budget_output backup = mBackup->Tick(aNow);
   mDriver->Run(mBackup, backup);
   for (const auto& retired : mRetiredBackups) {
--- a/cmake/Libraries.cmake
+++ b/cmake/Libraries.cmake
@@ -23,6 +23,6 @@
     add_executable(${aName}Tests ${sources})
     target_link_libraries(${aName}Tests PRIVATE ${ARGN} GTest::gtest_main)
     gtest_discover_tests(${aName}Tests DISCOVERY_MODE PRE_TEST
-                         PROPERTIES TIMEOUT 240)
+                         PROPERTIES TIMEOUT 240 ${LENTILSWITCH_TEST_PROPERTIES})
   endif()
 endfunction()
