--- a/Source/Core/Budget/GrantSizing.cpp
+++ b/Source/Core/Budget/GrantSizing.cpp
@@ -5,8 +5,8 @@
 
 namespace {
 
-// Free tokens for more of the largest recent requests, for budgets whose rate is
-// still unknown or very low. The first grant may have to serve a burst or an
+// Free tokens for more of the largest recent requests, for budgets whose rate
+// is still unknown or very low. The first grant may have to serve a burst or an
 // outage of the store: with room for 4 requests, all of 10 were refused.
 constexpr std::int64_t kSpareRequests = 64;
 constexpr std::int64_t kScarceSpareRequests = 1;
