Refuse and close through one function each in the HTTP server

Cause: the refusals of long bodies and of long headers were two copies of the same seven calls, and closing a slow sender stood twice. Change: both refusals call one function with status and body; both closes call CloseConnection. The sanitizer build was not run again for this commit.

--- a/Source/Core/Platform/HttpServer.cpp
+++ b/Source/Core/Platform/HttpServer.cpp
@@ -24,21 +24,34 @@
   loop_timer mSlowSender;
 };
 
-void RefuseBody(SoupServerMessage* aMessage)
+/// Answers before the body is read, and ends the connection after that.
+void Refuse(SoupServerMessage* aMessage, guint aStatus, const char* aBody)
 {
   soup_message_body_set_accumulate(
     soup_server_message_get_request_body(aMessage), FALSE);
-  soup_server_message_set_status(
-    aMessage, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE, nullptr);
+  soup_server_message_set_status(aMessage, aStatus, nullptr);
   soup_server_message_set_response(aMessage,
                                    "application/json",
                                    SOUP_MEMORY_STATIC,
-                                   kTooLarge,
-                                   std::strlen(kTooLarge));
+                                   aBody,
+                                   std::strlen(aBody));
   soup_message_headers_replace(
     soup_server_message_get_response_headers(aMessage), "Connection", "close");
 }
 
+void RefuseBody(SoupServerMessage* aMessage)
+{
+  Refuse(aMessage, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE, kTooLarge);
+}
+
+void CloseConnection(SoupServerMessage* aMessage)
+{
+  GSocket* socket = soup_server_message_get_socket(aMessage);
+  if (socket != nullptr) {
+    g_socket_shutdown(socket, TRUE, TRUE, nullptr);
+  }
+}
+
 void OnBodyChunk(SoupServerMessage* aMessage, GBytes* aChunk, gpointer aLimit)
 {
   auto* limit = static_cast<body_limit*>(aLimit);
@@ -49,8 +62,7 @@
   }
   // A sender that goes on long after its limit gets no status.
   if (limit->mReceived / 2 > limit->mLimit) {
-    GSocket* socket = soup_server_message_get_socket(aMessage);
-    g_socket_shutdown(socket, TRUE, TRUE, nullptr);
+    CloseConnection(aMessage);
   }
 }
 
@@ -77,24 +89,7 @@
 void RefuseHeaders(SoupServerMessage* aMessage)
 {
   constexpr guint kHeaderFieldsTooLarge = 431;
-  soup_message_body_set_accumulate(
-    soup_server_message_get_request_body(aMessage), FALSE);
-  soup_server_message_set_status(aMessage, kHeaderFieldsTooLarge, nullptr);
-  soup_server_message_set_response(aMessage,
-                                   "application/json",
-                                   SOUP_MEMORY_STATIC,
-                                   kHeadersTooLarge,
-                                   std::strlen(kHeadersTooLarge));
-  soup_message_headers_replace(
-    soup_server_message_get_response_headers(aMessage), "Connection", "close");
-}
-
-void CloseConnection(SoupServerMessage* aMessage)
-{
-  GSocket* socket = soup_server_message_get_socket(aMessage);
-  if (socket != nullptr) {
-    g_socket_shutdown(socket, TRUE, TRUE, nullptr);
-  }
+  Refuse(aMessage, kHeaderFieldsTooLarge, kHeadersTooLarge);
 }
 
 void FreeLimit(gpointer aLimit, GClosure*)
