--- a/Source/Core/Budget/BudgetOperations.h
+++ b/Source/Core/Budget/BudgetOperations.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "Budget/BudgetRows.h"
-#include "Platform/TableService.h"
+#include "Remote/TableService.h"
 
 /// What operators do to budgets. Each function takes the rows as read and
 /// returns the transaction to commit; a conflict means read again and repeat
--- a/Source/Core/Budget/BudgetTypes.h
+++ b/Source/Core/Budget/BudgetTypes.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "Budget/BudgetRows.h"
-#include "Platform/TableService.h"
+#include "Remote/TableService.h"
 
 /// Values that the budget systems take and return.
 
--- a/Source/Core/Budget/ChargeWriting.h
+++ b/Source/Core/Budget/ChargeWriting.h
@@ -4,7 +4,7 @@
 #include <vector>
 
 #include "Budget/BudgetRows.h"
-#include "Platform/TableService.h"
+#include "Remote/TableService.h"
 
 /// Steps that the holder, its backups and the operators share when they change
 /// budget rows.
--- /dev/null
+++ b/Source/Core/Common/HttpHeaders.cpp
@@ -0,0 +1,20 @@
+#include "Common/HttpHeaders.h"
+
+#include <algorithm>
+
+#include <boost/beast/core/string.hpp>
+
+bool SameHeaderName(std::string_view aLeft, std::string_view aRight)
+{
+  return boost::beast::iequals({ aLeft.data(), aLeft.size() },
+                               { aRight.data(), aRight.size() });
+}
+
+std::string_view FindHeader(const http_headers& aHeaders,
+                            std::string_view aName)
+{
+  const auto found = std::ranges::find_if(aHeaders, [&](const auto& aHeader) {
+    return SameHeaderName(aHeader.first, aName);
+  });
+  return found == aHeaders.end() ? std::string_view() : found->second;
+}
--- a/Source/Core/Common/Log.cpp
+++ b/Source/Core/Common/Log.cpp
@@ -2,6 +2,8 @@
 
 #include <chrono>
 #include <cstdio>
+#include <poll.h>
+#include <unistd.h>
 
 #include <fmt/chrono.h>
 
@@ -46,12 +48,62 @@
   aLine.push_back('"');
 }
 
+// Lines in one second; more would cost a small node its processor time in a
+// burst of failures.
+constexpr unsigned kMostLinesPerSecond = 400;
+
+using log_clock = std::chrono::steady_clock;
+
+struct log_state
+{
+  int mDescriptor = STDERR_FILENO;
+  log_clock::time_point mPeriodEnds;
+  unsigned mLines = 0;
+  unsigned mDropped = 0;
+};
+
+log_state& State()
+{
+  static log_state sState;
+  return sState;
+}
+
+/// Whether the line is within the rate.
+bool TakeLine(log_state& aState)
+{
+  const auto now = log_clock::now();
+  if (now >= aState.mPeriodEnds) {
+    aState.mPeriodEnds = now + std::chrono::seconds(1);
+    aState.mLines = 0;
+  }
+  return ++aState.mLines <= kMostLinesPerSecond;
+}
+
+/// Writes a line unless that would block.
+bool WriteLine(int aDescriptor, const std::string& aLine)
+{
+  pollfd ready{ aDescriptor, POLLOUT, 0 };
+  return poll(&ready, 1, 0) == 1 && (ready.revents & POLLOUT) != 0 &&
+         write(aDescriptor, aLine.data(), aLine.size()) > 0;
+}
+
 } // namespace
 
+void SetLogOutput(log_output aOutput)
+{
+  State().mDescriptor =
+    aOutput == log_output::StandardOutput ? STDOUT_FILENO : STDERR_FILENO;
+}
+
 void Log(log_level aLevel,
          std::string_view aEvent,
          std::initializer_list<log_field> aFields)
 {
+  log_state& state = State();
+  if (!TakeLine(state)) {
+    ++state.mDropped;
+    return;
+  }
   const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(
     std::chrono::system_clock::now());
   std::string line =
@@ -69,6 +121,13 @@
       line.append(field.mValue);
     }
   }
+  if (state.mDropped > 0) {
+    line.append(fmt::format(" dropped_before={}", state.mDropped));
+  }
   line.push_back('\n');
-  std::fwrite(line.data(), 1, line.size(), stderr);
+  if (WriteLine(state.mDescriptor, line)) {
+    state.mDropped = 0;
+  } else {
+    ++state.mDropped;
+  }
 }
--- a/Source/Core/Common/Log.h
+++ b/Source/Core/Common/Log.h
@@ -20,9 +20,20 @@
   Error,
 };
 
-/// Writes one line to standard error: time, level, event, then the fields.
-/// Values with blanks or quotes are quoted. For changes of state only;
-/// whatever happens per request is a counter.
+/// Where the lines go.
+enum class log_output
+{
+  /// Commands that print a result on standard output.
+  StandardError,
+  /// Processes whose standard output is collected.
+  StandardOutput,
+};
+
+void SetLogOutput(log_output aOutput);
+
+/// Writes one line: time, level, event, then the fields. Values with blanks or
+/// quotes are quoted. Never blocks: lines beyond a rate, and lines that the
+/// reader of the output does not take, are counted and dropped.
 void Log(log_level aLevel,
          std::string_view aEvent,
          std::initializer_list<log_field> aFields = {});
--- a/Source/Core/Config/ConfigFollower.h
+++ b/Source/Core/Config/ConfigFollower.h
@@ -13,7 +13,7 @@
 #include "Common/Time.h"
 #include "Config/ConfigRows.h"
 #include "Config/FleetDocument.h"
-#include "Platform/TableService.h"
+#include "Remote/TableService.h"
 
 /// Request for rows. The reply is handed to `OnRead` with the same number.
 struct config_read
--- a/Source/Core/Config/ConfigImport.h
+++ b/Source/Core/Config/ConfigImport.h
@@ -5,7 +5,7 @@
 #include "Common/Identity.h"
 #include "Common/Time.h"
 #include "Config/ConfigError.h"
-#include "Platform/TableService.h"
+#include "Remote/TableService.h"
 
 /// Who imports a first document, and when.
 struct import_note
--- /dev/null
+++ b/Source/Core/Gateway/Admission.cpp
@@ -0,0 +1,48 @@
+#include "Gateway/Admission.h"
+
+#include <algorithm>
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Part of the objective for which a request waits for room. A request that
+// waits longer is better told to come back while its client still waits.
+constexpr int kWaitDivisor = 8;
+// Part of the remaining time that the first event may take; the rest is left
+// for the response itself.
+constexpr double kUsefulPart = 0.8;
+// Clients follow a pause of up to a third of the time that they have left.
+constexpr int kRetryDivisor = 4;
+constexpr milliseconds kShortestRetry(50);
+constexpr milliseconds kLongestRetry(1500);
+// Clients that were refused together come back spread over this part more.
+constexpr std::uint64_t kSpreadPercent = 40;
+
+} // namespace
+
+admission_verdict Admit(const admission_query& aQuery, time_point aNow)
+{
+  const auto left =
+    std::chrono::duration_cast<milliseconds>(aQuery.mFinal - aNow);
+  if (aQuery.mHasPlacement &&
+      aQuery.mExpectedMs <= kUsefulPart * static_cast<double>(left.count())) {
+    return admission_verdict::Send;
+  }
+  const time_point patience =
+    aQuery.mArrived + aQuery.mObjective / kWaitDivisor;
+  return aNow < patience ? admission_verdict::Wait : admission_verdict::Refuse;
+}
+
+milliseconds RetryAfter(const admission_query& aQuery,
+                        time_point aNow,
+                        std::uint64_t aSpread)
+{
+  const auto left =
+    std::chrono::duration_cast<milliseconds>(aQuery.mFinal - aNow);
+  const auto most = std::max(left / kRetryDivisor, kShortestRetry);
+  const auto wanted = std::clamp(
+    aQuery.mObjective / 2, kShortestRetry, std::min(most, kLongestRetry));
+  const auto spread = wanted * static_cast<int>(aSpread % kSpreadPercent) / 100;
+  return std::min(wanted + spread, most);
+}
--- /dev/null
+++ b/Source/Core/Gateway/EventJoiner.cpp
@@ -0,0 +1,97 @@
+#include "Gateway/EventJoiner.h"
+
+#include <charconv>
+
+namespace {
+
+constexpr std::string_view kIdField = "id:";
+
+std::optional<std::uint64_t> ParseNumber(std::string_view aText)
+{
+  std::uint64_t number = 0;
+  const char* end = aText.data() + aText.size();
+  const auto [rest, error] = std::from_chars(aText.data(), end, number);
+  if (error != std::errc() || rest != end) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+/// Value of the `id` field; empty when the event has none.
+std::string_view EventId(std::string_view aEvent)
+{
+  while (!aEvent.empty()) {
+    const auto end = aEvent.find('\n');
+    std::string_view line = aEvent.substr(0, end);
+    if (line.ends_with('\r')) {
+      line.remove_suffix(1);
+    }
+    if (line.starts_with(kIdField)) {
+      line.remove_prefix(kIdField.size());
+      if (line.starts_with(' ')) {
+        line.remove_prefix(1);
+      }
+      return line;
+    }
+    if (end == std::string_view::npos) {
+      break;
+    }
+    aEvent.remove_prefix(end + 1);
+  }
+  return {};
+}
+
+/// Length of the first whole event with its blank line; 0 when there is none.
+std::size_t EventLength(std::string_view aBytes)
+{
+  const auto plain = aBytes.find("\n\n");
+  const auto carriage = aBytes.find("\n\r\n");
+  if (plain == std::string_view::npos && carriage == std::string_view::npos) {
+    return 0;
+  }
+  return plain < carriage ? plain + 2 : carriage + 3;
+}
+
+} // namespace
+
+std::string event_joiner::Feed(std::string_view aBytes)
+{
+  mPartial.append(aBytes);
+  std::string whole;
+  std::size_t start = 0;
+  while (true) {
+    const std::string_view rest = std::string_view(mPartial).substr(start);
+    const std::size_t length = EventLength(rest);
+    if (length == 0) {
+      break;
+    }
+    const std::string_view event = rest.substr(0, length);
+    if (Accept(event)) {
+      whole.append(event);
+    }
+    start += length;
+  }
+  mPartial.erase(0, start);
+  return whole;
+}
+
+bool event_joiner::Accept(std::string_view aEvent)
+{
+  const std::string_view id = EventId(aEvent);
+  const auto number = ParseNumber(id);
+  if (number && mLastNumber) {
+    if (*number <= *mLastNumber) {
+      return false;
+    }
+    if (*number != *mLastNumber + 1) {
+      mOutOfOrder = true;
+      return false;
+    }
+  }
+  if (!id.empty()) {
+    mLastId = std::string(id);
+    mLastNumber = number;
+  }
+  ++mEvents;
+  return true;
+}
--- /dev/null
+++ b/Source/Core/Gateway/Fleet.capnp
@@ -0,0 +1,44 @@
+@0xc1f0a8d2b7e94d11;
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("fleet_wire");
+
+# Messages between gateway nodes. Regenerate with
+# `capnp compile -oc++ Fleet.capnp` in this folder.
+
+struct PeerAge {
+  address @0 :Text;
+  # Time since anything was heard of the node, in milliseconds.
+  ageMs @1 :UInt32;
+}
+
+struct UpstreamLoad {
+  key @0 :UInt32;
+  requests @1 :UInt32;
+  prefillTokens @2 :UInt32;
+  kvTokens @3 :UInt32;
+}
+
+struct NodeReport {
+  # Datagram address of the sender.
+  address @0 :Text;
+  name @1 :Text;
+  front @2 :Text;
+  # Unique to the run of the process.
+  run @3 :UInt64;
+  ready @4 :Bool;
+  leaving @5 :Bool;
+  peers @6 :List(PeerAge);
+  work @7 :List(UpstreamLoad);
+  configVersion @8 :UInt64;
+}
+
+struct StateRow {
+  table @0 :Text;
+  key @1 :Text;
+  value @2 :Data;
+  version @3 :UInt64;
+}
+
+struct StateSnapshot {
+  rows @0 :List(StateRow);
+}
--- /dev/null
+++ b/Source/Core/Gateway/FleetLink.cpp
@@ -0,0 +1,257 @@
+#include "Gateway/FleetLink.h"
+
+#include <arpa/inet.h>
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <utility>
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+#include <fmt/format.h>
+#include <glib-unix.h>
+#include <kj/exception.h>
+
+#include "Common/Log.h"
+#include "Gateway/Fleet.capnp.h"
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Largest datagram accepted; reports of 70 nodes and 140 servers need 6 KB.
+constexpr std::size_t kDatagramBytes = 65536;
+constexpr int kReceiveBatch = 64;
+constexpr milliseconds kFetchLimit(1500);
+constexpr tcp_liveness kPeerLiveness{ milliseconds(1500) };
+constexpr const char* kSnapshotPath = "/snapshot";
+constexpr unsigned kOk = 200;
+constexpr unsigned kNotFound = 404;
+// Words that a snapshot may hold: 64 MB.
+constexpr std::uint64_t kMostSnapshotWords = 8'000'000;
+
+sockaddr_in DatagramAddress(const tcp_address& aAddress)
+{
+  sockaddr_in native{};
+  native.sin_family = AF_INET;
+  native.sin_port = htons(aAddress.mPort);
+  inet_pton(AF_INET, aAddress.mIp.c_str(), &native.sin_addr);
+  return native;
+}
+
+std::string WriteSnapshot(const std::vector<stored_row>& aRows)
+{
+  capnp::MallocMessageBuilder message;
+  auto root = message.initRoot<fleet_wire::StateSnapshot>();
+  auto rows = root.initRows(static_cast<unsigned>(aRows.size()));
+  for (unsigned i = 0; i < rows.size(); ++i) {
+    const stored_row& row = aRows[i];
+    rows[i].setTable(row.mKey.mTable);
+    rows[i].setKey(row.mKey.mKey);
+    rows[i].setValue({ reinterpret_cast<const kj::byte*>(row.mValue.data()),
+                       row.mValue.size() });
+    rows[i].setVersion(row.mVersion);
+  }
+  const auto words = capnp::messageToFlatArray(message);
+  const auto bytes = words.asBytes();
+  return { reinterpret_cast<const char*>(bytes.begin()), bytes.size() };
+}
+
+std::vector<stored_row> ParseSnapshot(const std::string& aBytes)
+{
+  std::vector<stored_row> rows;
+  auto aligned =
+    kj::heapArray<capnp::word>(aBytes.size() / sizeof(capnp::word));
+  std::memcpy(aligned.begin(), aBytes.data(), aligned.asBytes().size());
+  const auto failure = kj::runCatchingExceptions([&] {
+    capnp::ReaderOptions options;
+    options.traversalLimitInWords = kMostSnapshotWords;
+    capnp::FlatArrayMessageReader reader(aligned, options);
+    for (const auto entry :
+         reader.getRoot<fleet_wire::StateSnapshot>().getRows()) {
+      stored_row row;
+      row.mKey.mTable = entry.getTable().cStr();
+      row.mKey.mKey = entry.getKey().cStr();
+      const auto value = entry.getValue();
+      row.mValue.assign(reinterpret_cast<const char*>(value.begin()),
+                        value.size());
+      row.mVersion = entry.getVersion();
+      rows.push_back(std::move(row));
+    }
+  });
+  if (failure != nullptr) {
+    Log(log_level::Warning, "snapshot_unreadable");
+    rows.clear();
+  }
+  return rows;
+}
+
+} // namespace
+
+/// One request for a peer's rows.
+class fleet_link::snapshot_fetch final : public http_exchange_observer
+{
+public:
+  snapshot_fetch(const tcp_address& aPeer,
+                 time_point aDeadline,
+                 rows_callback aReply)
+    : mConnection(aPeer, kPeerLiveness)
+    , mDeadline(aDeadline)
+    , mReply(std::move(aReply))
+  {
+    mConnection.Start(
+      fmt::format("GET {} HTTP/1.1\r\nHost: peer\r\n\r\n", kSnapshotPath),
+      {},
+      false,
+      *this);
+  }
+
+  bool Done(time_point aNow) const { return mDone || aNow >= mDeadline; }
+
+private:
+  bool OnResponse(http_client_connection&,
+                  http_client_response aResponse) override
+  {
+    mStatus = aResponse.mStatus;
+    return true;
+  }
+  void OnBody(std::string_view aBytes) override { mBody.append(aBytes); }
+  void OnComplete(bool) override
+  {
+    mDone = true;
+    if (mStatus == kOk) {
+      mReply(ParseSnapshot(mBody));
+    }
+  }
+  void OnExchangeFailed(exchange_failure aFailure) override
+  {
+    mDone = true;
+    Log(log_level::Info,
+        "snapshot_failed",
+        { Field("peer", FormatTcpAddress(mConnection.Address())),
+          Field("reason", ExchangeFailureName(aFailure)) });
+  }
+
+  http_client_connection mConnection;
+  time_point mDeadline;
+  rows_callback mReply;
+  unsigned mStatus = 0;
+  std::string mBody;
+  bool mDone = false;
+};
+
+fleet_link::fleet_link(fleet_view& aView,
+                       const time_source& aTime,
+                       rows_source aRows)
+  : mView(aView)
+  , mTime(aTime)
+  , mRows(std::move(aRows))
+{
+}
+
+fleet_link::~fleet_link()
+{
+  if (mWatch != 0) {
+    g_source_remove(mWatch);
+  }
+  if (mSocket >= 0) {
+    close(mSocket);
+  }
+}
+
+bool fleet_link::Start(const tcp_address& aAddress, std::string& aError)
+{
+  mSocket = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const sockaddr_in native = DatagramAddress(aAddress);
+  if (mSocket < 0 || bind(mSocket,
+                          reinterpret_cast<const sockaddr*>(&native),
+                          sizeof native) != 0) {
+    aError = std::strerror(errno);
+    return false;
+  }
+  mWatch = g_unix_fd_add(mSocket, G_IO_IN, OnDatagram, this);
+  mListener = http_listener::Listen(aAddress, *this, mTime, aError);
+  return mListener != nullptr;
+}
+
+void fleet_link::SendReports()
+{
+  const std::string bytes = WriteNodeReport(mView.ComposeReport(mTime.Now()));
+  for (const std::string& target : mView.Targets(++mRound)) {
+    const auto address = ParseTcpAddress(target);
+    if (!address) {
+      continue;
+    }
+    const sockaddr_in native = DatagramAddress(*address);
+    // Reports may be lost; the next round brings newer ones.
+    const ssize_t sent = sendto(mSocket,
+                                bytes.data(),
+                                bytes.size(),
+                                MSG_DONTWAIT | MSG_NOSIGNAL,
+                                reinterpret_cast<const sockaddr*>(&native),
+                                sizeof native);
+    static_cast<void>(sent);
+  }
+}
+
+gboolean fleet_link::OnDatagram(gint, GIOCondition, gpointer aSelf)
+{
+  static_cast<fleet_link*>(aSelf)->ReceiveReports();
+  return G_SOURCE_CONTINUE;
+}
+
+void fleet_link::ReceiveReports()
+{
+  static std::array<char, kDatagramBytes> sBuffer;
+  for (int received = 0; received < kReceiveBatch; ++received) {
+    const ssize_t size =
+      recv(mSocket, sBuffer.data(), sBuffer.size(), MSG_DONTWAIT);
+    if (size <= 0) {
+      return;
+    }
+    const auto report =
+      ParseNodeReport({ sBuffer.data(), static_cast<std::size_t>(size) });
+    if (report) {
+      mView.OnReport(*report, mTime.Now());
+    }
+  }
+}
+
+void fleet_link::FetchSnapshot(rows_callback aReply)
+{
+  const time_point now = mTime.Now();
+  if (mFetch && !mFetch->Done(now)) {
+    return;
+  }
+  mFetch.reset();
+  const auto peers = mView.LivePeers(now);
+  if (peers.empty()) {
+    return;
+  }
+  const auto peer = ParseTcpAddress(peers[mRound % peers.size()]);
+  if (peer) {
+    mFetch = std::make_unique<snapshot_fetch>(
+      *peer, now + kFetchLimit, std::move(aReply));
+  }
+}
+
+void fleet_link::OnRequest(http_server_connection& aConnection,
+                           http_server_request aRequest)
+{
+  http_server_response response;
+  if (aRequest.mTarget != kSnapshotPath) {
+    response.mStatus = kNotFound;
+    aConnection.Respond(response, {});
+    return;
+  }
+  aConnection.SetClosing();
+  aConnection.Respond(response, WriteSnapshot(mRows()));
+}
+
+void fleet_link::CheckDeadlines(time_point aNow)
+{
+  mListener->CheckDeadlines(aNow);
+}
--- /dev/null
+++ b/Source/Core/Gateway/GatewayMetrics.cpp
@@ -0,0 +1,74 @@
+#include "Gateway/GatewayMetrics.h"
+
+#include <fmt/format.h>
+#include <prometheus/text_serializer.h>
+
+namespace {
+
+// Bounds in seconds, around the objectives of the routes.
+const prometheus::Histogram::BucketBoundaries kFirstByteBounds = {
+  0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1.0, 1.5, 2.5, 5.0, 10.0
+};
+
+} // namespace
+
+gateway_metrics::gateway_metrics()
+  : mRegistry(std::make_shared<prometheus::Registry>())
+  , mAnswers(prometheus::BuildCounter()
+               .Name("gateway_answers_total")
+               .Help("Final answers by route, status and reason")
+               .Register(*mRegistry))
+  , mRetries(prometheus::BuildCounter()
+               .Name("gateway_repeated_sends_total")
+               .Help("Sends of a request to a further server")
+               .Register(*mRegistry))
+  , mFirstByte(prometheus::BuildHistogram()
+                 .Name("gateway_first_byte_seconds")
+                 .Help("Time to the first byte of the answer")
+                 .Register(*mRegistry))
+  , mOpenRequests(
+      AddGauge("gateway_open_requests", "Requests without a final answer"))
+  , mLiveNodes(AddGauge("gateway_live_nodes", "Nodes taken for alive"))
+  , mConfigVersion(AddGauge("gateway_config_version", "Configuration in force"))
+  , mStoreAge(AddGauge("gateway_store_contact_age_seconds",
+                       "Time since the store answered"))
+  , mOpened(
+      AddGauge("gateway_opened_connections", "Connections opened to servers"))
+{
+}
+
+prometheus::Gauge& gateway_metrics::AddGauge(const char* aName,
+                                             const char* aHelp)
+{
+  return prometheus::BuildGauge()
+    .Name(aName)
+    .Help(aHelp)
+    .Register(*mRegistry)
+    .Add({});
+}
+
+void gateway_metrics::OnAnswer(const std::string& aRoute,
+                               unsigned aStatus,
+                               const std::string& aReason)
+{
+  mAnswers
+    .Add({ { "route", aRoute },
+           { "status", fmt::format("{}", aStatus) },
+           { "reason", aReason } })
+    .Increment();
+}
+
+void gateway_metrics::OnFirstByte(const std::string& aRoute, double aSeconds)
+{
+  mFirstByte.Add({ { "route", aRoute } }, kFirstByteBounds).Observe(aSeconds);
+}
+
+void gateway_metrics::OnRetry(const std::string& aReason)
+{
+  mRetries.Add({ { "reason", aReason } }).Increment();
+}
+
+std::string gateway_metrics::Text() const
+{
+  return prometheus::TextSerializer().Serialize(mRegistry->Collect());
+}
--- /dev/null
+++ b/Source/Core/Gateway/GatewayMetrics.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+/// Counters and histograms of one gateway.
+class gateway_metrics
+{
+public:
+  gateway_metrics();
+
+  /// A final answer: its status class and what decided it.
+  void OnAnswer(const std::string& aRoute,
+                unsigned aStatus,
+                const std::string& aReason);
+  /// Time from the request to the first byte of the answer, in seconds.
+  void OnFirstByte(const std::string& aRoute, double aSeconds);
+  void OnRetry(const std::string& aReason);
+  void SetOpenRequests(double aCount) { mOpenRequests.Set(aCount); }
+  void SetLiveNodes(double aCount) { mLiveNodes.Set(aCount); }
+  void SetConfigVersion(double aVersion) { mConfigVersion.Set(aVersion); }
+  void SetStoreAge(double aSeconds) { mStoreAge.Set(aSeconds); }
+  void SetOpenedConnections(double aCount) { mOpened.Set(aCount); }
+
+  /// Text in the exposition format of Prometheus.
+  std::string Text() const;
+
+private:
+  prometheus::Gauge& AddGauge(const char* aName, const char* aHelp);
+
+  std::shared_ptr<prometheus::Registry> mRegistry;
+  prometheus::Family<prometheus::Counter>& mAnswers;
+  prometheus::Family<prometheus::Counter>& mRetries;
+  prometheus::Family<prometheus::Histogram>& mFirstByte;
+  prometheus::Gauge& mOpenRequests;
+  prometheus::Gauge& mLiveNodes;
+  prometheus::Gauge& mConfigVersion;
+  prometheus::Gauge& mStoreAge;
+  prometheus::Gauge& mOpened;
+};
--- /dev/null
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -0,0 +1,605 @@
+#include "Gateway/GatewayNode.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "Common/Log.h"
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Period of deadlines and of waiting requests.
+constexpr milliseconds kRequestPeriod(10);
+// Period of reports between nodes: loads change within a few hundred ms.
+constexpr milliseconds kFleetPeriod(200);
+// Period of clean-up, connection limits and metrics.
+constexpr milliseconds kHousePeriod(250);
+
+// The operator's changes are in force within 2 s, so they are awaited.
+constexpr milliseconds kConfigWait(1000);
+constexpr milliseconds kConfigPause(20);
+// Servers write every 1.2 s; leaving servers must be known within 2 s.
+constexpr milliseconds kUpstreamWait(1000);
+constexpr milliseconds kUpstreamPause(400);
+constexpr milliseconds kOwnWait(1000);
+constexpr milliseconds kOwnPause(500);
+// Without contact for this long a newer configuration may be in force.
+constexpr milliseconds kConfigDoubt(2600);
+// Clients keep addresses for this long, some of them three times as long.
+constexpr milliseconds kAddressLifetime(1000);
+// A server whose entry is gone serves as a last resort, well within the limit
+// for leaving servers.
+constexpr milliseconds kLastResort(1200);
+constexpr milliseconds kLastResortInDoubt(1900);
+constexpr milliseconds kRegisterPause(500);
+// Rows about broken servers that one node writes in a house period; a server
+// that is lost with 60 requests would write as many.
+constexpr unsigned kCrashRowsPerPeriod = 3;
+// Silence of a server at the TCP level that breaks its connections.
+constexpr tcp_liveness kUpstreamLiveness{ milliseconds(3000) };
+constexpr double kMemoryShare = 0.6;
+
+// Times of a graceful stop, in parts of the grace period: the node takes new
+// requests while callers still hold its address, then refuses them, and ends
+// before it is killed.
+constexpr double kAcceptPart = 0.5;
+constexpr double kEndPart = 0.93;
+
+constexpr const char* kOwnTableName = "lentilswitch";
+constexpr const char* kEscrowTableName = "prepaid";
+constexpr const char* kEscrowKey = "granted";
+constexpr std::string_view kNodePrefix = "node/";
+constexpr std::string_view kCrashPrefix = "crash/";
+
+constexpr unsigned kOk = 200;
+constexpr unsigned kNotFound = 404;
+constexpr unsigned kServiceUnavailable = 503;
+
+std::uint64_t RandomRun()
+{
+  std::random_device device;
+  return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+node_report SelfReport(const gateway_settings& aSettings, std::uint64_t aRun)
+{
+  node_report report;
+  report.mAddress = FormatTcpAddress(aSettings.mPeer);
+  report.mName = aSettings.mName;
+  report.mFront = FormatTcpAddress(aSettings.mFront);
+  report.mRun = aRun;
+  return report;
+}
+
+} // namespace
+
+/// Serves the addresses for readiness, directory and metrics.
+class gateway_node::call_handler final : public http_request_handler
+{
+public:
+  explicit call_handler(gateway_node& aNode)
+    : mNode(aNode)
+  {
+  }
+  void OnRequest(http_server_connection& aConnection,
+                 http_server_request aRequest) override
+  {
+    mNode.AnswerCall(aConnection, aRequest);
+  }
+  void OnClientGone(http_server_connection&) override {}
+  void OnClientDrained(http_server_connection&) override {}
+  void OnConnectionClosed(http_server_connection&) override {}
+
+private:
+  gateway_node& mNode;
+};
+
+gateway_node::gateway_node(const gateway_settings& aSettings,
+                           const gateway_dialect& aDialect,
+                           row_store& aStore,
+                           const time_source& aTime,
+                           std::function<void()> aEnded)
+  : mSettings(aSettings)
+  , mDialect(aDialect)
+  , mStore(aStore)
+  , mTime(aTime)
+  , mEnded(std::move(aEnded))
+  , mRun(fmt::format("{:016x}", RandomRun()))
+  , mRoster(aSettings.mRoster)
+  , mPool(kUpstreamLiveness)
+  , mEscrow(mRun, aSettings.mEscrow)
+  , mRetries(aSettings.mRetries)
+  , mFleet(SelfReport(aSettings, std::stoull(mRun, nullptr, 16)))
+  , mContext{ .mSettings = mSettings,
+              .mDialect = mDialect,
+              .mTime = mTime,
+              .mRoster = mRoster,
+              .mPool = mPool,
+              .mEscrow = mEscrow,
+              .mRetries = mRetries,
+              .mCrashes = mCrashes,
+              .mFleet = mFleet,
+              .mMetrics = mMetrics,
+              .mReportCrash =
+                [this](const std::string& aFingerprint,
+                       const std::string& aServerRun) {
+                  WriteCrash(aFingerprint, aServerRun);
+                } }
+  , mLink(mFleet, mTime, [this] { return SnapshotRows(); })
+  , mConfigTable(mStore,
+                 mTime,
+                 mDialect.ConfigTable(),
+                 kConfigWait,
+                 kConfigPause,
+                 *this)
+  , mUpstreamTable(mStore,
+                   mTime,
+                   mDialect.UpstreamTable(),
+                   kUpstreamWait,
+                   kUpstreamPause,
+                   *this)
+  , mOwnTable(mStore, mTime, kOwnTableName, kOwnWait, kOwnPause, *this)
+  , mCalls(std::make_unique<call_handler>(*this))
+{
+  for (const std::string& seed : mSettings.mSeeds) {
+    mFleet.AddCandidate(seed);
+  }
+}
+
+gateway_node::~gateway_node()
+{
+  *mAlive = false;
+  mSessions.clear();
+}
+
+std::unique_ptr<gateway_node> gateway_node::Start(
+  const gateway_settings& aSettings,
+  const gateway_dialect& aDialect,
+  row_store& aStore,
+  const time_source& aTime,
+  std::function<void()> aEnded,
+  std::string& aError)
+{
+  auto node = std::unique_ptr<gateway_node>(
+    new gateway_node(aSettings, aDialect, aStore, aTime, std::move(aEnded)));
+  if (!node->Listen(aError)) {
+    return nullptr;
+  }
+  node->mConfigTable.Start();
+  node->mUpstreamTable.Start();
+  node->mOwnTable.Start();
+  node->mRequestTimer.Every(kRequestPeriod,
+                            [raw = node.get()] { raw->OnRequestTick(); });
+  node->mFleetTimer.Every(kFleetPeriod,
+                          [raw = node.get()] { raw->OnFleetTick(); });
+  node->mHouseTimer.Every(kHousePeriod,
+                          [raw = node.get()] { raw->OnHouseTick(); });
+  node->mLink.SendReports();
+  Log(log_level::Info,
+      "gateway_started",
+      { Field("node", aSettings.mName),
+        Field("run", node->mRun),
+        Field("clients", FormatTcpAddress(aSettings.mFront)) });
+  return node;
+}
+
+bool gateway_node::Listen(std::string& aError)
+{
+  mFront = http_listener::Listen(mSettings.mFront, *this, mTime, aError);
+  mReadiness =
+    http_listener::Listen(mSettings.mReadiness, *mCalls, mTime, aError);
+  mDirectory =
+    http_listener::Listen(mSettings.mDirectory, *mCalls, mTime, aError);
+  if (!mFront || !mReadiness || !mDirectory) {
+    return false;
+  }
+  if (mSettings.mMetrics.mPort != 0) {
+    std::string reason;
+    mMetricsListener =
+      http_listener::Listen(mSettings.mMetrics, *mCalls, mTime, reason);
+    if (!mMetricsListener) {
+      Log(log_level::Warning,
+          "metrics_unavailable",
+          { Field("address", FormatTcpAddress(mSettings.mMetrics)),
+            Field("error", reason) });
+    }
+  }
+  return mLink.Start(mSettings.mPeer, aError);
+}
+
+bool gateway_node::Ready() const
+{
+  return mContext.mRoutes && mRoster.Size() > 0 && !mStopBegan;
+}
+
+void gateway_node::AnswerCall(http_server_connection& aConnection,
+                              const http_server_request& aRequest)
+{
+  http_server_response response;
+  switch (mDialect.ReadCall(aRequest)) {
+    case node_call::Readiness:
+      response.mStatus = Ready() ? kOk : kServiceUnavailable;
+      aConnection.Respond(response, {});
+      return;
+    case node_call::ResolveAddresses: {
+      const auto addresses = mFleet.ClientAddresses(mTime.Now());
+      if (addresses.empty()) {
+        response.mStatus = kServiceUnavailable;
+        aConnection.Respond(response, {});
+        return;
+      }
+      response.mHeaders.emplace_back("Content-Type", "application/json");
+      aConnection.Respond(response,
+                          mDialect.WriteAddresses(addresses, kAddressLifetime));
+      return;
+    }
+    case node_call::Other:
+      break;
+  }
+  if (aRequest.mTarget == "/metrics") {
+    response.mHeaders.emplace_back("Content-Type", "text/plain; version=0.0.4");
+    aConnection.Respond(response, mMetrics.Text());
+    return;
+  }
+  response.mStatus = kNotFound;
+  aConnection.Respond(response, {});
+}
+
+void gateway_node::OnRequest(http_server_connection& aConnection,
+                             http_server_request aRequest)
+{
+  mContext.mConfigDoubtful =
+    !mConfigTable.Read() ||
+    mTime.Now() > mConfigTable.LastContact() + kConfigDoubt;
+  auto session = std::make_unique<gateway_session>(
+    mContext,
+    aConnection,
+    mDialect.ReadRequest(std::move(aRequest), mTime.Now()));
+  if (!session->Done()) {
+    mSessions[&aConnection] = std::move(session);
+  }
+}
+
+void gateway_node::OnClientGone(http_server_connection& aConnection)
+{
+  const auto found = mSessions.find(&aConnection);
+  if (found != mSessions.end()) {
+    found->second->Cancel();
+  }
+}
+
+void gateway_node::OnClientDrained(http_server_connection& aConnection)
+{
+  const auto found = mSessions.find(&aConnection);
+  if (found != mSessions.end()) {
+    found->second->OnClientDrained();
+  }
+}
+
+void gateway_node::OnConnectionClosed(http_server_connection&) {}
+
+void gateway_node::OnRow(const stored_row& aRow)
+{
+  const time_point now = mTime.Now();
+  if (aRow.mKey.mTable == mDialect.ConfigTable()) {
+    if (aRow.mKey.mKey == mDialect.ConfigKey()) {
+      ApplyConfig(aRow);
+    }
+    return;
+  }
+  if (aRow.mKey.mTable == kOwnTableName) {
+    ApplyOwnRow(aRow);
+    return;
+  }
+  const auto entry = mDialect.ReadUpstream(aRow);
+  if (!entry) {
+    Log(log_level::Info,
+        "server_entry_unusable",
+        { Field("server", aRow.mKey.mKey), Field("version", aRow.mVersion) });
+    mRoster.Remove(upstream_id{ aRow.mKey.mKey }, now + kLastResort);
+    return;
+  }
+  const server_entry* known = mRoster.Find(entry->mId);
+  if (known == nullptr || known->mState != entry->mState ||
+      known->mBorn != entry->mBorn) {
+    Log(log_level::Info,
+        "server_changed",
+        { Field("server", entry->mId.mName),
+          Field("service", entry->mService.mName),
+          Field("address", FormatTcpAddress(entry->mAddress)),
+          Field("state",
+                entry->mState == server_state::Ready ? "ready" : "leaving"),
+          Field("version", aRow.mVersion) });
+  }
+  mRoster.Apply(*entry, now);
+}
+
+void gateway_node::OnRowRemoved(const row_key& aKey, bool aDoubtful)
+{
+  if (aKey.mTable != mDialect.UpstreamTable()) {
+    return;
+  }
+  Log(log_level::Info,
+      "server_removed",
+      { Field("server", aKey.mKey), Field("doubtful", aDoubtful) });
+  mRoster.Remove(upstream_id{ aKey.mKey },
+                 mTime.Now() + (aDoubtful ? kLastResortInDoubt : kLastResort));
+}
+
+void gateway_node::OnTableRead()
+{
+  mFleet.Self().mReady = Ready();
+}
+
+void gateway_node::ApplyConfig(const stored_row& aRow)
+{
+  auto config = mDialect.ReadConfig(aRow.mValue);
+  if (!config) {
+    Log(log_level::Error,
+        "configuration_unreadable",
+        { Field("version", aRow.mVersion) });
+    return;
+  }
+  if (mContext.mRoutes && config->mVersion <= mContext.mRoutes->Version()) {
+    return;
+  }
+  Log(log_level::Info,
+      "configuration_applied",
+      { Field("version", config->mVersion),
+        Field("routes", config->mRoutes.size()),
+        Field("accounts", config->mAccounts.size()) });
+  for (const gateway_service& service : config->mServices) {
+    mRoster.SetService(service);
+  }
+  for (const gateway_account& account : config->mAccounts) {
+    if (account.mPrepaidTokens) {
+      mEscrow.SetTotal(account.mName, *account.mPrepaidTokens);
+    }
+  }
+  mFront->SetLimits(config->mLimits);
+  mFleet.Self().mConfigVersion = config->mVersion;
+  mMetrics.SetConfigVersion(static_cast<double>(config->mVersion));
+  mContext.mRoutes = std::make_shared<route_table>(std::move(*config));
+}
+
+void gateway_node::ApplyOwnRow(const stored_row& aRow)
+{
+  const std::string_view key = aRow.mKey.mKey;
+  if (key.starts_with(kNodePrefix)) {
+    mFleet.AddCandidate(std::string(key.substr(kNodePrefix.size())));
+  } else if (key.starts_with(kCrashPrefix)) {
+    const std::string_view rest = key.substr(kCrashPrefix.size());
+    const auto slash = rest.find('/');
+    if (slash != std::string_view::npos) {
+      mCrashes.Add(std::string(rest.substr(0, slash)),
+                   std::string(rest.substr(slash + 1)),
+                   mTime.Now());
+    }
+  }
+}
+
+std::vector<stored_row> gateway_node::SnapshotRows() const
+{
+  std::vector<stored_row> rows;
+  for (const auto& [key, row] : mConfigTable.Rows()) {
+    rows.push_back(row);
+  }
+  for (const auto& [key, row] : mUpstreamTable.Rows()) {
+    rows.push_back(row);
+  }
+  return rows;
+}
+
+void gateway_node::OnRequestTick()
+{
+  const time_point now = mTime.Now();
+  mContext.mDiscarded.clear();
+  AdvanceWaiting(now);
+  RunEscrow(now);
+  std::erase_if(mSessions,
+                [](const auto& aPair) { return aPair.second->Done(); });
+  if (mStopBegan) {
+    ContinueStop(now);
+  }
+}
+
+void gateway_node::AdvanceWaiting(time_point aNow)
+{
+  std::vector<gateway_session*> waiting;
+  std::vector<gateway_session*> others;
+  for (const auto& [connection, session] : mSessions) {
+    (session->WaitsForServer() ? waiting : others).push_back(session.get());
+  }
+  for (gateway_session* session : others) {
+    if (!session->Done()) {
+      session->Advance(aNow);
+    }
+  }
+  std::ranges::sort(waiting, {}, &gateway_session::Order);
+  for (gateway_session* session : waiting) {
+    session->Advance(aNow);
+  }
+}
+
+void gateway_node::RunEscrow(time_point aNow)
+{
+  if (mContext.mRoutes == nullptr) {
+    return;
+  }
+  for (const escrow_change& change : mEscrow.TakeChanges(aNow)) {
+    const row_key key{ kEscrowTableName, change.mAccount.mName, kEscrowKey };
+    row_transaction transaction;
+    transaction.mConditions.push_back({ key, change.mExpectedVersion });
+    transaction.mWrites.push_back({ key, WriteEscrowRow(change.mRow) });
+    mStore.Commit(
+      transaction,
+      [this, alive = mAlive, account = change.mAccount](auto aResult) {
+        if (!*alive) {
+          return;
+        }
+        const time_point now = mTime.Now();
+        if (!aResult.has_value()) {
+          if (aResult.error() == row_store_error::Refused) {
+            mEscrow.OnRefused(account, now);
+          } else {
+            mEscrow.OnUnknown(account, now);
+          }
+          return;
+        }
+        const row_commit& commit = aResult.value();
+        if (commit.mCommitted) {
+          mEscrow.OnCommit(account, commit.mVersion, now);
+          return;
+        }
+        std::optional<escrow_row> current;
+        std::uint64_t version = 0;
+        if (!commit.mCurrent.empty() && commit.mCurrent[0].mVersion != 0 &&
+            !commit.mCurrent[0].mRemoved) {
+          current = ParseEscrowRow(commit.mCurrent[0].mValue);
+          version = commit.mCurrent[0].mVersion;
+          if (!current) {
+            Log(log_level::Error,
+                "prepaid_row_unreadable",
+                { Field("account", account.mName), Field("row", version) });
+          }
+        }
+        mEscrow.OnConflict(account, current, version, now);
+      });
+  }
+}
+
+void gateway_node::Register(time_point aNow)
+{
+  if (mRegistered || mRegistering || aNow < mRegisterAt) {
+    return;
+  }
+  mRegistering = true;
+  row_transaction transaction;
+  transaction.mWrites.push_back(
+    { { kOwnTableName,
+        "",
+        std::string(kNodePrefix) + FormatTcpAddress(mSettings.mPeer) },
+      mRun });
+  mStore.Commit(transaction, [this, alive = mAlive](auto aResult) {
+    if (!*alive) {
+      return;
+    }
+    mRegistering = false;
+    mRegistered = aResult.has_value() && aResult.value().mCommitted;
+    mRegisterAt = mTime.Now() + kRegisterPause;
+  });
+}
+
+void gateway_node::WriteCrash(const std::string& aFingerprint,
+                              const std::string& aServerRun)
+{
+  if (!mCrashes.Add(aFingerprint, aServerRun, mTime.Now()) ||
+      mCrashRowsLeft == 0) {
+    return;
+  }
+  --mCrashRowsLeft;
+  row_transaction transaction;
+  transaction.mWrites.push_back(
+    { { kOwnTableName,
+        "",
+        fmt::format("{}{}/{}", kCrashPrefix, aFingerprint, aServerRun) },
+      mRun });
+  mStore.Commit(transaction, [](auto aResult) {
+    if (!aResult.has_value()) {
+      Log(log_level::Info,
+          "crash_row_not_written",
+          { Field("error", RowStoreErrorName(aResult.error())) });
+    }
+  });
+}
+
+void gateway_node::OnFleetTick()
+{
+  const time_point now = mTime.Now();
+  const bool ready = Ready();
+  if (std::exchange(mFleet.Self().mReady, ready) != ready) {
+    Log(log_level::Info, "readiness_changed", { Field("ready", ready) });
+  }
+  mFleet.Self().mWork = mRoster.OwnWork();
+  mLink.SendReports();
+  mRoster.SetPeerWork(mFleet.PeerWork(now));
+  mEscrow.SetNodes(mFleet.LiveNodes(now));
+  if (!mContext.mRoutes || (!mUpstreamTable.Read() && mRoster.Size() == 0)) {
+    mLink.FetchSnapshot([this](const std::vector<stored_row>& aRows) {
+      Log(log_level::Info, "snapshot_read", { Field("rows", aRows.size()) });
+      for (const stored_row& row : aRows) {
+        if (row.mKey.mTable == mDialect.ConfigTable()) {
+          mConfigTable.Seed(row);
+        } else if (row.mKey.mTable == mDialect.UpstreamTable()) {
+          mUpstreamTable.Seed(row);
+        }
+      }
+    });
+  }
+}
+
+void gateway_node::OnHouseTick()
+{
+  const time_point now = mTime.Now();
+  mCrashRowsLeft = kCrashRowsPerPeriod;
+  Register(now);
+  mRoster.Expire(now);
+  mPool.Expire(now);
+  mCrashes.Expire(now);
+  mFront->CheckDeadlines(now);
+  mReadiness->CheckDeadlines(now);
+  mDirectory->CheckDeadlines(now);
+  if (mMetricsListener) {
+    mMetricsListener->CheckDeadlines(now);
+  }
+  mLink.CheckDeadlines(now);
+  mMetrics.SetOpenRequests(static_cast<double>(mSessions.size()));
+  mMetrics.SetLiveNodes(static_cast<double>(mFleet.LiveNodes(now)));
+  mMetrics.SetOpenedConnections(static_cast<double>(mPool.Opened()));
+  mMetrics.SetStoreAge(
+    std::chrono::duration<double>(now - mConfigTable.LastContact()).count());
+}
+
+void gateway_node::Stop()
+{
+  if (mStopBegan) {
+    return;
+  }
+  const time_point now = mTime.Now();
+  mStopBegan = now;
+  mFleet.Self().mLeaving = true;
+  mFleet.Self().mReady = false;
+  mLink.SendReports();
+  mFront->SetClosing();
+  Log(log_level::Info,
+      "stop_began",
+      { Field("open_requests", mSessions.size()) });
+}
+
+void gateway_node::ContinueStop(time_point aNow)
+{
+  const auto accept = std::chrono::duration_cast<std::chrono::microseconds>(
+    mSettings.mGrace * kAcceptPart);
+  const auto end = std::chrono::duration_cast<std::chrono::microseconds>(
+    mSettings.mGrace * kEndPart);
+  if (mStopped || aNow < *mStopBegan + accept) {
+    return;
+  }
+  if (!std::exchange(mContext.mRefusing, true)) {
+    mFront->CloseIdle();
+    mEscrow.ReturnAll();
+  }
+  const bool quiet = mSessions.empty() && !mEscrow.Busy();
+  if (!quiet && aNow < *mStopBegan + end) {
+    return;
+  }
+  mStopped = true;
+  Log(log_level::Info,
+      "gateway_stopped",
+      { Field("open_requests", mSessions.size()) });
+  mEnded();
+}
--- /dev/null
+++ b/Source/Core/Gateway/GatewayNode.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "Common/EventLoop.h"
+#include "Gateway/FleetLink.h"
+#include "Gateway/GatewaySession.h"
+#include "Gateway/TableFollower.h"
+#include "Net/HttpListener.h"
+
+/// One gateway process: listeners, the store's tables, the other nodes and the
+/// requests in progress.
+class gateway_node final
+  : private http_request_handler
+  , private table_follower::listener
+{
+public:
+  /// Null with the reason when an address cannot be bound. `aEnded` is called
+  /// once the node has stopped.
+  static std::unique_ptr<gateway_node> Start(const gateway_settings& aSettings,
+                                             const gateway_dialect& aDialect,
+                                             row_store& aStore,
+                                             const time_source& aTime,
+                                             std::function<void()> aEnded,
+                                             std::string& aError);
+  ~gateway_node() override;
+
+  /// Graceful stop.
+  void Stop();
+  /// Whether the node takes requests.
+  bool Ready() const;
+  const tcp_address& FrontAddress() const { return mFront->Address(); }
+
+private:
+  class call_handler;
+
+  gateway_node(const gateway_settings& aSettings,
+               const gateway_dialect& aDialect,
+               row_store& aStore,
+               const time_source& aTime,
+               std::function<void()> aEnded);
+  bool Listen(std::string& aError);
+
+  void OnRequest(http_server_connection& aConnection,
+                 http_server_request aRequest) override;
+  void OnClientGone(http_server_connection& aConnection) override;
+  void OnClientDrained(http_server_connection& aConnection) override;
+  void OnConnectionClosed(http_server_connection& aConnection) override;
+
+  void OnRow(const stored_row& aRow) override;
+  void OnRowRemoved(const row_key& aKey, bool aDoubtful) override;
+  void OnTableRead() override;
+
+  void ApplyConfig(const stored_row& aRow);
+  void ApplyOwnRow(const stored_row& aRow);
+  void AnswerCall(http_server_connection& aConnection,
+                  const http_server_request& aRequest);
+  std::vector<stored_row> SnapshotRows() const;
+
+  void OnRequestTick();
+  void OnFleetTick();
+  void OnHouseTick();
+  void AdvanceWaiting(time_point aNow);
+  void RunEscrow(time_point aNow);
+  void Register(time_point aNow);
+  void WriteCrash(const std::string& aFingerprint,
+                  const std::string& aServerRun);
+  void ContinueStop(time_point aNow);
+
+  gateway_settings mSettings;
+  const gateway_dialect& mDialect;
+  row_store& mStore;
+  const time_source& mTime;
+  std::function<void()> mEnded;
+  std::string mRun;
+
+  upstream_roster mRoster;
+  upstream_pool mPool;
+  token_escrow mEscrow;
+  retry_window mRetries;
+  crash_register mCrashes;
+  fleet_view mFleet;
+  gateway_metrics mMetrics;
+  gateway_context mContext;
+  fleet_link mLink;
+
+  table_follower mConfigTable;
+  table_follower mUpstreamTable;
+  table_follower mOwnTable;
+
+  std::unique_ptr<call_handler> mCalls;
+  std::unique_ptr<http_listener> mFront;
+  std::unique_ptr<http_listener> mReadiness;
+  std::unique_ptr<http_listener> mDirectory;
+  std::unique_ptr<http_listener> mMetricsListener;
+
+  std::map<http_server_connection*, std::unique_ptr<gateway_session>> mSessions;
+  loop_timer mRequestTimer;
+  loop_timer mFleetTimer;
+  loop_timer mHouseTimer;
+
+  bool mRegistered = false;
+  bool mRegistering = false;
+  time_point mRegisterAt;
+  unsigned mCrashRowsLeft = 0;
+  std::optional<time_point> mStopBegan;
+  bool mStopped = false;
+  std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
+};
--- /dev/null
+++ b/Source/Core/Gateway/GatewaySession.h
@@ -0,0 +1,144 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Gateway/Admission.h"
+#include "Gateway/CrashRegister.h"
+#include "Gateway/EventJoiner.h"
+#include "Gateway/FleetView.h"
+#include "Gateway/GatewayDialect.h"
+#include "Gateway/GatewayMetrics.h"
+#include "Gateway/GatewaySettings.h"
+#include "Gateway/RouteTable.h"
+#include "Gateway/UpstreamPool.h"
+
+/// Systems and tables that the requests of one node share.
+struct gateway_context
+{
+  const gateway_settings& mSettings;
+  const gateway_dialect& mDialect;
+  const time_source& mTime;
+  upstream_roster& mRoster;
+  upstream_pool& mPool;
+  token_escrow& mEscrow;
+  retry_window& mRetries;
+  crash_register& mCrashes;
+  fleet_view& mFleet;
+  gateway_metrics& mMetrics;
+  /// Null until a configuration is known.
+  std::shared_ptr<const route_table> mRoutes{};
+  /// The configuration may be older than the one in force.
+  bool mConfigDoubtful = true;
+  /// The node takes no new work.
+  bool mRefusing = false;
+  /// Tells the other nodes that a server broke while it ran a request.
+  std::function<void(const std::string& aFingerprint,
+                     const std::string& aServerRun)>
+    mReportCrash;
+  /// Connections that were given up inside one of their own events.
+  std::vector<std::unique_ptr<http_client_connection>> mDiscarded{};
+};
+
+/// One request from its arrival to its final answer.
+class gateway_session final : public http_exchange_observer
+{
+public:
+  gateway_session(gateway_context& aContext,
+                  http_server_connection& aClient,
+                  gateway_request aRequest);
+  ~gateway_session() override;
+
+  /// Goes on with what the request waits for.
+  void Advance(time_point aNow);
+  /// The client left.
+  void Cancel();
+  void OnClientDrained();
+
+  bool Done() const { return mStage == stage::Done; }
+  bool WaitsForServer() const { return mStage == stage::NeedServer; }
+  /// Order among waiting requests, lowest first.
+  std::pair<int, time_point> Order() const { return { mPriority, mArrived }; }
+
+private:
+  enum class stage : std::uint8_t
+  {
+    NeedTokens,
+    NeedServer,
+    Sent,
+    Done,
+  };
+
+  bool OnResponse(http_client_connection& aConnection,
+                  http_client_response aResponse) override;
+  void OnBody(std::string_view aBytes) override;
+  void OnComplete(bool aReusable) override;
+  void OnExchangeFailed(exchange_failure aFailure) override;
+
+  void Begin();
+  void AdvanceTokens(time_point aNow);
+  void AdvanceServer(time_point aNow);
+  void AdvanceSent(time_point aNow);
+  placement_query Query() const;
+  admission_query AdmissionQuery() const;
+  void Send(const placement& aPlacement, time_point aNow);
+  void ForwardEvents(std::string_view aBytes);
+  void NoteFirstByte();
+  void ReleaseUpstream(bool aReusable);
+  void DiscardConnection();
+  bool Repeatable() const;
+  bool MayRepeat(const char* aReason);
+  void Repeat();
+  void FailAttempt(exchange_failure aFailure);
+  void DeliverBuffered();
+  http_server_response ClientHead(body_framing aFraming) const;
+
+  void Refuse(const char* aReason, std::chrono::milliseconds aRetryAfter);
+  void Fail(unsigned aStatus, const char* aReason);
+  void Answer(unsigned aStatus,
+              const char* aReason,
+              std::optional<std::chrono::milliseconds> aRetryAfter);
+  void AbortClient(const char* aReason);
+  void Finish(unsigned aStatus, const char* aReason);
+  void SettleTokens();
+  std::string Fingerprint() const;
+  std::string ServerRun() const;
+
+  gateway_context& mContext;
+  http_server_connection* mClient;
+  gateway_request mRequest;
+  std::shared_ptr<const route_table> mRoutes;
+  const gateway_route* mRoute = nullptr;
+  const gateway_account* mAccount = nullptr;
+  service_id mService;
+  stage mStage = stage::NeedTokens;
+  int mPriority = 0;
+  time_point mArrived;
+  /// Time of the final answer at the latest: the route's limit.
+  time_point mFinal;
+  /// End of the client's patience, at or before `mFinal`.
+  time_point mDeadline;
+  std::int64_t mReserved = 0;
+  bool mRan = false;
+
+  placement mPlacement;
+  upstream_work mWork;
+  std::unique_ptr<http_client_connection> mConnection;
+  time_point mSentAt;
+  std::vector<upstream_id> mTried;
+  unsigned mAttempts = 0;
+  unsigned mConnectFailures = 0;
+
+  http_client_response mResponse;
+  upstream_answer mAnswer;
+  bool mHasResponse = false;
+  bool mEventStream = false;
+  bool mStarted = false;
+  bool mFirstByte = false;
+  bool mReadingPaused = false;
+  event_joiner mEvents;
+  std::string mBuffered;
+};
--- /dev/null
+++ b/Source/Core/Gateway/GatewaySettings.cpp
@@ -0,0 +1,191 @@
+#include "Gateway/GatewaySettings.h"
+
+#include <fstream>
+#include <sstream>
+
+#include "Common/JsonText.h"
+
+namespace {
+
+using nlohmann::json;
+
+/// Reads members of one object and remembers the first problem.
+class settings_reader
+{
+public:
+  settings_reader(const json_text& aText, const json& aValue, std::string aPath)
+    : mText(aText)
+    , mValue(aValue)
+    , mPath(std::move(aPath))
+  {
+  }
+
+  std::string Text(const char* aKey)
+  {
+    const json* value = Find(aKey);
+    if (value == nullptr || !value->is_string()) {
+      Fail(aKey, "must be a text");
+      return {};
+    }
+    return value->get<std::string>();
+  }
+
+  double Number(const char* aKey, double aLeast, double aMost)
+  {
+    const json* value = Find(aKey);
+    if (value == nullptr || !value->is_number()) {
+      Fail(aKey, "must be a number");
+      return aLeast;
+    }
+    const double number = value->get<double>();
+    if (number < aLeast || number > aMost) {
+      Fail(aKey, "is out of range");
+    }
+    return number;
+  }
+
+  tcp_address Address(const char* aKey)
+  {
+    const auto address = ParseTcpAddress(Text(aKey));
+    if (!address) {
+      Fail(aKey, "must be IP:port");
+    }
+    return address.value_or(tcp_address());
+  }
+
+  settings_reader Object(const char* aKey)
+  {
+    static const json sEmpty = json::object();
+    const json* value = Find(aKey);
+    if (value == nullptr || !value->is_object()) {
+      Fail(aKey, "must be an object");
+      return { mText, sEmpty, mPath + "/" + aKey };
+    }
+    return { mText, *value, mPath + "/" + aKey };
+  }
+
+  std::vector<std::string> Texts(const char* aKey)
+  {
+    std::vector<std::string> texts;
+    const json* value = Find(aKey);
+    if (value == nullptr || !value->is_array()) {
+      Fail(aKey, "must be a list");
+      return texts;
+    }
+    for (const json& entry : *value) {
+      if (!entry.is_string()) {
+        Fail(aKey, "must hold texts");
+        break;
+      }
+      texts.push_back(entry.get<std::string>());
+    }
+    return texts;
+  }
+
+  void Merge(const settings_reader& aInner)
+  {
+    if (!mError) {
+      mError = aInner.mError;
+    }
+  }
+  void Fail(const char* aKey, const char* aMessage)
+  {
+    if (!mError) {
+      mError = mText.ErrorAt(mPath + "/" + aKey, aMessage);
+    }
+  }
+  const std::optional<json_error>& Error() const { return mError; }
+
+private:
+  const json* Find(const char* aKey) const
+  {
+    const auto found = mValue.find(aKey);
+    return found == mValue.end() ? nullptr : &*found;
+  }
+
+  const json_text& mText;
+  const json& mValue;
+  std::string mPath;
+  std::optional<json_error> mError;
+};
+
+constexpr double kMostPort = 65535;
+constexpr double kMostMemoryMb = 1048576;
+constexpr double kMostMilliseconds = 600000;
+constexpr double kMostSeconds = 600;
+constexpr double kMostAllowance = 1000000;
+
+std::chrono::milliseconds Milliseconds(double aValue)
+{
+  return std::chrono::milliseconds(static_cast<std::int64_t>(aValue));
+}
+
+} // namespace
+
+result<gateway_settings, std::string> ParseGatewaySettings(
+  std::string_view aText,
+  std::string_view aSource)
+{
+  const auto text = ParseJsonText(aText, aSource);
+  if (!text.has_value()) {
+    return FormatJsonError(text.error());
+  }
+  settings_reader root(text.value(), text.value().mValue, "");
+  gateway_settings settings;
+  settings.mName = root.Text("name");
+  settings.mZone = zone_id{ root.Text("zone") };
+  settings.mRegion = region_id{ root.Text("region") };
+  const std::string host = root.Text("host");
+  auto listen = root.Object("listen");
+  settings.mFront = listen.Address("clients");
+  settings.mReadiness = listen.Address("readiness");
+  settings.mDirectory = listen.Address("directory");
+  root.Merge(listen);
+  const auto peerPort =
+    static_cast<std::uint16_t>(root.Number("peer_port", 1, kMostPort));
+  settings.mPeer = { host, peerPort };
+  settings.mMetrics = {
+    host, static_cast<std::uint16_t>(root.Number("metrics_port", 0, kMostPort))
+  };
+  for (const std::string& seed : root.Texts("seeds")) {
+    const auto address = ParseTcpAddress(seed);
+    if (!address) {
+      root.Fail("seeds", "must hold IP:port");
+      break;
+    }
+    // Every node uses the same port for its peers.
+    settings.mSeeds.push_back(FormatTcpAddress({ address->mIp, peerPort }));
+  }
+  settings.mStore = root.Address("store");
+  constexpr std::uint64_t kBytesPerMb = 1048576;
+  settings.mMemoryBytes =
+    static_cast<std::uint64_t>(root.Number("memory_mb", 1, kMostMemoryMb)) *
+    kBytesPerMb;
+  settings.mLeaveLimit =
+    Milliseconds(root.Number("leave_limit_ms", 1, kMostMilliseconds));
+  constexpr double kMsPerSecond = 1000;
+  settings.mGrace =
+    Milliseconds(root.Number("grace_s", 0, kMostSeconds) * kMsPerSecond);
+  auto retry = root.Object("retry");
+  settings.mRetries.mRatio = retry.Number("ratio", 0, 1);
+  settings.mRetries.mAllowance = retry.Number("allowance", 0, kMostAllowance);
+  settings.mRetries.mWindow =
+    Milliseconds(retry.Number("window_s", 0, kMostSeconds) * kMsPerSecond);
+  root.Merge(retry);
+  if (root.Error()) {
+    return FormatJsonError(*root.Error());
+  }
+  return settings;
+}
+
+result<gateway_settings, std::string> ReadGatewaySettings(
+  const std::string& aPath)
+{
+  std::ifstream file(aPath);
+  if (!file) {
+    return aPath + ": cannot be read";
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return ParseGatewaySettings(text.str(), aPath);
+}
--- /dev/null
+++ b/Source/Core/Gateway/RetryWindow.cpp
@@ -0,0 +1,46 @@
+#include "Gateway/RetryWindow.h"
+
+namespace {
+
+// The fleet's count and this node's differ by requests in flight and by nodes
+// that join, so only this part of the limit is used.
+constexpr double kUsedPart = 0.7;
+
+void DropBefore(std::deque<time_point>& aTimes, time_point aBegin)
+{
+  while (!aTimes.empty() && aTimes.front() < aBegin) {
+    aTimes.pop_front();
+  }
+}
+
+} // namespace
+
+void retry_window::Expire(service_window& aWindow, time_point aNow) const
+{
+  DropBefore(aWindow.mRequests, aNow - mLimits.mWindow);
+  DropBefore(aWindow.mRepeats, aNow - mLimits.mWindow);
+}
+
+void retry_window::OnRequest(const std::string& aService, time_point aNow)
+{
+  service_window& window = mServices[aService];
+  window.mRequests.push_back(aNow);
+  Expire(window, aNow);
+}
+
+bool retry_window::Take(const std::string& aService,
+                        std::size_t aNodes,
+                        time_point aNow)
+{
+  service_window& window = mServices[aService];
+  Expire(window, aNow);
+  const double nodes = aNodes == 0 ? 1.0 : static_cast<double>(aNodes);
+  const double most =
+    kUsedPart * (mLimits.mRatio * static_cast<double>(window.mRequests.size()) +
+                 mLimits.mAllowance / nodes);
+  if (static_cast<double>(window.mRepeats.size()) + 1.0 > most) {
+    return false;
+  }
+  window.mRepeats.push_back(aNow);
+  return true;
+}
--- /dev/null
+++ b/Source/Core/Gateway/RetryWindow.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <deque>
+#include <string>
+#include <unordered_map>
+
+#include "Common/Time.h"
+
+/// Limit on repeated sends to a service. The limit holds for all nodes
+/// together, so each takes its part of the fixed allowance.
+struct retry_limits
+{
+  /// Repeats allowed per request.
+  double mRatio = 0.1;
+  /// Repeats of the whole fleet beyond the ratio in one window.
+  double mAllowance = 0.0;
+  std::chrono::milliseconds mWindow{ 10000 };
+};
+
+class retry_window
+{
+public:
+  explicit retry_window(const retry_limits& aLimits)
+    : mLimits(aLimits)
+  {
+  }
+
+  void SetLimits(const retry_limits& aLimits) { mLimits = aLimits; }
+  void OnRequest(const std::string& aService, time_point aNow);
+  /// Takes one repeat; false when the window is used up.
+  bool Take(const std::string& aService, std::size_t aNodes, time_point aNow);
+
+private:
+  struct service_window
+  {
+    std::deque<time_point> mRequests;
+    std::deque<time_point> mRepeats;
+  };
+
+  void Expire(service_window& aWindow, time_point aNow) const;
+
+  retry_limits mLimits;
+  std::unordered_map<std::string, service_window> mServices;
+};
--- /dev/null
+++ b/Source/Core/Gateway/TokenEscrow.cpp
@@ -0,0 +1,290 @@
+#include "Gateway/TokenEscrow.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "Common/Hash.h"
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Period over which the use of an account is measured.
+constexpr std::chrono::seconds kUsePeriod(4);
+// Pause after a conflict, doubled up to the limit; spread by node.
+constexpr milliseconds kFirstBackoff(8);
+constexpr unsigned kMostBackoffDoublings = 6;
+// Pause after the store refused or did not answer.
+constexpr milliseconds kRefusedPause(300);
+// Draws of less than this are not worth a transaction.
+constexpr std::int64_t kSmallestDraw = 256;
+// A need is covered several times over, so that a burst does not draw for
+// each request.
+constexpr std::int64_t kNeedFactor = 4;
+
+} // namespace
+
+std::string WriteEscrowRow(const escrow_row& aRow)
+{
+  const nlohmann::json json = { { "granted", aRow.mGranted },
+                                { "writer", aRow.mWriter },
+                                { "sequence", aRow.mSequence } };
+  return json.dump();
+}
+
+std::optional<escrow_row> ParseEscrowRow(std::string_view aText)
+{
+  const auto json = nlohmann::json::parse(aText, nullptr, false);
+  if (!json.is_object()) {
+    return std::nullopt;
+  }
+  const auto granted = json.find("granted");
+  const auto writer = json.find("writer");
+  const auto sequence = json.find("sequence");
+  if (granted == json.end() || !granted->is_number_integer() ||
+      writer == json.end() || !writer->is_string() || sequence == json.end() ||
+      !sequence->is_number_unsigned()) {
+    return std::nullopt;
+  }
+  return escrow_row{ granted->get<std::int64_t>(),
+                     writer->get<std::string>(),
+                     sequence->get<std::uint64_t>() };
+}
+
+token_escrow::token_escrow(std::string aWriter,
+                           const escrow_settings& aSettings)
+  : mWriter(std::move(aWriter))
+  , mSettings(aSettings)
+{
+}
+
+void token_escrow::SetTotal(const account_id& aAccount, std::int64_t aTokens)
+{
+  mAccounts[aAccount].mTotal = aTokens;
+}
+
+reserve_verdict token_escrow::Reserve(const account_id& aAccount,
+                                      std::int64_t aTokens,
+                                      time_point aNow)
+{
+  account_state& state = mAccounts[aAccount];
+  Roll(state, aNow);
+  state.mLargest = std::max(state.mLargest, aTokens);
+  if (state.mFree >= aTokens) {
+    state.mFree -= aTokens;
+    state.mReserved += aTokens;
+    return reserve_verdict::Granted;
+  }
+  state.mShort = std::max(state.mShort, aTokens);
+  const bool spent =
+    state.mRowKnown && state.mTotal - state.mGranted + state.mFree < aTokens;
+  return spent ? reserve_verdict::Exhausted : reserve_verdict::Awaiting;
+}
+
+void token_escrow::Settle(const account_id& aAccount,
+                          std::int64_t aReserved,
+                          std::int64_t aUsed,
+                          time_point aNow)
+{
+  account_state& state = mAccounts[aAccount];
+  Roll(state, aNow);
+  state.mReserved -= aReserved;
+  state.mFree += aReserved - std::min(aUsed, aReserved);
+  state.mUsedNow += static_cast<double>(aUsed);
+}
+
+void token_escrow::Roll(account_state& aState, time_point aNow) const
+{
+  if (aNow < aState.mPeriodEnds) {
+    return;
+  }
+  const bool adjacent = aNow < aState.mPeriodEnds + kUsePeriod;
+  aState.mUsedBefore = adjacent ? aState.mUsedNow : 0.0;
+  aState.mUsedNow = 0.0;
+  aState.mPeriodEnds = aNow + kUsePeriod;
+}
+
+double token_escrow::UsedPerSecond(const account_state& aState) const
+{
+  return std::max(aState.mUsedBefore, aState.mUsedNow) /
+         static_cast<double>(kUsePeriod.count());
+}
+
+std::int64_t token_escrow::Target(const account_state& aState) const
+{
+  const double use = UsedPerSecond(aState) * mSettings.mHorizonSeconds;
+  const double first = static_cast<double>(aState.mTotal) *
+                       mSettings.mFirstShare / static_cast<double>(mNodes);
+  const double start = aState.mUsedBefore > 0.0 ? 0.0 : first;
+  return static_cast<std::int64_t>(std::max(use, start)) +
+         aState.mLargest * kNeedFactor;
+}
+
+std::int64_t token_escrow::DrawAmount(const account_state& aState) const
+{
+  const std::int64_t rest = aState.mTotal - aState.mGranted;
+  const std::int64_t target = Target(aState);
+  const bool needed = aState.mShort > aState.mFree;
+  if (rest <= 0 || (!needed && aState.mFree * 2 >= target)) {
+    return 0;
+  }
+  // Other nodes need tokens as well, so one draw leaves most of the rest.
+  const std::int64_t fair = rest / static_cast<std::int64_t>(mNodes + 1);
+  std::int64_t amount = std::min(target - aState.mFree, fair);
+  if (needed) {
+    amount = std::max(amount, aState.mShort - aState.mFree);
+  }
+  amount = std::min(amount, rest);
+  return amount < kSmallestDraw && !needed ? 0
+                                           : std::max<std::int64_t>(amount, 0);
+}
+
+std::int64_t token_escrow::ReturnAmount(const account_state& aState) const
+{
+  if (mReturning) {
+    return aState.mFree;
+  }
+  const auto kept = static_cast<std::int64_t>(
+    static_cast<double>(Target(aState)) * mSettings.mReturnFactor);
+  const std::int64_t spare = aState.mFree - kept;
+  // Small amounts are kept; they are likely to be used.
+  return spare > kept / 2 ? spare : 0;
+}
+
+std::vector<escrow_change> token_escrow::TakeChanges(time_point aNow)
+{
+  std::vector<escrow_change> changes;
+  for (auto& [account, state] : mAccounts) {
+    if (state.mPending || aNow < state.mNotBefore) {
+      continue;
+    }
+    Roll(state, aNow);
+    std::int64_t amount = mReturning ? 0 : DrawAmount(state);
+    if (amount == 0 && state.mRowKnown) {
+      const std::int64_t returned = ReturnAmount(state);
+      // Tokens on their way back can no longer be spent here.
+      state.mFree -= returned;
+      amount = -returned;
+    }
+    // The first write of an account also reads its row.
+    if (amount == 0) {
+      continue;
+    }
+    const pending_change pending{ ++mSequence, amount };
+    state.mPending = pending;
+    changes.push_back(
+      { account,
+        state.mVersion,
+        { state.mGranted + amount, mWriter, pending.mSequence } });
+  }
+  return changes;
+}
+
+bool token_escrow::Busy() const
+{
+  return std::ranges::any_of(mAccounts, [this](const auto& aPair) {
+    return aPair.second.mPending.has_value() ||
+           (mReturning && aPair.second.mFree > 0);
+  });
+}
+
+void token_escrow::OnCommit(const account_id& aAccount,
+                            std::uint64_t aVersion,
+                            time_point aNow)
+{
+  account_state& state = mAccounts[aAccount];
+  if (!state.mPending) {
+    return;
+  }
+  state.mVersion = aVersion;
+  state.mGranted += state.mPending->mAmount;
+  state.mRowKnown = true;
+  state.mConflicts = 0;
+  if (state.mPending->mAmount > 0) {
+    state.mFree += state.mPending->mAmount;
+    state.mShort = 0;
+  }
+  state.mPending.reset();
+  // A committed write of another sequence proves that the unanswered one, with
+  // the same condition, can no longer be applied.
+  state.mUnsettled.reset();
+  state.mNotBefore = aNow;
+}
+
+void token_escrow::OnConflict(const account_id& aAccount,
+                              const std::optional<escrow_row>& aCurrent,
+                              std::uint64_t aVersion,
+                              time_point aNow)
+{
+  account_state& state = mAccounts[aAccount];
+  if (!state.mPending) {
+    return;
+  }
+  const pending_change pending = *state.mPending;
+  state.mPending.reset();
+  if (pending.mAmount < 0) {
+    state.mFree -= pending.mAmount;
+  }
+  state.mVersion = aVersion;
+  state.mGranted = aCurrent ? aCurrent->mGranted : 0;
+  state.mRowKnown = true;
+  if (state.mUnsettled && aCurrent && aCurrent->mWriter == mWriter &&
+      aCurrent->mSequence == state.mUnsettled->mSequence) {
+    // The unanswered change was applied after all. A return that was applied
+    // needs nothing: its tokens left this node when it was sent.
+    state.mFree += std::max<std::int64_t>(state.mUnsettled->mAmount, 0);
+    state.mConflicts = 0;
+  }
+  state.mUnsettled.reset();
+  ++state.mConflicts;
+  state.mNotBefore = aNow + Backoff(aAccount, state);
+}
+
+std::chrono::milliseconds token_escrow::Backoff(
+  const account_id& aAccount,
+  const account_state& aState) const
+{
+  const unsigned doublings = std::min(aState.mConflicts, kMostBackoffDoublings);
+  const auto most = kFirstBackoff * (1U << doublings);
+  const auto spread =
+    StableHash(mWriter + aAccount.mName, mSequence) % most.count();
+  return milliseconds(static_cast<std::int64_t>(spread));
+}
+
+void token_escrow::OnRefused(const account_id& aAccount, time_point aNow)
+{
+  account_state& state = mAccounts[aAccount];
+  if (state.mPending && state.mPending->mAmount < 0) {
+    state.mFree -= state.mPending->mAmount;
+  }
+  state.mPending.reset();
+  state.mNotBefore = aNow + kRefusedPause;
+}
+
+void token_escrow::OnUnknown(const account_id& aAccount, time_point aNow)
+{
+  account_state& state = mAccounts[aAccount];
+  if (!state.mPending) {
+    return;
+  }
+  // A second unanswered change leaves the first one open; its tokens are given
+  // up, because only the newest can be recognized in the row.
+  state.mUnsettled = std::exchange(state.mPending, std::nullopt);
+  state.mNotBefore = aNow + kRefusedPause;
+}
+
+std::int64_t token_escrow::Held(const account_id& aAccount) const
+{
+  const auto found = mAccounts.find(aAccount);
+  return found == mAccounts.end() ? 0 : found->second.mFree;
+}
+
+std::int64_t token_escrow::KnownRest(const account_id& aAccount) const
+{
+  const auto found = mAccounts.find(aAccount);
+  return found == mAccounts.end()
+           ? 0
+           : found->second.mTotal - found->second.mGranted;
+}
--- /dev/null
+++ b/Source/Core/Gateway/TokenEscrow.h
@@ -0,0 +1,152 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "Common/Identity.h"
+#include "Common/Time.h"
+
+/// Shares the prepaid tokens of accounts between nodes.
+///
+/// The store holds, per account, the tokens granted to all nodes so far. A node
+/// spends only what it was granted, so no outage, pause or lost reply can
+/// overspend. Tokens of a node that ended without returning them count as
+/// spent.
+
+/// Row of an account. The writer tells a node whose reply was lost whether its
+/// own change is the current one.
+struct escrow_row
+{
+  std::int64_t mGranted = 0;
+  std::string mWriter;
+  std::uint64_t mSequence = 0;
+  auto operator<=>(const escrow_row&) const = default;
+};
+
+std::string WriteEscrowRow(const escrow_row& aRow);
+std::optional<escrow_row> ParseEscrowRow(std::string_view aText);
+
+enum class reserve_verdict : std::uint8_t
+{
+  Granted,
+  /// A grant is being fetched; ask again after the next change.
+  Awaiting,
+  /// All tokens are granted, and this node's do not cover the request.
+  Exhausted,
+};
+
+/// A conditional write that the escrow asks for; answered by one of `OnCommit`,
+/// `OnConflict`, `OnRefused` and `OnUnknown`.
+struct escrow_change
+{
+  account_id mAccount;
+  std::uint64_t mExpectedVersion = 0;
+  escrow_row mRow;
+  auto operator<=>(const escrow_change&) const = default;
+};
+
+struct escrow_settings
+{
+  /// Span of the observed use that a node holds in advance, in seconds. Covers
+  /// a cut of 9 s from the store, as the deployments have.
+  double mHorizonSeconds = 12.0;
+  /// Part of an account's tokens that all nodes draw at their start together;
+  /// covers a cut before the use is known.
+  double mFirstShare = 0.2;
+  /// Tokens held beyond this multiple of the need are returned.
+  double mReturnFactor = 2.0;
+};
+
+class token_escrow
+{
+public:
+  /// `aWriter` is unique to this run of the process.
+  token_escrow(std::string aWriter, const escrow_settings& aSettings);
+
+  /// Total of an account, as the newest configuration says.
+  void SetTotal(const account_id& aAccount, std::int64_t aTokens);
+  /// Number of nodes that share the accounts.
+  void SetNodes(std::size_t aNodes) { mNodes = aNodes == 0 ? 1 : aNodes; }
+
+  reserve_verdict Reserve(const account_id& aAccount,
+                          std::int64_t aTokens,
+                          time_point aNow);
+  /// Ends a reservation of which `aUsed` tokens were consumed.
+  void Settle(const account_id& aAccount,
+              std::int64_t aReserved,
+              std::int64_t aUsed,
+              time_point aNow);
+
+  /// Changes to write now; at most one per account at a time.
+  std::vector<escrow_change> TakeChanges(time_point aNow);
+  /// Returns everything that is not reserved; used at the end of the process.
+  void ReturnAll() { mReturning = true; }
+  /// Whether a change awaits its answer or is due.
+  bool Busy() const;
+
+  void OnCommit(const account_id& aAccount,
+                std::uint64_t aVersion,
+                time_point aNow);
+  /// The row had another version; nothing when it does not exist.
+  void OnConflict(const account_id& aAccount,
+                  const std::optional<escrow_row>& aCurrent,
+                  std::uint64_t aVersion,
+                  time_point aNow);
+  void OnRefused(const account_id& aAccount, time_point aNow);
+  /// No reply: the change may be applied now, later or never.
+  void OnUnknown(const account_id& aAccount, time_point aNow);
+
+  std::int64_t Held(const account_id& aAccount) const;
+  std::int64_t KnownRest(const account_id& aAccount) const;
+
+private:
+  struct pending_change
+  {
+    std::uint64_t mSequence = 0;
+    std::int64_t mAmount = 0;
+  };
+  struct account_state
+  {
+    std::int64_t mTotal = 0;
+    /// Granted to this node and neither reserved nor used.
+    std::int64_t mFree = 0;
+    std::int64_t mReserved = 0;
+    /// Largest need that could not be met; cleared by a grant.
+    std::int64_t mShort = 0;
+    std::int64_t mLargest = 0;
+    /// Row as last seen.
+    std::uint64_t mVersion = 0;
+    std::int64_t mGranted = 0;
+    bool mRowKnown = false;
+    bool mDrawn = false;
+    std::optional<pending_change> mPending;
+    /// Unanswered change that may still be applied while the row has the
+    /// version it expects.
+    std::optional<pending_change> mUnsettled;
+    time_point mNotBefore;
+    unsigned mConflicts = 0;
+    /// Tokens used in the current and the previous period.
+    double mUsedNow = 0;
+    double mUsedBefore = 0;
+    time_point mPeriodEnds;
+  };
+
+  void Roll(account_state& aState, time_point aNow) const;
+  double UsedPerSecond(const account_state& aState) const;
+  std::int64_t Target(const account_state& aState) const;
+  std::int64_t DrawAmount(const account_state& aState) const;
+  std::int64_t ReturnAmount(const account_state& aState) const;
+  std::chrono::milliseconds Backoff(const account_id& aAccount,
+                                    const account_state& aState) const;
+
+  std::string mWriter;
+  escrow_settings mSettings;
+  std::size_t mNodes = 1;
+  std::uint64_t mSequence = 0;
+  bool mReturning = false;
+  std::unordered_map<account_id, account_state> mAccounts;
+};
--- /dev/null
+++ b/Source/Core/Gateway/UpstreamPool.cpp
@@ -0,0 +1,41 @@
+#include "Gateway/UpstreamPool.h"
+
+#include <utility>
+
+std::unique_ptr<http_client_connection> upstream_pool::Take(
+  const tcp_address& aAddress,
+  time_point aNow)
+{
+  const auto found = mIdle.find(aAddress);
+  if (found != mIdle.end()) {
+    // The newest first: it is the least likely to be closed by the server.
+    while (!found->second.empty()) {
+      idle_connection idle = std::move(found->second.back());
+      found->second.pop_back();
+      if (aNow < idle.mUntil && !idle.mConnection->Closed()) {
+        return std::move(idle.mConnection);
+      }
+    }
+  }
+  ++mOpened;
+  return std::make_unique<http_client_connection>(aAddress, mLiveness);
+}
+
+void upstream_pool::Keep(std::unique_ptr<http_client_connection> aConnection,
+                         time_point aUntil)
+{
+  auto& idle = mIdle[aConnection->Address()];
+  if (idle.size() < mMostIdle) {
+    idle.push_back({ std::move(aConnection), aUntil });
+  }
+}
+
+void upstream_pool::Expire(time_point aNow)
+{
+  for (auto& [address, connections] : mIdle) {
+    std::erase_if(connections, [aNow](const idle_connection& aIdle) {
+      return aNow >= aIdle.mUntil || aIdle.mConnection->Closed();
+    });
+  }
+  std::erase_if(mIdle, [](const auto& aPair) { return aPair.second.empty(); });
+}
--- /dev/null
+++ b/Source/Core/Gateway/UpstreamRoster.cpp
@@ -0,0 +1,405 @@
+#include "Gateway/UpstreamRoster.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+#include "Common/Hash.h"
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Pause of a server after a failure, doubled with each further one.
+constexpr milliseconds kFirstSuspicion(300);
+constexpr unsigned kMostDoublings = 5;
+// A server with open requests that sent nothing at all for this long is
+// avoided; engines send an event to some request every few milliseconds.
+constexpr milliseconds kSilence(1500);
+// Weight of the newest observation of a server's speed.
+constexpr double kSlownessGain = 0.15;
+constexpr double kLeastSlowness = 0.7;
+constexpr double kMostSlowness = 8.0;
+// Observations below this many milliseconds say nothing about speed.
+constexpr double kLeastObservedMs = 20.0;
+// Prompt parts remembered; beyond it the memory starts anew.
+constexpr std::size_t kMostHeldParts = 20000;
+// Assumed work of a plain request, in ms, to compare loads of servers.
+constexpr double kPlainWorkMs = 30.0;
+
+double Milliseconds(std::chrono::microseconds aTime)
+{
+  return static_cast<double>(aTime.count()) / 1000.0;
+}
+
+/// Identity of the shared prompt up to each part, without the request's own
+/// part.
+std::vector<std::pair<std::string, std::int64_t>> SharedChain(
+  const std::vector<prompt_part>& aPrompt)
+{
+  std::vector<std::pair<std::string, std::int64_t>> chain;
+  std::string key;
+  for (std::size_t i = 0; i + 1 < aPrompt.size(); ++i) {
+    key.append(aPrompt[i].mId).push_back('/');
+    chain.emplace_back(key, aPrompt[i].mTokens);
+  }
+  return chain;
+}
+
+} // namespace
+
+upstream_work& upstream_work::operator+=(const upstream_work& aOther)
+{
+  mRequests += aOther.mRequests;
+  mPrefillTokens += aOther.mPrefillTokens;
+  mKvTokens += aOther.mKvTokens;
+  return *this;
+}
+
+upstream_work& upstream_work::operator-=(const upstream_work& aOther)
+{
+  mRequests -= aOther.mRequests;
+  mPrefillTokens -= aOther.mPrefillTokens;
+  mKvTokens -= aOther.mKvTokens;
+  return *this;
+}
+
+std::uint32_t upstream_roster::KeyOf(const upstream_id& aId)
+{
+  return static_cast<std::uint32_t>(StableHash(aId.mName));
+}
+
+void upstream_roster::SetService(const gateway_service& aService)
+{
+  mServices[aService.mName.mName] = aService;
+}
+
+void upstream_roster::Apply(const server_entry& aEntry, time_point aNow)
+{
+  upstream_record& record = mUpstreams[aEntry.mId];
+  const server_entry& old = record.mEntry;
+  const bool known = !old.mId.mName.empty();
+  // Late writes may bring an older entry after a newer one.
+  if (known && !record.mRemoved &&
+      std::pair(aEntry.mBorn, aEntry.mSequence) <
+        std::pair(old.mBorn, old.mSequence)) {
+    return;
+  }
+  const bool restarted =
+    !known || aEntry.mBorn != old.mBorn || aEntry.mAddress != old.mAddress;
+  if (restarted) {
+    record.mSuspectUntil = {};
+    record.mFailures = 0;
+    record.mSlowness = 1.0;
+    record.mKey = KeyOf(aEntry.mId);
+    for (auto& [part, holders] : mHeldParts) {
+      holders.erase(record.mKey);
+    }
+  }
+  record.mEntry = aEntry;
+  record.mRemoved = false;
+  if (aEntry.mState == server_state::Ready) {
+    record.mUsableUntil.reset();
+  } else if (!record.mUsableUntil) {
+    record.mUsableUntil = aNow;
+  }
+}
+
+void upstream_roster::Remove(const upstream_id& aId, time_point aUsableUntil)
+{
+  const auto found = mUpstreams.find(aId);
+  if (found == mUpstreams.end()) {
+    return;
+  }
+  found->second.mRemoved = true;
+  if (!found->second.mUsableUntil) {
+    found->second.mUsableUntil = aUsableUntil;
+  }
+}
+
+void upstream_roster::Expire(time_point aNow)
+{
+  std::erase_if(mUpstreams, [&](const auto& aPair) {
+    const upstream_record& record = aPair.second;
+    return record.mRemoved && record.mUsableUntil &&
+           *record.mUsableUntil < aNow && record.mOwn.mRequests == 0;
+  });
+  if (mHeldParts.size() > kMostHeldParts) {
+    mHeldParts.clear();
+  }
+}
+
+upstream_work upstream_roster::WorkAt(const upstream_record& aRecord) const
+{
+  upstream_work work = aRecord.mOwn;
+  const auto peers = mPeerWork.find(aRecord.mKey);
+  if (peers != mPeerWork.end()) {
+    work += peers->second;
+  }
+  return work;
+}
+
+bool upstream_roster::Silent(const upstream_record& aRecord,
+                             time_point aNow) const
+{
+  return aRecord.mOwn.mRequests > 0 &&
+         aNow > std::max(aRecord.mLastByte, aRecord.mOldestSilent) + kSilence;
+}
+
+std::int64_t upstream_roster::UncachedTokens(const upstream_record& aRecord,
+                                             const placement_query& aQuery,
+                                             const upstream_id& aHome,
+                                             time_point aNow) const
+{
+  std::int64_t uncached = 0;
+  if (aQuery.mPrompt == nullptr || aRecord.mEntry.mId == aHome) {
+    return uncached;
+  }
+  bool held = true;
+  for (const auto& [key, tokens] : SharedChain(*aQuery.mPrompt)) {
+    if (held) {
+      const auto part = mHeldParts.find(key);
+      held = false;
+      if (part != mHeldParts.end()) {
+        const auto holder = part->second.find(aRecord.mKey);
+        held = holder != part->second.end() && holder->second > aNow;
+      }
+    }
+    if (!held) {
+      uncached += tokens;
+    }
+  }
+  return uncached;
+}
+
+std::optional<placement> upstream_roster::Choose(const placement_query& aQuery,
+                                                 time_point aNow) const
+{
+  const auto service = mServices.find(aQuery.mService.mName);
+  const gateway_service* limits =
+    service == mServices.end() ? nullptr : &service->second;
+  std::string shared;
+  if (aQuery.mPrompt != nullptr) {
+    const auto chain = SharedChain(*aQuery.mPrompt);
+    if (!chain.empty()) {
+      shared = chain.back().first;
+    }
+  }
+  // Usable servers by how sound they are; a worse group serves only when the
+  // better ones are empty.
+  enum group : std::uint8_t
+  {
+    Sound,
+    Suspect,
+    Parting,
+    Groups
+  };
+  std::vector<const upstream_record*> groups[Groups];
+  for (const auto& [id, record] : mUpstreams) {
+    if (record.mEntry.mService != aQuery.mService ||
+        std::ranges::find(aQuery.mExcluded, id) != aQuery.mExcluded.end()) {
+      continue;
+    }
+    if (record.mUsableUntil) {
+      if (aNow < *record.mUsableUntil) {
+        groups[Parting].push_back(&record);
+      }
+    } else if (aNow < record.mSuspectUntil || Silent(record, aNow)) {
+      groups[Suspect].push_back(&record);
+    } else {
+      groups[Sound].push_back(&record);
+    }
+  }
+  for (const auto& candidates : groups) {
+    if (candidates.empty()) {
+      continue;
+    }
+    // Every node computes the same home for a shared prompt.
+    upstream_id home;
+    if (!shared.empty()) {
+      const auto best = std::ranges::max_element(
+        candidates, {}, [&](const upstream_record* aRecord) {
+          return RendezvousWeight(shared, aRecord->mEntry.mId.mName);
+        });
+      home = (*best)->mEntry.mId;
+    }
+    std::optional<placement> chosen;
+    double chosenCost = std::numeric_limits<double>::max();
+    for (const upstream_record* record : candidates) {
+      const upstream_work work = WorkAt(*record);
+      const std::uint32_t slots = std::max(record->mEntry.mSlots, 1U);
+      if (work.mRequests >= slots) {
+        continue;
+      }
+      placement option;
+      option.mUpstream = record->mEntry.mId;
+      option.mAddress = record->mEntry.mAddress;
+      option.mWork.mRequests = 1;
+      double cost = 0.0;
+      if (limits != nullptr && limits->mEngine) {
+        const std::int64_t uncached =
+          UncachedTokens(*record, aQuery, home, aNow);
+        std::int64_t sharedTokens = 0;
+        if (aQuery.mPrompt != nullptr) {
+          for (const auto& [key, tokens] : SharedChain(*aQuery.mPrompt)) {
+            sharedTokens += tokens;
+          }
+        }
+        const std::int64_t read =
+          std::max<std::int64_t>(aQuery.mPromptTokens - sharedTokens, 0) +
+          uncached;
+        option.mWork.mPrefillTokens = read;
+        option.mWork.mKvTokens = aQuery.mPromptTokens + aQuery.mOutputTokens;
+        const auto most = static_cast<std::int64_t>(
+          static_cast<double>(limits->mEngine->mKvTokens) * mSettings.mKvShare);
+        if (work.mRequests > 0 &&
+            work.mKvTokens + option.mWork.mKvTokens > most) {
+          continue;
+        }
+        option.mExpectedMs =
+          record->mSlowness *
+          (static_cast<double>(work.mPrefillTokens + read) /
+             mSettings.mPrefillTokensPerMs +
+           mSettings.mPerRequestMs * static_cast<double>(work.mRequests));
+        cost = option.mExpectedMs + (mSettings.mRereadWeight - 1.0) *
+                                      static_cast<double>(uncached) /
+                                      mSettings.mPrefillTokensPerMs;
+      } else {
+        option.mExpectedMs = record->mSlowness * kPlainWorkMs;
+        cost = record->mSlowness * kPlainWorkMs *
+               static_cast<double>(work.mRequests + 1) /
+               static_cast<double>(slots);
+      }
+      if (record->mEntry.mZone != aQuery.mZone) {
+        cost += mSettings.mOtherZoneMs;
+      }
+      if (cost < chosenCost) {
+        chosenCost = cost;
+        chosen = option;
+      }
+    }
+    if (chosen) {
+      return chosen;
+    }
+    // A full sound group means waiting, not sending to a doubtful server.
+    return std::nullopt;
+  }
+  return std::nullopt;
+}
+
+bool upstream_roster::HasUsable(const service_id& aService,
+                                time_point aNow) const
+{
+  return std::ranges::any_of(mUpstreams, [&](const auto& aPair) {
+    const upstream_record& record = aPair.second;
+    return record.mEntry.mService == aService &&
+           (!record.mUsableUntil || aNow < *record.mUsableUntil);
+  });
+}
+
+void upstream_roster::Begin(const placement& aPlacement,
+                            const placement_query& aQuery,
+                            time_point aNow)
+{
+  const auto found = mUpstreams.find(aPlacement.mUpstream);
+  if (found == mUpstreams.end()) {
+    return;
+  }
+  upstream_record& record = found->second;
+  if (record.mOwn.mRequests == 0) {
+    record.mOldestSilent = aNow;
+  }
+  record.mOwn += aPlacement.mWork;
+  if (aQuery.mPrompt != nullptr) {
+    for (const auto& [key, tokens] : SharedChain(*aQuery.mPrompt)) {
+      mHeldParts[key][record.mKey] = aNow + mSettings.mCacheMemory;
+    }
+  }
+}
+
+void upstream_roster::FirstEvent(const upstream_id& aId,
+                                 const upstream_work& aWork,
+                                 time_point aSentAt,
+                                 double aExpectedMs,
+                                 time_point aNow)
+{
+  const auto found = mUpstreams.find(aId);
+  if (found == mUpstreams.end()) {
+    return;
+  }
+  upstream_record& record = found->second;
+  record.mOwn.mPrefillTokens -= aWork.mPrefillTokens;
+  const double observed = Milliseconds(aNow - aSentAt);
+  if (aExpectedMs >= kLeastObservedMs) {
+    const double ratio = observed * record.mSlowness / aExpectedMs;
+    record.mSlowness =
+      std::clamp(record.mSlowness + kSlownessGain * (ratio - record.mSlowness),
+                 kLeastSlowness,
+                 kMostSlowness);
+  }
+}
+
+void upstream_roster::End(const upstream_id& aId, const upstream_work& aRest)
+{
+  const auto found = mUpstreams.find(aId);
+  if (found != mUpstreams.end()) {
+    found->second.mOwn -= aRest;
+  }
+}
+
+void upstream_roster::OnByte(const upstream_id& aId, time_point aNow)
+{
+  const auto found = mUpstreams.find(aId);
+  if (found != mUpstreams.end()) {
+    found->second.mLastByte = aNow;
+  }
+}
+
+void upstream_roster::OnSuccess(const upstream_id& aId)
+{
+  const auto found = mUpstreams.find(aId);
+  if (found != mUpstreams.end()) {
+    found->second.mFailures = 0;
+  }
+}
+
+void upstream_roster::OnFailure(const upstream_id& aId, time_point aNow)
+{
+  const auto found = mUpstreams.find(aId);
+  if (found == mUpstreams.end()) {
+    return;
+  }
+  upstream_record& record = found->second;
+  const unsigned doublings = std::min(record.mFailures, kMostDoublings);
+  record.mSuspectUntil = aNow + kFirstSuspicion * (1U << doublings);
+  ++record.mFailures;
+}
+
+std::vector<std::pair<std::uint32_t, upstream_work>> upstream_roster::OwnWork()
+  const
+{
+  std::vector<std::pair<std::uint32_t, upstream_work>> work;
+  for (const auto& [id, record] : mUpstreams) {
+    if (record.mOwn.mRequests > 0) {
+      work.emplace_back(record.mKey, record.mOwn);
+    }
+  }
+  return work;
+}
+
+const server_entry* upstream_roster::Find(const upstream_id& aId) const
+{
+  const auto found = mUpstreams.find(aId);
+  return found == mUpstreams.end() ? nullptr : &found->second.mEntry;
+}
+
+std::vector<server_entry> upstream_roster::Entries() const
+{
+  std::vector<server_entry> entries;
+  for (const auto& [id, record] : mUpstreams) {
+    if (!record.mUsableUntil) {
+      entries.push_back(record.mEntry);
+    }
+  }
+  return entries;
+}
--- a/Source/Core/Membership/MembershipSystem.h
+++ b/Source/Core/Membership/MembershipSystem.h
@@ -15,7 +15,7 @@
 #include "Membership/Heartbeat.h"
 #include "Membership/MemberTable.h"
 #include "Membership/RumorQueue.h"
-#include "Platform/HostList.h"
+#include "Remote/HostList.h"
 
 /// Periods and bounds of the membership protocol.
 struct membership_settings
--- /dev/null
+++ b/Source/Core/Net/HttpClientConnection.cpp
@@ -0,0 +1,250 @@
+#include <array>
+#include <limits>
+#include <utility>
+
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include "Net/HttpConnection.h"
+
+namespace {
+
+namespace http = boost::beast::http;
+
+// Head of a response; servers of this kind send a few hundred bytes.
+constexpr std::uint32_t kMostHeaderBytes = 65536;
+// Unparsed bytes of a response head.
+constexpr std::size_t kMostHeadInput = 131072;
+constexpr std::size_t kBodyBlockBytes = 16384;
+constexpr unsigned kFirstFinalStatus = 200;
+
+} // namespace
+
+struct http_client_connection::parser_state
+{
+  http::response_parser<http::buffer_body> mParser;
+  std::array<char, kBodyBlockBytes> mBlock;
+};
+
+std::string_view ExchangeFailureName(exchange_failure aFailure)
+{
+  switch (aFailure) {
+    case exchange_failure::NotSent:
+      return "not_sent";
+    case exchange_failure::NoResponse:
+      return "no_response";
+    case exchange_failure::Truncated:
+      return "truncated";
+    case exchange_failure::Malformed:
+      return "malformed";
+  }
+  return "unknown";
+}
+
+http_client_connection::http_client_connection(const tcp_address& aAddress,
+                                               tcp_liveness aLiveness)
+  : mAddress(aAddress)
+  , mStream(tcp_stream::Connect(aAddress, aLiveness, *this))
+{
+}
+
+http_client_connection::~http_client_connection()
+{
+  if (mStream) {
+    mStream->Close();
+  }
+}
+
+void http_client_connection::Start(std::string_view aHead,
+                                   std::string_view aBody,
+                                   bool aHeadMethod,
+                                   http_exchange_observer& aObserver)
+{
+  mObserver = &aObserver;
+  mHeadMethod = aHeadMethod;
+  mDropping = false;
+  mInput.clear();
+  ++mUses;
+  StartParser();
+  mStream->SetReading(true);
+  std::string message;
+  message.reserve(aHead.size() + aBody.size());
+  message.append(aHead).append(aBody);
+  mStream->Write(message);
+}
+
+void http_client_connection::StartParser()
+{
+  mParser = std::make_unique<parser_state>();
+  mParser->mParser.header_limit(kMostHeaderBytes);
+  // Beast 1.74 refuses every known length when the limit is absent.
+  mParser->mParser.body_limit(std::numeric_limits<std::uint64_t>::max());
+  mParser->mParser.skip(mHeadMethod);
+  mHeadSeen = false;
+}
+
+void http_client_connection::Cancel()
+{
+  mObserver = nullptr;
+  if (mStream) {
+    mStream->Close();
+  }
+}
+
+void http_client_connection::SetReading(bool aReading)
+{
+  if (mStream) {
+    mStream->SetReading(aReading);
+  }
+}
+
+void http_client_connection::OnData(std::string_view aBytes)
+{
+  if (mObserver == nullptr) {
+    // Bytes without a request belong to nobody.
+    mStream->Close();
+    return;
+  }
+  if (mInput.empty()) {
+    Parse(aBytes);
+    return;
+  }
+  mInput.append(aBytes);
+  const std::string input = std::exchange(mInput, {});
+  Parse(input);
+}
+
+void http_client_connection::Parse(std::string_view aBytes)
+{
+  while (!aBytes.empty() && mObserver != nullptr && !Closed()) {
+    auto& parser = mParser->mParser;
+    auto& body = parser.get().body();
+    body.data = mParser->mBlock.data();
+    body.size = mParser->mBlock.size();
+    body.more = true;
+    boost::system::error_code error;
+    const std::size_t used =
+      parser.put(boost::asio::buffer(aBytes.data(), aBytes.size()), error);
+    aBytes.remove_prefix(used);
+    const bool needMore = error == http::error::need_more;
+    const bool blockFull = error == http::error::need_buffer;
+    if (error && !needMore && !blockFull) {
+      Fail(exchange_failure::Malformed);
+      return;
+    }
+    if (parser.is_header_done() && !mHeadSeen) {
+      if (parser.get().result_int() < kFirstFinalStatus) {
+        StartParser();
+        continue;
+      }
+      if (!DeliverHead()) {
+        return;
+      }
+    }
+    const std::size_t filled = mParser->mBlock.size() - body.size;
+    if (mHeadSeen && filled > 0 && !mDropping) {
+      mObserver->OnBody({ mParser->mBlock.data(), filled });
+      if (mObserver == nullptr || Closed()) {
+        return;
+      }
+    }
+    if (parser.is_done()) {
+      if (mDropping) {
+        mDropping = false;
+        StartParser();
+        continue;
+      }
+      // Bytes behind the response belong to no request.
+      if (!aBytes.empty()) {
+        mStream->Close();
+      }
+      CompleteResponse();
+      return;
+    }
+    if (needMore && used == 0) {
+      break;
+    }
+  }
+  if (mObserver != nullptr && !aBytes.empty()) {
+    if (aBytes.size() > kMostHeadInput) {
+      Fail(exchange_failure::Malformed);
+      return;
+    }
+    mInput.assign(aBytes);
+  }
+}
+
+bool http_client_connection::DeliverHead()
+{
+  mHeadSeen = true;
+  auto& parser = mParser->mParser;
+  const auto& message = parser.get();
+  http_client_response response;
+  response.mStatus = message.result_int();
+  for (const auto& field : message) {
+    response.mHeaders.emplace_back(std::string(field.name_string()),
+                                   std::string(field.value()));
+  }
+  response.mKeepAlive = message.keep_alive();
+  if (parser.chunked()) {
+    response.mFraming = body_framing::Chunked;
+  } else if (parser.need_eof()) {
+    response.mFraming = body_framing::UntilClose;
+  }
+  const bool unframed = response.mFraming == body_framing::UntilClose;
+  mDropping = !mObserver->OnResponse(*this, std::move(response));
+  if (mObserver == nullptr || Closed()) {
+    return false;
+  }
+  if (mDropping && unframed) {
+    Fail(exchange_failure::NoResponse);
+    return false;
+  }
+  return true;
+}
+
+void http_client_connection::CompleteResponse()
+{
+  const bool reusable = !Closed() && mParser->mParser.get().keep_alive() &&
+                        mStream->PendingBytes() == 0;
+  http_exchange_observer* observer = std::exchange(mObserver, nullptr);
+  if (!reusable) {
+    mStream->Close();
+  }
+  mParser.reset();
+  observer->OnComplete(reusable);
+}
+
+void http_client_connection::Fail(exchange_failure aFailure)
+{
+  http_exchange_observer* observer = std::exchange(mObserver, nullptr);
+  if (mStream) {
+    mStream->Close();
+  }
+  if (observer != nullptr) {
+    observer->OnExchangeFailed(aFailure);
+  }
+}
+
+void http_client_connection::OnEnd(tcp_end aEnd)
+{
+  if (mObserver == nullptr) {
+    return;
+  }
+  if (aEnd == tcp_end::ConnectFailed) {
+    Fail(exchange_failure::NotSent);
+    return;
+  }
+  if (mHeadSeen && !mDropping && aEnd == tcp_end::Finished) {
+    boost::system::error_code error;
+    mParser->mParser.put_eof(error);
+    if (!error && mParser->mParser.is_done()) {
+      http_exchange_observer* observer = std::exchange(mObserver, nullptr);
+      observer->OnComplete(false);
+      return;
+    }
+  }
+  const bool answered = mHeadSeen && !mDropping;
+  Fail(answered ? exchange_failure::Truncated : exchange_failure::NoResponse);
+}
--- /dev/null
+++ b/Source/Core/Net/HttpConnection.h
@@ -0,0 +1,230 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "Common/HttpHeaders.h"
+#include "Common/Time.h"
+#include "Net/TcpStream.h"
+
+/// HTTP/1.1 over `tcp_stream`, parsed by Boost.Beast.
+///
+/// Unlike a client session these classes never repeat a request, follow a
+/// redirect or decode a body, and they tell whether a byte of a request left.
+
+/// A complete request.
+struct http_server_request
+{
+  std::string mMethod;
+  /// Path and query as received.
+  std::string mTarget;
+  http_headers mHeaders;
+  std::string mBody;
+  bool mKeepAlive = true;
+};
+
+/// How the length of a body is marked.
+enum class body_framing : std::uint8_t
+{
+  /// `Content-Length`, or no body.
+  Length,
+  Chunked,
+  /// The body ends with the connection.
+  UntilClose,
+};
+
+/// Limits on what a client may send; deadlines are computed from them.
+struct http_server_limits
+{
+  std::uint32_t mHeaderBytes = 16384;
+  std::uint64_t mBodyBytes = 4194304;
+  /// From the first byte of a request to the end of its header.
+  std::chrono::milliseconds mHeaderTimeout{ 10000 };
+  /// Between requests of one connection.
+  std::chrono::milliseconds mIdleTimeout{ 60000 };
+};
+
+class http_server_connection;
+
+/// Serves the requests of a set of connections.
+class http_request_handler
+{
+public:
+  virtual ~http_request_handler() = default;
+  /// A request is complete. Answered through the connection, now or later.
+  virtual void OnRequest(http_server_connection& aConnection,
+                         http_server_request aRequest) = 0;
+  /// The client left before its response was complete.
+  virtual void OnClientGone(http_server_connection& aConnection) = 0;
+  /// The client has taken all bytes written so far.
+  virtual void OnClientDrained(http_server_connection& aConnection) = 0;
+  /// The connection is gone; last event.
+  virtual void OnConnectionClosed(http_server_connection& aConnection) = 0;
+};
+
+/// Head of a response to a client.
+struct http_server_response
+{
+  unsigned mStatus = 200;
+  http_headers mHeaders;
+  body_framing mFraming = body_framing::Length;
+};
+
+/// One connection of a client.
+class http_server_connection final : private tcp_observer
+{
+public:
+  http_server_connection(int aDescriptor,
+                         const http_server_limits& aLimits,
+                         http_request_handler& aHandler,
+                         time_point aNow);
+  ~http_server_connection() override;
+
+  /// Sends a whole response.
+  void Respond(const http_server_response& aResponse, std::string_view aBody);
+  /// Starts a response whose body follows by `WriteBody` and `FinishBody`.
+  /// With `body_framing::Length` the headers carry the length.
+  void StartResponse(const http_server_response& aResponse);
+  void WriteBody(std::string_view aBytes);
+  void FinishBody();
+  /// Ends the connection so that the response does not look complete.
+  void Abort();
+  /// Closes as soon as no request is open.
+  void CloseWhenIdle();
+  /// The next response closes the connection.
+  void SetClosing() { mClosing = true; }
+
+  bool Busy() const { return mBusy; }
+  bool Closed() const { return !mStream || mStream->Closed(); }
+  std::size_t PendingBytes() const { return mStream->PendingBytes(); }
+  /// Whether the limit for a slow header or an idle connection is past; then
+  /// the connection is answered or closed.
+  void CheckDeadline(time_point aNow);
+  std::size_t BufferedBytes() const { return mInput.size(); }
+  /// New limits; they hold for the wait in progress as well.
+  void SetLimits(const http_server_limits& aLimits);
+  /// Whether `OnConnectionClosed` was called; then the object may be deleted.
+  bool Reported() const { return mReported; }
+
+private:
+  struct parser_state;
+
+  void OnData(std::string_view aBytes) override;
+  void OnDrained() override;
+  void OnEnd(tcp_end aEnd) override;
+  void ParseInput();
+  void DeliverRequest();
+  /// Asks for the body when the client waits to be asked.
+  void SendContinue();
+  void RefuseInput(unsigned aStatus);
+  void EndResponse();
+  void Finish();
+  void StartRequest();
+
+  http_server_limits mLimits;
+  http_request_handler& mHandler;
+  std::unique_ptr<parser_state> mParser;
+  std::shared_ptr<tcp_stream> mStream;
+  std::string mInput;
+  /// End of the wait for a header or for the next request.
+  time_point mDeadline;
+  time_point mNow;
+  body_framing mFraming = body_framing::Length;
+  bool mRequestStarted = false;
+  bool mBusy = false;
+  bool mKeepAlive = true;
+  bool mClosing = false;
+  bool mHeadMethod = false;
+  bool mReported = false;
+};
+
+/// Head of a response from a server.
+struct http_client_response
+{
+  unsigned mStatus = 0;
+  http_headers mHeaders;
+  body_framing mFraming = body_framing::Length;
+  bool mKeepAlive = true;
+};
+
+/// Why an exchange with a server ended without a complete response.
+enum class exchange_failure : std::uint8_t
+{
+  /// No byte of the request was sent.
+  NotSent,
+  /// The connection ended before the head of the response.
+  NoResponse,
+  /// The connection ended within the response.
+  Truncated,
+  /// The bytes are not a response.
+  Malformed,
+};
+
+std::string_view ExchangeFailureName(exchange_failure aFailure);
+
+class http_client_connection;
+
+/// Receives the response of one exchange.
+class http_exchange_observer
+{
+public:
+  virtual ~http_exchange_observer() = default;
+  /// False when the response belongs to an earlier request of the connection;
+  /// it is then read and dropped.
+  virtual bool OnResponse(http_client_connection& aConnection,
+                          http_client_response aResponse) = 0;
+  virtual void OnBody(std::string_view aBytes) = 0;
+  /// The response is complete. `aReusable` says that another request may
+  /// follow on the connection.
+  virtual void OnComplete(bool aReusable) = 0;
+  virtual void OnExchangeFailed(exchange_failure aFailure) = 0;
+};
+
+/// One connection to a server, for one request at a time.
+class http_client_connection final : private tcp_observer
+{
+public:
+  http_client_connection(const tcp_address& aAddress, tcp_liveness aLiveness);
+  ~http_client_connection() override;
+
+  /// Sends a request. Its head is complete with framing headers.
+  void Start(std::string_view aHead,
+             std::string_view aBody,
+             bool aHeadMethod,
+             http_exchange_observer& aObserver);
+  /// Gives up the exchange and the connection; no further events.
+  void Cancel();
+  void SetReading(bool aReading);
+
+  bool Closed() const { return !mStream || mStream->Closed(); }
+  bool Connected() const { return mStream && mStream->Connected(); }
+  bool Idle() const { return mObserver == nullptr; }
+  const tcp_address& Address() const { return mAddress; }
+  /// Exchanges begun on this connection.
+  unsigned Uses() const { return mUses; }
+
+private:
+  struct parser_state;
+
+  void OnData(std::string_view aBytes) override;
+  void OnEnd(tcp_end aEnd) override;
+  void Parse(std::string_view aBytes);
+  bool DeliverHead();
+  void CompleteResponse();
+  void Fail(exchange_failure aFailure);
+  void StartParser();
+
+  tcp_address mAddress;
+  std::shared_ptr<tcp_stream> mStream;
+  std::unique_ptr<parser_state> mParser;
+  http_exchange_observer* mObserver = nullptr;
+  std::string mInput;
+  unsigned mUses = 0;
+  bool mHeadMethod = false;
+  bool mHeadSeen = false;
+  /// The response being read belongs to an earlier request.
+  bool mDropping = false;
+};
--- /dev/null
+++ b/Source/Core/Net/HttpListener.cpp
@@ -0,0 +1,58 @@
+#include "Net/HttpListener.h"
+
+#include <utility>
+
+std::unique_ptr<http_listener> http_listener::Listen(
+  const tcp_address& aAddress,
+  http_request_handler& aHandler,
+  const time_source& aTime,
+  std::string& aError)
+{
+  auto listener =
+    std::unique_ptr<http_listener>(new http_listener(aHandler, aTime));
+  listener->mListener = tcp_listener::Listen(aAddress, *listener, aError);
+  return listener->mListener ? std::move(listener) : nullptr;
+}
+
+void http_listener::SetLimits(const http_server_limits& aLimits)
+{
+  mLimits = aLimits;
+  for (const auto& connection : mConnections) {
+    connection->SetLimits(aLimits);
+  }
+}
+
+void http_listener::OnAccept(int aDescriptor)
+{
+  mConnections.push_back(std::make_unique<http_server_connection>(
+    aDescriptor, mLimits, mHandler, mTime.Now()));
+  if (mClosing) {
+    mConnections.back()->SetClosing();
+  }
+}
+
+void http_listener::CheckDeadlines(time_point aNow)
+{
+  // A refusal may accept nothing new, so the vector does not change here.
+  for (const auto& connection : mConnections) {
+    connection->CheckDeadline(aNow);
+  }
+  std::erase_if(mConnections, [](const auto& aEntry) {
+    return aEntry->Closed() && aEntry->Reported();
+  });
+}
+
+void http_listener::CloseIdle()
+{
+  for (const auto& connection : mConnections) {
+    connection->CloseWhenIdle();
+  }
+}
+
+void http_listener::SetClosing()
+{
+  mClosing = true;
+  for (const auto& connection : mConnections) {
+    connection->SetClosing();
+  }
+}
--- /dev/null
+++ b/Source/Core/Net/HttpListener.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "Net/HttpConnection.h"
+
+/// Accepts connections at one address and serves their requests with one
+/// handler.
+class http_listener final : private tcp_listener::acceptor
+{
+public:
+  /// Null when the address cannot be bound; `aError` names the reason.
+  static std::unique_ptr<http_listener> Listen(const tcp_address& aAddress,
+                                               http_request_handler& aHandler,
+                                               const time_source& aTime,
+                                               std::string& aError);
+
+  const tcp_address& Address() const { return mListener->Address(); }
+  /// Limits of open and later connections.
+  void SetLimits(const http_server_limits& aLimits);
+  /// Ends idle and slow connections; called at least every 250 ms.
+  void CheckDeadlines(time_point aNow);
+  /// Lets every response close its connection and ends idle connections.
+  void CloseIdle();
+  /// Announces the end of the connection in every later response.
+  void SetClosing();
+  std::size_t Open() const { return mConnections.size(); }
+
+private:
+  http_listener(http_request_handler& aHandler, const time_source& aTime)
+    : mHandler(aHandler)
+    , mTime(aTime)
+  {
+  }
+  void OnAccept(int aDescriptor) override;
+
+  http_request_handler& mHandler;
+  const time_source& mTime;
+  http_server_limits mLimits;
+  bool mClosing = false;
+  std::unique_ptr<tcp_listener> mListener;
+  std::vector<std::unique_ptr<http_server_connection>> mConnections;
+};
--- /dev/null
+++ b/Source/Core/Net/TcpStream.cpp
@@ -0,0 +1,446 @@
+#include "Net/TcpStream.h"
+
+#include <arpa/inet.h>
+#include <array>
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <utility>
+
+#include <fmt/format.h>
+#include <glib-unix.h>
+
+#include "Common/Log.h"
+
+namespace {
+
+// Length of the accept queue; longer bursts are retried by the client's
+// kernel after a second.
+constexpr int kAcceptBacklog = 512;
+// Connections accepted in one loop iteration, so that a burst does not delay
+// running streams.
+constexpr int kAcceptBatch = 32;
+// One read; larger than a typical request with its prompt.
+constexpr std::size_t kReadBytes = 32768;
+// Reads in one loop iteration of one stream.
+constexpr int kReadBatch = 4;
+// Sent bytes kept at the front of the output buffer before it is compacted.
+constexpr std::size_t kCompactBytes = 65536;
+
+sockaddr_in NativeAddress(const tcp_address& aAddress)
+{
+  sockaddr_in native{};
+  native.sin_family = AF_INET;
+  native.sin_port = htons(aAddress.mPort);
+  inet_pton(AF_INET, aAddress.mIp.c_str(), &native.sin_addr);
+  return native;
+}
+
+void SetOption(int aDescriptor, int aLevel, int aName, int aValue)
+{
+  if (setsockopt(aDescriptor, aLevel, aName, &aValue, sizeof aValue) != 0) {
+    Log(log_level::Warning,
+        "socket_option_failed",
+        { Field("option", aName), Field("error", std::strerror(errno)) });
+  }
+}
+
+void ApplyLiveness(int aDescriptor, tcp_liveness aLiveness)
+{
+  SetOption(aDescriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+  const auto timeout = static_cast<int>(aLiveness.mPeerTimeout.count());
+  if (timeout == 0) {
+    return;
+  }
+  SetOption(aDescriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, timeout);
+  SetOption(aDescriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(aDescriptor, IPPROTO_TCP, TCP_KEEPIDLE, 1);
+  SetOption(aDescriptor, IPPROTO_TCP, TCP_KEEPINTVL, 1);
+  SetOption(aDescriptor, IPPROTO_TCP, TCP_KEEPCNT, std::max(1, timeout / 1000));
+}
+
+int NewSocket()
+{
+  return socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+}
+
+} // namespace
+
+std::optional<tcp_address> ParseTcpAddress(std::string_view aText)
+{
+  const auto colon = aText.rfind(':');
+  if (colon == std::string_view::npos) {
+    return std::nullopt;
+  }
+  tcp_address address;
+  address.mIp = std::string(aText.substr(0, colon));
+  in_addr parsed{};
+  if (inet_pton(AF_INET, address.mIp.c_str(), &parsed) != 1) {
+    return std::nullopt;
+  }
+  const char* end = aText.data() + aText.size();
+  const auto [rest, error] =
+    std::from_chars(aText.data() + colon + 1, end, address.mPort);
+  if (error != std::errc() || rest != end) {
+    return std::nullopt;
+  }
+  return address;
+}
+
+std::string FormatTcpAddress(const tcp_address& aAddress)
+{
+  return fmt::format("{}:{}", aAddress.mIp, aAddress.mPort);
+}
+
+std::string_view TcpEndName(tcp_end aEnd)
+{
+  switch (aEnd) {
+    case tcp_end::ConnectFailed:
+      return "connect_failed";
+    case tcp_end::Finished:
+      return "finished";
+    case tcp_end::Broken:
+      return "broken";
+  }
+  return "unknown";
+}
+
+struct tcp_stream::watch_source
+{
+  GSource mBase;
+  tcp_stream* mStream;
+};
+
+GSourceFuncs tcp_stream::sFunctions = { nullptr, nullptr, &tcp_stream::Dispatch,
+                                        nullptr, nullptr, nullptr };
+
+tcp_stream::tcp_stream(int aDescriptor,
+                       bool aConnected,
+                       tcp_observer& aObserver)
+  : mObserver(&aObserver)
+  , mDescriptor(aDescriptor)
+  , mConnected(aConnected)
+{
+}
+
+tcp_stream::~tcp_stream()
+{
+  CloseDescriptor();
+}
+
+std::shared_ptr<tcp_stream> tcp_stream::Adopt(int aDescriptor,
+                                              tcp_liveness aLiveness,
+                                              tcp_observer& aObserver)
+{
+  ApplyLiveness(aDescriptor, aLiveness);
+  auto stream =
+    std::shared_ptr<tcp_stream>(new tcp_stream(aDescriptor, true, aObserver));
+  stream->Attach();
+  return stream;
+}
+
+std::shared_ptr<tcp_stream> tcp_stream::Connect(const tcp_address& aAddress,
+                                                tcp_liveness aLiveness,
+                                                tcp_observer& aObserver)
+{
+  const int descriptor = NewSocket();
+  if (descriptor < 0) {
+    Log(log_level::Error,
+        "socket_failed",
+        { Field("error", std::strerror(errno)) });
+    return nullptr;
+  }
+  ApplyLiveness(descriptor, aLiveness);
+  const sockaddr_in native = NativeAddress(aAddress);
+  const int outcome = connect(
+    descriptor, reinterpret_cast<const sockaddr*>(&native), sizeof native);
+  // A refusal that is known at once is reported through the loop as well.
+  if (outcome != 0 && errno != EINPROGRESS && errno != ECONNREFUSED) {
+    Log(log_level::Warning,
+        "connect_failed",
+        { Field("address", FormatTcpAddress(aAddress)),
+          Field("error", std::strerror(errno)) });
+    close(descriptor);
+    return nullptr;
+  }
+  auto stream =
+    std::shared_ptr<tcp_stream>(new tcp_stream(descriptor, false, aObserver));
+  stream->Attach();
+  return stream;
+}
+
+void tcp_stream::Attach()
+{
+  mSource = g_source_new(&sFunctions, sizeof(watch_source));
+  reinterpret_cast<watch_source*>(mSource)->mStream = this;
+  mTag =
+    g_source_add_unix_fd(mSource, mDescriptor, mConnected ? G_IO_IN : G_IO_OUT);
+  g_source_attach(mSource, nullptr);
+}
+
+gboolean tcp_stream::Dispatch(GSource* aSource, GSourceFunc, gpointer)
+{
+  tcp_stream* stream = reinterpret_cast<watch_source*>(aSource)->mStream;
+  // The observer may drop its reference during the callbacks.
+  const auto keep = stream->shared_from_this();
+  stream->OnReady(g_source_query_unix_fd(aSource, stream->mTag));
+  return G_SOURCE_CONTINUE;
+}
+
+void tcp_stream::UpdateConditions()
+{
+  if (Closed()) {
+    return;
+  }
+  int conditions = 0;
+  if (mConnected && mReading && !mCloseAfterDrain) {
+    conditions |= G_IO_IN;
+  }
+  if (!mConnected || PendingBytes() > 0 || mDrainPending) {
+    conditions |= G_IO_OUT;
+  }
+  g_source_modify_unix_fd(mSource, mTag, static_cast<GIOCondition>(conditions));
+}
+
+void tcp_stream::OnReady(GIOCondition aCondition)
+{
+  if (!mConnected) {
+    FinishConnect();
+    return;
+  }
+  if ((aCondition & G_IO_OUT) != 0) {
+    Flush();
+  }
+  if (Closed()) {
+    return;
+  }
+  if ((aCondition & (G_IO_IN | G_IO_HUP | G_IO_ERR)) != 0) {
+    if (mReading || (aCondition & G_IO_ERR) != 0) {
+      ReadAvailable();
+    } else if ((aCondition & G_IO_HUP) != 0) {
+      End(tcp_end::Broken);
+    }
+  }
+}
+
+void tcp_stream::FinishConnect()
+{
+  int error = 0;
+  socklen_t size = sizeof error;
+  if (getsockopt(mDescriptor, SOL_SOCKET, SO_ERROR, &error, &size) != 0) {
+    error = errno;
+  }
+  if (error != 0) {
+    End(tcp_end::ConnectFailed);
+    return;
+  }
+  mConnected = true;
+  UpdateConditions();
+  mObserver->OnConnected();
+  if (!Closed()) {
+    Flush();
+  }
+}
+
+void tcp_stream::ReadAvailable()
+{
+  static std::array<char, kReadBytes> sBuffer;
+  for (int round = 0; round < kReadBatch && !Closed() && mReading; ++round) {
+    const ssize_t count =
+      recv(mDescriptor, sBuffer.data(), sBuffer.size(), MSG_DONTWAIT);
+    if (count > 0) {
+      mObserver->OnData({ sBuffer.data(), static_cast<std::size_t>(count) });
+      if (static_cast<std::size_t>(count) < sBuffer.size()) {
+        return;
+      }
+      continue;
+    }
+    if (count == 0) {
+      End(tcp_end::Finished);
+      return;
+    }
+    if (errno == EINTR) {
+      continue;
+    }
+    if (errno != EAGAIN) {
+      End(tcp_end::Broken);
+    }
+    return;
+  }
+}
+
+void tcp_stream::Write(std::string_view aBytes)
+{
+  if (Closed() || aBytes.empty()) {
+    return;
+  }
+  const bool idle = PendingBytes() == 0;
+  mOutput.append(aBytes);
+  if (idle && mConnected) {
+    Flush();
+  }
+}
+
+void tcp_stream::Flush()
+{
+  while (PendingBytes() > 0) {
+    const ssize_t count = send(mDescriptor,
+                               mOutput.data() + mOutputStart,
+                               PendingBytes(),
+                               MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (count > 0) {
+      mSentAny = true;
+      mOutputStart += static_cast<std::size_t>(count);
+      continue;
+    }
+    if (errno == EINTR) {
+      continue;
+    }
+    if (errno != EAGAIN) {
+      // The end is reported by the read side, which may still hold a complete
+      // response that the peer sent before it closed.
+      mOutputStart = mOutput.size();
+      mDrainPending = false;
+      mReading = true;
+      if (mCloseAfterDrain) {
+        CloseDescriptor();
+        return;
+      }
+      break;
+    }
+    mDrainPending = true;
+    if (mOutputStart > kCompactBytes) {
+      mOutput.erase(0, mOutputStart);
+      mOutputStart = 0;
+    }
+    UpdateConditions();
+    return;
+  }
+  mOutput.clear();
+  mOutputStart = 0;
+  if (mCloseAfterDrain) {
+    Close();
+    return;
+  }
+  const bool notify = std::exchange(mDrainPending, false);
+  UpdateConditions();
+  if (notify) {
+    mObserver->OnDrained();
+  }
+}
+
+void tcp_stream::SetReading(bool aReading)
+{
+  if (mReading != aReading) {
+    mReading = aReading;
+    UpdateConditions();
+  }
+}
+
+void tcp_stream::CloseAfterDrain()
+{
+  if (PendingBytes() == 0) {
+    Close();
+    return;
+  }
+  mCloseAfterDrain = true;
+  UpdateConditions();
+}
+
+void tcp_stream::Close()
+{
+  CloseDescriptor();
+}
+
+void tcp_stream::Reset()
+{
+  if (!Closed()) {
+    const linger abort{ .l_onoff = 1, .l_linger = 0 };
+    setsockopt(mDescriptor, SOL_SOCKET, SO_LINGER, &abort, sizeof abort);
+  }
+  CloseDescriptor();
+}
+
+void tcp_stream::End(tcp_end aEnd)
+{
+  CloseDescriptor();
+  mObserver->OnEnd(aEnd);
+}
+
+void tcp_stream::CloseDescriptor()
+{
+  if (mSource != nullptr) {
+    g_source_destroy(mSource);
+    g_source_unref(std::exchange(mSource, nullptr));
+  }
+  if (mDescriptor >= 0) {
+    close(std::exchange(mDescriptor, -1));
+  }
+}
+
+std::unique_ptr<tcp_listener> tcp_listener::Listen(const tcp_address& aAddress,
+                                                   acceptor& aAcceptor,
+                                                   std::string& aError)
+{
+  const int descriptor = NewSocket();
+  if (descriptor < 0) {
+    aError = std::strerror(errno);
+    return nullptr;
+  }
+  SetOption(descriptor, SOL_SOCKET, SO_REUSEADDR, 1);
+  sockaddr_in native = NativeAddress(aAddress);
+  socklen_t size = sizeof native;
+  if (bind(descriptor, reinterpret_cast<sockaddr*>(&native), size) != 0 ||
+      listen(descriptor, kAcceptBacklog) != 0 ||
+      getsockname(descriptor, reinterpret_cast<sockaddr*>(&native), &size) !=
+        0) {
+    aError = std::strerror(errno);
+    close(descriptor);
+    return nullptr;
+  }
+  tcp_address bound = aAddress;
+  bound.mPort = ntohs(native.sin_port);
+  return std::unique_ptr<tcp_listener>(
+    new tcp_listener(descriptor, std::move(bound), aAcceptor));
+}
+
+tcp_listener::tcp_listener(int aDescriptor,
+                           tcp_address aAddress,
+                           acceptor& aAcceptor)
+  : mDescriptor(aDescriptor)
+  , mAddress(std::move(aAddress))
+  , mAcceptor(aAcceptor)
+  , mWatch(g_unix_fd_add(aDescriptor, G_IO_IN, OnReadable, this))
+{
+}
+
+tcp_listener::~tcp_listener()
+{
+  g_source_remove(mWatch);
+  close(mDescriptor);
+}
+
+gboolean tcp_listener::OnReadable(gint aDescriptor,
+                                  GIOCondition,
+                                  gpointer aSelf)
+{
+  auto* listener = static_cast<tcp_listener*>(aSelf);
+  for (int accepted = 0; accepted < kAcceptBatch; ++accepted) {
+    const int descriptor =
+      accept4(aDescriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (descriptor < 0) {
+      if (errno != EAGAIN && errno != EINTR && errno != ECONNABORTED) {
+        Log(log_level::Warning,
+            "accept_failed",
+            { Field("error", std::strerror(errno)) });
+      }
+      break;
+    }
+    listener->mAcceptor.OnAccept(descriptor);
+  }
+  return G_SOURCE_CONTINUE;
+}
--- /dev/null
+++ b/Source/Core/Net/TcpStream.h
@@ -0,0 +1,156 @@
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <glib.h>
+
+/// IPv4 address and port of a TCP peer.
+struct tcp_address
+{
+  std::string mIp;
+  std::uint16_t mPort = 0;
+  auto operator<=>(const tcp_address&) const = default;
+};
+
+/// Reads `IP:port`; nothing when it is malformed.
+std::optional<tcp_address> ParseTcpAddress(std::string_view aText);
+std::string FormatTcpAddress(const tcp_address& aAddress);
+
+/// How a stream ended.
+enum class tcp_end : std::uint8_t
+{
+  /// The connection was never established: no byte was sent.
+  ConnectFailed,
+  /// The peer closed its side in order.
+  Finished,
+  /// Reset, or unreachable for longer than the allowed silence.
+  Broken,
+};
+
+std::string_view TcpEndName(tcp_end aEnd);
+
+/// Receives the events of one stream, on the loop.
+class tcp_observer
+{
+public:
+  virtual ~tcp_observer() = default;
+  virtual void OnConnected() {}
+  virtual void OnData(std::string_view aBytes) = 0;
+  /// All written bytes were handed to the kernel.
+  virtual void OnDrained() {}
+  /// Last event of the stream.
+  virtual void OnEnd(tcp_end aEnd) = 0;
+};
+
+/// Detection of a peer that is silent at the TCP level.
+struct tcp_liveness
+{
+  /// Unacknowledged data or keep-alive probes older than this break the
+  /// connection. Zero leaves the kernel's default.
+  std::chrono::milliseconds mPeerTimeout{ 0 };
+};
+
+/// Non-blocking TCP connection on the GLib loop. Always held by a shared
+/// pointer; events stop after `Close` or `Reset`.
+class tcp_stream final : public std::enable_shared_from_this<tcp_stream>
+{
+public:
+  /// Takes over a connected descriptor.
+  static std::shared_ptr<tcp_stream> Adopt(int aDescriptor,
+                                           tcp_liveness aLiveness,
+                                           tcp_observer& aObserver);
+  /// Starts connecting; null when no descriptor can be had.
+  static std::shared_ptr<tcp_stream> Connect(const tcp_address& aAddress,
+                                             tcp_liveness aLiveness,
+                                             tcp_observer& aObserver);
+  ~tcp_stream();
+  tcp_stream(const tcp_stream&) = delete;
+  tcp_stream& operator=(const tcp_stream&) = delete;
+
+  /// Queues bytes and sends what the kernel takes at once.
+  void Write(std::string_view aBytes);
+  std::size_t PendingBytes() const { return mOutput.size() - mOutputStart; }
+  bool Connected() const { return mConnected; }
+  bool Closed() const { return mDescriptor < 0; }
+  /// Whether any byte of `Write` reached the kernel.
+  bool SentAny() const { return mSentAny; }
+
+  /// Stops or resumes reading. The peer's close is not seen while reading is
+  /// stopped.
+  void SetReading(bool aReading);
+
+  /// Closes once the queued bytes are sent.
+  void CloseAfterDrain();
+  void Close();
+  /// Closes with a reset, so that the peer cannot take the end for an orderly
+  /// one.
+  void Reset();
+
+private:
+  tcp_stream(int aDescriptor, bool aConnected, tcp_observer& aObserver);
+
+  struct watch_source;
+  static gboolean Dispatch(GSource* aSource, GSourceFunc, gpointer);
+  void Attach();
+  void UpdateConditions();
+  void OnReady(GIOCondition aCondition);
+  void FinishConnect();
+  void ReadAvailable();
+  void Flush();
+  void End(tcp_end aEnd);
+  void CloseDescriptor();
+
+  static GSourceFuncs sFunctions;
+
+  tcp_observer* mObserver;
+  int mDescriptor;
+  GSource* mSource = nullptr;
+  gpointer mTag = nullptr;
+  bool mConnected;
+  bool mReading = true;
+  bool mSentAny = false;
+  bool mCloseAfterDrain = false;
+  bool mDrainPending = false;
+  std::string mOutput;
+  std::size_t mOutputStart = 0;
+};
+
+/// Accepts TCP connections.
+class tcp_listener final
+{
+public:
+  class acceptor
+  {
+  public:
+    virtual ~acceptor() = default;
+    /// Takes over the descriptor.
+    virtual void OnAccept(int aDescriptor) = 0;
+  };
+
+  /// Null when the address cannot be bound; `aError` names the reason.
+  static std::unique_ptr<tcp_listener> Listen(const tcp_address& aAddress,
+                                              acceptor& aAcceptor,
+                                              std::string& aError);
+  ~tcp_listener();
+  tcp_listener(const tcp_listener&) = delete;
+  tcp_listener& operator=(const tcp_listener&) = delete;
+
+  const tcp_address& Address() const { return mAddress; }
+
+private:
+  tcp_listener(int aDescriptor, tcp_address aAddress, acceptor& aAcceptor);
+  static gboolean OnReadable(gint aDescriptor,
+                             GIOCondition aCondition,
+                             gpointer aSelf);
+
+  int mDescriptor;
+  tcp_address mAddress;
+  acceptor& mAcceptor;
+  guint mWatch;
+};
--- a/Source/Core/Node/AdminApi.h
+++ b/Source/Core/Node/AdminApi.h
@@ -12,8 +12,8 @@
 #include "Config/ConfigEditor.h"
 #include "Config/NodeSettings.h"
 #include "Node/BudgetAdmin.h"
-#include "Platform/HttpExchange.h"
-#include "Platform/TableService.h"
+#include "Remote/HttpExchange.h"
+#include "Remote/TableService.h"
 
 class node_app;
 
--- a/Source/Core/Node/BudgetAdmin.h
+++ b/Source/Core/Node/BudgetAdmin.h
@@ -10,8 +10,8 @@
 
 #include "Budget/BudgetOperations.h"
 #include "Common/Time.h"
-#include "Platform/HttpExchange.h"
-#include "Platform/TableService.h"
+#include "Remote/HttpExchange.h"
+#include "Remote/TableService.h"
 
 /// Operators' commands on budgets: `/admin/v1/budgets/...`.
 ///
--- a/Source/Core/Node/ChatReply.h
+++ b/Source/Core/Node/ChatReply.h
@@ -5,7 +5,7 @@
 #include "Node/ChatRequest.h"
 #include "Node/ChatSession.h"
 #include "Node/RequestError.h"
-#include "Platform/HttpExchange.h"
+#include "Remote/HttpExchange.h"
 
 /// Errors of the layers below, turned into what a caller is told.
 
--- a/Source/Core/Node/ChatSession.h
+++ b/Source/Core/Node/ChatSession.h
@@ -11,8 +11,8 @@
 #include "Node/ChatAdmission.h"
 #include "Node/SseScanner.h"
 #include "Node/Trace.h"
-#include "Platform/HttpExchange.h"
-#include "Platform/HttpStream.h"
+#include "Remote/HttpExchange.h"
+#include "Remote/HttpStream.h"
 
 /// Step that a chat request is in.
 enum class chat_step : std::uint8_t
--- a/Source/Core/Node/ChatSystem.h
+++ b/Source/Core/Node/ChatSystem.h
@@ -16,7 +16,7 @@
 #include "Node/ChatSession.h"
 #include "Node/NodeMetrics.h"
 #include "Node/Trace.h"
-#include "Platform/HttpClient.h"
+#include "Remote/HttpClient.h"
 
 /// What the chat system works with; all outlive it.
 struct chat_context
--- a/Source/Core/Node/HolderSweep.h
+++ b/Source/Core/Node/HolderSweep.h
@@ -8,7 +8,7 @@
 #include "Common/Identity.h"
 #include "Common/Time.h"
 #include "Membership/MemberTable.h"
-#include "Platform/TableService.h"
+#include "Remote/TableService.h"
 
 /// Finds holder rows whose holder is gone. Membership reports a death once,
 /// but the verdict may come before the holder's row names this node as a
--- a/Source/Core/Node/NodeApp.cpp
+++ b/Source/Core/Node/NodeApp.cpp
@@ -14,8 +14,8 @@
 #include "Node/ChatReply.h"
 #include "Node/NodeSetup.h"
 #include "Node/NodeStatus.h"
-#include "Platform/HttpHostList.h"
-#include "Platform/HttpTableService.h"
+#include "Remote/HttpHostList.h"
+#include "Remote/HttpTableService.h"
 
 namespace {
 
--- a/Source/Core/Node/NodeApp.h
+++ b/Source/Core/Node/NodeApp.h
@@ -26,8 +26,8 @@
 #include "Node/UpstreamWatch.h"
 #include "Peer/PeerClient.h"
 #include "Peer/PeerServer.h"
-#include "Platform/HttpClient.h"
-#include "Platform/HttpServer.h"
+#include "Remote/HttpClient.h"
+#include "Remote/HttpServer.h"
 
 class admin_api;
 
--- a/Source/Core/Node/NodeSetup.h
+++ b/Source/Core/Node/NodeSetup.h
@@ -9,7 +9,7 @@
 #include "Config/NodeSettings.h"
 #include "Dispatch/DispatchSettings.h"
 #include "Peer/PeerKeys.h"
-#include "Platform/PlatformEndpoint.h"
+#include "Remote/PlatformEndpoint.h"
 
 /// Settings of a node and of the fleet, turned into those of the systems.
 
--- a/Source/Core/Node/NodeStatus.h
+++ b/Source/Core/Node/NodeStatus.h
@@ -11,7 +11,7 @@
 #include "Node/NodeMetrics.h"
 #include "Node/RequestError.h"
 #include "Node/ServiceProxy.h"
-#include "Platform/HostList.h"
+#include "Remote/HostList.h"
 
 class node_app;
 
--- a/Source/Core/Node/ServiceProxy.h
+++ b/Source/Core/Node/ServiceProxy.h
@@ -13,8 +13,8 @@
 #include "Node/RequestError.h"
 #include "Node/Trace.h"
 #include "Node/UpstreamWatch.h"
-#include "Platform/HttpClient.h"
-#include "Platform/HttpExchange.h"
+#include "Remote/HttpClient.h"
+#include "Remote/HttpExchange.h"
 #include "Services/ServiceCallSystem.h"
 
 /// What the service proxy works with; all outlive it.
--- a/Source/Core/Node/TableDriver.h
+++ b/Source/Core/Node/TableDriver.h
@@ -8,7 +8,7 @@
 #include "Common/Time.h"
 #include "Config/ConfigEditor.h"
 #include "Config/ConfigFollower.h"
-#include "Platform/TableService.h"
+#include "Remote/TableService.h"
 #include "Services/CallSweepSystem.h"
 #include "Services/ServiceCallSystem.h"
 
--- a/Source/Core/Node/UpstreamWatch.h
+++ b/Source/Core/Node/UpstreamWatch.h
@@ -9,8 +9,8 @@
 #include "Common/Time.h"
 #include "Config/FleetDocument.h"
 #include "Dispatch/DispatchTypes.h"
-#include "Platform/HostList.h"
-#include "Platform/HttpClient.h"
+#include "Remote/HostList.h"
+#include "Remote/HttpClient.h"
 
 /// One host of a plain service.
 struct service_host
--- a/Source/Core/Platform/ConnectionSockets.cpp
+++ b/Source/Core/Remote/ConnectionSockets.cpp
@@ -1,4 +1,4 @@
-#include "Platform/ConnectionSockets.h"
+#include "Remote/ConnectionSockets.h"
 
 namespace {
 
--- a/Source/Core/Platform/HostListJson.cpp
+++ b/Source/Core/Remote/HostListJson.cpp
@@ -1,4 +1,4 @@
-#include "Platform/HostListJson.h"
+#include "Remote/HostListJson.h"
 
 #include <array>
 #include <utility>
--- a/Source/Core/Platform/HostListJson.h
+++ b/Source/Core/Remote/HostListJson.h
@@ -6,7 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "Platform/HostList.h"
+#include "Remote/HostList.h"
 
 /// JSON bodies of the host list's HTTP protocol:
 /// `{"version":N,"hosts":[{"name","role","state","zone","region","address",`
--- a/Source/Core/Platform/HttpClient.cpp
+++ b/Source/Core/Remote/HttpClient.cpp
@@ -1,4 +1,4 @@
-#include "Platform/HttpClient.h"
+#include "Remote/HttpClient.h"
 
 #include <algorithm>
 #include <memory>
@@ -15,12 +15,6 @@
 // small request took 730 us instead of 200.
 constexpr unsigned kIdleTimeoutSeconds = 5;
 
-bool EqualIgnoringCase(std::string_view aLeft, std::string_view aRight)
-{
-  return aLeft.size() == aRight.size() &&
-         g_ascii_strncasecmp(aLeft.data(), aRight.data(), aLeft.size()) == 0;
-}
-
 } // namespace
 
 /// A request in progress. It lives until libsoup reports its end, which may be
@@ -106,15 +100,6 @@
   return "unknown";
 }
 
-std::string_view FindHeader(const http_headers& aHeaders,
-                            std::string_view aName)
-{
-  const auto found = std::ranges::find_if(aHeaders, [&](const auto& aHeader) {
-    return EqualIgnoringCase(aHeader.first, aName);
-  });
-  return found == aHeaders.end() ? std::string_view() : found->second;
-}
-
 http_headers CopyHeaders(SoupMessageHeaders* aHeaders)
 {
   http_headers headers;
--- a/Source/Core/Platform/HttpClient.h
+++ b/Source/Core/Remote/HttpClient.h
@@ -12,8 +12,9 @@
 
 #include <libsoup/soup.h>
 
+#include "Common/HttpHeaders.h"
 #include "Common/Result.h"
-#include "Platform/ConnectionSockets.h"
+#include "Remote/ConnectionSockets.h"
 
 /// Why an HTTP request gave no reply. A reply with an error status is a reply.
 enum class http_failure : std::uint8_t
@@ -29,8 +30,6 @@
 
 std::string_view HttpFailureName(http_failure aFailure);
 
-using http_headers = std::vector<std::pair<std::string, std::string>>;
-
 /// One request. `mUrl` is complete, for example `http://10.0.0.1:80/v1/read`.
 struct http_request
 {
@@ -52,10 +51,6 @@
   std::string mBody;
 };
 
-/// Value of a header regardless of letter case, empty when absent.
-std::string_view FindHeader(const http_headers& aHeaders,
-                            std::string_view aName);
-
 struct http_call;
 
 /// Owner of requests. Its destruction cancels the open ones, and their
--- a/Source/Core/Platform/HttpExchange.cpp
+++ b/Source/Core/Remote/HttpExchange.cpp
@@ -1,4 +1,4 @@
-#include "Platform/HttpExchange.h"
+#include "Remote/HttpExchange.h"
 
 #include <cerrno>
 #include <chrono>
--- a/Source/Core/Platform/HttpHostList.cpp
+++ b/Source/Core/Remote/HttpHostList.cpp
@@ -1,10 +1,10 @@
-#include "Platform/HttpHostList.h"
+#include "Remote/HttpHostList.h"
 
 #include <utility>
 
 #include <fmt/format.h>
 
-#include "Platform/HostListJson.h"
+#include "Remote/HostListJson.h"
 
 namespace {
 
--- a/Source/Core/Platform/HttpHostList.h
+++ b/Source/Core/Remote/HttpHostList.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "Platform/HostList.h"
-#include "Platform/HttpClient.h"
-#include "Platform/PlatformEndpoint.h"
+#include "Remote/HostList.h"
+#include "Remote/HttpClient.h"
+#include "Remote/PlatformEndpoint.h"
 
 /// The host list over HTTP: `GET /v1/hosts?version=N` answers 200 with the
 /// list (`Platform/HostListJson.h`), or 304 while N is the current version.
--- a/Source/Core/Platform/HttpObjectStore.cpp
+++ b/Source/Core/Remote/HttpObjectStore.cpp
@@ -1,4 +1,4 @@
-#include "Platform/HttpObjectStore.h"
+#include "Remote/HttpObjectStore.h"
 
 #include <optional>
 #include <utility>
--- a/Source/Core/Platform/HttpObjectStore.h
+++ b/Source/Core/Remote/HttpObjectStore.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "Platform/HttpClient.h"
-#include "Platform/ObjectStore.h"
-#include "Platform/PlatformEndpoint.h"
+#include "Remote/HttpClient.h"
+#include "Remote/ObjectStore.h"
+#include "Remote/PlatformEndpoint.h"
 
 /// The object store over HTTP: `GET` and `PUT` of `/v1/objects/NAME`, with the
 /// name percent-escaped and the bytes as the body. 404 means not found, 429
--- a/Source/Core/Platform/HttpServer.cpp
+++ b/Source/Core/Remote/HttpServer.cpp
@@ -1,4 +1,4 @@
-#include "Platform/HttpServer.h"
+#include "Remote/HttpServer.h"
 
 #include <charconv>
 #include <cstring>
--- a/Source/Core/Platform/HttpServer.h
+++ b/Source/Core/Remote/HttpServer.h
@@ -13,7 +13,7 @@
 
 #include "Common/EventLoop.h"
 #include "Common/Result.h"
-#include "Platform/HttpExchange.h"
+#include "Remote/HttpExchange.h"
 
 /// Why a server does not listen.
 struct http_listen_error
--- a/Source/Core/Platform/HttpStream.cpp
+++ b/Source/Core/Remote/HttpStream.cpp
@@ -1,4 +1,4 @@
-#include "Platform/HttpStream.h"
+#include "Remote/HttpStream.h"
 
 #include <array>
 #include <memory>
--- a/Source/Core/Platform/HttpStream.h
+++ b/Source/Core/Remote/HttpStream.h
@@ -4,7 +4,7 @@
 #include <optional>
 #include <string_view>
 
-#include "Platform/HttpClient.h"
+#include "Remote/HttpClient.h"
 
 /// Head of a streamed response.
 struct http_head
--- a/Source/Core/Platform/HttpTableService.cpp
+++ b/Source/Core/Remote/HttpTableService.cpp
@@ -1,8 +1,8 @@
-#include "Platform/HttpTableService.h"
+#include "Remote/HttpTableService.h"
 
 #include <utility>
 
-#include "Platform/TableJson.h"
+#include "Remote/TableJson.h"
 
 namespace {
 
--- a/Source/Core/Platform/HttpTableService.h
+++ b/Source/Core/Remote/HttpTableService.h
@@ -5,9 +5,9 @@
 #include <string>
 #include <string_view>
 
-#include "Platform/HttpClient.h"
-#include "Platform/PlatformEndpoint.h"
-#include "Platform/TableService.h"
+#include "Remote/HttpClient.h"
+#include "Remote/PlatformEndpoint.h"
+#include "Remote/TableService.h"
 
 /// The table service over HTTP; `Platform/TableJson.h` describes the protocol.
 /// Destruction cancels open calls without calling back.
--- a/Source/Core/Platform/HttpWeightStore.cpp
+++ b/Source/Core/Remote/HttpWeightStore.cpp
@@ -1,4 +1,4 @@
-#include "Platform/HttpWeightStore.h"
+#include "Remote/HttpWeightStore.h"
 
 #include <utility>
 
--- a/Source/Core/Platform/HttpWeightStore.h
+++ b/Source/Core/Remote/HttpWeightStore.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "Platform/HttpClient.h"
-#include "Platform/PlatformEndpoint.h"
-#include "Platform/WeightStore.h"
+#include "Remote/HttpClient.h"
+#include "Remote/PlatformEndpoint.h"
+#include "Remote/WeightStore.h"
 
 /// The weight store over HTTP: `POST /v1/tickets` with `{"model"}` answers
 /// `{"model","ticket","bytes"}`; 404 means an unknown model, 429 over the
--- a/Source/Core/Platform/MemoryTable.cpp
+++ b/Source/Core/Remote/MemoryTable.cpp
@@ -1,4 +1,4 @@
-#include "Platform/MemoryTable.h"
+#include "Remote/MemoryTable.h"
 
 #include <algorithm>
 
--- a/Source/Core/Platform/MemoryTable.h
+++ b/Source/Core/Remote/MemoryTable.h
@@ -7,7 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "Platform/TableService.h"
+#include "Remote/TableService.h"
 
 /// The state of a table service as a pure state machine: rows, versions and
 /// the memory of transactions. Stand-ins and tests are built on it.
--- a/Source/Core/Platform/TableJson.cpp
+++ b/Source/Core/Remote/TableJson.cpp
@@ -1,4 +1,4 @@
-#include "Platform/TableJson.h"
+#include "Remote/TableJson.h"
 
 #include <utility>
 
--- a/Source/Core/Platform/TableJson.h
+++ b/Source/Core/Remote/TableJson.h
@@ -5,7 +5,7 @@
 #include <string_view>
 #include <vector>
 
-#include "Platform/TableService.h"
+#include "Remote/TableService.h"
 
 /// JSON bodies of the table service's HTTP protocol. Keys and values are UTF-8
 /// texts; a body with other bytes cannot be written.
--- a/Source/Core/Platform/TableService.cpp
+++ b/Source/Core/Remote/TableService.cpp
@@ -1,4 +1,4 @@
-#include "Platform/TableService.h"
+#include "Remote/TableService.h"
 
 std::string_view TableErrorName(table_error aError)
 {
--- a/Source/Core/Services/CallSweepSystem.h
+++ b/Source/Core/Services/CallSweepSystem.h
@@ -9,7 +9,7 @@
 #include "Common/Identity.h"
 #include "Common/Result.h"
 #include "Common/Time.h"
-#include "Platform/TableService.h"
+#include "Remote/TableService.h"
 
 struct call_sweep_settings
 {
--- a/Source/Core/Services/ServiceCallSystem.h
+++ b/Source/Core/Services/ServiceCallSystem.h
@@ -10,7 +10,7 @@
 #include "Common/Identity.h"
 #include "Common/Result.h"
 #include "Common/Time.h"
-#include "Platform/TableService.h"
+#include "Remote/TableService.h"
 #include "Services/ServiceCall.h"
 
 struct service_call_settings
--- a/Source/Core/StandIn/EngineStandIn.h
+++ b/Source/Core/StandIn/EngineStandIn.h
@@ -12,7 +12,7 @@
 #include "Common/EventLoop.h"
 #include "Common/PrefixHash.h"
 #include "Common/Time.h"
-#include "Platform/HttpServer.h"
+#include "Remote/HttpServer.h"
 #include "StandIn/DeferredCalls.h"
 #include "StandIn/EngineAnswer.h"
 #include "StandIn/EngineBatch.h"
--- a/Source/Core/StandIn/HostListStandIn.cpp
+++ b/Source/Core/StandIn/HostListStandIn.cpp
@@ -3,7 +3,7 @@
 #include <utility>
 #include <vector>
 
-#include "Platform/HostListJson.h"
+#include "Remote/HostListJson.h"
 
 using nlohmann::json;
 
--- a/Source/Core/StandIn/HostListStandIn.h
+++ b/Source/Core/StandIn/HostListStandIn.h
@@ -4,7 +4,7 @@
 #include <map>
 #include <string>
 
-#include "Platform/HostList.h"
+#include "Remote/HostList.h"
 #include "StandIn/DeferredCalls.h"
 #include "StandIn/StandInServer.h"
 
--- a/Source/Core/StandIn/StandInServer.h
+++ b/Source/Core/StandIn/StandInServer.h
@@ -6,7 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "Platform/HttpServer.h"
+#include "Remote/HttpServer.h"
 #include "StandIn/DeferredCalls.h"
 #include "StandIn/Faults.h"
 
--- a/Source/Core/StandIn/TableStandIn.cpp
+++ b/Source/Core/StandIn/TableStandIn.cpp
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include "Platform/TableJson.h"
+#include "Remote/TableJson.h"
 
 namespace {
 
--- a/Source/Core/StandIn/TableStandIn.h
+++ b/Source/Core/StandIn/TableStandIn.h
@@ -3,8 +3,8 @@
 #include <cstdint>
 
 #include "Common/Time.h"
-#include "Platform/MemoryTable.h"
-#include "Platform/TableService.h"
+#include "Remote/MemoryTable.h"
+#include "Remote/TableService.h"
 #include "StandIn/StandInServer.h"
 
 struct table_stand_in_options
--- a/Source/LentilSwitch/Command.h
+++ b/Source/LentilSwitch/Command.h
@@ -24,6 +24,8 @@
 
 void AddNodeCommand(CLI::App& aApp, command_context& aContext);
 
+void AddGatewayCommand(CLI::App& aApp, command_context& aContext);
+
 void AddDemoCommand(CLI::App& aApp, command_context& aContext);
 
 void AddStandInCommand(CLI::App& aApp, command_context& aContext);
--- /dev/null
+++ b/Source/LentilSwitch/GatewayCommand.cpp
@@ -0,0 +1,57 @@
+#include <memory>
+#include <string>
+
+#include <fmt/format.h>
+
+#include "Command.h"
+#include "Common/EventLoop.h"
+#include "Common/Log.h"
+#include "Gateway/GatewayNode.h"
+#include "SignalWatch.h"
+#include "platform/PlatformDialect.h"
+#include "platform/PlatformRowStore.h"
+
+namespace {
+
+exit_code RunGateway(const std::string& aPath, bool aCheck)
+{
+  const auto settings = ReadGatewaySettings(aPath);
+  if (!settings.has_value()) {
+    fmt::print(stderr, "{}\n", settings.error());
+    return exit_code::Usage;
+  }
+  if (aCheck) {
+    fmt::print("{}: valid\n", aPath);
+    return exit_code::Ok;
+  }
+  SetLogOutput(log_output::StandardOutput);
+  event_loop loop;
+  const system_time_source time;
+  const platform_dialect dialect;
+  platform_row_store store(settings.value().mStore, time);
+  std::string error;
+  const auto node = gateway_node::Start(
+    settings.value(), dialect, store, time, [&loop] { loop.Quit(); }, error);
+  if (!node) {
+    fmt::print(stderr, "{}: {}\n", aPath, error);
+    return exit_code::Unavailable;
+  }
+  const signal_watch signals([&node] { node->Stop(); });
+  loop.Run();
+  return exit_code::Ok;
+}
+
+} // namespace
+
+void AddGatewayCommand(CLI::App& aApp, command_context& aContext)
+{
+  CLI::App* command = aApp.add_subcommand(
+    "gateway", "Run one gateway node on the platform until SIGTERM or SIGINT");
+  auto path = std::make_shared<std::string>();
+  auto check = std::make_shared<bool>(false);
+  command->add_option("settings", *path, "Settings file, JSON with comments")
+    ->required();
+  command->add_flag("--check", *check, "Only check the settings file");
+  command->callback(
+    [path, check, &aContext] { aContext.mExit = RunGateway(*path, *check); });
+}
--- a/Source/LentilSwitch/Main.cpp
+++ b/Source/LentilSwitch/Main.cpp
@@ -17,6 +17,7 @@
   app.require_subcommand(1);
   app.footer(kFooter);
   AddNodeCommand(app, context);
+  AddGatewayCommand(app, context);
   AddDemoCommand(app, context);
   AddStandInCommand(app, context);
   AddLoadCommand(app, context);
--- a/Source/LentilSwitch/OperatorClient.h
+++ b/Source/LentilSwitch/OperatorClient.h
@@ -6,7 +6,7 @@
 
 #include "Common/EventLoop.h"
 #include "Common/Result.h"
-#include "Platform/HttpClient.h"
+#include "Remote/HttpClient.h"
 
 /// Where an operator command goes and who sends it.
 struct operator_target
--- a/Source/UnitTests/Config/FakeTable.h
+++ b/Source/UnitTests/Config/FakeTable.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "Common/Time.h"
-#include "Platform/TableService.h"
+#include "Remote/TableService.h"
 
 /// Table service in memory that keeps its past, so that reads can be answered
 /// as by a lagging replica.
--- a/Source/UnitTests/Demo/ChatCaller.h
+++ b/Source/UnitTests/Demo/ChatCaller.h
@@ -7,8 +7,8 @@
 
 #include <nlohmann/json.hpp>
 
-#include "Platform/HttpClient.h"
-#include "Platform/HttpStream.h"
+#include "Remote/HttpClient.h"
+#include "Remote/HttpStream.h"
 
 /// What a caller asks of a node.
 struct chat_call
--- /dev/null
+++ b/Source/UnitTests/Gateway/FakeRowStore.cpp
@@ -0,0 +1,131 @@
+#include "FakeRowStore.h"
+
+#include <utility>
+
+row_commit fake_row_store::Apply(const row_transaction& aTransaction)
+{
+  row_commit commit;
+  commit.mVersion = mVersion;
+  for (const row_condition& condition : aTransaction.mConditions) {
+    const auto found = mRows.find(condition.mKey);
+    const std::uint64_t version =
+      found == mRows.end() ? 0 : found->second.mVersion;
+    if (version != condition.mVersion) {
+      if (found != mRows.end()) {
+        commit.mCurrent.push_back(found->second);
+      }
+      return commit;
+    }
+  }
+  commit.mCommitted = true;
+  commit.mVersion = ++mVersion;
+  for (const row_write& write : aTransaction.mWrites) {
+    const stored_row row{ write.mKey, write.mValue, mVersion, false };
+    mRows[write.mKey] = row;
+    mChanges.push_back(row);
+  }
+  for (const row_key& key : aTransaction.mRemovals) {
+    mRows.erase(key);
+    mChanges.push_back({ key, {}, mVersion, true });
+  }
+  return commit;
+}
+
+void fake_row_store::Commit(const row_transaction& aTransaction,
+                            commit_callback aReply)
+{
+  ++mCommits;
+  if (mDown || mFault == fault::Refuse) {
+    mReplies.emplace_back([aReply] { aReply(row_store_error::Refused); });
+    return;
+  }
+  if (mFault == fault::Delay) {
+    mLate.push_back(aTransaction);
+    mReplies.emplace_back([aReply] { aReply(row_store_error::Unknown); });
+    return;
+  }
+  const row_commit commit = Apply(aTransaction);
+  if (mFault == fault::LoseReply) {
+    mReplies.emplace_back([aReply] { aReply(row_store_error::Unknown); });
+    return;
+  }
+  mReplies.emplace_back([aReply, commit] { aReply(commit); });
+}
+
+void fake_row_store::Read(const std::string& aTable,
+                          const std::string& aPart,
+                          const std::string& aFrom,
+                          page_callback aReply)
+{
+  if (mDown) {
+    mReplies.emplace_back([aReply] { aReply(row_store_error::Refused); });
+    return;
+  }
+  row_page page;
+  page.mVersion = mVersion;
+  for (const auto& [key, row] : mRows) {
+    if (key.mTable == aTable && key.mPart == aPart && key.mKey >= aFrom) {
+      page.mRows.push_back(row);
+    }
+  }
+  mReplies.emplace_back([aReply, page] { aReply(page); });
+}
+
+void fake_row_store::Follow(const std::string& aTable,
+                            std::uint64_t aAfter,
+                            std::chrono::milliseconds,
+                            page_callback aReply)
+{
+  if (mDown) {
+    mReplies.emplace_back([aReply] { aReply(row_store_error::Refused); });
+    return;
+  }
+  if (aAfter < mHistoryFrom) {
+    mReplies.emplace_back([aReply] { aReply(row_store_error::HistoryLost); });
+    return;
+  }
+  row_page page;
+  page.mVersion = mVersion;
+  for (const stored_row& change : mChanges) {
+    if (change.mKey.mTable == aTable && change.mVersion > aAfter) {
+      page.mRows.push_back(change);
+    }
+  }
+  mReplies.emplace_back([aReply, page] { aReply(page); });
+}
+
+void fake_row_store::Put(const row_key& aKey, const std::string& aValue)
+{
+  row_transaction transaction;
+  transaction.mWrites.push_back({ aKey, aValue });
+  Apply(transaction);
+}
+
+void fake_row_store::Remove(const row_key& aKey)
+{
+  row_transaction transaction;
+  transaction.mRemovals.push_back(aKey);
+  Apply(transaction);
+}
+
+void fake_row_store::ApplyLate()
+{
+  for (const row_transaction& transaction : std::exchange(mLate, {})) {
+    Apply(transaction);
+  }
+}
+
+void fake_row_store::Deliver()
+{
+  const auto replies = std::exchange(mReplies, {});
+  for (const auto& reply : replies) {
+    reply();
+  }
+}
+
+std::optional<std::string> fake_row_store::Value(const row_key& aKey) const
+{
+  const auto found = mRows.find(aKey);
+  return found == mRows.end() ? std::nullopt
+                              : std::optional(found->second.mValue);
+}
--- /dev/null
+++ b/Source/UnitTests/Gateway/GatewayFixture.cpp
@@ -0,0 +1,160 @@
+#include "GatewayFixture.h"
+
+#include <fmt/format.h>
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kLimit(5000);
+constexpr milliseconds kStorePeriod(2);
+
+constexpr const char* kConfigText = R"({
+  "version": 7,
+  "routes": [
+    {"name": "stream", "host": "a.example", "prefix": "/s/",
+     "kind": "streaming", "timeoutMs": 2000, "targetLatencyMs": 600,
+     "priority": 1, "service": "engine", "maxAttempts": 1, "sticky": true,
+     "resumable": false, "gapAimMs": 500},
+    {"name": "resume", "host": "a.example", "prefix": "/r/",
+     "kind": "streaming", "timeoutMs": 2000, "targetLatencyMs": 600,
+     "priority": 1, "service": "engine", "maxAttempts": 2, "sticky": true,
+     "resumable": true, "gapAimMs": 500},
+    {"name": "order", "host": "a.example", "prefix": "/o/",
+     "kind": "non_idempotent", "timeoutMs": 800, "targetLatencyMs": 300,
+     "priority": 2, "service": "app", "maxAttempts": 1},
+    {"name": "look", "host": "a.example", "prefix": "/l/",
+     "kind": "idempotent", "timeoutMs": 800, "targetLatencyMs": 300,
+     "priority": 2, "service": "app", "maxAttempts": 2},
+    {"name": "inner", "host": "a.example", "prefix": "/l/inner/",
+     "kind": "idempotent", "timeoutMs": 800, "targetLatencyMs": 300,
+     "priority": 2, "service": "app", "maxAttempts": 1, "public": true}
+  ],
+  "services": [
+    {"name": "engine", "healthPath": "/health", "maxConns": 100,
+     "engine": {"slots": 8, "kvCapacity": 100000, "stride": 5}},
+    {"name": "app", "healthPath": "/health", "maxConns": 100}
+  ],
+  "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1048576,
+             "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+  "tenants": [
+    {"name": "clinic", "apiKeys": ["key-1"], "prepaid": 100000},
+    {"name": "small", "apiKeys": ["key-2"], "prepaid": 1000, "priority": 0}
+  ]
+})";
+
+} // namespace
+
+scripted_server::scripted_server(const time_source& aTime)
+{
+  std::string error;
+  mListener = http_listener::Listen({ "127.0.0.1", 0 }, *this, aTime, error);
+}
+
+void scripted_server::OnRequest(http_server_connection& aConnection,
+                                http_server_request aRequest)
+{
+  mRequests.push_back(aRequest);
+  if (mScript) {
+    mScript(aConnection, aRequest);
+    return;
+  }
+  http_server_response response;
+  Sign(response, aRequest);
+  aConnection.Respond(response, "done");
+}
+
+void scripted_server::Sign(http_server_response& aResponse,
+                           const http_server_request& aRequest)
+{
+  aResponse.mHeaders.emplace_back(
+    "Lentilswitch-Request-Id",
+    std::string(FindHeader(aRequest.mHeaders, "Lentilswitch-Request-Id")));
+  aResponse.mHeaders.emplace_back("Lentilswitch-Server-Stamp", "stamp");
+}
+
+gateway_fixture::gateway_fixture()
+  : mConfig(kConfigText)
+{
+  mSettings.mName = "node-1";
+  mSettings.mZone = zone_id{ "z1" };
+  mSettings.mFront = { "127.0.0.1", 0 };
+  mSettings.mReadiness = { "127.0.0.1", 0 };
+  mSettings.mDirectory = { "127.0.0.1", 0 };
+  mSettings.mPeer = { "127.0.0.1", 0 };
+  mSettings.mRetries.mAllowance = 100;
+  mSettings.mGrace = milliseconds(1000);
+  mStoreTimer.Every(kStorePeriod, [this] { mStore.Deliver(); });
+}
+
+gateway_fixture::~gateway_fixture() = default;
+
+scripted_server& gateway_fixture::AddServer(const std::string& aId,
+                                            const std::string& aService)
+{
+  mServers.push_back(std::make_unique<scripted_server>(mTime));
+  scripted_server& server = *mServers.back();
+  mStore.Put(
+    { "servers", "", aId },
+    fmt::format(R"({{"service":"{}","address":"{}","zone":"z1","slots":8,)"
+                R"("state":"ready","seq":1,"born":1}})",
+                aService,
+                server.Address()));
+  return server;
+}
+
+void gateway_fixture::StartNode()
+{
+  mStore.Put({ "op", "", "config" }, mConfig);
+  std::string error;
+  mNode = gateway_node::Start(
+    mSettings, mDialect, mStore, mTime, [this] { mEnded = true; }, error);
+  ASSERT_TRUE(mNode) << error;
+  ASSERT_TRUE(RunUntil([this] { return mNode->Ready(); }));
+}
+
+std::unique_ptr<client_exchange> gateway_fixture::Begin(
+  const std::string& aMethod,
+  const std::string& aPath,
+  const std::string& aHeaders,
+  const std::string& aBody)
+{
+  auto exchange = std::make_unique<client_exchange>();
+  exchange->mConnection = std::make_unique<http_client_connection>(
+    mNode->FrontAddress(), tcp_liveness{});
+  std::string head = fmt::format("{} {} HTTP/1.1\r\nHost: a.example\r\n"
+                                 "Lentilswitch-Request-Id: r1\r\n{}",
+                                 aMethod,
+                                 aPath,
+                                 aHeaders);
+  if (aHeaders.find("Authorization") == std::string::npos) {
+    head.append("Authorization: Bearer key-1\r\n");
+  }
+  if (!aBody.empty()) {
+    head.append(fmt::format("Content-Length: {}\r\n", aBody.size()));
+  }
+  head.append("\r\n");
+  exchange->mConnection->Start(head, aBody, false, *exchange);
+  return exchange;
+}
+
+std::unique_ptr<client_exchange> gateway_fixture::Call(
+  const std::string& aMethod,
+  const std::string& aPath,
+  const std::string& aHeaders,
+  const std::string& aBody)
+{
+  auto exchange = Begin(aMethod, aPath, aHeaders, aBody);
+  EXPECT_TRUE(RunUntil([&] { return exchange->Ended(); })) << aPath;
+  return exchange;
+}
+
+bool gateway_fixture::RunUntil(const std::function<bool()>& aCondition)
+{
+  return mLoop.RunUntil(aCondition, kLimit);
+}
+
+void gateway_fixture::RunFor(std::chrono::milliseconds aTime)
+{
+  mLoop.RunUntil([] { return false; }, aTime);
+}
--- /dev/null
+++ b/Source/UnitTests/Gateway/GatewayFixture.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "Common/EventLoop.h"
+#include "FakeRowStore.h"
+#include "Gateway/GatewayNode.h"
+#include "platform/PlatformDialect.h"
+
+/// A server whose answers a test decides.
+class scripted_server final : public http_request_handler
+{
+public:
+  using script =
+    std::function<void(http_server_connection&, const http_server_request&)>;
+
+  explicit scripted_server(const time_source& aTime);
+  void OnRequest(http_server_connection& aConnection,
+                 http_server_request aRequest) override;
+  void OnClientGone(http_server_connection&) override { ++mGone; }
+  void OnClientDrained(http_server_connection&) override {}
+  void OnConnectionClosed(http_server_connection&) override {}
+
+  std::string Address() const { return FormatTcpAddress(mListener->Address()); }
+  /// Sends a signed answer to the request.
+  static void Sign(http_server_response& aResponse,
+                   const http_server_request& aRequest);
+
+  std::vector<http_server_request> mRequests;
+  script mScript;
+  unsigned mGone = 0;
+
+private:
+  std::unique_ptr<http_listener> mListener;
+};
+
+/// Answer of the gateway to a test's request.
+class client_exchange final : public http_exchange_observer
+{
+public:
+  bool OnResponse(http_client_connection&,
+                  http_client_response aResponse) override
+  {
+    mResponse = aResponse;
+    return true;
+  }
+  void OnBody(std::string_view aBytes) override { mBody.append(aBytes); }
+  void OnComplete(bool) override { mComplete = true; }
+  void OnExchangeFailed(exchange_failure aFailure) override
+  {
+    mFailure = aFailure;
+  }
+  bool Ended() const { return mComplete || mFailure.has_value(); }
+
+  std::unique_ptr<http_client_connection> mConnection;
+  http_client_response mResponse;
+  std::string mBody;
+  bool mComplete = false;
+  std::optional<exchange_failure> mFailure;
+};
+
+/// One gateway node with a store in memory and servers of the test.
+class gateway_fixture : public testing::Test
+{
+protected:
+  gateway_fixture();
+  ~gateway_fixture() override;
+
+  /// Adds a server of a service to the store.
+  scripted_server& AddServer(const std::string& aId,
+                             const std::string& aService);
+  /// Starts the node and waits until it is ready.
+  void StartNode();
+  /// Begins a request; more header lines end in CRLF.
+  std::unique_ptr<client_exchange> Begin(const std::string& aMethod,
+                                         const std::string& aPath,
+                                         const std::string& aHeaders = {},
+                                         const std::string& aBody = {});
+  /// Runs a request to its end.
+  std::unique_ptr<client_exchange> Call(const std::string& aMethod,
+                                        const std::string& aPath,
+                                        const std::string& aHeaders = {},
+                                        const std::string& aBody = {});
+  bool RunUntil(const std::function<bool()>& aCondition);
+  void RunFor(std::chrono::milliseconds aTime);
+
+  event_loop mLoop;
+  system_time_source mTime;
+  platform_dialect mDialect;
+  fake_row_store mStore;
+  loop_timer mStoreTimer;
+  std::string mConfig;
+  gateway_settings mSettings;
+  std::vector<std::unique_ptr<scripted_server>> mServers;
+  std::unique_ptr<gateway_node> mNode;
+  bool mEnded = false;
+};
--- /dev/null
+++ b/Source/UnitTests/Gateway/GatewayPathTest.cpp
@@ -0,0 +1,295 @@
+#include "GatewayFixture.h"
+
+namespace {
+
+using std::chrono::milliseconds;
+
+class gateway_path_test : public gateway_fixture
+{};
+
+constexpr const char* kPrompt =
+  "Lentilswitch-Model: m\r\nLentilswitch-Token-Counts: 100,50\r\n"
+  "Lentilswitch-Prompt-Prefix: aa:60,bb:40\r\n";
+
+/// Starts an event stream with the given events.
+void SendEvents(http_server_connection& aConnection,
+                const http_server_request& aRequest,
+                const std::string& aEvents)
+{
+  http_server_response head;
+  scripted_server::Sign(head, aRequest);
+  head.mHeaders.emplace_back("Content-Type", "text/event-stream");
+  head.mFraming = body_framing::Chunked;
+  aConnection.StartResponse(head);
+  aConnection.WriteBody(aEvents);
+}
+
+std::string Header(const http_server_request& aRequest, const char* aName)
+{
+  return std::string(FindHeader(aRequest.mHeaders, aName));
+}
+
+} // namespace
+
+TEST_F(gateway_path_test, ForwardsRequestAndAnswer)
+{
+  scripted_server& server = AddServer("i-1", "app");
+  StartNode();
+  const auto exchange =
+    Call("POST", "/o/x?q=1", "Lentilswitch-Deadline-Ms: 500\r\n", "body");
+  EXPECT_EQ(exchange->mResponse.mStatus, 200U);
+  EXPECT_EQ(exchange->mBody, "done");
+  EXPECT_EQ(
+    FindHeader(exchange->mResponse.mHeaders, "Lentilswitch-Server-Stamp"),
+    "stamp");
+  ASSERT_EQ(server.mRequests.size(), 1U);
+  const http_server_request& sent = server.mRequests[0];
+  EXPECT_EQ(sent.mTarget, "/o/x?q=1");
+  EXPECT_EQ(sent.mBody, "body");
+  EXPECT_EQ(Header(sent, "Lentilswitch-Expect-Instance"), "i-1");
+  EXPECT_EQ(Header(sent, "Lentilswitch-Tenant"), "clinic");
+  // The key must not reach a server, and the time passed on must not grow.
+  EXPECT_EQ(Header(sent, "Authorization"), "");
+  EXPECT_LE(std::stoi(Header(sent, "Lentilswitch-Deadline-Ms")), 500);
+}
+
+// Headers that only the gateway sets must not come from a client.
+TEST_F(gateway_path_test, DropsClientValuesOfGatewayHeaders)
+{
+  scripted_server& server = AddServer("i-1", "app");
+  StartNode();
+  Call("POST",
+       "/o/x",
+       "Lentilswitch-Tenant: other\r\nKv-From: 1.2.3.4:5/x\r\n"
+       "Lentilswitch-Hold: h\r\nConnection: X-Private\r\nX-Private: 1\r\n"
+       "X-Public: 2\r\n",
+       "b");
+  ASSERT_EQ(server.mRequests.size(), 1U);
+  EXPECT_EQ(Header(server.mRequests[0], "Lentilswitch-Tenant"), "clinic");
+  EXPECT_EQ(Header(server.mRequests[0], "Kv-From"), "");
+  EXPECT_EQ(Header(server.mRequests[0], "Lentilswitch-Hold"), "");
+  EXPECT_EQ(Header(server.mRequests[0], "X-Private"), "");
+  EXPECT_EQ(Header(server.mRequests[0], "X-Public"), "2");
+}
+
+TEST_F(gateway_path_test, ChoosesLongestPrefixAndChecksKeys)
+{
+  scripted_server& server = AddServer("i-1", "app");
+  StartNode();
+  RunFor(milliseconds(50));
+  EXPECT_EQ(Call("GET", "/none/x")->mResponse.mStatus, 404U);
+  EXPECT_EQ(
+    Call("GET", "/l/x", "Authorization: Bearer bad\r\n")->mResponse.mStatus,
+    401U);
+  EXPECT_TRUE(server.mRequests.empty());
+  EXPECT_EQ(Call("GET", "/l/inner/x", "Authorization: Bearer bad\r\n")
+              ->mResponse.mStatus,
+            200U);
+  EXPECT_EQ(Header(server.mRequests.at(0), "Lentilswitch-Tenant"), "");
+}
+
+// A request that may have run must never be refused as not run.
+TEST_F(gateway_path_test, BrokenServerIsNoPromise)
+{
+  scripted_server& server = AddServer("i-1", "app");
+  server.mScript = [](http_server_connection& aConnection,
+                      const http_server_request&) { aConnection.Abort(); };
+  StartNode();
+  EXPECT_EQ(Call("POST", "/o/x", {}, "b")->mResponse.mStatus, 502U);
+  EXPECT_EQ(server.mRequests.size(), 1U);
+}
+
+TEST_F(gateway_path_test, RepeatsWhatMayBeRepeated)
+{
+  scripted_server& first = AddServer("i-1", "app");
+  scripted_server& second = AddServer("i-2", "app");
+  unsigned calls = 0;
+  const auto script = [&calls](http_server_connection& aConnection,
+                               const http_server_request& aRequest) {
+    http_server_response response;
+    scripted_server::Sign(response, aRequest);
+    response.mStatus = ++calls == 1 ? 500 : 200;
+    aConnection.Respond(response, "answer");
+  };
+  first.mScript = script;
+  second.mScript = script;
+  StartNode();
+  EXPECT_EQ(Call("GET", "/l/x")->mResponse.mStatus, 200U);
+  EXPECT_EQ(first.mRequests.size(), 1U);
+  EXPECT_EQ(second.mRequests.size(), 1U);
+}
+
+TEST_F(gateway_path_test, RefusalOfServerIsNotRun)
+{
+  scripted_server& server = AddServer("i-1", "app");
+  server.mScript = [](http_server_connection& aConnection,
+                      const http_server_request&) {
+    http_server_response response;
+    response.mStatus = 503;
+    response.mHeaders.emplace_back("Lentilswitch-Not-Executed", "1");
+    aConnection.Respond(response, {});
+  };
+  StartNode();
+  const auto exchange = Call("POST", "/o/x", {}, "b");
+  EXPECT_EQ(exchange->mResponse.mStatus, 503U);
+  EXPECT_FALSE(FindHeader(exchange->mResponse.mHeaders, "Retry-After").empty());
+  EXPECT_EQ(server.mRequests.size(), 1U);
+}
+
+// Bytes without a server's signature are not an answer.
+TEST_F(gateway_path_test, UnsignedSuccessIsNotDelivered)
+{
+  scripted_server& server = AddServer("i-1", "app");
+  server.mScript = [](http_server_connection& aConnection,
+                      const http_server_request&) {
+    aConnection.Respond({}, "stray");
+  };
+  StartNode();
+  EXPECT_EQ(Call("POST", "/o/x", {}, "b")->mResponse.mStatus, 502U);
+}
+
+TEST_F(gateway_path_test, AnswersAtTheRouteLimit)
+{
+  scripted_server& server = AddServer("i-1", "app");
+  server.mScript = [](http_server_connection&, const http_server_request&) {};
+  StartNode();
+  const auto began = mTime.Now();
+  EXPECT_EQ(Call("POST", "/o/x", {}, "b")->mResponse.mStatus, 504U);
+  EXPECT_LT(mTime.Now() - began, milliseconds(1200));
+  // The server's work must end with the request.
+  EXPECT_TRUE(RunUntil([&] { return server.mGone == 1; }));
+}
+
+TEST_F(gateway_path_test, StopsWorkOfAClientThatLeft)
+{
+  scripted_server& server = AddServer("i-1", "app");
+  server.mScript = [](http_server_connection&, const http_server_request&) {};
+  StartNode();
+  auto exchange = Begin("POST", "/o/x", {}, "b");
+  ASSERT_TRUE(RunUntil([&] { return !server.mRequests.empty(); }));
+  exchange->mConnection->Cancel();
+  EXPECT_TRUE(RunUntil([&] { return server.mGone == 1; }));
+}
+
+TEST_F(gateway_path_test, ForwardsWholeEventsOnly)
+{
+  scripted_server& server = AddServer("i-1", "engine");
+  http_server_connection* open = nullptr;
+  server.mScript = [&open](http_server_connection& aConnection,
+                           const http_server_request& aRequest) {
+    SendEvents(aConnection, aRequest, "id: 1\ndata: a\n\nid: 2\nda");
+    open = &aConnection;
+  };
+  StartNode();
+  auto exchange = Begin("POST", "/s/x", kPrompt, "b");
+  ASSERT_TRUE(
+    RunUntil([&] { return exchange->mBody == "id: 1\ndata: a\n\n"; }));
+  open->Abort();
+  ASSERT_TRUE(RunUntil([&] { return exchange->Ended(); }));
+  EXPECT_EQ(exchange->mBody, "id: 1\ndata: a\n\n");
+  EXPECT_FALSE(exchange->mComplete);
+}
+
+// A resumed stream must have no gap and no repeated event.
+TEST_F(gateway_path_test, ResumesAtAnotherServer)
+{
+  const auto script = [](http_server_connection& aConnection,
+                         const http_server_request& aRequest) {
+    if (Header(aRequest, "Last-Event-Id") == "2") {
+      SendEvents(aConnection, aRequest, "id: 3\ndata: c\n\n");
+      aConnection.FinishBody();
+      return;
+    }
+    SendEvents(
+      aConnection, aRequest, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nd");
+    static loop_timer sBreak;
+    sBreak.Once(milliseconds(50), [&aConnection] { aConnection.Abort(); });
+  };
+  AddServer("i-1", "engine").mScript = script;
+  AddServer("i-2", "engine").mScript = script;
+  StartNode();
+  const auto exchange = Call("POST", "/r/x", kPrompt, "b");
+  EXPECT_TRUE(exchange->mComplete);
+  EXPECT_EQ(exchange->mBody,
+            "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+}
+
+// Prepaid tokens must hold: a request that does not fit is not sent.
+TEST_F(gateway_path_test, RefusesWhatThePrepaidTokensDoNotCover)
+{
+  scripted_server& server = AddServer("i-1", "engine");
+  StartNode();
+  const auto exchange =
+    Call("POST",
+         "/s/x",
+         "Authorization: Bearer key-2\r\nLentilswitch-Token-Counts: 900,200\r\n"
+         "Lentilswitch-Prompt-Prefix: aa:900\r\n",
+         "b");
+  EXPECT_EQ(exchange->mResponse.mStatus, 402U);
+  EXPECT_TRUE(server.mRequests.empty());
+}
+
+TEST_F(gateway_path_test, UsesNoServerThatLeaves)
+{
+  scripted_server& first = AddServer("i-1", "app");
+  scripted_server& second = AddServer("i-2", "app");
+  StartNode();
+  mStore.Put(
+    { "servers", "", "i-1" },
+    R"({"service":"app","address":")" + first.Address() +
+      R"(","zone":"z1","slots":8,"state":"draining","seq":2,"born":1})");
+  RunFor(milliseconds(1000));
+  for (int i = 0; i < 6; ++i) {
+    EXPECT_EQ(Call("GET", "/l/x")->mResponse.mStatus, 200U);
+  }
+  EXPECT_TRUE(first.mRequests.empty());
+  EXPECT_EQ(second.mRequests.size(), 6U);
+}
+
+// An entry of another writer names no server and must not end the node.
+TEST_F(gateway_path_test, IgnoresForeignEntries)
+{
+  AddServer("i-1", "app");
+  mStore.Put({ "servers", "", "x-1" }, "\xff\xfe");
+  mStore.Put({ "servers", "", "x-2" }, R"({"service":5,"address":"x"})");
+  mStore.Put({ "servers", "", "x-3" }, "[]");
+  StartNode();
+  EXPECT_EQ(Call("GET", "/l/x")->mResponse.mStatus, 200U);
+}
+
+TEST_F(gateway_path_test, ConfigurationNeverGoesBack)
+{
+  AddServer("i-1", "app");
+  StartNode();
+  std::string newer = mConfig;
+  newer.replace(newer.find("\"version\": 7"), 12, "\"version\": 9");
+  newer.replace(newer.find("/o/"), 3, "/n/");
+  mStore.Put({ "op", "", "config" }, newer);
+  ASSERT_TRUE(RunUntil(
+    [&] { return Call("POST", "/n/x", {}, "b")->mResponse.mStatus == 200; }));
+  mStore.Put({ "op", "", "config" }, mConfig);
+  RunFor(milliseconds(300));
+  EXPECT_EQ(Call("POST", "/n/x", {}, "b")->mResponse.mStatus, 200U);
+}
+
+// A planned stop must not cut a request in progress.
+TEST_F(gateway_path_test, FinishesRequestsBeforeItStops)
+{
+  scripted_server& server = AddServer("i-1", "app");
+  http_server_connection* open = nullptr;
+  server.mScript = [&open](http_server_connection& aConnection,
+                           const http_server_request&) { open = &aConnection; };
+  StartNode();
+  auto exchange = Begin("POST", "/o/x", {}, "b");
+  ASSERT_TRUE(RunUntil([&] { return open != nullptr; }));
+  mNode->Stop();
+  EXPECT_FALSE(mNode->Ready());
+  RunFor(milliseconds(600));
+  EXPECT_FALSE(mEnded);
+  http_server_response response;
+  scripted_server::Sign(response, server.mRequests[0]);
+  open->Respond(response, "late");
+  ASSERT_TRUE(RunUntil([&] { return exchange->Ended(); }));
+  EXPECT_EQ(exchange->mBody, "late");
+  EXPECT_TRUE(RunUntil([this] { return mEnded; }));
+}
--- /dev/null
+++ b/Source/UnitTests/Gateway/PlatformRowStoreTest.cpp
@@ -0,0 +1,125 @@
+#include <gtest/gtest.h>
+
+#include "Common/EventLoop.h"
+#include "Net/HttpListener.h"
+#include "platform/PlatformRowStore.h"
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kLimit(3000);
+
+/// Answers every call with one status and body.
+class store_server final : public http_request_handler
+{
+public:
+  explicit store_server(const time_source& aTime)
+  {
+    std::string error;
+    mListener = http_listener::Listen({ "127.0.0.1", 0 }, *this, aTime, error);
+  }
+  void OnRequest(http_server_connection& aConnection,
+                 http_server_request aRequest) override
+  {
+    mRequests.push_back(std::move(aRequest));
+    if (mSilent) {
+      return;
+    }
+    http_server_response response;
+    response.mStatus = mStatus;
+    aConnection.Respond(response, mBody);
+  }
+  void OnClientGone(http_server_connection&) override {}
+  void OnClientDrained(http_server_connection&) override {}
+  void OnConnectionClosed(http_server_connection&) override {}
+
+  std::unique_ptr<http_listener> mListener;
+  std::vector<http_server_request> mRequests;
+  unsigned mStatus = 200;
+  std::string mBody;
+  bool mSilent = false;
+};
+
+class platform_row_store_test : public testing::Test
+{
+protected:
+  result<row_commit, row_store_error> Commit()
+  {
+    row_transaction transaction;
+    transaction.mConditions.push_back({ { "t", "p", "k" }, 3 });
+    transaction.mWrites.push_back({ { "t", "p", "k" }, "value" });
+    std::optional<result<row_commit, row_store_error>> reply;
+    mStore.Commit(transaction, [&](auto aResult) { reply = aResult; });
+    EXPECT_TRUE(mLoop.RunUntil([&] { return reply.has_value(); }, kLimit));
+    return *reply;
+  }
+
+  event_loop mLoop;
+  system_time_source mTime;
+  store_server mServer{ mTime };
+  platform_row_store mStore{ mServer.mListener->Address(), mTime };
+};
+
+} // namespace
+
+TEST_F(platform_row_store_test, CommitsAndKeepsTheConnection)
+{
+  mServer.mBody = R"({"ver":412,"nowMs":5})";
+  for (int i = 0; i < 3; ++i) {
+    const auto commit = Commit();
+    ASSERT_TRUE(commit.has_value());
+    EXPECT_TRUE(commit.value().mCommitted);
+    EXPECT_EQ(commit.value().mVersion, 412U);
+  }
+  EXPECT_EQ(mServer.mListener->Open(), 1U);
+  EXPECT_EQ(mServer.mRequests[0].mTarget, "/v1/rows-tx");
+  EXPECT_NE(mServer.mRequests[0].mBody.find("\"value\":\"dmFsdWU=\""),
+            std::string::npos);
+}
+
+TEST_F(platform_row_store_test, ReadsTheRowsOfAFailedCondition)
+{
+  mServer.mStatus = 412;
+  mServer.mBody = R"({"ver":9,"nowMs":5,"rows":[{"table":"t","part":"p",)"
+                  R"("key":"k","value":"bm9kZS0x","ver":8}]})";
+  const auto commit = Commit();
+  ASSERT_TRUE(commit.has_value());
+  EXPECT_FALSE(commit.value().mCommitted);
+  ASSERT_EQ(commit.value().mCurrent.size(), 1U);
+  EXPECT_EQ(commit.value().mCurrent[0].mValue, "node-1");
+  EXPECT_EQ(commit.value().mCurrent[0].mVersion, 8U);
+}
+
+// Only a refusal promises that nothing was done.
+TEST_F(platform_row_store_test, TellsRefusalFromSilence)
+{
+  mServer.mStatus = 503;
+  EXPECT_EQ(Commit().error(), row_store_error::Refused);
+  mServer.mStatus = 429;
+  EXPECT_EQ(Commit().error(), row_store_error::Refused);
+  mServer.mStatus = 500;
+  EXPECT_EQ(Commit().error(), row_store_error::Unknown);
+  mServer.mSilent = true;
+  EXPECT_EQ(Commit().error(), row_store_error::Unknown);
+}
+
+TEST_F(platform_row_store_test, FollowsChangesUntilTheHistoryIsLost)
+{
+  mServer.mBody = R"({"ver":9,"nowMs":5,"rows":[{"table":"t","part":"",)"
+                  R"("key":"k","ver":8,"removed":true}]})";
+  std::optional<result<row_page, row_store_error>> reply;
+  mStore.Follow(
+    "t", 7, milliseconds(500), [&](auto aResult) { reply = aResult; });
+  ASSERT_TRUE(mLoop.RunUntil([&] { return reply.has_value(); }, kLimit));
+  ASSERT_TRUE(reply->has_value());
+  EXPECT_TRUE(reply->value().mRows.at(0).mRemoved);
+  EXPECT_EQ(mServer.mRequests[0].mTarget,
+            "/v1/rows-feed?table=t&after=7&waitMs=500");
+  reply.reset();
+  mServer.mStatus = 410;
+  mStore.Follow(
+    "t", 7, milliseconds(500), [&](auto aResult) { reply = aResult; });
+  ASSERT_TRUE(mLoop.RunUntil([&] { return reply.has_value(); }, kLimit));
+  EXPECT_EQ(reply->error(), row_store_error::HistoryLost);
+}
--- /dev/null
+++ b/Source/UnitTests/Net/HttpConnectionTest.cpp
@@ -0,0 +1,361 @@
+#include <gtest/gtest.h>
+
+#include <string>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <vector>
+
+#include "Common/EventLoop.h"
+#include "Net/HttpListener.h"
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kLimit(3000);
+
+/// Answers each request with its own body, or not at all.
+class echo_handler final : public http_request_handler
+{
+public:
+  void OnRequest(http_server_connection& aConnection,
+                 http_server_request aRequest) override
+  {
+    mRequests.push_back(aRequest);
+    mConnection = &aConnection;
+    if (mAnswers) {
+      aConnection.Respond({}, aRequest.mBody + "!");
+    }
+  }
+  void OnClientGone(http_server_connection&) override { mGone = true; }
+  void OnClientDrained(http_server_connection&) override {}
+  void OnConnectionClosed(http_server_connection&) override { mClosed = true; }
+
+  std::vector<http_server_request> mRequests;
+  http_server_connection* mConnection = nullptr;
+  bool mAnswers = true;
+  bool mGone = false;
+  bool mClosed = false;
+};
+
+class recorder final : public http_exchange_observer
+{
+public:
+  bool OnResponse(http_client_connection&,
+                  http_client_response aResponse) override
+  {
+    mResponse = aResponse;
+    if (mDropNext) {
+      mDropNext = false;
+      return false;
+    }
+    return true;
+  }
+  void OnBody(std::string_view aBytes) override { mBody.append(aBytes); }
+  void OnComplete(bool aReusable) override
+  {
+    mComplete = true;
+    mReusable = aReusable;
+  }
+  void OnExchangeFailed(exchange_failure aFailure) override
+  {
+    mFailure = aFailure;
+  }
+  bool Ended() const { return mComplete || mFailure.has_value(); }
+
+  http_client_response mResponse;
+  std::string mBody;
+  bool mComplete = false;
+  bool mReusable = false;
+  bool mDropNext = false;
+  std::optional<exchange_failure> mFailure;
+};
+
+/// A server that sends fixed bytes to each connection once it was written to.
+class raw_server final
+  : private tcp_listener::acceptor
+  , private tcp_observer
+{
+public:
+  explicit raw_server(std::string aBytes)
+    : mBytes(std::move(aBytes))
+  {
+    std::string error;
+    mListener = tcp_listener::Listen({ "127.0.0.1", 0 }, *this, error);
+  }
+  const tcp_address& Address() const { return mListener->Address(); }
+  std::shared_ptr<tcp_stream> mStream;
+  bool mResetAfter = false;
+  bool mCloseAfter = false;
+  std::string mReceived;
+
+private:
+  void OnAccept(int aDescriptor) override
+  {
+    mStream = tcp_stream::Adopt(aDescriptor, {}, *this);
+  }
+  void OnData(std::string_view aBytes) override
+  {
+    mReceived.append(aBytes);
+    mStream->Write(mBytes);
+    if (mCloseAfter) {
+      mStream->CloseAfterDrain();
+    }
+    if (mResetAfter) {
+      mStream->Reset();
+    }
+  }
+  void OnEnd(tcp_end) override {}
+
+  std::string mBytes;
+  std::unique_ptr<tcp_listener> mListener;
+};
+
+class http_connection_test : public testing::Test
+{
+protected:
+  void SetUp() override
+  {
+    std::string error;
+    mListener =
+      http_listener::Listen({ "127.0.0.1", 0 }, mHandler, mTime, error);
+    ASSERT_TRUE(mListener) << error;
+  }
+
+  /// Sends bytes over a plain socket and returns what comes back until the
+  /// server closes or the time is over.
+  std::string Exchange(const std::string& aBytes)
+  {
+    struct collector final : tcp_observer
+    {
+      void OnData(std::string_view aData) override { mText.append(aData); }
+      void OnEnd(tcp_end) override { mEnded = true; }
+      std::string mText;
+      bool mEnded = false;
+    } collected;
+    const auto stream =
+      tcp_stream::Connect(mListener->Address(), {}, collected);
+    stream->Write(aBytes);
+    mLoop.RunUntil([&] { return collected.mEnded; }, milliseconds(200));
+    stream->Close();
+    return collected.mText;
+  }
+
+  event_loop mLoop;
+  system_time_source mTime;
+  echo_handler mHandler;
+  std::unique_ptr<http_listener> mListener;
+};
+
+const std::string kGet = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+
+} // namespace
+
+TEST_F(http_connection_test, ExchangesRequestsOnOneConnection)
+{
+  http_client_connection client(mListener->Address(), {});
+  for (int i = 0; i < 3; ++i) {
+    recorder observer;
+    client.Start("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\n",
+                 "abc",
+                 false,
+                 observer);
+    ASSERT_TRUE(mLoop.RunUntil([&] { return observer.Ended(); }, kLimit));
+    EXPECT_TRUE(observer.mComplete);
+    EXPECT_TRUE(observer.mReusable);
+    EXPECT_EQ(observer.mBody, "abc!");
+  }
+  EXPECT_EQ(mListener->Open(), 1U);
+}
+
+// A request that may not be repeated must not be sent again when a kept
+// connection breaks; client sessions do so.
+TEST_F(http_connection_test, NeverSendsARequestTwice)
+{
+  raw_server server("");
+  server.mResetAfter = true;
+  http_client_connection client(server.Address(), {});
+  recorder observer;
+  client.Start(kGet, {}, false, observer);
+  ASSERT_TRUE(mLoop.RunUntil([&] { return observer.Ended(); }, kLimit));
+  EXPECT_EQ(observer.mFailure, exchange_failure::NoResponse);
+  EXPECT_EQ(server.mReceived, kGet);
+}
+
+TEST_F(http_connection_test, TellsThatNothingWasSentWhenConnectingFails)
+{
+  std::string error;
+  tcp_address closed;
+  {
+    const auto listener =
+      http_listener::Listen({ "127.0.0.1", 0 }, mHandler, mTime, error);
+    closed = listener->Address();
+  }
+  http_client_connection client(closed, {});
+  recorder observer;
+  client.Start(kGet, {}, false, observer);
+  ASSERT_TRUE(mLoop.RunUntil([&] { return observer.Ended(); }, kLimit));
+  EXPECT_EQ(observer.mFailure, exchange_failure::NotSent);
+}
+
+TEST_F(http_connection_test, TruncatedBodyIsNotComplete)
+{
+  raw_server server("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc");
+  server.mCloseAfter = true;
+  http_client_connection client(server.Address(), {});
+  recorder observer;
+  client.Start(kGet, {}, false, observer);
+  ASSERT_TRUE(mLoop.RunUntil([&] { return observer.Ended(); }, kLimit));
+  EXPECT_EQ(observer.mFailure, exchange_failure::Truncated);
+}
+
+TEST_F(http_connection_test, BodyWithoutLengthEndsWithTheConnection)
+{
+  raw_server server("HTTP/1.1 200 OK\r\n\r\nabc");
+  server.mCloseAfter = true;
+  http_client_connection client(server.Address(), {});
+  recorder observer;
+  client.Start(kGet, {}, false, observer);
+  ASSERT_TRUE(mLoop.RunUntil([&] { return observer.Ended(); }, kLimit));
+  EXPECT_TRUE(observer.mComplete);
+  EXPECT_FALSE(observer.mReusable);
+  EXPECT_EQ(observer.mResponse.mFraming, body_framing::UntilClose);
+  EXPECT_EQ(observer.mBody, "abc");
+}
+
+// A faulty server may send a second answer; it belongs to no request.
+TEST_F(http_connection_test, ConnectionWithExtraBytesIsNotReused)
+{
+  raw_server server("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na"
+                    "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb");
+  http_client_connection client(server.Address(), {});
+  recorder observer;
+  client.Start(kGet, {}, false, observer);
+  ASSERT_TRUE(mLoop.RunUntil([&] { return observer.Ended(); }, kLimit));
+  EXPECT_TRUE(observer.mComplete);
+  EXPECT_FALSE(observer.mReusable);
+  EXPECT_EQ(observer.mBody, "a");
+}
+
+// An answer to an earlier request may arrive where the next one is due.
+TEST_F(http_connection_test, DropsAnswerOfAnEarlierRequest)
+{
+  raw_server server("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na"
+                    "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb");
+  http_client_connection client(server.Address(), {});
+  recorder observer;
+  observer.mDropNext = true;
+  client.Start(kGet, {}, false, observer);
+  ASSERT_TRUE(mLoop.RunUntil([&] { return observer.Ended(); }, kLimit));
+  EXPECT_TRUE(observer.mComplete);
+  EXPECT_EQ(observer.mBody, "b");
+}
+
+TEST_F(http_connection_test, BytesThatAreNoAnswerFail)
+{
+  raw_server server("nonsense\r\n\r\n");
+  http_client_connection client(server.Address(), {});
+  recorder observer;
+  client.Start(kGet, {}, false, observer);
+  ASSERT_TRUE(mLoop.RunUntil([&] { return observer.Ended(); }, kLimit));
+  EXPECT_EQ(observer.mFailure, exchange_failure::Malformed);
+}
+
+TEST_F(http_connection_test, DecodesChunkedAnswers)
+{
+  raw_server server("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+  http_client_connection client(server.Address(), {});
+  recorder observer;
+  client.Start(kGet, {}, false, observer);
+  ASSERT_TRUE(mLoop.RunUntil([&] { return observer.Ended(); }, kLimit));
+  EXPECT_TRUE(observer.mComplete);
+  EXPECT_TRUE(observer.mReusable);
+  EXPECT_EQ(observer.mBody, "abcde");
+}
+
+// Requests smuggled by contradicting lengths must not be read.
+TEST_F(http_connection_test, RefusesContradictingLengths)
+{
+  const std::string answer = Exchange(
+    "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /y HTTP/1.1\r\n\r\n");
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 400")) << answer;
+  EXPECT_TRUE(mHandler.mRequests.empty());
+}
+
+TEST_F(http_connection_test, RefusesLongHeader)
+{
+  const std::string answer = Exchange(
+    "GET /x HTTP/1.1\r\nHost: h\r\nA: " + std::string(20000, 'a') + "\r\n\r\n");
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 431")) << answer;
+}
+
+TEST_F(http_connection_test, RefusesLongBody)
+{
+  const std::string answer =
+    Exchange("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 99999999\r\n\r\n");
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 413")) << answer;
+}
+
+TEST_F(http_connection_test, AsksForTheBodyThatWaitsForIt)
+{
+  const std::string answer =
+    Exchange("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+             "Expect: 100-continue\r\n\r\n");
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 100")) << answer;
+}
+
+TEST_F(http_connection_test, ServesPipelinedRequestsInOrder)
+{
+  const std::string answer = Exchange(kGet + kGet);
+  EXPECT_EQ(mHandler.mRequests.size(), 2U);
+  EXPECT_NE(answer.find("HTTP/1.1 200", 10), std::string::npos);
+}
+
+// Work for a client that left must stop within half a second.
+TEST_F(http_connection_test, NoticesClientThatLeaves)
+{
+  mHandler.mAnswers = false;
+  recorder observer;
+  {
+    http_client_connection client(mListener->Address(), {});
+    client.Start(kGet, {}, false, observer);
+    ASSERT_TRUE(
+      mLoop.RunUntil([&] { return !mHandler.mRequests.empty(); }, kLimit));
+  }
+  EXPECT_TRUE(mLoop.RunUntil([&] { return mHandler.mGone; }, kLimit));
+  EXPECT_TRUE(mHandler.mClosed);
+}
+
+TEST_F(http_connection_test, AbortedAnswerDoesNotLookComplete)
+{
+  mHandler.mAnswers = false;
+  http_client_connection client(mListener->Address(), {});
+  recorder observer;
+  client.Start(kGet, {}, false, observer);
+  ASSERT_TRUE(
+    mLoop.RunUntil([&] { return !mHandler.mRequests.empty(); }, kLimit));
+  http_server_response head;
+  head.mFraming = body_framing::Chunked;
+  mHandler.mConnection->StartResponse(head);
+  mHandler.mConnection->WriteBody("part");
+  ASSERT_TRUE(mLoop.RunUntil([&] { return observer.mBody == "part"; }, kLimit));
+  mHandler.mConnection->Abort();
+  ASSERT_TRUE(mLoop.RunUntil([&] { return observer.Ended(); }, kLimit));
+  EXPECT_EQ(observer.mFailure, exchange_failure::Truncated);
+}
+
+TEST_F(http_connection_test, ClosesIdleAndSlowConnections)
+{
+  http_server_limits limits;
+  limits.mIdleTimeout = milliseconds(50);
+  limits.mHeaderTimeout = milliseconds(50);
+  mListener->SetLimits(limits);
+  loop_timer timer;
+  timer.Every(milliseconds(20),
+              [&] { mListener->CheckDeadlines(mTime.Now()); });
+  EXPECT_TRUE(Exchange("GET /x HT").starts_with("HTTP/1.1 408"));
+  EXPECT_EQ(Exchange(""), "");
+  EXPECT_EQ(mListener->Open(), 0U);
+}
--- a/Source/UnitTests/Platform/HttpTest.cpp
+++ b/Source/UnitTests/Remote/HttpTest.cpp
@@ -7,9 +7,9 @@
 #include <gtest/gtest.h>
 
 #include "Common/EventLoop.h"
-#include "Platform/HttpClient.h"
-#include "Platform/HttpServer.h"
-#include "Platform/HttpStream.h"
+#include "Remote/HttpClient.h"
+#include "Remote/HttpServer.h"
+#include "Remote/HttpStream.h"
 
 namespace {
 
--- a/Source/UnitTests/Platform/MemoryTableTest.cpp
+++ b/Source/UnitTests/Remote/MemoryTableTest.cpp
@@ -1,8 +1,8 @@
-#include "Platform/MemoryTable.h"
+#include "Remote/MemoryTable.h"
 
 #include <gtest/gtest.h>
 
-#include "Platform/TableJson.h"
+#include "Remote/TableJson.h"
 
 namespace {
 
--- a/Source/UnitTests/Platform/RequestLimitTest.cpp
+++ b/Source/UnitTests/Remote/RequestLimitTest.cpp
@@ -2,8 +2,8 @@
 #include <gtest/gtest.h>
 
 #include "Common/EventLoop.h"
-#include "Platform/HttpClient.h"
-#include "Platform/HttpServer.h"
+#include "Remote/HttpClient.h"
+#include "Remote/HttpServer.h"
 
 namespace {
 
--- a/Source/UnitTests/StandIn/EngineStandInTest.cpp
+++ b/Source/UnitTests/StandIn/EngineStandInTest.cpp
@@ -8,8 +8,8 @@
 #include <gtest/gtest.h>
 
 #include "Common/EventLoop.h"
-#include "Platform/HttpClient.h"
-#include "Platform/HttpStream.h"
+#include "Remote/HttpClient.h"
+#include "Remote/HttpStream.h"
 
 using nlohmann::json;
 
--- a/Source/UnitTests/StandIn/StandInClusterTest.cpp
+++ b/Source/UnitTests/StandIn/StandInClusterTest.cpp
@@ -5,10 +5,10 @@
 #include <gtest/gtest.h>
 
 #include "Common/EventLoop.h"
-#include "Platform/HostListJson.h"
-#include "Platform/HttpHostList.h"
-#include "Platform/HttpObjectStore.h"
-#include "Platform/HttpWeightStore.h"
+#include "Remote/HostListJson.h"
+#include "Remote/HttpHostList.h"
+#include "Remote/HttpObjectStore.h"
+#include "Remote/HttpWeightStore.h"
 
 namespace {
 
--- a/Source/UnitTests/StandIn/TableStandInTest.cpp
+++ b/Source/UnitTests/StandIn/TableStandInTest.cpp
@@ -7,7 +7,7 @@
 #include <gtest/gtest.h>
 
 #include "Common/EventLoop.h"
-#include "Platform/HttpTableService.h"
+#include "Remote/HttpTableService.h"
 
 namespace {
 
