--- a/Source/Core/Gateway/Fleet.capnp
+++ b/Source/Core/Gateway/Fleet.capnp
@@ -30,6 +30,41 @@
   peers @6 :List(PeerAge);
   work @7 :List(UpstreamLoad);
   configVersion @8 :UInt64;
+  held @9 :List(HeldTokens);
+}
+
+struct HeldTokens {
+  account @0 :Text;
+  tokens @1 :Int64;
+}
+
+# Asks a node for prepaid tokens that it was granted and does not need.
+struct TokenRequest {
+  # Datagram address for the answer.
+  address @0 :Text;
+  # Unique to the asking run; a repeated request gets the same answer.
+  id @1 :UInt64;
+  run @2 :UInt64;
+  account @3 :Text;
+  # Least amount of use.
+  needed @4 :Int64;
+  wanted @5 :Int64;
+}
+
+struct TokenTransfer {
+  id @0 :UInt64;
+  # Run that asked; another run of that node must not take the tokens.
+  run @1 :UInt64;
+  account @2 :Text;
+  tokens @3 :Int64;
+}
+
+struct PeerDatagram {
+  union {
+    report @0 :NodeReport;
+    request @1 :TokenRequest;
+    transfer @2 :TokenTransfer;
+  }
 }
 
 struct StateRow {
--- a/Source/Core/Gateway/Fleet.capnp.h
+++ b/Source/Core/Gateway/Fleet.capnp.h
@@ -19,6 +19,10 @@
 CAPNP_DECLARE_SCHEMA(b1abbd637aad6f99);
 CAPNP_DECLARE_SCHEMA(ab0cbe4b68e5e607);
 CAPNP_DECLARE_SCHEMA(baf5b9cbfe87216a);
+CAPNP_DECLARE_SCHEMA(e94d5515a6c81dc0);
+CAPNP_DECLARE_SCHEMA(a47df8acd16b6891);
+CAPNP_DECLARE_SCHEMA(bfb5347b69f1e42b);
+CAPNP_DECLARE_SCHEMA(e415d0c61f2a5799);
 CAPNP_DECLARE_SCHEMA(e843b2f8f0ccf6b8);
 CAPNP_DECLARE_SCHEMA(ed0cdd52d6316918);
 
@@ -65,7 +69,72 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(baf5b9cbfe87216a, 3, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(baf5b9cbfe87216a, 3, 6)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct HeldTokens {
+  HeldTokens() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e94d5515a6c81dc0, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct TokenRequest {
+  TokenRequest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a47df8acd16b6891, 4, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct TokenTransfer {
+  TokenTransfer() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bfb5347b69f1e42b, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PeerDatagram {
+  PeerDatagram() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+  enum Which: uint16_t {
+    REPORT,
+    REQUEST,
+    TRANSFER,
+  };
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e415d0c61f2a5799, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -321,6 +390,9 @@
 
   inline  ::uint64_t getConfigVersion() const;
 
+  inline bool hasHeld() const;
+  inline  ::capnp::List< ::fleet_wire::HeldTokens,  ::capnp::Kind::STRUCT>::Reader getHeld() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -396,6 +468,13 @@
   inline  ::uint64_t getConfigVersion();
   inline void setConfigVersion( ::uint64_t value);
 
+  inline bool hasHeld();
+  inline  ::capnp::List< ::fleet_wire::HeldTokens,  ::capnp::Kind::STRUCT>::Builder getHeld();
+  inline void setHeld( ::capnp::List< ::fleet_wire::HeldTokens,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::fleet_wire::HeldTokens,  ::capnp::Kind::STRUCT>::Builder initHeld(unsigned int size);
+  inline void adoptHeld(::capnp::Orphan< ::capnp::List< ::fleet_wire::HeldTokens,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::fleet_wire::HeldTokens,  ::capnp::Kind::STRUCT>> disownHeld();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -422,9 +501,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class StateRow::Reader {
+class HeldTokens::Reader {
 public:
-  typedef StateRow Reads;
+  typedef HeldTokens Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -439,16 +518,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasTable() const;
-  inline  ::capnp::Text::Reader getTable() const;
-
-  inline bool hasKey() const;
-  inline  ::capnp::Text::Reader getKey() const;
-
-  inline bool hasValue() const;
-  inline  ::capnp::Data::Reader getValue() const;
+  inline bool hasAccount() const;
+  inline  ::capnp::Text::Reader getAccount() const;
 
-  inline  ::uint64_t getVersion() const;
+  inline  ::int64_t getTokens() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -462,9 +535,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class StateRow::Builder {
+class HeldTokens::Builder {
 public:
-  typedef StateRow Builds;
+  typedef HeldTokens Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -478,29 +551,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasTable();
-  inline  ::capnp::Text::Builder getTable();
-  inline void setTable( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTable(unsigned int size);
-  inline void adoptTable(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTable();
-
-  inline bool hasKey();
-  inline  ::capnp::Text::Builder getKey();
-  inline void setKey( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initKey(unsigned int size);
-  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownKey();
-
-  inline bool hasValue();
-  inline  ::capnp::Data::Builder getValue();
-  inline void setValue( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initValue(unsigned int size);
-  inline void adoptValue(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownValue();
+  inline bool hasAccount();
+  inline  ::capnp::Text::Builder getAccount();
+  inline void setAccount( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAccount(unsigned int size);
+  inline void adoptAccount(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAccount();
 
-  inline  ::uint64_t getVersion();
-  inline void setVersion( ::uint64_t value);
+  inline  ::int64_t getTokens();
+  inline void setTokens( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -512,9 +571,9 @@
 };
 
 #if !CAPNP_LITE
-class StateRow::Pipeline {
+class HeldTokens::Pipeline {
 public:
-  typedef StateRow Pipelines;
+  typedef HeldTokens Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -528,9 +587,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class StateSnapshot::Reader {
+class TokenRequest::Reader {
 public:
-  typedef StateSnapshot Reads;
+  typedef TokenRequest Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -545,8 +604,19 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRows() const;
-  inline  ::capnp::List< ::fleet_wire::StateRow,  ::capnp::Kind::STRUCT>::Reader getRows() const;
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
+  inline  ::uint64_t getId() const;
+
+  inline  ::uint64_t getRun() const;
+
+  inline bool hasAccount() const;
+  inline  ::capnp::Text::Reader getAccount() const;
+
+  inline  ::int64_t getNeeded() const;
+
+  inline  ::int64_t getWanted() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -560,9 +630,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class StateSnapshot::Builder {
+class TokenRequest::Builder {
 public:
-  typedef StateSnapshot Builds;
+  typedef TokenRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -576,12 +646,31 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRows();
-  inline  ::capnp::List< ::fleet_wire::StateRow,  ::capnp::Kind::STRUCT>::Builder getRows();
-  inline void setRows( ::capnp::List< ::fleet_wire::StateRow,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::fleet_wire::StateRow,  ::capnp::Kind::STRUCT>::Builder initRows(unsigned int size);
-  inline void adoptRows(::capnp::Orphan< ::capnp::List< ::fleet_wire::StateRow,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::fleet_wire::StateRow,  ::capnp::Kind::STRUCT>> disownRows();
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
+
+  inline  ::uint64_t getRun();
+  inline void setRun( ::uint64_t value);
+
+  inline bool hasAccount();
+  inline  ::capnp::Text::Builder getAccount();
+  inline void setAccount( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAccount(unsigned int size);
+  inline void adoptAccount(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAccount();
+
+  inline  ::int64_t getNeeded();
+  inline void setNeeded( ::int64_t value);
+
+  inline  ::int64_t getWanted();
+  inline void setWanted( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -593,9 +682,9 @@
 };
 
 #if !CAPNP_LITE
-class StateSnapshot::Pipeline {
+class TokenRequest::Pipeline {
 public:
-  typedef StateSnapshot Pipelines;
+  typedef TokenRequest Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -609,336 +698,1181 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class TokenTransfer::Reader {
+public:
+  typedef TokenTransfer Reads;
 
-inline bool PeerAge::Reader::hasAddress() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool PeerAge::Builder::hasAddress() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader PeerAge::Reader::getAddress() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder PeerAge::Builder::getAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void PeerAge::Builder::setAddress( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder PeerAge::Builder::initAddress(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void PeerAge::Builder::adoptAddress(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> PeerAge::Builder::disownAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline  ::uint32_t PeerAge::Reader::getAgeMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline  ::uint32_t PeerAge::Builder::getAgeMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void PeerAge::Builder::setAgeMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-inline  ::uint32_t UpstreamLoad::Reader::getKey() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+  inline  ::uint64_t getId() const;
 
-inline  ::uint32_t UpstreamLoad::Builder::getKey() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void UpstreamLoad::Builder::setKey( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+  inline  ::uint64_t getRun() const;
 
-inline  ::uint32_t UpstreamLoad::Reader::getRequests() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
+  inline bool hasAccount() const;
+  inline  ::capnp::Text::Reader getAccount() const;
 
-inline  ::uint32_t UpstreamLoad::Builder::getRequests() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void UpstreamLoad::Builder::setRequests( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
+  inline  ::int64_t getTokens() const;
 
-inline  ::uint32_t UpstreamLoad::Reader::getPrefillTokens() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
 
-inline  ::uint32_t UpstreamLoad::Builder::getPrefillTokens() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void UpstreamLoad::Builder::setPrefillTokens( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
+class TokenTransfer::Builder {
+public:
+  typedef TokenTransfer Builds;
 
-inline  ::uint32_t UpstreamLoad::Reader::getKvTokens() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
 
-inline  ::uint32_t UpstreamLoad::Builder::getKvTokens() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void UpstreamLoad::Builder::setKvTokens( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-inline bool NodeReport::Reader::hasAddress() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool NodeReport::Builder::hasAddress() {
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
+
+  inline  ::uint64_t getRun();
+  inline void setRun( ::uint64_t value);
+
+  inline bool hasAccount();
+  inline  ::capnp::Text::Builder getAccount();
+  inline void setAccount( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAccount(unsigned int size);
+  inline void adoptAccount(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAccount();
+
+  inline  ::int64_t getTokens();
+  inline void setTokens( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class TokenTransfer::Pipeline {
+public:
+  typedef TokenTransfer Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PeerDatagram::Reader {
+public:
+  typedef PeerDatagram Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline Which which() const;
+  inline bool isReport() const;
+  inline bool hasReport() const;
+  inline  ::fleet_wire::NodeReport::Reader getReport() const;
+
+  inline bool isRequest() const;
+  inline bool hasRequest() const;
+  inline  ::fleet_wire::TokenRequest::Reader getRequest() const;
+
+  inline bool isTransfer() const;
+  inline bool hasTransfer() const;
+  inline  ::fleet_wire::TokenTransfer::Reader getTransfer() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PeerDatagram::Builder {
+public:
+  typedef PeerDatagram Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline Which which();
+  inline bool isReport();
+  inline bool hasReport();
+  inline  ::fleet_wire::NodeReport::Builder getReport();
+  inline void setReport( ::fleet_wire::NodeReport::Reader value);
+  inline  ::fleet_wire::NodeReport::Builder initReport();
+  inline void adoptReport(::capnp::Orphan< ::fleet_wire::NodeReport>&& value);
+  inline ::capnp::Orphan< ::fleet_wire::NodeReport> disownReport();
+
+  inline bool isRequest();
+  inline bool hasRequest();
+  inline  ::fleet_wire::TokenRequest::Builder getRequest();
+  inline void setRequest( ::fleet_wire::TokenRequest::Reader value);
+  inline  ::fleet_wire::TokenRequest::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::fleet_wire::TokenRequest>&& value);
+  inline ::capnp::Orphan< ::fleet_wire::TokenRequest> disownRequest();
+
+  inline bool isTransfer();
+  inline bool hasTransfer();
+  inline  ::fleet_wire::TokenTransfer::Builder getTransfer();
+  inline void setTransfer( ::fleet_wire::TokenTransfer::Reader value);
+  inline  ::fleet_wire::TokenTransfer::Builder initTransfer();
+  inline void adoptTransfer(::capnp::Orphan< ::fleet_wire::TokenTransfer>&& value);
+  inline ::capnp::Orphan< ::fleet_wire::TokenTransfer> disownTransfer();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PeerDatagram::Pipeline {
+public:
+  typedef PeerDatagram Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class StateRow::Reader {
+public:
+  typedef StateRow Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTable() const;
+  inline  ::capnp::Text::Reader getTable() const;
+
+  inline bool hasKey() const;
+  inline  ::capnp::Text::Reader getKey() const;
+
+  inline bool hasValue() const;
+  inline  ::capnp::Data::Reader getValue() const;
+
+  inline  ::uint64_t getVersion() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StateRow::Builder {
+public:
+  typedef StateRow Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTable();
+  inline  ::capnp::Text::Builder getTable();
+  inline void setTable( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTable(unsigned int size);
+  inline void adoptTable(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTable();
+
+  inline bool hasKey();
+  inline  ::capnp::Text::Builder getKey();
+  inline void setKey( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initKey(unsigned int size);
+  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownKey();
+
+  inline bool hasValue();
+  inline  ::capnp::Data::Builder getValue();
+  inline void setValue( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initValue(unsigned int size);
+  inline void adoptValue(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownValue();
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StateRow::Pipeline {
+public:
+  typedef StateRow Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class StateSnapshot::Reader {
+public:
+  typedef StateSnapshot Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRows() const;
+  inline  ::capnp::List< ::fleet_wire::StateRow,  ::capnp::Kind::STRUCT>::Reader getRows() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StateSnapshot::Builder {
+public:
+  typedef StateSnapshot Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRows();
+  inline  ::capnp::List< ::fleet_wire::StateRow,  ::capnp::Kind::STRUCT>::Builder getRows();
+  inline void setRows( ::capnp::List< ::fleet_wire::StateRow,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::fleet_wire::StateRow,  ::capnp::Kind::STRUCT>::Builder initRows(unsigned int size);
+  inline void adoptRows(::capnp::Orphan< ::capnp::List< ::fleet_wire::StateRow,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::fleet_wire::StateRow,  ::capnp::Kind::STRUCT>> disownRows();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StateSnapshot::Pipeline {
+public:
+  typedef StateSnapshot Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline bool PeerAge::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerAge::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader PeerAge::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder PeerAge::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerAge::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder PeerAge::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PeerAge::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> PeerAge::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t PeerAge::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PeerAge::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PeerAge::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t UpstreamLoad::Reader::getKey() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t UpstreamLoad::Builder::getKey() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamLoad::Builder::setKey( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t UpstreamLoad::Reader::getRequests() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t UpstreamLoad::Builder::getRequests() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamLoad::Builder::setRequests( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t UpstreamLoad::Reader::getPrefillTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t UpstreamLoad::Builder::getPrefillTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamLoad::Builder::setPrefillTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t UpstreamLoad::Reader::getKvTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t UpstreamLoad::Builder::getKvTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamLoad::Builder::setKvTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NodeReport::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeReport::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader NodeReport::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder NodeReport::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void NodeReport::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder NodeReport::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void NodeReport::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> NodeReport::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool NodeReport::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeReport::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader NodeReport::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder NodeReport::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void NodeReport::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder NodeReport::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void NodeReport::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> NodeReport::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool NodeReport::Reader::hasFront() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeReport::Builder::hasFront() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader NodeReport::Reader::getFront() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder NodeReport::Builder::getFront() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void NodeReport::Builder::setFront( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder NodeReport::Builder::initFront(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void NodeReport::Builder::adoptFront(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> NodeReport::Builder::disownFront() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t NodeReport::Reader::getRun() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t NodeReport::Builder::getRun() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void NodeReport::Builder::setRun( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NodeReport::Reader::getReady() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool NodeReport::Builder::getReady() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void NodeReport::Builder::setReady(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NodeReport::Reader::getLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+
+inline bool NodeReport::Builder::getLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+inline void NodeReport::Builder::setLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NodeReport::Reader::hasPeers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeReport::Builder::hasPeers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::fleet_wire::PeerAge,  ::capnp::Kind::STRUCT>::Reader NodeReport::Reader::getPeers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::PeerAge,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::fleet_wire::PeerAge,  ::capnp::Kind::STRUCT>::Builder NodeReport::Builder::getPeers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::PeerAge,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void NodeReport::Builder::setPeers( ::capnp::List< ::fleet_wire::PeerAge,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::PeerAge,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::fleet_wire::PeerAge,  ::capnp::Kind::STRUCT>::Builder NodeReport::Builder::initPeers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::PeerAge,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void NodeReport::Builder::adoptPeers(
+    ::capnp::Orphan< ::capnp::List< ::fleet_wire::PeerAge,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::PeerAge,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::fleet_wire::PeerAge,  ::capnp::Kind::STRUCT>> NodeReport::Builder::disownPeers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::PeerAge,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool NodeReport::Reader::hasWork() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeReport::Builder::hasWork() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::fleet_wire::UpstreamLoad,  ::capnp::Kind::STRUCT>::Reader NodeReport::Reader::getWork() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::UpstreamLoad,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::fleet_wire::UpstreamLoad,  ::capnp::Kind::STRUCT>::Builder NodeReport::Builder::getWork() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::UpstreamLoad,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void NodeReport::Builder::setWork( ::capnp::List< ::fleet_wire::UpstreamLoad,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::UpstreamLoad,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::fleet_wire::UpstreamLoad,  ::capnp::Kind::STRUCT>::Builder NodeReport::Builder::initWork(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::UpstreamLoad,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void NodeReport::Builder::adoptWork(
+    ::capnp::Orphan< ::capnp::List< ::fleet_wire::UpstreamLoad,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::UpstreamLoad,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::fleet_wire::UpstreamLoad,  ::capnp::Kind::STRUCT>> NodeReport::Builder::disownWork() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::UpstreamLoad,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t NodeReport::Reader::getConfigVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t NodeReport::Builder::getConfigVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void NodeReport::Builder::setConfigVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NodeReport::Reader::hasHeld() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeReport::Builder::hasHeld() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::fleet_wire::HeldTokens,  ::capnp::Kind::STRUCT>::Reader NodeReport::Reader::getHeld() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::HeldTokens,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::fleet_wire::HeldTokens,  ::capnp::Kind::STRUCT>::Builder NodeReport::Builder::getHeld() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::HeldTokens,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void NodeReport::Builder::setHeld( ::capnp::List< ::fleet_wire::HeldTokens,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::HeldTokens,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::fleet_wire::HeldTokens,  ::capnp::Kind::STRUCT>::Builder NodeReport::Builder::initHeld(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::HeldTokens,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void NodeReport::Builder::adoptHeld(
+    ::capnp::Orphan< ::capnp::List< ::fleet_wire::HeldTokens,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::HeldTokens,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::fleet_wire::HeldTokens,  ::capnp::Kind::STRUCT>> NodeReport::Builder::disownHeld() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::HeldTokens,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline bool HeldTokens::Reader::hasAccount() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool HeldTokens::Builder::hasAccount() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader NodeReport::Reader::getAddress() const {
+inline  ::capnp::Text::Reader HeldTokens::Reader::getAccount() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder NodeReport::Builder::getAddress() {
+inline  ::capnp::Text::Builder HeldTokens::Builder::getAccount() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void NodeReport::Builder::setAddress( ::capnp::Text::Reader value) {
+inline void HeldTokens::Builder::setAccount( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder NodeReport::Builder::initAddress(unsigned int size) {
+inline  ::capnp::Text::Builder HeldTokens::Builder::initAccount(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void NodeReport::Builder::adoptAddress(
+inline void HeldTokens::Builder::adoptAccount(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> NodeReport::Builder::disownAddress() {
+inline ::capnp::Orphan< ::capnp::Text> HeldTokens::Builder::disownAccount() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool NodeReport::Reader::hasName() const {
+inline  ::int64_t HeldTokens::Reader::getTokens() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t HeldTokens::Builder::getTokens() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void HeldTokens::Builder::setTokens( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool TokenRequest::Reader::hasAddress() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool NodeReport::Builder::hasName() {
+inline bool TokenRequest::Builder::hasAddress() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader NodeReport::Reader::getName() const {
+inline  ::capnp::Text::Reader TokenRequest::Reader::getAddress() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder NodeReport::Builder::getName() {
+inline  ::capnp::Text::Builder TokenRequest::Builder::getAddress() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void NodeReport::Builder::setName( ::capnp::Text::Reader value) {
+inline void TokenRequest::Builder::setAddress( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder NodeReport::Builder::initName(unsigned int size) {
+inline  ::capnp::Text::Builder TokenRequest::Builder::initAddress(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void NodeReport::Builder::adoptName(
+inline void TokenRequest::Builder::adoptAddress(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> NodeReport::Builder::disownName() {
+inline ::capnp::Orphan< ::capnp::Text> TokenRequest::Builder::disownAddress() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool NodeReport::Reader::hasFront() const {
+inline  ::uint64_t TokenRequest::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TokenRequest::Builder::getId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TokenRequest::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t TokenRequest::Reader::getRun() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TokenRequest::Builder::getRun() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void TokenRequest::Builder::setRun( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool TokenRequest::Reader::hasAccount() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool NodeReport::Builder::hasFront() {
+inline bool TokenRequest::Builder::hasAccount() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader NodeReport::Reader::getFront() const {
+inline  ::capnp::Text::Reader TokenRequest::Reader::getAccount() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder NodeReport::Builder::getFront() {
+inline  ::capnp::Text::Builder TokenRequest::Builder::getAccount() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void NodeReport::Builder::setFront( ::capnp::Text::Reader value) {
+inline void TokenRequest::Builder::setAccount( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder NodeReport::Builder::initFront(unsigned int size) {
+inline  ::capnp::Text::Builder TokenRequest::Builder::initAccount(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void NodeReport::Builder::adoptFront(
+inline void TokenRequest::Builder::adoptAccount(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> NodeReport::Builder::disownFront() {
+inline ::capnp::Orphan< ::capnp::Text> TokenRequest::Builder::disownAccount() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t NodeReport::Reader::getRun() const {
+inline  ::int64_t TokenRequest::Reader::getNeeded() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t TokenRequest::Builder::getNeeded() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void TokenRequest::Builder::setNeeded( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t TokenRequest::Reader::getWanted() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t TokenRequest::Builder::getWanted() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void TokenRequest::Builder::setWanted( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t TokenTransfer::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t NodeReport::Builder::getRun() {
+inline  ::uint64_t TokenTransfer::Builder::getId() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void NodeReport::Builder::setRun( ::uint64_t value) {
+inline void TokenTransfer::Builder::setId( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool NodeReport::Reader::getReady() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline  ::uint64_t TokenTransfer::Reader::getRun() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline bool NodeReport::Builder::getReady() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline  ::uint64_t TokenTransfer::Builder::getRun() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void NodeReport::Builder::setReady(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+inline void TokenTransfer::Builder::setRun( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool NodeReport::Reader::getLeaving() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+inline bool TokenTransfer::Reader::hasAccount() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool TokenTransfer::Builder::hasAccount() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader TokenTransfer::Reader::getAccount() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder TokenTransfer::Builder::getAccount() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void TokenTransfer::Builder::setAccount( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder TokenTransfer::Builder::initAccount(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void TokenTransfer::Builder::adoptAccount(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> TokenTransfer::Builder::disownAccount() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool NodeReport::Builder::getLeaving() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+inline  ::int64_t TokenTransfer::Reader::getTokens() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void NodeReport::Builder::setLeaving(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
+
+inline  ::int64_t TokenTransfer::Builder::getTokens() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void TokenTransfer::Builder::setTokens( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool NodeReport::Reader::hasPeers() const {
+inline  ::fleet_wire::PeerDatagram::Which PeerDatagram::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline  ::fleet_wire::PeerDatagram::Which PeerDatagram::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool PeerDatagram::Reader::isReport() const {
+  return which() == PeerDatagram::REPORT;
+}
+inline bool PeerDatagram::Builder::isReport() {
+  return which() == PeerDatagram::REPORT;
+}
+inline bool PeerDatagram::Reader::hasReport() const {
+  if (which() != PeerDatagram::REPORT) return false;
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool NodeReport::Builder::hasPeers() {
+inline bool PeerDatagram::Builder::hasReport() {
+  if (which() != PeerDatagram::REPORT) return false;
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::fleet_wire::PeerAge,  ::capnp::Kind::STRUCT>::Reader NodeReport::Reader::getPeers() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::PeerAge,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::fleet_wire::NodeReport::Reader PeerDatagram::Reader::getReport() const {
+  KJ_IREQUIRE((which() == PeerDatagram::REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::fleet_wire::NodeReport>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::fleet_wire::PeerAge,  ::capnp::Kind::STRUCT>::Builder NodeReport::Builder::getPeers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::PeerAge,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::fleet_wire::NodeReport::Builder PeerDatagram::Builder::getReport() {
+  KJ_IREQUIRE((which() == PeerDatagram::REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::fleet_wire::NodeReport>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void NodeReport::Builder::setPeers( ::capnp::List< ::fleet_wire::PeerAge,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::PeerAge,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline void PeerDatagram::Builder::setReport( ::fleet_wire::NodeReport::Reader value) {
+  _builder.setDataField<PeerDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerDatagram::REPORT);
+  ::capnp::_::PointerHelpers< ::fleet_wire::NodeReport>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::fleet_wire::PeerAge,  ::capnp::Kind::STRUCT>::Builder NodeReport::Builder::initPeers(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::PeerAge,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline  ::fleet_wire::NodeReport::Builder PeerDatagram::Builder::initReport() {
+  _builder.setDataField<PeerDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerDatagram::REPORT);
+  return ::capnp::_::PointerHelpers< ::fleet_wire::NodeReport>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void NodeReport::Builder::adoptPeers(
-    ::capnp::Orphan< ::capnp::List< ::fleet_wire::PeerAge,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::PeerAge,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline void PeerDatagram::Builder::adoptReport(
+    ::capnp::Orphan< ::fleet_wire::NodeReport>&& value) {
+  _builder.setDataField<PeerDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerDatagram::REPORT);
+  ::capnp::_::PointerHelpers< ::fleet_wire::NodeReport>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::fleet_wire::PeerAge,  ::capnp::Kind::STRUCT>> NodeReport::Builder::disownPeers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::PeerAge,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::fleet_wire::NodeReport> PeerDatagram::Builder::disownReport() {
+  KJ_IREQUIRE((which() == PeerDatagram::REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::fleet_wire::NodeReport>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool NodeReport::Reader::hasWork() const {
+inline bool PeerDatagram::Reader::isRequest() const {
+  return which() == PeerDatagram::REQUEST;
+}
+inline bool PeerDatagram::Builder::isRequest() {
+  return which() == PeerDatagram::REQUEST;
+}
+inline bool PeerDatagram::Reader::hasRequest() const {
+  if (which() != PeerDatagram::REQUEST) return false;
   return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool NodeReport::Builder::hasWork() {
+inline bool PeerDatagram::Builder::hasRequest() {
+  if (which() != PeerDatagram::REQUEST) return false;
   return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::fleet_wire::UpstreamLoad,  ::capnp::Kind::STRUCT>::Reader NodeReport::Reader::getWork() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::UpstreamLoad,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::fleet_wire::TokenRequest::Reader PeerDatagram::Reader::getRequest() const {
+  KJ_IREQUIRE((which() == PeerDatagram::REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::fleet_wire::TokenRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::fleet_wire::UpstreamLoad,  ::capnp::Kind::STRUCT>::Builder NodeReport::Builder::getWork() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::UpstreamLoad,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::fleet_wire::TokenRequest::Builder PeerDatagram::Builder::getRequest() {
+  KJ_IREQUIRE((which() == PeerDatagram::REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::fleet_wire::TokenRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void NodeReport::Builder::setWork( ::capnp::List< ::fleet_wire::UpstreamLoad,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::UpstreamLoad,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline void PeerDatagram::Builder::setRequest( ::fleet_wire::TokenRequest::Reader value) {
+  _builder.setDataField<PeerDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerDatagram::REQUEST);
+  ::capnp::_::PointerHelpers< ::fleet_wire::TokenRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::fleet_wire::UpstreamLoad,  ::capnp::Kind::STRUCT>::Builder NodeReport::Builder::initWork(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::UpstreamLoad,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+inline  ::fleet_wire::TokenRequest::Builder PeerDatagram::Builder::initRequest() {
+  _builder.setDataField<PeerDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerDatagram::REQUEST);
+  return ::capnp::_::PointerHelpers< ::fleet_wire::TokenRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void NodeReport::Builder::adoptWork(
-    ::capnp::Orphan< ::capnp::List< ::fleet_wire::UpstreamLoad,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::UpstreamLoad,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+inline void PeerDatagram::Builder::adoptRequest(
+    ::capnp::Orphan< ::fleet_wire::TokenRequest>&& value) {
+  _builder.setDataField<PeerDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerDatagram::REQUEST);
+  ::capnp::_::PointerHelpers< ::fleet_wire::TokenRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::fleet_wire::UpstreamLoad,  ::capnp::Kind::STRUCT>> NodeReport::Builder::disownWork() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::UpstreamLoad,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::fleet_wire::TokenRequest> PeerDatagram::Builder::disownRequest() {
+  KJ_IREQUIRE((which() == PeerDatagram::REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::fleet_wire::TokenRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t NodeReport::Reader::getConfigVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool PeerDatagram::Reader::isTransfer() const {
+  return which() == PeerDatagram::TRANSFER;
 }
-
-inline  ::uint64_t NodeReport::Builder::getConfigVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool PeerDatagram::Builder::isTransfer() {
+  return which() == PeerDatagram::TRANSFER;
 }
-inline void NodeReport::Builder::setConfigVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline bool PeerDatagram::Reader::hasTransfer() const {
+  if (which() != PeerDatagram::TRANSFER) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerDatagram::Builder::hasTransfer() {
+  if (which() != PeerDatagram::TRANSFER) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::fleet_wire::TokenTransfer::Reader PeerDatagram::Reader::getTransfer() const {
+  KJ_IREQUIRE((which() == PeerDatagram::TRANSFER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::fleet_wire::TokenTransfer>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::fleet_wire::TokenTransfer::Builder PeerDatagram::Builder::getTransfer() {
+  KJ_IREQUIRE((which() == PeerDatagram::TRANSFER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::fleet_wire::TokenTransfer>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerDatagram::Builder::setTransfer( ::fleet_wire::TokenTransfer::Reader value) {
+  _builder.setDataField<PeerDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerDatagram::TRANSFER);
+  ::capnp::_::PointerHelpers< ::fleet_wire::TokenTransfer>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::fleet_wire::TokenTransfer::Builder PeerDatagram::Builder::initTransfer() {
+  _builder.setDataField<PeerDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerDatagram::TRANSFER);
+  return ::capnp::_::PointerHelpers< ::fleet_wire::TokenTransfer>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerDatagram::Builder::adoptTransfer(
+    ::capnp::Orphan< ::fleet_wire::TokenTransfer>&& value) {
+  _builder.setDataField<PeerDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerDatagram::TRANSFER);
+  ::capnp::_::PointerHelpers< ::fleet_wire::TokenTransfer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::fleet_wire::TokenTransfer> PeerDatagram::Builder::disownTransfer() {
+  KJ_IREQUIRE((which() == PeerDatagram::TRANSFER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::fleet_wire::TokenTransfer>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool StateRow::Reader::hasTable() const {
--- a/Source/Core/Gateway/FleetLink.cpp
+++ b/Source/Core/Gateway/FleetLink.cpp
@@ -144,9 +144,11 @@
 };
 
 fleet_link::fleet_link(fleet_view& aView,
+                       token_escrow& aEscrow,
                        const time_source& aTime,
                        rows_source aRows)
   : mView(aView)
+  , mEscrow(aEscrow)
   , mTime(aTime)
   , mRows(std::move(aRows))
 {
@@ -172,38 +174,52 @@
     aError = std::strerror(errno);
     return false;
   }
-  mWatch = g_unix_fd_add(mSocket, G_IO_IN, OnDatagram, this);
+  mWatch = g_unix_fd_add(mSocket, G_IO_IN, OnReadable, this);
   mListener = http_listener::Listen(aAddress, *this, mTime, aError);
   return mListener != nullptr;
 }
 
+void fleet_link::Send(const std::string& aTo, const std::string& aBytes)
+{
+  const auto address = ParseTcpAddress(aTo);
+  if (!address) {
+    return;
+  }
+  const sockaddr_in native = DatagramAddress(*address);
+  // Datagrams may be lost; reports are superseded and requests repeated.
+  const ssize_t sent = sendto(mSocket,
+                              aBytes.data(),
+                              aBytes.size(),
+                              MSG_DONTWAIT | MSG_NOSIGNAL,
+                              reinterpret_cast<const sockaddr*>(&native),
+                              sizeof native);
+  static_cast<void>(sent);
+}
+
 void fleet_link::SendReports()
 {
-  const std::string bytes = WriteNodeReport(mView.ComposeReport(mTime.Now()));
+  const std::string bytes = WritePeerDatagram(mView.ComposeReport(mTime.Now()));
   for (const std::string& target : mView.Targets(++mRound)) {
-    const auto address = ParseTcpAddress(target);
-    if (!address) {
-      continue;
-    }
-    const sockaddr_in native = DatagramAddress(*address);
-    // Reports may be lost; the next round brings newer ones.
-    const ssize_t sent = sendto(mSocket,
-                                bytes.data(),
-                                bytes.size(),
-                                MSG_DONTWAIT | MSG_NOSIGNAL,
-                                reinterpret_cast<const sockaddr*>(&native),
-                                sizeof native);
-    static_cast<void>(sent);
+    Send(target, bytes);
+  }
+}
+
+void fleet_link::SendTokenRequests()
+{
+  for (addressed_request& request :
+       mEscrow.TakeRequests(mView.Self().mRun, mTime.Now())) {
+    request.mRequest.mAddress = mView.Self().mAddress;
+    Send(request.mTo, WritePeerDatagram(request.mRequest));
   }
 }
 
-gboolean fleet_link::OnDatagram(gint, GIOCondition, gpointer aSelf)
+gboolean fleet_link::OnReadable(gint, GIOCondition, gpointer aSelf)
 {
-  static_cast<fleet_link*>(aSelf)->ReceiveReports();
+  static_cast<fleet_link*>(aSelf)->ReceiveDatagrams();
   return G_SOURCE_CONTINUE;
 }
 
-void fleet_link::ReceiveReports()
+void fleet_link::ReceiveDatagrams()
 {
   static std::array<char, kDatagramBytes> sBuffer;
   for (int received = 0; received < kReceiveBatch; ++received) {
@@ -212,11 +228,31 @@
     if (size <= 0) {
       return;
     }
-    const auto report =
-      ParseNodeReport({ sBuffer.data(), static_cast<std::size_t>(size) });
-    if (report) {
-      mView.OnReport(*report, mTime.Now());
+    const auto datagram =
+      ParsePeerDatagram({ sBuffer.data(), static_cast<std::size_t>(size) });
+    if (datagram) {
+      OnDatagram(*datagram);
+    }
+  }
+}
+
+void fleet_link::OnDatagram(const peer_datagram& aDatagram)
+{
+  const time_point now = mTime.Now();
+  if (const auto* report = std::get_if<node_report>(&aDatagram)) {
+    mView.OnReport(*report, now);
+  } else if (const auto* request = std::get_if<token_request>(&aDatagram)) {
+    const auto transfer = mEscrow.Give(*request, now);
+    if (transfer) {
+      Log(log_level::Info,
+          "tokens_given",
+          { Field("account", transfer->mAccount.mName),
+            Field("tokens", transfer->mTokens),
+            Field("to", request->mAddress) });
+      Send(request->mAddress, WritePeerDatagram(*transfer));
     }
+  } else {
+    mEscrow.OnTransfer(std::get<token_transfer>(aDatagram), mView.Self().mRun);
   }
 }
 
--- a/Source/Core/Gateway/FleetView.cpp
+++ b/Source/Core/Gateway/FleetView.cpp
@@ -1,15 +1,9 @@
 #include "Gateway/FleetView.h"
 
 #include <algorithm>
-#include <cstring>
 #include <utility>
 
-#include <capnp/message.h>
-#include <capnp/serialize.h>
-#include <kj/exception.h>
-
 #include "Common/Hash.h"
-#include "Gateway/Fleet.capnp.h"
 
 namespace {
 
@@ -24,86 +18,8 @@
 constexpr std::size_t kMostTargets = 16;
 // Peers named in one report, so that it fits a datagram.
 constexpr std::size_t kMostPeersNamed = 400;
-constexpr std::int64_t kMostUint32 = 0xffffffff;
-
-std::uint32_t Narrow(std::int64_t aValue)
-{
-  return static_cast<std::uint32_t>(
-    std::clamp<std::int64_t>(aValue, 0, kMostUint32));
-}
-
-template<class Text>
-std::string ReadText(const Text& aText)
-{
-  return { aText.begin(), aText.size() };
-}
-
 } // namespace
 
-std::string WriteNodeReport(const node_report& aReport)
-{
-  capnp::MallocMessageBuilder message;
-  auto root = message.initRoot<fleet_wire::NodeReport>();
-  root.setAddress(aReport.mAddress);
-  root.setName(aReport.mName);
-  root.setFront(aReport.mFront);
-  root.setRun(aReport.mRun);
-  root.setReady(aReport.mReady);
-  root.setLeaving(aReport.mLeaving);
-  root.setConfigVersion(aReport.mConfigVersion);
-  auto peers = root.initPeers(static_cast<unsigned>(aReport.mPeers.size()));
-  for (unsigned i = 0; i < peers.size(); ++i) {
-    peers[i].setAddress(aReport.mPeers[i].first);
-    peers[i].setAgeMs(Narrow(aReport.mPeers[i].second.count()));
-  }
-  auto work = root.initWork(static_cast<unsigned>(aReport.mWork.size()));
-  for (unsigned i = 0; i < work.size(); ++i) {
-    work[i].setKey(aReport.mWork[i].first);
-    work[i].setRequests(Narrow(aReport.mWork[i].second.mRequests));
-    work[i].setPrefillTokens(Narrow(aReport.mWork[i].second.mPrefillTokens));
-    work[i].setKvTokens(Narrow(aReport.mWork[i].second.mKvTokens));
-  }
-  const auto words = capnp::messageToFlatArray(message);
-  const auto bytes = words.asBytes();
-  return { reinterpret_cast<const char*>(bytes.begin()), bytes.size() };
-}
-
-std::optional<node_report> ParseNodeReport(std::string_view aBytes)
-{
-  const std::size_t words = aBytes.size() / sizeof(capnp::word);
-  if (words == 0 || aBytes.size() % sizeof(capnp::word) != 0) {
-    return std::nullopt;
-  }
-  auto aligned = kj::heapArray<capnp::word>(words);
-  std::memcpy(aligned.begin(), aBytes.data(), aBytes.size());
-  node_report report;
-  const auto failure = kj::runCatchingExceptions([&] {
-    capnp::FlatArrayMessageReader reader(aligned);
-    const auto root = reader.getRoot<fleet_wire::NodeReport>();
-    report.mAddress = ReadText(root.getAddress());
-    report.mName = ReadText(root.getName());
-    report.mFront = ReadText(root.getFront());
-    report.mRun = root.getRun();
-    report.mReady = root.getReady();
-    report.mLeaving = root.getLeaving();
-    report.mConfigVersion = root.getConfigVersion();
-    for (const auto peer : root.getPeers()) {
-      report.mPeers.emplace_back(ReadText(peer.getAddress()),
-                                 milliseconds(peer.getAgeMs()));
-    }
-    for (const auto work : root.getWork()) {
-      report.mWork.emplace_back(work.getKey(),
-                                upstream_work{ work.getRequests(),
-                                               work.getPrefillTokens(),
-                                               work.getKvTokens() });
-    }
-  });
-  if (failure != nullptr || report.mAddress.empty()) {
-    return std::nullopt;
-  }
-  return report;
-}
-
 fleet_view::fleet_view(node_report aSelf)
   : mSelf(std::move(aSelf))
 {
@@ -206,6 +122,24 @@
   return peers;
 }
 
+std::unordered_map<account_id, token_holder> fleet_view::TokenHolders(
+  time_point aNow) const
+{
+  std::unordered_map<account_id, token_holder> holders;
+  for (const auto& [address, peer] : mPeers) {
+    if (!peer.mReport || !Alive(peer, aNow)) {
+      continue;
+    }
+    for (const auto& [account, tokens] : peer.mReport->mHeld) {
+      token_holder& holder = holders[account];
+      if (tokens > holder.mTokens) {
+        holder = { address, tokens };
+      }
+    }
+  }
+  return holders;
+}
+
 std::unordered_map<std::uint32_t, upstream_work> fleet_view::PeerWork(
   time_point aNow) const
 {
--- a/Source/Core/Gateway/FleetView.h
+++ b/Source/Core/Gateway/FleetView.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "Common/Time.h"
+#include "Gateway/TokenEscrow.h"
 #include "Gateway/UpstreamRoster.h"
 
 /// The nodes of the fleet as this node sees them.
@@ -28,12 +29,10 @@
   std::vector<std::pair<std::string, std::chrono::milliseconds>> mPeers;
   std::vector<std::pair<std::uint32_t, upstream_work>> mWork;
   std::uint64_t mConfigVersion = 0;
+  /// Free prepaid tokens of this node.
+  std::vector<std::pair<account_id, std::int64_t>> mHeld;
 };
 
-/// Bytes of a report; nothing when they are malformed.
-std::string WriteNodeReport(const node_report& aReport);
-std::optional<node_report> ParseNodeReport(std::string_view aBytes);
-
 class fleet_view
 {
 public:
@@ -62,6 +61,9 @@
   /// sum is scaled to the whole fleet.
   std::unordered_map<std::uint32_t, upstream_work> PeerWork(
     time_point aNow) const;
+  /// For each account the live node that holds most free tokens.
+  std::unordered_map<account_id, token_holder> TokenHolders(
+    time_point aNow) const;
 
 private:
   struct peer_state
--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -129,7 +129,7 @@
                        const std::string& aServerRun) {
                   WriteCrash(aFingerprint, aServerRun);
                 } }
-  , mLink(mFleet, mTime, [this] { return SnapshotRows(); })
+  , mLink(mFleet, mEscrow, mTime, [this] { return SnapshotRows(); })
   , mConfigTable(mStore,
                  mTime,
                  mDialect.ConfigTable(),
@@ -400,6 +400,7 @@
   mContext.mDiscarded.clear();
   AdvanceWaiting(now);
   RunEscrow(now);
+  mLink.SendTokenRequests();
   std::erase_if(mSessions,
                 [](const auto& aPair) { return aPair.second->Done(); });
   if (mStopBegan) {
@@ -453,6 +454,12 @@
         const row_commit& commit = aResult.value();
         if (commit.mCommitted) {
           mEscrow.OnCommit(account, commit.mVersion, now);
+          Log(log_level::Info,
+              "tokens_granted",
+              { Field("account", account.mName),
+                Field("held", mEscrow.Held(account)),
+                Field("rest", mEscrow.KnownRest(account)),
+                Field("row", commit.mVersion) });
           return;
         }
         std::optional<escrow_row> current;
@@ -525,6 +532,8 @@
     Log(log_level::Info, "readiness_changed", { Field("ready", ready) });
   }
   mFleet.Self().mWork = mRoster.OwnWork();
+  mFleet.Self().mHeld = mEscrow.AllHeld();
+  mEscrow.SetHolders(mFleet.TokenHolders(now));
   mLink.SendReports();
   mRoster.SetPeerWork(mFleet.PeerWork(now));
   mEscrow.SetNodes(mFleet.LiveNodes(now));
@@ -564,6 +573,27 @@
     std::chrono::duration<double>(now - mConfigTable.LastContact()).count());
 }
 
+void gateway_node::Reload(const gateway_settings& aSettings)
+{
+  mSettings.mRetries = aSettings.mRetries;
+  mSettings.mGrace = aSettings.mGrace;
+  mSettings.mSeeds = aSettings.mSeeds;
+  mRetries.SetLimits(aSettings.mRetries);
+  for (const std::string& seed : mSettings.mSeeds) {
+    mFleet.AddCandidate(seed);
+  }
+  if (aSettings.mStore != mSettings.mStore ||
+      aSettings.mFront != mSettings.mFront) {
+    Log(log_level::Warning,
+        "settings_need_restart",
+        { Field("store", FormatTcpAddress(aSettings.mStore)),
+          Field("clients", FormatTcpAddress(aSettings.mFront)) });
+  }
+  Log(log_level::Info,
+      "settings_reloaded",
+      { Field("seeds", mSettings.mSeeds.size()) });
+}
+
 void gateway_node::Stop()
 {
   if (mStopBegan) {
--- a/Source/Core/Gateway/GatewayNode.h
+++ b/Source/Core/Gateway/GatewayNode.h
@@ -28,6 +28,8 @@
                                              std::string& aError);
   ~gateway_node() override;
 
+  /// Takes over what may change while the node runs.
+  void Reload(const gateway_settings& aSettings);
   /// Graceful stop.
   void Stop();
   /// Whether the node takes requests.
--- /dev/null
+++ b/Source/Core/Gateway/PeerDatagram.cpp
@@ -0,0 +1,167 @@
+#include "Gateway/PeerDatagram.h"
+
+#include <algorithm>
+#include <cstring>
+#include <utility>
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+#include <kj/exception.h>
+
+#include "Gateway/Fleet.capnp.h"
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::int64_t kMostUint32 = 0xffffffff;
+
+std::uint32_t Narrow(std::int64_t aValue)
+{
+  return static_cast<std::uint32_t>(
+    std::clamp<std::int64_t>(aValue, 0, kMostUint32));
+}
+
+std::string ReadText(capnp::Text::Reader aText)
+{
+  return { aText.begin(), aText.size() };
+}
+
+void Write(fleet_wire::NodeReport::Builder aRoot, const node_report& aReport)
+{
+  aRoot.setAddress(aReport.mAddress);
+  aRoot.setName(aReport.mName);
+  aRoot.setFront(aReport.mFront);
+  aRoot.setRun(aReport.mRun);
+  aRoot.setReady(aReport.mReady);
+  aRoot.setLeaving(aReport.mLeaving);
+  aRoot.setConfigVersion(aReport.mConfigVersion);
+  auto peers = aRoot.initPeers(static_cast<unsigned>(aReport.mPeers.size()));
+  for (unsigned i = 0; i < peers.size(); ++i) {
+    peers[i].setAddress(aReport.mPeers[i].first);
+    peers[i].setAgeMs(Narrow(aReport.mPeers[i].second.count()));
+  }
+  auto work = aRoot.initWork(static_cast<unsigned>(aReport.mWork.size()));
+  for (unsigned i = 0; i < work.size(); ++i) {
+    const auto& [key, amount] = aReport.mWork[i];
+    work[i].setKey(key);
+    work[i].setRequests(Narrow(amount.mRequests));
+    work[i].setPrefillTokens(Narrow(amount.mPrefillTokens));
+    work[i].setKvTokens(Narrow(amount.mKvTokens));
+  }
+  auto held = aRoot.initHeld(static_cast<unsigned>(aReport.mHeld.size()));
+  for (unsigned i = 0; i < held.size(); ++i) {
+    held[i].setAccount(aReport.mHeld[i].first.mName);
+    held[i].setTokens(aReport.mHeld[i].second);
+  }
+}
+
+node_report Read(fleet_wire::NodeReport::Reader aRoot)
+{
+  node_report report;
+  report.mAddress = ReadText(aRoot.getAddress());
+  report.mName = ReadText(aRoot.getName());
+  report.mFront = ReadText(aRoot.getFront());
+  report.mRun = aRoot.getRun();
+  report.mReady = aRoot.getReady();
+  report.mLeaving = aRoot.getLeaving();
+  report.mConfigVersion = aRoot.getConfigVersion();
+  for (const auto peer : aRoot.getPeers()) {
+    report.mPeers.emplace_back(ReadText(peer.getAddress()),
+                               milliseconds(peer.getAgeMs()));
+  }
+  for (const auto work : aRoot.getWork()) {
+    report.mWork.emplace_back(work.getKey(),
+                              upstream_work{ work.getRequests(),
+                                             work.getPrefillTokens(),
+                                             work.getKvTokens() });
+  }
+  for (const auto held : aRoot.getHeld()) {
+    report.mHeld.emplace_back(account_id{ ReadText(held.getAccount()) },
+                              held.getTokens());
+  }
+  return report;
+}
+
+void Write(fleet_wire::TokenRequest::Builder aRoot,
+           const token_request& aRequest)
+{
+  aRoot.setAddress(aRequest.mAddress);
+  aRoot.setId(aRequest.mId);
+  aRoot.setRun(aRequest.mRun);
+  aRoot.setAccount(aRequest.mAccount.mName);
+  aRoot.setNeeded(aRequest.mNeeded);
+  aRoot.setWanted(aRequest.mWanted);
+}
+
+token_request Read(fleet_wire::TokenRequest::Reader aRoot)
+{
+  return { ReadText(aRoot.getAddress()),
+           aRoot.getId(),
+           aRoot.getRun(),
+           account_id{ ReadText(aRoot.getAccount()) },
+           aRoot.getNeeded(),
+           aRoot.getWanted() };
+}
+
+void Write(fleet_wire::TokenTransfer::Builder aRoot,
+           const token_transfer& aTransfer)
+{
+  aRoot.setId(aTransfer.mId);
+  aRoot.setRun(aTransfer.mRun);
+  aRoot.setAccount(aTransfer.mAccount.mName);
+  aRoot.setTokens(aTransfer.mTokens);
+}
+
+token_transfer Read(fleet_wire::TokenTransfer::Reader aRoot)
+{
+  return { aRoot.getId(),
+           aRoot.getRun(),
+           account_id{ ReadText(aRoot.getAccount()) },
+           aRoot.getTokens() };
+}
+
+} // namespace
+
+std::string WritePeerDatagram(const peer_datagram& aDatagram)
+{
+  capnp::MallocMessageBuilder message;
+  auto root = message.initRoot<fleet_wire::PeerDatagram>();
+  if (const auto* report = std::get_if<node_report>(&aDatagram)) {
+    Write(root.initReport(), *report);
+  } else if (const auto* request = std::get_if<token_request>(&aDatagram)) {
+    Write(root.initRequest(), *request);
+  } else {
+    Write(root.initTransfer(), std::get<token_transfer>(aDatagram));
+  }
+  const auto words = capnp::messageToFlatArray(message);
+  const auto bytes = words.asBytes();
+  return { reinterpret_cast<const char*>(bytes.begin()), bytes.size() };
+}
+
+std::optional<peer_datagram> ParsePeerDatagram(std::string_view aBytes)
+{
+  const std::size_t words = aBytes.size() / sizeof(capnp::word);
+  if (words == 0 || aBytes.size() % sizeof(capnp::word) != 0) {
+    return std::nullopt;
+  }
+  auto aligned = kj::heapArray<capnp::word>(words);
+  std::memcpy(aligned.begin(), aBytes.data(), aBytes.size());
+  std::optional<peer_datagram> datagram;
+  const auto failure = kj::runCatchingExceptions([&] {
+    capnp::FlatArrayMessageReader reader(aligned);
+    const auto root = reader.getRoot<fleet_wire::PeerDatagram>();
+    switch (root.which()) {
+      case fleet_wire::PeerDatagram::REPORT:
+        datagram = Read(root.getReport());
+        break;
+      case fleet_wire::PeerDatagram::REQUEST:
+        datagram = Read(root.getRequest());
+        break;
+      case fleet_wire::PeerDatagram::TRANSFER:
+        datagram = Read(root.getTransfer());
+        break;
+    }
+  });
+  return failure == nullptr ? datagram : std::nullopt;
+}
--- a/Source/Core/Gateway/TokenEscrow.cpp
+++ b/Source/Core/Gateway/TokenEscrow.cpp
@@ -23,6 +23,15 @@
 // A need is covered several times over, so that a burst does not draw for
 // each request.
 constexpr std::int64_t kNeedFactor = 4;
+// A draw without a need that brings less than this part of the target is not
+// worth a transaction.
+constexpr std::int64_t kSmallestPart = 8;
+// A request to another node is sent again after this long, and given up after
+// a few times; one way takes up to 3 ms.
+constexpr milliseconds kAskAgain(25);
+constexpr milliseconds kAskLimit(120);
+// Answers are kept for repeated requests.
+constexpr milliseconds kAnswerMemory(2000);
 
 } // namespace
 
@@ -78,8 +87,11 @@
     return reserve_verdict::Granted;
   }
   state.mShort = std::max(state.mShort, aTokens);
-  const bool spent =
-    state.mRowKnown && state.mTotal - state.mGranted + state.mFree < aTokens;
+  const auto holder = mHolders.find(aAccount);
+  const std::int64_t elsewhere =
+    holder == mHolders.end() ? 0 : holder->second.mTokens;
+  const bool spent = state.mRowKnown && elsewhere < aTokens &&
+                     state.mTotal - state.mGranted + state.mFree < aTokens;
   return spent ? reserve_verdict::Exhausted : reserve_verdict::Awaiting;
 }
 
@@ -275,6 +287,99 @@
   state.mNotBefore = aNow + kRefusedPause;
 }
 
+std::vector<addressed_request> token_escrow::TakeRequests(std::uint64_t aRun,
+                                                          time_point aNow)
+{
+  std::vector<addressed_request> requests;
+  for (auto& [account, state] : mAccounts) {
+    if (state.mAsked && aNow >= state.mAskEnds) {
+      state.mAsked.reset();
+    }
+    if (state.mAsked) {
+      if (aNow >= state.mAskAgain) {
+        state.mAskAgain = aNow + kAskAgain;
+        requests.push_back(*state.mAsked);
+      }
+      continue;
+    }
+    // The store is asked first; it answers within a few ms unless it is out of
+    // reach or has nothing left.
+    const bool storeMayHelp = aNow >= state.mNotBefore && !state.mUnsettled &&
+                              state.mTotal - state.mGranted >= state.mShort &&
+                              !state.mPending;
+    const auto holder = mHolders.find(account);
+    if (mReturning || state.mShort <= state.mFree || storeMayHelp ||
+        holder == mHolders.end() || holder->second.mTokens < state.mShort) {
+      continue;
+    }
+    token_request request;
+    request.mId = ++mSequence;
+    request.mRun = aRun;
+    request.mAccount = account;
+    request.mNeeded = state.mShort - state.mFree;
+    request.mWanted =
+      std::max(request.mNeeded * kNeedFactor, Target(state) - state.mFree);
+    state.mAsked = addressed_request{ holder->second.mAddress, request };
+    state.mAskAgain = aNow + kAskAgain;
+    state.mAskEnds = aNow + kAskLimit;
+    requests.push_back(*state.mAsked);
+  }
+  return requests;
+}
+
+std::optional<token_transfer> token_escrow::Give(const token_request& aRequest,
+                                                 time_point aNow)
+{
+  std::erase_if(mGiven, [aNow](const auto& aPair) {
+    return aNow >= aPair.second.mForgetAt;
+  });
+  const auto key = std::pair(aRequest.mRun, aRequest.mId);
+  const auto known = mGiven.find(key);
+  if (known != mGiven.end()) {
+    return known->second.mTransfer;
+  }
+  const auto found = mAccounts.find(aRequest.mAccount);
+  if (found == mAccounts.end() || aRequest.mNeeded <= 0 ||
+      found->second.mFree < aRequest.mNeeded) {
+    return std::nullopt;
+  }
+  account_state& state = found->second;
+  const std::int64_t tokens =
+    std::max(aRequest.mNeeded, std::min(aRequest.mWanted, state.mFree / 2));
+  state.mFree -= tokens;
+  const token_transfer transfer{
+    aRequest.mId, aRequest.mRun, aRequest.mAccount, tokens
+  };
+  mGiven[key] = { transfer, aNow + kAnswerMemory };
+  return transfer;
+}
+
+void token_escrow::OnTransfer(const token_transfer& aTransfer,
+                              std::uint64_t aRun)
+{
+  const auto found = mAccounts.find(aTransfer.mAccount);
+  if (found == mAccounts.end() || aTransfer.mRun != aRun ||
+      !found->second.mAsked ||
+      found->second.mAsked->mRequest.mId != aTransfer.mId) {
+    return;
+  }
+  account_state& state = found->second;
+  state.mAsked.reset();
+  state.mFree += aTransfer.mTokens;
+  state.mShort = 0;
+}
+
+std::vector<std::pair<account_id, std::int64_t>> token_escrow::AllHeld() const
+{
+  std::vector<std::pair<account_id, std::int64_t>> held;
+  for (const auto& [account, state] : mAccounts) {
+    if (state.mFree > 0 && !mReturning) {
+      held.emplace_back(account, state.mFree);
+    }
+  }
+  return held;
+}
+
 std::int64_t token_escrow::Held(const account_id& aAccount) const
 {
   const auto found = mAccounts.find(aAccount);
--- a/Source/Core/Gateway/TokenEscrow.h
+++ b/Source/Core/Gateway/TokenEscrow.h
@@ -2,6 +2,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -49,6 +50,49 @@
   auto operator<=>(const escrow_change&) const = default;
 };
 
+/// The node that holds most free tokens of an account.
+struct token_holder
+{
+  /// Datagram address.
+  std::string mAddress;
+  std::int64_t mTokens = 0;
+  auto operator<=>(const token_holder&) const = default;
+};
+
+/// Asks another node for tokens that it was granted and does not need. Works
+/// while the store is out of reach, and when all tokens are granted.
+struct token_request
+{
+  /// Datagram address for the answer.
+  std::string mAddress;
+  /// Unique to the asking run; a repeated request gets the same answer.
+  std::uint64_t mId = 0;
+  std::uint64_t mRun = 0;
+  account_id mAccount;
+  /// Least amount of use.
+  std::int64_t mNeeded = 0;
+  std::int64_t mWanted = 0;
+  auto operator<=>(const token_request&) const = default;
+};
+
+/// Tokens that now belong to the run that asked. They left the giver when this
+/// was made, so a lost transfer loses them.
+struct token_transfer
+{
+  std::uint64_t mId = 0;
+  std::uint64_t mRun = 0;
+  account_id mAccount;
+  std::int64_t mTokens = 0;
+  auto operator<=>(const token_transfer&) const = default;
+};
+
+/// A request and the node that it goes to.
+struct addressed_request
+{
+  std::string mTo;
+  token_request mRequest;
+};
+
 struct escrow_settings
 {
   /// Span of the observed use that a node holds in advance, in seconds. Covers
@@ -100,6 +144,22 @@
   /// No reply: the change may be applied now, later or never.
   void OnUnknown(const account_id& aAccount, time_point aNow);
 
+  /// Nodes with free tokens, from their newest reports.
+  void SetHolders(std::unordered_map<account_id, token_holder> aHolders)
+  {
+    mHolders = std::move(aHolders);
+  }
+  /// Requests to send now for accounts that are short; unanswered ones are
+  /// repeated.
+  std::vector<addressed_request> TakeRequests(std::uint64_t aRun,
+                                              time_point aNow);
+  /// Answers another node; nothing when it has none to give.
+  std::optional<token_transfer> Give(const token_request& aRequest,
+                                     time_point aNow);
+  void OnTransfer(const token_transfer& aTransfer, std::uint64_t aRun);
+  /// Free tokens by account, for the reports.
+  std::vector<std::pair<account_id, std::int64_t>> AllHeld() const;
+
   std::int64_t Held(const account_id& aAccount) const;
   std::int64_t KnownRest(const account_id& aAccount) const;
 
@@ -133,6 +193,15 @@
     double mUsedNow = 0;
     double mUsedBefore = 0;
     time_point mPeriodEnds;
+    /// Request to another node that awaits its answer.
+    std::optional<addressed_request> mAsked;
+    time_point mAskAgain;
+    time_point mAskEnds;
+  };
+  struct given_transfer
+  {
+    token_transfer mTransfer;
+    time_point mForgetAt;
   };
 
   void Roll(account_state& aState, time_point aNow) const;
@@ -149,4 +218,7 @@
   std::uint64_t mSequence = 0;
   bool mReturning = false;
   std::unordered_map<account_id, account_state> mAccounts;
+  std::unordered_map<account_id, token_holder> mHolders;
+  /// Recent answers by asking run and request.
+  std::map<std::pair<std::uint64_t, std::uint64_t>, given_transfer> mGiven;
 };
--- a/Source/LentilSwitch/GatewayCommand.cpp
+++ b/Source/LentilSwitch/GatewayCommand.cpp
@@ -36,7 +36,17 @@
     fmt::print(stderr, "{}: {}\n", aPath, error);
     return exit_code::Unavailable;
   }
-  const signal_watch signals([&node] { node->Stop(); });
+  const auto reload = [&node, &aPath] {
+    const auto changed = ReadGatewaySettings(aPath);
+    if (changed.has_value()) {
+      node->Reload(changed.value());
+    } else {
+      Log(log_level::Error,
+          "settings_unusable",
+          { Field("error", changed.error()) });
+    }
+  };
+  const signal_watch signals([&node] { node->Stop(); }, reload);
   loop.Run();
   return exit_code::Ok;
 }
--- a/Source/LentilSwitch/SignalWatch.cpp
+++ b/Source/LentilSwitch/SignalWatch.cpp
@@ -5,21 +5,35 @@
 
 #include <glib-unix.h>
 
-signal_watch::signal_watch(std::function<void()> aCallback)
-  : mCallback(std::move(aCallback))
-  , mTerminate(g_unix_signal_add(SIGTERM, OnSignal, this))
-  , mInterrupt(g_unix_signal_add(SIGINT, OnSignal, this))
+signal_watch::signal_watch(std::function<void()> aStop,
+                           std::function<void()> aReload)
+  : mStop(std::move(aStop))
+  , mReload(std::move(aReload))
+  , mTerminate(g_unix_signal_add(SIGTERM, OnStop, this))
+  , mInterrupt(g_unix_signal_add(SIGINT, OnStop, this))
 {
+  if (mReload) {
+    mHangUp = g_unix_signal_add(SIGHUP, OnReload, this);
+  }
 }
 
 signal_watch::~signal_watch()
 {
   g_source_remove(mTerminate);
   g_source_remove(mInterrupt);
+  if (mHangUp != 0) {
+    g_source_remove(mHangUp);
+  }
 }
 
-gboolean signal_watch::OnSignal(gpointer aSelf)
+gboolean signal_watch::OnStop(gpointer aSelf)
 {
-  static_cast<signal_watch*>(aSelf)->mCallback();
+  static_cast<signal_watch*>(aSelf)->mStop();
+  return G_SOURCE_CONTINUE;
+}
+
+gboolean signal_watch::OnReload(gpointer aSelf)
+{
+  static_cast<signal_watch*>(aSelf)->mReload();
   return G_SOURCE_CONTINUE;
 }
--- a/Source/LentilSwitch/SignalWatch.h
+++ b/Source/LentilSwitch/SignalWatch.h
@@ -4,19 +4,24 @@
 
 #include <glib.h>
 
-/// Calls back on the loop for SIGTERM and SIGINT.
+/// Calls back on the loop for SIGTERM and SIGINT, and for SIGHUP when a
+/// callback for it is given.
 class signal_watch
 {
 public:
-  explicit signal_watch(std::function<void()> aCallback);
+  explicit signal_watch(std::function<void()> aStop,
+                        std::function<void()> aReload = {});
   ~signal_watch();
   signal_watch(const signal_watch&) = delete;
   signal_watch& operator=(const signal_watch&) = delete;
 
 private:
-  static gboolean OnSignal(gpointer aSelf);
+  static gboolean OnStop(gpointer aSelf);
+  static gboolean OnReload(gpointer aSelf);
 
-  std::function<void()> mCallback;
+  std::function<void()> mStop;
+  std::function<void()> mReload;
   guint mTerminate;
   guint mInterrupt;
+  guint mHangUp = 0;
 };
