Let the next run of a host take over unspent prepaid tokens

Change: each node states in a row of its own what it received and a bound on what it passes out, and keeps to the bound while the statement may be used; the next run on the host takes over the rest if the statement is still in force. Nodes hold ten seconds of use and three mean requests, not four of the largest.

--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -52,6 +52,8 @@
 constexpr const char* kOwnTableName = "lentilswitch";
 constexpr const char* kEscrowTableName = "prepaid";
 constexpr const char* kEscrowKey = "granted";
+constexpr const char* kHoldingTableName = "holdings";
+constexpr const char* kHoldingKey = "statement";
 constexpr std::string_view kNodePrefix = "node/";
 constexpr std::string_view kCrashPrefix = "crash/";
 
@@ -400,6 +402,7 @@
   mContext.mDiscarded.clear();
   AdvanceWaiting(now);
   RunEscrow(now);
+  RunStatement(now);
   mLink.SendTokenRequests();
   std::erase_if(mSessions,
                 [](const auto& aPair) { return aPair.second->Done(); });
@@ -452,6 +455,7 @@
           return;
         }
         const row_commit& commit = aResult.value();
+        mEscrow.OnStoreTime(commit.mStoreTime, now);
         if (commit.mCommitted) {
           mEscrow.OnCommit(account, commit.mVersion, now);
           Log(log_level::Info,
@@ -479,6 +483,50 @@
   }
 }
 
+void gateway_node::RunStatement(time_point aNow)
+{
+  const auto change = mEscrow.TakeStatement(aNow);
+  if (!change) {
+    return;
+  }
+  // Every node has a part of its own, so that statements do not queue.
+  const row_key key{ kHoldingTableName,
+                     FormatTcpAddress(mSettings.mPeer),
+                     kHoldingKey };
+  row_transaction transaction;
+  transaction.mConditions.push_back({ key, change->mExpectedVersion });
+  transaction.mWrites.push_back({ key, WriteHoldingRow(change->mRow) });
+  mStore.Commit(transaction, [this, alive = mAlive](auto aResult) {
+    if (!*alive) {
+      return;
+    }
+    if (!aResult.has_value()) {
+      mEscrow.OnStatementFailed(aResult.error() != row_store_error::Refused);
+      return;
+    }
+    const row_commit& commit = aResult.value();
+    mEscrow.OnStoreTime(commit.mStoreTime, mTime.Now());
+    if (commit.mCommitted) {
+      mEscrow.OnStated(commit.mVersion);
+      return;
+    }
+    std::optional<holding_row> current;
+    std::uint64_t version = 0;
+    if (!commit.mCurrent.empty() && !commit.mCurrent[0].mRemoved) {
+      version = commit.mCurrent[0].mVersion;
+      current = ParseHoldingRow(commit.mCurrent[0].mValue);
+    }
+    const std::int64_t taken =
+      mEscrow.OnStatementConflict(current, version, commit.mStoreTime);
+    Log(log_level::Info,
+        "holdings_conflict",
+        { Field("run", current ? current->mRun : "none"),
+          Field("age_ms",
+                current ? (commit.mStoreTime - current->mStatedAt).count() : 0),
+          Field("taken_over", taken) });
+  });
+}
+
 void gateway_node::Register(time_point aNow)
 {
   if (mRegistered || mRegistering || aNow < mRegisterAt) {
--- a/Source/Core/Gateway/GatewayNode.h
+++ b/Source/Core/Gateway/GatewayNode.h
@@ -67,6 +67,8 @@
   void OnHouseTick();
   void AdvanceWaiting(time_point aNow);
   void RunEscrow(time_point aNow);
+  /// Writes what this node holds of the prepaid tokens.
+  void RunStatement(time_point aNow);
   void Register(time_point aNow);
   void WriteCrash(const std::string& aFingerprint,
                   const std::string& aServerRun);
--- /dev/null
+++ b/Source/Core/Gateway/HoldingRow.cpp
@@ -0,0 +1,40 @@
+#include "Gateway/HoldingRow.h"
+
+#include <nlohmann/json.hpp>
+
+using nlohmann::json;
+
+std::string WriteHoldingRow(const holding_row& aRow)
+{
+  json accounts = json::object();
+  for (const auto& [account, entry] : aRow.mAccounts) {
+    accounts[account] = { entry.mReceived, entry.mBound };
+  }
+  return json({ { "run", aRow.mRun },
+                { "sequence", aRow.mSequence },
+                { "stated_at_ms", aRow.mStatedAt.count() },
+                { "accounts", std::move(accounts) } })
+    .dump();
+}
+
+std::optional<holding_row> ParseHoldingRow(std::string_view aText)
+{
+  const json body = json::parse(aText, nullptr, false);
+  if (!body.is_object()) {
+    return std::nullopt;
+  }
+  try {
+    holding_row row;
+    row.mRun = body.at("run").get<std::string>();
+    row.mSequence = body.at("sequence").get<std::uint64_t>();
+    row.mStatedAt =
+      std::chrono::milliseconds(body.at("stated_at_ms").get<std::int64_t>());
+    for (const auto& [account, entry] : body.at("accounts").items()) {
+      row.mAccounts[account] = { entry.at(0).get<std::int64_t>(),
+                                 entry.at(1).get<std::int64_t>() };
+    }
+    return row;
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
--- a/Source/Core/Gateway/PeerDatagram.h
+++ b/Source/Core/Gateway/PeerDatagram.h
@@ -9,8 +9,7 @@
 
 /// Datagrams between nodes, as bytes of Cap'n Proto messages.
 
-using peer_datagram =
-  std::variant<node_report, token_request, token_transfer>;
+using peer_datagram = std::variant<node_report, token_request, token_transfer>;
 
 std::string WritePeerDatagram(const peer_datagram& aDatagram);
 /// Nothing when the bytes are malformed.
--- a/Source/Core/Gateway/TokenEscrow.cpp
+++ b/Source/Core/Gateway/TokenEscrow.cpp
@@ -26,10 +26,24 @@
 // A draw without a need that brings less than this part of the target is not
 // worth a transaction.
 constexpr std::int64_t kSmallestPart = 8;
+// Weight of the newest request in the mean size.
+constexpr double kNeedGain = 0.1;
+// Requests of mean size held in addition to the observed use, and allowed for
+// in a bound.
+constexpr std::int64_t kHeldRequests = 3;
+constexpr double kBoundRequests = 2.0;
+// Tokens are fetched when less than three quarters of the target are left.
+constexpr std::int64_t kRefillParts = 4;
+constexpr std::int64_t kRefillBelow = 3;
+// Difference allowed between the clocks of the store and of nodes.
+constexpr milliseconds kClockMargin(200);
 // A request to another node is sent again after this long, and given up after
 // a few times; one way takes up to 3 ms.
 constexpr milliseconds kAskAgain(25);
 constexpr milliseconds kAskLimit(120);
+// Identities of accepted transfers kept, so that a repeated answer counts once.
+// They rise, so the oldest are dropped first.
+constexpr std::size_t kMostAccepted = 1000;
 // Answers are kept for repeated requests.
 constexpr milliseconds kAnswerMemory(2000);
 
@@ -62,9 +76,8 @@
                      sequence->get<std::uint64_t>() };
 }
 
-token_escrow::token_escrow(std::string aWriter,
-                           const escrow_settings& aSettings)
-  : mWriter(std::move(aWriter))
+token_escrow::token_escrow(std::string aRun, const escrow_settings& aSettings)
+  : mRun(std::move(aRun))
   , mSettings(aSettings)
 {
 }
@@ -80,18 +93,22 @@
 {
   account_state& state = mAccounts[aAccount];
   Roll(state, aNow);
-  state.mLargest = std::max(state.mLargest, aTokens);
-  if (state.mFree >= aTokens) {
-    state.mFree -= aTokens;
-    state.mReserved += aTokens;
+  state.mMeanNeed +=
+    kNeedGain * (static_cast<double>(aTokens) - state.mMeanNeed);
+  if (Available(aAccount, state, aNow) >= aTokens) {
+    state.mOut += aTokens;
     return reserve_verdict::Granted;
   }
   state.mShort = std::max(state.mShort, aTokens);
+  if (state.Free() >= aTokens) {
+    mBoundShort = true;
+    return reserve_verdict::Awaiting;
+  }
   const auto holder = mHolders.find(aAccount);
   const std::int64_t elsewhere =
     holder == mHolders.end() ? 0 : holder->second.mTokens;
   const bool spent = state.mRowKnown && elsewhere < aTokens &&
-                     state.mTotal - state.mGranted + state.mFree < aTokens;
+                     state.mTotal - state.mGranted + state.Free() < aTokens;
   return spent ? reserve_verdict::Exhausted : reserve_verdict::Awaiting;
 }
 
@@ -102,11 +119,155 @@
 {
   account_state& state = mAccounts[aAccount];
   Roll(state, aNow);
-  state.mReserved -= aReserved;
-  state.mFree += aReserved - std::min(aUsed, aReserved);
+  state.mOut -= aReserved - std::min(aUsed, aReserved);
   state.mUsedNow += static_cast<double>(aUsed);
 }
 
+bool token_escrow::Expired(time_point aNow) const
+{
+  return std::ranges::none_of(mStatements, [aNow](const statement& aEntry) {
+    return aNow < aEntry.mExpires;
+  });
+}
+
+std::int64_t token_escrow::Available(const account_id& aAccount,
+                                     const account_state& aState,
+                                     time_point aNow) const
+{
+  std::int64_t limit = aState.mReceived;
+  for (const statement& entry : mStatements) {
+    const auto found = entry.mAccounts.find(aAccount.mName);
+    // What a statement does not name cannot be taken over.
+    if (aNow < entry.mExpires && found != entry.mAccounts.end()) {
+      const std::int64_t unnamed = aState.mReceived - found->second.mReceived;
+      limit = std::min(limit, found->second.mBound + unnamed);
+    }
+  }
+  return limit - aState.mOut;
+}
+
+std::int64_t token_escrow::NextBound(const account_state& aState,
+                                     time_point aNow) const
+{
+  // Without a statement in force the store was out of reach; the next outage
+  // may be near, so nothing is bound until the first answer.
+  if (mReturning || !mEverStated || Expired(aNow)) {
+    return aState.mReceived;
+  }
+  const double life =
+    std::chrono::duration<double>(mSettings.mStatementLife).count() +
+    std::chrono::duration<double>(mSettings.mStatementPeriod).count();
+  const double ahead =
+    UsedPerSecond(aState) * life + aState.mMeanNeed * kBoundRequests;
+  const std::int64_t needed = std::max(aState.mShort, std::int64_t{ 0 });
+  return std::min(aState.mReceived,
+                  aState.mOut + needed + static_cast<std::int64_t>(ahead));
+}
+
+void token_escrow::OnStoreTime(milliseconds aStoreTime, time_point aNow)
+{
+  mStoreTime = aStoreTime;
+  mStoreTimeAt = aNow;
+}
+
+std::optional<holding_change> token_escrow::TakeStatement(time_point aNow)
+{
+  const bool due = aNow >= mNextStatement || mBoundShort;
+  if (mStating || !due || mAccounts.empty()) {
+    return std::nullopt;
+  }
+  std::erase_if(mStatements, [aNow](const statement& aEntry) {
+    return aNow >= aEntry.mExpires;
+  });
+  holding_change change;
+  change.mExpectedVersion = mStatementVersion;
+  change.mRow.mRun = mRun;
+  change.mRow.mSequence = ++mSequence;
+  if (mStoreTime) {
+    // The answer that carried the time was on its way, so this is not later
+    // than the store's clock.
+    change.mRow.mStatedAt =
+      *mStoreTime +
+      std::chrono::duration_cast<milliseconds>(aNow - mStoreTimeAt);
+  }
+  for (const auto& [account, state] : mAccounts) {
+    if (state.mReceived > 0) {
+      change.mRow.mAccounts[account.mName] = { state.mReceived,
+                                               NextBound(state, aNow) };
+    }
+  }
+  // The bound holds from here on: the write may be applied unanswered.
+  mStatements.push_back({ change.mRow.mSequence,
+                          change.mRow.mAccounts,
+                          aNow + mSettings.mStatementLife });
+  mStating = true;
+  mBoundShort = false;
+  mNextStatement = aNow + mSettings.mStatementPeriod;
+  return change;
+}
+
+void token_escrow::OnStated(std::uint64_t aVersion)
+{
+  mStating = false;
+  mStatementVersion = aVersion;
+  ConfirmStated();
+  // Older statements, and unanswered ones that expected the same version, can
+  // no longer be in the store.
+  while (mStatements.size() > 1) {
+    mStatements.pop_front();
+  }
+}
+
+void token_escrow::ConfirmStated()
+{
+  mEverStated = true;
+  for (const auto& [account, tokens] : mTakenOver) {
+    mAccounts[account].mReceived += tokens;
+  }
+  mTakenOver.clear();
+}
+
+std::int64_t token_escrow::OnStatementConflict(
+  const std::optional<holding_row>& aCurrent,
+  std::uint64_t aVersion,
+  milliseconds aStoreTime)
+{
+  mStating = false;
+  mNextStatement = {};
+  mStatementVersion = aVersion;
+  if (aCurrent && aCurrent->mRun == mRun) {
+    // The answer of an earlier write was lost; only that one is in the store.
+    std::erase_if(mStatements, [&](const statement& aEntry) {
+      return aEntry.mSequence != aCurrent->mSequence;
+    });
+    ConfirmStated();
+    return 0;
+  }
+  mStatements.clear();
+  if (!aCurrent || aStoreTime + kClockMargin >=
+                     aCurrent->mStatedAt + mSettings.mStatementLife) {
+    return 0;
+  }
+  mTakenOver.clear();
+  std::int64_t taken = 0;
+  for (const auto& [account, entry] : aCurrent->mAccounts) {
+    const std::int64_t tokens = entry.mReceived - entry.mBound;
+    if (tokens > 0 && !mEverStated) {
+      mTakenOver[account_id{ account }] = tokens;
+      taken += tokens;
+    }
+  }
+  return taken;
+}
+
+void token_escrow::OnStatementFailed(bool aUnknown)
+{
+  mStating = false;
+  if (!aUnknown && !mStatements.empty()) {
+    mStatements.pop_back();
+  }
+}
+
 void token_escrow::Roll(account_state& aState, time_point aNow) const
 {
   if (aNow < aState.mPeriodEnds) {
@@ -131,36 +292,41 @@
                        mSettings.mFirstShare / static_cast<double>(mNodes);
   const double start = aState.mUsedBefore > 0.0 ? 0.0 : first;
   return static_cast<std::int64_t>(std::max(use, start)) +
-         aState.mLargest * kNeedFactor;
+         static_cast<std::int64_t>(aState.mMeanNeed) * kHeldRequests;
 }
 
 std::int64_t token_escrow::DrawAmount(const account_state& aState) const
 {
   const std::int64_t rest = aState.mTotal - aState.mGranted;
   const std::int64_t target = Target(aState);
-  const bool needed = aState.mShort > aState.mFree;
-  if (rest <= 0 || (!needed && aState.mFree * 2 >= target)) {
+  const bool needed = aState.mShort > aState.Free();
+  if (rest <= 0 ||
+      (!needed && aState.Free() * kRefillParts >= target * kRefillBelow)) {
     return 0;
   }
   // Other nodes need tokens as well, so one draw leaves most of the rest.
   const std::int64_t fair = rest / static_cast<std::int64_t>(mNodes + 1);
-  std::int64_t amount = std::min(target - aState.mFree, fair);
+  std::int64_t amount = std::min(target - aState.Free(), fair);
   if (needed) {
-    amount = std::max(amount, aState.mShort - aState.mFree);
+    amount = std::max(amount, aState.mShort - aState.Free());
   }
   amount = std::min(amount, rest);
-  return amount < kSmallestDraw && !needed ? 0
-                                           : std::max<std::int64_t>(amount, 0);
+  const bool small =
+    amount < std::max(kSmallestDraw, target / kSmallestPart) && !needed;
+  return small ? 0 : std::max<std::int64_t>(amount, 0);
 }
 
-std::int64_t token_escrow::ReturnAmount(const account_state& aState) const
+std::int64_t token_escrow::ReturnAmount(const account_id& aAccount,
+                                        const account_state& aState,
+                                        time_point aNow) const
 {
+  const std::int64_t available = Available(aAccount, aState, aNow);
   if (mReturning) {
-    return aState.mFree;
+    return std::max<std::int64_t>(available, 0);
   }
   const auto kept = static_cast<std::int64_t>(
     static_cast<double>(Target(aState)) * mSettings.mReturnFactor);
-  const std::int64_t spare = aState.mFree - kept;
+  const std::int64_t spare = std::min(aState.Free() - kept, available);
   // Small amounts are kept; they are likely to be used.
   return spare > kept / 2 ? spare : 0;
 }
@@ -175,9 +341,9 @@
     Roll(state, aNow);
     std::int64_t amount = mReturning ? 0 : DrawAmount(state);
     if (amount == 0 && state.mRowKnown) {
-      const std::int64_t returned = ReturnAmount(state);
+      const std::int64_t returned = ReturnAmount(account, state, aNow);
       // Tokens on their way back can no longer be spent here.
-      state.mFree -= returned;
+      state.mOut += returned;
       amount = -returned;
     }
     // The first write of an account also reads its row.
@@ -186,10 +352,9 @@
     }
     const pending_change pending{ ++mSequence, amount };
     state.mPending = pending;
-    changes.push_back(
-      { account,
-        state.mVersion,
-        { state.mGranted + amount, mWriter, pending.mSequence } });
+    changes.push_back({ account,
+                        state.mVersion,
+                        { state.mGranted + amount, mRun, pending.mSequence } });
   }
   return changes;
 }
@@ -198,7 +363,7 @@
 {
   return std::ranges::any_of(mAccounts, [this](const auto& aPair) {
     return aPair.second.mPending.has_value() ||
-           (mReturning && aPair.second.mFree > 0);
+           (mReturning && aPair.second.Free() > 0);
   });
 }
 
@@ -215,7 +380,7 @@
   state.mRowKnown = true;
   state.mConflicts = 0;
   if (state.mPending->mAmount > 0) {
-    state.mFree += state.mPending->mAmount;
+    state.mReceived += state.mPending->mAmount;
     state.mShort = 0;
   }
   state.mPending.reset();
@@ -237,16 +402,16 @@
   const pending_change pending = *state.mPending;
   state.mPending.reset();
   if (pending.mAmount < 0) {
-    state.mFree -= pending.mAmount;
+    state.mOut += pending.mAmount;
   }
   state.mVersion = aVersion;
   state.mGranted = aCurrent ? aCurrent->mGranted : 0;
   state.mRowKnown = true;
-  if (state.mUnsettled && aCurrent && aCurrent->mWriter == mWriter &&
+  if (state.mUnsettled && aCurrent && aCurrent->mWriter == mRun &&
       aCurrent->mSequence == state.mUnsettled->mSequence) {
     // The unanswered change was applied after all. A return that was applied
     // needs nothing: its tokens left this node when it was sent.
-    state.mFree += std::max<std::int64_t>(state.mUnsettled->mAmount, 0);
+    state.mReceived += std::max<std::int64_t>(state.mUnsettled->mAmount, 0);
     state.mConflicts = 0;
   }
   state.mUnsettled.reset();
@@ -261,7 +426,7 @@
   const unsigned doublings = std::min(aState.mConflicts, kMostBackoffDoublings);
   const auto most = kFirstBackoff * (1U << doublings);
   const auto spread =
-    StableHash(mWriter + aAccount.mName, mSequence) % most.count();
+    StableHash(mRun + aAccount.mName, mSequence) % most.count();
   return milliseconds(static_cast<std::int64_t>(spread));
 }
 
@@ -269,7 +434,7 @@
 {
   account_state& state = mAccounts[aAccount];
   if (state.mPending && state.mPending->mAmount < 0) {
-    state.mFree -= state.mPending->mAmount;
+    state.mOut += state.mPending->mAmount;
   }
   state.mPending.reset();
   state.mNotBefore = aNow + kRefusedPause;
@@ -308,7 +473,7 @@
                               state.mTotal - state.mGranted >= state.mShort &&
                               !state.mPending;
     const auto holder = mHolders.find(account);
-    if (mReturning || state.mShort <= state.mFree || storeMayHelp ||
+    if (mReturning || state.mShort <= state.Free() || storeMayHelp ||
         holder == mHolders.end() || holder->second.mTokens < state.mShort) {
       continue;
     }
@@ -316,9 +481,9 @@
     request.mId = ++mSequence;
     request.mRun = aRun;
     request.mAccount = account;
-    request.mNeeded = state.mShort - state.mFree;
+    request.mNeeded = state.mShort - state.Free();
     request.mWanted =
-      std::max(request.mNeeded * kNeedFactor, Target(state) - state.mFree);
+      std::max(request.mNeeded * kNeedFactor, Target(state) - state.Free());
     state.mAsked = addressed_request{ holder->second.mAddress, request };
     state.mAskAgain = aNow + kAskAgain;
     state.mAskEnds = aNow + kAskLimit;
@@ -340,13 +505,22 @@
   }
   const auto found = mAccounts.find(aRequest.mAccount);
   if (found == mAccounts.end() || aRequest.mNeeded <= 0 ||
-      found->second.mFree < aRequest.mNeeded) {
+      found->second.Free() < aRequest.mNeeded) {
     return std::nullopt;
   }
   account_state& state = found->second;
+  const std::int64_t available = Available(aRequest.mAccount, state, aNow);
+  if (available < aRequest.mNeeded) {
+    // A statement with a higher bound is written before the request comes
+    // again.
+    state.mShort = std::max(state.mShort, aRequest.mNeeded);
+    mBoundShort = true;
+    return std::nullopt;
+  }
   const std::int64_t tokens =
-    std::max(aRequest.mNeeded, std::min(aRequest.mWanted, state.mFree / 2));
-  state.mFree -= tokens;
+    std::max(aRequest.mNeeded,
+             std::min({ aRequest.mWanted, state.Free() / 2, available }));
+  state.mOut += tokens;
   const token_transfer transfer{
     aRequest.mId, aRequest.mRun, aRequest.mAccount, tokens
   };
@@ -359,13 +533,15 @@
 {
   const auto found = mAccounts.find(aTransfer.mAccount);
   if (found == mAccounts.end() || aTransfer.mRun != aRun ||
-      !found->second.mAsked ||
-      found->second.mAsked->mRequest.mId != aTransfer.mId) {
+      !mAccepted.insert(aTransfer.mId).second) {
     return;
   }
+  while (mAccepted.size() > kMostAccepted) {
+    mAccepted.erase(mAccepted.begin());
+  }
   account_state& state = found->second;
   state.mAsked.reset();
-  state.mFree += aTransfer.mTokens;
+  state.mReceived += aTransfer.mTokens;
   state.mShort = 0;
 }
 
@@ -373,8 +549,8 @@
 {
   std::vector<std::pair<account_id, std::int64_t>> held;
   for (const auto& [account, state] : mAccounts) {
-    if (state.mFree > 0 && !mReturning) {
-      held.emplace_back(account, state.mFree);
+    if (state.Free() > 0 && !mReturning) {
+      held.emplace_back(account, state.Free());
     }
   }
   return held;
@@ -383,7 +559,7 @@
 std::int64_t token_escrow::Held(const account_id& aAccount) const
 {
   const auto found = mAccounts.find(aAccount);
-  return found == mAccounts.end() ? 0 : found->second.mFree;
+  return found == mAccounts.end() ? 0 : found->second.Free();
 }
 
 std::int64_t token_escrow::KnownRest(const account_id& aAccount) const
--- a/Source/Core/Gateway/TokenEscrow.h
+++ b/Source/Core/Gateway/TokenEscrow.h
@@ -1,22 +1,31 @@
 #pragma once
 
+#include <chrono>
 #include <compare>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "Common/Identity.h"
 #include "Common/Time.h"
+#include "Gateway/HoldingRow.h"
 
 /// Shares the prepaid tokens of accounts between nodes.
 ///
 /// The store holds, per account, the tokens granted to all nodes so far. A node
 /// spends only what it was granted, so no outage, pause or lost reply can
-/// overspend. Tokens of a node that ended without returning them count as
-/// spent.
+/// overspend.
+///
+/// Each node also states in a row of its own how much it received and a bound
+/// on what it passes out. Until the statement expires the node keeps to the
+/// bound; the next run on the same host takes over what lies beyond it. A node
+/// that cannot reach the store may spend everything it holds once its
+/// statements have expired, and then nothing can be taken over.
 
 /// Row of an account. The writer tells a node whose reply was lost whether its
 /// own change is the current one.
@@ -34,9 +43,10 @@
 enum class reserve_verdict : std::uint8_t
 {
   Granted,
-  /// A grant is being fetched; ask again after the next change.
+  /// Tokens are being fetched; ask again after the next change.
   Awaiting,
-  /// All tokens are granted, and this node's do not cover the request.
+  /// All tokens are granted, and no node that is known to hold some has
+  /// enough.
   Exhausted,
 };
 
@@ -50,6 +60,15 @@
   auto operator<=>(const escrow_change&) const = default;
 };
 
+/// A conditional write of this node's statement; answered by one of
+/// `OnStated`, `OnStatementConflict` and `OnStatementFailed`.
+struct holding_change
+{
+  std::uint64_t mExpectedVersion = 0;
+  holding_row mRow;
+  auto operator<=>(const holding_change&) const = default;
+};
+
 /// The node that holds most free tokens of an account.
 struct token_holder
 {
@@ -97,19 +116,24 @@
 {
   /// Span of the observed use that a node holds in advance, in seconds. Covers
   /// a cut of 9 s from the store, as the deployments have.
-  double mHorizonSeconds = 12.0;
+  double mHorizonSeconds = 10.0;
   /// Part of an account's tokens that all nodes draw at their start together;
   /// covers a cut before the use is known.
-  double mFirstShare = 0.2;
+  double mFirstShare = 0.15;
   /// Tokens held beyond this multiple of the need are returned.
   double mReturnFactor = 2.0;
+  /// Time for which a statement binds the node. Longer than the restart of a
+  /// process takes, so that its tokens can be taken over.
+  std::chrono::milliseconds mStatementLife{ 4000 };
+  /// Period of statements.
+  std::chrono::milliseconds mStatementPeriod{ 500 };
 };
 
 class token_escrow
 {
 public:
-  /// `aWriter` is unique to this run of the process.
-  token_escrow(std::string aWriter, const escrow_settings& aSettings);
+  /// `aRun` is unique to this run of the process.
+  token_escrow(std::string aRun, const escrow_settings& aSettings);
 
   /// Total of an account, as the newest configuration says.
   void SetTotal(const account_id& aAccount, std::int64_t aTokens);
@@ -144,6 +168,20 @@
   /// No reply: the change may be applied now, later or never.
   void OnUnknown(const account_id& aAccount, time_point aNow);
 
+  /// The store's clock, from any answer.
+  void OnStoreTime(std::chrono::milliseconds aStoreTime, time_point aNow);
+  /// Statement to write now, if one is due.
+  std::optional<holding_change> TakeStatement(time_point aNow);
+  void OnStated(std::uint64_t aVersion);
+  /// The row had another version: that of an earlier run of this host, whose
+  /// tokens are taken over if its statement still holds, or of a write of this
+  /// run whose answer was lost. Returns the tokens taken over.
+  std::int64_t OnStatementConflict(const std::optional<holding_row>& aCurrent,
+                                   std::uint64_t aVersion,
+                                   std::chrono::milliseconds aStoreTime);
+  /// `aUnknown` when the write may still be applied.
+  void OnStatementFailed(bool aUnknown);
+
   /// Nodes with free tokens, from their newest reports.
   void SetHolders(std::unordered_map<account_id, token_holder> aHolders)
   {
@@ -171,18 +209,21 @@
   };
   struct account_state
   {
+    std::int64_t Free() const { return mReceived - mOut; }
+
     std::int64_t mTotal = 0;
-    /// Granted to this node and neither reserved nor used.
-    std::int64_t mFree = 0;
-    std::int64_t mReserved = 0;
+    /// Tokens granted, transferred or taken over to this run.
+    std::int64_t mReceived = 0;
+    /// Tokens reserved, used, given or returned by this run.
+    std::int64_t mOut = 0;
     /// Largest need that could not be met; cleared by a grant.
     std::int64_t mShort = 0;
-    std::int64_t mLargest = 0;
+    /// Mean size of requests.
+    double mMeanNeed = 0.0;
     /// Row as last seen.
     std::uint64_t mVersion = 0;
     std::int64_t mGranted = 0;
     bool mRowKnown = false;
-    bool mDrawn = false;
     std::optional<pending_change> mPending;
     /// Unanswered change that may still be applied while the row has the
     /// version it expects.
@@ -198,6 +239,13 @@
     time_point mAskAgain;
     time_point mAskEnds;
   };
+  /// A statement that may be in the store.
+  struct statement
+  {
+    std::uint64_t mSequence = 0;
+    std::map<std::string, holding_entry> mAccounts;
+    time_point mExpires;
+  };
   struct given_transfer
   {
     token_transfer mTransfer;
@@ -208,17 +256,43 @@
   double UsedPerSecond(const account_state& aState) const;
   std::int64_t Target(const account_state& aState) const;
   std::int64_t DrawAmount(const account_state& aState) const;
-  std::int64_t ReturnAmount(const account_state& aState) const;
+  std::int64_t ReturnAmount(const account_id& aAccount,
+                            const account_state& aState,
+                            time_point aNow) const;
+  /// Tokens that may be passed out now.
+  std::int64_t Available(const account_id& aAccount,
+                         const account_state& aState,
+                         time_point aNow) const;
+  std::int64_t NextBound(const account_state& aState, time_point aNow) const;
+  bool Expired(time_point aNow) const;
+  /// A statement of this run is in the store, in place of the earlier run's.
+  void ConfirmStated();
   std::chrono::milliseconds Backoff(const account_id& aAccount,
                                     const account_state& aState) const;
 
-  std::string mWriter;
+  std::string mRun;
   escrow_settings mSettings;
   std::size_t mNodes = 1;
   std::uint64_t mSequence = 0;
   bool mReturning = false;
   std::unordered_map<account_id, account_state> mAccounts;
+
+  /// Statements that bind this node, oldest first.
+  std::deque<statement> mStatements;
+  std::uint64_t mStatementVersion = 0;
+  bool mStating = false;
+  bool mEverStated = false;
+  /// A bound is too low for a request that the held tokens cover.
+  bool mBoundShort = false;
+  time_point mNextStatement;
+  /// Tokens of the earlier run of this host. They count once that run's
+  /// statement is replaced, so that no third run can take them as well.
+  std::unordered_map<account_id, std::int64_t> mTakenOver;
+  std::optional<std::chrono::milliseconds> mStoreTime;
+  time_point mStoreTimeAt;
+
   std::unordered_map<account_id, token_holder> mHolders;
   /// Recent answers by asking run and request.
   std::map<std::pair<std::uint64_t, std::uint64_t>, given_transfer> mGiven;
+  std::set<std::uint64_t> mAccepted;
 };
--- a/Source/Core/Remote/RowStore.h
+++ b/Source/Core/Remote/RowStore.h
@@ -63,6 +63,8 @@
   std::uint64_t mVersion = 0;
   /// When a condition failed: the rows that the conditions name, as they are.
   std::vector<stored_row> mCurrent;
+  /// The store's steady clock when it answered.
+  std::chrono::milliseconds mStoreTime{ 0 };
   auto operator<=>(const row_commit&) const = default;
 };
 
--- a/Source/UnitTests/Gateway/FakeRowStore.cpp
+++ b/Source/UnitTests/Gateway/FakeRowStore.cpp
@@ -6,6 +6,7 @@
 {
   row_commit commit;
   commit.mVersion = mVersion;
+  commit.mStoreTime = mTime;
   for (const row_condition& condition : aTransaction.mConditions) {
     const auto found = mRows.find(condition.mKey);
     const std::uint64_t version =
--- a/Source/UnitTests/Gateway/FakeRowStore.h
+++ b/Source/UnitTests/Gateway/FakeRowStore.h
@@ -45,6 +45,8 @@
   bool mDown = false;
   std::uint64_t mHistoryFrom = 0;
   unsigned mCommits = 0;
+  /// Clock of the store.
+  std::chrono::milliseconds mTime{ 1000 };
 
 private:
   row_commit Apply(const row_transaction& aTransaction);
