--- a/Source/Core/Gateway/FleetView.cpp
+++ b/Source/Core/Gateway/FleetView.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/FleetView.h"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 #include "Common/Hash.h"
@@ -122,21 +123,20 @@
   return peers;
 }
 
-std::unordered_map<account_id, token_holder> fleet_view::TokenHolders(
-  time_point aNow) const
+token_holders fleet_view::TokenHolders(time_point aNow) const
 {
-  std::unordered_map<account_id, token_holder> holders;
+  token_holders holders;
   for (const auto& [address, peer] : mPeers) {
     if (!peer.mReport || !Alive(peer, aNow)) {
       continue;
     }
     for (const auto& [account, tokens] : peer.mReport->mHeld) {
-      token_holder& holder = holders[account];
-      if (tokens > holder.mTokens) {
-        holder = { address, tokens };
-      }
+      holders[account].push_back({ address, tokens });
     }
   }
+  for (auto& [account, entries] : holders) {
+    std::ranges::sort(entries, std::greater(), &token_holder::mTokens);
+  }
   return holders;
 }
 
--- a/Source/Core/Gateway/FleetView.h
+++ b/Source/Core/Gateway/FleetView.h
@@ -61,9 +61,7 @@
   /// sum is scaled to the whole fleet.
   std::unordered_map<std::uint32_t, upstream_work> PeerWork(
     time_point aNow) const;
-  /// For each account the live node that holds most free tokens.
-  std::unordered_map<account_id, token_holder> TokenHolders(
-    time_point aNow) const;
+  token_holders TokenHolders(time_point aNow) const;
 
 private:
   struct peer_state
--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -507,7 +507,7 @@
     const row_commit& commit = aResult.value();
     mEscrow.OnStoreTime(commit.mStoreTime, mTime.Now());
     if (commit.mCommitted) {
-      mEscrow.OnStated(commit.mVersion);
+      mEscrow.OnStated(commit.mVersion, mTime.Now());
       return;
     }
     std::optional<holding_row> current;
@@ -580,7 +580,7 @@
     Log(log_level::Info, "readiness_changed", { Field("ready", ready) });
   }
   mFleet.Self().mWork = mRoster.OwnWork();
-  mFleet.Self().mHeld = mEscrow.AllHeld();
+  mFleet.Self().mHeld = mEscrow.AllHeld(now);
   mEscrow.SetHolders(mFleet.TokenHolders(now));
   mLink.SendReports();
   mRoster.SetPeerWork(mFleet.PeerWork(now));
--- a/Source/Core/Gateway/GatewaySession.cpp
+++ b/Source/Core/Gateway/GatewaySession.cpp
@@ -609,7 +609,8 @@
   if (mStage == stage::Done) {
     return;
   }
-  SettleTokens();
+  const std::int64_t reserved = mReserved;
+  const std::int64_t used = SettleTokens();
   mStage = stage::Done;
   const time_point now = mContext.mTime.Now();
   mContext.mMetrics.OnAnswer(
@@ -624,16 +625,18 @@
         Field("server", mPlacement.mUpstream.mName),
         Field("attempts", mAttempts),
         Field("events", mEvents.Events()),
+        Field("reserved", reserved),
+        Field("used", used),
         Field("expected_ms", static_cast<int>(mPlacement.mExpectedMs)),
         Field("took_ms",
               std::chrono::duration_cast<milliseconds>(now - mArrived).count()),
         Field("config", mRoutes ? mRoutes->Version() : 0) });
 }
 
-void gateway_session::SettleTokens()
+std::int64_t gateway_session::SettleTokens()
 {
   if (mReserved == 0) {
-    return;
+    return 0;
   }
   std::int64_t used = 0;
   if (mRan || mAttempts > 0) {
@@ -651,6 +654,7 @@
   }
   mContext.mEscrow.Settle(
     mAccount->mName, std::exchange(mReserved, 0), used, mContext.mTime.Now());
+  return used;
 }
 
 std::string gateway_session::Fingerprint() const
--- a/Source/Core/Gateway/GatewaySession.h
+++ b/Source/Core/Gateway/GatewaySession.h
@@ -103,7 +103,8 @@
               std::optional<std::chrono::milliseconds> aRetryAfter);
   void AbortClient(const char* aReason);
   void Finish(unsigned aStatus, const char* aReason);
-  void SettleTokens();
+  /// Ends the reservation; returns the tokens that the request consumed.
+  std::int64_t SettleTokens();
   std::string Fingerprint() const;
   std::string ServerRun() const;
 
--- a/Source/Core/Gateway/TokenEscrow.cpp
+++ b/Source/Core/Gateway/TokenEscrow.cpp
@@ -44,6 +44,8 @@
 // Identities of accepted transfers kept, so that a repeated answer counts once.
 // They rise, so the oldest are dropped first.
 constexpr std::size_t kMostAccepted = 1000;
+// Statements are written at least twice in this time while the store answers.
+constexpr milliseconds kBoundRaiseLimit(1200);
 // Answers are kept for repeated requests.
 constexpr milliseconds kAnswerMemory(2000);
 
@@ -104,14 +106,25 @@
     mBoundShort = true;
     return reserve_verdict::Awaiting;
   }
-  const auto holder = mHolders.find(aAccount);
-  const std::int64_t elsewhere =
-    holder == mHolders.end() ? 0 : holder->second.mTokens;
-  const bool spent = state.mRowKnown && elsewhere < aTokens &&
-                     state.mTotal - state.mGranted + state.Free() < aTokens;
+  const std::int64_t rest =
+    std::max<std::int64_t>(state.mTotal - state.mGranted, 0);
+  const bool spent =
+    state.mRowKnown && rest + state.Free() + HeldElsewhere(aAccount) < aTokens;
   return spent ? reserve_verdict::Exhausted : reserve_verdict::Awaiting;
 }
 
+std::int64_t token_escrow::HeldElsewhere(const account_id& aAccount) const
+{
+  const auto found = mHolders.find(aAccount);
+  std::int64_t sum = 0;
+  if (found != mHolders.end()) {
+    for (const token_holder& holder : found->second) {
+      sum += holder.mTokens;
+    }
+  }
+  return sum;
+}
+
 void token_escrow::Settle(const account_id& aAccount,
                           std::int64_t aReserved,
                           std::int64_t aUsed,
@@ -159,7 +172,7 @@
     std::chrono::duration<double>(mSettings.mStatementPeriod).count();
   const double ahead =
     UsedPerSecond(aState) * life + aState.mMeanNeed * kBoundRequests;
-  const std::int64_t needed = std::max(aState.mShort, std::int64_t{ 0 });
+  const std::int64_t needed = std::max(aState.mShort, aState.mAskedFor);
   return std::min(aState.mReceived,
                   aState.mOut + needed + static_cast<std::int64_t>(ahead));
 }
@@ -190,11 +203,12 @@
       *mStoreTime +
       std::chrono::duration_cast<milliseconds>(aNow - mStoreTimeAt);
   }
-  for (const auto& [account, state] : mAccounts) {
+  for (auto& [account, state] : mAccounts) {
     if (state.mReceived > 0) {
       change.mRow.mAccounts[account.mName] = { state.mReceived,
                                                NextBound(state, aNow) };
     }
+    state.mAskedFor = 0;
   }
   // The bound holds from here on: the write may be applied unanswered.
   mStatements.push_back({ change.mRow.mSequence,
@@ -206,8 +220,9 @@
   return change;
 }
 
-void token_escrow::OnStated(std::uint64_t aVersion)
+void token_escrow::OnStated(std::uint64_t aVersion, time_point aNow)
 {
+  mLastStated = aNow;
   mStating = false;
   mStatementVersion = aVersion;
   ConfirmStated();
@@ -472,11 +487,16 @@
     const bool storeMayHelp = aNow >= state.mNotBefore && !state.mUnsettled &&
                               state.mTotal - state.mGranted >= state.mShort &&
                               !state.mPending;
-    const auto holder = mHolders.find(account);
-    if (mReturning || state.mShort <= state.Free() || storeMayHelp ||
-        holder == mHolders.end() || holder->second.mTokens < state.mShort) {
+    if (mReturning || state.mShort <= state.Free() || storeMayHelp) {
+      state.mTriedHolders.clear();
+      continue;
+    }
+    const token_holder* holder = NextHolder(account, state);
+    if (holder == nullptr) {
+      state.mTriedHolders.clear();
       continue;
     }
+    state.mTriedHolders.push_back(holder->mAddress);
     token_request request;
     request.mId = ++mSequence;
     request.mRun = aRun;
@@ -484,7 +504,7 @@
     request.mNeeded = state.mShort - state.Free();
     request.mWanted =
       std::max(request.mNeeded * kNeedFactor, Target(state) - state.Free());
-    state.mAsked = addressed_request{ holder->second.mAddress, request };
+    state.mAsked = addressed_request{ holder->mAddress, request };
     state.mAskAgain = aNow + kAskAgain;
     state.mAskEnds = aNow + kAskLimit;
     requests.push_back(*state.mAsked);
@@ -492,6 +512,22 @@
   return requests;
 }
 
+const token_holder* token_escrow::NextHolder(const account_id& aAccount,
+                                             const account_state& aState) const
+{
+  const auto found = mHolders.find(aAccount);
+  if (found == mHolders.end()) {
+    return nullptr;
+  }
+  for (const token_holder& holder : found->second) {
+    const auto tried = std::ranges::find(aState.mTriedHolders, holder.mAddress);
+    if (tried == aState.mTriedHolders.end()) {
+      return &holder;
+    }
+  }
+  return nullptr;
+}
+
 std::optional<token_transfer> token_escrow::Give(const token_request& aRequest,
                                                  time_point aNow)
 {
@@ -504,22 +540,26 @@
     return known->second.mTransfer;
   }
   const auto found = mAccounts.find(aRequest.mAccount);
-  if (found == mAccounts.end() || aRequest.mNeeded <= 0 ||
-      found->second.Free() < aRequest.mNeeded) {
+  if (found == mAccounts.end() || aRequest.mNeeded <= 0) {
     return std::nullopt;
   }
   account_state& state = found->second;
   const std::int64_t available = Available(aRequest.mAccount, state, aNow);
-  if (available < aRequest.mNeeded) {
+  if (available < aRequest.mNeeded && state.Free() > available) {
     // A statement with a higher bound is written before the request comes
     // again.
-    state.mShort = std::max(state.mShort, aRequest.mNeeded);
+    state.mAskedFor =
+      std::max(state.mAskedFor, std::min(aRequest.mNeeded, state.Free()));
     mBoundShort = true;
+  }
+  // The last tokens of an account are spread over nodes, so a part of the need
+  // is given as well.
+  const std::int64_t tokens = std::min(
+    available,
+    std::max(aRequest.mNeeded, std::min(aRequest.mWanted, state.Free() / 2)));
+  if (tokens <= 0) {
     return std::nullopt;
   }
-  const std::int64_t tokens =
-    std::max(aRequest.mNeeded,
-             std::min({ aRequest.mWanted, state.Free() / 2, available }));
   state.mOut += tokens;
   const token_transfer transfer{
     aRequest.mId, aRequest.mRun, aRequest.mAccount, tokens
@@ -542,15 +582,22 @@
   account_state& state = found->second;
   state.mAsked.reset();
   state.mReceived += aTransfer.mTokens;
-  state.mShort = 0;
+  if (state.Free() >= state.mShort) {
+    state.mShort = 0;
+  }
 }
 
-std::vector<std::pair<account_id, std::int64_t>> token_escrow::AllHeld() const
+std::vector<std::pair<account_id, std::int64_t>> token_escrow::AllHeld(
+  time_point aNow) const
 {
+  // While the store is out of reach the bounds cannot be raised.
+  const bool bound = aNow >= mLastStated + kBoundRaiseLimit;
   std::vector<std::pair<account_id, std::int64_t>> held;
   for (const auto& [account, state] : mAccounts) {
-    if (state.Free() > 0 && !mReturning) {
-      held.emplace_back(account, state.Free());
+    const std::int64_t tokens =
+      bound ? Available(account, state, aNow) : state.Free();
+    if (tokens > 0 && !mReturning) {
+      held.emplace_back(account, tokens);
     }
   }
   return held;
--- a/Source/Core/Gateway/TokenEscrow.h
+++ b/Source/Core/Gateway/TokenEscrow.h
@@ -69,7 +69,7 @@
   auto operator<=>(const holding_change&) const = default;
 };
 
-/// The node that holds most free tokens of an account.
+/// A node that holds free tokens of an account.
 struct token_holder
 {
   /// Datagram address.
@@ -78,6 +78,9 @@
   auto operator<=>(const token_holder&) const = default;
 };
 
+/// Holders of each account, the one with most tokens first.
+using token_holders = std::unordered_map<account_id, std::vector<token_holder>>;
+
 /// Asks another node for tokens that it was granted and does not need. Works
 /// while the store is out of reach, and when all tokens are granted.
 struct token_request
@@ -172,7 +175,7 @@
   void OnStoreTime(std::chrono::milliseconds aStoreTime, time_point aNow);
   /// Statement to write now, if one is due.
   std::optional<holding_change> TakeStatement(time_point aNow);
-  void OnStated(std::uint64_t aVersion);
+  void OnStated(std::uint64_t aVersion, time_point aNow);
   /// The row had another version: that of an earlier run of this host, whose
   /// tokens are taken over if its statement still holds, or of a write of this
   /// run whose answer was lost. Returns the tokens taken over.
@@ -183,10 +186,7 @@
   void OnStatementFailed(bool aUnknown);
 
   /// Nodes with free tokens, from their newest reports.
-  void SetHolders(std::unordered_map<account_id, token_holder> aHolders)
-  {
-    mHolders = std::move(aHolders);
-  }
+  void SetHolders(token_holders aHolders) { mHolders = std::move(aHolders); }
   /// Requests to send now for accounts that are short; unanswered ones are
   /// repeated.
   std::vector<addressed_request> TakeRequests(std::uint64_t aRun,
@@ -196,7 +196,8 @@
                                      time_point aNow);
   void OnTransfer(const token_transfer& aTransfer, std::uint64_t aRun);
   /// Free tokens by account, for the reports.
-  std::vector<std::pair<account_id, std::int64_t>> AllHeld() const;
+  std::vector<std::pair<account_id, std::int64_t>> AllHeld(
+    time_point aNow) const;
 
   std::int64_t Held(const account_id& aAccount) const;
   std::int64_t KnownRest(const account_id& aAccount) const;
@@ -238,6 +239,10 @@
     std::optional<addressed_request> mAsked;
     time_point mAskAgain;
     time_point mAskEnds;
+    /// Nodes asked since the account became short.
+    std::vector<std::string> mTriedHolders;
+    /// Another node's need that the bound did not allow to give.
+    std::int64_t mAskedFor = 0;
   };
   /// A statement that may be in the store.
   struct statement
@@ -265,6 +270,10 @@
                          time_point aNow) const;
   std::int64_t NextBound(const account_state& aState, time_point aNow) const;
   bool Expired(time_point aNow) const;
+  /// Tokens that other nodes report.
+  std::int64_t HeldElsewhere(const account_id& aAccount) const;
+  const token_holder* NextHolder(const account_id& aAccount,
+                                 const account_state& aState) const;
   /// A statement of this run is in the store, in place of the earlier run's.
   void ConfirmStated();
   std::chrono::milliseconds Backoff(const account_id& aAccount,
@@ -291,7 +300,8 @@
   std::optional<std::chrono::milliseconds> mStoreTime;
   time_point mStoreTimeAt;
 
-  std::unordered_map<account_id, token_holder> mHolders;
+  time_point mLastStated;
+  token_holders mHolders;
   /// Recent answers by asking run and request.
   std::map<std::pair<std::uint64_t, std::uint64_t>, given_transfer> mGiven;
   std::set<std::uint64_t> mAccepted;
--- a/Source/UnitTests/Gateway/PlatformRowStoreTest.cpp
+++ b/Source/UnitTests/Gateway/PlatformRowStoreTest.cpp
@@ -71,6 +71,8 @@
     ASSERT_TRUE(commit.has_value());
     EXPECT_TRUE(commit.value().mCommitted);
     EXPECT_EQ(commit.value().mVersion, 412U);
+    // Without the store's clock a run takes over tokens that were spent.
+    EXPECT_EQ(commit.value().mStoreTime, milliseconds(5));
   }
   EXPECT_EQ(mServer.mListener->Open(), 1U);
   EXPECT_EQ(mServer.mRequests[0].mTarget, "/v1/rows-tx");
