--- a/Source/Core/Gateway/GatewaySession.cpp
+++ b/Source/Core/Gateway/GatewaySession.cpp
@@ -301,6 +301,7 @@
     return true;
   }
   mHasResponse = true;
+  mFraming = aResponse.mFraming;
   mAnswer = std::move(answer);
   mEventStream = mRoute->mKind == request_kind::Streaming &&
                  Succeeded(aResponse.mStatus) &&
@@ -441,7 +442,7 @@
     return;
   }
   mRan = true;
-  if (mEventStream && mEvents.Partial()) {
+  if (mEventStream && !StreamComplete()) {
     FailAttempt(exchange_failure::Truncated);
     return;
   }
@@ -455,11 +456,7 @@
     Repeat();
     return;
   }
-  if (mStarted || mEventStream) {
-    if (!mStarted) {
-      mStarted = true;
-      mClient->StartResponse(ClientHead(body_framing::Chunked));
-    }
+  if (mStarted) {
     // The end of the body may close the connection, which ends this session's
     // use of it.
     http_server_connection* client = std::exchange(mClient, nullptr);
@@ -473,10 +470,40 @@
 void gateway_session::DeliverBuffered()
 {
   http_server_connection* client = std::exchange(mClient, nullptr);
-  http_server_response head = ClientHead(body_framing::Chunked);
   const std::string body = std::move(mBuffered);
-  Finish(head.mStatus, "complete");
-  client->Respond(head, body);
+  Finish(mResponse.mStatus, "complete");
+  if (mFraming == body_framing::UntilClose) {
+    // Whether the server meant to end here is for the client to judge, as it
+    // would without the gateway.
+    client->StartResponse(ClientHead(mFraming));
+    client->WriteBody(body);
+    client->FinishBody();
+    return;
+  }
+  client->Respond(ClientHead(body_framing::Chunked), body);
+}
+
+bool gateway_session::StreamComplete() const
+{
+  if (mEvents.Partial() || mEvents.Events() == 0) {
+    return false;
+  }
+  if (mFraming != body_framing::UntilClose ||
+      mResponse.mFraming == body_framing::UntilClose) {
+    return true;
+  }
+  // A resumed stream is framed as its first part; an end that only the closed
+  // connection marks may not be the end of the stream.
+  return static_cast<std::int64_t>(mEvents.Events()) * TokensPerEvent() >=
+         mRequest.mMostOutputTokens;
+}
+
+std::int64_t gateway_session::TokensPerEvent() const
+{
+  const gateway_service* service = mRoutes->FindService(mService);
+  return service != nullptr && service->mEngine
+           ? service->mEngine->mTokensPerEvent
+           : 1;
 }
 
 void gateway_session::OnExchangeFailed(exchange_failure aFailure)
@@ -640,14 +667,11 @@
   }
   std::int64_t used = 0;
   if (mRan || mAttempts > 0) {
-    const gateway_service* service = mRoutes->FindService(mService);
-    const std::int64_t perEvent = service != nullptr && service->mEngine
-                                    ? service->mEngine->mTokensPerEvent
-                                    : 1;
     // The last event may hold fewer tokens; counting it full cannot overspend.
     used = mRequest.mPromptTokens +
            std::min(mRequest.mMostOutputTokens,
-                    static_cast<std::int64_t>(mEvents.Events()) * perEvent);
+                    static_cast<std::int64_t>(mEvents.Events()) *
+                        TokensPerEvent());
   }
   if (!mRan && mHasResponse && mAnswer.mNotRun) {
     used = 0;
--- a/Source/Core/Gateway/GatewaySession.h
+++ b/Source/Core/Gateway/GatewaySession.h
@@ -94,6 +94,10 @@
   void Repeat();
   void FailAttempt(exchange_failure aFailure);
   void DeliverBuffered();
+  /// Whether the server ended the stream on purpose, as far as its framing
+  /// tells.
+  bool StreamComplete() const;
+  std::int64_t TokensPerEvent() const;
   http_server_response ClientHead(body_framing aFraming) const;
 
   void Refuse(const char* aReason, std::chrono::milliseconds aRetryAfter);
@@ -134,6 +138,8 @@
   unsigned mConnectFailures = 0;
 
   http_client_response mResponse;
+  /// Framing of the current server; `mResponse` keeps that of the first one.
+  body_framing mFraming = body_framing::Length;
   upstream_answer mAnswer;
   bool mHasResponse = false;
   bool mEventStream = false;
--- a/Source/UnitTests/Gateway/GatewayPathTest.cpp
+++ b/Source/UnitTests/Gateway/GatewayPathTest.cpp
@@ -293,3 +293,67 @@
   EXPECT_EQ(exchange->mBody, "late");
   EXPECT_TRUE(RunUntil([this] { return mEnded; }));
 }
+
+// An answer without length ends with its connection. It must not be framed as
+// complete, because a broken server ends in the same way.
+TEST_F(gateway_path_test, PassesUnframedAnswersOnUnframed)
+{
+  scripted_server& server = AddServer("i-1", "app");
+  server.mScript = [](http_server_connection& aConnection,
+                      const http_server_request& aRequest) {
+    http_server_response head;
+    scripted_server::Sign(head, aRequest);
+    head.mFraming = body_framing::UntilClose;
+    aConnection.StartResponse(head);
+    aConnection.WriteBody("part");
+    aConnection.FinishBody();
+  };
+  StartNode();
+  const auto exchange = Call("GET", "/l/x");
+  EXPECT_EQ(exchange->mBody, "part");
+  EXPECT_EQ(exchange->mResponse.mFraming, body_framing::UntilClose);
+}
+
+TEST_F(gateway_path_test, StreamWithoutEventsIsNotComplete)
+{
+  scripted_server& server = AddServer("i-1", "engine");
+  server.mScript = [](http_server_connection& aConnection,
+                      const http_server_request& aRequest) {
+    http_server_response head;
+    scripted_server::Sign(head, aRequest);
+    head.mHeaders.emplace_back("Content-Type", "text/event-stream");
+    head.mFraming = body_framing::UntilClose;
+    aConnection.StartResponse(head);
+    aConnection.FinishBody();
+  };
+  StartNode();
+  EXPECT_EQ(Call("POST", "/s/x", kPrompt, "b")->mResponse.mStatus, 502U);
+}
+
+// The last part of a resumed stream has no length: the whole is only complete
+// when all its events arrived.
+TEST_F(gateway_path_test, ResumedStreamWithUnframedEndIsNotComplete)
+{
+  const auto script = [](http_server_connection& aConnection,
+                         const http_server_request& aRequest) {
+    if (Header(aRequest, "Last-Event-Id") == "1") {
+      http_server_response head;
+      scripted_server::Sign(head, aRequest);
+      head.mHeaders.emplace_back("Content-Type", "text/event-stream");
+      head.mFraming = body_framing::UntilClose;
+      aConnection.StartResponse(head);
+      aConnection.WriteBody("id: 2\ndata: b\n\n");
+      aConnection.FinishBody();
+      return;
+    }
+    SendEvents(aConnection, aRequest, "id: 1\ndata: a\n\nid: 2\nd");
+    static loop_timer sBreak;
+    sBreak.Once(milliseconds(50), [&aConnection] { aConnection.Abort(); });
+  };
+  AddServer("i-1", "engine").mScript = script;
+  AddServer("i-2", "engine").mScript = script;
+  StartNode();
+  const auto exchange = Call("POST", "/r/x", kPrompt, "b");
+  EXPECT_FALSE(exchange->mComplete);
+  EXPECT_EQ(exchange->mBody, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+}
