--- a/Source/Core/Gateway/GatewaySession.cpp
+++ b/Source/Core/Gateway/GatewaySession.cpp
@@ -16,7 +16,7 @@
 // that is not slowed down.
 constexpr milliseconds kTokenWait(150);
 // A refusal for lack of tokens names the time until a grant is likely.
-constexpr milliseconds kTokenRetry(500);
+constexpr milliseconds kTokenRetry(2000);
 // Servers are at most a few ms away; a longer connect means that the server is
 // silent or its accept queue is full.
 constexpr milliseconds kConnectLimit(350);
--- a/Source/Core/Gateway/TokenEscrow.h
+++ b/Source/Core/Gateway/TokenEscrow.h
@@ -127,9 +127,9 @@
   double mReturnFactor = 2.0;
   /// Time for which a statement binds the node. Longer than the restart of a
   /// process takes, so that its tokens can be taken over.
-  std::chrono::milliseconds mStatementLife{ 4000 };
+  std::chrono::milliseconds mStatementLife{ 3300 };
   /// Period of statements.
-  std::chrono::milliseconds mStatementPeriod{ 500 };
+  std::chrono::milliseconds mStatementPeriod{ 300 };
 };
 
 class token_escrow
