Admit by the pace of running streams, keep shared prompts at their home

A third of the prompt tokens was read again because a loaded home sent requests elsewhere. Change: a request is refused at once when the wait exceeds 0.8 of its objective or when it would not end in time at the recent pace of events; reading a shared part again weighs 8 in the choice of a server. Tests: placement, admission, members, peers, retries and the table follower.

--- a/Source/Core/Gateway/Admission.cpp
+++ b/Source/Core/Gateway/Admission.cpp
@@ -9,9 +9,10 @@
 // Part of the objective for which a request waits for room. A request that
 // waits longer is better told to come back while its client still waits.
 constexpr int kWaitDivisor = 8;
-// Part of the remaining time that the first event may take; the rest is left
-// for the response itself.
+// Part of the remaining time that the response may be expected to take.
 constexpr double kUsefulPart = 0.8;
+// Part of the objective for which other requests may delay the first event.
+constexpr double kWaitPart = 0.8;
 // Clients follow a pause of up to a third of the time that they have left.
 constexpr int kRetryDivisor = 4;
 constexpr milliseconds kShortestRetry(50);
@@ -25,8 +26,11 @@
 {
   const auto left =
     std::chrono::duration_cast<milliseconds>(aQuery.mFinal - aNow);
-  if (aQuery.mHasPlacement &&
-      aQuery.mExpectedMs <= kUsefulPart * static_cast<double>(left.count())) {
+  const double total = aQuery.mExpectedMs + aQuery.mOutputMs;
+  const double mostWait =
+    kWaitPart * static_cast<double>(aQuery.mObjective.count());
+  if (aQuery.mHasPlacement && aQuery.mWaitMs <= mostWait &&
+      total <= kUsefulPart * static_cast<double>(left.count())) {
     return admission_verdict::Send;
   }
   const time_point patience =
--- a/Source/Core/Gateway/GatewaySession.cpp
+++ b/Source/Core/Gateway/GatewaySession.cpp
@@ -204,7 +204,11 @@
   }
   admission_query query = AdmissionQuery();
   query.mHasPlacement = chosen.has_value();
-  query.mExpectedMs = chosen ? chosen->mExpectedMs : 0.0;
+  if (chosen) {
+    query.mExpectedMs = chosen->mExpectedMs;
+    query.mWaitMs = chosen->mWaitMs;
+    query.mOutputMs = chosen->mOutputMs;
+  }
   admission_verdict verdict = Admit(query, aNow);
   if (verdict == admission_verdict::Wait &&
       !mContext.mRoster.HasUsable(mService, aNow)) {
@@ -355,7 +359,7 @@
                                         ? body_framing::Chunked
                                         : mResponse.mFraming));
   }
-  NoteFirstByte();
+  NoteEvents();
   mClient->WriteBody(events);
   if (mClient->PendingBytes() > kMostPendingBytes && !mReadingPaused) {
     mReadingPaused = true;
@@ -363,6 +367,19 @@
   }
 }
 
+void gateway_session::NoteEvents()
+{
+  const time_point now = mContext.mTime.Now();
+  if (mLastEventAt != time_point() && mWork.mPrefillTokens == 0) {
+    mContext.mRoster.OnEventGap(
+      mPlacement.mUpstream,
+      std::chrono::duration<double, std::milli>(now - mLastEventAt).count(),
+      now);
+  }
+  mLastEventAt = now;
+  NoteFirstByte();
+}
+
 void gateway_session::NoteFirstByte()
 {
   const time_point now = mContext.mTime.Now();
@@ -668,10 +685,10 @@
   std::int64_t used = 0;
   if (mRan || mAttempts > 0) {
     // The last event may hold fewer tokens; counting it full cannot overspend.
-    used = mRequest.mPromptTokens +
-           std::min(mRequest.mMostOutputTokens,
-                    static_cast<std::int64_t>(mEvents.Events()) *
-                        TokensPerEvent());
+    used =
+      mRequest.mPromptTokens +
+      std::min(mRequest.mMostOutputTokens,
+               static_cast<std::int64_t>(mEvents.Events()) * TokensPerEvent());
   }
   if (!mRan && mHasResponse && mAnswer.mNotRun) {
     used = 0;
--- a/Source/Core/Gateway/GatewaySession.h
+++ b/Source/Core/Gateway/GatewaySession.h
@@ -86,6 +86,8 @@
   admission_query AdmissionQuery() const;
   void Send(const placement& aPlacement, time_point aNow);
   void ForwardEvents(std::string_view aBytes);
+  /// Records the time between events of the server.
+  void NoteEvents();
   void NoteFirstByte();
   void ReleaseUpstream(bool aReusable);
   void DiscardConnection();
@@ -133,6 +135,7 @@
   upstream_work mWork;
   std::unique_ptr<http_client_connection> mConnection;
   time_point mSentAt;
+  time_point mLastEventAt;
   std::vector<upstream_id> mTried;
   unsigned mAttempts = 0;
   unsigned mConnectFailures = 0;
--- a/Source/Core/Gateway/UpstreamRoster.cpp
+++ b/Source/Core/Gateway/UpstreamRoster.cpp
@@ -22,6 +22,10 @@
 constexpr double kMostSlowness = 8.0;
 // Observations below this many milliseconds say nothing about speed.
 constexpr double kLeastObservedMs = 20.0;
+// Weight of the newest gap between events.
+constexpr double kGapGain = 0.1;
+// Gaps seen longer ago say nothing about the load now.
+constexpr milliseconds kGapMemory(1000);
 // Prompt parts remembered; beyond it the memory starts anew.
 constexpr std::size_t kMostHeldParts = 20000;
 // Assumed work of a plain request, in ms, to compare loads of servers.
@@ -256,6 +260,15 @@
             work.mKvTokens + option.mWork.mKvTokens > most) {
           continue;
         }
+        const double backlogMs = record->mSlowness *
+                                 static_cast<double>(work.mPrefillTokens) /
+                                 mSettings.mPrefillTokensPerMs;
+        option.mWaitMs = backlogMs;
+        if (aNow < record->mGapValidUntil) {
+          option.mOutputMs = record->mEventGapMs * mSettings.mOutputShare *
+                             static_cast<double>(aQuery.mOutputTokens) /
+                             limits->mEngine->mTokensPerEvent;
+        }
         option.mExpectedMs =
           record->mSlowness *
           (static_cast<double>(work.mPrefillTokens + read) /
@@ -347,6 +360,22 @@
   }
 }
 
+void upstream_roster::OnEventGap(const upstream_id& aId,
+                                 double aGapMs,
+                                 time_point aNow)
+{
+  const auto found = mUpstreams.find(aId);
+  if (found == mUpstreams.end()) {
+    return;
+  }
+  upstream_record& record = found->second;
+  if (aNow >= record.mGapValidUntil) {
+    record.mEventGapMs = aGapMs;
+  }
+  record.mEventGapMs += kGapGain * (aGapMs - record.mEventGapMs);
+  record.mGapValidUntil = aNow + kGapMemory;
+}
+
 void upstream_roster::OnByte(const upstream_id& aId, time_point aNow)
 {
   const auto found = mUpstreams.find(aId);
--- a/Source/Core/Gateway/UpstreamRoster.h
+++ b/Source/Core/Gateway/UpstreamRoster.h
@@ -32,7 +32,9 @@
   /// measured 64 for its engines.
   double mPrefillTokensPerMs = 60.0;
   /// Weight of reading a shared part again against the time that it takes.
-  double mRereadWeight = 4.0;
+  double mRereadWeight = 8.0;
+  /// Part of the allowed output that responses use on average.
+  double mOutputShare = 0.6;
   /// Share of an engine's KV cache that running requests may fill.
   double mKvShare = 0.92;
   /// Extra cost of a request that runs beside, in ms per request.
@@ -65,6 +67,10 @@
   upstream_work mWork;
   /// Time to the first event, in ms.
   double mExpectedMs = 0.0;
+  /// Part of it that other requests cause, in ms.
+  double mWaitMs = 0.0;
+  /// Time from the first event to the end of the response, in ms.
+  double mOutputMs = 0.0;
 };
 
 class upstream_roster
@@ -100,6 +106,8 @@
                   double aExpectedMs,
                   time_point aNow);
   void End(const upstream_id& aId, const upstream_work& aRest);
+  /// Time between two events of a stream of the server.
+  void OnEventGap(const upstream_id& aId, double aGapMs, time_point aNow);
   void OnByte(const upstream_id& aId, time_point aNow);
   void OnSuccess(const upstream_id& aId);
   /// A connection failed or broke, or the response could not be used.
@@ -134,6 +142,9 @@
     unsigned mFailures = 0;
     /// Observed time to the first event against the expected one.
     double mSlowness = 1.0;
+    /// Recent time between events, in ms, until `mGapValidUntil`.
+    double mEventGapMs = 0.0;
+    time_point mGapValidUntil;
     time_point mLastByte;
     time_point mOldestSilent;
   };
--- /dev/null
+++ b/Source/UnitTests/Gateway/FleetTest.cpp
@@ -0,0 +1,215 @@
+#include <gtest/gtest.h>
+
+#include "FakeRowStore.h"
+#include "Gateway/CrashRegister.h"
+#include "Gateway/EventJoiner.h"
+#include "Gateway/FleetView.h"
+#include "Gateway/GatewaySettings.h"
+#include "Gateway/PeerDatagram.h"
+#include "Gateway/RetryWindow.h"
+#include "Gateway/TableFollower.h"
+
+namespace {
+
+using std::chrono::milliseconds;
+
+const time_point kNow{ std::chrono::seconds(100) };
+
+node_report Report(const std::string& aName)
+{
+  node_report report;
+  report.mAddress = aName + ":7000";
+  report.mFront = aName + ":80";
+  report.mReady = true;
+  return report;
+}
+
+class recording_listener final : public table_follower::listener
+{
+public:
+  void OnRow(const stored_row& aRow) override
+  {
+    mRows[aRow.mKey.mKey] = aRow.mValue;
+  }
+  void OnRowRemoved(const row_key& aKey, bool aDoubtful) override
+  {
+    mRows.erase(aKey.mKey);
+    mDoubtful = aDoubtful;
+  }
+
+  std::map<std::string, std::string> mRows;
+  bool mDoubtful = false;
+};
+
+class follower_test : public testing::Test
+{
+protected:
+  bool RunUntil(const std::function<bool()>& aCondition)
+  {
+    return mLoop.RunUntil(
+      [&] {
+        mStore.Deliver();
+        return aCondition();
+      },
+      milliseconds(3000));
+  }
+
+  event_loop mLoop;
+  system_time_source mTime;
+  fake_row_store mStore;
+  recording_listener mListener;
+  table_follower mFollower{ mStore,
+                            mTime,
+                            "t",
+                            milliseconds(10),
+                            milliseconds(5),
+                            mListener };
+};
+
+} // namespace
+
+// A node that hears nobody is more likely cut off than alone.
+TEST(FleetViewTest, NamesEveryoneItKnewWhenItHearsNobody)
+{
+  fleet_view view(Report("a"));
+  view.OnReport(Report("b"), kNow);
+  view.OnReport(Report("c"), kNow);
+  EXPECT_EQ(view.ClientAddresses(kNow).size(), 3U);
+  EXPECT_EQ(view.ClientAddresses(kNow + milliseconds(5000)).size(), 3U);
+  view.OnReport(Report("c"), kNow + milliseconds(4900));
+  EXPECT_EQ(view.ClientAddresses(kNow + milliseconds(5000)),
+            (std::vector<std::string>{ "c:80", "a:80" }));
+}
+
+TEST(FleetViewTest, LeavesOutNodesThatStop)
+{
+  fleet_view view(Report("a"));
+  node_report leaving = Report("b");
+  leaving.mLeaving = true;
+  view.OnReport(leaving, kNow);
+  EXPECT_EQ(view.ClientAddresses(kNow), (std::vector<std::string>{ "a:80" }));
+}
+
+// In a large fleet most news of a node comes from others.
+TEST(FleetViewTest, TakesRelayedNewsForLife)
+{
+  fleet_view view(Report("a"));
+  view.OnReport(Report("c"), kNow);
+  node_report relay = Report("b");
+  relay.mPeers.emplace_back("c:7000", milliseconds(100));
+  view.OnReport(relay, kNow + milliseconds(3000));
+  EXPECT_EQ(view.LiveNodes(kNow + milliseconds(3000)), 3U);
+}
+
+TEST(PeerDatagramTest, KeepsReportsAndRefusesDamage)
+{
+  node_report report = Report("a");
+  report.mWork.emplace_back(7, upstream_work{ 1, 2, 3 });
+  report.mHeld.emplace_back(account_id{ "clinic" }, 55);
+  const std::string bytes = WritePeerDatagram(report);
+  const auto parsed = ParsePeerDatagram(bytes);
+  ASSERT_TRUE(parsed);
+  EXPECT_EQ(std::get<node_report>(*parsed).mWork, report.mWork);
+  EXPECT_EQ(std::get<node_report>(*parsed).mHeld, report.mHeld);
+  EXPECT_FALSE(ParsePeerDatagram(bytes.substr(0, bytes.size() - 3)));
+  for (std::size_t i = 0; i < bytes.size(); ++i) {
+    std::string damaged = bytes;
+    damaged[i] = static_cast<char>(damaged[i] ^ 0x55);
+    ParsePeerDatagram(damaged);
+  }
+}
+
+// All nodes together must stay within the limit on repeats.
+TEST(RetryWindowTest, FleetStaysWithinTheLimit)
+{
+  const retry_limits limits{ 0.2, 54, milliseconds(10000) };
+  constexpr unsigned kNodes = 7;
+  constexpr unsigned kRequests = 30;
+  unsigned taken = 0;
+  for (unsigned node = 0; node < kNodes; ++node) {
+    retry_window window(limits);
+    for (unsigned i = 0; i < kRequests; ++i) {
+      window.OnRequest("app", kNow + milliseconds(i * 100));
+      while (window.Take("app", kNodes, kNow + milliseconds(i * 100))) {
+        ++taken;
+      }
+    }
+  }
+  EXPECT_LE(taken, 0.2 * kNodes * kRequests + 54);
+  EXPECT_GT(taken, 0U);
+}
+
+TEST(CrashRegisterTest, BlocksAfterThreeServersBroke)
+{
+  crash_register crashes;
+  EXPECT_TRUE(crashes.Add("f", "i-1.1", kNow));
+  EXPECT_FALSE(crashes.Add("f", "i-1.1", kNow));
+  crashes.Add("f", "i-2.1", kNow);
+  EXPECT_FALSE(crashes.Blocked("f", kNow));
+  crashes.Add("f", "i-1.2", kNow);
+  EXPECT_TRUE(crashes.Blocked("f", kNow));
+  EXPECT_FALSE(crashes.Blocked("g", kNow));
+}
+
+TEST(EventJoinerTest, DropsRepeatedEventsAndSeesGaps)
+{
+  event_joiner events;
+  EXPECT_EQ(events.Feed("id: 1\ndata: a\n\nid: 2\nda"), "id: 1\ndata: a\n\n");
+  events.DropPartial();
+  EXPECT_EQ(events.Feed("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"),
+            "id: 2\ndata: b\n\n");
+  EXPECT_EQ(events.LastId(), "2");
+  EXPECT_FALSE(events.OutOfOrder());
+  EXPECT_EQ(events.Feed("id: 4\ndata: d\n\n"), "");
+  EXPECT_TRUE(events.OutOfOrder());
+}
+
+TEST_F(follower_test, ReadsThenFollows)
+{
+  mStore.Put({ "t", "", "a" }, "1");
+  mFollower.Start();
+  ASSERT_TRUE(RunUntil([&] { return mListener.mRows["a"] == "1"; }));
+  mStore.Put({ "t", "", "a" }, "2");
+  mStore.Put({ "t", "", "b" }, "3");
+  ASSERT_TRUE(RunUntil([&] { return mListener.mRows["b"] == "3"; }));
+  EXPECT_EQ(mListener.mRows["a"], "2");
+  mStore.Remove({ "t", "", "a" });
+  ASSERT_TRUE(RunUntil([&] { return !mListener.mRows.contains("a"); }));
+  EXPECT_FALSE(mListener.mDoubtful);
+}
+
+// Changes in a dropped part of the history must not be missed.
+TEST_F(follower_test, ReadsAgainWhenTheHistoryIsLost)
+{
+  mStore.Put({ "t", "", "a" }, "1");
+  mFollower.Start();
+  ASSERT_TRUE(RunUntil([&] { return mListener.mRows["a"] == "1"; }));
+  mStore.Put({ "t", "", "b" }, "2");
+  mStore.Remove({ "t", "", "a" });
+  mStore.mHistoryFrom = 3;
+  ASSERT_TRUE(RunUntil([&] { return mListener.mRows["b"] == "2"; }));
+  EXPECT_FALSE(mListener.mRows.contains("a"));
+}
+
+// Entries lapse while the store is away and come back soon after.
+TEST_F(follower_test, DoubtsRemovalsAfterAnOutage)
+{
+  mStore.Put({ "t", "", "a" }, "1");
+  mFollower.Start();
+  ASSERT_TRUE(RunUntil([&] { return mListener.mRows["a"] == "1"; }));
+  mStore.mDown = true;
+  mLoop.RunUntil([&] { mStore.Deliver(); return false; }, milliseconds(300));
+  mStore.Remove({ "t", "", "a" });
+  mStore.mDown = false;
+  ASSERT_TRUE(RunUntil([&] { return !mListener.mRows.contains("a"); }));
+  EXPECT_TRUE(mListener.mDoubtful);
+}
+
+TEST(GatewaySettingsTest, NamesFileLineAndKeyOfAnError)
+{
+  const auto settings = ParseGatewaySettings("{\n \"name\": 5\n}", "s.json");
+  ASSERT_FALSE(settings.has_value());
+  EXPECT_NE(settings.error().find("s.json:2"), std::string::npos)
+    << settings.error();
+  EXPECT_NE(settings.error().find("/name"), std::string::npos);
+}
--- /dev/null
+++ b/Source/UnitTests/Gateway/PlacementTest.cpp
@@ -0,0 +1,218 @@
+#include <gtest/gtest.h>
+
+#include <map>
+#include <random>
+
+#include "Gateway/Admission.h"
+#include "Gateway/UpstreamRoster.h"
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr unsigned kServers = 9;
+constexpr std::int64_t kKvTokens = 400000;
+
+class placement_test : public testing::Test
+{
+protected:
+  placement_test()
+  {
+    gateway_service engine;
+    engine.mName = service_id{ "engine" };
+    engine.mEngine = engine_limits{ 64, kKvTokens, 5 };
+    mRoster.SetService(engine);
+    for (unsigned i = 0; i < kServers; ++i) {
+      mRoster.Apply(Entry("i-" + std::to_string(i)), mNow);
+    }
+  }
+
+  static server_entry Entry(const std::string& aId)
+  {
+    server_entry entry;
+    entry.mId = upstream_id{ aId };
+    entry.mService = service_id{ "engine" };
+    entry.mAddress = { "10.0.0.1", 80 };
+    entry.mSlots = 64;
+    entry.mBorn = 1;
+    entry.mSequence = 1;
+    return entry;
+  }
+
+  placement_query Query(const std::vector<prompt_part>& aPrompt) const
+  {
+    placement_query query;
+    query.mService = service_id{ "engine" };
+    for (const prompt_part& part : aPrompt) {
+      query.mPromptTokens += part.mTokens;
+    }
+    query.mOutputTokens = 120;
+    query.mPrompt = &aPrompt;
+    return query;
+  }
+
+  /// Prompt with a shared part, as reports over one subscriber have.
+  static std::vector<prompt_part> Prompt(unsigned aShared, unsigned aOwn)
+  {
+    return { { "s" + std::to_string(aShared), 13300 },
+             { "o" + std::to_string(aOwn), 3700 } };
+  }
+
+  time_point mNow{ std::chrono::seconds(100) };
+  upstream_roster mRoster{ roster_settings{} };
+};
+
+} // namespace
+
+// Nodes must find the server that keeps a shared prompt without asking.
+TEST_F(placement_test, AllNodesChooseTheSameServerForASharedPrompt)
+{
+  upstream_roster other{ roster_settings{} };
+  gateway_service engine;
+  engine.mName = service_id{ "engine" };
+  engine.mEngine = engine_limits{ 64, kKvTokens, 5 };
+  other.SetService(engine);
+  for (unsigned i = kServers; i-- > 0;) {
+    other.Apply(Entry("i-" + std::to_string(i)), mNow);
+  }
+  for (unsigned shared = 0; shared < 80; ++shared) {
+    const auto first = Prompt(shared, 1);
+    const auto second = Prompt(shared, 2);
+    const auto here = mRoster.Choose(Query(first), mNow);
+    const auto there = other.Choose(Query(second), mNow);
+    ASSERT_TRUE(here && there);
+    EXPECT_EQ(here->mUpstream, there->mUpstream);
+    EXPECT_EQ(here->mWork.mPrefillTokens, 3700);
+  }
+}
+
+// A loaded home must not take all requests of a prompt that many ask for.
+TEST_F(placement_test, LeavesALoadedHome)
+{
+  const auto prompt = Prompt(1, 1);
+  std::map<std::string, unsigned> chosen;
+  for (unsigned i = 0; i < 60; ++i) {
+    const auto placement = mRoster.Choose(Query(prompt), mNow);
+    if (!placement) {
+      break;
+    }
+    mRoster.Begin(*placement, Query(prompt), mNow);
+    ++chosen[placement->mUpstream.mName];
+  }
+  EXPECT_GE(chosen.size(), 2U);
+}
+
+// Running requests that exceed the memory of an engine are put back and read
+// again.
+TEST_F(placement_test, KeepsWithinTheMemoryOfAnEngine)
+{
+  std::map<std::string, std::int64_t> tokens;
+  for (unsigned i = 0; i < 400; ++i) {
+    const auto prompt = Prompt(i % 80, i);
+    const auto placement = mRoster.Choose(Query(prompt), mNow);
+    if (!placement) {
+      continue;
+    }
+    mRoster.Begin(*placement, Query(prompt), mNow);
+    tokens[placement->mUpstream.mName] += placement->mWork.mKvTokens;
+  }
+  for (const auto& [server, sum] : tokens) {
+    EXPECT_LE(sum, kKvTokens) << server;
+  }
+}
+
+TEST_F(placement_test, AvoidsFailedAndSilentServers)
+{
+  const auto prompt = Prompt(1, 1);
+  const auto home = mRoster.Choose(Query(prompt), mNow);
+  ASSERT_TRUE(home);
+  mRoster.OnFailure(home->mUpstream, mNow);
+  const auto second = mRoster.Choose(Query(prompt), mNow);
+  ASSERT_TRUE(second);
+  EXPECT_NE(second->mUpstream, home->mUpstream);
+  EXPECT_EQ(mRoster.Choose(Query(prompt), mNow + milliseconds(400))->mUpstream,
+            home->mUpstream);
+  mRoster.Begin(*second, Query(prompt), mNow);
+  EXPECT_NE(mRoster.Choose(Query(prompt), mNow + milliseconds(200))->mUpstream,
+            home->mUpstream);
+  mRoster.End(second->mUpstream, second->mWork);
+  mRoster.Begin(*home, Query(prompt), mNow + milliseconds(400));
+  EXPECT_NE(
+    mRoster.Choose(Query(prompt), mNow + milliseconds(2500))->mUpstream,
+    home->mUpstream);
+}
+
+TEST_F(placement_test, LeavingServersServeOnlyAsALastResort)
+{
+  for (unsigned i = 1; i < kServers; ++i) {
+    mRoster.Remove(upstream_id{ "i-" + std::to_string(i) },
+                   mNow + milliseconds(1000));
+  }
+  const auto prompt = Prompt(5, 1);
+  EXPECT_EQ(mRoster.Choose(Query(prompt), mNow)->mUpstream.mName, "i-0");
+  mRoster.Remove(upstream_id{ "i-0" }, mNow + milliseconds(1000));
+  EXPECT_TRUE(mRoster.Choose(Query(prompt), mNow));
+  EXPECT_FALSE(mRoster.Choose(Query(prompt), mNow + milliseconds(1100)));
+}
+
+// Late writes bring older entries; a restarted server counts anew.
+TEST_F(placement_test, OrdersEntriesByBirthAndSequence)
+{
+  server_entry entry = Entry("i-0");
+  entry.mSequence = 5;
+  entry.mState = server_state::Leaving;
+  mRoster.Apply(entry, mNow);
+  mRoster.Apply(Entry("i-0"), mNow);
+  EXPECT_EQ(mRoster.Find(upstream_id{ "i-0" })->mState, server_state::Leaving);
+  entry = Entry("i-0");
+  entry.mBorn = 2;
+  mRoster.Apply(entry, mNow);
+  EXPECT_EQ(mRoster.Find(upstream_id{ "i-0" })->mState, server_state::Ready);
+}
+
+TEST(AdmissionTest, WaitsForAPartOfTheObjectiveOnly)
+{
+  const time_point now{ std::chrono::seconds(10) };
+  admission_query query;
+  query.mArrived = now;
+  query.mFinal = now + milliseconds(8000);
+  query.mObjective = milliseconds(800);
+  EXPECT_EQ(Admit(query, now), admission_verdict::Wait);
+  EXPECT_EQ(Admit(query, now + milliseconds(100)), admission_verdict::Refuse);
+  query.mHasPlacement = true;
+  query.mExpectedMs = 300;
+  query.mWaitMs = 300;
+  EXPECT_EQ(Admit(query, now), admission_verdict::Send);
+}
+
+// Burst of long prompts with servers lost: streams that crawl to their
+// deadline take the engines from those that could still be served.
+TEST(AdmissionTest, RefusesStreamsThatCannotEndInTime)
+{
+  const time_point now{ std::chrono::seconds(10) };
+  admission_query query;
+  query.mArrived = now;
+  query.mFinal = now + milliseconds(8000);
+  query.mObjective = milliseconds(800);
+  query.mHasPlacement = true;
+  query.mExpectedMs = 500;
+  query.mOutputMs = 7000;
+  EXPECT_EQ(Admit(query, now + milliseconds(200)), admission_verdict::Refuse);
+  query.mOutputMs = 2000;
+  EXPECT_EQ(Admit(query, now + milliseconds(200)), admission_verdict::Send);
+  query.mWaitMs = 700;
+  query.mExpectedMs = 900;
+  EXPECT_EQ(Admit(query, now + milliseconds(200)), admission_verdict::Refuse);
+}
+
+TEST(AdmissionTest, NamesAPauseWithinTheClientsPatience)
+{
+  const time_point now{ std::chrono::seconds(10) };
+  admission_query query;
+  query.mFinal = now + milliseconds(900);
+  query.mObjective = milliseconds(1500);
+  for (std::uint64_t spread = 0; spread < 100; ++spread) {
+    EXPECT_LE(RetryAfter(query, now, spread), milliseconds(300));
+    EXPECT_GE(RetryAfter(query, now, spread), milliseconds(50));
+  }
+}
--- a/Source/UnitTests/Gateway/TokenEscrowTest.cpp
+++ b/Source/UnitTests/Gateway/TokenEscrowTest.cpp
@@ -27,8 +27,8 @@
     , mRun(aRun)
     , mStore(aStore)
     , mNow(aNow)
-    , mEscrow(std::make_shared<token_escrow>(std::to_string(aRun),
-                                             escrow_settings{}))
+    , mEscrow(
+        std::make_shared<token_escrow>(std::to_string(aRun), escrow_settings{}))
   {
   }
 
@@ -92,8 +92,7 @@
     transaction.mConditions.push_back({ key, aChange.mExpectedVersion });
     transaction.mWrites.push_back({ key, WriteHoldingRow(aChange.mRow) });
     mStore.Commit(
-      transaction,
-      [weak = std::weak_ptr(mEscrow), &now = mNow](auto aResult) {
+      transaction, [weak = std::weak_ptr(mEscrow), &now = mNow](auto aResult) {
         const auto escrow = weak.lock();
         if (!escrow) {
           return;
