--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -258,6 +258,7 @@
 void gateway_node::OnRequest(http_server_connection& aConnection,
                              http_server_request aRequest)
 {
+  mContext.mConfigSeen = mConfigTable.LastContact();
   mContext.mConfigDoubtful =
     !mConfigTable.Read() ||
     mTime.Now() > mConfigTable.LastContact() + kConfigDoubt;
--- a/Source/Core/Gateway/GatewaySession.h
+++ b/Source/Core/Gateway/GatewaySession.h
@@ -31,6 +31,8 @@
   gateway_metrics& mMetrics;
   /// Null until a configuration is known.
   std::shared_ptr<const route_table> mRoutes{};
+  /// When the store last confirmed the configuration.
+  time_point mConfigSeen{};
   /// The configuration may be older than the one in force.
   bool mConfigDoubtful = true;
   /// The node takes no new work.
