--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -43,7 +43,9 @@
 constexpr unsigned kCrashRowsPerPeriod = 3;
 // Silence of a server at the TCP level that breaks its connections.
 constexpr tcp_liveness kUpstreamLiveness{ milliseconds(3000) };
-constexpr double kMemoryShare = 0.6;
+// Part of the memory that bodies of open requests may take. The process needs
+// about 6 MB itself; responses and buffers of connections need the rest.
+constexpr double kBodyMemoryShare = 0.3;
 
 // Times of a graceful stop, in parts of the grace period: the node takes new
 // requests while callers still hold its address, then refuses them, and ends
@@ -150,6 +152,8 @@
   , mOwnTable(mStore, mTime, kOwnTableName, kOwnWait, kOwnPause, *this)
   , mCalls(std::make_unique<call_handler>(*this))
 {
+  mContext.mMostBodyBytes = static_cast<std::size_t>(
+    static_cast<double>(mSettings.mMemoryBytes) * kBodyMemoryShare);
   for (const std::string& seed : mSettings.mSeeds) {
     mFleet.AddCandidate(seed);
   }
--- a/Source/Core/Gateway/GatewaySession.cpp
+++ b/Source/Core/Gateway/GatewaySession.cpp
@@ -88,11 +88,13 @@
 {
   mFinal = mArrived;
   mDeadline = mArrived;
+  mContext.mBodyBytes += mRequest.mBody.size();
   Begin();
 }
 
 gateway_session::~gateway_session()
 {
+  mContext.mBodyBytes -= mRequest.mBody.size();
   if (mConnection) {
     mConnection->Cancel();
   }
@@ -104,6 +106,10 @@
     Refuse(mRoutes ? "node_leaving" : "no_configuration", kRefusedRetry);
     return;
   }
+  if (mContext.mBodyBytes > mContext.mMostBodyBytes) {
+    Refuse("memory_full", kRefusedRetry);
+    return;
+  }
   mRoute = mRoutes->FindRoute(mRequest.mHost, mRequest.mPath);
   if (mRoute == nullptr) {
     if (mContext.mConfigDoubtful) {
--- a/Source/Core/Gateway/GatewaySession.h
+++ b/Source/Core/Gateway/GatewaySession.h
@@ -37,6 +37,9 @@
   bool mConfigDoubtful = true;
   /// The node takes no new work.
   bool mRefusing = false;
+  /// Bytes of the bodies of open requests, and their limit.
+  std::size_t mBodyBytes = 0;
+  std::size_t mMostBodyBytes = 0;
   /// Tells the other nodes that a server broke while it ran a request.
   std::function<void(const std::string& aFingerprint,
                      const std::string& aServerRun)>
--- a/Source/Core/Net/TcpStream.cpp
+++ b/Source/Core/Net/TcpStream.cpp
@@ -115,7 +115,7 @@
   tcp_stream* mStream;
 };
 
-GSourceFuncs tcp_stream::sFunctions = { nullptr, nullptr, &tcp_stream::Dispatch,
+GSourceFuncs tcp_stream::gFunctions = { nullptr, nullptr, &tcp_stream::Dispatch,
                                         nullptr, nullptr, nullptr };
 
 tcp_stream::tcp_stream(int aDescriptor,
@@ -175,7 +175,7 @@
 
 void tcp_stream::Attach()
 {
-  mSource = g_source_new(&sFunctions, sizeof(watch_source));
+  mSource = g_source_new(&gFunctions, sizeof(watch_source));
   reinterpret_cast<watch_source*>(mSource)->mStream = this;
   mTag =
     g_source_add_unix_fd(mSource, mDescriptor, mConnected ? G_IO_IN : G_IO_OUT);
--- a/Source/Core/Net/TcpStream.h
+++ b/Source/Core/Net/TcpStream.h
@@ -106,7 +106,7 @@
   void End(tcp_end aEnd);
   void CloseDescriptor();
 
-  static GSourceFuncs sFunctions;
+  static GSourceFuncs gFunctions;
 
   tcp_observer* mObserver;
   int mDescriptor;
--- a/Source/UnitTests/Gateway/GatewayFixture.cpp
+++ b/Source/UnitTests/Gateway/GatewayFixture.cpp
@@ -84,6 +84,7 @@
   mSettings.mPeer = { "127.0.0.1", 0 };
   mSettings.mRetries.mAllowance = 100;
   mSettings.mGrace = milliseconds(1000);
+  mSettings.mMemoryBytes = 1000000;
   mStoreTimer.Every(kStorePeriod, [this] { mStore.Deliver(); });
 }
 
--- a/Source/UnitTests/Gateway/GatewayPathTest.cpp
+++ b/Source/UnitTests/Gateway/GatewayPathTest.cpp
@@ -357,3 +357,16 @@
   EXPECT_FALSE(exchange->mComplete);
   EXPECT_EQ(exchange->mBody, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
 }
+
+// Bodies of waiting requests must not take the memory of the process.
+TEST_F(gateway_path_test, RefusesWhenBodiesFillTheMemory)
+{
+  scripted_server& server = AddServer("i-1", "app");
+  server.mScript = [](http_server_connection&, const http_server_request&) {};
+  StartNode();
+  const std::string body(200000, 'x');
+  auto first = Begin("POST", "/o/x", {}, body);
+  ASSERT_TRUE(RunUntil([&] { return server.mRequests.size() == 1; }));
+  EXPECT_EQ(Call("POST", "/o/x", {}, body)->mResponse.mStatus, 503U);
+  EXPECT_EQ(server.mRequests.size(), 1U);
+}
