--- a/Source/Core/Gateway/FleetLink.cpp
+++ b/Source/Core/Gateway/FleetLink.cpp
@@ -1,10 +1,8 @@
 #include "Gateway/FleetLink.h"
 
-#include <arpa/inet.h>
 #include <array>
 #include <cerrno>
 #include <cstring>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
@@ -33,15 +31,6 @@
 // Words that a snapshot may hold: 64 MB.
 constexpr std::uint64_t kMostSnapshotWords = 8'000'000;
 
-sockaddr_in DatagramAddress(const tcp_address& aAddress)
-{
-  sockaddr_in native{};
-  native.sin_family = AF_INET;
-  native.sin_port = htons(aAddress.mPort);
-  inet_pton(AF_INET, aAddress.mIp.c_str(), &native.sin_addr);
-  return native;
-}
-
 std::string WriteSnapshot(const std::vector<stored_row>& aRows)
 {
   capnp::MallocMessageBuilder message;
@@ -167,7 +156,7 @@
 bool fleet_link::Start(const tcp_address& aAddress, std::string& aError)
 {
   mSocket = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  const sockaddr_in native = DatagramAddress(aAddress);
+  const sockaddr_in native = NativeAddress(aAddress);
   if (mSocket < 0 || bind(mSocket,
                           reinterpret_cast<const sockaddr*>(&native),
                           sizeof native) != 0) {
@@ -185,7 +174,7 @@
   if (!address) {
     return;
   }
-  const sockaddr_in native = DatagramAddress(*address);
+  const sockaddr_in native = NativeAddress(*address);
   // Datagrams may be lost; reports are superseded and requests repeated.
   const ssize_t sent = sendto(mSocket,
                               aBytes.data(),
--- a/Source/Core/Gateway/TokenEscrow.cpp
+++ b/Source/Core/Gateway/TokenEscrow.cpp
@@ -11,6 +11,8 @@
 
 using std::chrono::milliseconds;
 
+// Nodes beyond which no tokens are drawn before the first use.
+constexpr std::size_t kMostFirstNodes = 16;
 // Period over which the use of an account is measured.
 constexpr std::chrono::seconds kUsePeriod(4);
 // Pause after a conflict, doubled up to the limit; spread by node.
@@ -305,7 +307,9 @@
   const double use = UsedPerSecond(aState) * mSettings.mHorizonSeconds;
   const double first = static_cast<double>(aState.mTotal) *
                        mSettings.mFirstShare / static_cast<double>(mNodes);
-  const double start = aState.mUsedBefore > 0.0 ? 0.0 : first;
+  // Shares of a large fleet would be smaller than a request.
+  const bool spread = mNodes <= kMostFirstNodes;
+  const double start = aState.mUsedBefore > 0.0 || !spread ? 0.0 : first;
   return static_cast<std::int64_t>(std::max(use, start)) +
          static_cast<std::int64_t>(aState.mMeanNeed) * kHeldRequests;
 }
--- a/Source/Core/Net/TcpStream.cpp
+++ b/Source/Core/Net/TcpStream.cpp
@@ -5,7 +5,6 @@
 #include <cerrno>
 #include <charconv>
 #include <cstring>
-#include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -31,15 +30,6 @@
 // Sent bytes kept at the front of the output buffer before it is compacted.
 constexpr std::size_t kCompactBytes = 65536;
 
-sockaddr_in NativeAddress(const tcp_address& aAddress)
-{
-  sockaddr_in native{};
-  native.sin_family = AF_INET;
-  native.sin_port = htons(aAddress.mPort);
-  inet_pton(AF_INET, aAddress.mIp.c_str(), &native.sin_addr);
-  return native;
-}
-
 void SetOption(int aDescriptor, int aLevel, int aName, int aValue)
 {
   if (setsockopt(aDescriptor, aLevel, aName, &aValue, sizeof aValue) != 0) {
@@ -70,6 +60,15 @@
 
 } // namespace
 
+sockaddr_in NativeAddress(const tcp_address& aAddress)
+{
+  sockaddr_in native{};
+  native.sin_family = AF_INET;
+  native.sin_port = htons(aAddress.mPort);
+  inet_pton(AF_INET, aAddress.mIp.c_str(), &native.sin_addr);
+  return native;
+}
+
 std::optional<tcp_address> ParseTcpAddress(std::string_view aText)
 {
   const auto colon = aText.rfind(':');
--- a/Source/Core/Net/TcpStream.h
+++ b/Source/Core/Net/TcpStream.h
@@ -4,6 +4,7 @@
 #include <compare>
 #include <cstdint>
 #include <memory>
+#include <netinet/in.h>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -21,6 +22,8 @@
 /// Reads `IP:port`; nothing when it is malformed.
 std::optional<tcp_address> ParseTcpAddress(std::string_view aText);
 std::string FormatTcpAddress(const tcp_address& aAddress);
+/// The address as the socket calls take it.
+sockaddr_in NativeAddress(const tcp_address& aAddress);
 
 /// How a stream ended.
 enum class tcp_end : std::uint8_t
