Divide the random escrow schedules into twenty tests

It is a limit of time, not a broken check. Change: twenty tests of 500 schedules with the same seeds and the same bound.

--- a/Source/UnitTests/Gateway/TokenEscrowTest.cpp
+++ b/Source/UnitTests/Gateway/TokenEscrowTest.cpp
@@ -270,13 +270,21 @@
 
 // Random schedules of grants, transfers, kills, restarts, outages, lost and
 // late writes must never let the fleet consume more than the account has.
-TEST_F(token_escrow_test, NeverOverspendsInRandomSchedules)
+// The 10,000 schedules are divided into tests, since all of them take longer
+// under the sanitizers than one test may.
+class token_escrow_schedules
+  : public token_escrow_test
+  , public testing::WithParamInterface<unsigned>
+{};
+
+TEST_P(token_escrow_schedules, NeverOverspend)
 {
-  constexpr unsigned kSchedules = 10000;
+  constexpr unsigned kSchedules = 500;
   constexpr unsigned kSteps = 60;
   constexpr unsigned kHosts = 3;
   std::int64_t consumedByAll = 0;
-  for (unsigned seed = 1; seed <= kSchedules; ++seed) {
+  const unsigned firstSeed = GetParam() * kSchedules + 1;
+  for (unsigned seed = firstSeed; seed < firstSeed + kSchedules; ++seed) {
     std::mt19937 random(seed);
     const auto chance = [&random](unsigned aPercent) {
       return random() % 100 < aPercent;
@@ -353,3 +361,7 @@
   // The schedules must spend most tokens, or they would prove nothing.
   EXPECT_GT(consumedByAll, kTotal / 2 * kSchedules);
 }
+
+INSTANTIATE_TEST_SUITE_P(Seeds,
+                         token_escrow_schedules,
+                         testing::Range(0U, 20U));
