--- /dev/null
+++ b/Source/Core/Gateway/EscrowRow.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+/// Row of an account. The writer tells a node whose reply was lost whether its
+/// own change is the current one.
+struct escrow_row
+{
+  std::int64_t mGranted = 0;
+  std::string mWriter;
+  std::uint64_t mSequence = 0;
+  auto operator<=>(const escrow_row&) const = default;
+};
+
+std::string WriteEscrowRow(const escrow_row& aRow);
+std::optional<escrow_row> ParseEscrowRow(std::string_view aText);
--- a/Source/Core/Gateway/EventJoiner.h
+++ b/Source/Core/Gateway/EventJoiner.h
@@ -21,7 +21,6 @@
   std::uint64_t Events() const { return mEvents; }
   /// Identity of the last whole event; empty when there was none.
   const std::string& LastId() const { return mLastId; }
-  std::size_t BufferedBytes() const { return mPartial.size(); }
   /// Whether event identities left a gap or went back; then the stream must not
   /// look complete.
   bool OutOfOrder() const { return mOutOfOrder; }
--- a/Source/Core/Gateway/FleetLink.cpp
+++ b/Source/Core/Gateway/FleetLink.cpp
@@ -15,6 +15,7 @@
 
 #include "Common/Log.h"
 #include "Gateway/Fleet.capnp.h"
+#include "Net/HttpStatus.h"
 
 namespace {
 
@@ -26,8 +27,6 @@
 constexpr milliseconds kFetchLimit(1500);
 constexpr tcp_liveness kPeerLiveness{ milliseconds(1500) };
 constexpr const char* kSnapshotPath = "/snapshot";
-constexpr unsigned kOk = 200;
-constexpr unsigned kNotFound = 404;
 // Words that a snapshot may hold: 64 MB.
 constexpr std::uint64_t kMostSnapshotWords = 8'000'000;
 
@@ -111,7 +110,7 @@
   void OnComplete(bool) override
   {
     mDone = true;
-    if (mStatus == kOk) {
+    if (mStatus == http_status::kOk) {
       mReply(ParseSnapshot(mBody));
     }
   }
@@ -231,13 +230,16 @@
   if (const auto* report = std::get_if<node_report>(&aDatagram)) {
     mView.OnReport(*report, now);
   } else if (const auto* request = std::get_if<token_request>(&aDatagram)) {
+    const bool repeated = mEscrow.Answered(*request);
     const auto transfer = mEscrow.Give(*request, now);
-    if (transfer) {
+    if (transfer && !repeated) {
       Log(log_level::Info,
           "tokens_given",
           { Field("account", transfer->mAccount.mName),
             Field("tokens", transfer->mTokens),
             Field("to", request->mAddress) });
+    }
+    if (transfer) {
       Send(request->mAddress, WritePeerDatagram(*transfer));
     }
   } else {
@@ -268,7 +270,7 @@
 {
   http_server_response response;
   if (aRequest.mTarget != kSnapshotPath) {
-    response.mStatus = kNotFound;
+    response.mStatus = http_status::kNotFound;
     aConnection.Respond(response, {});
     return;
   }
--- /dev/null
+++ b/Source/Core/Gateway/FleetRows.cpp
@@ -0,0 +1,105 @@
+#include "Gateway/FleetRows.h"
+
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "Common/Log.h"
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Pause after an attempt to write this node's row.
+constexpr milliseconds kRegisterPause(500);
+// Rows about broken servers that one node writes in a house period; a server
+// that is lost with 60 requests would write as many.
+constexpr unsigned kCrashRowsPerPeriod = 3;
+
+constexpr std::string_view kNodePrefix = "node/";
+constexpr std::string_view kCrashPrefix = "crash/";
+
+} // namespace
+
+fleet_rows::fleet_rows(fleet_view& aFleet,
+                       crash_register& aCrashes,
+                       row_store& aStore,
+                       const time_source& aTime,
+                       std::string aRun)
+  : mFleet(aFleet)
+  , mCrashes(aCrashes)
+  , mStore(aStore)
+  , mTime(aTime)
+  , mRun(std::move(aRun))
+{
+}
+
+fleet_rows::~fleet_rows()
+{
+  *mAlive = false;
+}
+
+void fleet_rows::OnHouseTick(time_point aNow)
+{
+  mCrashRowsLeft = kCrashRowsPerPeriod;
+  Register(aNow);
+}
+
+void fleet_rows::Apply(const stored_row& aRow)
+{
+  const std::string_view key = aRow.mKey.mKey;
+  if (key.starts_with(kNodePrefix)) {
+    mFleet.AddCandidate(std::string(key.substr(kNodePrefix.size())));
+  } else if (key.starts_with(kCrashPrefix)) {
+    const std::string_view rest = key.substr(kCrashPrefix.size());
+    const auto slash = rest.find('/');
+    if (slash != std::string_view::npos) {
+      mCrashes.Add(std::string(rest.substr(0, slash)),
+                   std::string(rest.substr(slash + 1)),
+                   mTime.Now());
+    }
+  }
+}
+
+void fleet_rows::Register(time_point aNow)
+{
+  if (mRegistered || mRegistering || aNow < mRegisterAt) {
+    return;
+  }
+  mRegistering = true;
+  row_transaction transaction;
+  transaction.mWrites.push_back(
+    { { kOwnTableName, "", std::string(kNodePrefix) + mFleet.Self().mAddress },
+      mRun });
+  mStore.Commit(transaction, [this, alive = mAlive](auto aResult) {
+    if (!*alive) {
+      return;
+    }
+    mRegistering = false;
+    mRegistered = aResult.has_value() && aResult.value().mCommitted;
+    mRegisterAt = mTime.Now() + kRegisterPause;
+  });
+}
+
+void fleet_rows::WriteCrash(const std::string& aFingerprint,
+                            const std::string& aServerRun)
+{
+  if (!mCrashes.Add(aFingerprint, aServerRun, mTime.Now()) ||
+      mCrashRowsLeft == 0) {
+    return;
+  }
+  --mCrashRowsLeft;
+  row_transaction transaction;
+  transaction.mWrites.push_back(
+    { { kOwnTableName,
+        "",
+        fmt::format("{}{}/{}", kCrashPrefix, aFingerprint, aServerRun) },
+      mRun });
+  mStore.Commit(transaction, [](auto aResult) {
+    if (!aResult.has_value()) {
+      Log(log_level::Info,
+          "crash_row_not_written",
+          { Field("error", RowStoreErrorName(aResult.error())) });
+    }
+  });
+}
--- /dev/null
+++ b/Source/Core/Gateway/FleetRows.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "Common/Time.h"
+#include "Gateway/CrashRegister.h"
+#include "Gateway/FleetView.h"
+#include "Remote/RowStore.h"
+
+/// The rows that nodes write for each other: the addresses of nodes, and the
+/// requests that broke servers.
+class fleet_rows
+{
+public:
+  static constexpr const char* kOwnTableName = "lentilswitch";
+
+  /// `aRun` is unique to this run of the process.
+  fleet_rows(fleet_view& aFleet,
+             crash_register& aCrashes,
+             row_store& aStore,
+             const time_source& aTime,
+             std::string aRun);
+  ~fleet_rows();
+  fleet_rows(const fleet_rows&) = delete;
+  fleet_rows& operator=(const fleet_rows&) = delete;
+
+  /// Takes over a row of the table.
+  void Apply(const stored_row& aRow);
+  /// Tells the other nodes that a server broke while it ran a request.
+  void WriteCrash(const std::string& aFingerprint,
+                  const std::string& aServerRun);
+  /// Writes this node's row until the store has it, and renews the number of
+  /// crash rows that may be written.
+  void OnHouseTick(time_point aNow);
+
+private:
+  void Register(time_point aNow);
+
+  fleet_view& mFleet;
+  crash_register& mCrashes;
+  row_store& mStore;
+  const time_source& mTime;
+  std::string mRun;
+  bool mRegistered = false;
+  bool mRegistering = false;
+  time_point mRegisterAt;
+  unsigned mCrashRowsLeft = 0;
+  /// Cleared when this ends; replies may come later.
+  std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
+};
--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include "Common/Log.h"
+#include "Net/HttpStatus.h"
 
 namespace {
 
@@ -31,16 +32,14 @@
 constexpr milliseconds kConfigDoubt(2600);
 // Clients keep addresses for this long, some of them three times as long.
 constexpr milliseconds kAddressLifetime(1000);
-// A server whose entry is gone serves as a last resort, well within the limit
-// for leaving servers.
+// A server whose entry is gone serves as a last resort, for no more than these
+// times and parts of the limit for leaving servers.
 constexpr milliseconds kLastResort(1200);
 constexpr milliseconds kLastResortInDoubt(1900);
-constexpr milliseconds kRegisterPause(500);
+constexpr double kLastResortPart = 0.6;
+constexpr double kLastResortPartInDoubt = 0.95;
 // Pause between snapshots while the store is out of reach.
 constexpr milliseconds kSnapshotPause(1000);
-// Rows about broken servers that one node writes in a house period; a server
-// that is lost with 60 requests would write as many.
-constexpr unsigned kCrashRowsPerPeriod = 3;
 // Silence of a server at the TCP level that breaks its connections.
 constexpr tcp_liveness kUpstreamLiveness{ milliseconds(3000) };
 // Part of the memory that bodies of open requests may take. The process needs
@@ -53,18 +52,6 @@
 constexpr double kAcceptPart = 0.5;
 constexpr double kEndPart = 0.93;
 
-constexpr const char* kOwnTableName = "lentilswitch";
-constexpr const char* kEscrowTableName = "prepaid";
-constexpr const char* kEscrowKey = "granted";
-constexpr const char* kHoldingTableName = "holdings";
-constexpr const char* kHoldingKey = "statement";
-constexpr std::string_view kNodePrefix = "node/";
-constexpr std::string_view kCrashPrefix = "crash/";
-
-constexpr unsigned kOk = 200;
-constexpr unsigned kNotFound = 404;
-constexpr unsigned kServiceUnavailable = 503;
-
 std::uint64_t RandomRun()
 {
   std::random_device device;
@@ -121,6 +108,8 @@
   , mEscrow(mRun, aSettings.mEscrow)
   , mRetries(aSettings.mRetries)
   , mFleet(SelfReport(aSettings, std::stoull(mRun, nullptr, 16)))
+  , mEscrowWriter(mEscrow, mStore, mTime, FormatTcpAddress(mSettings.mPeer))
+  , mRows(mFleet, mCrashes, mStore, mTime, mRun)
   , mContext{ .mSettings = mSettings,
               .mDialect = mDialect,
               .mTime = mTime,
@@ -134,7 +123,7 @@
               .mReportCrash =
                 [this](const std::string& aFingerprint,
                        const std::string& aServerRun) {
-                  WriteCrash(aFingerprint, aServerRun);
+                  mRows.WriteCrash(aFingerprint, aServerRun);
                 } }
   , mLink(mFleet, mEscrow, mTime, [this] { return SnapshotRows(); })
   , mConfigTable(mStore,
@@ -149,7 +138,12 @@
                    kUpstreamWait,
                    kUpstreamPause,
                    *this)
-  , mOwnTable(mStore, mTime, kOwnTableName, kOwnWait, kOwnPause, *this)
+  , mOwnTable(mStore,
+              mTime,
+              fleet_rows::kOwnTableName,
+              kOwnWait,
+              kOwnPause,
+              *this)
   , mCalls(std::make_unique<call_handler>(*this))
 {
   mContext.mMostBodyBytes = static_cast<std::size_t>(
@@ -161,7 +155,6 @@
 
 gateway_node::~gateway_node()
 {
-  *mAlive = false;
   mSessions.clear();
 }
 
@@ -231,14 +224,15 @@
   http_server_response response;
   switch (mDialect.ReadCall(aRequest)) {
     case node_call::Readiness:
-      response.mStatus = Ready() ? kOk : kServiceUnavailable;
+      response.mStatus =
+        Ready() ? http_status::kOk : http_status::kServiceUnavailable;
       aConnection.Respond(response, {});
       return;
     case node_call::ResolveAddresses: {
       const auto addresses =
         mFleet.ClientAddresses(mTime.Now(), mDialect.ReadResolveZone(aRequest));
       if (addresses.empty()) {
-        response.mStatus = kServiceUnavailable;
+        response.mStatus = http_status::kServiceUnavailable;
         aConnection.Respond(response, {});
         return;
       }
@@ -255,7 +249,7 @@
     aConnection.Respond(response, mMetrics.Text());
     return;
   }
-  response.mStatus = kNotFound;
+  response.mStatus = http_status::kNotFound;
   aConnection.Respond(response, {});
 }
 
@@ -302,8 +296,8 @@
     }
     return;
   }
-  if (aRow.mKey.mTable == kOwnTableName) {
-    ApplyOwnRow(aRow);
+  if (aRow.mKey.mTable == fleet_rows::kOwnTableName) {
+    mRows.Apply(aRow);
     return;
   }
   const auto entry = mDialect.ReadUpstream(aRow);
@@ -311,7 +305,7 @@
     Log(log_level::Info,
         "server_entry_unusable",
         { Field("server", aRow.mKey.mKey), Field("version", aRow.mVersion) });
-    mRoster.Remove(upstream_id{ aRow.mKey.mKey }, now + kLastResort);
+    mRoster.Remove(upstream_id{ aRow.mKey.mKey }, now + LastResort(false));
     return;
   }
   const server_entry* known = mRoster.Find(entry->mId);
@@ -329,6 +323,14 @@
   mRoster.Apply(*entry, now);
 }
 
+milliseconds gateway_node::LastResort(bool aDoubtful) const
+{
+  const auto part = std::chrono::duration_cast<milliseconds>(
+    mSettings.mLeaveLimit *
+    (aDoubtful ? kLastResortPartInDoubt : kLastResortPart));
+  return std::min(aDoubtful ? kLastResortInDoubt : kLastResort, part);
+}
+
 void gateway_node::OnRowRemoved(const row_key& aKey, bool aDoubtful)
 {
   if (aKey.mTable != mDialect.UpstreamTable()) {
@@ -337,8 +339,7 @@
   Log(log_level::Info,
       "server_removed",
       { Field("server", aKey.mKey), Field("doubtful", aDoubtful) });
-  mRoster.Remove(upstream_id{ aKey.mKey },
-                 mTime.Now() + (aDoubtful ? kLastResortInDoubt : kLastResort));
+  mRoster.Remove(upstream_id{ aKey.mKey }, mTime.Now() + LastResort(aDoubtful));
 }
 
 void gateway_node::OnTableRead()
@@ -377,22 +378,6 @@
   mContext.mRoutes = std::make_shared<route_table>(std::move(*config));
 }
 
-void gateway_node::ApplyOwnRow(const stored_row& aRow)
-{
-  const std::string_view key = aRow.mKey.mKey;
-  if (key.starts_with(kNodePrefix)) {
-    mFleet.AddCandidate(std::string(key.substr(kNodePrefix.size())));
-  } else if (key.starts_with(kCrashPrefix)) {
-    const std::string_view rest = key.substr(kCrashPrefix.size());
-    const auto slash = rest.find('/');
-    if (slash != std::string_view::npos) {
-      mCrashes.Add(std::string(rest.substr(0, slash)),
-                   std::string(rest.substr(slash + 1)),
-                   mTime.Now());
-    }
-  }
-}
-
 std::vector<stored_row> gateway_node::SnapshotRows() const
 {
   std::vector<stored_row> rows;
@@ -410,8 +395,10 @@
   const time_point now = mTime.Now();
   mContext.mDiscarded.clear();
   AdvanceWaiting(now);
-  RunEscrow(now);
-  RunStatement(now);
+  if (mContext.mRoutes) {
+    mEscrowWriter.WriteChanges(now);
+  }
+  mEscrowWriter.WriteStatement(now);
   mLink.SendTokenRequests();
   std::erase_if(mSessions,
                 [](const auto& aPair) { return aPair.second->Done(); });
@@ -438,149 +425,6 @@
   }
 }
 
-void gateway_node::RunEscrow(time_point aNow)
-{
-  if (mContext.mRoutes == nullptr) {
-    return;
-  }
-  for (const escrow_change& change : mEscrow.TakeChanges(aNow)) {
-    const row_key key{ kEscrowTableName, change.mAccount.mName, kEscrowKey };
-    row_transaction transaction;
-    transaction.mConditions.push_back({ key, change.mExpectedVersion });
-    transaction.mWrites.push_back({ key, WriteEscrowRow(change.mRow) });
-    mStore.Commit(
-      transaction,
-      [this, alive = mAlive, account = change.mAccount](auto aResult) {
-        if (!*alive) {
-          return;
-        }
-        const time_point now = mTime.Now();
-        if (!aResult.has_value()) {
-          if (aResult.error() == row_store_error::Refused) {
-            mEscrow.OnRefused(account, now);
-          } else {
-            mEscrow.OnUnknown(account, now);
-          }
-          return;
-        }
-        const row_commit& commit = aResult.value();
-        mEscrow.OnStoreTime(commit.mStoreTime, now);
-        if (commit.mCommitted) {
-          mEscrow.OnCommit(account, commit.mVersion, now);
-          Log(log_level::Info,
-              "tokens_granted",
-              { Field("account", account.mName),
-                Field("held", mEscrow.Held(account)),
-                Field("rest", mEscrow.KnownRest(account)),
-                Field("row", commit.mVersion) });
-          return;
-        }
-        std::optional<escrow_row> current;
-        std::uint64_t version = 0;
-        if (!commit.mCurrent.empty() && commit.mCurrent[0].mVersion != 0 &&
-            !commit.mCurrent[0].mRemoved) {
-          current = ParseEscrowRow(commit.mCurrent[0].mValue);
-          version = commit.mCurrent[0].mVersion;
-          if (!current) {
-            Log(log_level::Error,
-                "prepaid_row_unreadable",
-                { Field("account", account.mName), Field("row", version) });
-          }
-        }
-        mEscrow.OnConflict(account, current, version, now);
-      });
-  }
-}
-
-void gateway_node::RunStatement(time_point aNow)
-{
-  const auto change = mEscrow.TakeStatement(aNow);
-  if (!change) {
-    return;
-  }
-  // Every node has a part of its own, so that statements do not queue.
-  const row_key key{ kHoldingTableName,
-                     FormatTcpAddress(mSettings.mPeer),
-                     kHoldingKey };
-  row_transaction transaction;
-  transaction.mConditions.push_back({ key, change->mExpectedVersion });
-  transaction.mWrites.push_back({ key, WriteHoldingRow(change->mRow) });
-  mStore.Commit(transaction, [this, alive = mAlive](auto aResult) {
-    if (!*alive) {
-      return;
-    }
-    if (!aResult.has_value()) {
-      mEscrow.OnStatementFailed(aResult.error() != row_store_error::Refused);
-      return;
-    }
-    const row_commit& commit = aResult.value();
-    mEscrow.OnStoreTime(commit.mStoreTime, mTime.Now());
-    if (commit.mCommitted) {
-      mEscrow.OnStated(commit.mVersion, mTime.Now());
-      return;
-    }
-    std::optional<holding_row> current;
-    std::uint64_t version = 0;
-    if (!commit.mCurrent.empty() && !commit.mCurrent[0].mRemoved) {
-      version = commit.mCurrent[0].mVersion;
-      current = ParseHoldingRow(commit.mCurrent[0].mValue);
-    }
-    const std::int64_t taken =
-      mEscrow.OnStatementConflict(current, version, commit.mStoreTime);
-    Log(log_level::Info,
-        "holdings_conflict",
-        { Field("run", current ? current->mRun : "none"),
-          Field("age_ms",
-                current ? (commit.mStoreTime - current->mStatedAt).count() : 0),
-          Field("taken_over", taken) });
-  });
-}
-
-void gateway_node::Register(time_point aNow)
-{
-  if (mRegistered || mRegistering || aNow < mRegisterAt) {
-    return;
-  }
-  mRegistering = true;
-  row_transaction transaction;
-  transaction.mWrites.push_back(
-    { { kOwnTableName,
-        "",
-        std::string(kNodePrefix) + FormatTcpAddress(mSettings.mPeer) },
-      mRun });
-  mStore.Commit(transaction, [this, alive = mAlive](auto aResult) {
-    if (!*alive) {
-      return;
-    }
-    mRegistering = false;
-    mRegistered = aResult.has_value() && aResult.value().mCommitted;
-    mRegisterAt = mTime.Now() + kRegisterPause;
-  });
-}
-
-void gateway_node::WriteCrash(const std::string& aFingerprint,
-                              const std::string& aServerRun)
-{
-  if (!mCrashes.Add(aFingerprint, aServerRun, mTime.Now()) ||
-      mCrashRowsLeft == 0) {
-    return;
-  }
-  --mCrashRowsLeft;
-  row_transaction transaction;
-  transaction.mWrites.push_back(
-    { { kOwnTableName,
-        "",
-        fmt::format("{}{}/{}", kCrashPrefix, aFingerprint, aServerRun) },
-      mRun });
-  mStore.Commit(transaction, [](auto aResult) {
-    if (!aResult.has_value()) {
-      Log(log_level::Info,
-          "crash_row_not_written",
-          { Field("error", RowStoreErrorName(aResult.error())) });
-    }
-  });
-}
-
 void gateway_node::OnFleetTick()
 {
   const time_point now = mTime.Now();
@@ -615,8 +459,7 @@
 void gateway_node::OnHouseTick()
 {
   const time_point now = mTime.Now();
-  mCrashRowsLeft = kCrashRowsPerPeriod;
-  Register(now);
+  mRows.OnHouseTick(now);
   mRoster.Expire(now);
   mPool.Expire(now);
   mCrashes.Expire(now);
--- a/Source/Core/Gateway/GatewayNode.h
+++ b/Source/Core/Gateway/GatewayNode.h
@@ -6,7 +6,9 @@
 #include <string>
 
 #include "Common/EventLoop.h"
+#include "Gateway/EscrowWriter.h"
 #include "Gateway/FleetLink.h"
+#include "Gateway/FleetRows.h"
 #include "Gateway/GatewaySession.h"
 #include "Gateway/TableFollower.h"
 #include "Net/HttpListener.h"
@@ -57,7 +59,8 @@
   void OnTableRead() override;
 
   void ApplyConfig(const stored_row& aRow);
-  void ApplyOwnRow(const stored_row& aRow);
+  /// Time for which a server whose entry is gone still serves as a last resort.
+  std::chrono::milliseconds LastResort(bool aDoubtful) const;
   void AnswerCall(http_server_connection& aConnection,
                   const http_server_request& aRequest);
   std::vector<stored_row> SnapshotRows() const;
@@ -66,12 +69,6 @@
   void OnFleetTick();
   void OnHouseTick();
   void AdvanceWaiting(time_point aNow);
-  void RunEscrow(time_point aNow);
-  /// Writes what this node holds of the prepaid tokens.
-  void RunStatement(time_point aNow);
-  void Register(time_point aNow);
-  void WriteCrash(const std::string& aFingerprint,
-                  const std::string& aServerRun);
   void ContinueStop(time_point aNow);
 
   gateway_settings mSettings;
@@ -88,6 +85,8 @@
   crash_register mCrashes;
   fleet_view mFleet;
   gateway_metrics mMetrics;
+  escrow_writer mEscrowWriter;
+  fleet_rows mRows;
   gateway_context mContext;
   fleet_link mLink;
 
@@ -106,12 +105,7 @@
   loop_timer mFleetTimer;
   loop_timer mHouseTimer;
 
-  bool mRegistered = false;
-  bool mRegistering = false;
-  time_point mRegisterAt;
   time_point mNextSnapshot;
-  unsigned mCrashRowsLeft = 0;
   std::optional<time_point> mStopBegan;
   bool mStopped = false;
-  std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
 };
--- a/Source/Core/Gateway/GatewaySession.h
+++ b/Source/Core/Gateway/GatewaySession.h
@@ -69,6 +69,9 @@
   std::pair<int, time_point> Order() const { return { mPriority, mArrived }; }
 
 private:
+  /// Retry-After of a refusal whose cause passes within a few hundred ms.
+  static constexpr std::chrono::milliseconds kRefusedRetry{ 200 };
+
   enum class stage : std::uint8_t
   {
     NeedTokens,
@@ -95,6 +98,8 @@
   void NoteEvents();
   void NoteFirstByte();
   void ReleaseUpstream(bool aReusable);
+  /// This node's part of the connections that the server accepts.
+  std::size_t MostIdleConnections() const;
   void DiscardConnection();
   bool Repeatable() const;
   bool MayRepeat(const char* aReason);
--- a/Source/Core/Gateway/GatewayTypes.h
+++ b/Source/Core/Gateway/GatewayTypes.h
@@ -161,8 +161,6 @@
   int mUrgency = 5;
   /// The stream goes on after this event; empty at the first send.
   std::string mResumeAfter;
-  /// Server whose copy of the prompt cache is fetched first; empty for none.
-  std::string mFetchFrom;
 };
 
 /// What the head of a server's response says.
--- a/Source/Core/Gateway/RouteTable.cpp
+++ b/Source/Core/Gateway/RouteTable.cpp
@@ -46,14 +46,6 @@
   return found == mByKey.end() ? nullptr : &mConfig.mAccounts[found->second];
 }
 
-const gateway_account* route_table::FindAccountByName(
-  const account_id& aName) const
-{
-  const auto found =
-    std::ranges::find(mConfig.mAccounts, aName, &gateway_account::mName);
-  return found == mConfig.mAccounts.end() ? nullptr : &*found;
-}
-
 const gateway_service* route_table::FindService(const service_id& aName) const
 {
   const auto found =
--- a/Source/Core/Gateway/RouteTable.h
+++ b/Source/Core/Gateway/RouteTable.h
@@ -22,7 +22,6 @@
                                  std::string_view aPath) const;
   /// Account that holds the key; null when no account does.
   const gateway_account* FindAccount(const std::string& aKey) const;
-  const gateway_account* FindAccountByName(const account_id& aName) const;
   const gateway_service* FindService(const service_id& aName) const;
   bool HasAccounts() const { return !mConfig.mAccounts.empty(); }
 
--- a/Source/Core/Gateway/TokenEscrow.cpp
+++ b/Source/Core/Gateway/TokenEscrow.cpp
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include <nlohmann/json.hpp>
-
 #include "Common/Hash.h"
 
 namespace {
@@ -22,9 +20,6 @@
 constexpr milliseconds kRefusedPause(300);
 // Draws of less than this are not worth a transaction.
 constexpr std::int64_t kSmallestDraw = 256;
-// A need is covered several times over, so that a burst does not draw for
-// each request.
-constexpr std::int64_t kNeedFactor = 4;
 // A draw without a need that brings less than this part of the target is not
 // worth a transaction.
 constexpr std::int64_t kSmallestPart = 8;
@@ -39,47 +34,9 @@
 constexpr std::int64_t kRefillBelow = 3;
 // Difference allowed between the clocks of the store and of nodes.
 constexpr milliseconds kClockMargin(200);
-// A request to another node is sent again after this long, and given up after
-// a few times; one way takes up to 3 ms.
-constexpr milliseconds kAskAgain(25);
-constexpr milliseconds kAskLimit(120);
-// Identities of accepted transfers kept, so that a repeated answer counts once.
-// They rise, so the oldest are dropped first.
-constexpr std::size_t kMostAccepted = 1000;
-// Statements are written at least twice in this time while the store answers.
-constexpr milliseconds kBoundRaiseLimit(1200);
-// Answers are kept for repeated requests.
-constexpr milliseconds kAnswerMemory(2000);
 
 } // namespace
 
-std::string WriteEscrowRow(const escrow_row& aRow)
-{
-  const nlohmann::json json = { { "granted", aRow.mGranted },
-                                { "writer", aRow.mWriter },
-                                { "sequence", aRow.mSequence } };
-  return json.dump();
-}
-
-std::optional<escrow_row> ParseEscrowRow(std::string_view aText)
-{
-  const auto json = nlohmann::json::parse(aText, nullptr, false);
-  if (!json.is_object()) {
-    return std::nullopt;
-  }
-  const auto granted = json.find("granted");
-  const auto writer = json.find("writer");
-  const auto sequence = json.find("sequence");
-  if (granted == json.end() || !granted->is_number_integer() ||
-      writer == json.end() || !writer->is_string() || sequence == json.end() ||
-      !sequence->is_number_unsigned()) {
-    return std::nullopt;
-  }
-  return escrow_row{ granted->get<std::int64_t>(),
-                     writer->get<std::string>(),
-                     sequence->get<std::uint64_t>() };
-}
-
 token_escrow::token_escrow(std::string aRun, const escrow_settings& aSettings)
   : mRun(std::move(aRun))
   , mSettings(aSettings)
@@ -471,142 +428,6 @@
   state.mNotBefore = aNow + kRefusedPause;
 }
 
-std::vector<addressed_request> token_escrow::TakeRequests(std::uint64_t aRun,
-                                                          time_point aNow)
-{
-  std::vector<addressed_request> requests;
-  for (auto& [account, state] : mAccounts) {
-    if (state.mAsked && aNow >= state.mAskEnds) {
-      state.mAsked.reset();
-    }
-    if (state.mAsked) {
-      if (aNow >= state.mAskAgain) {
-        state.mAskAgain = aNow + kAskAgain;
-        requests.push_back(*state.mAsked);
-      }
-      continue;
-    }
-    // The store is asked first; it answers within a few ms unless it is out of
-    // reach or has nothing left.
-    const bool storeMayHelp = aNow >= state.mNotBefore && !state.mUnsettled &&
-                              state.mTotal - state.mGranted >= state.mShort &&
-                              !state.mPending;
-    if (mReturning || state.mShort <= state.Free() || storeMayHelp) {
-      state.mTriedHolders.clear();
-      continue;
-    }
-    const token_holder* holder = NextHolder(account, state);
-    if (holder == nullptr) {
-      state.mTriedHolders.clear();
-      continue;
-    }
-    state.mTriedHolders.push_back(holder->mAddress);
-    token_request request;
-    request.mId = ++mSequence;
-    request.mRun = aRun;
-    request.mAccount = account;
-    request.mNeeded = state.mShort - state.Free();
-    request.mWanted =
-      std::max(request.mNeeded * kNeedFactor, Target(state) - state.Free());
-    state.mAsked = addressed_request{ holder->mAddress, request };
-    state.mAskAgain = aNow + kAskAgain;
-    state.mAskEnds = aNow + kAskLimit;
-    requests.push_back(*state.mAsked);
-  }
-  return requests;
-}
-
-const token_holder* token_escrow::NextHolder(const account_id& aAccount,
-                                             const account_state& aState) const
-{
-  const auto found = mHolders.find(aAccount);
-  if (found == mHolders.end()) {
-    return nullptr;
-  }
-  for (const token_holder& holder : found->second) {
-    const auto tried = std::ranges::find(aState.mTriedHolders, holder.mAddress);
-    if (tried == aState.mTriedHolders.end()) {
-      return &holder;
-    }
-  }
-  return nullptr;
-}
-
-std::optional<token_transfer> token_escrow::Give(const token_request& aRequest,
-                                                 time_point aNow)
-{
-  std::erase_if(mGiven, [aNow](const auto& aPair) {
-    return aNow >= aPair.second.mForgetAt;
-  });
-  const auto key = std::pair(aRequest.mRun, aRequest.mId);
-  const auto known = mGiven.find(key);
-  if (known != mGiven.end()) {
-    return known->second.mTransfer;
-  }
-  const auto found = mAccounts.find(aRequest.mAccount);
-  if (found == mAccounts.end() || aRequest.mNeeded <= 0) {
-    return std::nullopt;
-  }
-  account_state& state = found->second;
-  const std::int64_t available = Available(aRequest.mAccount, state, aNow);
-  if (available < aRequest.mNeeded && state.Free() > available) {
-    // A statement with a higher bound is written before the request comes
-    // again.
-    state.mAskedFor =
-      std::max(state.mAskedFor, std::min(aRequest.mNeeded, state.Free()));
-    mBoundShort = true;
-  }
-  // The last tokens of an account are spread over nodes, so a part of the need
-  // is given as well.
-  const std::int64_t tokens = std::min(
-    available,
-    std::max(aRequest.mNeeded, std::min(aRequest.mWanted, state.Free() / 2)));
-  if (tokens <= 0) {
-    return std::nullopt;
-  }
-  state.mOut += tokens;
-  const token_transfer transfer{
-    aRequest.mId, aRequest.mRun, aRequest.mAccount, tokens
-  };
-  mGiven[key] = { transfer, aNow + kAnswerMemory };
-  return transfer;
-}
-
-void token_escrow::OnTransfer(const token_transfer& aTransfer,
-                              std::uint64_t aRun)
-{
-  const auto found = mAccounts.find(aTransfer.mAccount);
-  if (found == mAccounts.end() || aTransfer.mRun != aRun ||
-      !mAccepted.insert(aTransfer.mId).second) {
-    return;
-  }
-  while (mAccepted.size() > kMostAccepted) {
-    mAccepted.erase(mAccepted.begin());
-  }
-  account_state& state = found->second;
-  state.mAsked.reset();
-  state.mReceived += aTransfer.mTokens;
-  if (state.Free() >= state.mShort) {
-    state.mShort = 0;
-  }
-}
-
-std::vector<std::pair<account_id, std::int64_t>> token_escrow::AllHeld(
-  time_point aNow) const
-{
-  // While the store is out of reach the bounds cannot be raised.
-  const bool bound = aNow >= mLastStated + kBoundRaiseLimit;
-  std::vector<std::pair<account_id, std::int64_t>> held;
-  for (const auto& [account, state] : mAccounts) {
-    const std::int64_t tokens =
-      bound ? Available(account, state, aNow) : state.Free();
-    if (tokens > 0 && !mReturning) {
-      held.emplace_back(account, tokens);
-    }
-  }
-  return held;
-}
-
 std::int64_t token_escrow::Held(const account_id& aAccount) const
 {
   const auto found = mAccounts.find(aAccount);
--- a/Source/Core/Gateway/TokenEscrow.h
+++ b/Source/Core/Gateway/TokenEscrow.h
@@ -13,6 +13,7 @@
 
 #include "Common/Identity.h"
 #include "Common/Time.h"
+#include "Gateway/EscrowRow.h"
 #include "Gateway/HoldingRow.h"
 
 /// Shares the prepaid tokens of accounts between nodes.
@@ -27,19 +28,6 @@
 /// that cannot reach the store may spend everything it holds once its
 /// statements have expired, and then nothing can be taken over.
 
-/// Row of an account. The writer tells a node whose reply was lost whether its
-/// own change is the current one.
-struct escrow_row
-{
-  std::int64_t mGranted = 0;
-  std::string mWriter;
-  std::uint64_t mSequence = 0;
-  auto operator<=>(const escrow_row&) const = default;
-};
-
-std::string WriteEscrowRow(const escrow_row& aRow);
-std::optional<escrow_row> ParseEscrowRow(std::string_view aText);
-
 enum class reserve_verdict : std::uint8_t
 {
   Granted,
@@ -194,6 +182,8 @@
   /// Answers another node; nothing when it has none to give.
   std::optional<token_transfer> Give(const token_request& aRequest,
                                      time_point aNow);
+  /// Whether the request was answered with tokens before.
+  bool Answered(const token_request& aRequest) const;
   void OnTransfer(const token_transfer& aTransfer, std::uint64_t aRun);
   /// Free tokens by account, for the reports.
   std::vector<std::pair<account_id, std::int64_t>> AllHeld(
--- /dev/null
+++ b/Source/Core/Gateway/TokenEscrowPeers.cpp
@@ -0,0 +1,168 @@
+// Transfers of tokens between nodes.
+
+#include "Gateway/TokenEscrow.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// A need is covered several times over, so that a burst does not draw for
+// each request.
+constexpr std::int64_t kNeedFactor = 4;
+// A request to another node is sent again after this long, and given up after
+// a few times; one way takes up to 3 ms.
+constexpr milliseconds kAskAgain(25);
+constexpr milliseconds kAskLimit(120);
+// Identities of accepted transfers kept, so that a repeated answer counts once.
+// They rise, so the oldest are dropped first.
+constexpr std::size_t kMostAccepted = 1000;
+// Statements are written at least twice in this time while the store answers.
+constexpr milliseconds kBoundRaiseLimit(1200);
+// Answers are kept for repeated requests.
+constexpr milliseconds kAnswerMemory(2000);
+
+} // namespace
+
+std::vector<addressed_request> token_escrow::TakeRequests(std::uint64_t aRun,
+                                                          time_point aNow)
+{
+  std::vector<addressed_request> requests;
+  for (auto& [account, state] : mAccounts) {
+    if (state.mAsked && aNow >= state.mAskEnds) {
+      state.mAsked.reset();
+    }
+    if (state.mAsked) {
+      if (aNow >= state.mAskAgain) {
+        state.mAskAgain = aNow + kAskAgain;
+        requests.push_back(*state.mAsked);
+      }
+      continue;
+    }
+    // The store is asked first; it answers within a few ms unless it is out of
+    // reach or has nothing left.
+    const bool storeMayHelp = aNow >= state.mNotBefore && !state.mUnsettled &&
+                              state.mTotal - state.mGranted >= state.mShort &&
+                              !state.mPending;
+    if (mReturning || state.mShort <= state.Free() || storeMayHelp) {
+      state.mTriedHolders.clear();
+      continue;
+    }
+    const token_holder* holder = NextHolder(account, state);
+    if (holder == nullptr) {
+      state.mTriedHolders.clear();
+      continue;
+    }
+    state.mTriedHolders.push_back(holder->mAddress);
+    token_request request;
+    request.mId = ++mSequence;
+    request.mRun = aRun;
+    request.mAccount = account;
+    request.mNeeded = state.mShort - state.Free();
+    request.mWanted =
+      std::max(request.mNeeded * kNeedFactor, Target(state) - state.Free());
+    state.mAsked = addressed_request{ holder->mAddress, request };
+    state.mAskAgain = aNow + kAskAgain;
+    state.mAskEnds = aNow + kAskLimit;
+    requests.push_back(*state.mAsked);
+  }
+  return requests;
+}
+
+const token_holder* token_escrow::NextHolder(const account_id& aAccount,
+                                             const account_state& aState) const
+{
+  const auto found = mHolders.find(aAccount);
+  if (found == mHolders.end()) {
+    return nullptr;
+  }
+  for (const token_holder& holder : found->second) {
+    const auto tried = std::ranges::find(aState.mTriedHolders, holder.mAddress);
+    if (tried == aState.mTriedHolders.end()) {
+      return &holder;
+    }
+  }
+  return nullptr;
+}
+
+std::optional<token_transfer> token_escrow::Give(const token_request& aRequest,
+                                                 time_point aNow)
+{
+  std::erase_if(mGiven, [aNow](const auto& aPair) {
+    return aNow >= aPair.second.mForgetAt;
+  });
+  const auto key = std::pair(aRequest.mRun, aRequest.mId);
+  const auto known = mGiven.find(key);
+  if (known != mGiven.end()) {
+    return known->second.mTransfer;
+  }
+  const auto found = mAccounts.find(aRequest.mAccount);
+  if (found == mAccounts.end() || aRequest.mNeeded <= 0) {
+    return std::nullopt;
+  }
+  account_state& state = found->second;
+  const std::int64_t available = Available(aRequest.mAccount, state, aNow);
+  if (available < aRequest.mNeeded && state.Free() > available) {
+    // A statement with a higher bound is written before the request comes
+    // again.
+    state.mAskedFor =
+      std::max(state.mAskedFor, std::min(aRequest.mNeeded, state.Free()));
+    mBoundShort = true;
+  }
+  // The last tokens of an account are spread over nodes, so a part of the need
+  // is given as well.
+  const std::int64_t tokens = std::min(
+    available,
+    std::max(aRequest.mNeeded, std::min(aRequest.mWanted, state.Free() / 2)));
+  if (tokens <= 0) {
+    return std::nullopt;
+  }
+  state.mOut += tokens;
+  const token_transfer transfer{
+    aRequest.mId, aRequest.mRun, aRequest.mAccount, tokens
+  };
+  mGiven[key] = { transfer, aNow + kAnswerMemory };
+  return transfer;
+}
+
+bool token_escrow::Answered(const token_request& aRequest) const
+{
+  return mGiven.contains({ aRequest.mRun, aRequest.mId });
+}
+
+void token_escrow::OnTransfer(const token_transfer& aTransfer,
+                              std::uint64_t aRun)
+{
+  const auto found = mAccounts.find(aTransfer.mAccount);
+  if (found == mAccounts.end() || aTransfer.mRun != aRun ||
+      !mAccepted.insert(aTransfer.mId).second) {
+    return;
+  }
+  while (mAccepted.size() > kMostAccepted) {
+    mAccepted.erase(mAccepted.begin());
+  }
+  account_state& state = found->second;
+  state.mAsked.reset();
+  state.mReceived += aTransfer.mTokens;
+  if (state.Free() >= state.mShort) {
+    state.mShort = 0;
+  }
+}
+
+std::vector<std::pair<account_id, std::int64_t>> token_escrow::AllHeld(
+  time_point aNow) const
+{
+  // While the store is out of reach the bounds cannot be raised.
+  const bool bound = aNow >= mLastStated + kBoundRaiseLimit;
+  std::vector<std::pair<account_id, std::int64_t>> held;
+  for (const auto& [account, state] : mAccounts) {
+    const std::int64_t tokens =
+      bound ? Available(account, state, aNow) : state.Free();
+    if (tokens > 0 && !mReturning) {
+      held.emplace_back(account, tokens);
+    }
+  }
+  return held;
+}
--- a/Source/Core/Gateway/UpstreamPool.cpp
+++ b/Source/Core/Gateway/UpstreamPool.cpp
@@ -22,10 +22,11 @@
 }
 
 void upstream_pool::Keep(std::unique_ptr<http_client_connection> aConnection,
-                         time_point aUntil)
+                         time_point aUntil,
+                         std::size_t aMost)
 {
   auto& idle = mIdle[aConnection->Address()];
-  if (idle.size() < mMostIdle) {
+  if (idle.size() < aMost) {
     idle.push_back({ std::move(aConnection), aUntil });
   }
 }
--- a/Source/Core/Gateway/UpstreamPool.h
+++ b/Source/Core/Gateway/UpstreamPool.h
@@ -20,15 +20,13 @@
   /// A kept connection to the server, or a new one.
   std::unique_ptr<http_client_connection> Take(const tcp_address& aAddress,
                                                time_point aNow);
-  /// Keeps an idle connection until `aUntil`.
+  /// Keeps an idle connection until `aUntil`, unless `aMost` connections to the
+  /// server are kept already.
   void Keep(std::unique_ptr<http_client_connection> aConnection,
-            time_point aUntil);
+            time_point aUntil,
+            std::size_t aMost);
   /// Drops connections that are over time or were closed by the server.
   void Expire(time_point aNow);
-  /// Drops the kept connections to a server.
-  void Drop(const tcp_address& aAddress) { mIdle.erase(aAddress); }
-  /// Most kept connections to one server.
-  void SetMostIdle(std::size_t aMost) { mMostIdle = aMost; }
 
   std::uint64_t Opened() const { return mOpened; }
 
@@ -40,7 +38,6 @@
   };
 
   tcp_liveness mLiveness;
-  std::size_t mMostIdle = 16;
   std::uint64_t mOpened = 0;
   std::map<tcp_address, std::vector<idle_connection>> mIdle;
 };
--- a/Source/Core/Gateway/UpstreamRoster.cpp
+++ b/Source/Core/Gateway/UpstreamRoster.cpp
@@ -36,20 +36,6 @@
   return static_cast<double>(aTime.count()) / 1000.0;
 }
 
-/// Identity of the shared prompt up to each part, without the request's own
-/// part.
-std::vector<std::pair<std::string, std::int64_t>> SharedChain(
-  const std::vector<prompt_part>& aPrompt)
-{
-  std::vector<std::pair<std::string, std::int64_t>> chain;
-  std::string key;
-  for (std::size_t i = 0; i + 1 < aPrompt.size(); ++i) {
-    key.append(aPrompt[i].mId).push_back('/');
-    chain.emplace_back(key, aPrompt[i].mTokens);
-  }
-  return chain;
-}
-
 } // namespace
 
 upstream_work& upstream_work::operator+=(const upstream_work& aOther)
@@ -68,6 +54,23 @@
   return *this;
 }
 
+upstream_roster::shared_prompt upstream_roster::SharedPrompt(
+  const std::vector<prompt_part>* aPrompt)
+{
+  shared_prompt shared;
+  if (aPrompt == nullptr) {
+    return shared;
+  }
+  std::string key;
+  for (std::size_t i = 0; i + 1 < aPrompt->size(); ++i) {
+    const prompt_part& part = (*aPrompt)[i];
+    key.append(part.mId).push_back('/');
+    shared.mParts.emplace_back(key, part.mTokens);
+    shared.mTokens += part.mTokens;
+  }
+  return shared;
+}
+
 std::uint32_t upstream_roster::KeyOf(const upstream_id& aId)
 {
   return static_cast<std::uint32_t>(StableHash(aId.mName));
@@ -151,16 +154,12 @@
 }
 
 std::int64_t upstream_roster::UncachedTokens(const upstream_record& aRecord,
-                                             const placement_query& aQuery,
-                                             const upstream_id& aHome,
+                                             const shared_prompt& aShared,
                                              time_point aNow) const
 {
   std::int64_t uncached = 0;
-  if (aQuery.mPrompt == nullptr || aRecord.mEntry.mId == aHome) {
-    return uncached;
-  }
   bool held = true;
-  for (const auto& [key, tokens] : SharedChain(*aQuery.mPrompt)) {
+  for (const auto& [key, tokens] : aShared.mParts) {
     if (held) {
       const auto part = mHeldParts.find(key);
       held = false;
@@ -176,29 +175,13 @@
   return uncached;
 }
 
-std::optional<placement> upstream_roster::Choose(const placement_query& aQuery,
-                                                 time_point aNow) const
+std::vector<const upstream_roster::upstream_record*>
+upstream_roster::Candidates(const placement_query& aQuery,
+                            time_point aNow) const
 {
-  const auto service = mServices.find(aQuery.mService.mName);
-  const gateway_service* limits =
-    service == mServices.end() ? nullptr : &service->second;
-  std::string shared;
-  if (aQuery.mPrompt != nullptr) {
-    const auto chain = SharedChain(*aQuery.mPrompt);
-    if (!chain.empty()) {
-      shared = chain.back().first;
-    }
-  }
-  // Usable servers by how sound they are; a worse group serves only when the
-  // better ones are empty.
-  enum group : std::uint8_t
-  {
-    Sound,
-    Suspect,
-    Parting,
-    Groups
-  };
-  std::vector<const upstream_record*> groups[Groups];
+  std::vector<const upstream_record*> sound;
+  std::vector<const upstream_record*> suspect;
+  std::vector<const upstream_record*> leaving;
   for (const auto& [id, record] : mUpstreams) {
     if (record.mEntry.mService != aQuery.mService ||
         std::ranges::find(aQuery.mExcluded, id) != aQuery.mExcluded.end()) {
@@ -206,98 +189,119 @@
     }
     if (record.mUsableUntil) {
       if (aNow < *record.mUsableUntil) {
-        groups[Parting].push_back(&record);
+        leaving.push_back(&record);
       }
     } else if (aNow < record.mSuspectUntil || Silent(record, aNow)) {
-      groups[Suspect].push_back(&record);
+      suspect.push_back(&record);
     } else {
-      groups[Sound].push_back(&record);
+      sound.push_back(&record);
     }
   }
-  for (const auto& candidates : groups) {
-    if (candidates.empty()) {
+  if (!sound.empty()) {
+    return sound;
+  }
+  return suspect.empty() ? leaving : suspect;
+}
+
+std::optional<upstream_roster::rated_placement> upstream_roster::RateEngine(
+  const upstream_record& aRecord,
+  const engine_limits& aLimits,
+  const placement_query& aQuery,
+  const shared_prompt& aShared,
+  bool aHome,
+  time_point aNow) const
+{
+  const upstream_work work = WorkAt(aRecord);
+  const std::int64_t uncached =
+    aHome ? 0 : UncachedTokens(aRecord, aShared, aNow);
+  const std::int64_t read =
+    std::max<std::int64_t>(aQuery.mPromptTokens - aShared.mTokens, 0) +
+    uncached;
+  rated_placement rated;
+  placement& option = rated.mPlacement;
+  option.mWork.mPrefillTokens = read;
+  option.mWork.mKvTokens = aQuery.mPromptTokens + aQuery.mOutputTokens;
+  const auto most = static_cast<std::int64_t>(
+    static_cast<double>(aLimits.mKvTokens) * mSettings.mKvShare);
+  if (work.mRequests > 0 && work.mKvTokens + option.mWork.mKvTokens > most) {
+    return std::nullopt;
+  }
+  option.mWaitMs = aRecord.mSlowness *
+                   static_cast<double>(work.mPrefillTokens) /
+                   mSettings.mPrefillTokensPerMs;
+  if (aNow < aRecord.mGapValidUntil) {
+    option.mOutputMs = aRecord.mEventGapMs * mSettings.mOutputShare *
+                       static_cast<double>(aQuery.mOutputTokens) /
+                       aLimits.mTokensPerEvent;
+  }
+  option.mExpectedMs =
+    aRecord.mSlowness *
+    (static_cast<double>(work.mPrefillTokens + read) /
+       mSettings.mPrefillTokensPerMs +
+     mSettings.mPerRequestMs * static_cast<double>(work.mRequests));
+  rated.mCost = option.mExpectedMs + (mSettings.mRereadWeight - 1.0) *
+                                       static_cast<double>(uncached) /
+                                       mSettings.mPrefillTokensPerMs;
+  return rated;
+}
+
+std::optional<placement> upstream_roster::Choose(const placement_query& aQuery,
+                                                 time_point aNow) const
+{
+  const auto service = mServices.find(aQuery.mService.mName);
+  const bool engine =
+    service != mServices.end() && service->second.mEngine.has_value();
+  const shared_prompt shared = SharedPrompt(aQuery.mPrompt);
+  // A full sound group means waiting, not sending to a doubtful server.
+  const auto candidates = Candidates(aQuery, aNow);
+  // Every node computes the same home for a shared prompt.
+  const upstream_record* home = nullptr;
+  if (!shared.mParts.empty() && !candidates.empty()) {
+    home = *std::ranges::max_element(
+      candidates, {}, [&](const upstream_record* aRecord) {
+        return RendezvousWeight(shared.mParts.back().first,
+                                aRecord->mEntry.mId.mName);
+      });
+  }
+  std::optional<rated_placement> best;
+  for (const upstream_record* record : candidates) {
+    const std::int64_t slots = std::max(record->mEntry.mSlots, 1U);
+    const std::int64_t requests = WorkAt(*record).mRequests;
+    if (requests >= slots) {
       continue;
     }
-    // Every node computes the same home for a shared prompt.
-    upstream_id home;
-    if (!shared.empty()) {
-      const auto best = std::ranges::max_element(
-        candidates, {}, [&](const upstream_record* aRecord) {
-          return RendezvousWeight(shared, aRecord->mEntry.mId.mName);
-        });
-      home = (*best)->mEntry.mId;
-    }
-    std::optional<placement> chosen;
-    double chosenCost = std::numeric_limits<double>::max();
-    for (const upstream_record* record : candidates) {
-      const upstream_work work = WorkAt(*record);
-      const std::uint32_t slots = std::max(record->mEntry.mSlots, 1U);
-      if (work.mRequests >= slots) {
+    std::optional<rated_placement> rated;
+    if (engine) {
+      rated = RateEngine(*record,
+                         *service->second.mEngine,
+                         aQuery,
+                         shared,
+                         record == home,
+                         aNow);
+      if (!rated) {
         continue;
       }
-      placement option;
-      option.mUpstream = record->mEntry.mId;
-      option.mAddress = record->mEntry.mAddress;
-      option.mWork.mRequests = 1;
-      double cost = 0.0;
-      if (limits != nullptr && limits->mEngine) {
-        const std::int64_t uncached =
-          UncachedTokens(*record, aQuery, home, aNow);
-        std::int64_t sharedTokens = 0;
-        if (aQuery.mPrompt != nullptr) {
-          for (const auto& [key, tokens] : SharedChain(*aQuery.mPrompt)) {
-            sharedTokens += tokens;
-          }
-        }
-        const std::int64_t read =
-          std::max<std::int64_t>(aQuery.mPromptTokens - sharedTokens, 0) +
-          uncached;
-        option.mWork.mPrefillTokens = read;
-        option.mWork.mKvTokens = aQuery.mPromptTokens + aQuery.mOutputTokens;
-        const auto most = static_cast<std::int64_t>(
-          static_cast<double>(limits->mEngine->mKvTokens) * mSettings.mKvShare);
-        if (work.mRequests > 0 &&
-            work.mKvTokens + option.mWork.mKvTokens > most) {
-          continue;
-        }
-        const double backlogMs = record->mSlowness *
-                                 static_cast<double>(work.mPrefillTokens) /
-                                 mSettings.mPrefillTokensPerMs;
-        option.mWaitMs = backlogMs;
-        if (aNow < record->mGapValidUntil) {
-          option.mOutputMs = record->mEventGapMs * mSettings.mOutputShare *
-                             static_cast<double>(aQuery.mOutputTokens) /
-                             limits->mEngine->mTokensPerEvent;
-        }
-        option.mExpectedMs =
-          record->mSlowness *
-          (static_cast<double>(work.mPrefillTokens + read) /
-             mSettings.mPrefillTokensPerMs +
-           mSettings.mPerRequestMs * static_cast<double>(work.mRequests));
-        cost = option.mExpectedMs + (mSettings.mRereadWeight - 1.0) *
-                                      static_cast<double>(uncached) /
-                                      mSettings.mPrefillTokensPerMs;
-      } else {
-        option.mExpectedMs = record->mSlowness * kPlainWorkMs;
-        cost = record->mSlowness * kPlainWorkMs *
-               static_cast<double>(work.mRequests + 1) /
-               static_cast<double>(slots);
-      }
-      if (record->mEntry.mZone != aQuery.mZone) {
-        cost += mSettings.mOtherZoneMs;
-      }
-      if (cost < chosenCost) {
-        chosenCost = cost;
-        chosen = option;
-      }
+    } else {
+      rated.emplace();
+      rated->mPlacement.mExpectedMs = record->mSlowness * kPlainWorkMs;
+      rated->mCost = rated->mPlacement.mExpectedMs *
+                     static_cast<double>(requests + 1) /
+                     static_cast<double>(slots);
+    }
+    if (record->mEntry.mZone != aQuery.mZone) {
+      rated->mCost += mSettings.mOtherZoneMs;
     }
-    if (chosen) {
-      return chosen;
+    if (!best || rated->mCost < best->mCost) {
+      best = std::move(rated);
+      best->mPlacement.mUpstream = record->mEntry.mId;
+      best->mPlacement.mAddress = record->mEntry.mAddress;
+      best->mPlacement.mWork.mRequests = 1;
     }
-    // A full sound group means waiting, not sending to a doubtful server.
+  }
+  if (!best) {
     return std::nullopt;
   }
-  return std::nullopt;
+  return std::move(best->mPlacement);
 }
 
 bool upstream_roster::HasUsable(const service_id& aService,
@@ -323,10 +327,8 @@
     record.mOldestSilent = aNow;
   }
   record.mOwn += aPlacement.mWork;
-  if (aQuery.mPrompt != nullptr) {
-    for (const auto& [key, tokens] : SharedChain(*aQuery.mPrompt)) {
-      mHeldParts[key][record.mKey] = aNow + mSettings.mCacheMemory;
-    }
+  for (const auto& [key, tokens] : SharedPrompt(aQuery.mPrompt).mParts) {
+    mHeldParts[key][record.mKey] = aNow + mSettings.mCacheMemory;
   }
 }
 
@@ -421,14 +423,3 @@
   const auto found = mUpstreams.find(aId);
   return found == mUpstreams.end() ? nullptr : &found->second.mEntry;
 }
-
-std::vector<server_entry> upstream_roster::Entries() const
-{
-  std::vector<server_entry> entries;
-  for (const auto& [id, record] : mUpstreams) {
-    if (!record.mUsableUntil) {
-      entries.push_back(record.mEntry);
-    }
-  }
-  return entries;
-}
--- a/Source/Core/Gateway/UpstreamRoster.h
+++ b/Source/Core/Gateway/UpstreamRoster.h
@@ -56,8 +56,6 @@
   const std::vector<prompt_part>* mPrompt = nullptr;
   /// Servers that were tried already.
   std::vector<upstream_id> mExcluded;
-  /// A sound server must be able to start a request for this to be chosen.
-  bool mEngine = false;
 };
 
 struct placement
@@ -122,13 +120,25 @@
   std::vector<std::pair<std::uint32_t, upstream_work>> OwnWork() const;
 
   const server_entry* Find(const upstream_id& aId) const;
-  std::vector<server_entry> Entries() const;
   std::size_t Size() const { return mUpstreams.size(); }
 
   /// Short key of a server in messages between nodes.
   static std::uint32_t KeyOf(const upstream_id& aId);
 
 private:
+  /// The prompt without the request's own part.
+  struct shared_prompt
+  {
+    /// Identity of the prompt up to each part, with the part's tokens.
+    std::vector<std::pair<std::string, std::int64_t>> mParts;
+    std::int64_t mTokens = 0;
+  };
+  struct rated_placement
+  {
+    placement mPlacement;
+    /// Expected time and the harm to other requests, in ms.
+    double mCost = 0.0;
+  };
   struct upstream_record
   {
     server_entry mEntry;
@@ -150,9 +160,20 @@
   };
 
   upstream_work WorkAt(const upstream_record& aRecord) const;
+  static shared_prompt SharedPrompt(const std::vector<prompt_part>* aPrompt);
+  /// Servers of the soundest group that is not empty. A worse group serves only
+  /// when the better ones are empty.
+  std::vector<const upstream_record*> Candidates(const placement_query& aQuery,
+                                                 time_point aNow) const;
+  /// Nothing when the KV cache of the engine is full.
+  std::optional<rated_placement> RateEngine(const upstream_record& aRecord,
+                                            const engine_limits& aLimits,
+                                            const placement_query& aQuery,
+                                            const shared_prompt& aShared,
+                                            bool aHome,
+                                            time_point aNow) const;
   std::int64_t UncachedTokens(const upstream_record& aRecord,
-                              const placement_query& aQuery,
-                              const upstream_id& aHome,
+                              const shared_prompt& aShared,
                               time_point aNow) const;
   bool Silent(const upstream_record& aRecord, time_point aNow) const;
 
@@ -162,7 +183,6 @@
   std::unordered_map<std::uint32_t, upstream_work> mPeerWork;
   /// Prompt part, then server, to the end of the time for which the server is
   /// taken to hold it.
-  mutable std::unordered_map<std::string,
-                             std::unordered_map<std::uint32_t, time_point>>
+  std::unordered_map<std::string, std::unordered_map<std::uint32_t, time_point>>
     mHeldParts;
 };
--- a/Source/Core/Net/HttpConnection.h
+++ b/Source/Core/Net/HttpConnection.h
@@ -103,7 +103,6 @@
   /// Whether the limit for a slow header or an idle connection is past; then
   /// the connection is answered or closed.
   void CheckDeadline(time_point aNow);
-  std::size_t BufferedBytes() const { return mInput.size(); }
   /// New limits; they hold for the wait in progress as well.
   void SetLimits(const http_server_limits& aLimits);
   /// Whether `OnConnectionClosed` was called; then the object may be deleted.
--- a/Source/Core/Net/HttpServerConnection.cpp
+++ b/Source/Core/Net/HttpServerConnection.cpp
@@ -7,6 +7,8 @@
 #include <boost/beast/http/string_body.hpp>
 #include <fmt/format.h>
 
+#include "Net/HttpStatus.h"
+
 #include "Net/HttpConnection.h"
 
 namespace {
@@ -19,17 +21,13 @@
 // Pipelined input beyond the request in progress; more is read later.
 constexpr std::size_t kMostPipelinedBytes = 65536;
 
-constexpr unsigned kBadRequest = 400;
-constexpr unsigned kRequestTimeout = 408;
-constexpr unsigned kContentTooLarge = 413;
-constexpr unsigned kHeaderTooLarge = 431;
-
 unsigned RefusalStatus(const boost::system::error_code& aError)
 {
   if (aError == http::error::header_limit) {
-    return kHeaderTooLarge;
+    return http_status::kHeaderTooLarge;
   }
-  return aError == http::error::body_limit ? kContentTooLarge : kBadRequest;
+  return aError == http::error::body_limit ? http_status::kContentTooLarge
+                                           : http_status::kBadRequest;
 }
 
 std::string FormatHead(const http_server_response& aResponse, bool aKeepAlive)
@@ -281,7 +279,7 @@
     return;
   }
   if (mRequestStarted && !mParser->mParser.is_header_done()) {
-    RefuseInput(kRequestTimeout);
+    RefuseInput(http_status::kRequestTimeout);
   } else if (!mRequestStarted) {
     mClosing = true;
     Finish();
@@ -289,7 +287,7 @@
     // The body may take as long as the connection may be idle.
     mDeadline = aNow + mLimits.mIdleTimeout;
     if (std::exchange(mKeepAlive, false) == false) {
-      RefuseInput(kRequestTimeout);
+      RefuseInput(http_status::kRequestTimeout);
     }
   }
 }
--- /dev/null
+++ b/Source/Core/Net/HttpStatus.h
@@ -0,0 +1,25 @@
+#pragma once
+
+/// Status codes of HTTP (RFC 9110, RFC 6585) that this program sends or tells
+/// apart.
+namespace http_status {
+
+inline constexpr unsigned kOk = 200;
+inline constexpr unsigned kBadRequest = 400;
+inline constexpr unsigned kUnauthorized = 401;
+inline constexpr unsigned kPaymentRequired = 402;
+inline constexpr unsigned kNotFound = 404;
+inline constexpr unsigned kRequestTimeout = 408;
+inline constexpr unsigned kGone = 410;
+inline constexpr unsigned kConditionFailed = 412;
+inline constexpr unsigned kContentTooLarge = 413;
+inline constexpr unsigned kMisdirected = 421;
+inline constexpr unsigned kTooManyRequests = 429;
+inline constexpr unsigned kHeaderTooLarge = 431;
+/// Lowest code of a server error.
+inline constexpr unsigned kFirstServerError = 500;
+inline constexpr unsigned kBadGateway = 502;
+inline constexpr unsigned kServiceUnavailable = 503;
+inline constexpr unsigned kGatewayTimeout = 504;
+
+} // namespace http_status
--- a/Source/Core/Net/TcpStream.cpp
+++ b/Source/Core/Net/TcpStream.cpp
@@ -95,19 +95,6 @@
   return fmt::format("{}:{}", aAddress.mIp, aAddress.mPort);
 }
 
-std::string_view TcpEndName(tcp_end aEnd)
-{
-  switch (aEnd) {
-    case tcp_end::ConnectFailed:
-      return "connect_failed";
-    case tcp_end::Finished:
-      return "finished";
-    case tcp_end::Broken:
-      return "broken";
-  }
-  return "unknown";
-}
-
 struct tcp_stream::watch_source
 {
   GSource mBase;
@@ -292,7 +279,6 @@
                                PendingBytes(),
                                MSG_NOSIGNAL | MSG_DONTWAIT);
     if (count > 0) {
-      mSentAny = true;
       mOutputStart += static_cast<std::size_t>(count);
       continue;
     }
--- a/Source/Core/Net/TcpStream.h
+++ b/Source/Core/Net/TcpStream.h
@@ -36,8 +36,6 @@
   Broken,
 };
 
-std::string_view TcpEndName(tcp_end aEnd);
-
 /// Receives the events of one stream, on the loop.
 class tcp_observer
 {
@@ -81,8 +79,6 @@
   std::size_t PendingBytes() const { return mOutput.size() - mOutputStart; }
   bool Connected() const { return mConnected; }
   bool Closed() const { return mDescriptor < 0; }
-  /// Whether any byte of `Write` reached the kernel.
-  bool SentAny() const { return mSentAny; }
 
   /// Stops or resumes reading. The peer's close is not seen while reading is
   /// stopped.
@@ -117,7 +113,6 @@
   gpointer mTag = nullptr;
   bool mConnected;
   bool mReading = true;
-  bool mSentAny = false;
   bool mCloseAfterDrain = false;
   bool mDrainPending = false;
   std::string mOutput;
--- a/Source/Core/Remote/RowStore.h
+++ b/Source/Core/Remote/RowStore.h
@@ -74,6 +74,8 @@
   bool mMore = false;
   /// Newest version of the store at the time of the read.
   std::uint64_t mVersion = 0;
+  /// The store's clock, where the reply tells it.
+  std::optional<std::chrono::milliseconds> mStoreTime{};
   auto operator<=>(const row_page&) const = default;
 };
 
