Add a fault soak over real gateway processes

The soak runs the gateway program as separate processes on loopback. Callers, model servers, plain servers, the platform's store and the proxies between them live in the soak's own process. Faults come at random, in series and overlapping: SIGTERM, SIGKILL, SIGSTOP, SIGHUP, kills of all nodes; the store down, silent, slow, refusing some nodes, losing replies, performing lost writes seconds later, dropping its history; connections delayed, reset, cut one way or refused; servers that crash, leave, tear or fail responses; configurations.

Twelve promises are checked from what callers and servers saw. Each check has a unit test with a history that breaks it and one that does not.

--- /dev/null
+++ b/Scripts/fault_soak/__main__.py
@@ -0,0 +1,215 @@
+"""Runs gateway nodes as processes under random faults and checks what must hold.
+
+Callers, servers, the store and the proxies between them live in this process;
+the nodes are the real program. Faults come from outside: signals, proxies and
+the store's manners. The exit code is 1 when a promise is broken.
+"""
+
+import argparse
+import asyncio
+import os
+import random
+import signal
+import socket
+import sys
+import tempfile
+
+import aiohttp
+
+import callers
+import nodes as gateway_nodes
+import operator_desk
+import promises
+from callers import Callers
+from faults import Faults
+from history import History, now
+from operator_desk import Operator
+from proxy import Proxy
+from servers import Server
+from store import Store
+
+# Time after the last fault within which service must be back, in seconds.
+RECOVER = 8.0
+# Time of calm service that is judged, in seconds.
+JUDGED = 4.0
+# Time until callers start, in seconds.
+WARM_UP = 3.0
+FIRST_PORT = 7600
+PORTS_PER_NODE = 5
+
+
+def free_network(count):
+    """A part of the loopback network in which no port of ours is taken."""
+    while True:
+        network = f"127.{random.randint(1, 254)}.{random.randint(0, 254)}"
+        try:
+            for host in range(1, count + 1):
+                for port in range(FIRST_PORT, FIRST_PORT + PORTS_PER_NODE):
+                    with socket.socket() as probe:
+                        probe.bind((f"{network}.{host}", port))
+            return network
+        except OSError:
+            continue
+
+
+class Soak:
+    def __init__(self, options, folder):
+        self.options = options
+        self.folder = folder
+        self.random = random.Random(options.seed)
+        self.history = History()
+        self.store = Store()
+        self.store.random = random.Random(options.seed + 1)
+        self.operator = Operator(self.history, self.store, self.random)
+        self.nodes = []
+        self.servers = []
+        self.proxies = {}
+
+    async def open(self):
+        count = self.options.nodes
+        network = free_network(count)
+        own = f"{network}.250"
+        for name, service, engine in [
+            *((f"e-{i}", "engines", True) for i in range(self.options.engines)),
+            *((f"o-{i}", "orders", False) for i in range(3)),
+        ]:
+            server = Server(
+                self.history, self.store, self.random, own, name, service, engine
+            )
+            self.servers.append(server)
+            await server.open()
+        self.operator.write()
+        peer_port = FIRST_PORT + len(gateway_nodes.PORTS)
+        seeds = [f"{network}.{i + 1}:{peer_port}" for i in range(min(3, count))]
+        for i in range(count):
+            address = f"{network}.{i + 1}"
+            node = gateway_nodes.Node(
+                self.history, self.options.binary, self.folder, address, f"n-{i}"
+            )
+            _, port = await self.store.listen(own, node.name)
+            proxy = Proxy()
+            proxy.target = (own, port)
+            await proxy.listen(address)
+            self.proxies[node.name] = proxy
+            node.write_settings(seeds, proxy.port, FIRST_PORT)
+            self.nodes.append(node)
+        for node in self.nodes:
+            await node.start()
+
+    async def run(self):
+        await self.open()
+        await asyncio.sleep(WARM_UP)
+        senders = Callers(self.history, self.nodes, random.Random(self.options.seed))
+        traffic = asyncio.create_task(senders.run(self.options.rate))
+        await asyncio.sleep(1)
+        probing = asyncio.create_task(self.operator.probe(senders, self.nodes))
+        faults = Faults(
+            self.history,
+            self.store,
+            self.proxies,
+            self.nodes,
+            self.servers,
+            self.operator,
+            self.random,
+        )
+        injected = await faults.run(self.options.seconds)
+        calm_from = now()
+        await asyncio.sleep(RECOVER + JUDGED)
+        senders.stopping = True
+        await traffic
+        probing.cancel()
+        # Writes that a lost call still performs, and late runs, come in here.
+        await asyncio.sleep(5)
+        await self.close()
+        return injected, calm_from
+
+    async def close(self):
+        for node in self.nodes:
+            if node.process.returncode is None:
+                await node.stop()
+
+    async def kill(self):
+        """Ends what the soak started, also after an error."""
+        for node in self.nodes:
+            if node.process is not None and node.process.returncode is None:
+                node.signal(signal.SIGCONT)
+                await node.kill()
+
+
+def violations(history, calm_from):
+    checks = {
+        "at most once": promises.at_most_once(history),
+        "true refusals": promises.refusals_are_true(history),
+        "only what was asked": promises.only_asked_requests_run(history),
+        "whole bodies": promises.bodies_are_whole(history),
+        "prepaid": promises.prepaid_holds(
+            history, operator_desk.PREPAID, callers.TOKENS_PER_EVENT
+        ),
+        "retry budget": promises.retries_are_bounded(
+            history,
+            gateway_nodes.RETRY["ratio"],
+            gateway_nodes.RETRY["allowance"],
+            gateway_nodes.RETRY["window_s"],
+        ),
+        "time limits": promises.answers_are_in_time(history),
+        "leaving servers": promises.left_servers_rest(
+            history, gateway_nodes.LEAVE_LIMIT
+        ),
+        "callers that left": promises.work_ends_with_its_caller(history),
+        "configuration": promises.configuration_is_followed(history),
+        "stops": promises.stops_are_clean(history),
+        "recovery": promises.service_recovers(history, calm_from, RECOVER),
+    }
+    return [f"{name}: {text}" for name, found in checks.items() for text in found]
+
+
+async def soak_once(options, folder):
+    soak = Soak(options, folder)
+    try:
+        injected, calm_from = await soak.run()
+    finally:
+        await soak.kill()
+    found = violations(soak.history, calm_from)
+    requests = soak.history.requests.values()
+    served = sum(1 for r in requests if r.complete and r.status == 200)
+    print(
+        f"seed {options.seed}: {len(requests)} requests, {served} served, "
+        f"{len(soak.history.runs)} runs, {injected} faults, "
+        f"{len(soak.history.probes)} probes, {len(found)} violations",
+        flush=True,
+    )
+    for text in found[:20]:
+        print(f"  {text}")
+    return found
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--binary", default="build/Source/LentilSwitch/lentilswitch")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seeds", type=int, default=1, help="number of seeds in turn")
+    parser.add_argument("--seconds", type=float, default=20, help="time of faults")
+    parser.add_argument("--nodes", type=int, default=5)
+    parser.add_argument("--engines", type=int, default=6)
+    parser.add_argument("--rate", type=float, default=60, help="requests a second")
+    parser.add_argument("--logs", help="folder that keeps the logs of broken seeds")
+    options = parser.parse_args()
+    broken = []
+    for seed in range(options.seed, options.seed + options.seeds):
+        options.seed = seed
+        with tempfile.TemporaryDirectory() as folder:
+            if asyncio.run(soak_once(options, folder)):
+                broken.append(seed)
+                if options.logs:
+                    os.makedirs(options.logs, exist_ok=True)
+                    for name in os.listdir(folder):
+                        os.replace(
+                            os.path.join(folder, name),
+                            os.path.join(options.logs, f"{seed}-{name}"),
+                        )
+    print(f"broken seeds: {broken or 'none'}")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/Scripts/fault_soak/callers.py
@@ -0,0 +1,174 @@
+"""Callers: they ask for addresses, connect there themselves and repeat once."""
+
+import asyncio
+
+import aiohttp
+
+from history import Request, now
+
+HOST = "soak.example"
+# Stride of the engines: tokens of one event.
+TOKENS_PER_EVENT = 5
+
+KEYS = {"large": "key-large", "middle": "key-middle", "small": "key-small"}
+
+# kind, service, path, time limit in seconds, weight
+KINDS = [
+    ("streaming", "engines", "/chat/", 6.0, 5),
+    ("non_idempotent", "orders", "/order/", 2.0, 3),
+    ("idempotent", "orders", "/lookup/", 2.0, 3),
+]
+
+
+class Callers:
+    def __init__(self, history, nodes, random):
+        self.history = history
+        self.nodes = nodes
+        self.random = random
+        self.stopping = False
+        self._tasks = set()
+        self._count = 0
+
+    async def run(self, rate):
+        """Starts `rate` requests a second until stopped."""
+        # Several sessions keep connections of their own, as callers do.
+        self.sessions = [
+            aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+            for _ in range(8)
+        ]
+        self.addresses = [[] for _ in self.sessions]
+        self.ask_at = [0.0 for _ in self.sessions]
+        while not self.stopping:
+            await asyncio.sleep(self.random.expovariate(rate))
+            task = asyncio.create_task(self._call())
+            self._tasks.add(task)
+            task.add_done_callback(self._ended)
+        await asyncio.gather(*self._tasks)
+        for session in self.sessions:
+            await session.close()
+
+    def _ended(self, task):
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception():
+            raise task.exception()
+
+    async def _address(self, index):
+        """Address from the directory, kept for the time that it names."""
+        if now() >= self.ask_at[index] or not self.addresses[index]:
+            for node in self.random.sample(self.nodes, min(3, len(self.nodes))):
+                url = f"http://{node.address}:{node.ports['directory']}/v1/resolve"
+                try:
+                    async with self.sessions[index].get(
+                        url,
+                        params={"name": HOST, "region": "r1", "zone": "z1"},
+                        timeout=aiohttp.ClientTimeout(total=1),
+                    ) as response:
+                        answer = await response.json()
+                except (aiohttp.ClientError, asyncio.TimeoutError):
+                    continue
+                if response.status == 200 and answer.get("addresses"):
+                    self.addresses[index] = answer["addresses"]
+                    factor = self.random.choice([1, 1, 3])
+                    self.ask_at[index] = now() + factor * answer["ttlS"]
+                    break
+        known = self.addresses[index]
+        return self.random.choice(known) if known else None
+
+    async def _call(self):
+        weights = [kind[4] for kind in KINDS]
+        kind, service, path, limit, _ = self.random.choices(KINDS, weights)[0]
+        tenant = self.random.choices(list(KEYS), [6, 3, 1])[0]
+        index = self.random.randrange(len(self.sessions))
+        pause = await self._attempt(index, kind, service, path, limit, tenant)
+        if pause is not None and pause < limit / 3:
+            await asyncio.sleep(pause)
+            await self._attempt(index, kind, service, path, limit, tenant)
+
+    async def _attempt(self, index, kind, service, path, limit, tenant):
+        """Returns the pause that a refusal asks for, if any."""
+        address = await self._address(index)
+        node = next(
+            (n for n in self.nodes if address == f"{n.address}:{n.ports['clients']}"),
+            None,
+        )
+        if node is None:
+            return None
+        leaves = 0.0
+        if self.random.random() < 0.05:
+            leaves = self.random.uniform(0.02, 0.4)
+        request = self.make(kind, service, path, limit, tenant, node)
+        await self.send(self.sessions[index], request, leaves)
+        return request.retry_after
+
+    def make(self, kind, service, path, limit, tenant, node):
+        self._count += 1
+        streaming = kind == "streaming"
+        events = self.random.randint(3, 25) if streaming else 0
+        request = Request(
+            id=f"{self.random.getrandbits(64):016x}",
+            kind=kind,
+            service=service,
+            tenant=tenant,
+            path=f"{path}{self.random.randrange(100)}",
+            prompt_tokens=self.random.randint(50, 900) if streaming else 0,
+            output_tokens=events * TOKENS_PER_EVENT,
+            events=events,
+            node=node.name,
+            node_run=node.run,
+            sent_at=now(),
+            time_limit=limit,
+        )
+        request.url = f"http://{node.address}:{node.ports['clients']}{request.path}"
+        self.history.requests[request.id] = request
+        return request
+
+    async def send(self, session, request, leaves=0.0):
+        """Sends the request; the caller closes after `leaves` seconds."""
+        headers = {
+            "Host": HOST,
+            "Lentilswitch-Request-Id": request.id,
+            "Lentilswitch-Deadline-Ms": str(int(request.time_limit * 1000)),
+            "Authorization": "Bearer " + KEYS[request.tenant],
+        }
+        if request.kind == "streaming":
+            headers["Lentilswitch-Model"] = "m"
+            headers["Lentilswitch-Token-Counts"] = (
+                f"{request.prompt_tokens},{request.output_tokens}"
+            )
+            shared = request.prompt_tokens // 2
+            headers["Lentilswitch-Prompt-Prefix"] = (
+                f"{self.random.randrange(6):x}:{shared},"
+                f"{request.id}:{request.prompt_tokens - shared}"
+            )
+        # A node that stands still answers nothing, so callers give up.
+        patience = leaves or request.time_limit + 3
+        try:
+            await asyncio.wait_for(
+                self._exchange(session, request, headers), timeout=patience
+            )
+        except asyncio.TimeoutError:
+            request.left_at = now()
+        except aiohttp.ClientError:
+            # Connections break when nodes end; the promises cover the rest.
+            pass
+        if not request.left_at:
+            request.ended_at = now()
+
+    async def _exchange(self, session, request, headers):
+        async with session.post(
+            request.url,
+            data=b"{}",
+            headers=headers,
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=1),
+        ) as response:
+            request.status = response.status
+            request.stamp = response.headers.get("Lentilswitch-Server-Stamp", "")
+            pause = response.headers.get("Retry-After")
+            request.retry_after = float(pause) if pause else None
+            received = bytearray()
+            try:
+                async for chunk in response.content.iter_any():
+                    received += chunk
+                request.complete = True
+            finally:
+                request.body = bytes(received)
--- /dev/null
+++ b/Scripts/fault_soak/nodes.py
@@ -0,0 +1,98 @@
+"""Gateway nodes: real processes, started, signalled and watched."""
+
+import asyncio
+import json
+import os
+import signal
+
+import aiohttp
+
+# Time from SIGTERM to SIGKILL, in seconds.
+GRACE = 4.0
+PORTS = ["clients", "readiness", "directory"]
+RETRY = {"ratio": 0.2, "allowance": 40, "window_s": 10}
+LEAVE_LIMIT = 2.0
+
+
+class Node:
+    def __init__(self, history, binary, folder, address, name):
+        self.history = history
+        self.binary = binary
+        self.folder = folder
+        self.address = address
+        self.name = name
+        self.ports = {}
+        self.run = 0
+        self.process = None
+        self.busy = False
+        self._asked_to_stop = False
+        self._killed = False
+
+    def write_settings(self, seeds, store_port, first_port):
+        self.ports = {name: first_port + i for i, name in enumerate(PORTS)}
+        settings = {
+            "name": self.name,
+            "zone": "z1",
+            "region": "r1",
+            "host": self.address,
+            "listen": {n: f"{self.address}:{p}" for n, p in self.ports.items()},
+            "peer_port": first_port + len(PORTS),
+            "metrics_port": first_port + len(PORTS) + 1,
+            "seeds": seeds,
+            "store": f"{self.address}:{store_port}",
+            "cpu_share": 1.0,
+            "link_mbps": 1000,
+            "memory_mb": 256,
+            "leave_limit_ms": int(LEAVE_LIMIT * 1000),
+            "grace_s": GRACE,
+            "retry": RETRY,
+        }
+        self.settings = os.path.join(self.folder, f"{self.name}.json")
+        with open(self.settings, "w", encoding="utf-8") as file:
+            json.dump(settings, file)
+
+    async def start(self):
+        self.run += 1
+        self._asked_to_stop = False
+        self._killed = False
+        log = open(os.path.join(self.folder, f"{self.name}.log"), "ab")
+        with log:
+            self.process = await asyncio.create_subprocess_exec(
+                self.binary, "gateway", self.settings, stdout=log, stderr=log
+            )
+        asyncio.create_task(self._watch(self.process, self.run))
+
+    async def _watch(self, process, run):
+        code = await process.wait()
+        # A killed process promises nothing about its exit code.
+        if not self._killed:
+            self.history.exits.append((self.name, run, code, self._asked_to_stop))
+
+    def signal(self, number):
+        if self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def kill(self):
+        self._killed = True
+        self.signal(signal.SIGKILL)
+        await self.process.wait()
+
+    async def stop(self):
+        """Asks the node to stop, and kills it after the time of grace."""
+        self._asked_to_stop = True
+        self.signal(signal.SIGTERM)
+        try:
+            await asyncio.wait_for(self.process.wait(), GRACE)
+        except asyncio.TimeoutError:
+            self.history.exits.append((self.name, self.run, "a kill", True))
+            await self.kill()
+
+    async def ready(self, session):
+        url = f"http://{self.address}:{self.ports['readiness']}/v1/readiness"
+        try:
+            async with session.get(
+                url, timeout=aiohttp.ClientTimeout(total=1)
+            ) as response:
+                return response.status == 200
+        except (aiohttp.ClientError, asyncio.TimeoutError):
+            return False
--- /dev/null
+++ b/Scripts/fault_soak/proxy.py
@@ -0,0 +1,65 @@
+"""A TCP proxy on loopback that harms the connections through it."""
+
+import asyncio
+
+# Bytes read at once.
+CHUNK = 16384
+
+
+class Proxy:
+    def __init__(self):
+        self.target = None
+        self.port = 0
+        # Seconds that each chunk waits.
+        self.delay = 0.0
+        # Directions whose bytes are swallowed: "up" to the target, "down" back.
+        self.silenced = set()
+        # New connections are accepted and never served.
+        self.refusing = False
+        self._connections = set()
+        self._server = None
+
+    async def listen(self, address, port=0):
+        self._server = await asyncio.start_server(self._serve, address, port)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def reset_connections(self):
+        for writer in list(self._connections):
+            writer.transport.abort()
+
+    async def close(self):
+        self._server.close()
+        self.reset_connections()
+
+    async def _serve(self, reader, writer):
+        self._connections.add(writer)
+        other = None
+        try:
+            if self.refusing or self.target is None:
+                return
+            from_target, other = await asyncio.open_connection(*self.target)
+            self._connections.add(other)
+            await asyncio.gather(
+                self._copy(reader, other, "up"), self._copy(from_target, writer, "down")
+            )
+        except OSError:
+            # The target does not listen, or either end broke: so does the pair.
+            pass
+        finally:
+            for end in (writer, other):
+                if end is not None:
+                    self._connections.discard(end)
+                    end.transport.abort()
+
+    async def _copy(self, reader, writer, direction):
+        while chunk := await reader.read(CHUNK):
+            if self.delay:
+                await asyncio.sleep(self.delay)
+            if direction in self.silenced:
+                continue
+            writer.write(chunk)
+            await writer.drain()
+        # An end of either side ends the pair once what was read is written.
+        await writer.drain()
+        await asyncio.sleep(0.01)
+        writer.close()
--- /dev/null
+++ b/Scripts/fault_soak/servers.py
@@ -0,0 +1,186 @@
+"""Model servers and plain servers that record what they run."""
+
+import asyncio
+import time
+
+from aiohttp import web
+
+import promises
+from history import Arrival, Run, now
+from proxy import Proxy
+
+# Time between entries in the store, in seconds.
+HEARTBEAT = 1.2
+# A server that has announced its end serves for this long, in seconds.
+LEAVE = 2.0
+
+
+class Server:
+    def __init__(self, history, store, random, address, name, service, engine):
+        self.history = history
+        self.store = store
+        self.random = random
+        self.address = address
+        self.name = name
+        self.service = service
+        self.engine = engine
+        self.slots = 16 if engine else 12
+        self.proxy = Proxy()
+        self.running = 0
+        self.sequence = 0
+        self.runs = 0
+        self.state = "ready"
+        # Shares of responses that break off or fail.
+        self.torn_share = 0.0
+        self.error_share = 0.0
+        self._runner = None
+        self._heartbeat = None
+
+    async def open(self):
+        await self.proxy.listen(self.address)
+        await self.start()
+
+    async def start(self):
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
+        self.running = 0
+        self.state = "ready"
+        self.history.left_servers.pop(self.name, None)
+        app = web.Application()
+        app.router.add_route("*", "/{path:.*}", self._serve)
+        self._runner = web.AppRunner(app, access_log=None)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, self.address, 0, shutdown_timeout=0.1)
+        await site.start()
+        port = site._server.sockets[0].getsockname()[1]
+        self.proxy.target = (self.address, port)
+        self._heartbeat = asyncio.create_task(self._beat())
+
+    async def crash(self):
+        """Ends at once; the entry stays until it lapses."""
+        self._heartbeat.cancel()
+        self.proxy.target = None
+        self.proxy.reset_connections()
+        await self._runner.cleanup()
+
+    async def leave(self):
+        """Announces the end, serves a while longer and ends."""
+        self.state = "draining"
+        self._write()
+        self.history.left_servers[self.name] = now()
+        await asyncio.sleep(LEAVE * 2)
+        await self.crash()
+        self.store.remove("servers", self.name)
+
+    def _write(self):
+        self.sequence += 1
+        self.store.put(
+            "servers",
+            self.name,
+            {
+                "service": self.service,
+                "address": f"{self.address}:{self.proxy.port}",
+                "zone": "z1",
+                "version": "1",
+                "slots": self.slots,
+                "state": self.state,
+                "coldRemainingMs": 0,
+                "seq": self.sequence,
+                "born": self.born,
+            },
+        )
+
+    async def _beat(self):
+        while True:
+            self._write()
+            await asyncio.sleep(HEARTBEAT)
+
+    def _refusal(self, request, status):
+        return web.Response(
+            status=status,
+            headers={
+                "Lentilswitch-Not-Executed": "1",
+                "Lentilswitch-Request-Id": request.headers.get(
+                    "Lentilswitch-Request-Id", ""
+                ),
+            },
+        )
+
+    async def _serve(self, request):
+        request_id = request.headers.get("Lentilswitch-Request-Id", "")
+        await request.read()
+        self.history.arrivals.append(
+            Arrival(request_id, self.service, self.name, now())
+        )
+        if request.headers.get("Lentilswitch-Expect-Instance") != self.name:
+            return self._refusal(request, 421)
+        if self.running >= self.slots:
+            return self._refusal(request, 503)
+        self.runs += 1
+        run = Run(
+            id=request_id,
+            server=self.name,
+            service=self.service,
+            tenant=request.headers.get("Lentilswitch-Tenant", ""),
+            path=request.path,
+            started_at=now(),
+            resumed_after=int(request.headers.get("Last-Event-Id", "0")),
+            stamp=f"{self.name}.{self.born}.{self.runs}",
+        )
+        self.history.runs.append(run)
+        self.running += 1
+        try:
+            if self.engine:
+                return await self._stream(request, run)
+            return await self._plain(request, run)
+        except ConnectionError:
+            # The caller left; what it received is in the run's record.
+            return None
+        finally:
+            self.running -= 1
+            run.ended_at = now()
+
+    def _headers(self, run):
+        return {
+            "Lentilswitch-Request-Id": run.id,
+            "Lentilswitch-Server-Stamp": run.stamp,
+        }
+
+    async def _plain(self, request, run):
+        await asyncio.sleep(self.random.uniform(0.005, 0.05))
+        if self.random.random() < self.torn_share:
+            request.transport.abort()
+            raise ConnectionError("torn on purpose")
+        if self.random.random() < self.error_share:
+            run.status = 500
+        return web.Response(
+            status=run.status,
+            body=promises.plain_body(run.id, run.stamp),
+            headers=self._headers(run),
+        )
+
+    async def _stream(self, request, run):
+        asked = self.history.requests.get(run.id)
+        events = asked.events if asked else 1
+        response = web.StreamResponse(headers=self._headers(run))
+        response.content_type = "text/event-stream"
+        response.enable_chunked_encoding()
+        await asyncio.sleep(0.02 + 0.004 * self.running)
+        await response.prepare(request)
+        torn_at = 0
+        if self.random.random() < self.torn_share:
+            torn_at = self.random.randint(run.resumed_after + 1, events)
+        for number in range(run.resumed_after + 1, events + 1):
+            if request.transport is None or request.transport.is_closing():
+                raise ConnectionError("the caller left")
+            event = promises.event(run.id, number)
+            if number == torn_at:
+                # Half an event, then the end of the connection.
+                await response.write(event[: len(event) // 2])
+                request.transport.abort()
+                raise ConnectionError("torn on purpose")
+            await response.write(event)
+            run.events_sent += 1
+            await asyncio.sleep(self.random.uniform(0.01, 0.04))
+        await response.write_eof()
+        return response
