Keep reports small, draw tokens for missed requests, let plain servers queue

The largest sends 100 requests/s to a host with a link of 10 Mbit/s. Reports of 3.7 KB to 16 nodes five times a second took a quarter of that link in both directions, so store calls took a second and connects to servers over 350 ms. Draws brought a 73rd of the rest each, and only served requests counted as use. Requests that the host kept open made all slots of the plain service seem taken, so other hosts refused 2,600 requests for idle servers. Ruled out: the directory, whose answers do not name that host to these callers.

Reports name peers and accounts by key, hold four addresses in rotation, and are packed. Missed requests count as use, the first period counts as a rate after two seconds, and a draw leaves a fair part to the nodes that use the account instead of to all. A plain server takes up to twice its slots from all nodes together; the node's own part stays within the slots.

--- a/Source/Core/Gateway/Fleet.capnp
+++ b/Source/Core/Gateway/Fleet.capnp
@@ -6,7 +6,8 @@
 # `capnp compile -oc++ Fleet.capnp` in this folder.
 
 struct PeerAge {
-  address @0 :Text;
+  # Hash of the node's datagram address.
+  key @0 :UInt32;
   # Time since anything was heard of the node, in milliseconds.
   ageMs @1 :UInt32;
 }
@@ -28,6 +29,8 @@
   ready @4 :Bool;
   leaving @5 :Bool;
   peers @6 :List(PeerAge);
+  # Datagram addresses of some peers, others in each round.
+  named @11 :List(Text);
   work @7 :List(UpstreamLoad);
   configVersion @8 :UInt64;
   held @9 :List(HeldTokens);
@@ -36,8 +39,9 @@
 }
 
 struct HeldTokens {
-  account @0 :Text;
-  tokens @1 :Int64;
+  # Hash of the account's name.
+  account @0 :UInt32;
+  tokens @1 :UInt64;
 }
 
 # Asks a node for prepaid tokens that it was granted and does not need.
--- a/Source/Core/Gateway/Fleet.capnp.h
+++ b/Source/Core/Gateway/Fleet.capnp.h
@@ -39,7 +39,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b1abbd637aad6f99, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(b1abbd637aad6f99, 1, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -69,7 +69,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(baf5b9cbfe87216a, 4, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(baf5b9cbfe87216a, 4, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -84,7 +84,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e94d5515a6c81dc0, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(e94d5515a6c81dc0, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -190,8 +190,7 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAddress() const;
-  inline  ::capnp::Text::Reader getAddress() const;
+  inline  ::uint32_t getKey() const;
 
   inline  ::uint32_t getAgeMs() const;
 
@@ -223,12 +222,8 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAddress();
-  inline  ::capnp::Text::Builder getAddress();
-  inline void setAddress( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAddress(unsigned int size);
-  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+  inline  ::uint32_t getKey();
+  inline void setKey( ::uint32_t value);
 
   inline  ::uint32_t getAgeMs();
   inline void setAgeMs( ::uint32_t value);
@@ -395,6 +390,9 @@
 
   inline double getCapacity() const;
 
+  inline bool hasNamed() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getNamed() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -480,6 +478,14 @@
   inline double getCapacity();
   inline void setCapacity(double value);
 
+  inline bool hasNamed();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getNamed();
+  inline void setNamed( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setNamed(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initNamed(unsigned int size);
+  inline void adoptNamed(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownNamed();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -523,10 +529,9 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAccount() const;
-  inline  ::capnp::Text::Reader getAccount() const;
+  inline  ::uint32_t getAccount() const;
 
-  inline  ::int64_t getTokens() const;
+  inline  ::uint64_t getTokens() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -556,15 +561,11 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAccount();
-  inline  ::capnp::Text::Builder getAccount();
-  inline void setAccount( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAccount(unsigned int size);
-  inline void adoptAccount(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAccount();
+  inline  ::uint32_t getAccount();
+  inline void setAccount( ::uint32_t value);
 
-  inline  ::int64_t getTokens();
-  inline void setTokens( ::int64_t value);
+  inline  ::uint64_t getTokens();
+  inline void setTokens( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1097,52 +1098,32 @@
 
 // =======================================================================================
 
-inline bool PeerAge::Reader::hasAddress() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool PeerAge::Builder::hasAddress() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader PeerAge::Reader::getAddress() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder PeerAge::Builder::getAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void PeerAge::Builder::setAddress( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder PeerAge::Builder::initAddress(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::uint32_t PeerAge::Reader::getKey() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void PeerAge::Builder::adoptAddress(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint32_t PeerAge::Builder::getKey() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> PeerAge::Builder::disownAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void PeerAge::Builder::setKey( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::uint32_t PeerAge::Reader::getAgeMs() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
 inline  ::uint32_t PeerAge::Builder::getAgeMs() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 inline void PeerAge::Builder::setAgeMs( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::uint32_t UpstreamLoad::Reader::getKey() const {
@@ -1475,54 +1456,72 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool HeldTokens::Reader::hasAccount() const {
+inline bool NodeReport::Reader::hasNamed() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline bool HeldTokens::Builder::hasAccount() {
+inline bool NodeReport::Builder::hasNamed() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader HeldTokens::Reader::getAccount() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader NodeReport::Reader::getNamed() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder HeldTokens::Builder::getAccount() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder NodeReport::Builder::getNamed() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline void HeldTokens::Builder::setAccount( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void NodeReport::Builder::setNamed( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder HeldTokens::Builder::initAccount(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline void NodeReport::Builder::setNamed(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
 }
-inline void HeldTokens::Builder::adoptAccount(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder NodeReport::Builder::initNamed(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
 }
-inline ::capnp::Orphan< ::capnp::Text> HeldTokens::Builder::disownAccount() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void NodeReport::Builder::adoptNamed(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> NodeReport::Builder::disownNamed() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t HeldTokens::Reader::getTokens() const {
-  return _reader.getDataField< ::int64_t>(
+inline  ::uint32_t HeldTokens::Reader::getAccount() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t HeldTokens::Builder::getTokens() {
-  return _builder.getDataField< ::int64_t>(
+inline  ::uint32_t HeldTokens::Builder::getAccount() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void HeldTokens::Builder::setTokens( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
+inline void HeldTokens::Builder::setAccount( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t HeldTokens::Reader::getTokens() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HeldTokens::Builder::getTokens() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void HeldTokens::Builder::setTokens( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool TokenRequest::Reader::hasAddress() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Source/Core/Gateway/FleetLink.cpp
+++ b/Source/Core/Gateway/FleetLink.cpp
@@ -186,8 +186,10 @@
 
 void fleet_link::SendReports()
 {
-  const std::string bytes = WritePeerDatagram(mView.ComposeReport(mTime.Now()));
-  for (const std::string& target : mView.Targets(++mRound)) {
+  ++mRound;
+  const std::string bytes =
+    WritePeerDatagram(mView.ComposeReport(mRound, mTime.Now()));
+  for (const std::string& target : mView.Targets(mRound)) {
     Send(target, bytes);
   }
 }
--- a/Source/Core/Gateway/FleetView.cpp
+++ b/Source/Core/Gateway/FleetView.cpp
@@ -19,10 +19,18 @@
 constexpr std::size_t kMostTargets = 16;
 // Peers named in one report, so that it fits a datagram.
 constexpr std::size_t kMostPeersNamed = 400;
+// Peers whose address a report holds in full.
+constexpr std::size_t kAddressesPerReport = 4;
 // Resolution of a hash as a share.
 constexpr std::uint64_t kHashPoints = 1000;
+
 } // namespace
 
+std::uint32_t NodeKey(const std::string& aAddress)
+{
+  return static_cast<std::uint32_t>(StableHash(aAddress));
+}
+
 fleet_view::fleet_view(node_report aSelf)
   : mSelf(std::move(aSelf))
 {
@@ -31,8 +39,17 @@
 void fleet_view::AddCandidate(const std::string& aAddress)
 {
   if (aAddress != mSelf.mAddress) {
-    mPeers.try_emplace(aAddress);
+    Peer(aAddress);
+  }
+}
+
+fleet_view::peer_state& fleet_view::Peer(const std::string& aAddress)
+{
+  const auto [found, added] = mPeers.try_emplace(aAddress);
+  if (added) {
+    mAddresses[NodeKey(aAddress)] = aAddress;
   }
+  return found->second;
 }
 
 void fleet_view::OnReport(const node_report& aReport, time_point aNow)
@@ -40,16 +57,19 @@
   if (aReport.mAddress == mSelf.mAddress) {
     return;
   }
-  peer_state& sender = mPeers[aReport.mAddress];
+  peer_state& sender = Peer(aReport.mAddress);
   sender.mReport = aReport;
   sender.mHeard = aNow;
   sender.mReported = aNow;
-  for (const auto& [address, age] : aReport.mPeers) {
-    if (address == mSelf.mAddress) {
-      continue;
+  for (const std::string& address : aReport.mNamed) {
+    AddCandidate(address);
+  }
+  for (const auto& [key, age] : aReport.mPeers) {
+    const auto address = mAddresses.find(key);
+    if (address != mAddresses.end()) {
+      peer_state& peer = Peer(address->second);
+      peer.mHeard = std::max(peer.mHeard, aNow - age);
     }
-    peer_state& peer = mPeers[address];
-    peer.mHeard = std::max(peer.mHeard, aNow - age);
   }
 }
 
@@ -58,15 +78,23 @@
   return aPeer.mHeard != time_point() && aNow < aPeer.mHeard + kPeerTimeout;
 }
 
-node_report fleet_view::ComposeReport(time_point aNow) const
+node_report fleet_view::ComposeReport(std::uint64_t aRound,
+                                      time_point aNow) const
 {
   node_report report = mSelf;
+  std::vector<std::string> live;
   for (const auto& [address, peer] : mPeers) {
     if (Alive(peer, aNow) && report.mPeers.size() < kMostPeersNamed) {
       report.mPeers.emplace_back(
-        address, std::chrono::duration_cast<milliseconds>(aNow - peer.mHeard));
+        NodeKey(address),
+        std::chrono::duration_cast<milliseconds>(aNow - peer.mHeard));
+      live.push_back(address);
     }
   }
+  const std::size_t named = std::min(kAddressesPerReport, live.size());
+  for (std::size_t i = 0; i < named; ++i) {
+    report.mNamed.push_back(live[(aRound * named + i) % live.size()]);
+  }
   return report;
 }
 
--- a/Source/Core/Gateway/FleetView.h
+++ b/Source/Core/Gateway/FleetView.h
@@ -25,16 +25,21 @@
   std::uint64_t mRun = 0;
   bool mReady = false;
   bool mLeaving = false;
-  /// Other nodes with the age of the last news of them.
-  std::vector<std::pair<std::string, std::chrono::milliseconds>> mPeers;
+  /// Other nodes, by `NodeKey`, with the age of the last news of them.
+  std::vector<std::pair<std::uint32_t, std::chrono::milliseconds>> mPeers;
+  /// Addresses of some of them, so that all nodes learn all addresses in time.
+  std::vector<std::string> mNamed;
   std::vector<std::pair<std::uint32_t, upstream_work>> mWork;
   std::uint64_t mConfigVersion = 0;
   /// Capacity relative to other nodes.
   double mCapacity = 1.0;
-  /// Free prepaid tokens of this node.
-  std::vector<std::pair<account_id, std::int64_t>> mHeld;
+  /// Free prepaid tokens of this node, by `AccountKey`.
+  std::vector<std::pair<std::uint32_t, std::int64_t>> mHeld;
 };
 
+/// Short key of a node in the reports of others.
+std::uint32_t NodeKey(const std::string& aAddress);
+
 class fleet_view
 {
 public:
@@ -48,7 +53,7 @@
   void OnReport(const node_report& aReport, time_point aNow);
 
   /// This node's report with what it knows of the others.
-  node_report ComposeReport(time_point aNow) const;
+  node_report ComposeReport(std::uint64_t aRound, time_point aNow) const;
   /// Addresses to send the report to in this round; a bounded number.
   std::vector<std::string> Targets(std::uint64_t aRound) const;
 
@@ -79,7 +84,9 @@
   };
 
   bool Alive(const peer_state& aPeer, time_point aNow) const;
+  peer_state& Peer(const std::string& aAddress);
 
   node_report mSelf;
   std::map<std::string, peer_state> mPeers;
+  std::unordered_map<std::uint32_t, std::string> mAddresses;
 };
--- a/Source/Core/Gateway/GatewaySession.cpp
+++ b/Source/Core/Gateway/GatewaySession.cpp
@@ -119,6 +119,9 @@
     Answer(http_status::kPaymentRequired, "larger_than_prepaid", std::nullopt);
   } else if (verdict == reserve_verdict::Exhausted ||
              aNow >= mArrived + kTokenWait) {
+    if (verdict == reserve_verdict::Awaiting) {
+      mContext.mEscrow.OnMissed(mAccount->mName, need, aNow);
+    }
     Refuse(verdict == reserve_verdict::Exhausted ? "prepaid_exhausted"
                                                  : "prepaid_unavailable",
            kTokenRetry);
--- a/Source/Core/Gateway/PeerDatagram.cpp
+++ b/Source/Core/Gateway/PeerDatagram.cpp
@@ -1,11 +1,10 @@
 #include "Gateway/PeerDatagram.h"
 
 #include <algorithm>
-#include <cstring>
 #include <utility>
 
 #include <capnp/message.h>
-#include <capnp/serialize.h>
+#include <capnp/serialize-packed.h>
 #include <kj/exception.h>
 
 #include "Gateway/Fleet.capnp.h"
@@ -15,6 +14,9 @@
 using std::chrono::milliseconds;
 
 constexpr std::int64_t kMostUint32 = 0xffffffff;
+// Words of an unpacked message that are read at most: 64 KB, several times the
+// report of a fleet of 2,000 nodes.
+constexpr std::uint64_t kMostWords = 65536;
 
 std::uint32_t Narrow(std::int64_t aValue)
 {
@@ -39,7 +41,7 @@
   aRoot.setCapacity(aReport.mCapacity);
   auto peers = aRoot.initPeers(static_cast<unsigned>(aReport.mPeers.size()));
   for (unsigned i = 0; i < peers.size(); ++i) {
-    peers[i].setAddress(aReport.mPeers[i].first);
+    peers[i].setKey(aReport.mPeers[i].first);
     peers[i].setAgeMs(Narrow(aReport.mPeers[i].second.count()));
   }
   auto work = aRoot.initWork(static_cast<unsigned>(aReport.mWork.size()));
@@ -52,8 +54,13 @@
   }
   auto held = aRoot.initHeld(static_cast<unsigned>(aReport.mHeld.size()));
   for (unsigned i = 0; i < held.size(); ++i) {
-    held[i].setAccount(aReport.mHeld[i].first.mName);
-    held[i].setTokens(aReport.mHeld[i].second);
+    held[i].setAccount(aReport.mHeld[i].first);
+    held[i].setTokens(static_cast<std::uint64_t>(
+      std::max<std::int64_t>(aReport.mHeld[i].second, 0)));
+  }
+  auto named = aRoot.initNamed(static_cast<unsigned>(aReport.mNamed.size()));
+  for (unsigned i = 0; i < named.size(); ++i) {
+    named.set(i, aReport.mNamed[i]);
   }
 }
 
@@ -69,8 +76,7 @@
   report.mConfigVersion = aRoot.getConfigVersion();
   report.mCapacity = aRoot.getCapacity();
   for (const auto peer : aRoot.getPeers()) {
-    report.mPeers.emplace_back(ReadText(peer.getAddress()),
-                               milliseconds(peer.getAgeMs()));
+    report.mPeers.emplace_back(peer.getKey(), milliseconds(peer.getAgeMs()));
   }
   for (const auto work : aRoot.getWork()) {
     report.mWork.emplace_back(work.getKey(),
@@ -79,8 +85,11 @@
                                              work.getKvTokens() });
   }
   for (const auto held : aRoot.getHeld()) {
-    report.mHeld.emplace_back(account_id{ ReadText(held.getAccount()) },
-                              held.getTokens());
+    report.mHeld.emplace_back(held.getAccount(),
+                              static_cast<std::int64_t>(held.getTokens()));
+  }
+  for (const auto name : aRoot.getNamed()) {
+    report.mNamed.push_back(ReadText(name));
   }
   return report;
 }
@@ -136,22 +145,21 @@
   } else {
     Write(root.initTransfer(), std::get<token_transfer>(aDatagram));
   }
-  const auto words = capnp::messageToFlatArray(message);
-  const auto bytes = words.asBytes();
+  kj::VectorOutputStream packed;
+  capnp::writePackedMessage(packed, message);
+  const auto bytes = packed.getArray();
   return { reinterpret_cast<const char*>(bytes.begin()), bytes.size() };
 }
 
 std::optional<peer_datagram> ParsePeerDatagram(std::string_view aBytes)
 {
-  const std::size_t words = aBytes.size() / sizeof(capnp::word);
-  if (words == 0 || aBytes.size() % sizeof(capnp::word) != 0) {
-    return std::nullopt;
-  }
-  auto aligned = kj::heapArray<capnp::word>(words);
-  std::memcpy(aligned.begin(), aBytes.data(), aBytes.size());
   std::optional<peer_datagram> datagram;
   const auto failure = kj::runCatchingExceptions([&] {
-    capnp::FlatArrayMessageReader reader(aligned);
+    kj::ArrayInputStream bytes(kj::arrayPtr(
+      reinterpret_cast<const kj::byte*>(aBytes.data()), aBytes.size()));
+    capnp::ReaderOptions limits;
+    limits.traversalLimitInWords = kMostWords;
+    capnp::PackedMessageReader reader(bytes, limits);
     const auto root = reader.getRoot<fleet_wire::PeerDatagram>();
     switch (root.which()) {
       case fleet_wire::PeerDatagram::REPORT:
--- a/Source/Core/Gateway/TokenEscrow.cpp
+++ b/Source/Core/Gateway/TokenEscrow.cpp
@@ -13,6 +13,8 @@
 constexpr std::size_t kMostFirstNodes = 16;
 // Period over which the use of an account is measured.
 constexpr std::chrono::seconds kUsePeriod(4);
+// Part of the first period after which its use counts as a rate.
+constexpr std::chrono::duration<double> kShortestUsePeriod(2.0);
 // Pause after a conflict, doubled up to the limit; spread by node.
 constexpr milliseconds kFirstBackoff(8);
 constexpr unsigned kMostBackoffDoublings = 6;
@@ -74,7 +76,7 @@
 
 std::int64_t token_escrow::HeldElsewhere(const account_id& aAccount) const
 {
-  const auto found = mHolders.find(aAccount);
+  const auto found = mHolders.find(AccountKey(aAccount));
   std::int64_t sum = 0;
   if (found != mHolders.end()) {
     for (const token_holder& holder : found->second) {
@@ -95,6 +97,15 @@
   state.mUsedNow += static_cast<double>(aUsed);
 }
 
+void token_escrow::OnMissed(const account_id& aAccount,
+                            std::int64_t aTokens,
+                            time_point aNow)
+{
+  account_state& state = mAccounts[aAccount];
+  Roll(state, aNow);
+  state.mUsedNow += static_cast<double>(aTokens);
+}
+
 bool token_escrow::Expired(time_point aNow) const
 {
   return std::ranges::none_of(mStatements, [aNow](const statement& aEntry) {
@@ -130,7 +141,7 @@
     std::chrono::duration<double>(mSettings.mStatementLife).count() +
     std::chrono::duration<double>(mSettings.mStatementPeriod).count();
   const double ahead =
-    UsedPerSecond(aState) * life + aState.mMeanNeed * kBoundRequests;
+    UsedPerSecond(aState, aNow) * life + aState.mMeanNeed * kBoundRequests;
   const std::int64_t needed = std::max(aState.mShort, aState.mAskedFor);
   return std::min(aState.mReceived,
                   aState.mOut + needed + static_cast<std::int64_t>(ahead));
@@ -253,15 +264,21 @@
   aState.mPeriodEnds = aNow + kUsePeriod;
 }
 
-double token_escrow::UsedPerSecond(const account_state& aState) const
+double token_escrow::UsedPerSecond(const account_state& aState,
+                                   time_point aNow) const
 {
-  return std::max(aState.mUsedBefore, aState.mUsedNow) /
-         static_cast<double>(kUsePeriod.count());
+  const std::chrono::duration<double> period = kUsePeriod;
+  const std::chrono::duration<double> left = aState.mPeriodEnds - aNow;
+  const double elapsed =
+    std::clamp(period - left, kShortestUsePeriod, period).count();
+  return std::max(aState.mUsedBefore / period.count(),
+                  aState.mUsedNow / elapsed);
 }
 
-std::int64_t token_escrow::Target(const account_state& aState) const
+std::int64_t token_escrow::Target(const account_state& aState,
+                                  time_point aNow) const
 {
-  const double use = UsedPerSecond(aState) * mSettings.mHorizonSeconds;
+  const double use = UsedPerSecond(aState, aNow) * mSettings.mHorizonSeconds;
   const double first = static_cast<double>(aState.mTotal) *
                        mSettings.mFirstShare / static_cast<double>(mNodes);
   // Shares of a large fleet would be smaller than a request.
@@ -271,17 +288,26 @@
          static_cast<std::int64_t>(aState.mMeanNeed) * kHeldRequests;
 }
 
-std::int64_t token_escrow::DrawAmount(const account_state& aState) const
+std::int64_t token_escrow::Sharers(const account_id& aAccount) const
+{
+  const auto found = mHolders.find(AccountKey(aAccount));
+  const std::size_t others = found == mHolders.end() ? 0 : found->second.size();
+  return static_cast<std::int64_t>(std::min(others + 1, mNodes));
+}
+
+std::int64_t token_escrow::DrawAmount(const account_id& aAccount,
+                                      const account_state& aState,
+                                      time_point aNow) const
 {
   const std::int64_t rest = aState.mTotal - aState.mGranted;
-  const std::int64_t target = Target(aState);
+  const std::int64_t target = Target(aState, aNow);
   const bool needed = aState.mShort > aState.Free();
   if (rest <= 0 ||
       (!needed && aState.Free() * kRefillParts >= target * kRefillBelow)) {
     return 0;
   }
   // Other nodes need tokens as well, so one draw leaves most of the rest.
-  const std::int64_t fair = rest / static_cast<std::int64_t>(mNodes + 1);
+  const std::int64_t fair = rest / (Sharers(aAccount) + 1);
   std::int64_t amount = std::min(target - aState.Free(), fair);
   if (needed) {
     amount = std::max(amount, aState.mShort - aState.Free());
@@ -301,7 +327,7 @@
     return std::max<std::int64_t>(available, 0);
   }
   const auto kept = static_cast<std::int64_t>(
-    static_cast<double>(Target(aState)) * mSettings.mReturnFactor);
+    static_cast<double>(Target(aState, aNow)) * mSettings.mReturnFactor);
   const std::int64_t spare = std::min(aState.Free() - kept, available);
   // Small amounts are kept; they are likely to be used.
   return spare > kept / 2 ? spare : 0;
@@ -315,7 +341,7 @@
       continue;
     }
     Roll(state, aNow);
-    std::int64_t amount = mReturning ? 0 : DrawAmount(state);
+    std::int64_t amount = mReturning ? 0 : DrawAmount(account, state, aNow);
     if (amount == 0 && state.mRowKnown) {
       const std::int64_t returned = ReturnAmount(account, state, aNow);
       // Tokens on their way back can no longer be spent here.
--- a/Source/Core/Gateway/TokenEscrow.h
+++ b/Source/Core/Gateway/TokenEscrow.h
@@ -66,8 +66,12 @@
   auto operator<=>(const token_holder&) const = default;
 };
 
-/// Holders of each account, the one with most tokens first.
-using token_holders = std::unordered_map<account_id, std::vector<token_holder>>;
+/// Short key of an account in messages between nodes.
+std::uint32_t AccountKey(const account_id& aAccount);
+
+/// Holders of each account, by `AccountKey`, the one with most tokens first.
+using token_holders =
+  std::unordered_map<std::uint32_t, std::vector<token_holder>>;
 
 /// Asks another node for tokens that it was granted and does not need. Works
 /// while the store is out of reach, and when all tokens are granted.
@@ -140,6 +144,12 @@
               std::int64_t aUsed,
               time_point aNow);
 
+  /// A request was refused for lack of tokens. Its size counts as use, so that
+  /// a node whose store is slow still asks for what its callers need.
+  void OnMissed(const account_id& aAccount,
+                std::int64_t aTokens,
+                time_point aNow);
+
   /// Changes to write now; at most one per account at a time.
   std::vector<escrow_change> TakeChanges(time_point aNow);
   /// Returns everything that is not reserved; used at the end of the process.
@@ -185,8 +195,8 @@
   /// Whether the request was answered with tokens before.
   bool Answered(const token_request& aRequest) const;
   void OnTransfer(const token_transfer& aTransfer, std::uint64_t aRun);
-  /// Free tokens by account, for the reports.
-  std::vector<std::pair<account_id, std::int64_t>> AllHeld(
+  /// Free tokens by `AccountKey`, for the reports.
+  std::vector<std::pair<std::uint32_t, std::int64_t>> AllHeld(
     time_point aNow) const;
 
   std::int64_t Held(const account_id& aAccount) const;
@@ -248,9 +258,14 @@
   };
 
   void Roll(account_state& aState, time_point aNow) const;
-  double UsedPerSecond(const account_state& aState) const;
-  std::int64_t Target(const account_state& aState) const;
-  std::int64_t DrawAmount(const account_state& aState) const;
+  /// Of the current and the previous period, whichever is higher.
+  double UsedPerSecond(const account_state& aState, time_point aNow) const;
+  std::int64_t Target(const account_state& aState, time_point aNow) const;
+  /// Nodes that use the account, this one included.
+  std::int64_t Sharers(const account_id& aAccount) const;
+  std::int64_t DrawAmount(const account_id& aAccount,
+                          const account_state& aState,
+                          time_point aNow) const;
   std::int64_t ReturnAmount(const account_id& aAccount,
                             const account_state& aState,
                             time_point aNow) const;
--- a/Source/Core/Gateway/TokenEscrowPeers.cpp
+++ b/Source/Core/Gateway/TokenEscrowPeers.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "Common/Hash.h"
+
 namespace {
 
 using std::chrono::milliseconds;
@@ -26,6 +28,11 @@
 
 } // namespace
 
+std::uint32_t AccountKey(const account_id& aAccount)
+{
+  return static_cast<std::uint32_t>(StableHash(aAccount.mName));
+}
+
 std::vector<addressed_request> token_escrow::TakeRequests(std::uint64_t aRun,
                                                           time_point aNow)
 {
@@ -61,8 +68,8 @@
     request.mRun = aRun;
     request.mAccount = account;
     request.mNeeded = state.mShort - state.Free();
-    request.mWanted =
-      std::max(request.mNeeded * kNeedFactor, Target(state) - state.Free());
+    request.mWanted = std::max(request.mNeeded * kNeedFactor,
+                               Target(state, aNow) - state.Free());
     state.mAsked = addressed_request{ holder->mAddress, request };
     state.mAskAgain = aNow + kAskAgain;
     state.mAskEnds = aNow + kAskLimit;
@@ -74,7 +81,7 @@
 const token_holder* token_escrow::NextHolder(const account_id& aAccount,
                                              const account_state& aState) const
 {
-  const auto found = mHolders.find(aAccount);
+  const auto found = mHolders.find(AccountKey(aAccount));
   if (found == mHolders.end()) {
     return nullptr;
   }
@@ -151,17 +158,17 @@
   }
 }
 
-std::vector<std::pair<account_id, std::int64_t>> token_escrow::AllHeld(
+std::vector<std::pair<std::uint32_t, std::int64_t>> token_escrow::AllHeld(
   time_point aNow) const
 {
   // While the store is out of reach the bounds cannot be raised.
   const bool bound = aNow >= mLastStated + kBoundRaiseLimit;
-  std::vector<std::pair<account_id, std::int64_t>> held;
+  std::vector<std::pair<std::uint32_t, std::int64_t>> held;
   for (const auto& [account, state] : mAccounts) {
     const std::int64_t tokens =
       bound ? Available(account, state, aNow) : state.Free();
     if (tokens > 0 && !mReturning) {
-      held.emplace_back(account, tokens);
+      held.emplace_back(AccountKey(account), tokens);
     }
   }
   return held;
--- a/Source/Core/Gateway/UpstreamRoster.cpp
+++ b/Source/Core/Gateway/UpstreamRoster.cpp
@@ -28,6 +28,10 @@
 constexpr milliseconds kGapMemory(1000);
 // Prompt parts remembered; beyond it the memory starts anew.
 constexpr std::size_t kMostHeldParts = 20000;
+// Requests of all nodes at a plain server, in parts of its slots. Those of a
+// node with a slow link are open long after the server has answered, so a
+// server whose slots seem taken may be idle.
+constexpr std::int64_t kPlainQueueFactor = 2;
 // Assumed work of a plain request, in ms, to compare loads of servers.
 constexpr double kPlainWorkMs = 30.0;
 
@@ -267,7 +271,8 @@
   for (const upstream_record* record : candidates) {
     const std::int64_t slots = std::max(record->mEntry.mSlots, 1U);
     const std::int64_t requests = WorkAt(*record).mRequests;
-    if (requests >= slots) {
+    const std::int64_t most = engine ? slots : slots * kPlainQueueFactor;
+    if (record->mOwn.mRequests >= slots || requests >= most) {
       continue;
     }
     std::optional<rated_placement> rated;
--- a/Source/UnitTests/Gateway/FleetTest.cpp
+++ b/Source/UnitTests/Gateway/FleetTest.cpp
@@ -112,16 +112,48 @@
   fleet_view view(Report("a"));
   view.OnReport(Report("c"), kNow);
   node_report relay = Report("b");
-  relay.mPeers.emplace_back("c:7000", milliseconds(100));
+  relay.mPeers.emplace_back(NodeKey("c:7000"), milliseconds(100));
   view.OnReport(relay, kNow + milliseconds(3000));
   EXPECT_EQ(view.LiveNodes(kNow + milliseconds(3000)), 3U);
 }
 
+// Reports relay keys only, so addresses must spread by themselves.
+TEST(FleetViewTest, LearnsAllAddressesFromOnePeer)
+{
+  fleet_view view(Report("a"));
+  fleet_view seed(Report("b"));
+  for (unsigned i = 0; i < 70; ++i) {
+    seed.OnReport(Report("n" + std::to_string(i)), kNow);
+  }
+  for (std::uint64_t round = 1; round <= 20; ++round) {
+    view.OnReport(seed.ComposeReport(round, kNow), kNow);
+  }
+  EXPECT_EQ(view.LiveNodes(kNow), 72U);
+}
+
+// Reports of 3.7 KB took a quarter of the link of the smallest hosts.
+TEST(PeerDatagramTest, ReportOfALargeFleetIsSmall)
+{
+  constexpr std::size_t kMostBytes = 1400;
+  fleet_view view(Report("10.1.0.40"));
+  for (unsigned i = 0; i < 72; ++i) {
+    view.OnReport(Report("10.1.0." + std::to_string(100 + i)),
+                  kNow - milliseconds(13 * i));
+  }
+  node_report report = view.ComposeReport(1, kNow);
+  for (unsigned i = 0; i < 24; ++i) {
+    report.mHeld.emplace_back(AccountKey(account_id{ std::to_string(i) }),
+                              123456 + i);
+    report.mWork.emplace_back(1000003U * i, upstream_work{ 2, 17000, 21000 });
+  }
+  EXPECT_LT(WritePeerDatagram(report).size(), kMostBytes);
+}
+
 TEST(PeerDatagramTest, KeepsReportsAndRefusesDamage)
 {
   node_report report = Report("a");
   report.mWork.emplace_back(7, upstream_work{ 1, 2, 3 });
-  report.mHeld.emplace_back(account_id{ "clinic" }, 55);
+  report.mHeld.emplace_back(AccountKey(account_id{ "clinic" }), 55);
   const std::string bytes = WritePeerDatagram(report);
   const auto parsed = ParsePeerDatagram(bytes);
   ASSERT_TRUE(parsed);
--- a/Source/UnitTests/Gateway/PlacementTest.cpp
+++ b/Source/UnitTests/Gateway/PlacementTest.cpp
@@ -102,6 +102,31 @@
   EXPECT_GE(chosen.size(), 2U);
 }
 
+// One host with a slow link held more requests open than a service has slots,
+// and all other hosts refused theirs while its servers were idle.
+TEST_F(placement_test, OtherNodesOpenRequestsDoNotFillAPlainServer)
+{
+  constexpr std::int64_t kSlots = 6;
+  server_entry plain = Entry("p-1");
+  plain.mService = service_id{ "orders" };
+  plain.mSlots = kSlots;
+  mRoster.Apply(plain, mNow);
+  placement_query query;
+  query.mService = plain.mService;
+  const std::uint32_t key = upstream_roster::KeyOf(plain.mId);
+  mRoster.SetPeerWork({ { key, upstream_work{ kSlots, 0, 0 } } });
+  EXPECT_TRUE(mRoster.Choose(query, mNow));
+  mRoster.SetPeerWork({ { key, upstream_work{ 2 * kSlots, 0, 0 } } });
+  EXPECT_FALSE(mRoster.Choose(query, mNow));
+  mRoster.SetPeerWork({});
+  for (std::int64_t i = 0; i < kSlots; ++i) {
+    const auto placement = mRoster.Choose(query, mNow);
+    ASSERT_TRUE(placement);
+    mRoster.Begin(*placement, query, mNow);
+  }
+  EXPECT_FALSE(mRoster.Choose(query, mNow));
+}
+
 // Running requests that exceed the memory of an engine are put back and read
 // again.
 TEST_F(placement_test, KeepsWithinTheMemoryOfAnEngine)
--- a/Source/UnitTests/Gateway/TokenEscrowTest.cpp
+++ b/Source/UnitTests/Gateway/TokenEscrowTest.cpp
@@ -185,6 +185,21 @@
   EXPECT_EQ(row->mGranted, node.mEscrow->Held(kAccount));
 }
 
+// An account whose callers all use one host of a large fleet was given a 73rd
+// of the rest with each draw, and only for requests that were served.
+TEST_F(token_escrow_test, DrawsForMissedRequestsOfASoleUser)
+{
+  constexpr std::int64_t kMissed = 4000;
+  escrow_node node = MakeNode("a");
+  node.mEscrow->SetNodes(72);
+  Run(node, milliseconds(1000));
+  for (unsigned i = 0; i < 5; ++i) {
+    node.mEscrow->OnMissed(kAccount, kMissed, mNow);
+  }
+  Run(node, milliseconds(50));
+  EXPECT_GE(node.mEscrow->Held(kAccount), 5 * kMissed);
+}
+
 // The write of an unanswered call may be applied seconds later.
 TEST_F(token_escrow_test, LateWriteGrantsNothingTwice)
 {
@@ -317,7 +332,7 @@
       }
       token_holders holders;
       for (const auto& node : nodes) {
-        holders[kAccount].push_back(
+        holders[AccountKey(kAccount)].push_back(
           { node->mHost, node->mEscrow->Held(kAccount) });
       }
       for (auto& node : nodes) {
