--- a/Scripts/fault_soak/__main__.py
+++ b/Scripts/fault_soak/__main__.py
@@ -34,6 +34,10 @@
 JUDGED = 4.0
 # Time until callers start, in seconds.
 WARM_UP = 3.0
+# Period of the check of this process's own delay, and the delay beyond which
+# what it sees of times says nothing, in seconds.
+LAG_PERIOD = 0.05
+MOST_LAG = 0.15
 FIRST_PORT = 7600
 PORTS_PER_NODE = 5
 
@@ -98,6 +102,7 @@
 
     async def run(self):
         await self.open()
+        lag = asyncio.create_task(self.watch_lag())
         await asyncio.sleep(WARM_UP)
         senders = Callers(self.history, self.nodes, random.Random(self.options.seed))
         traffic = asyncio.create_task(senders.run(self.options.rate))
@@ -121,8 +126,19 @@
         # Writes that a lost call still performs, and late runs, come in here.
         await asyncio.sleep(5)
         await self.close()
+        lag.cancel()
         return injected, calm_from
 
+    async def watch_lag(self):
+        """Records when this process, and so its view of time, stood still."""
+        while True:
+            before = now()
+            await asyncio.sleep(LAG_PERIOD)
+            late = now() - before - LAG_PERIOD
+            if late > MOST_LAG:
+                self.history.fault("observer", "all", 0)
+                self.history.faults[-1].began_at = before
+
     async def close(self):
         for node in self.nodes:
             if node.process.returncode is None:
--- a/Scripts/fault_soak/servers.py
+++ b/Scripts/fault_soak/servers.py
@@ -149,7 +149,8 @@
     async def _plain(self, request, run):
         await asyncio.sleep(self.random.uniform(0.005, 0.05))
         if self.random.random() < self.torn_share:
-            request.transport.abort()
+            if request.transport is not None:
+                request.transport.abort()
             raise ConnectionError("torn on purpose")
         if self.random.random() < self.error_share:
             run.status = 500
@@ -177,7 +178,8 @@
             if number == torn_at:
                 # Half an event, then the end of the connection.
                 await response.write(event[: len(event) // 2])
-                request.transport.abort()
+                if request.transport is not None:
+                    request.transport.abort()
                 raise ConnectionError("torn on purpose")
             await response.write(event)
             run.events_sent += 1
--- a/Scripts/fault_soak/store.py
+++ b/Scripts/fault_soak/store.py
@@ -109,7 +109,9 @@
         elif lost:
             self._commit(body)
         if lost:
-            request.transport.abort()
+            # A proxy may have ended the connection already.
+            if request.transport is not None:
+                request.transport.abort()
             return web.Response(status=503)
         current = self._commit(body)
         if current is None:
--- a/Source/Core/Gateway/FleetLink.cpp
+++ b/Source/Core/Gateway/FleetLink.cpp
@@ -16,6 +16,7 @@
 #include "Common/Log.h"
 #include "Gateway/Fleet.capnp.h"
 #include "Net/HttpStatus.h"
+#include "Net/LinkTraffic.h"
 
 namespace {
 
@@ -181,7 +182,9 @@
                               MSG_DONTWAIT | MSG_NOSIGNAL,
                               reinterpret_cast<const sockaddr*>(&native),
                               sizeof native);
-  static_cast<void>(sent);
+  if (sent > 0) {
+    ProcessTraffic().mSent += static_cast<std::uint64_t>(sent);
+  }
 }
 
 void fleet_link::SendReports()
@@ -218,6 +221,7 @@
     if (size <= 0) {
       return;
     }
+    ProcessTraffic().mReceived += static_cast<std::uint64_t>(size);
     const auto datagram =
       ParsePeerDatagram({ sBuffer.data(), static_cast<std::size_t>(size) });
     if (datagram) {
--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -126,6 +126,7 @@
                   mRows.WriteCrash(aFingerprint, aServerRun);
                 } }
   , mLink(mFleet, mEscrow, mTime, [this] { return SnapshotRows(); })
+  , mLinkGuard(mSettings.mLinkBytesPerSecond)
   , mConfigTable(mStore,
                  mTime,
                  mDialect.ConfigTable(),
@@ -260,6 +261,10 @@
   mContext.mConfigDoubtful =
     !mConfigTable.Read() ||
     mTime.Now() > mConfigTable.LastContact() + kConfigDoubt;
+  if (mLinkGuard.Busy()) {
+    // The client's next request finds a host with room.
+    aConnection.SetClosing();
+  }
   auto session = std::make_unique<gateway_session>(
     mContext,
     aConnection,
@@ -425,9 +430,27 @@
   }
 }
 
+void gateway_node::GuardLink(time_point aNow)
+{
+  const bool wasBusy = mLinkGuard.Busy();
+  mLinkGuard.Update(ProcessTraffic(), aNow);
+  const bool busy = mLinkGuard.Busy();
+  if (busy != wasBusy) {
+    Log(log_level::Info,
+        busy ? "link_full" : "link_free",
+        { Field("use", fmt::format("{:.2f}", mLinkGuard.Use())),
+          Field("open_requests", mSessions.size()) });
+  }
+  std::string error;
+  if (!mFront->SetAccepting(!busy, error)) {
+    Log(log_level::Error, "clients_address_lost", { Field("error", error) });
+  }
+}
+
 void gateway_node::OnFleetTick()
 {
   const time_point now = mTime.Now();
+  GuardLink(now);
   const bool ready = Ready();
   if (std::exchange(mFleet.Self().mReady, ready) != ready) {
     Log(log_level::Info, "readiness_changed", { Field("ready", ready) });
--- a/Source/Core/Gateway/GatewayNode.h
+++ b/Source/Core/Gateway/GatewayNode.h
@@ -10,6 +10,7 @@
 #include "Gateway/FleetLink.h"
 #include "Gateway/FleetRows.h"
 #include "Gateway/GatewaySession.h"
+#include "Gateway/LinkGuard.h"
 #include "Gateway/TableFollower.h"
 #include "Net/HttpListener.h"
 
@@ -68,6 +69,8 @@
   void OnRequestTick();
   void OnFleetTick();
   void OnHouseTick();
+  /// Takes no connections while the link of the host is full.
+  void GuardLink(time_point aNow);
   void AdvanceWaiting(time_point aNow);
   void ContinueStop(time_point aNow);
 
@@ -89,6 +92,7 @@
   fleet_rows mRows;
   gateway_context mContext;
   fleet_link mLink;
+  link_guard mLinkGuard;
 
   table_follower mConfigTable;
   table_follower mUpstreamTable;
--- a/Source/Core/Gateway/GatewaySettings.cpp
+++ b/Source/Core/Gateway/GatewaySettings.cpp
@@ -116,6 +116,7 @@
 constexpr double kMostMbps = 1000000;
 // Traffic that one core forwards; a node at 0.03 cores moves about 6 Mbit/s.
 constexpr double kMbpsPerCore = 200;
+constexpr double kBytesPerMbit = 125000;
 constexpr double kMostMilliseconds = 600000;
 constexpr double kMostSeconds = 600;
 constexpr double kMostAllowance = 1000000;
@@ -166,9 +167,10 @@
   settings.mMemoryBytes =
     static_cast<std::uint64_t>(root.Number("memory_mb", 1, kMostMemoryMb)) *
     kBytesPerMb;
+  const double linkMbps = root.Number("link_mbps", 0, kMostMbps);
   settings.mCapacity =
-    std::min(root.Number("cpu_share", 0, kMostCores),
-             root.Number("link_mbps", 0, kMostMbps) / kMbpsPerCore);
+    std::min(root.Number("cpu_share", 0, kMostCores), linkMbps / kMbpsPerCore);
+  settings.mLinkBytesPerSecond = linkMbps * kBytesPerMbit;
   settings.mLeaveLimit =
     Milliseconds(root.Number("leave_limit_ms", 1, kMostMilliseconds));
   constexpr double kMsPerSecond = 1000;
--- a/Source/Core/Gateway/GatewaySettings.h
+++ b/Source/Core/Gateway/GatewaySettings.h
@@ -34,6 +34,8 @@
   /// Processor share of a core that the host may use, or what its link allows
   /// if that is less. Hosts of a fleet differ tenfold.
   double mCapacity = 1.0;
+  /// Capacity of the host's link in each direction, in bytes per second.
+  double mLinkBytesPerSecond = 0.0;
   retry_limits mRetries;
   /// A server that leaves gets no request later than this after the store knew.
   std::chrono::milliseconds mLeaveLimit{ 2000 };
--- /dev/null
+++ b/Source/Core/Gateway/LinkGuard.cpp
@@ -0,0 +1,41 @@
+#include "Gateway/LinkGuard.h"
+
+#include <algorithm>
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Parts of the capacity at which a pause begins and ends. Headers of packets
+// and acknowledgements, which are not counted, take about a tenth.
+constexpr double kBusyUse = 0.75;
+constexpr double kCalmUse = 0.6;
+// Weight of the newest period.
+constexpr double kUseGain = 0.5;
+// A host that takes no connections for seconds counts as broken, so pauses are
+// short and followed by a time in which clients get through.
+constexpr milliseconds kLongestPause(1000);
+constexpr milliseconds kOpenTime(300);
+
+} // namespace
+
+void link_guard::Update(const link_traffic& aTraffic, time_point aNow)
+{
+  const std::chrono::duration<double> elapsed = aNow - mLastAt;
+  const bool first = mLastAt == time_point();
+  const auto moved = static_cast<double>(std::max(
+    aTraffic.mReceived - mLast.mReceived, aTraffic.mSent - mLast.mSent));
+  mLast = aTraffic;
+  mLastAt = aNow;
+  if (first || mCapacity <= 0.0 || elapsed.count() <= 0.0) {
+    return;
+  }
+  mUse += kUseGain * (moved / elapsed.count() / mCapacity - mUse);
+  if (mBusy && (mUse < kCalmUse || aNow >= mBusyUntil)) {
+    mBusy = false;
+    mOpenUntil = aNow + kOpenTime;
+  } else if (!mBusy && mUse > kBusyUse && aNow >= mOpenUntil) {
+    mBusy = true;
+    mBusyUntil = aNow + kLongestPause;
+  }
+}
--- a/Source/Core/Net/HttpListener.cpp
+++ b/Source/Core/Net/HttpListener.cpp
@@ -49,6 +49,15 @@
   }
 }
 
+bool http_listener::SetAccepting(bool aAccepting, std::string& aError)
+{
+  if (aAccepting) {
+    return mListener->Resume(aError);
+  }
+  mListener->Pause();
+  return true;
+}
+
 void http_listener::SetClosing()
 {
   mClosing = true;
--- a/Source/Core/Net/HttpListener.h
+++ b/Source/Core/Net/HttpListener.h
@@ -24,6 +24,9 @@
   void CheckDeadlines(time_point aNow);
   /// Lets every response close its connection and ends idle connections.
   void CloseIdle();
+  /// Refuses or takes new connections; false when the address cannot be bound
+  /// again.
+  bool SetAccepting(bool aAccepting, std::string& aError);
   /// Announces the end of the connection in every later response.
   void SetClosing();
   std::size_t Open() const { return mConnections.size(); }
--- a/Source/Core/Net/TcpStream.cpp
+++ b/Source/Core/Net/TcpStream.cpp
@@ -15,6 +15,7 @@
 #include <glib-unix.h>
 
 #include "Common/Log.h"
+#include "Net/LinkTraffic.h"
 
 namespace {
 
@@ -226,6 +227,7 @@
     const ssize_t count =
       recv(mDescriptor, sBuffer.data(), sBuffer.size(), MSG_DONTWAIT);
     if (count > 0) {
+      ProcessTraffic().mReceived += static_cast<std::uint64_t>(count);
       mObserver->OnData({ sBuffer.data(), static_cast<std::size_t>(count) });
       if (static_cast<std::size_t>(count) < sBuffer.size()) {
         return;
@@ -267,6 +269,7 @@
                                MSG_NOSIGNAL | MSG_DONTWAIT);
     if (count > 0) {
       mOutputStart += static_cast<std::size_t>(count);
+      ProcessTraffic().mSent += static_cast<std::uint64_t>(count);
       continue;
     }
     if (errno == EINTR) {
@@ -355,13 +358,34 @@
                                                    acceptor& aAcceptor,
                                                    std::string& aError)
 {
+  auto listener =
+    std::unique_ptr<tcp_listener>(new tcp_listener(aAddress, aAcceptor));
+  return listener->Resume(aError) ? std::move(listener) : nullptr;
+}
+
+tcp_listener::tcp_listener(tcp_address aAddress, acceptor& aAcceptor)
+  : mAddress(std::move(aAddress))
+  , mAcceptor(aAcceptor)
+{
+}
+
+tcp_listener::~tcp_listener()
+{
+  Close();
+}
+
+bool tcp_listener::Resume(std::string& aError)
+{
+  if (mDescriptor >= 0) {
+    return true;
+  }
   const int descriptor = NewSocket();
   if (descriptor < 0) {
     aError = std::strerror(errno);
-    return nullptr;
+    return false;
   }
   SetOption(descriptor, SOL_SOCKET, SO_REUSEADDR, 1);
-  sockaddr_in native = NativeAddress(aAddress);
+  sockaddr_in native = NativeAddress(mAddress);
   socklen_t size = sizeof native;
   if (bind(descriptor, reinterpret_cast<sockaddr*>(&native), size) != 0 ||
       listen(descriptor, kAcceptBacklog) != 0 ||
@@ -369,47 +393,50 @@
         0) {
     aError = std::strerror(errno);
     close(descriptor);
-    return nullptr;
+    return false;
   }
-  tcp_address bound = aAddress;
-  bound.mPort = ntohs(native.sin_port);
-  return std::unique_ptr<tcp_listener>(
-    new tcp_listener(descriptor, std::move(bound), aAcceptor));
+  mAddress.mPort = ntohs(native.sin_port);
+  mDescriptor = descriptor;
+  mWatch = g_unix_fd_add(descriptor, G_IO_IN, OnReadable, this);
+  return true;
 }
 
-tcp_listener::tcp_listener(int aDescriptor,
-                           tcp_address aAddress,
-                           acceptor& aAcceptor)
-  : mDescriptor(aDescriptor)
-  , mAddress(std::move(aAddress))
-  , mAcceptor(aAcceptor)
-  , mWatch(g_unix_fd_add(aDescriptor, G_IO_IN, OnReadable, this))
+void tcp_listener::Pause()
 {
+  if (mDescriptor >= 0) {
+    // Clients that are connected already may have sent their request.
+    AcceptPending(kAcceptBacklog);
+    Close();
+  }
 }
 
-tcp_listener::~tcp_listener()
+void tcp_listener::Close()
 {
-  g_source_remove(mWatch);
-  close(mDescriptor);
+  if (mDescriptor >= 0) {
+    g_source_remove(mWatch);
+    close(std::exchange(mDescriptor, -1));
+  }
 }
 
-gboolean tcp_listener::OnReadable(gint aDescriptor,
-                                  GIOCondition,
-                                  gpointer aSelf)
+void tcp_listener::AcceptPending(int aMost)
 {
-  auto* listener = static_cast<tcp_listener*>(aSelf);
-  for (int accepted = 0; accepted < kAcceptBatch; ++accepted) {
+  for (int accepted = 0; accepted < aMost; ++accepted) {
     const int descriptor =
-      accept4(aDescriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+      accept4(mDescriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (descriptor < 0) {
       if (errno != EAGAIN && errno != EINTR && errno != ECONNABORTED) {
         Log(log_level::Warning,
             "accept_failed",
             { Field("error", std::strerror(errno)) });
       }
-      break;
+      return;
     }
-    listener->mAcceptor.OnAccept(descriptor);
+    mAcceptor.OnAccept(descriptor);
   }
+}
+
+gboolean tcp_listener::OnReadable(gint, GIOCondition, gpointer aSelf)
+{
+  static_cast<tcp_listener*>(aSelf)->AcceptPending(kAcceptBatch);
   return G_SOURCE_CONTINUE;
 }
--- a/Source/Core/Net/TcpStream.h
+++ b/Source/Core/Net/TcpStream.h
@@ -139,15 +139,19 @@
   tcp_listener& operator=(const tcp_listener&) = delete;
 
   const tcp_address& Address() const { return mAddress; }
+  /// Takes the connections that wait, then refuses others until `Resume`.
+  void Pause();
+  /// Accepts connections again; false when the address cannot be bound.
+  bool Resume(std::string& aError);
 
 private:
-  tcp_listener(int aDescriptor, tcp_address aAddress, acceptor& aAcceptor);
-  static gboolean OnReadable(gint aDescriptor,
-                             GIOCondition aCondition,
-                             gpointer aSelf);
+  tcp_listener(tcp_address aAddress, acceptor& aAcceptor);
+  static gboolean OnReadable(gint, GIOCondition, gpointer aSelf);
+  void AcceptPending(int aMost);
+  void Close();
 
-  int mDescriptor;
+  int mDescriptor = -1;
   tcp_address mAddress;
   acceptor& mAcceptor;
-  guint mWatch;
+  guint mWatch = 0;
 };
--- a/Source/UnitTests/Net/HttpConnectionTest.cpp
+++ b/Source/UnitTests/Net/HttpConnectionTest.cpp
@@ -168,6 +168,35 @@
   EXPECT_EQ(mListener->Open(), 1U);
 }
 
+// A host whose link is full must fail new connections at once, keep open ones
+// and come back at the same address.
+TEST_F(http_connection_test, RefusesConnectionsWhilePaused)
+{
+  const tcp_address address = mListener->Address();
+  http_client_connection open(address, {});
+  recorder first;
+  open.Start(kGet, {}, false, first);
+  ASSERT_TRUE(mLoop.RunUntil([&] { return first.Ended(); }, kLimit));
+  std::string error;
+  ASSERT_TRUE(mListener->SetAccepting(false, error));
+  http_client_connection refused(address, {});
+  recorder second;
+  refused.Start(kGet, {}, false, second);
+  recorder third;
+  open.Start(kGet, {}, false, third);
+  ASSERT_TRUE(
+    mLoop.RunUntil([&] { return second.Ended() && third.Ended(); }, kLimit));
+  EXPECT_EQ(second.mFailure, exchange_failure::NotSent);
+  EXPECT_TRUE(third.mComplete);
+  ASSERT_TRUE(mListener->SetAccepting(true, error)) << error;
+  EXPECT_EQ(mListener->Address(), address);
+  http_client_connection later(address, {});
+  recorder fourth;
+  later.Start(kGet, {}, false, fourth);
+  ASSERT_TRUE(mLoop.RunUntil([&] { return fourth.Ended(); }, kLimit));
+  EXPECT_TRUE(fourth.mComplete);
+}
+
 // A request that may not be repeated must not be sent again when a kept
 // connection breaks; client sessions do so.
 TEST_F(http_connection_test, NeverSendsARequestTwice)
