Share text codecs, count live nodes without copying, split the node's calls

Base64, URI escaping and decimal parsing stood in up to three places each (PlatformRowStore, ServiceCall, HttpObjectStore, OperatorClient, PlatformDialect, EventJoiner, TcpStream, EngineStandIn); Common/TextCodec has them once. LiveNodes copied every peer's address on each finished request only to count them. The work at a candidate server was summed twice in a choice, the hash of a report target in every comparison of the sort, and a table that is read again copied all its rows. Readiness, directory and metrics calls have a class of their own, so that the node no longer forwards to itself.

--- a/Source/Core/Gateway/EventJoiner.cpp
+++ b/Source/Core/Gateway/EventJoiner.cpp
@@ -1,22 +1,11 @@
 #include "Gateway/EventJoiner.h"
 
-#include <charconv>
+#include "Common/TextCodec.h"
 
 namespace {
 
 constexpr std::string_view kIdField = "id:";
 
-std::optional<std::uint64_t> ParseNumber(std::string_view aText)
-{
-  std::uint64_t number = 0;
-  const char* end = aText.data() + aText.size();
-  const auto [rest, error] = std::from_chars(aText.data(), end, number);
-  if (error != std::errc() || rest != end) {
-    return std::nullopt;
-  }
-  return number;
-}
-
 /// Value of the `id` field; empty when the event has none.
 std::string_view EventId(std::string_view aEvent)
 {
@@ -78,7 +67,7 @@
 bool event_joiner::Accept(std::string_view aEvent)
 {
   const std::string_view id = EventId(aEvent);
-  const auto number = ParseNumber(id);
+  const auto number = ParseDecimal<std::uint64_t>(id);
   if (number && mLastNumber) {
     if (*number <= *mLastNumber) {
       return false;
--- a/Source/Core/Gateway/FleetView.cpp
+++ b/Source/Core/Gateway/FleetView.cpp
@@ -100,17 +100,18 @@
 
 std::vector<std::string> fleet_view::Targets(std::uint64_t aRound) const
 {
-  std::vector<std::string> targets;
+  std::vector<std::pair<std::uint64_t, std::string>> order;
+  order.reserve(mPeers.size());
   for (const auto& [address, peer] : mPeers) {
-    targets.push_back(address);
+    order.emplace_back(StableHash(address + mSelf.mAddress, aRound), address);
   }
-  if (targets.size() <= kMostTargets) {
-    return targets;
+  const std::size_t count = std::min(kMostTargets, order.size());
+  std::ranges::partial_sort(order,
+                            order.begin() + static_cast<std::ptrdiff_t>(count));
+  std::vector<std::string> targets;
+  for (std::size_t i = 0; i < count; ++i) {
+    targets.push_back(std::move(order[i].second));
   }
-  std::ranges::sort(targets, {}, [&](const std::string& aAddress) {
-    return StableHash(aAddress + mSelf.mAddress, aRound);
-  });
-  targets.resize(kMostTargets);
   return targets;
 }
 
@@ -157,7 +158,9 @@
 
 std::size_t fleet_view::LiveNodes(time_point aNow) const
 {
-  return LivePeers(aNow).size() + 1;
+  const auto live = std::ranges::count_if(
+    mPeers, [&](const auto& aPair) { return Alive(aPair.second, aNow); });
+  return static_cast<std::size_t>(live) + 1;
 }
 
 std::vector<std::string> fleet_view::LivePeers(time_point aNow) const
--- /dev/null
+++ b/Source/Core/Gateway/GatewayCalls.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <functional>
+
+#include "Gateway/FleetView.h"
+#include "Gateway/GatewayDialect.h"
+#include "Gateway/GatewayMetrics.h"
+#include "Net/HttpConnection.h"
+
+/// Serves the addresses for readiness, directory and metrics.
+class gateway_calls final : public http_request_handler
+{
+public:
+  /// `aReady` tells whether the node takes requests.
+  gateway_calls(const gateway_dialect& aDialect,
+                const fleet_view& aFleet,
+                const gateway_metrics& aMetrics,
+                const time_source& aTime,
+                std::function<bool()> aReady);
+
+  void OnRequest(http_server_connection& aConnection,
+                 http_server_request aRequest) override;
+  void OnClientGone(http_server_connection&) override {}
+  void OnClientDrained(http_server_connection&) override {}
+  void OnConnectionClosed(http_server_connection&) override {}
+
+private:
+  const gateway_dialect& mDialect;
+  const fleet_view& mFleet;
+  const gateway_metrics& mMetrics;
+  const time_source& mTime;
+  std::function<bool()> mReady;
+};
--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -7,7 +7,6 @@
 #include <fmt/format.h>
 
 #include "Common/Log.h"
-#include "Net/HttpStatus.h"
 
 namespace {
 
@@ -30,8 +29,6 @@
 constexpr milliseconds kOwnPause(500);
 // Without contact for this long a newer configuration may be in force.
 constexpr milliseconds kConfigDoubt(2600);
-// Clients keep addresses for this long, some of them three times as long.
-constexpr milliseconds kAddressLifetime(1000);
 // A server whose entry is gone serves as a last resort, for no more than these
 // times and parts of the limit for leaving servers.
 constexpr milliseconds kLastResort(1200);
@@ -71,27 +68,6 @@
 
 } // namespace
 
-/// Serves the addresses for readiness, directory and metrics.
-class gateway_node::call_handler final : public http_request_handler
-{
-public:
-  explicit call_handler(gateway_node& aNode)
-    : mNode(aNode)
-  {
-  }
-  void OnRequest(http_server_connection& aConnection,
-                 http_server_request aRequest) override
-  {
-    mNode.AnswerCall(aConnection, aRequest);
-  }
-  void OnClientGone(http_server_connection&) override {}
-  void OnClientDrained(http_server_connection&) override {}
-  void OnConnectionClosed(http_server_connection&) override {}
-
-private:
-  gateway_node& mNode;
-};
-
 gateway_node::gateway_node(const gateway_settings& aSettings,
                            const gateway_dialect& aDialect,
                            row_store& aStore,
@@ -145,7 +121,7 @@
               kOwnWait,
               kOwnPause,
               *this)
-  , mCalls(std::make_unique<call_handler>(*this))
+  , mCalls(mDialect, mFleet, mMetrics, mTime, [this] { return Ready(); })
 {
   mContext.mMostBodyBytes = static_cast<std::size_t>(
     static_cast<double>(mSettings.mMemoryBytes) * kBodyMemoryShare);
@@ -194,16 +170,16 @@
 {
   mFront = http_listener::Listen(mSettings.mFront, *this, mTime, aError);
   mReadiness =
-    http_listener::Listen(mSettings.mReadiness, *mCalls, mTime, aError);
+    http_listener::Listen(mSettings.mReadiness, mCalls, mTime, aError);
   mDirectory =
-    http_listener::Listen(mSettings.mDirectory, *mCalls, mTime, aError);
+    http_listener::Listen(mSettings.mDirectory, mCalls, mTime, aError);
   if (!mFront || !mReadiness || !mDirectory) {
     return false;
   }
   if (mSettings.mMetrics.mPort != 0) {
     std::string reason;
     mMetricsListener =
-      http_listener::Listen(mSettings.mMetrics, *mCalls, mTime, reason);
+      http_listener::Listen(mSettings.mMetrics, mCalls, mTime, reason);
     if (!mMetricsListener) {
       Log(log_level::Warning,
           "metrics_unavailable",
@@ -219,41 +195,6 @@
   return mContext.mRoutes && mRoster.Size() > 0 && !mStopBegan;
 }
 
-void gateway_node::AnswerCall(http_server_connection& aConnection,
-                              const http_server_request& aRequest)
-{
-  http_server_response response;
-  switch (mDialect.ReadCall(aRequest)) {
-    case node_call::Readiness:
-      response.mStatus =
-        Ready() ? http_status::kOk : http_status::kServiceUnavailable;
-      aConnection.Respond(response, {});
-      return;
-    case node_call::ResolveAddresses: {
-      const auto addresses =
-        mFleet.ClientAddresses(mTime.Now(), mDialect.ReadResolveZone(aRequest));
-      if (addresses.empty()) {
-        response.mStatus = http_status::kServiceUnavailable;
-        aConnection.Respond(response, {});
-        return;
-      }
-      response.mHeaders.emplace_back("Content-Type", "application/json");
-      aConnection.Respond(response,
-                          mDialect.WriteAddresses(addresses, kAddressLifetime));
-      return;
-    }
-    case node_call::Other:
-      break;
-  }
-  if (aRequest.mTarget == "/metrics") {
-    response.mHeaders.emplace_back("Content-Type", "text/plain; version=0.0.4");
-    aConnection.Respond(response, mMetrics.Text());
-    return;
-  }
-  response.mStatus = http_status::kNotFound;
-  aConnection.Respond(response, {});
-}
-
 void gateway_node::OnRequest(http_server_connection& aConnection,
                              http_server_request aRequest)
 {
--- a/Source/Core/Gateway/GatewayNode.h
+++ b/Source/Core/Gateway/GatewayNode.h
@@ -9,6 +9,7 @@
 #include "Gateway/EscrowWriter.h"
 #include "Gateway/FleetLink.h"
 #include "Gateway/FleetRows.h"
+#include "Gateway/GatewayCalls.h"
 #include "Gateway/GatewaySession.h"
 #include "Gateway/LinkGuard.h"
 #include "Gateway/TableFollower.h"
@@ -40,8 +41,6 @@
   const tcp_address& FrontAddress() const { return mFront->Address(); }
 
 private:
-  class call_handler;
-
   gateway_node(const gateway_settings& aSettings,
                const gateway_dialect& aDialect,
                row_store& aStore,
@@ -62,8 +61,6 @@
   void ApplyConfig(const stored_row& aRow);
   /// Time for which a server whose entry is gone still serves as a last resort.
   std::chrono::milliseconds LastResort(bool aDoubtful) const;
-  void AnswerCall(http_server_connection& aConnection,
-                  const http_server_request& aRequest);
   std::vector<stored_row> SnapshotRows() const;
 
   void OnRequestTick();
@@ -98,7 +95,7 @@
   table_follower mUpstreamTable;
   table_follower mOwnTable;
 
-  std::unique_ptr<call_handler> mCalls;
+  gateway_calls mCalls;
   std::unique_ptr<http_listener> mFront;
   std::unique_ptr<http_listener> mReadiness;
   std::unique_ptr<http_listener> mDirectory;
--- a/Source/Core/Gateway/TableFollower.cpp
+++ b/Source/Core/Gateway/TableFollower.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 #include "Common/Log.h"
 
@@ -92,12 +93,15 @@
 
 void table_follower::FinishRead()
 {
-  const auto before = mRows;
-  for (const auto& [key, row] : before) {
+  std::vector<row_key> gone;
+  for (const auto& [key, row] : mRows) {
     if (!mReading.contains(key)) {
-      Drop(key);
+      gone.push_back(key);
     }
   }
+  for (const row_key& key : gone) {
+    Drop(key);
+  }
   for (const auto& [key, row] : mReading) {
     Take(row);
   }
--- a/Source/Core/Gateway/UpstreamRoster.cpp
+++ b/Source/Core/Gateway/UpstreamRoster.cpp
@@ -209,13 +209,13 @@
 
 std::optional<upstream_roster::rated_placement> upstream_roster::RateEngine(
   const upstream_record& aRecord,
+  const upstream_work& aWork,
   const engine_limits& aLimits,
   const placement_query& aQuery,
   const shared_prompt& aShared,
   bool aHome,
   time_point aNow) const
 {
-  const upstream_work work = WorkAt(aRecord);
   const std::int64_t uncached =
     aHome ? 0 : UncachedTokens(aRecord, aShared, aNow);
   const std::int64_t read =
@@ -227,11 +227,11 @@
   option.mWork.mKvTokens = aQuery.mPromptTokens + aQuery.mOutputTokens;
   const auto most = static_cast<std::int64_t>(
     static_cast<double>(aLimits.mKvTokens) * mSettings.mKvShare);
-  if (work.mRequests > 0 && work.mKvTokens + option.mWork.mKvTokens > most) {
+  if (aWork.mRequests > 0 && aWork.mKvTokens + option.mWork.mKvTokens > most) {
     return std::nullopt;
   }
   option.mWaitMs = aRecord.mSlowness *
-                   static_cast<double>(work.mPrefillTokens) /
+                   static_cast<double>(aWork.mPrefillTokens) /
                    mSettings.mPrefillTokensPerMs;
   if (aNow < aRecord.mGapValidUntil) {
     option.mOutputMs = aRecord.mEventGapMs * mSettings.mOutputShare *
@@ -240,9 +240,9 @@
   }
   option.mExpectedMs =
     aRecord.mSlowness *
-    (static_cast<double>(work.mPrefillTokens + read) /
+    (static_cast<double>(aWork.mPrefillTokens + read) /
        mSettings.mPrefillTokensPerMs +
-     mSettings.mPerRequestMs * static_cast<double>(work.mRequests));
+     mSettings.mPerRequestMs * static_cast<double>(aWork.mRequests));
   rated.mCost = option.mExpectedMs + (mSettings.mRereadWeight - 1.0) *
                                        static_cast<double>(uncached) /
                                        mSettings.mPrefillTokensPerMs;
@@ -270,14 +270,15 @@
   std::optional<rated_placement> best;
   for (const upstream_record* record : candidates) {
     const std::int64_t slots = std::max(record->mEntry.mSlots, 1U);
-    const std::int64_t requests = WorkAt(*record).mRequests;
+    const upstream_work work = WorkAt(*record);
     const std::int64_t most = engine ? slots : slots * kPlainQueueFactor;
-    if (record->mOwn.mRequests >= slots || requests >= most) {
+    if (record->mOwn.mRequests >= slots || work.mRequests >= most) {
       continue;
     }
     std::optional<rated_placement> rated;
     if (engine) {
       rated = RateEngine(*record,
+                         work,
                          *service->second.mEngine,
                          aQuery,
                          shared,
@@ -290,7 +291,7 @@
       rated.emplace();
       rated->mPlacement.mExpectedMs = record->mSlowness * kPlainWorkMs;
       rated->mCost = rated->mPlacement.mExpectedMs *
-                     static_cast<double>(requests + 1) /
+                     static_cast<double>(work.mRequests + 1) /
                      static_cast<double>(slots);
     }
     if (record->mEntry.mZone != aQuery.mZone) {
--- a/Source/Core/Gateway/UpstreamRoster.h
+++ b/Source/Core/Gateway/UpstreamRoster.h
@@ -167,6 +167,7 @@
                                                  time_point aNow) const;
   /// Nothing when the KV cache of the engine is full.
   std::optional<rated_placement> RateEngine(const upstream_record& aRecord,
+                                            const upstream_work& aWork,
                                             const engine_limits& aLimits,
                                             const placement_query& aQuery,
                                             const shared_prompt& aShared,
--- a/Source/Core/Net/TcpStream.cpp
+++ b/Source/Core/Net/TcpStream.cpp
@@ -3,7 +3,6 @@
 #include <arpa/inet.h>
 #include <array>
 #include <cerrno>
-#include <charconv>
 #include <cstring>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
@@ -15,6 +14,7 @@
 #include <glib-unix.h>
 
 #include "Common/Log.h"
+#include "Common/TextCodec.h"
 #include "Net/LinkTraffic.h"
 
 namespace {
@@ -83,12 +83,11 @@
   if (inet_pton(AF_INET, address.mIp.c_str(), &parsed) != 1) {
     return std::nullopt;
   }
-  const char* end = aText.data() + aText.size();
-  const auto [rest, error] =
-    std::from_chars(aText.data() + colon + 1, end, address.mPort);
-  if (error != std::errc() || rest != end) {
+  const auto port = ParseDecimal<std::uint16_t>(aText.substr(colon + 1));
+  if (!port) {
     return std::nullopt;
   }
+  address.mPort = *port;
   return address;
 }
 
--- a/Source/Core/Remote/HttpObjectStore.cpp
+++ b/Source/Core/Remote/HttpObjectStore.cpp
@@ -3,6 +3,8 @@
 #include <optional>
 #include <utility>
 
+#include "Common/TextCodec.h"
+
 namespace {
 
 object_error TranslateStatus(unsigned aStatus)
@@ -82,11 +84,9 @@
 http_request http_object_store::Request(const char* aMethod,
                                         const std::string& aName) const
 {
-  char* escaped = g_uri_escape_string(aName.c_str(), nullptr, FALSE);
   http_request request;
   request.mMethod = aMethod;
-  request.mUrl = mEndpoint.Url(std::string("/v1/objects/") + escaped);
+  request.mUrl = mEndpoint.Url(std::string("/v1/objects/") + EscapeUri(aName));
   request.mTimeout = mEndpoint.mTimeout;
-  g_free(escaped);
   return request;
 }
--- a/Source/Core/Services/ServiceCall.cpp
+++ b/Source/Core/Services/ServiceCall.cpp
@@ -3,9 +3,10 @@
 #include <array>
 #include <utility>
 
-#include <glib.h>
 #include <nlohmann/json.hpp>
 
+#include "Common/TextCodec.h"
+
 namespace {
 
 using nlohmann::json;
@@ -33,25 +34,6 @@
   return std::nullopt;
 }
 
-// Bodies may hold any bytes, JSON texts only UTF-8.
-std::string ToBase64(const std::string& aBytes)
-{
-  char* text = g_base64_encode(reinterpret_cast<const guchar*>(aBytes.data()),
-                               aBytes.size());
-  std::string encoded = text;
-  g_free(text);
-  return encoded;
-}
-
-std::string FromBase64(const std::string& aText)
-{
-  gsize size = 0;
-  guchar* bytes = g_base64_decode(aText.c_str(), &size);
-  std::string decoded(reinterpret_cast<const char*>(bytes), size);
-  g_free(bytes);
-  return decoded;
-}
-
 std::int64_t Microseconds(wall_time aTime)
 {
   return aTime.time_since_epoch().count();
--- a/Source/Core/StandIn/EngineStandIn.cpp
+++ b/Source/Core/StandIn/EngineStandIn.cpp
@@ -1,7 +1,6 @@
 #include "StandIn/EngineStandIn.h"
 
 #include <algorithm>
-#include <charconv>
 #include <optional>
 #include <utility>
 
@@ -9,6 +8,7 @@
 
 #include "Common/Log.h"
 #include "Common/PrefixHash.h"
+#include "Common/TextCodec.h"
 #include "StandIn/EngineEvents.h"
 
 using nlohmann::json;
@@ -21,17 +21,6 @@
 constexpr std::chrono::milliseconds kRestartRetry{ 500 };
 constexpr std::size_t kRunsKept = 100000;
 
-std::optional<std::uint32_t> ReadNumber(std::string_view aText)
-{
-  std::uint32_t value = 0;
-  const char* end = aText.data() + aText.size();
-  const auto [stop, error] = std::from_chars(aText.data(), end, value);
-  if (error != std::errc() || stop != end) {
-    return std::nullopt;
-  }
-  return value;
-}
-
 } // namespace
 
 engine_stand_in::engine_stand_in(engine_stand_in_options aOptions)
@@ -138,7 +127,7 @@
   }
   auto request = ParseEngineRequest(aExchange->Body());
   const std::string_view resume = aExchange->Header("X-Resume-From");
-  const auto from = resume.empty() ? 0 : ReadNumber(resume);
+  const auto from = resume.empty() ? 0 : ParseDecimal<std::uint32_t>(resume);
   if (!request.has_value() || !from) {
     ++mCounters.mRefused;
     aExchange->ReplyError(400,
@@ -323,7 +312,7 @@
 
 void engine_stand_in::HandleCacheEvents(const http_exchange_ptr& aExchange)
 {
-  const auto after = ReadNumber(aExchange->Query("after"));
+  const auto after = ParseDecimal<std::uint32_t>(aExchange->Query("after"));
   json events = json::array();
   for (const cache_event& event :
        mCache.Events(after.value_or(0), mTime.Now())) {
--- a/Source/LentilSwitch/ConfigCommands.cpp
+++ b/Source/LentilSwitch/ConfigCommands.cpp
@@ -8,6 +8,7 @@
 
 #include <fmt/format.h>
 
+#include "Common/TextCodec.h"
 #include "Config/FleetDocument.h"
 #include "Config/TextDiff.h"
 #include "OperatorClient.h"
@@ -73,7 +74,7 @@
 std::string SectionPath(const std::string& aSection)
 {
   return aSection.empty() ? "/admin/v1/config"
-                          : "/admin/v1/config?section=" + EscapeQuery(aSection);
+                          : "/admin/v1/config?section=" + EscapeUri(aSection);
 }
 
 void PrintSection(const json& aSection)
--- a/Source/LentilSwitch/OperatorClient.cpp
+++ b/Source/LentilSwitch/OperatorClient.cpp
@@ -95,11 +95,3 @@
   }
   return ReadReply(received->value());
 }
-
-std::string EscapeQuery(const std::string& aText)
-{
-  char* escaped = g_uri_escape_string(aText.c_str(), nullptr, FALSE);
-  std::string text(escaped);
-  g_free(escaped);
-  return text;
-}
--- a/Source/LentilSwitch/OperatorClient.h
+++ b/Source/LentilSwitch/OperatorClient.h
@@ -50,6 +50,3 @@
   event_loop mLoop;
   http_client mClient;
 };
-
-/// Text for one part of a query.
-std::string EscapeQuery(const std::string& aText);
--- a/Source/LentilSwitch/OperatorCommands.cpp
+++ b/Source/LentilSwitch/OperatorCommands.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include "Command.h"
+#include "Common/TextCodec.h"
 #include "ConfigCommands.h"
 #include "OperatorClient.h"
 #include "OperatorOutput.h"
@@ -88,7 +89,7 @@
 {
   operator_client client(aArguments.mCommon.mTarget);
   return Finish(client.Get("/admin/v1/budgets/show?budget=" +
-                           EscapeQuery(aArguments.mBudget)),
+                           EscapeUri(aArguments.mBudget)),
                 aArguments.mCommon.mJson,
                 PrintBudget);
 }
@@ -108,7 +109,7 @@
 {
   operator_client client(aArguments.mCommon.mTarget);
   const auto reply = client.Get("/admin/v1/budgets/reconcile?budget=" +
-                                EscapeQuery(aArguments.mBudget));
+                                EscapeUri(aArguments.mBudget));
   const exit_code code =
     Finish(reply, aArguments.mCommon.mJson, [](const json& aReport) {
       fmt::print("budget {}  spent {}  charged {}  charges {}  verdict {}\n",
--- a/Source/UnitTests/Net/HttpConnectionTest.cpp
+++ b/Source/UnitTests/Net/HttpConnectionTest.cpp
@@ -111,6 +111,8 @@
   std::unique_ptr<tcp_listener> mListener;
 };
 
+const std::string kGet = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+
 class http_connection_test : public testing::Test
 {
 protected:
@@ -122,6 +124,13 @@
     ASSERT_TRUE(mListener) << error;
   }
 
+  /// Sends a request and waits for its end; false when there is none in time.
+  bool Get(http_client_connection& aClient, recorder& aObserver)
+  {
+    aClient.Start(kGet, {}, false, aObserver);
+    return mLoop.RunUntil([&] { return aObserver.Ended(); }, kLimit);
+  }
+
   /// Sends bytes over a plain socket and returns what comes back until the
   /// server closes or the time is over.
   std::string Exchange(const std::string& aBytes)
@@ -147,8 +156,6 @@
   std::unique_ptr<http_listener> mListener;
 };
 
-const std::string kGet = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
-
 } // namespace
 
 TEST_F(http_connection_test, ExchangesRequestsOnOneConnection)
@@ -175,8 +182,7 @@
   const tcp_address address = mListener->Address();
   http_client_connection open(address, {});
   recorder first;
-  open.Start(kGet, {}, false, first);
-  ASSERT_TRUE(mLoop.RunUntil([&] { return first.Ended(); }, kLimit));
+  ASSERT_TRUE(Get(open, first));
   std::string error;
   ASSERT_TRUE(mListener->SetAccepting(false, error));
   http_client_connection refused(address, {});
@@ -192,8 +198,7 @@
   EXPECT_EQ(mListener->Address(), address);
   http_client_connection later(address, {});
   recorder fourth;
-  later.Start(kGet, {}, false, fourth);
-  ASSERT_TRUE(mLoop.RunUntil([&] { return fourth.Ended(); }, kLimit));
+  ASSERT_TRUE(Get(later, fourth));
   EXPECT_TRUE(fourth.mComplete);
 }
 
@@ -205,8 +210,7 @@
   server.mResetAfter = true;
   http_client_connection client(server.Address(), {});
   recorder observer;
-  client.Start(kGet, {}, false, observer);
-  ASSERT_TRUE(mLoop.RunUntil([&] { return observer.Ended(); }, kLimit));
+  ASSERT_TRUE(Get(client, observer));
   EXPECT_EQ(observer.mFailure, exchange_failure::NoResponse);
   EXPECT_EQ(server.mReceived, kGet);
 }
@@ -222,8 +226,7 @@
   }
   http_client_connection client(closed, {});
   recorder observer;
-  client.Start(kGet, {}, false, observer);
-  ASSERT_TRUE(mLoop.RunUntil([&] { return observer.Ended(); }, kLimit));
+  ASSERT_TRUE(Get(client, observer));
   EXPECT_EQ(observer.mFailure, exchange_failure::NotSent);
 }
 
@@ -233,8 +236,7 @@
   server.mCloseAfter = true;
   http_client_connection client(server.Address(), {});
   recorder observer;
-  client.Start(kGet, {}, false, observer);
-  ASSERT_TRUE(mLoop.RunUntil([&] { return observer.Ended(); }, kLimit));
+  ASSERT_TRUE(Get(client, observer));
   EXPECT_EQ(observer.mFailure, exchange_failure::Truncated);
 }
 
@@ -244,8 +246,7 @@
   server.mCloseAfter = true;
   http_client_connection client(server.Address(), {});
   recorder observer;
-  client.Start(kGet, {}, false, observer);
-  ASSERT_TRUE(mLoop.RunUntil([&] { return observer.Ended(); }, kLimit));
+  ASSERT_TRUE(Get(client, observer));
   EXPECT_TRUE(observer.mComplete);
   EXPECT_FALSE(observer.mReusable);
   EXPECT_EQ(observer.mResponse.mFraming, body_framing::UntilClose);
@@ -259,8 +260,7 @@
                     "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb");
   http_client_connection client(server.Address(), {});
   recorder observer;
-  client.Start(kGet, {}, false, observer);
-  ASSERT_TRUE(mLoop.RunUntil([&] { return observer.Ended(); }, kLimit));
+  ASSERT_TRUE(Get(client, observer));
   EXPECT_TRUE(observer.mComplete);
   EXPECT_FALSE(observer.mReusable);
   EXPECT_EQ(observer.mBody, "a");
@@ -274,8 +274,7 @@
   http_client_connection client(server.Address(), {});
   recorder observer;
   observer.mDropNext = true;
-  client.Start(kGet, {}, false, observer);
-  ASSERT_TRUE(mLoop.RunUntil([&] { return observer.Ended(); }, kLimit));
+  ASSERT_TRUE(Get(client, observer));
   EXPECT_TRUE(observer.mComplete);
   EXPECT_EQ(observer.mBody, "b");
 }
@@ -285,8 +284,7 @@
   raw_server server("nonsense\r\n\r\n");
   http_client_connection client(server.Address(), {});
   recorder observer;
-  client.Start(kGet, {}, false, observer);
-  ASSERT_TRUE(mLoop.RunUntil([&] { return observer.Ended(); }, kLimit));
+  ASSERT_TRUE(Get(client, observer));
   EXPECT_EQ(observer.mFailure, exchange_failure::Malformed);
 }
 
@@ -296,8 +294,7 @@
                     "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
   http_client_connection client(server.Address(), {});
   recorder observer;
-  client.Start(kGet, {}, false, observer);
-  ASSERT_TRUE(mLoop.RunUntil([&] { return observer.Ended(); }, kLimit));
+  ASSERT_TRUE(Get(client, observer));
   EXPECT_TRUE(observer.mComplete);
   EXPECT_TRUE(observer.mReusable);
   EXPECT_EQ(observer.mBody, "abcde");
