Log and count what a server leaves unanswered, by how it ended

server_broke has the failure, whether the connection was kept, the head and the events seen, and whether the break counts as a crash. crash_known has the source and the count that results, crash_row_not_written the row and the reason, suspect_request_sent the count known at the time of sending. gateway_server_breaks_total and gateway_crash_reports_total count the same. No decision changes.

--- a/Source/Core/Gateway/CrashHistory.cpp
+++ b/Source/Core/Gateway/CrashHistory.cpp
@@ -31,10 +31,17 @@
 
 bool crash_history::Blocked(const std::string& aFingerprint,
                             time_point aNow) const
+{
+  return CrashCount(aFingerprint, aNow) >= kMaxCrashes;
+}
+
+std::size_t crash_history::CrashCount(const std::string& aFingerprint,
+                                      time_point aNow) const
 {
   const auto found = mRecords.find(aFingerprint);
-  return found != mRecords.end() && aNow < found->second.mForgetAt &&
-         found->second.mServerRuns.size() >= kMaxCrashes;
+  return found != mRecords.end() && aNow < found->second.mForgetAt
+           ? found->second.mServerRuns.size()
+           : 0;
 }
 
 void crash_history::Expire(time_point aNow)
--- a/Source/Core/Gateway/CrashHistory.h
+++ b/Source/Core/Gateway/CrashHistory.h
@@ -22,6 +22,9 @@
            const std::string& aServerRun,
            time_point aNow);
   bool Blocked(const std::string& aFingerprint, time_point aNow) const;
+  /// Number of server runs that the request broke.
+  std::size_t CrashCount(const std::string& aFingerprint,
+                         time_point aNow) const;
   void Expire(time_point aNow);
 
 private:
--- a/Source/Core/Gateway/FleetRows.cpp
+++ b/Source/Core/Gateway/FleetRows.cpp
@@ -23,11 +23,13 @@
 
 fleet_rows::fleet_rows(fleet_view& aFleet,
                        crash_history& aCrashes,
+                       gateway_metrics& aMetrics,
                        row_store& aStore,
                        const time_source& aTime,
                        std::string aRun)
   : mFleet(aFleet)
   , mCrashes(aCrashes)
+  , mMetrics(aMetrics)
   , mStore(aStore)
   , mTime(aTime)
   , mRun(std::move(aRun))
@@ -54,9 +56,12 @@
     const std::string_view crashKey = key.substr(kCrashPrefix.size());
     const auto slash = crashKey.find('/');
     if (slash != std::string_view::npos) {
-      mCrashes.Add(std::string(crashKey.substr(0, slash)),
-                   std::string(crashKey.substr(slash + 1)),
-                   mTime.Now());
+      const std::string fingerprint(crashKey.substr(0, slash));
+      const std::string serverRun(crashKey.substr(slash + 1));
+      const time_point now = mTime.Now();
+      if (mCrashes.Add(fingerprint, serverRun, now)) {
+        LogCrash("store", fingerprint, serverRun, now);
+      }
     }
   }
 }
@@ -86,8 +91,17 @@
 void fleet_rows::WriteCrash(const std::string& aFingerprint,
                             const std::string& aServerRun)
 {
-  if (!mCrashes.Add(aFingerprint, aServerRun, mTime.Now()) ||
-      mCrashRowsLeft == 0) {
+  const time_point now = mTime.Now();
+  if (!mCrashes.Add(aFingerprint, aServerRun, now)) {
+    return;
+  }
+  LogCrash("own", aFingerprint, aServerRun, now);
+  if (mCrashRowsLeft == 0) {
+    Log(log_level::Info,
+        "crash_row_not_written",
+        { Field("fingerprint", aFingerprint),
+          Field("server_run", aServerRun),
+          Field("error", "limit of rows") });
     return;
   }
   --mCrashRowsLeft;
@@ -97,11 +111,29 @@
         "",
         fmt::format("{}{}/{}", kCrashPrefix, aFingerprint, aServerRun) },
       mRun });
-  mStore.Commit(transaction, [](auto aResult) {
-    if (!aResult.has_value()) {
-      Log(log_level::Info,
-          "crash_row_not_written",
-          { Field("error", RowStoreErrorName(aResult.error())) });
-    }
-  });
+  mStore.Commit(
+    transaction,
+    [fingerprint = aFingerprint, serverRun = aServerRun](auto aResult) {
+      if (!aResult.has_value()) {
+        Log(log_level::Info,
+            "crash_row_not_written",
+            { Field("fingerprint", fingerprint),
+              Field("server_run", serverRun),
+              Field("error", RowStoreErrorName(aResult.error())) });
+      }
+    });
+}
+
+void fleet_rows::LogCrash(const char* aSource,
+                          const std::string& aFingerprint,
+                          const std::string& aServerRun,
+                          time_point aNow)
+{
+  mMetrics.OnCrashReport(aSource);
+  Log(log_level::Info,
+      "crash_known",
+      { Field("source", aSource),
+        Field("fingerprint", aFingerprint),
+        Field("server_run", aServerRun),
+        Field("known_crashes", mCrashes.CrashCount(aFingerprint, aNow)) });
 }
--- a/Source/Core/Gateway/FleetRows.h
+++ b/Source/Core/Gateway/FleetRows.h
@@ -6,6 +6,7 @@
 #include "Common/Time.h"
 #include "Gateway/CrashHistory.h"
 #include "Gateway/FleetView.h"
+#include "Gateway/GatewayMetrics.h"
 #include "Remote/RowStore.h"
 
 /// Store rows that nodes write for each other: node addresses and requests that
@@ -18,6 +19,7 @@
   /// `aRun` identifies this run of the process.
   fleet_rows(fleet_view& aFleet,
              crash_history& aCrashes,
+             gateway_metrics& aMetrics,
              row_store& aStore,
              const time_source& aTime,
              std::string aRun);
@@ -36,9 +38,14 @@
 
 private:
   void Register(time_point aNow);
+  void LogCrash(const char* aSource,
+                const std::string& aFingerprint,
+                const std::string& aServerRun,
+                time_point aNow);
 
   fleet_view& mFleet;
   crash_history& mCrashes;
+  gateway_metrics& mMetrics;
   row_store& mStore;
   const time_source& mTime;
   std::string mRun;
--- a/Source/Core/Gateway/GatewayMetrics.cpp
+++ b/Source/Core/Gateway/GatewayMetrics.cpp
@@ -22,6 +22,14 @@
                .Name("gateway_repeated_sends_total")
                .Help("Sends of a request to a further server")
                .Register(*mRegistry))
+  , mServerBreaks(prometheus::BuildCounter()
+                    .Name("gateway_server_breaks_total")
+                    .Help("Requests without a complete response of a server")
+                    .Register(*mRegistry))
+  , mCrashReports(prometheus::BuildCounter()
+                    .Name("gateway_crash_reports_total")
+                    .Help("Crashes of servers under a request, by source")
+                    .Register(*mRegistry))
   , mFirstByteSeen(prometheus::BuildHistogram()
                      .Name("gateway_first_byte_seconds")
                      .Help("Time to the first byte of the answer")
@@ -69,6 +77,19 @@
   mRetries.Add({ { "reason", aReason } }).Increment();
 }
 
+void gateway_metrics::OnServerBreak(std::string_view aFailure, bool aCounted)
+{
+  mServerBreaks
+    .Add({ { "failure", std::string(aFailure) },
+           { "counted", aCounted ? "true" : "false" } })
+    .Increment();
+}
+
+void gateway_metrics::OnCrashReport(const char* aSource)
+{
+  mCrashReports.Add({ { "source", aSource } }).Increment();
+}
+
 std::string gateway_metrics::Text() const
 {
   return prometheus::TextSerializer().Serialize(mRegistry->Collect());
--- a/Source/Core/Gateway/GatewayMetrics.h
+++ b/Source/Core/Gateway/GatewayMetrics.h
@@ -23,6 +23,11 @@
   /// seconds.
   void OnFirstByte(const std::string& aRoute, double aSeconds);
   void OnRetry(const std::string& aReason);
+  /// Counts a request without a complete response of its server, by failure.
+  /// `aCounted` tells whether it counts as a crash under the request.
+  void OnServerBreak(std::string_view aFailure, bool aCounted);
+  /// Counts a crash that this node learned of, by the source of the report.
+  void OnCrashReport(const char* aSource);
   void SetOpenRequests(double aCount) { mOpenRequests.Set(aCount); }
   void SetLiveNodes(double aCount) { mLiveNodes.Set(aCount); }
   void SetConfigVersion(double aVersion) { mConfigVersion.Set(aVersion); }
@@ -38,6 +43,8 @@
   std::shared_ptr<prometheus::Registry> mRegistry;
   prometheus::Family<prometheus::Counter>& mAnswers;
   prometheus::Family<prometheus::Counter>& mRetries;
+  prometheus::Family<prometheus::Counter>& mServerBreaks;
+  prometheus::Family<prometheus::Counter>& mCrashReports;
   prometheus::Family<prometheus::Histogram>& mFirstByteSeen;
   prometheus::Gauge& mOpenRequests;
   prometheus::Gauge& mLiveNodes;
--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -92,7 +92,7 @@
                      mStore,
                      mTime,
                      FormatTcpAddress(mSettings.mPeer))
-  , mRows(mFleet, mCrashes, mStore, mTime, mRun)
+  , mRows(mFleet, mCrashes, mMetrics, mStore, mTime, mRun)
   , mContext{ .mSettings = mSettings,
               .mCodec = mCodec,
               .mTime = mTime,
--- a/Source/Core/Gateway/GatewaySession.cpp
+++ b/Source/Core/Gateway/GatewaySession.cpp
@@ -187,6 +187,7 @@
 void gateway_session::Cancel()
 {
   mClient = nullptr;
+  LogAbandoned("client_gone");
   ReleaseUpstream(false);
   Finish(kClientClosedRequest, "client_gone");
 }
--- a/Source/Core/Gateway/GatewaySession.h
+++ b/Source/Core/Gateway/GatewaySession.h
@@ -111,6 +111,14 @@
   bool MayRetry(const char* aReason);
   void Retry();
   void FailAttempt(exchange_failure aFailure);
+  /// Logs that a server gave no complete response. `aCounted` tells whether it
+  /// counts as a crash under this request.
+  void LogBreak(std::string_view aFailure,
+                const std::string& aServerRun,
+                bool aReused,
+                bool aCounted) const;
+  /// Logs that the node stops waiting for a server that has the request.
+  void LogAbandoned(const char* aReason) const;
   void DeliverBuffered();
   /// Whether the server ended the stream on purpose, as far as its framing and
   /// the number of events show.
--- a/Source/Core/Gateway/GatewaySessionUpstream.cpp
+++ b/Source/Core/Gateway/GatewaySessionUpstream.cpp
@@ -80,6 +80,16 @@
   mEventStream = false;
   mBuffered.clear();
   ++mAttempts;
+  const std::string fingerprint = Fingerprint();
+  const std::size_t crashes = mContext.mCrashes.CrashCount(fingerprint, aNow);
+  if (crashes > 0) {
+    Log(log_level::Info,
+        "suspect_request_sent",
+        { Field("id", mRequest.mId),
+          Field("fingerprint", fingerprint),
+          Field("server", mPlacement.mUpstream.mName),
+          Field("known_crashes", crashes) });
+  }
   const placement_query query = Query();
   mContext.mUpstreamRegistry.BeginRequest(aPlacement, query, aNow);
   upstream_send send;
@@ -106,6 +116,7 @@
 {
   if (aNow >= mRouteDeadline || aNow >= mDeadline + kDeadlineGracePeriod) {
     const bool reached = mConnection && mConnection->Connected();
+    LogAbandoned("timeout");
     ReleaseUpstream(false);
     if (mResponseStarted) {
       AbortClient("timeout");
@@ -128,6 +139,7 @@
   if (slow && MayRetry("slow_server")) {
     mContext.mUpstreamRegistry.OnFailure(mPlacement.mUpstream, aNow);
     mMayHaveRun = true;
+    LogAbandoned("slow_server");
     ReleaseUpstream(false);
     Retry();
   }
@@ -414,7 +426,9 @@
   if (!reused || aFailure != exchange_failure::NoResponse) {
     mContext.mUpstreamRegistry.OnFailure(upstream, now);
   }
-  if (aFailure == exchange_failure::NoResponse && !reused) {
+  const bool counted = aFailure == exchange_failure::NoResponse && !reused;
+  LogBreak(ExchangeFailureName(aFailure), run, reused, counted);
+  if (counted) {
     mContext.mReportCrash(Fingerprint(), run);
   }
   if (MayRetry("server_failed")) {
@@ -428,6 +442,31 @@
   }
 }
 
+void gateway_session::LogBreak(std::string_view aFailure,
+                               const std::string& aServerRun,
+                               bool aReused,
+                               bool aCounted) const
+{
+  mContext.mMetrics.OnServerBreak(aFailure, aCounted);
+  Log(log_level::Info,
+      "server_broke",
+      { Field("id", mRequest.mId),
+        Field("fingerprint", Fingerprint()),
+        Field("server_run", aServerRun),
+        Field("failure", aFailure),
+        Field("kept_connection", aReused),
+        Field("head", mHasResponse),
+        Field("events", mEvents.Events()),
+        Field("counted", aCounted) });
+}
+
+void gateway_session::LogAbandoned(const char* aReason) const
+{
+  if (mStage == stage::Sent && mConnection && mConnection->Connected()) {
+    LogBreak(aReason, ServerRun(), mConnection->Uses() > 1, false);
+  }
+}
+
 bool gateway_session::IsRetryable() const
 {
   return mRoute->mKind == request_kind::Idempotent ||
