Let a crashed server of the soak refuse connections

The proxy of a crashed server accepted connections and closed them, so every request sent to it broke without an answer and was counted as a crash. That hid the fault under investigation: the nodes reached three breaks by servers that had ended before. The port is now free until the server starts again, as on a host whose process ended.

--- a/Scripts/fault_soak/proxy.py
+++ b/Scripts/fault_soak/proxy.py
@@ -24,9 +24,22 @@
         self._server = None
 
     async def listen(self, address, port=0):
+        self._address = address
         self._server = await asyncio.start_server(self._serve, address, port)
         self.port = self._server.sockets[0].getsockname()[1]
 
+    async def end_target(self):
+        """The target's process ended: its connections break and its port is free."""
+        self.target = None
+        self._server.close()
+        self.reset_connections()
+
+    async def restart_target(self, target):
+        """The target's process listens at `target`, behind the same port."""
+        self.target = target
+        if not self._server.is_serving():
+            await self.listen(self._address, self.port)
+
     def reset_connections(self):
         for writer in list(self._connections):
             writer.transport.abort()
--- a/Scripts/fault_soak/servers.py
+++ b/Scripts/fault_soak/servers.py
@@ -57,14 +57,13 @@
         site = web.TCPSite(self._runner, self.address, 0, shutdown_timeout=0.1)
         await site.start()
         port = site._server.sockets[0].getsockname()[1]
-        self.proxy.target = (self.address, port)
+        await self.proxy.restart_target((self.address, port))
         self._heartbeat = asyncio.create_task(self._send_heartbeats())
 
     async def crash(self):
         """Ends at once; the entry stays in the store until it expires."""
         self._heartbeat.cancel()
-        self.proxy.target = None
-        self.proxy.reset_connections()
+        await self.proxy.end_target()
         await self._runner.cleanup()
 
     def _end_under(self, request):
