Refuse no harmless request because connections broke

Callers of harmless requests got 503 request_crashes_servers for two minutes: the history took every broken new connection for the end of a server, and every end as caused by each request that was on the server.

The end of a server run counts only against the requests with the most reports; the others were broken by it.

Ruled out: a shorter memory, which would let the crashing request pass again.

--- a/Source/Core/Gateway/CrashHistory.h
+++ b/Source/Core/Gateway/CrashHistory.h
@@ -1,37 +1,95 @@
 #pragma once
 
+#include <compare>
 #include <cstdint>
+#include <map>
+#include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
+#include <vector>
 
 #include "Common/Identity.h"
 #include "Common/Time.h"
+#include "Gateway/GatewayTypes.h"
 
-/// Requests that are suspected of crashing servers, identified by a fingerprint
-/// of account, target and body. Every node adds the crashes that it and its
-/// peers report. A request that broke the connections of several server runs is
-/// no longer sent.
+/// One run of a server's process.
+struct server_run
+{
+  upstream_id mUpstream;
+  std::uint64_t mIncarnation = 0;
+  auto operator<=>(const server_run&) const = default;
+};
+
+/// Text form `<upstream>.<incarnation>`, used in row keys and logs.
+std::string FormatServerRun(const server_run& aRun);
+/// Parses the text form of `FormatServerRun`; nothing if it is malformed.
+std::optional<server_run> ParseServerRun(std::string_view aText);
+
+/// A server run seemed to end while it ran a request.
+struct crash_report
+{
+  content_id mRequest;
+  server_run mServer;
+  time_point mObservedAt;
+  auto operator<=>(const crash_report&) const = default;
+};
+
+/// Requests that are suspected of crashing servers, as this node and its peers
+/// observed. A request under which several server runs ended is no longer sent.
+///
+/// A broken connection does not prove that its server ended. Reports are
+/// therefore refuted by later signs of the server run, and by a response to the
+/// same request. The end of a server run counts only against those of its
+/// requests that have the most reports; the others were broken by it.
 class crash_history
 {
 public:
-  /// Records that a server closed the connection while it ran the request.
-  /// `aServerRun` identifies one run of one server. Returns false if this crash
-  /// was known or the table is full.
-  bool Add(const std::string& aFingerprint,
-           const std::string& aServerRun,
-           time_point aNow);
-  bool Blocked(const std::string& aFingerprint, time_point aNow) const;
-  /// Number of server runs that the request broke.
-  std::size_t CrashCount(const std::string& aFingerprint,
-                         time_point aNow) const;
-  void Expire(time_point aNow);
+  /// Returns false if the report is known, refuted or expired, or if the table
+  /// is full.
+  bool Add(const crash_report& aReport, time_point aNow);
+  /// A server answered the request completely, so it does not crash servers.
+  /// Refutes its earlier reports and those that follow shortly after. Returns
+  /// whether it had any.
+  bool OnServed(const content_id& aRequest, time_point aServedAt);
+  /// The server wrote its entry, so its run was alive until shortly before.
+  void OnServerEntry(const server_entry& aEntry, time_point aNow);
+
+  /// Number of server runs whose end counts against the request.
+  std::size_t CrashCount(const content_id& aRequest, time_point aNow) const;
+  bool Blocked(const content_id& aRequest, time_point aNow) const;
+
+  /// Drops what expired or was refuted, and returns the dropped reports.
+  std::vector<crash_report> Expire(time_point aNow);
 
 private:
-  struct crash_record
+  /// Server run to the time of the last observation.
+  using server_runs = std::map<server_run, time_point>;
+  struct life_signs
   {
-    std::set<std::string> mServerRuns;
-    time_point mForgetAt;
+    std::uint64_t mIncarnation = 0;
+    std::uint64_t mSequence = 0;
+    /// When the entry with this sequence was first read.
+    time_point mReadAt;
+    /// The run had not ended at this time.
+    time_point mAliveAt;
   };
-  std::unordered_map<std::string, crash_record> mRecords;
+
+  bool IsValid(const content_id& aRequest,
+               const server_run& aServer,
+               time_point aObservedAt) const;
+  static time_point ExpiryOf(const server_runs& aRuns);
+  std::size_t ReportCount(const content_id& aRequest) const;
+  /// Whether another request on the server run has more reports.
+  bool IsAttributedToAnother(const content_id& aRequest,
+                             const server_run& aServer) const;
+  void RemoveFromServer(const content_id& aRequest, const server_run& aServer);
+  void DropOldRecords(time_point aNow);
+
+  std::unordered_map<content_id, server_runs> mRecords;
+  /// Requests with a report, by server run.
+  std::map<server_run, std::set<content_id>> mRequestsByServer;
+  std::unordered_map<content_id, time_point> mServed;
+  std::unordered_map<upstream_id, life_signs> mServers;
 };
--- a/Source/Core/Gateway/FleetRows.cpp
+++ b/Source/Core/Gateway/FleetRows.cpp
@@ -55,13 +55,17 @@
   } else if (key.starts_with(kCrashPrefix)) {
     const std::string_view crashKey = key.substr(kCrashPrefix.size());
     const auto slash = crashKey.find('/');
-    if (slash != std::string_view::npos) {
-      const std::string fingerprint(crashKey.substr(0, slash));
-      const std::string serverRun(crashKey.substr(slash + 1));
-      const time_point now = mTime.Now();
-      if (mCrashes.Add(fingerprint, serverRun, now)) {
-        LogCrash("store", fingerprint, serverRun, now);
-      }
+    const auto request = ParseWide<content_tag>(crashKey.substr(0, slash));
+    const auto server = slash == std::string_view::npos
+                          ? std::nullopt
+                          : ParseServerRun(crashKey.substr(slash + 1));
+    if (!request || !server) {
+      Log(log_level::Info, "crash_row_unusable", { Field("key", key) });
+      return;
+    }
+    const time_point now = mTime.Now();
+    if (mCrashes.Add({ *request, *server, now }, now)) {
+      LogCrash("store", *request, *server, now);
     }
   }
 }
@@ -88,52 +92,45 @@
   });
 }
 
-void fleet_rows::WriteCrash(const std::string& aFingerprint,
-                            const std::string& aServerRun)
+void fleet_rows::WriteCrash(const content_id& aRequest,
+                            const server_run& aServer)
 {
   const time_point now = mTime.Now();
-  if (!mCrashes.Add(aFingerprint, aServerRun, now)) {
+  if (!mCrashes.Add({ aRequest, aServer, now }, now)) {
     return;
   }
-  LogCrash("own", aFingerprint, aServerRun, now);
+  LogCrash("own", aRequest, aServer, now);
+  const std::string key = fmt::format(
+    "{}{}/{}", kCrashPrefix, FormatWide(aRequest), FormatServerRun(aServer));
   if (mCrashRowsLeft == 0) {
     Log(log_level::Info,
         "crash_row_not_written",
-        { Field("fingerprint", aFingerprint),
-          Field("server_run", aServerRun),
-          Field("error", "limit of rows") });
+        { Field("key", key), Field("error", "limit of rows") });
     return;
   }
   --mCrashRowsLeft;
   row_transaction transaction;
-  transaction.mWrites.push_back(
-    { { kFleetTableName,
-        "",
-        fmt::format("{}{}/{}", kCrashPrefix, aFingerprint, aServerRun) },
-      mRun });
-  mStore.Commit(
-    transaction,
-    [fingerprint = aFingerprint, serverRun = aServerRun](auto aResult) {
-      if (!aResult.has_value()) {
-        Log(log_level::Info,
-            "crash_row_not_written",
-            { Field("fingerprint", fingerprint),
-              Field("server_run", serverRun),
-              Field("error", RowStoreErrorName(aResult.error())) });
-      }
-    });
+  transaction.mWrites.push_back({ { kFleetTableName, "", key }, mRun });
+  mStore.Commit(transaction, [key](auto aResult) {
+    if (!aResult.has_value()) {
+      Log(log_level::Info,
+          "crash_row_not_written",
+          { Field("key", key),
+            Field("error", RowStoreErrorName(aResult.error())) });
+    }
+  });
 }
 
 void fleet_rows::LogCrash(const char* aSource,
-                          const std::string& aFingerprint,
-                          const std::string& aServerRun,
+                          const content_id& aRequest,
+                          const server_run& aServer,
                           time_point aNow)
 {
   mMetrics.OnCrashReport(aSource);
   Log(log_level::Info,
       "crash_known",
       { Field("source", aSource),
-        Field("fingerprint", aFingerprint),
-        Field("server_run", aServerRun),
-        Field("known_crashes", mCrashes.CrashCount(aFingerprint, aNow)) });
+        Field("fingerprint", FormatWide(aRequest)),
+        Field("server_run", FormatServerRun(aServer)),
+        Field("known_crashes", mCrashes.CrashCount(aRequest, aNow)) });
 }
--- a/Source/Core/Gateway/FleetRows.h
+++ b/Source/Core/Gateway/FleetRows.h
@@ -30,8 +30,7 @@
   /// Applies a row of the table.
   void Apply(const stored_row& aRow);
   /// Reports to the other nodes that a server broke while it ran a request.
-  void WriteCrash(const std::string& aFingerprint,
-                  const std::string& aServerRun);
+  void WriteCrash(const content_id& aRequest, const server_run& aServer);
   /// Writes this node's row until the store has it, and resets the number of
   /// crash rows that may be written in one interval.
   void OnMaintenanceTick(time_point aNow);
@@ -39,8 +38,8 @@
 private:
   void Register(time_point aNow);
   void LogCrash(const char* aSource,
-                const std::string& aFingerprint,
-                const std::string& aServerRun,
+                const content_id& aRequest,
+                const server_run& aServer,
                 time_point aNow);
 
   fleet_view& mFleet;
--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -104,9 +104,8 @@
               .mFleet = mFleet,
               .mMetrics = mMetrics,
               .mReportCrash =
-                [this](const std::string& aFingerprint,
-                       const std::string& aServerRun) {
-                  mRows.WriteCrash(aFingerprint, aServerRun);
+                [this](const content_id& aRequest, const server_run& aServer) {
+                  mRows.WriteCrash(aRequest, aServer);
                 } }
   , mPeerTransport(mFleet,
                    mTokenAllowance,
@@ -279,6 +278,7 @@
           Field("version", aRow.mVersion) });
   }
   mUpstreamRegistry.Apply(*entry, now);
+  mCrashes.OnServerEntry(*entry, now);
 }
 
 milliseconds gateway_node::RemovalGracePeriod(bool aTentative) const
--- a/Source/Core/Gateway/GatewaySession.cpp
+++ b/Source/Core/Gateway/GatewaySession.cpp
@@ -85,7 +85,11 @@
                                                          : mRoute->mPriority;
   mService = ChooseService(*mRoute, mRequest.mId);
   mContext.mRetries.OnRequest(mService.mName, mArrived);
-  if (mContext.mCrashes.Blocked(Fingerprint(), mArrived)) {
+  const std::string account =
+    mAccount == nullptr ? std::string() : mAccount->mName.mName;
+  mContent =
+    MakeContentId(account_id{ account + mRequest.mTarget }, mRequest.mBody);
+  if (mContext.mCrashes.Blocked(mContent, mArrived)) {
     Refuse("request_crashes_servers", kBlockedRetryDelay);
     return;
   }
@@ -281,11 +285,3 @@
     mAccount->mName, std::exchange(mReserved, 0), used, mContext.mTime.Now());
   return used;
 }
-
-std::string gateway_session::Fingerprint() const
-{
-  const std::string account =
-    mAccount == nullptr ? std::string() : mAccount->mName.mName;
-  return FormatWide(
-    MakeContentId(account_id{ account + mRequest.mTarget }, mRequest.mBody));
-}
--- a/Source/Core/Gateway/GatewaySession.h
+++ b/Source/Core/Gateway/GatewaySession.h
@@ -42,8 +42,7 @@
   std::size_t mBodyBytes = 0;
   std::size_t mMaxBodyBytes = 0;
   /// Reports to the other nodes that a server broke while it ran a request.
-  std::function<void(const std::string& aFingerprint,
-                     const std::string& aServerRun)>
+  std::function<void(const content_id& aRequest, const server_run& aServer)>
     mReportCrash;
   /// Connections that were dropped inside one of their own events and must be
   /// destroyed later.
@@ -114,7 +113,7 @@
   /// Logs that a server gave no complete response. `aCounted` tells whether it
   /// counts as a crash under this request.
   void LogBreak(std::string_view aFailure,
-                const std::string& aServerRun,
+                const server_run& aServer,
                 bool aReused,
                 bool aCounted) const;
   /// Logs that the node stops waiting for a server that has the request.
@@ -136,8 +135,7 @@
   /// Ends the token reservation and returns the number of tokens that the
   /// request consumed.
   std::int64_t FinishReservation();
-  std::string Fingerprint() const;
-  std::string ServerRun() const;
+  server_run ServerRun() const;
 
   gateway_context& mContext;
   http_server_connection* mClient;
@@ -146,6 +144,8 @@
   const gateway_route* mRoute = nullptr;
   const gateway_account* mAccount = nullptr;
   service_id mService;
+  /// Identity of account, target and body in the crash history.
+  content_id mContent;
   stage mStage = stage::NeedTokens;
   int mPriority = 0;
   time_point mArrived;
--- a/Source/Core/Gateway/GatewaySessionUpstream.cpp
+++ b/Source/Core/Gateway/GatewaySessionUpstream.cpp
@@ -80,13 +80,12 @@
   mEventStream = false;
   mBuffered.clear();
   ++mAttempts;
-  const std::string fingerprint = Fingerprint();
-  const std::size_t crashes = mContext.mCrashes.CrashCount(fingerprint, aNow);
+  const std::size_t crashes = mContext.mCrashes.CrashCount(mContent, aNow);
   if (crashes > 0) {
     Log(log_level::Info,
         "suspect_request_sent",
         { Field("id", mRequest.mId),
-          Field("fingerprint", fingerprint),
+          Field("fingerprint", FormatWide(mContent)),
           Field("server", mPlacement.mUpstream.mName),
           Field("known_crashes", crashes) });
   }
@@ -321,6 +320,10 @@
     mContext.mUpstreamRegistry.OnSuccess(mPlacement.mUpstream);
   }
   RecordFirstByte();
+  // The end of a server looks like the end of a response without length.
+  if (mFraming != body_framing::UntilClose) {
+    mContext.mCrashes.OnServed(mContent, now);
+  }
   ReleaseUpstream(aReusable);
   if (serverError && !mResponseStarted && MayRetry("server_error")) {
     Retry();
@@ -401,7 +404,7 @@
   const time_point now = mContext.mTime.Now();
   const bool reused = mConnection && mConnection->Uses() > 1;
   const upstream_id upstream = mPlacement.mUpstream;
-  const std::string run = ServerRun();
+  const server_run run = ServerRun();
   ReleaseUpstream(false);
   mEvents.DropPartial();
   if (aFailure == exchange_failure::NotSent) {
@@ -429,7 +432,7 @@
   const bool counted = aFailure == exchange_failure::NoResponse && !reused;
   LogBreak(ExchangeFailureName(aFailure), run, reused, counted);
   if (counted) {
-    mContext.mReportCrash(Fingerprint(), run);
+    mContext.mReportCrash(mContent, run);
   }
   if (MayRetry("server_failed")) {
     Retry();
@@ -443,7 +446,7 @@
 }
 
 void gateway_session::LogBreak(std::string_view aFailure,
-                               const std::string& aServerRun,
+                               const server_run& aServer,
                                bool aReused,
                                bool aCounted) const
 {
@@ -451,8 +454,8 @@
   Log(log_level::Info,
       "server_broke",
       { Field("id", mRequest.mId),
-        Field("fingerprint", Fingerprint()),
-        Field("server_run", aServerRun),
+        Field("fingerprint", FormatWide(mContent)),
+        Field("server_run", FormatServerRun(aServer)),
         Field("failure", aFailure),
         Field("kept_connection", aReused),
         Field("head", mHasResponse),
@@ -501,11 +504,9 @@
   mStage = stage::NeedServer;
 }
 
-std::string gateway_session::ServerRun() const
+server_run gateway_session::ServerRun() const
 {
   const server_entry* entry =
     mContext.mUpstreamRegistry.Find(mPlacement.mUpstream);
-  return fmt::format("{}.{}",
-                     mPlacement.mUpstream.mName,
-                     entry == nullptr ? 0 : entry->mIncarnation);
+  return { mPlacement.mUpstream, entry == nullptr ? 0 : entry->mIncarnation };
 }
