Ask the crash history before each send

Callers' requests were repeated at a further server, or sent after waiting for one, although the third crash under them was known by then: the history was asked only when a request arrived.

The check now also stands before each choice of a server. What has not run is refused with a pause, what may have run fails, a stream that has begun is broken off.

IsNotRepeatedAfterTheThirdCrash failed before (four servers got the request) and passes now.

--- a/Source/Core/Gateway/GatewaySession.cpp
+++ b/Source/Core/Gateway/GatewaySession.cpp
@@ -90,7 +90,7 @@
   mContent =
     MakeContentId(account_id{ account + mRequest.mTarget }, mRequest.mBody);
   if (mContext.mCrashes.Blocked(mContent, mArrived)) {
-    Refuse("request_crashes_servers", kBlockedRetryDelay);
+    EndBlocked();
     return;
   }
   Advance(mArrived);
@@ -155,8 +155,25 @@
   return query;
 }
 
+void gateway_session::EndBlocked()
+{
+  constexpr const char* kReason = "request_crashes_servers";
+  if (mResponseStarted) {
+    AbortClient(kReason);
+  } else if (mMayHaveRun) {
+    Fail(http_status::kBadGateway, kReason);
+  } else {
+    Refuse(kReason, kBlockedRetryDelay);
+  }
+}
+
 void gateway_session::AdvanceServer(time_point aNow)
 {
+  // Crashes may have become known since the request arrived or was sent.
+  if (mContext.mCrashes.Blocked(mContent, aNow)) {
+    EndBlocked();
+    return;
+  }
   auto chosen = mContext.mUpstreamRegistry.Choose(Query(), aNow);
   if (!chosen && !mTriedUpstreams.empty()) {
     // No other server is left; one that failed before is better than none.
--- a/Source/Core/Gateway/GatewaySession.h
+++ b/Source/Core/Gateway/GatewaySession.h
@@ -94,6 +94,8 @@
   void Begin();
   void AdvanceTokens(time_point aNow);
   void AdvanceServer(time_point aNow);
+  /// Ends a request that must not be sent because servers ended under it.
+  void EndBlocked();
   void AdvanceSent(time_point aNow);
   placement_query Query() const;
   admission_query AdmissionQuery() const;
