Count crashes of servers on kept connections

Callers' request went to a fourth server and further, because a break on a kept connection was taken for the server's idle timeout.

Every connection that ends before a response head is now reported. An idle timeout looks the same; the server's later entries refute it.

--- a/Source/Core/Gateway/GatewaySessionUpstream.cpp
+++ b/Source/Core/Gateway/GatewaySessionUpstream.cpp
@@ -429,7 +429,9 @@
   if (!reused || aFailure != exchange_failure::NoResponse) {
     mContext.mUpstreamRegistry.OnFailure(upstream, now);
   }
-  const bool counted = aFailure == exchange_failure::NoResponse && !reused;
+  // A kept connection may also have reached the server's idle timeout; the
+  // server's later entries then refute the report.
+  const bool counted = aFailure == exchange_failure::NoResponse;
   LogBreak(ExchangeFailureName(aFailure), run, reused, counted);
   if (counted) {
     mContext.mReportCrash(mContent, run);
--- a/Source/UnitTests/Gateway/CrashingRequestTest.cpp
+++ b/Source/UnitTests/Gateway/CrashingRequestTest.cpp
@@ -11,19 +11,25 @@
 class crashing_request_test : public gateway_fixture
 {
 protected:
-  /// Adds servers that do `aCrash` when they get a crashing request.
-  void AddServers(const std::string& aService, scripted_server::script aCrash)
+  /// Adds servers that do `aCrash` when they get a crashing request, and end if
+  /// it returns true.
+  void AddServers(const std::string& aService,
+                  std::function<bool(http_server_connection&,
+                                     const http_server_request&)> aCrash)
   {
     for (const char* id : { "i-1", "i-2", "i-3", "i-4", "i-5" }) {
-      AddServer(id, aService).mScript =
-        [this, aCrash](http_server_connection& aConnection,
-                       const http_server_request& aRequest) {
-          if (aRequest.mBody == kCrashingBody) {
-            ++mCrashes;
-            aCrash(aConnection, aRequest);
+      scripted_server& server = AddServer(id, aService);
+      server.mScript =
+        [this, &server, aCrash](http_server_connection& aConnection,
+                                const http_server_request& aRequest) {
+          if (aRequest.mBody != kCrashingBody) {
+            mHeld.emplace_back(&aConnection, aRequest);
             return;
           }
-          mHeld.emplace_back(&aConnection, aRequest);
+          ++mCrashes;
+          if (aCrash(aConnection, aRequest)) {
+            server.End();
+          }
         };
     }
   }
@@ -71,8 +77,7 @@
 
 TEST_F(crashing_request_test, IsRefusedAfterCrashesOnNewConnections)
 {
-  AddServers("app",
-             [](auto& aConnection, const auto&) { aConnection.Abort(); });
+  AddServers("app", [](auto&, const auto&) { return true; });
   StartNode();
   ExpectRefusalAfterThreeCrashes("/o/x");
 }
@@ -80,8 +85,7 @@
 // Guards against crashes that are taken for idle timeouts of kept connections.
 TEST_F(crashing_request_test, IsRefusedAfterCrashesOnKeptConnections)
 {
-  AddServers("app",
-             [](auto& aConnection, const auto&) { aConnection.Abort(); });
+  AddServers("app", [](auto&, const auto&) { return true; });
   StartNode();
   OpenConnections("/o/x");
   ExpectRefusalAfterThreeCrashes("/o/x");
@@ -97,7 +101,7 @@
     head.mFraming = body_framing::Chunked;
     aConnection.StartResponse(head);
     aConnection.WriteBody("part");
-    aConnection.Abort();
+    return true;
   });
   StartNode();
   ExpectRefusalAfterThreeCrashes("/o/x");
@@ -107,7 +111,7 @@
 // request reaches its timeout and nothing breaks.
 TEST_F(crashing_request_test, IsRefusedAfterServersFellSilent)
 {
-  AddServers("app", [](auto&, const auto&) {});
+  AddServers("app", [](auto&, const auto&) { return false; });
   StartNode();
   for (unsigned sent = 1; sent <= 3; ++sent) {
     Call("POST", "/o/x", {}, kCrashingBody);
@@ -122,8 +126,7 @@
 // the history must be checked before each send, not only on arrival.
 TEST_F(crashing_request_test, IsNotRepeatedAfterTheThirdCrash)
 {
-  AddServers("app",
-             [](auto& aConnection, const auto&) { aConnection.Abort(); });
+  AddServers("app", [](auto&, const auto&) { return true; });
   StartNode();
   // The route allows two servers for one request.
   Call("POST", "/l/x", {}, kCrashingBody);
--- a/Source/UnitTests/Gateway/GatewayFixture.cpp
+++ b/Source/UnitTests/Gateway/GatewayFixture.cpp
@@ -64,6 +64,11 @@
   aConnection.Respond(response, "done");
 }
 
+void scripted_server::End()
+{
+  mEndTimer.Once(milliseconds(0), [this] { mListener.reset(); });
+}
+
 void scripted_server::Sign(http_server_response& aResponse,
                            const http_server_request& aRequest)
 {
--- a/Source/UnitTests/Gateway/GatewayFixture.h
+++ b/Source/UnitTests/Gateway/GatewayFixture.h
@@ -29,6 +29,10 @@
   void OnClientDrained(http_server_connection&) override {}
   void OnConnectionClosed(http_server_connection&) override {}
 
+  /// Ends the server once the current callback has returned: its connections
+  /// break and its port refuses new ones.
+  void End();
+
   std::string Address() const { return FormatTcpAddress(mListener->Address()); }
   /// Adds the headers that mark the response as a server's answer to the
   /// request.
@@ -41,6 +45,7 @@
 
 private:
   std::unique_ptr<http_listener> mListener;
+  loop_timer mEndTimer;
 };
 
 /// Records the answer of the gateway to one request of a test.
