Count crashes of servers within responses

Callers' request went on to servers if these ended after the response head or in the middle of a stream: a truncated response was taken for a fault of the response alone. A response without length that ends with its connection was even taken for a complete one.

Every break within a response and every response without length is now reported. Servers that live on refute the report by their entries, a complete framed response by itself.

--- a/Source/Core/Gateway/GatewaySessionUpstream.cpp
+++ b/Source/Core/Gateway/GatewaySessionUpstream.cpp
@@ -320,9 +320,11 @@
     mContext.mUpstreamRegistry.OnSuccess(mPlacement.mUpstream);
   }
   RecordFirstByte();
-  // The end of a server looks like the end of a response without length.
   if (mFraming != body_framing::UntilClose) {
     mContext.mCrashes.OnServed(mContent, now);
+  } else {
+    // The end of a server looks like the end of a response without length.
+    mContext.mReportCrash(mContent, ServerRun());
   }
   ReleaseUpstream(aReusable);
   if (serverError && !mResponseStarted && MayRetry("server_error")) {
@@ -429,9 +431,9 @@
   if (!reused || aFailure != exchange_failure::NoResponse) {
     mContext.mUpstreamRegistry.OnFailure(upstream, now);
   }
-  // A kept connection may also have reached the server's idle timeout; the
-  // server's later entries then refute the report.
-  const bool counted = aFailure == exchange_failure::NoResponse;
+  // A server that goes on may also break a connection, at its idle timeout or
+  // within a response; its later entries then refute the report.
+  const bool counted = aFailure != exchange_failure::Malformed;
   LogBreak(ExchangeFailureName(aFailure), run, reused, counted);
   if (counted) {
     mContext.mReportCrash(mContent, run);
--- a/Source/UnitTests/Gateway/CrashingRequestTest.cpp
+++ b/Source/UnitTests/Gateway/CrashingRequestTest.cpp
@@ -5,6 +5,7 @@
 using std::chrono::milliseconds;
 
 constexpr const char* kCrashingBody = "crash";
+constexpr const char* kPrompt = "Lentilswitch-Token-Counts: 100,50\r\n";
 constexpr const char* kRefusal = R"({"error":"request_crashes_servers"})";
 
 /// Servers that answer every request but those with the crashing body.
@@ -107,6 +108,45 @@
   ExpectRefusalAfterThreeCrashes("/o/x");
 }
 
+// Guards against crashes that look like the end of a response without length.
+TEST_F(crashing_request_test, IsRefusedAfterCrashesWithinUnframedResponses)
+{
+  AddServers("app", [](auto& aConnection, const auto& aRequest) {
+    http_server_response head;
+    scripted_server::Sign(head, aRequest);
+    head.mFraming = body_framing::UntilClose;
+    aConnection.StartResponse(head);
+    aConnection.WriteBody("part");
+    aConnection.FinishBody();
+    return true;
+  });
+  StartNode();
+  ExpectRefusalAfterThreeCrashes("/o/x");
+}
+
+// Guards against a stream whose servers end within it, at which the request is
+// resumed at further servers.
+TEST_F(crashing_request_test, IsRefusedAfterCrashesWithinStreams)
+{
+  AddServers("engine", [](auto& aConnection, const auto& aRequest) {
+    http_server_response head;
+    scripted_server::Sign(head, aRequest);
+    head.mHeaders.emplace_back("Content-Type", "text/event-stream");
+    head.mFraming = body_framing::Chunked;
+    aConnection.StartResponse(head);
+    aConnection.WriteBody("id: 1\ndata: a\n\nid: 2\n");
+    return true;
+  });
+  StartNode();
+  // The route allows two servers for one request.
+  Call("POST", "/r/x", kPrompt, kCrashingBody);
+  ASSERT_EQ(mCrashes, 2U);
+  Call("POST", "/r/x", kPrompt, kCrashingBody);
+  EXPECT_EQ(mCrashes, 3U);
+  EXPECT_EQ(Call("POST", "/r/x", kPrompt, kCrashingBody)->mBody, kRefusal);
+  EXPECT_EQ(mCrashes, 3U);
+}
+
 // Guards against servers that end without closing their connections: the
 // request reaches its timeout and nothing breaks.
 TEST_F(crashing_request_test, IsRefusedAfterServersFellSilent)
