Count servers that fall silent under a request

Callers' request went on to servers if these ended without closing their connections: nothing broke, the client left or the route's timeout passed, and neither was reported. With 3 s until a connection without acknowledgements breaks, most callers are gone before.

A node now remembers each sent request until its response is complete, also after it stopped to wait. Bytes and entries after the node stopped to wait settle the request. The server is avoided as after a failure.

Ruled out: to report every timeout, which would report each request of an overloaded server.

--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <random>
+#include <set>
 #include <utility>
 
 #include <fmt/format.h>
@@ -101,6 +102,7 @@
               .mTokenAllowance = mTokenAllowance,
               .mRetries = mRetries,
               .mCrashes = mCrashes,
+              .mUnanswered = mUnanswered,
               .mFleet = mFleet,
               .mMetrics = mMetrics,
               .mReportCrash =
@@ -402,10 +404,28 @@
   }
 }
 
+void gateway_node::ReportSilentServers(time_point aNow)
+{
+  std::set<upstream_id> servers;
+  for (const crash_report& report : mUnanswered.TakeSilent(
+         mUpstreamRegistry, mUpstreamTable.LastContact(), aNow)) {
+    Log(log_level::Info,
+        "server_silent",
+        { Field("fingerprint", FormatWide(report.mRequest)),
+          Field("server_run", FormatServerRun(report.mServer)) });
+    mRows.WriteCrash(report.mRequest, report.mServer);
+    servers.insert(report.mServer.mUpstream);
+  }
+  for (const upstream_id& server : servers) {
+    mUpstreamRegistry.OnFailure(server, aNow);
+  }
+}
+
 void gateway_node::OnFleetTick()
 {
   const time_point now = mTime.Now();
   UpdateLinkOverload(now);
+  ReportSilentServers(now);
   const bool ready = Ready();
   if (std::exchange(mFleet.Self().mReady, ready) != ready) {
     Log(log_level::Info, "readiness_changed", { Field("ready", ready) });
--- a/Source/Core/Gateway/GatewayNode.h
+++ b/Source/Core/Gateway/GatewayNode.h
@@ -74,6 +74,8 @@
   /// Accepts no new connections while the link of the host is overloaded.
   void UpdateLinkOverload(time_point aNow);
   void AdvanceWaiting(time_point aNow);
+  /// Reports crashes of servers that fell silent, and avoids these servers.
+  void ReportSilentServers(time_point aNow);
   void ContinueStop(time_point aNow);
 
   gateway_settings mSettings;
@@ -88,6 +90,7 @@
   token_allowance mTokenAllowance;
   retry_window mRetries;
   crash_history mCrashes;
+  unanswered_requests mUnanswered;
   fleet_view mFleet;
   gateway_metrics mMetrics;
   allowance_writer mAllowanceWriter;
--- a/Source/Core/Gateway/GatewaySession.cpp
+++ b/Source/Core/Gateway/GatewaySession.cpp
@@ -208,8 +208,7 @@
 void gateway_session::Cancel()
 {
   mClient = nullptr;
-  LogAbandoned("client_gone");
-  ReleaseUpstream(false);
+  AbandonUpstream("client_gone");
   Finish(kClientClosedRequest, "client_gone");
 }
 
--- a/Source/Core/Gateway/GatewaySession.h
+++ b/Source/Core/Gateway/GatewaySession.h
@@ -14,6 +14,7 @@
 #include "Gateway/GatewayMetrics.h"
 #include "Gateway/GatewaySettings.h"
 #include "Gateway/RouteTable.h"
+#include "Gateway/UnansweredRequests.h"
 #include "Gateway/UpstreamPool.h"
 
 /// State of the node that its requests share.
@@ -27,6 +28,7 @@
   token_allowance& mTokenAllowance;
   retry_window& mRetries;
   crash_history& mCrashes;
+  unanswered_requests& mUnanswered;
   fleet_view& mFleet;
   gateway_metrics& mMetrics;
   /// Null until a configuration was read.
@@ -118,8 +120,8 @@
                 const server_run& aServer,
                 bool aReused,
                 bool aCounted) const;
-  /// Logs that the node stops waiting for a server that has the request.
-  void LogAbandoned(const char* aReason) const;
+  /// Stops waiting for a server that has the request.
+  void AbandonUpstream(const char* aReason);
   void DeliverBuffered();
   /// Whether the server ended the stream on purpose, as far as its framing and
   /// the number of events show.
@@ -162,6 +164,7 @@
   placement mPlacement;
   upstream_work mWork;
   std::unique_ptr<http_client_connection> mConnection;
+  unanswered_requests::ticket mUnansweredTicket = 0;
   time_point mSentAt;
   time_point mLastEventAt;
   std::vector<upstream_id> mTriedUpstreams;
--- a/Source/Core/Gateway/GatewaySessionUpstream.cpp
+++ b/Source/Core/Gateway/GatewaySessionUpstream.cpp
@@ -91,6 +91,7 @@
   }
   const placement_query query = Query();
   mContext.mUpstreamRegistry.BeginRequest(aPlacement, query, aNow);
+  mUnansweredTicket = mContext.mUnanswered.Add(mContent, ServerRun(), aNow);
   upstream_send send;
   send.mUpstream = aPlacement.mUpstream;
   if (mAccount != nullptr) {
@@ -115,8 +116,7 @@
 {
   if (aNow >= mRouteDeadline || aNow >= mDeadline + kDeadlineGracePeriod) {
     const bool reached = mConnection && mConnection->Connected();
-    LogAbandoned("timeout");
-    ReleaseUpstream(false);
+    AbandonUpstream("timeout");
     if (mResponseStarted) {
       AbortClient("timeout");
     } else if (reached || mMayHaveRun) {
@@ -138,8 +138,7 @@
   if (slow && MayRetry("slow_server")) {
     mContext.mUpstreamRegistry.OnFailure(mPlacement.mUpstream, aNow);
     mMayHaveRun = true;
-    LogAbandoned("slow_server");
-    ReleaseUpstream(false);
+    AbandonUpstream("slow_server");
     Retry();
   }
 }
@@ -262,6 +261,7 @@
     return;
   }
   mContext.mUpstreamRegistry.EndRequest(mPlacement.mUpstream, mWork);
+  mContext.mUnanswered.Remove(std::exchange(mUnansweredTicket, 0));
   mWork = {};
   if (aReusable && mConnection) {
     mContext.mPool.Release(std::move(mConnection),
@@ -467,11 +467,17 @@
         Field("counted", aCounted) });
 }
 
-void gateway_session::LogAbandoned(const char* aReason) const
+void gateway_session::AbandonUpstream(const char* aReason)
 {
-  if (mStage == stage::Sent && mConnection && mConnection->Connected()) {
+  if (mStage != stage::Sent) {
+    return;
+  }
+  if (mConnection && mConnection->Connected()) {
     LogBreak(aReason, ServerRun(), mConnection->Uses() > 1, false);
+    mContext.mUnanswered.Abandon(std::exchange(mUnansweredTicket, 0),
+                                 mContext.mTime.Now());
   }
+  ReleaseUpstream(false);
 }
 
 bool gateway_session::IsRetryable() const
--- /dev/null
+++ b/Source/Core/Gateway/UnansweredRequests.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "Gateway/CrashHistory.h"
+#include "Gateway/UpstreamRegistry.h"
+
+/// Requests that were sent to servers and not answered completely, also those
+/// that the node no longer waits for. Detects servers that fell silent under
+/// them: such a server breaks no connection, and clients leave before it is
+/// removed from the store.
+class unanswered_requests
+{
+public:
+  using ticket = std::uint64_t;
+
+  ticket Add(const content_id& aRequest,
+             const server_run& aServer,
+             time_point aSentAt);
+  /// The server's response is complete, or its connection broke.
+  void Remove(ticket aTicket);
+  /// The node stops waiting for the response. The request is kept until the
+  /// server shows a sign of life or counts as silent.
+  void Abandon(ticket aTicket, time_point aNow);
+
+  /// Returns each request once whose server has fallen silent.
+  /// `aStoreContact` is the last contact to the store; without it, entries tell
+  /// nothing about servers.
+  std::vector<crash_report> TakeSilent(const upstream_registry& aServers,
+                                       time_point aStoreContact,
+                                       time_point aNow);
+
+private:
+  struct open_request
+  {
+    content_id mRequest;
+    server_run mServer;
+    time_point mSentAt;
+    /// Set once the node has stopped to wait.
+    std::optional<time_point> mAbandonedAt;
+    bool mReported = false;
+  };
+
+  enum class state : std::uint8_t
+  {
+    Undecided,
+    Silent,
+    /// The server lives, or its end is known otherwise.
+    Settled,
+  };
+
+  static state StateOf(const open_request& aRequest,
+                       const std::optional<signs_of_life>& aSigns,
+                       bool aStoreLost,
+                       time_point aNow);
+
+  ticket mLastTicket = 0;
+  std::map<ticket, open_request> mRequests;
+};
--- a/Source/Core/Gateway/UpstreamRegistry.cpp
+++ b/Source/Core/Gateway/UpstreamRegistry.cpp
@@ -109,6 +109,9 @@
       holders.erase(record.mKey);
     }
   }
+  if (restarted || aEntry.mSequence > old.mSequence) {
+    record.mEntryReadAt = aNow;
+  }
   record.mEntry = aEntry;
   record.mRemoved = false;
   if (aEntry.mState == server_state::Ready) {
@@ -435,3 +438,16 @@
   const auto found = mUpstreams.find(aId);
   return found == mUpstreams.end() ? nullptr : &found->second.mEntry;
 }
+
+std::optional<signs_of_life> upstream_registry::SignsOfLife(
+  const upstream_id& aId) const
+{
+  const auto found = mUpstreams.find(aId);
+  if (found == mUpstreams.end()) {
+    return std::nullopt;
+  }
+  const upstream_record& record = found->second;
+  return signs_of_life{ record.mEntry.mIncarnation,
+                        record.mLastByte,
+                        record.mEntryReadAt };
+}
--- a/Source/Core/Gateway/UpstreamRegistry.h
+++ b/Source/Core/Gateway/UpstreamRegistry.h
@@ -73,6 +73,16 @@
   double mOutputMs = 0.0;
 };
 
+/// When a server last showed that it runs.
+struct signs_of_life
+{
+  std::uint64_t mIncarnation = 0;
+  /// Last byte that the server sent to this node.
+  time_point mLastByte;
+  /// When the newest entry of the server was read.
+  time_point mEntryReadAt;
+};
+
 class upstream_registry
 {
 public:
@@ -124,6 +134,7 @@
   std::vector<std::pair<std::uint32_t, upstream_work>> LocalWork() const;
 
   const server_entry* Find(const upstream_id& aId) const;
+  std::optional<signs_of_life> SignsOfLife(const upstream_id& aId) const;
   std::size_t Size() const { return mUpstreams.size(); }
 
   /// Hash of a server's identity, its key in messages between nodes.
@@ -163,6 +174,7 @@
     double mEventGapMs = 0.0;
     time_point mGapValidUntil;
     time_point mLastByte;
+    time_point mEntryReadAt;
     time_point mBusySince;
   };
 
