Write the rows of all crashes, until the store has them

Nodes other than the one that saw a crash went on to send the request: a node wrote at most three crash rows in 250 ms, a server that ends breaks every request on it, and the row of the cause was dropped with the others. A row that the store refused or did not answer was not written again.

crash_exchange keeps the reports and writes up to 100 of them in one transaction, at most one in half a second, until the store has confirmed them: fewer calls than before. Rows whose report was refuted or expired are removed; until now rows stayed for ever. Rows of a node that ended are still not removed.

CrashExchangeTest: 250 requests broken at once, a store that is away for 10 s, removal, damaged rows. The first two are what the old limit and the single attempt prevented; the old class had no such test.

--- a/Source/Core/Gateway/FleetRows.h
+++ b/Source/Core/Gateway/FleetRows.h
@@ -4,9 +4,8 @@
 #include <string>
 
 #include "Common/Time.h"
-#include "Gateway/CrashHistory.h"
+#include "Gateway/CrashExchange.h"
 #include "Gateway/FleetView.h"
-#include "Gateway/GatewayMetrics.h"
 #include "Remote/RowStore.h"
 
 /// Store rows that nodes write for each other: node addresses and requests that
@@ -18,8 +17,7 @@
 
   /// `aRun` identifies this run of the process.
   fleet_rows(fleet_view& aFleet,
-             crash_history& aCrashes,
-             gateway_metrics& aMetrics,
+             crash_exchange& aCrashes,
              row_store& aStore,
              const time_source& aTime,
              std::string aRun);
@@ -29,29 +27,20 @@
 
   /// Applies a row of the table.
   void Apply(const stored_row& aRow);
-  /// Reports to the other nodes that a server broke while it ran a request.
-  void WriteCrash(const content_id& aRequest, const server_run& aServer);
-  /// Writes this node's row until the store has it, and resets the number of
-  /// crash rows that may be written in one interval.
+  /// Writes this node's row until the store has it.
   void OnMaintenanceTick(time_point aNow);
 
 private:
   void Register(time_point aNow);
-  void LogCrash(const char* aSource,
-                const content_id& aRequest,
-                const server_run& aServer,
-                time_point aNow);
 
   fleet_view& mFleet;
-  crash_history& mCrashes;
-  gateway_metrics& mMetrics;
+  crash_exchange& mCrashes;
   row_store& mStore;
   const time_source& mTime;
   std::string mRun;
   bool mRegistered = false;
   bool mRegistering = false;
   time_point mNextRegistrationAt;
-  unsigned mCrashRowsLeft = 0;
   /// Set to false by the destructor; replies that arrive later are ignored.
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
 };
--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -89,11 +89,12 @@
   , mTokenAllowance(mRun, aSettings.mTokenAllowance)
   , mRetries(aSettings.mRetries)
   , mFleet(SelfReport(aSettings, std::stoull(mRun, nullptr, 16)))
+  , mCrashExchange(mCrashes, mMetrics, mStore, mTime, mRun)
   , mAllowanceWriter(mTokenAllowance,
                      mStore,
                      mTime,
                      FormatTcpAddress(mSettings.mPeer))
-  , mRows(mFleet, mCrashes, mMetrics, mStore, mTime, mRun)
+  , mRows(mFleet, mCrashExchange, mStore, mTime, mRun)
   , mContext{ .mSettings = mSettings,
               .mCodec = mCodec,
               .mTime = mTime,
@@ -107,7 +108,7 @@
               .mMetrics = mMetrics,
               .mReportCrash =
                 [this](const content_id& aRequest, const server_run& aServer) {
-                  mRows.WriteCrash(aRequest, aServer);
+                  mCrashExchange.Report(aRequest, aServer);
                 } }
   , mPeerTransport(mFleet,
                    mTokenAllowance,
@@ -413,7 +414,7 @@
         "server_silent",
         { Field("fingerprint", FormatWide(report.mRequest)),
           Field("server_run", FormatServerRun(report.mServer)) });
-    mRows.WriteCrash(report.mRequest, report.mServer);
+    mCrashExchange.Report(report.mRequest, report.mServer);
     servers.insert(report.mServer.mUpstream);
   }
   for (const upstream_id& server : servers) {
@@ -460,9 +461,9 @@
 {
   const time_point now = mTime.Now();
   mRows.OnMaintenanceTick(now);
+  mCrashExchange.OnMaintenanceTick(now);
   mUpstreamRegistry.Expire(now);
   mPool.Expire(now);
-  mCrashes.Expire(now);
   mClientListener->CheckDeadlines(now);
   mReadiness->CheckDeadlines(now);
   mDirectory->CheckDeadlines(now);
--- a/Source/Core/Gateway/GatewayNode.h
+++ b/Source/Core/Gateway/GatewayNode.h
@@ -93,6 +93,7 @@
   unanswered_requests mUnanswered;
   fleet_view mFleet;
   gateway_metrics mMetrics;
+  crash_exchange mCrashExchange;
   allowance_writer mAllowanceWriter;
   fleet_rows mRows;
   gateway_context mContext;
