Tell other nodes of crashes directly

With the store away or slow, nodes went on to send a request that others knew to crash servers: crash rows were the only way between nodes, and a node that started meanwhile read none.

Nodes send each new report at once to all live nodes, repeat it for a second in the rounds of reports, and repeat once a second the reports of requests with several crashes, which a node that starts or was cut off hears from any other. Notices hold ages, not times, and at most 24 entries, under 1,400 bytes. A response to a request with reports is sent in the same way, so that all nodes serve it again. Nodes of the previous build ignore the new datagram.

--- a/Source/Core/Gateway/CrashExchange.cpp
+++ b/Source/Core/Gateway/CrashExchange.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/CrashExchange.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 #include <vector>
 
@@ -21,6 +22,15 @@
 // earlier crash are accepted, because a lost server breaks every request on it.
 constexpr std::size_t kMaxPendingRows = 2000;
 
+// Time for which news is repeated, so that single lost datagrams do not matter.
+constexpr milliseconds kNewsTime(1000);
+// Limit of the entries of a notice, so that it fits an unfragmented datagram.
+constexpr std::size_t kMaxNoticeEntries = 24;
+// Interval at which reports of requests with several crashes are repeated for
+// nodes that started or were cut off, and the limit of these reports.
+constexpr milliseconds kRepeatInterval(1000);
+constexpr std::size_t kMaxRepeatedReports = 48;
+
 std::string RowKey(const crash_report& aReport)
 {
   return fmt::format("{}{}/{}",
@@ -53,6 +63,36 @@
   return { aKeys.begin(), std::next(aKeys.begin(), count) };
 }
 
+crash_notice& LastNotice(std::vector<crash_notice>& aNotices)
+{
+  if (aNotices.empty() ||
+      aNotices.back().mReports.size() + aNotices.back().mServed.size() >=
+        kMaxNoticeEntries) {
+    aNotices.emplace_back();
+  }
+  return aNotices.back();
+}
+
+/// Divides reports among notices that fit a datagram.
+std::vector<crash_notice> Split(const std::vector<crash_report>& aReports,
+                                const std::vector<served_report>& aServed,
+                                time_point aNow)
+{
+  const auto age = [aNow](time_point aTime) {
+    return std::chrono::duration_cast<milliseconds>(aNow - aTime);
+  };
+  std::vector<crash_notice> notices;
+  for (const crash_report& report : aReports) {
+    LastNotice(notices).mReports.push_back(
+      { report.mRequest, report.mServer, age(report.mObservedAt) });
+  }
+  for (const served_report& served : aServed) {
+    LastNotice(notices).mServed.push_back(
+      { served.mRequest, age(served.mServedAt) });
+  }
+  return notices;
+}
+
 row_key FleetRow(const std::string& aKey)
 {
   return { fleet_rows::kFleetTableName, "", aKey };
@@ -103,9 +143,62 @@
   if (!Add("own", report, now)) {
     return;
   }
-  const std::string key = RowKey(report);
+  mNewReports.push_back(report);
+  QueueRow(report);
+}
+
+void crash_exchange::OnServed(const content_id& aRequest)
+{
+  const time_point now = mTime.Now();
+  if (mHistory.OnServed(aRequest, now)) {
+    mNewServed.push_back({ aRequest, now });
+  }
+}
+
+std::vector<crash_notice> crash_exchange::TakeNews(time_point aNow)
+{
+  auto notices = Split(mNewReports, mNewServed, aNow);
+  std::ranges::move(mNewReports, std::back_inserter(mRecentReports));
+  std::ranges::move(mNewServed, std::back_inserter(mRecentServed));
+  mNewReports.clear();
+  mNewServed.clear();
+  return notices;
+}
+
+std::vector<crash_notice> crash_exchange::ComposeNotices(time_point aNow)
+{
+  std::erase_if(mRecentReports, [aNow](const crash_report& aReport) {
+    return aNow >= aReport.mObservedAt + kNewsTime;
+  });
+  std::erase_if(mRecentServed, [aNow](const served_report& aServed) {
+    return aNow >= aServed.mServedAt + kNewsTime;
+  });
+  std::set<crash_report> reports(mRecentReports.begin(), mRecentReports.end());
+  if (aNow >= mNextRepeatAt) {
+    mNextRepeatAt = aNow + kRepeatInterval;
+    for (const crash_report& report :
+         mHistory.RepeatedCrashes(kMaxRepeatedReports)) {
+      reports.insert(report);
+    }
+  }
+  return Split({ reports.begin(), reports.end() }, mRecentServed, aNow);
+}
+
+void crash_exchange::OnNotice(const crash_notice& aNotice, time_point aNow)
+{
+  for (const auto& response : aNotice.mServed) {
+    mHistory.OnServed(response.mRequest, aNow - response.mAge);
+  }
+  for (const auto& report : aNotice.mReports) {
+    Add("peer", { report.mRequest, report.mServer, aNow - report.mAge }, aNow);
+  }
+}
+
+void crash_exchange::QueueRow(const crash_report& aReport)
+{
+  const std::string key = RowKey(aReport);
   if (mWrites.size() >= kMaxPendingRows &&
-      mHistory.CrashCount(aRequest, now) < 2) {
+      mHistory.CrashCount(aReport.mRequest, aReport.mObservedAt) < 2) {
     Log(log_level::Info,
         "crash_row_not_written",
         { Field("key", key), Field("error", "limit of rows") });
--- a/Source/Core/Gateway/CrashExchange.h
+++ b/Source/Core/Gateway/CrashExchange.h
@@ -4,14 +4,16 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "Gateway/CrashHistory.h"
 #include "Gateway/GatewayMetrics.h"
 #include "Remote/RowStore.h"
 
-/// Adds crash reports of this node and of others to the crash history, and
-/// writes those of this node to the store until it has them. Their rows are
-/// removed once the history has dropped them.
+/// Adds crash reports of this node and of others to the crash history and
+/// shares them: as notices between nodes, which need no store, and as rows, for
+/// nodes that start later or are cut off from the others. Rows are removed once
+/// the history has dropped their reports.
 class crash_exchange
 {
 public:
@@ -30,6 +32,17 @@
 
   /// A server run seemed to end while it ran a request of this node.
   void Report(const content_id& aRequest, const server_run& aServer);
+  /// A server answered the request completely.
+  void OnServed(const content_id& aRequest);
+
+  /// Returns notices of what became known here since the last call. They are
+  /// sent to all nodes at once.
+  std::vector<crash_notice> TakeNews(time_point aNow);
+  /// Notices for a round of reports: recent news, and once a second the
+  /// requests with several crashes.
+  std::vector<crash_notice> ComposeNotices(time_point aNow);
+  void OnNotice(const crash_notice& aNotice, time_point aNow);
+
   /// Applies a row of another node.
   void ApplyRow(std::string_view aKey);
   /// Expires the history and writes the changes of this node's rows.
@@ -38,6 +51,7 @@
 private:
   /// Adds a report to the history; returns whether it is new.
   bool Add(const char* aSource, const crash_report& aReport, time_point aNow);
+  void QueueRow(const crash_report& aReport);
   void WriteRows(time_point aNow);
 
   crash_history& mHistory;
@@ -45,6 +59,12 @@
   row_store& mStore;
   const time_source& mTime;
   std::string mRun;
+  /// News that was not sent yet, and news of the last second.
+  std::vector<crash_report> mNewReports;
+  std::vector<served_report> mNewServed;
+  std::vector<crash_report> mRecentReports;
+  std::vector<served_report> mRecentServed;
+  time_point mNextRepeatAt;
   /// Keys of rows that are still to be written and removed.
   std::set<std::string> mWrites;
   std::set<std::string> mRemovals;
--- a/Source/Core/Gateway/CrashHistory.cpp
+++ b/Source/Core/Gateway/CrashHistory.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <chrono>
+#include <functional>
 
 #include <fmt/format.h>
 
@@ -219,6 +220,31 @@
   return dropped;
 }
 
+std::vector<crash_report> crash_history::RepeatedCrashes(
+  std::size_t aMaxCount) const
+{
+  std::vector<std::pair<std::size_t, content_id>> repeated;
+  for (const auto& [request, runs] : mRecords) {
+    const std::size_t count = runs.size() < 2 ? 0 : ReportCount(request);
+    if (count >= 2) {
+      repeated.emplace_back(count, request);
+    }
+  }
+  std::ranges::sort(repeated, std::greater());
+  std::vector<crash_report> reports;
+  for (const auto& [count, request] : repeated) {
+    for (const auto& [run, observedAt] : mRecords.at(request)) {
+      if (reports.size() == aMaxCount) {
+        return reports;
+      }
+      if (IsValid(request, run, observedAt)) {
+        reports.push_back({ request, run, observedAt });
+      }
+    }
+  }
+  return reports;
+}
+
 void crash_history::DropOldRecords(time_point aNow)
 {
   std::erase_if(mRecords, [&](const auto& aPair) {
--- a/Source/Core/Gateway/CrashHistory.h
+++ b/Source/Core/Gateway/CrashHistory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <compare>
 #include <cstdint>
 #include <map>
@@ -36,6 +37,37 @@
   auto operator<=>(const crash_report&) const = default;
 };
 
+/// A server answered a request completely.
+struct served_report
+{
+  content_id mRequest;
+  time_point mServedAt;
+  auto operator<=>(const served_report&) const = default;
+};
+
+/// Reports for another node, with the time since each observation, because the
+/// clocks of nodes differ.
+struct crash_notice
+{
+  struct aged_report
+  {
+    content_id mRequest;
+    server_run mServer;
+    std::chrono::milliseconds mAge{ 0 };
+    auto operator<=>(const aged_report&) const = default;
+  };
+  struct aged_response
+  {
+    content_id mRequest;
+    std::chrono::milliseconds mAge{ 0 };
+    auto operator<=>(const aged_response&) const = default;
+  };
+  std::vector<aged_report> mReports;
+  /// Requests that were served although they have reports.
+  std::vector<aged_response> mServed;
+  bool operator==(const crash_notice&) const = default;
+};
+
 /// Requests that are suspected of crashing servers, as this node and its peers
 /// observed. A request under which several server runs ended is no longer sent.
 ///
@@ -60,6 +92,10 @@
   std::size_t CrashCount(const content_id& aRequest, time_point aNow) const;
   bool Blocked(const content_id& aRequest, time_point aNow) const;
 
+  /// Reports of requests under which several server runs ended, at most
+  /// `aMaxCount`, those of requests with the most first.
+  std::vector<crash_report> RepeatedCrashes(std::size_t aMaxCount) const;
+
   /// Drops what expired or was refuted, and returns the dropped reports.
   std::vector<crash_report> Expire(time_point aNow);
 
--- a/Source/Core/Gateway/Fleet.capnp
+++ b/Source/Core/Gateway/Fleet.capnp
@@ -65,11 +65,35 @@
   tokens @3 :Int64;
 }
 
+# A server run seemed to end while it ran a request.
+struct CrashReport {
+  # Fingerprint of the request.
+  requestHigh @0 :UInt64;
+  requestLow @1 :UInt64;
+  server @2 :Text;
+  incarnation @3 :UInt64;
+  # Time since the end was observed, in milliseconds.
+  ageMs @4 :UInt32;
+}
+
+# A server answered a request that has crash reports.
+struct ServedRequest {
+  requestHigh @0 :UInt64;
+  requestLow @1 :UInt64;
+  ageMs @2 :UInt32;
+}
+
+struct CrashNotice {
+  reports @0 :List(CrashReport);
+  served @1 :List(ServedRequest);
+}
+
 struct PeerDatagram {
   union {
     report @0 :NodeReport;
     request @1 :TokenRequest;
     transfer @2 :TokenTransfer;
+    crashes @3 :CrashNotice;
   }
 }
 
--- a/Source/Core/Gateway/Fleet.capnp.h
+++ b/Source/Core/Gateway/Fleet.capnp.h
@@ -22,6 +22,9 @@
 CAPNP_DECLARE_SCHEMA(e94d5515a6c81dc0);
 CAPNP_DECLARE_SCHEMA(a47df8acd16b6891);
 CAPNP_DECLARE_SCHEMA(bfb5347b69f1e42b);
+CAPNP_DECLARE_SCHEMA(8c8bb56c447964d4);
+CAPNP_DECLARE_SCHEMA(944c404fa231ccec);
+CAPNP_DECLARE_SCHEMA(f0a1087902406f5d);
 CAPNP_DECLARE_SCHEMA(e415d0c61f2a5799);
 CAPNP_DECLARE_SCHEMA(e843b2f8f0ccf6b8);
 CAPNP_DECLARE_SCHEMA(ed0cdd52d6316918);
@@ -121,6 +124,51 @@
   };
 };
 
+struct CrashReport {
+  CrashReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8c8bb56c447964d4, 4, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ServedRequest {
+  ServedRequest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(944c404fa231ccec, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct CrashNotice {
+  CrashNotice() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f0a1087902406f5d, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct PeerDatagram {
   PeerDatagram() = delete;
 
@@ -131,6 +179,7 @@
     REPORT,
     REQUEST,
     TRANSFER,
+    CRASHES,
   };
 
   struct _capnpPrivate {
@@ -800,6 +849,284 @@
 };
 #endif  // !CAPNP_LITE
 
+class CrashReport::Reader {
+public:
+  typedef CrashReport Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRequestHigh() const;
+
+  inline  ::uint64_t getRequestLow() const;
+
+  inline bool hasServer() const;
+  inline  ::capnp::Text::Reader getServer() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CrashReport::Builder {
+public:
+  typedef CrashReport Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRequestHigh();
+  inline void setRequestHigh( ::uint64_t value);
+
+  inline  ::uint64_t getRequestLow();
+  inline void setRequestLow( ::uint64_t value);
+
+  inline bool hasServer();
+  inline  ::capnp::Text::Builder getServer();
+  inline void setServer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initServer(unsigned int size);
+  inline void adoptServer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownServer();
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CrashReport::Pipeline {
+public:
+  typedef CrashReport Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ServedRequest::Reader {
+public:
+  typedef ServedRequest Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRequestHigh() const;
+
+  inline  ::uint64_t getRequestLow() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ServedRequest::Builder {
+public:
+  typedef ServedRequest Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRequestHigh();
+  inline void setRequestHigh( ::uint64_t value);
+
+  inline  ::uint64_t getRequestLow();
+  inline void setRequestLow( ::uint64_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ServedRequest::Pipeline {
+public:
+  typedef ServedRequest Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class CrashNotice::Reader {
+public:
+  typedef CrashNotice Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReports() const;
+  inline  ::capnp::List< ::fleet_wire::CrashReport,  ::capnp::Kind::STRUCT>::Reader getReports() const;
+
+  inline bool hasServed() const;
+  inline  ::capnp::List< ::fleet_wire::ServedRequest,  ::capnp::Kind::STRUCT>::Reader getServed() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CrashNotice::Builder {
+public:
+  typedef CrashNotice Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReports();
+  inline  ::capnp::List< ::fleet_wire::CrashReport,  ::capnp::Kind::STRUCT>::Builder getReports();
+  inline void setReports( ::capnp::List< ::fleet_wire::CrashReport,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::fleet_wire::CrashReport,  ::capnp::Kind::STRUCT>::Builder initReports(unsigned int size);
+  inline void adoptReports(::capnp::Orphan< ::capnp::List< ::fleet_wire::CrashReport,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::fleet_wire::CrashReport,  ::capnp::Kind::STRUCT>> disownReports();
+
+  inline bool hasServed();
+  inline  ::capnp::List< ::fleet_wire::ServedRequest,  ::capnp::Kind::STRUCT>::Builder getServed();
+  inline void setServed( ::capnp::List< ::fleet_wire::ServedRequest,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::fleet_wire::ServedRequest,  ::capnp::Kind::STRUCT>::Builder initServed(unsigned int size);
+  inline void adoptServed(::capnp::Orphan< ::capnp::List< ::fleet_wire::ServedRequest,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::fleet_wire::ServedRequest,  ::capnp::Kind::STRUCT>> disownServed();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CrashNotice::Pipeline {
+public:
+  typedef CrashNotice Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class PeerDatagram::Reader {
 public:
   typedef PeerDatagram Reads;
@@ -830,6 +1157,10 @@
   inline bool hasTransfer() const;
   inline  ::fleet_wire::TokenTransfer::Reader getTransfer() const;
 
+  inline bool isCrashes() const;
+  inline bool hasCrashes() const;
+  inline  ::fleet_wire::CrashNotice::Reader getCrashes() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -883,6 +1214,14 @@
   inline void adoptTransfer(::capnp::Orphan< ::fleet_wire::TokenTransfer>&& value);
   inline ::capnp::Orphan< ::fleet_wire::TokenTransfer> disownTransfer();
 
+  inline bool isCrashes();
+  inline bool hasCrashes();
+  inline  ::fleet_wire::CrashNotice::Builder getCrashes();
+  inline void setCrashes( ::fleet_wire::CrashNotice::Reader value);
+  inline  ::fleet_wire::CrashNotice::Builder initCrashes();
+  inline void adoptCrashes(::capnp::Orphan< ::fleet_wire::CrashNotice>&& value);
+  inline ::capnp::Orphan< ::fleet_wire::CrashNotice> disownCrashes();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1722,6 +2061,206 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t CrashReport::Reader::getRequestHigh() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CrashReport::Builder::getRequestHigh() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setRequestHigh( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t CrashReport::Reader::getRequestLow() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CrashReport::Builder::getRequestLow() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setRequestLow( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CrashReport::Reader::hasServer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashReport::Builder::hasServer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader CrashReport::Reader::getServer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder CrashReport::Builder::getServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CrashReport::Builder::setServer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder CrashReport::Builder::initServer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CrashReport::Builder::adoptServer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> CrashReport::Builder::disownServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t CrashReport::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CrashReport::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t CrashReport::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CrashReport::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ServedRequest::Reader::getRequestHigh() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ServedRequest::Builder::getRequestHigh() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ServedRequest::Builder::setRequestHigh( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ServedRequest::Reader::getRequestLow() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ServedRequest::Builder::getRequestLow() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ServedRequest::Builder::setRequestLow( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ServedRequest::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ServedRequest::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void ServedRequest::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CrashNotice::Reader::hasReports() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashNotice::Builder::hasReports() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::fleet_wire::CrashReport,  ::capnp::Kind::STRUCT>::Reader CrashNotice::Reader::getReports() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::CrashReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::fleet_wire::CrashReport,  ::capnp::Kind::STRUCT>::Builder CrashNotice::Builder::getReports() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::CrashReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CrashNotice::Builder::setReports( ::capnp::List< ::fleet_wire::CrashReport,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::CrashReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::fleet_wire::CrashReport,  ::capnp::Kind::STRUCT>::Builder CrashNotice::Builder::initReports(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::CrashReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CrashNotice::Builder::adoptReports(
+    ::capnp::Orphan< ::capnp::List< ::fleet_wire::CrashReport,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::CrashReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::fleet_wire::CrashReport,  ::capnp::Kind::STRUCT>> CrashNotice::Builder::disownReports() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::CrashReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool CrashNotice::Reader::hasServed() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashNotice::Builder::hasServed() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::fleet_wire::ServedRequest,  ::capnp::Kind::STRUCT>::Reader CrashNotice::Reader::getServed() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::ServedRequest,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::fleet_wire::ServedRequest,  ::capnp::Kind::STRUCT>::Builder CrashNotice::Builder::getServed() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::ServedRequest,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void CrashNotice::Builder::setServed( ::capnp::List< ::fleet_wire::ServedRequest,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::ServedRequest,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::fleet_wire::ServedRequest,  ::capnp::Kind::STRUCT>::Builder CrashNotice::Builder::initServed(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::ServedRequest,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void CrashNotice::Builder::adoptServed(
+    ::capnp::Orphan< ::capnp::List< ::fleet_wire::ServedRequest,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::ServedRequest,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::fleet_wire::ServedRequest,  ::capnp::Kind::STRUCT>> CrashNotice::Builder::disownServed() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::ServedRequest,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::fleet_wire::PeerDatagram::Which PeerDatagram::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1893,6 +2432,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool PeerDatagram::Reader::isCrashes() const {
+  return which() == PeerDatagram::CRASHES;
+}
+inline bool PeerDatagram::Builder::isCrashes() {
+  return which() == PeerDatagram::CRASHES;
+}
+inline bool PeerDatagram::Reader::hasCrashes() const {
+  if (which() != PeerDatagram::CRASHES) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerDatagram::Builder::hasCrashes() {
+  if (which() != PeerDatagram::CRASHES) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::fleet_wire::CrashNotice::Reader PeerDatagram::Reader::getCrashes() const {
+  KJ_IREQUIRE((which() == PeerDatagram::CRASHES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::fleet_wire::CrashNotice>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::fleet_wire::CrashNotice::Builder PeerDatagram::Builder::getCrashes() {
+  KJ_IREQUIRE((which() == PeerDatagram::CRASHES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::fleet_wire::CrashNotice>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerDatagram::Builder::setCrashes( ::fleet_wire::CrashNotice::Reader value) {
+  _builder.setDataField<PeerDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerDatagram::CRASHES);
+  ::capnp::_::PointerHelpers< ::fleet_wire::CrashNotice>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::fleet_wire::CrashNotice::Builder PeerDatagram::Builder::initCrashes() {
+  _builder.setDataField<PeerDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerDatagram::CRASHES);
+  return ::capnp::_::PointerHelpers< ::fleet_wire::CrashNotice>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerDatagram::Builder::adoptCrashes(
+    ::capnp::Orphan< ::fleet_wire::CrashNotice>&& value) {
+  _builder.setDataField<PeerDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerDatagram::CRASHES);
+  ::capnp::_::PointerHelpers< ::fleet_wire::CrashNotice>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::fleet_wire::CrashNotice> PeerDatagram::Builder::disownCrashes() {
+  KJ_IREQUIRE((which() == PeerDatagram::CRASHES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::fleet_wire::CrashNotice>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool StateRow::Reader::hasTable() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -109,9 +109,14 @@
               .mReportCrash =
                 [this](const content_id& aRequest, const server_run& aServer) {
                   mCrashExchange.Report(aRequest, aServer);
+                },
+              .mReportServed =
+                [this](const content_id& aRequest) {
+                  mCrashExchange.OnServed(aRequest);
                 } }
   , mPeerTransport(mFleet,
                    mTokenAllowance,
+                   mCrashExchange,
                    mTime,
                    [this] { return SnapshotRows(); })
   , mLinkOverload(mSettings.mLinkBytesPerSecond)
@@ -363,6 +368,7 @@
   }
   mAllowanceWriter.WriteClaim(now);
   mPeerTransport.SendTokenRequests();
+  mPeerTransport.SendCrashNews();
   std::erase_if(mSessions,
                 [](const auto& aPair) { return aPair.second->Finished(); });
   if (mStopStartedAt) {
--- a/Source/Core/Gateway/GatewaySession.h
+++ b/Source/Core/Gateway/GatewaySession.h
@@ -46,6 +46,8 @@
   /// Reports to the other nodes that a server broke while it ran a request.
   std::function<void(const content_id& aRequest, const server_run& aServer)>
     mReportCrash;
+  /// Reports that a server answered the request completely.
+  std::function<void(const content_id& aRequest)> mReportServed;
   /// Connections that were dropped inside one of their own events and must be
   /// destroyed later.
   std::vector<std::unique_ptr<http_client_connection>> mDiscardedConnections{};
--- a/Source/Core/Gateway/GatewaySessionUpstream.cpp
+++ b/Source/Core/Gateway/GatewaySessionUpstream.cpp
@@ -321,7 +321,7 @@
   }
   RecordFirstByte();
   if (mFraming != body_framing::UntilClose) {
-    mContext.mCrashes.OnServed(mContent, now);
+    mContext.mReportServed(mContent);
   } else {
     // The end of a server looks like the end of a response without length.
     mContext.mReportCrash(mContent, ServerRun());
--- a/Source/Core/Gateway/PeerDatagram.cpp
+++ b/Source/Core/Gateway/PeerDatagram.cpp
@@ -133,6 +133,45 @@
            aRoot.getTokens() };
 }
 
+void Write(fleet_wire::CrashNotice::Builder aRoot, const crash_notice& aNotice)
+{
+  auto reports =
+    aRoot.initReports(static_cast<unsigned>(aNotice.mReports.size()));
+  for (unsigned i = 0; i < reports.size(); ++i) {
+    const auto& report = aNotice.mReports[i];
+    reports[i].setRequestHigh(report.mRequest.mHigh);
+    reports[i].setRequestLow(report.mRequest.mLow);
+    reports[i].setServer(report.mServer.mUpstream.mName);
+    reports[i].setIncarnation(report.mServer.mIncarnation);
+    reports[i].setAgeMs(ClampToUint32(report.mAge.count()));
+  }
+  auto served = aRoot.initServed(static_cast<unsigned>(aNotice.mServed.size()));
+  for (unsigned i = 0; i < served.size(); ++i) {
+    const auto& response = aNotice.mServed[i];
+    served[i].setRequestHigh(response.mRequest.mHigh);
+    served[i].setRequestLow(response.mRequest.mLow);
+    served[i].setAgeMs(ClampToUint32(response.mAge.count()));
+  }
+}
+
+crash_notice Read(fleet_wire::CrashNotice::Reader aRoot)
+{
+  crash_notice notice;
+  for (const auto report : aRoot.getReports()) {
+    notice.mReports.push_back(
+      { { report.getRequestHigh(), report.getRequestLow() },
+        { upstream_id{ ReadText(report.getServer()) },
+          report.getIncarnation() },
+        milliseconds(report.getAgeMs()) });
+  }
+  for (const auto response : aRoot.getServed()) {
+    notice.mServed.push_back(
+      { { response.getRequestHigh(), response.getRequestLow() },
+        milliseconds(response.getAgeMs()) });
+  }
+  return notice;
+}
+
 } // namespace
 
 std::string WritePeerDatagram(const peer_datagram& aDatagram)
@@ -143,6 +182,8 @@
     Write(root.initReport(), *report);
   } else if (const auto* request = std::get_if<token_request>(&aDatagram)) {
     Write(root.initRequest(), *request);
+  } else if (const auto* notice = std::get_if<crash_notice>(&aDatagram)) {
+    Write(root.initCrashes(), *notice);
   } else {
     Write(root.initTransfer(), std::get<token_transfer>(aDatagram));
   }
@@ -172,6 +213,9 @@
       case fleet_wire::PeerDatagram::TRANSFER:
         datagram = Read(root.getTransfer());
         break;
+      case fleet_wire::PeerDatagram::CRASHES:
+        datagram = Read(root.getCrashes());
+        break;
     }
   });
   return failure == nullptr ? datagram : std::nullopt;
--- a/Source/Core/Gateway/PeerDatagram.h
+++ b/Source/Core/Gateway/PeerDatagram.h
@@ -5,11 +5,13 @@
 #include <string_view>
 #include <variant>
 
+#include "Gateway/CrashHistory.h"
 #include "Gateway/FleetView.h"
 
 /// Encodes datagrams between nodes as packed Cap'n Proto messages.
 
-using peer_datagram = std::variant<node_report, token_request, token_transfer>;
+using peer_datagram =
+  std::variant<node_report, token_request, token_transfer, crash_notice>;
 
 std::string WritePeerDatagram(const peer_datagram& aDatagram);
 /// Returns nothing if the bytes are malformed.
--- a/Source/Core/Gateway/PeerTransport.cpp
+++ b/Source/Core/Gateway/PeerTransport.cpp
@@ -139,10 +139,12 @@
 
 peer_transport::peer_transport(fleet_view& aView,
                                token_allowance& aTokenAllowance,
+                               crash_exchange& aCrashes,
                                const time_source& aTime,
                                rows_source aRows)
   : mView(aView)
   , mTokenAllowance(aTokenAllowance)
+  , mCrashes(aCrashes)
   , mTime(aTime)
   , mRows(std::move(aRows))
 {
@@ -195,10 +197,32 @@
 void peer_transport::SendReports()
 {
   ++mRound;
-  const std::string bytes =
-    WritePeerDatagram(mView.ComposeReport(mRound, mTime.Now()));
+  const time_point now = mTime.Now();
+  std::vector<std::string> datagrams{ WritePeerDatagram(
+    mView.ComposeReport(mRound, now)) };
+  for (const crash_notice& notice : mCrashes.ComposeNotices(now)) {
+    datagrams.push_back(WritePeerDatagram(notice));
+  }
   for (const std::string& target : mView.ReportTargets(mRound)) {
-    Send(target, bytes);
+    for (const std::string& bytes : datagrams) {
+      Send(target, bytes);
+    }
+  }
+}
+
+void peer_transport::SendCrashNews()
+{
+  const time_point now = mTime.Now();
+  const auto notices = mCrashes.TakeNews(now);
+  if (notices.empty()) {
+    return;
+  }
+  const auto peers = mView.LivePeerAddresses(now);
+  for (const crash_notice& notice : notices) {
+    const std::string bytes = WritePeerDatagram(notice);
+    for (const std::string& peer : peers) {
+      Send(peer, bytes);
+    }
   }
 }
 
@@ -253,6 +277,8 @@
     if (transfer) {
       Send(request->mAddress, WritePeerDatagram(*transfer));
     }
+  } else if (const auto* notice = std::get_if<crash_notice>(&aDatagram)) {
+    mCrashes.OnNotice(*notice, now);
   } else {
     mTokenAllowance.OnTransfer(std::get<token_transfer>(aDatagram),
                                mView.Self().mRun);
--- a/Source/Core/Gateway/PeerTransport.h
+++ b/Source/Core/Gateway/PeerTransport.h
@@ -9,6 +9,7 @@
 
 #include "Common/EventLoop.h"
 #include "Common/Time.h"
+#include "Gateway/CrashExchange.h"
 #include "Gateway/FleetView.h"
 #include "Gateway/PeerDatagram.h"
 #include "Net/HttpListener.h"
@@ -24,14 +25,18 @@
 
   peer_transport(fleet_view& aView,
                  token_allowance& aTokenAllowance,
+                 crash_exchange& aCrashes,
                  const time_source& aTime,
                  rows_source aRows);
   ~peer_transport() override;
 
   /// Returns false and sets `aError` if an address cannot be bound.
   bool Start(const tcp_address& aAddress, std::string& aError);
-  /// Sends the report of this node to the targets of the next round.
+  /// Sends the report of this node, and its notices about crashed servers, to
+  /// the targets of the next round.
   void SendReports();
+  /// Sends news about crashed servers to all live nodes.
+  void SendCrashNews();
   /// Requests prepaid tokens from other nodes for accounts that lack them.
   void SendTokenRequests();
   /// Requests the rows of a live peer; does nothing if there is none or a
@@ -56,6 +61,7 @@
 
   fleet_view& mView;
   token_allowance& mTokenAllowance;
+  crash_exchange& mCrashes;
   const time_source& mTime;
   rows_source mRows;
   int mSocket = -1;
--- a/Source/UnitTests/Gateway/CrashExchangeTest.cpp
+++ b/Source/UnitTests/Gateway/CrashExchangeTest.cpp
@@ -3,6 +3,7 @@
 #include "FakeRowStore.h"
 #include "Gateway/CrashExchange.h"
 #include "Gateway/FleetRows.h"
+#include "Gateway/PeerDatagram.h"
 
 namespace {
 
@@ -84,6 +85,67 @@
   EXPECT_FALSE(IsStored(Request(1), "i-1"));
 }
 
+// Guards against nodes that learn of a crash only through the store, which may
+// be away.
+TEST_F(crash_exchange_test, NoticesReachAnotherNode)
+{
+  gateway_metrics metrics;
+  crash_history history;
+  crash_exchange other(history, metrics, mStore, mTime, "run-2");
+  for (const char* upstream : { "i-1", "i-2", "i-3" }) {
+    mExchange.Report(Request(1), ServerRun(upstream));
+  }
+  for (const crash_notice& notice : mExchange.TakeNews(mTime.Now())) {
+    other.OnNotice(notice, mTime.Now());
+  }
+  EXPECT_TRUE(history.Blocked(Request(1), mTime.Now()));
+  EXPECT_TRUE(mExchange.TakeNews(mTime.Now()).empty());
+
+  // A node that starts later hears of it from any node that knows.
+  mTime.Advance(seconds(60));
+  crash_history later;
+  crash_exchange started(later, metrics, mStore, mTime, "run-3");
+  for (const crash_notice& notice : other.ComposeNotices(mTime.Now())) {
+    started.OnNotice(notice, mTime.Now());
+  }
+  EXPECT_TRUE(later.Blocked(Request(1), mTime.Now()));
+}
+
+// Guards against a harmless request that one node serves and another refuses.
+TEST_F(crash_exchange_test, ServedRequestsAreReportedToOtherNodes)
+{
+  crash_history history;
+  crash_exchange other(history, mMetrics, mStore, mTime, "run-2");
+  mExchange.OnServed(Request(2));
+  EXPECT_TRUE(mExchange.TakeNews(mTime.Now()).empty());
+  for (const char* upstream : { "i-1", "i-2", "i-3" }) {
+    mExchange.Report(Request(1), ServerRun(upstream));
+    other.Report(Request(1), ServerRun(upstream));
+  }
+  mTime.Advance(seconds(1));
+  mExchange.OnServed(Request(1));
+  for (const crash_notice& notice : mExchange.TakeNews(mTime.Now())) {
+    other.OnNotice(notice, mTime.Now());
+  }
+  EXPECT_FALSE(history.Blocked(Request(1), mTime.Now()));
+}
+
+// Guards against notices that exceed a datagram when a lost server breaks many
+// requests.
+TEST_F(crash_exchange_test, NoticesFitDatagrams)
+{
+  for (std::uint64_t i = 0; i < 100; ++i) {
+    mExchange.Report(Request(i * 0x123456789abcdefULL),
+                     ServerRun("i-0123456789"));
+  }
+  std::size_t reports = 0;
+  for (const crash_notice& notice : mExchange.TakeNews(mTime.Now())) {
+    reports += notice.mReports.size();
+    EXPECT_LT(WritePeerDatagram(notice).size(), 1400U);
+  }
+  EXPECT_EQ(reports, 100U);
+}
+
 // Guards against damaged rows and rows of other writers.
 TEST_F(crash_exchange_test, IgnoresUnusableRows)
 {
--- a/Source/UnitTests/Gateway/FleetTest.cpp
+++ b/Source/UnitTests/Gateway/FleetTest.cpp
@@ -174,6 +174,19 @@
   }
 }
 
+// Guards against crash reports that change on the way to another node.
+TEST(PeerDatagramTest, EncodesCrashNotices)
+{
+  crash_notice notice;
+  notice.mReports.push_back({ content_id{ 1, 2 },
+                              server_run{ upstream_id{ "i-1" }, 17 },
+                              milliseconds(250) });
+  notice.mServed.push_back({ content_id{ 3, 4 }, milliseconds(10) });
+  const auto parsed = ParsePeerDatagram(WritePeerDatagram(notice));
+  ASSERT_TRUE(parsed);
+  EXPECT_EQ(std::get<crash_notice>(*parsed), notice);
+}
+
 // Guards against nodes that each keep to the retry limit but exceed it
 // together.
 TEST(RetryWindowTest, FleetStaysWithinTheLimit)
