--- a/Source/Core/Gateway/CrashExchange.cpp
+++ b/Source/Core/Gateway/CrashExchange.cpp
@@ -135,16 +135,12 @@
   return true;
 }
 
-void crash_exchange::Report(const content_id& aRequest,
-                            const server_run& aServer)
+void crash_exchange::Report(const crash_report& aReport)
 {
-  const time_point now = mTime.Now();
-  const crash_report report{ aRequest, aServer, now };
-  if (!Add("own", report, now)) {
-    return;
+  if (Add("own", aReport, mTime.Now())) {
+    mNewReports.push_back(aReport);
+    QueueRow(aReport);
   }
-  mNewReports.push_back(report);
-  QueueRow(report);
 }
 
 void crash_exchange::OnServed(const content_id& aRequest)
@@ -158,7 +154,9 @@
 std::vector<crash_notice> crash_exchange::TakeNews(time_point aNow)
 {
   auto notices = Split(mNewReports, mNewServed, aNow);
-  std::ranges::move(mNewReports, std::back_inserter(mRecentReports));
+  for (const crash_report& report : mNewReports) {
+    mRecentReports.emplace_back(report, aNow);
+  }
   std::ranges::move(mNewServed, std::back_inserter(mRecentServed));
   mNewReports.clear();
   mNewServed.clear();
@@ -167,13 +165,16 @@
 
 std::vector<crash_notice> crash_exchange::ComposeNotices(time_point aNow)
 {
-  std::erase_if(mRecentReports, [aNow](const crash_report& aReport) {
-    return aNow >= aReport.mObservedAt + kNewsTime;
+  std::erase_if(mRecentReports, [aNow](const auto& aRecent) {
+    return aNow >= aRecent.second + kNewsTime;
   });
   std::erase_if(mRecentServed, [aNow](const served_report& aServed) {
     return aNow >= aServed.mServedAt + kNewsTime;
   });
-  std::set<crash_report> reports(mRecentReports.begin(), mRecentReports.end());
+  std::set<crash_report> reports;
+  for (const auto& [report, sentAt] : mRecentReports) {
+    reports.insert(report);
+  }
   if (aNow >= mNextRepeatAt) {
     mNextRepeatAt = aNow + kRepeatInterval;
     for (const crash_report& report :
--- a/Source/Core/Gateway/CrashExchange.h
+++ b/Source/Core/Gateway/CrashExchange.h
@@ -4,6 +4,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "Gateway/CrashHistory.h"
@@ -31,7 +32,7 @@
   crash_exchange& operator=(const crash_exchange&) = delete;
 
   /// A server run seemed to end while it ran a request of this node.
-  void Report(const content_id& aRequest, const server_run& aServer);
+  void Report(const crash_report& aReport);
   /// A server answered the request completely.
   void OnServed(const content_id& aRequest);
 
@@ -59,10 +60,11 @@
   row_store& mStore;
   const time_source& mTime;
   std::string mRun;
-  /// News that was not sent yet, and news of the last second.
+  /// News that was not sent yet, and news of the last second with the time at
+  /// which it was sent first.
   std::vector<crash_report> mNewReports;
   std::vector<served_report> mNewServed;
-  std::vector<crash_report> mRecentReports;
+  std::vector<std::pair<crash_report, time_point>> mRecentReports;
   std::vector<served_report> mRecentServed;
   time_point mNextRepeatAt;
   /// Keys of rows that are still to be written and removed.
--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -95,25 +95,23 @@
                      mTime,
                      FormatTcpAddress(mSettings.mPeer))
   , mRows(mFleet, mCrashExchange, mStore, mTime, mRun)
-  , mContext{ .mSettings = mSettings,
-              .mCodec = mCodec,
-              .mTime = mTime,
-              .mUpstreamRegistry = mUpstreamRegistry,
-              .mPool = mPool,
-              .mTokenAllowance = mTokenAllowance,
-              .mRetries = mRetries,
-              .mCrashes = mCrashes,
-              .mUnanswered = mUnanswered,
-              .mFleet = mFleet,
-              .mMetrics = mMetrics,
-              .mReportCrash =
-                [this](const content_id& aRequest, const server_run& aServer) {
-                  mCrashExchange.Report(aRequest, aServer);
-                },
-              .mReportServed =
-                [this](const content_id& aRequest) {
-                  mCrashExchange.OnServed(aRequest);
-                } }
+  , mContext{
+    .mSettings = mSettings,
+    .mCodec = mCodec,
+    .mTime = mTime,
+    .mUpstreamRegistry = mUpstreamRegistry,
+    .mPool = mPool,
+    .mTokenAllowance = mTokenAllowance,
+    .mRetries = mRetries,
+    .mCrashes = mCrashes,
+    .mUnanswered = mUnanswered,
+    .mFleet = mFleet,
+    .mMetrics = mMetrics,
+    .mReportCrash =
+      [this](const crash_report& aReport) { mCrashExchange.Report(aReport); },
+    .mReportServed =
+      [this](const content_id& aRequest) { mCrashExchange.OnServed(aRequest); }
+  }
   , mPeerTransport(mFleet,
                    mTokenAllowance,
                    mCrashExchange,
@@ -420,7 +418,7 @@
         "server_silent",
         { Field("fingerprint", FormatWide(report.mRequest)),
           Field("server_run", FormatServerRun(report.mServer)) });
-    mCrashExchange.Report(report.mRequest, report.mServer);
+    mCrashExchange.Report(report);
     servers.insert(report.mServer.mUpstream);
   }
   for (const upstream_id& server : servers) {
--- a/Source/Core/Gateway/GatewaySession.h
+++ b/Source/Core/Gateway/GatewaySession.h
@@ -44,8 +44,7 @@
   std::size_t mBodyBytes = 0;
   std::size_t mMaxBodyBytes = 0;
   /// Reports to the other nodes that a server broke while it ran a request.
-  std::function<void(const content_id& aRequest, const server_run& aServer)>
-    mReportCrash;
+  std::function<void(const crash_report& aReport)> mReportCrash;
   /// Reports that a server answered the request completely.
   std::function<void(const content_id& aRequest)> mReportServed;
   /// Connections that were dropped inside one of their own events and must be
--- a/Source/Core/Gateway/GatewaySessionUpstream.cpp
+++ b/Source/Core/Gateway/GatewaySessionUpstream.cpp
@@ -324,7 +324,7 @@
     mContext.mReportServed(mContent);
   } else {
     // The end of a server looks like the end of a response without length.
-    mContext.mReportCrash(mContent, ServerRun());
+    mContext.mReportCrash({ mContent, ServerRun(), now });
   }
   ReleaseUpstream(aReusable);
   if (serverError && !mResponseStarted && MayRetry("server_error")) {
@@ -436,7 +436,7 @@
   const bool counted = aFailure != exchange_failure::Malformed;
   LogBreak(ExchangeFailureName(aFailure), run, reused, counted);
   if (counted) {
-    mContext.mReportCrash(mContent, run);
+    mContext.mReportCrash({ mContent, run, now });
   }
   if (MayRetry("server_failed")) {
     Retry();
--- a/Source/Core/Gateway/UnansweredRequests.cpp
+++ b/Source/Core/Gateway/UnansweredRequests.cpp
@@ -58,7 +58,9 @@
                   storeLost,
                   aNow);
     if (found == state::Silent) {
-      silent.push_back({ request.mRequest, request.mServer, aNow });
+      const auto signs = aServers.SignsOfLife(request.mServer.mUpstream);
+      silent.push_back(
+        { request.mRequest, request.mServer, LastByteOf(request, *signs) });
       request.mReported = true;
     }
     const bool drop = request.mAbandonedAt && found != state::Undecided;
@@ -67,6 +69,14 @@
   return silent;
 }
 
+time_point unanswered_requests::LastByteOf(const open_request& aRequest,
+                                           const signs_of_life& aSigns)
+{
+  const bool sameRun = aSigns.mIncarnation == aRequest.mServer.mIncarnation;
+  return sameRun ? std::max(aSigns.mLastByte, aRequest.mSentAt)
+                 : aRequest.mSentAt;
+}
+
 unanswered_requests::state unanswered_requests::StateOf(
   const open_request& aRequest,
   const std::optional<signs_of_life>& aSigns,
@@ -86,7 +96,7 @@
        aSigns->mEntryReadAt > *aRequest.mAbandonedAt + kMaxEntryAge)) {
     return state::Settled;
   }
-  const time_point lastByte = std::max(aSigns->mLastByte, aRequest.mSentAt);
+  const time_point lastByte = LastByteOf(aRequest, *aSigns);
   const bool isSilent = aStoreLost
                           ? aNow >= lastByte + kLongSilenceTimeout
                           : aNow >= lastByte + kSilenceTimeout &&
--- a/Source/Core/Gateway/UnansweredRequests.h
+++ b/Source/Core/Gateway/UnansweredRequests.h
@@ -57,6 +57,10 @@
                        bool aStoreLost,
                        time_point aNow);
 
+  /// Last byte of the request's server run, or the time of sending.
+  static time_point LastByteOf(const open_request& aRequest,
+                               const signs_of_life& aSigns);
+
   ticket mLastTicket = 0;
   std::map<ticket, open_request> mRequests;
 };
--- a/Source/UnitTests/Gateway/CrashExchangeTest.cpp
+++ b/Source/UnitTests/Gateway/CrashExchangeTest.cpp
@@ -53,7 +53,7 @@
 TEST_F(crash_exchange_test, WritesTheRowsOfAllBrokenRequests)
 {
   for (std::uint64_t i = 0; i < 250; ++i) {
-    mExchange.Report(Request(i), ServerRun("i-1"));
+    mExchange.Report({ Request(i), ServerRun("i-1"), mTime.Now() });
   }
   Run(seconds(3));
   for (std::uint64_t i = 0; i < 250; ++i) {
@@ -66,7 +66,7 @@
 TEST_F(crash_exchange_test, WritesRowsOnceTheStoreReturns)
 {
   mStore.mFault = fake_row_store::fault::Refuse;
-  mExchange.Report(Request(1), ServerRun("i-1"));
+  mExchange.Report({ Request(1), ServerRun("i-1"), mTime.Now() });
   Run(seconds(10));
   EXPECT_FALSE(IsStored(Request(1), "i-1"));
   mStore.mFault = fake_row_store::fault::None;
@@ -77,7 +77,7 @@
 // Guards against a table of the store that grows with every broken request.
 TEST_F(crash_exchange_test, RemovesRowsOfDroppedReports)
 {
-  mExchange.Report(Request(1), ServerRun("i-1"));
+  mExchange.Report({ Request(1), ServerRun("i-1"), mTime.Now() });
   Run(seconds(1));
   ASSERT_TRUE(IsStored(Request(1), "i-1"));
   mHistory.OnServed(Request(1), mTime.Now());
@@ -93,7 +93,7 @@
   crash_history history;
   crash_exchange other(history, metrics, mStore, mTime, "run-2");
   for (const char* upstream : { "i-1", "i-2", "i-3" }) {
-    mExchange.Report(Request(1), ServerRun(upstream));
+    mExchange.Report({ Request(1), ServerRun(upstream), mTime.Now() });
   }
   for (const crash_notice& notice : mExchange.TakeNews(mTime.Now())) {
     other.OnNotice(notice, mTime.Now());
@@ -119,8 +119,8 @@
   mExchange.OnServed(Request(2));
   EXPECT_TRUE(mExchange.TakeNews(mTime.Now()).empty());
   for (const char* upstream : { "i-1", "i-2", "i-3" }) {
-    mExchange.Report(Request(1), ServerRun(upstream));
-    other.Report(Request(1), ServerRun(upstream));
+    mExchange.Report({ Request(1), ServerRun(upstream), mTime.Now() });
+    other.Report({ Request(1), ServerRun(upstream), mTime.Now() });
   }
   mTime.Advance(seconds(1));
   mExchange.OnServed(Request(1));
@@ -135,8 +135,9 @@
 TEST_F(crash_exchange_test, NoticesFitDatagrams)
 {
   for (std::uint64_t i = 0; i < 100; ++i) {
-    mExchange.Report(Request(i * 0x123456789abcdefULL),
-                     ServerRun("i-0123456789"));
+    mExchange.Report({ Request(i * 0x123456789abcdefULL),
+                       ServerRun("i-0123456789"),
+                       mTime.Now() });
   }
   std::size_t reports = 0;
   for (const crash_notice& notice : mExchange.TakeNews(mTime.Now())) {
