Excuse no broken connection by an earlier report

A connection that breaks proves that its server had not ended before, so only a server that fell silent can have ended under an earlier request. Reports tell now which they are; those read from rows count as broken ones.

BrokenConnectionsAreNotExcused failed before and passes now.

--- a/Source/Core/Gateway/CrashExchange.cpp
+++ b/Source/Core/Gateway/CrashExchange.cpp
@@ -83,8 +83,10 @@
   };
   std::vector<crash_notice> notices;
   for (const crash_report& report : aReports) {
-    LastNotice(notices).mReports.push_back(
-      { report.mRequest, report.mServer, age(report.mObservedAt) });
+    LastNotice(notices).mReports.push_back({ report.mRequest,
+                                             report.mServer,
+                                             age(report.mObservedAt),
+                                             report.mSilent });
   }
   for (const served_report& served : aServed) {
     LastNotice(notices).mServed.push_back(
@@ -191,7 +193,9 @@
     mHistory.OnServed(response.mRequest, aNow - response.mAge);
   }
   for (const auto& report : aNotice.mReports) {
-    Add("peer", { report.mRequest, report.mServer, aNow - report.mAge }, aNow);
+    Add("peer",
+        { report.mRequest, report.mServer, aNow - report.mAge, report.mSilent },
+        aNow);
   }
 }
 
--- a/Source/Core/Gateway/CrashHistory.cpp
+++ b/Source/Core/Gateway/CrashHistory.cpp
@@ -73,13 +73,16 @@
   }
   mRequestsByServer[aReport.mServer].insert(aReport.mRequest);
   const auto [found, added] = mRecords[aReport.mRequest].try_emplace(
-    aReport.mServer, aReport.mObservedAt);
-  if (!added && IsValid(aReport.mRequest, aReport.mServer, found->second)) {
-    found->second = std::min(found->second, aReport.mObservedAt);
-    return false;
+    aReport.mServer, observation{ aReport.mObservedAt, aReport.mSilent });
+  if (added) {
+    return true;
+  }
+  const time_point known = found->second.mAt;
+  const bool refuted = !IsValid(aReport.mRequest, aReport.mServer, known);
+  if (refuted || aReport.mObservedAt < known) {
+    found->second = { aReport.mObservedAt, aReport.mSilent };
   }
-  found->second = aReport.mObservedAt;
-  return true;
+  return refuted;
 }
 
 bool crash_history::OnServed(const content_id& aRequest, time_point aServedAt)
@@ -136,8 +139,8 @@
 time_point crash_history::ExpiryOf(const server_runs& aRuns)
 {
   time_point last;
-  for (const auto& [run, observedAt] : aRuns) {
-    last = std::max(last, observedAt);
+  for (const auto& [run, observed] : aRuns) {
+    last = std::max(last, observed.mAt);
   }
   return last + (aRuns.size() >= kMaxCrashes ? kBlockTime : kReportTimeToLive);
 }
@@ -150,7 +153,7 @@
   }
   return static_cast<std::size_t>(
     std::ranges::count_if(found->second, [&](const auto& aPair) {
-      return IsValid(aRequest, aPair.first, aPair.second);
+      return IsValid(aRequest, aPair.first, aPair.second.mAt);
     }));
 }
 
@@ -180,13 +183,13 @@
   }
   std::map<content_id, std::size_t> precededBy;
   std::size_t mostPreceded = 0;
-  for (const auto& [run, observedAt] : found->second) {
-    if (!IsValid(aRequest, run, observedAt)) {
+  for (const auto& [run, observed] : found->second) {
+    if (!observed.mSilent || !IsValid(aRequest, run, observed.mAt)) {
       continue;
     }
     for (const content_id& other : mRequestsByServer.at(run)) {
-      const time_point otherAt = mRecords.at(other).at(run);
-      if (otherAt + kMinLead < observedAt && IsValid(other, run, otherAt) &&
+      const time_point otherAt = mRecords.at(other).at(run).mAt;
+      if (otherAt + kMinLead < observed.mAt && IsValid(other, run, otherAt) &&
           ReportCount(other) >= kMaxCrashes) {
         mostPreceded = std::max(mostPreceded, ++precededBy[other]);
       }
@@ -206,10 +209,11 @@
   for (auto& [request, runs] : mRecords) {
     const bool expired = aNow >= ExpiryOf(runs);
     std::erase_if(runs, [&, &content = request](const auto& aPair) {
-      if (!expired && IsValid(content, aPair.first, aPair.second)) {
+      if (!expired && IsValid(content, aPair.first, aPair.second.mAt)) {
         return false;
       }
-      dropped.push_back({ content, aPair.first, aPair.second });
+      dropped.push_back(
+        { content, aPair.first, aPair.second.mAt, aPair.second.mSilent });
       RemoveFromServer(content, aPair.first);
       return true;
     });
@@ -239,12 +243,12 @@
   std::ranges::sort(repeated, std::greater());
   std::vector<crash_report> reports;
   for (const auto& [count, request] : repeated) {
-    for (const auto& [run, observedAt] : mRecords.at(request)) {
+    for (const auto& [run, observed] : mRecords.at(request)) {
       if (reports.size() == aMaxCount) {
         return reports;
       }
-      if (IsValid(request, run, observedAt)) {
-        reports.push_back({ request, run, observedAt });
+      if (IsValid(request, run, observed.mAt)) {
+        reports.push_back({ request, run, observed.mAt, observed.mSilent });
       }
     }
   }
@@ -254,8 +258,8 @@
 void crash_history::DropOldRecords(time_point aNow)
 {
   std::erase_if(mRecords, [&](const auto& aPair) {
-    const auto& [run, observedAt] = *aPair.second.begin();
-    if (aPair.second.size() > 1 || aNow < observedAt + kMinRecordAge) {
+    const auto& [run, observed] = *aPair.second.begin();
+    if (aPair.second.size() > 1 || aNow < observed.mAt + kMinRecordAge) {
       return false;
     }
     RemoveFromServer(aPair.first, run);
--- a/Source/Core/Gateway/CrashHistory.h
+++ b/Source/Core/Gateway/CrashHistory.h
@@ -36,6 +36,8 @@
   /// When the connection broke; for a server that fell silent, its last byte or
   /// the time at which the request was sent.
   time_point mObservedAt;
+  /// The server fell silent; no connection broke.
+  bool mSilent = false;
   auto operator<=>(const crash_report&) const = default;
 };
 
@@ -56,6 +58,7 @@
     content_id mRequest;
     server_run mServer;
     std::chrono::milliseconds mAge{ 0 };
+    bool mSilent = false;
     auto operator<=>(const aged_report&) const = default;
   };
   struct aged_response
@@ -90,9 +93,10 @@
   /// The server wrote its entry, so its run was alive until shortly before.
   void OnServerEntry(const server_entry& aEntry, time_point aNow);
 
-  /// Number of server runs that ended under the request. Does not count the
+  /// Number of server runs that ended under the request. Does not count silent
   /// runs for which another request with several crashes was reported clearly
-  /// earlier, the same one for all of them: that request ended them.
+  /// earlier, the same one for all of them: that request ended them. A
+  /// connection that broke proves that its server had not ended before.
   std::size_t CrashCount(const content_id& aRequest, time_point aNow) const;
   bool Blocked(const content_id& aRequest, time_point aNow) const;
 
@@ -104,8 +108,13 @@
   std::vector<crash_report> Expire(time_point aNow);
 
 private:
-  /// Server run to the time of the first observation.
-  using server_runs = std::map<server_run, time_point>;
+  struct observation
+  {
+    time_point mAt;
+    bool mSilent = false;
+  };
+  /// Server run to the first observation.
+  using server_runs = std::map<server_run, observation>;
   struct life_signs
   {
     std::uint64_t mIncarnation = 0;
--- a/Source/Core/Gateway/Fleet.capnp
+++ b/Source/Core/Gateway/Fleet.capnp
@@ -74,6 +74,8 @@
   incarnation @3 :UInt64;
   # Time since the end was observed, in milliseconds.
   ageMs @4 :UInt32;
+  # The server fell silent; no connection broke.
+  silent @5 :Bool;
 }
 
 # A server answered a request that has crash reports.
--- a/Source/Core/Gateway/Fleet.capnp.h
+++ b/Source/Core/Gateway/Fleet.capnp.h
@@ -877,6 +877,8 @@
 
   inline  ::uint32_t getAgeMs() const;
 
+  inline bool getSilent() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -924,6 +926,9 @@
   inline  ::uint32_t getAgeMs();
   inline void setAgeMs( ::uint32_t value);
 
+  inline bool getSilent();
+  inline void setSilent(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2151,6 +2156,20 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool CrashReport::Reader::getSilent() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<224>() * ::capnp::ELEMENTS);
+}
+
+inline bool CrashReport::Builder::getSilent() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<224>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setSilent(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<224>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t ServedRequest::Reader::getRequestHigh() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Source/Core/Gateway/PeerDatagram.cpp
+++ b/Source/Core/Gateway/PeerDatagram.cpp
@@ -144,6 +144,7 @@
     reports[i].setServer(report.mServer.mUpstream.mName);
     reports[i].setIncarnation(report.mServer.mIncarnation);
     reports[i].setAgeMs(ClampToUint32(report.mAge.count()));
+    reports[i].setSilent(report.mSilent);
   }
   auto served = aRoot.initServed(static_cast<unsigned>(aNotice.mServed.size()));
   for (unsigned i = 0; i < served.size(); ++i) {
@@ -162,7 +163,8 @@
       { { report.getRequestHigh(), report.getRequestLow() },
         { upstream_id{ ReadText(report.getServer()) },
           report.getIncarnation() },
-        milliseconds(report.getAgeMs()) });
+        milliseconds(report.getAgeMs()),
+        report.getSilent() });
   }
   for (const auto response : aRoot.getServed()) {
     notice.mServed.push_back(
--- a/Source/Core/Gateway/UnansweredRequests.cpp
+++ b/Source/Core/Gateway/UnansweredRequests.cpp
@@ -59,8 +59,10 @@
                   aNow);
     if (found == state::Silent) {
       const auto signs = aServers.SignsOfLife(request.mServer.mUpstream);
-      silent.push_back(
-        { request.mRequest, request.mServer, LastByteOf(request, *signs) });
+      silent.push_back({ request.mRequest,
+                         request.mServer,
+                         LastByteOf(request, *signs),
+                         true });
       request.mReported = true;
     }
     const bool drop = request.mAbandonedAt && found != state::Undecided;
--- a/Source/UnitTests/Gateway/CrashHistoryTest.cpp
+++ b/Source/UnitTests/Gateway/CrashHistoryTest.cpp
@@ -27,6 +27,11 @@
     return mCrashes.Add({ kRequest, aRun, aNow }, aNow);
   }
 
+  void AddSilent(const server_run& aRun, time_point aNow)
+  {
+    mCrashes.Add({ kRequest, aRun, aNow, true }, aNow);
+  }
+
   void AddThree(time_point aNow = kNow)
   {
     Add(ServerRun("i-1"), aNow);
@@ -131,7 +136,7 @@
 {
   const auto addOther = [this](const char* aUpstream, seconds aAfter) {
     const time_point at = kNow + aAfter;
-    mCrashes.Add({ kOther, ServerRun(aUpstream), at }, at);
+    mCrashes.Add({ kOther, ServerRun(aUpstream), at, true }, at);
   };
   for (const char* upstream : { "i-1", "i-2", "i-3" }) {
     Add(ServerRun(upstream), kNow);
@@ -157,13 +162,24 @@
       const server_run server = ServerRun("i-" + std::to_string(run), i);
       mCrashes.Add({ other, server, kNow }, kNow);
     }
-    Add(ServerRun("i-0", i), kNow + seconds(1));
+    AddSilent(ServerRun("i-0", i), kNow + seconds(1));
   }
   EXPECT_EQ(mCrashes.CrashCount(kRequest, kNow + seconds(1)), 2U);
   Add(ServerRun("i-9"), kNow + seconds(1));
   EXPECT_TRUE(mCrashes.Blocked(kRequest, kNow + seconds(1)));
 }
 
+// Guards against a crashing request that passes because connections of another
+// one broke before on servers that lived on.
+TEST_F(crash_history_test, BrokenConnectionsAreNotExcused)
+{
+  for (const char* upstream : { "i-1", "i-2", "i-3" }) {
+    mCrashes.Add({ kOther, ServerRun(upstream), kNow }, kNow);
+    Add(ServerRun(upstream), kNow + seconds(1));
+  }
+  EXPECT_TRUE(mCrashes.Blocked(kRequest, kNow + seconds(1)));
+}
+
 // Guards against a crashing request that is not counted because harmless ones
 // broke together with it, on some servers before it was observed.
 TEST_F(crash_history_test, CountsEveryCrashOfARequestWithNeighbours)
--- a/Source/UnitTests/Gateway/FleetTest.cpp
+++ b/Source/UnitTests/Gateway/FleetTest.cpp
@@ -180,7 +180,8 @@
   crash_notice notice;
   notice.mReports.push_back({ content_id{ 1, 2 },
                               server_run{ upstream_id{ "i-1" }, 17 },
-                              milliseconds(250) });
+                              milliseconds(250),
+                              true });
   notice.mServed.push_back({ content_id{ 3, 4 }, milliseconds(10) });
   const auto parsed = ParsePeerDatagram(WritePeerDatagram(notice));
   ASSERT_TRUE(parsed);
