--- a/Source/UnitTests/Gateway/CrashingRequestTest.cpp
+++ b/Source/UnitTests/Gateway/CrashingRequestTest.cpp
@@ -15,8 +15,8 @@
   /// Adds servers that do `aCrash` when they get a crashing request, and end if
   /// it returns true.
   void AddServers(const std::string& aService,
-                  std::function<bool(http_server_connection&,
-                                     const http_server_request&)> aCrash)
+                  const std::function<bool(http_server_connection&,
+                                           const http_server_request&)>& aCrash)
   {
     for (const char* id : { "i-1", "i-2", "i-3", "i-4", "i-5" }) {
       scripted_server& server = AddServer(id, aService);
