Count a crash against the server run that got the request

A crash was reported for the run of the server that was current when the connection broke.

A session remembers the run to which it sent the request. CountsAgainstTheServerRunThatGotIt failed before and passes now.

--- a/Source/Core/Gateway/GatewaySession.h
+++ b/Source/Core/Gateway/GatewaySession.h
@@ -120,10 +120,7 @@
   void FailAttempt(exchange_failure aFailure);
   /// Logs that a server gave no complete response. `aCounted` tells whether it
   /// counts as a crash under this request.
-  void LogBreak(std::string_view aFailure,
-                const server_run& aServer,
-                bool aReused,
-                bool aCounted) const;
+  void LogBreak(std::string_view aFailure, bool aReused, bool aCounted) const;
   /// Stops waiting for a server that has the request.
   void AbandonUpstream(const char* aReason);
   void DeliverBuffered();
@@ -143,7 +140,8 @@
   /// Ends the token reservation and returns the number of tokens that the
   /// request consumed.
   std::int64_t FinishReservation();
-  server_run ServerRun() const;
+  /// The run of a server that is current in the registry.
+  server_run CurrentRun(const upstream_id& aUpstream) const;
 
   gateway_context& mContext;
   http_server_connection* mClient;
@@ -166,6 +164,9 @@
   bool mMayHaveRun = false;
 
   placement mPlacement;
+  /// Run of the server that the request was sent to. The server may have
+  /// restarted by the time the connection breaks.
+  server_run mServerRun;
   upstream_work mWork;
   std::unique_ptr<http_client_connection> mConnection;
   unanswered_requests::ticket mUnansweredTicket = 0;
--- a/Source/Core/Gateway/GatewaySessionUpstream.cpp
+++ b/Source/Core/Gateway/GatewaySessionUpstream.cpp
@@ -73,6 +73,7 @@
 void gateway_session::Send(const placement& aPlacement, time_point aNow)
 {
   mPlacement = aPlacement;
+  mServerRun = CurrentRun(aPlacement.mUpstream);
   mWork = aPlacement.mWork;
   mSentAt = aNow;
   mStage = stage::Sent;
@@ -91,7 +92,7 @@
   }
   const placement_query query = Query();
   mContext.mUpstreamRegistry.BeginRequest(aPlacement, query, aNow);
-  mUnansweredTicket = mContext.mUnanswered.Add(mContent, ServerRun(), aNow);
+  mUnansweredTicket = mContext.mUnanswered.Add(mContent, mServerRun, aNow);
   upstream_send send;
   send.mUpstream = aPlacement.mUpstream;
   if (mAccount != nullptr) {
@@ -324,7 +325,7 @@
     mContext.mReportServed(mContent);
   } else {
     // The end of a server looks like the end of a response without length.
-    mContext.mReportCrash({ mContent, ServerRun(), now });
+    mContext.mReportCrash({ mContent, mServerRun, now });
   }
   ReleaseUpstream(aReusable);
   if (serverError && !mResponseStarted && MayRetry("server_error")) {
@@ -406,7 +407,6 @@
   const time_point now = mContext.mTime.Now();
   const bool reused = mConnection && mConnection->Uses() > 1;
   const upstream_id upstream = mPlacement.mUpstream;
-  const server_run run = ServerRun();
   ReleaseUpstream(false);
   mEvents.DropPartial();
   if (aFailure == exchange_failure::NotSent) {
@@ -434,9 +434,9 @@
   // A server that goes on may also break a connection, at its idle timeout or
   // within a response; its later entries then refute the report.
   const bool counted = aFailure != exchange_failure::Malformed;
-  LogBreak(ExchangeFailureName(aFailure), run, reused, counted);
+  LogBreak(ExchangeFailureName(aFailure), reused, counted);
   if (counted) {
-    mContext.mReportCrash({ mContent, run, now });
+    mContext.mReportCrash({ mContent, mServerRun, now });
   }
   if (MayRetry("server_failed")) {
     Retry();
@@ -450,7 +450,6 @@
 }
 
 void gateway_session::LogBreak(std::string_view aFailure,
-                               const server_run& aServer,
                                bool aReused,
                                bool aCounted) const
 {
@@ -459,7 +458,7 @@
       "server_broke",
       { Field("id", mRequest.mId),
         Field("fingerprint", FormatWide(mContent)),
-        Field("server_run", FormatServerRun(aServer)),
+        Field("server_run", FormatServerRun(mServerRun)),
         Field("failure", aFailure),
         Field("kept_connection", aReused),
         Field("head", mHasResponse),
@@ -473,7 +472,7 @@
     return;
   }
   if (mConnection && mConnection->Connected()) {
-    LogBreak(aReason, ServerRun(), mConnection->Uses() > 1, false);
+    LogBreak(aReason, mConnection->Uses() > 1, false);
     mContext.mUnanswered.Abandon(std::exchange(mUnansweredTicket, 0),
                                  mContext.mTime.Now());
   }
@@ -514,9 +513,8 @@
   mStage = stage::NeedServer;
 }
 
-server_run gateway_session::ServerRun() const
+server_run gateway_session::CurrentRun(const upstream_id& aUpstream) const
 {
-  const server_entry* entry =
-    mContext.mUpstreamRegistry.Find(mPlacement.mUpstream);
-  return { mPlacement.mUpstream, entry == nullptr ? 0 : entry->mIncarnation };
+  const server_entry* entry = mContext.mUpstreamRegistry.Find(aUpstream);
+  return { aUpstream, entry == nullptr ? 0 : entry->mIncarnation };
 }
--- a/Source/UnitTests/Gateway/CrashingRequestTest.cpp
+++ b/Source/UnitTests/Gateway/CrashingRequestTest.cpp
@@ -1,3 +1,4 @@
+#include "Common/Hash.h"
 #include "GatewayFixture.h"
 
 namespace {
@@ -164,6 +165,32 @@
   EXPECT_FALSE(harmless->Ended());
 }
 
+// Guards against a crash that counts against the next run of the server, whose
+// entries then refute it: the connection may break after the restart.
+TEST_F(crashing_request_test, CountsAgainstTheServerRunThatGotIt)
+{
+  http_server_connection* open = nullptr;
+  AddServers("app", [&open](auto& aConnection, const auto&) {
+    open = &aConnection;
+    return false;
+  });
+  StartNode();
+  auto exchange = BeginRequest("POST", "/o/x", {}, kCrashingBody);
+  ASSERT_TRUE(RunUntil([&] { return open != nullptr; }));
+  mStore.Put({ "servers", "", "i-1" },
+             R"({"service":"app","address":")" + mServers[0]->Address() +
+               R"(","zone":"z1","slots":8,"state":"ready","seq":1,"born":2})");
+  RunFor(milliseconds(500));
+  open->Abort();
+  ASSERT_TRUE(RunUntil([&] { return exchange->Ended(); }));
+  const std::string row =
+    "crash/" +
+    FormatWide(MakeContentId(account_id{ "clinic/o/x" }, kCrashingBody));
+  RunFor(milliseconds(700));
+  EXPECT_TRUE(mStore.Value({ "lentilswitch", "", row + "/i-1.1" }));
+  EXPECT_FALSE(mStore.Value({ "lentilswitch", "", row + "/i-1.2" }));
+}
+
 // Guards against servers that end without closing their connections: the
 // request reaches its timeout and nothing breaks.
 TEST_F(crashing_request_test, IsRefusedAfterServersFellSilent)
