Send one copy at a time of a request with two crashes

While two crashes are known, a node refuses further copies until the outcome of the one in progress is known, with a pause of 2 s: a copy that is served clears the request, one that crashes its server blocks it.

HasOneCopyInProgressAfterTwoCrashes failed before and passes now.

--- a/Source/Core/Gateway/CrashHistory.cpp
+++ b/Source/Core/Gateway/CrashHistory.cpp
@@ -203,6 +203,12 @@
   return CrashCount(aRequest, aNow) >= kMaxCrashes;
 }
 
+bool crash_history::IsLastAttempt(const content_id& aRequest,
+                                  time_point aNow) const
+{
+  return CrashCount(aRequest, aNow) == kMaxCrashes - 1;
+}
+
 std::vector<crash_report> crash_history::Expire(time_point aNow)
 {
   std::vector<crash_report> dropped;
--- a/Source/Core/Gateway/CrashHistory.h
+++ b/Source/Core/Gateway/CrashHistory.h
@@ -99,6 +99,9 @@
   /// connection that broke proves that its server had not ended before.
   std::size_t CrashCount(const content_id& aRequest, time_point aNow) const;
   bool Blocked(const content_id& aRequest, time_point aNow) const;
+  /// Whether one more crash blocks the request. A node then sends one copy at a
+  /// time, because the outcome of a copy may become known only seconds later.
+  bool IsLastAttempt(const content_id& aRequest, time_point aNow) const;
 
   /// Reports of requests under which several server runs ended, at most
   /// `aMaxCount`, those of requests with the most first.
--- a/Source/Core/Gateway/GatewaySession.cpp
+++ b/Source/Core/Gateway/GatewaySession.cpp
@@ -21,6 +21,9 @@
 // likely.
 constexpr milliseconds kTokenRetryDelay(2000);
 constexpr milliseconds kBlockedRetryDelay(5000);
+// Retry-After while another copy of a suspect is in progress: the time in which
+// a silent server is noticed.
+constexpr milliseconds kSuspectRetryDelay(2000);
 
 constexpr unsigned kClientClosedRequest = 499;
 
@@ -90,8 +93,7 @@
     mAccount == nullptr ? std::string() : mAccount->mName.mName;
   mContent =
     MakeContentId(account_id{ account + mRequest.mTarget }, mRequest.mBody);
-  if (mContext.mCrashes.Blocked(mContent, mArrived)) {
-    EndBlocked();
+  if (EndIfSuspect(mArrived)) {
     return;
   }
   Advance(mArrived);
@@ -156,15 +158,28 @@
   return query;
 }
 
-void gateway_session::EndBlocked()
+bool gateway_session::EndIfSuspect(time_point aNow)
+{
+  if (mContext.mCrashes.Blocked(mContent, aNow)) {
+    EndUnsent("request_crashes_servers", kBlockedRetryDelay);
+    return true;
+  }
+  if (mContext.mCrashes.IsLastAttempt(mContent, aNow) &&
+      mContext.mUnanswered.Contains(mContent)) {
+    EndUnsent("suspect_in_progress", kSuspectRetryDelay);
+    return true;
+  }
+  return false;
+}
+
+void gateway_session::EndUnsent(const char* aReason, milliseconds aRetryAfter)
 {
-  constexpr const char* kReason = "request_crashes_servers";
   if (mResponseStarted) {
-    AbortClient(kReason);
+    AbortClient(aReason);
   } else if (mMayHaveRun) {
-    Fail(http_status::kBadGateway, kReason);
+    Fail(http_status::kBadGateway, aReason);
   } else {
-    Refuse(kReason, kBlockedRetryDelay);
+    Refuse(aReason, aRetryAfter);
   }
 }
 
@@ -185,8 +200,7 @@
 void gateway_session::AdvanceServer(time_point aNow)
 {
   // Crashes may have become known since the request arrived or was sent.
-  if (mContext.mCrashes.Blocked(mContent, aNow)) {
-    EndBlocked();
+  if (EndIfSuspect(aNow)) {
     return;
   }
   auto chosen = ChooseServer(aNow);
--- a/Source/Core/Gateway/GatewaySession.h
+++ b/Source/Core/Gateway/GatewaySession.h
@@ -100,8 +100,11 @@
   /// Chooses a server; keeps a request with crash reports away from others that
   /// have some.
   std::optional<placement> ChooseServer(time_point aNow) const;
-  /// Ends a request that must not be sent because servers ended under it.
-  void EndBlocked();
+  /// Ends the request and returns true if it must not be sent, because servers
+  /// ended under it.
+  bool EndIfSuspect(time_point aNow);
+  /// Ends the request instead of sending it, possibly for a further time.
+  void EndUnsent(const char* aReason, std::chrono::milliseconds aRetryAfter);
   void AdvanceSent(time_point aNow);
   placement_query Query() const;
   admission_query AdmissionQuery() const;
--- a/Source/Core/Gateway/UnansweredRequests.cpp
+++ b/Source/Core/Gateway/UnansweredRequests.cpp
@@ -41,6 +41,13 @@
   }
 }
 
+bool unanswered_requests::Contains(const content_id& aRequest) const
+{
+  return std::ranges::any_of(mRequests, [&](const auto& aPair) {
+    return aPair.second.mRequest == aRequest;
+  });
+}
+
 std::vector<upstream_id> unanswered_requests::ServersOfSuspects(
   const crash_history& aHistory,
   const content_id& aExcept,
--- a/Source/Core/Gateway/UnansweredRequests.h
+++ b/Source/Core/Gateway/UnansweredRequests.h
@@ -26,6 +26,8 @@
   /// server shows a sign of life or counts as silent.
   void Abandon(ticket aTicket, time_point aNow);
 
+  /// Whether a copy of the request has no known outcome.
+  bool Contains(const content_id& aRequest) const;
   /// Servers that have an open request with a crash report, except this one. A
   /// request with reports is kept away from them, so that further crashes tell
   /// the requests apart.
--- a/Source/UnitTests/Gateway/CrashingRequestTest.cpp
+++ b/Source/UnitTests/Gateway/CrashingRequestTest.cpp
@@ -165,6 +165,22 @@
   EXPECT_FALSE(harmless->Ended());
 }
 
+// Guards against several copies that are sent before the crash under the first
+// is noticed.
+TEST_F(crashing_request_test, HasOneCopyInProgressAfterTwoCrashes)
+{
+  AddServers("app", [this](auto&, const auto&) { return mCrashes <= 2; });
+  StartNode();
+  Call("POST", "/o/x", {}, kCrashingBody);
+  Call("POST", "/o/x", {}, kCrashingBody);
+  auto third = BeginRequest("POST", "/o/x", {}, kCrashingBody);
+  ASSERT_TRUE(RunUntil([&] { return mCrashes == 3; }));
+  const auto exchange = Call("POST", "/o/x", {}, kCrashingBody);
+  EXPECT_EQ(exchange->mResponse.mStatus, 503U);
+  EXPECT_EQ(exchange->mBody, R"({"error":"suspect_in_progress"})");
+  EXPECT_EQ(mCrashes, 3U);
+}
+
 // Guards against a crash that counts against the next run of the server, whose
 // entries then refute it: the connection may break after the restart.
 TEST_F(crashing_request_test, CountsAgainstTheServerRunThatGotIt)
