Mark all nodes of the soak before killing them

A kill of all nodes marked one node after the other as in use by a fault, and waited for each to end; another fault picked a node meanwhile and both started it.

--- a/Scripts/fault_soak/faults.py
+++ b/Scripts/fault_soak/faults.py
@@ -72,8 +72,10 @@
     async def _kill_all_nodes(self, seconds):
         nodes = [node for node in self.nodes if not node.busy]
         self.history.record_fault("kill_all", "all", seconds)
+        # Marks all nodes first, so that no other fault starts one of them as well.
         for node in nodes:
             node.busy = True
+        for node in nodes:
             await node.kill()
         await asyncio.sleep(min(seconds, 1.0))
         for node in nodes:
