Share the event stream of test servers, drop leftovers of the crash rows

Found on reading the change again; no behaviour changes.

* CrashingRequestTest wrote the stream head again that GatewayPathTest had: SendEvents is part of the fixture's server now.
Assertions are unchanged.
* fleet_rows::OnMaintenanceTick only called Register since crash rows moved to crash_exchange; the two are one, and unused includes are gone.
* TakeSilent looked up the signs of life of a silent server twice.
* The soak's check sorted the ends of servers for each arrival; end_target did not wait for anything.

--- a/Scripts/fault_soak/promises.py
+++ b/Scripts/fault_soak/promises.py
@@ -270,12 +270,12 @@
 def crashing_requests_are_stopped(history):
     """A request under which three servers ended is not sent on and on."""
     crash_times = collections.defaultdict(list)
-    for name, _, at in history.crashes:
+    for name, _, at in sorted(history.crashes, key=lambda crash: crash[2]):
         crash_times[name].append(at)
     late_sends = collections.Counter()
     for arrival in history.arrivals:
         request = history.requests.get(arrival.id)
-        times = sorted(crash_times[request.crashing]) if request else []
+        times = crash_times[request.crashing] if request else []
         if len(times) < MAX_CRASHES or arrival.at < (
             times[MAX_CRASHES - 1] + CRASH_NOTICE_TIME + OBSERVER_DELAY
         ):
--- a/Scripts/fault_soak/proxy.py
+++ b/Scripts/fault_soak/proxy.py
@@ -28,7 +28,7 @@
         self._server = await asyncio.start_server(self._serve, address, port)
         self.port = self._server.sockets[0].getsockname()[1]
 
-    async def end_target(self):
+    def end_target(self):
         """The target's process ended: its connections break and its port is free."""
         self.target = None
         self._server.close()
--- a/Scripts/fault_soak/servers.py
+++ b/Scripts/fault_soak/servers.py
@@ -63,7 +63,7 @@
     async def crash(self):
         """Ends at once; the entry stays in the store until it expires."""
         self._heartbeat.cancel()
-        await self.proxy.end_target()
+        self.proxy.end_target()
         await self._runner.cleanup()
 
     def _end_under(self, request):
--- a/Source/Core/Gateway/FleetRows.cpp
+++ b/Source/Core/Gateway/FleetRows.cpp
@@ -2,10 +2,6 @@
 
 #include <utility>
 
-#include <fmt/format.h>
-
-#include "Common/Log.h"
-
 namespace {
 
 using std::chrono::milliseconds;
@@ -35,11 +31,6 @@
   *mAlive = false;
 }
 
-void fleet_rows::OnMaintenanceTick(time_point aNow)
-{
-  Register(aNow);
-}
-
 void fleet_rows::Apply(const stored_row& aRow)
 {
   const std::string_view key = aRow.mKey.mKey;
@@ -50,7 +41,7 @@
   }
 }
 
-void fleet_rows::Register(time_point aNow)
+void fleet_rows::OnMaintenanceTick(time_point aNow)
 {
   if (mRegistered || mRegistering || aNow < mNextRegistrationAt) {
     return;
--- a/Source/Core/Gateway/FleetRows.h
+++ b/Source/Core/Gateway/FleetRows.h
@@ -31,8 +31,6 @@
   void OnMaintenanceTick(time_point aNow);
 
 private:
-  void Register(time_point aNow);
-
   fleet_view& mFleet;
   crash_exchange& mCrashes;
   row_store& mStore;
--- a/Source/Core/Gateway/UnansweredRequests.cpp
+++ b/Source/Core/Gateway/UnansweredRequests.cpp
@@ -72,15 +72,11 @@
   std::vector<crash_report> silent;
   for (auto next = mRequests.begin(); next != mRequests.end();) {
     open_request& request = next->second;
-    const state found =
-      request.mReported
-        ? state::Settled
-        : StateOf(request,
-                  aServers.SignsOfLife(request.mServer.mUpstream),
-                  storeLost,
-                  aNow);
+    const auto signs = aServers.SignsOfLife(request.mServer.mUpstream);
+    const state found = request.mReported
+                          ? state::Settled
+                          : StateOf(request, signs, storeLost, aNow);
     if (found == state::Silent) {
-      const auto signs = aServers.SignsOfLife(request.mServer.mUpstream);
       silent.push_back({ request.mRequest,
                          request.mServer,
                          LastByteOf(request, *signs),
--- a/Source/UnitTests/Gateway/CrashingRequestTest.cpp
+++ b/Source/UnitTests/Gateway/CrashingRequestTest.cpp
@@ -130,12 +130,8 @@
 TEST_F(crashing_request_test, IsRefusedAfterCrashesWithinStreams)
 {
   AddServers("engine", [](auto& aConnection, const auto& aRequest) {
-    http_server_response head;
-    scripted_server::Sign(head, aRequest);
-    head.mHeaders.emplace_back("Content-Type", "text/event-stream");
-    head.mFraming = body_framing::Chunked;
-    aConnection.StartResponse(head);
-    aConnection.WriteBody("id: 1\ndata: a\n\nid: 2\n");
+    scripted_server::SendEvents(
+      aConnection, aRequest, "id: 1\ndata: a\n\nid: 2\n");
     return true;
   });
   StartNode();
--- a/Source/UnitTests/Gateway/GatewayFixture.cpp
+++ b/Source/UnitTests/Gateway/GatewayFixture.cpp
@@ -78,6 +78,18 @@
   aResponse.mHeaders.emplace_back("Lentilswitch-Server-Stamp", "stamp");
 }
 
+void scripted_server::SendEvents(http_server_connection& aConnection,
+                                 const http_server_request& aRequest,
+                                 const std::string& aEvents)
+{
+  http_server_response head;
+  Sign(head, aRequest);
+  head.mHeaders.emplace_back("Content-Type", "text/event-stream");
+  head.mFraming = body_framing::Chunked;
+  aConnection.StartResponse(head);
+  aConnection.WriteBody(aEvents);
+}
+
 gateway_fixture::gateway_fixture()
   : mConfig(kConfigText)
 {
--- a/Source/UnitTests/Gateway/GatewayFixture.h
+++ b/Source/UnitTests/Gateway/GatewayFixture.h
@@ -39,6 +39,11 @@
   static void Sign(http_server_response& aResponse,
                    const http_server_request& aRequest);
 
+  /// Starts an event stream with the given events and leaves it open.
+  static void SendEvents(http_server_connection& aConnection,
+                         const http_server_request& aRequest,
+                         const std::string& aEvents);
+
   std::vector<http_server_request> mRequests;
   script mScript;
   unsigned mClientsGone = 0;
--- a/Source/UnitTests/Gateway/GatewayPathTest.cpp
+++ b/Source/UnitTests/Gateway/GatewayPathTest.cpp
@@ -11,19 +11,6 @@
   "Lentilswitch-Model: m\r\nLentilswitch-Token-Counts: 100,50\r\n"
   "Lentilswitch-Prompt-Prefix: aa:60,bb:40\r\n";
 
-/// Starts an event stream with the given events and leaves it open.
-void SendEvents(http_server_connection& aConnection,
-                const http_server_request& aRequest,
-                const std::string& aEvents)
-{
-  http_server_response head;
-  scripted_server::Sign(head, aRequest);
-  head.mHeaders.emplace_back("Content-Type", "text/event-stream");
-  head.mFraming = body_framing::Chunked;
-  aConnection.StartResponse(head);
-  aConnection.WriteBody(aEvents);
-}
-
 std::string Header(const http_server_request& aRequest, const char* aName)
 {
   return std::string(FindHeader(aRequest.mHeaders, aName));
@@ -192,7 +179,8 @@
   http_server_connection* open = nullptr;
   server.mScript = [&open](http_server_connection& aConnection,
                            const http_server_request& aRequest) {
-    SendEvents(aConnection, aRequest, "id: 1\ndata: a\n\nid: 2\nda");
+    scripted_server::SendEvents(
+      aConnection, aRequest, "id: 1\ndata: a\n\nid: 2\nda");
     open = &aConnection;
   };
   StartNode();
@@ -212,11 +200,11 @@
   const auto script = [](http_server_connection& aConnection,
                          const http_server_request& aRequest) {
     if (Header(aRequest, "Last-Event-Id") == "2") {
-      SendEvents(aConnection, aRequest, "id: 3\ndata: c\n\n");
+      scripted_server::SendEvents(aConnection, aRequest, "id: 3\ndata: c\n\n");
       aConnection.FinishBody();
       return;
     }
-    SendEvents(
+    scripted_server::SendEvents(
       aConnection, aRequest, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nd");
     static loop_timer sBreak;
     sBreak.Once(milliseconds(50), [&aConnection] { aConnection.Abort(); });
@@ -369,7 +357,8 @@
       aConnection.FinishBody();
       return;
     }
-    SendEvents(aConnection, aRequest, "id: 1\ndata: a\n\nid: 2\nd");
+    scripted_server::SendEvents(
+      aConnection, aRequest, "id: 1\ndata: a\n\nid: 2\nd");
     static loop_timer sBreak;
     sBreak.Once(milliseconds(50), [&aConnection] { aConnection.Abort(); });
   };
