Log and count the rate limits that servers name

A server in need names in its answers how many requests a second it takes. The logs could not tell whether a node knew of a limit when it sent a request, nor whether the request was a first send, a repeat or one that had waited. Nodes now log each change of a limit and each send to a server that named one, with the age of the statement, and count these sends. Nothing is decided by it yet.

--- a/Source/Core/Gateway/GatewayMetrics.cpp
+++ b/Source/Core/Gateway/GatewayMetrics.cpp
@@ -30,6 +30,10 @@
                     .Name("gateway_crash_reports_total")
                     .Help("Crashes of servers under a request, by source")
                     .Register(*mRegistry))
+  , mLimitedSends(prometheus::BuildCounter()
+                    .Name("gateway_rate_limited_sends_total")
+                    .Help("Sends to servers that named a rate limit")
+                    .Register(*mRegistry))
   , mFirstByteSeen(prometheus::BuildHistogram()
                      .Name("gateway_first_byte_seconds")
                      .Help("Time to the first byte of the answer")
@@ -42,6 +46,8 @@
                        "Time since the store answered"))
   , mOpened(
       AddGauge("gateway_opened_connections", "Connections opened to servers"))
+  , mRateLimited(AddGauge("gateway_rate_limited_servers",
+                          "Servers that named a rate limit"))
 {
 }
 
@@ -90,6 +96,12 @@
   mCrashReports.Add({ { "source", aSource } }).Increment();
 }
 
+void gateway_metrics::OnLimitedSend(bool aRepeated)
+{
+  mLimitedSends.Add({ { "repeated", aRepeated ? "true" : "false" } })
+    .Increment();
+}
+
 std::string gateway_metrics::Text() const
 {
   return prometheus::TextSerializer().Serialize(mRegistry->Collect());
--- a/Source/Core/Gateway/GatewayMetrics.h
+++ b/Source/Core/Gateway/GatewayMetrics.h
@@ -28,6 +28,10 @@
   void OnServerBreak(std::string_view aFailure, bool aCounted);
   /// Counts a crash that this node learned of, by the source of the report.
   void OnCrashReport(const char* aSource);
+  /// Counts a send to a server that named a rate limit. `aRepeated` tells
+  /// whether the request had been sent before.
+  void OnLimitedSend(bool aRepeated);
+  void SetRateLimitedServers(double aCount) { mRateLimited.Set(aCount); }
   void SetOpenRequests(double aCount) { mOpenRequests.Set(aCount); }
   void SetLiveNodes(double aCount) { mLiveNodes.Set(aCount); }
   void SetConfigVersion(double aVersion) { mConfigVersion.Set(aVersion); }
@@ -45,10 +49,12 @@
   prometheus::Family<prometheus::Counter>& mRetries;
   prometheus::Family<prometheus::Counter>& mServerBreaks;
   prometheus::Family<prometheus::Counter>& mCrashReports;
+  prometheus::Family<prometheus::Counter>& mLimitedSends;
   prometheus::Family<prometheus::Histogram>& mFirstByteSeen;
   prometheus::Gauge& mOpenRequests;
   prometheus::Gauge& mLiveNodes;
   prometheus::Gauge& mConfigVersion;
   prometheus::Gauge& mStoreAge;
   prometheus::Gauge& mOpened;
+  prometheus::Gauge& mRateLimited;
 };
--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -478,6 +478,8 @@
   mMetrics.SetOpenRequests(static_cast<double>(mSessions.size()));
   mMetrics.SetLiveNodes(static_cast<double>(mFleet.LiveNodeCount(now)));
   mMetrics.SetOpenedConnections(static_cast<double>(mPool.Opened()));
+  mMetrics.SetRateLimitedServers(
+    static_cast<double>(mUpstreamRegistry.RateLimits().LimitedCount()));
   mMetrics.SetStoreAge(
     std::chrono::duration<double>(now - mConfigTable.LastContact()).count());
 }
--- a/Source/Core/Gateway/GatewaySession.h
+++ b/Source/Core/Gateway/GatewaySession.h
@@ -121,6 +121,10 @@
   bool MayRetry(const char* aReason);
   void Retry();
   void FailAttempt(exchange_failure aFailure);
+  /// Records the rate limit that the server's response names or lacks.
+  void RecordRateLimit(time_point aNow);
+  /// Logs and counts a send to a server that named a rate limit.
+  void LogLimitedSend(time_point aNow) const;
   /// Logs that a server gave no complete response. `aCounted` tells whether it
   /// counts as a crash under this request.
   void LogBreak(std::string_view aFailure, bool aReused, bool aCounted) const;
--- a/Source/Core/Gateway/GatewaySessionUpstream.cpp
+++ b/Source/Core/Gateway/GatewaySessionUpstream.cpp
@@ -90,6 +90,7 @@
           Field("server", mPlacement.mUpstream.mName),
           Field("known_crashes", crashes) });
   }
+  LogLimitedSend(aNow);
   const placement_query query = Query();
   mContext.mUpstreamRegistry.BeginRequest(aPlacement, query, aNow);
   mUnansweredTicket = mContext.mUnanswered.Add(mContent, mServerRun, aNow);
@@ -162,6 +163,7 @@
   mHasResponse = true;
   mFraming = aResponse.mFraming;
   mAnswer = std::move(answer);
+  RecordRateLimit(now);
   mEventStream = mRoute->mKind == request_kind::Streaming &&
                  Succeeded(aResponse.mStatus) &&
                  FindHeader(aResponse.mHeaders, "Content-Type")
@@ -466,6 +468,59 @@
         Field("counted", aCounted) });
 }
 
+void gateway_session::RecordRateLimit(time_point aNow)
+{
+  // A misdirected request was answered by another server.
+  if (mAnswer.mMisdirected) {
+    return;
+  }
+  if (mAnswer.mLimitUnreadable) {
+    Log(log_level::Warning,
+        "rate_limit_unreadable",
+        { Field("id", mRequest.mId),
+          Field("server_run", FormatServerRun(mServerRun)) });
+    return;
+  }
+  server_rate_limits& limits = mContext.mUpstreamRegistry.RateLimits();
+  const rate_limit_statement statement{ upstream_registry::KeyOf(
+                                          mServerRun.mUpstream),
+                                        mServerRun.mIncarnation,
+                                        mAnswer.mRequestsPerSecond,
+                                        aNow };
+  if (limits.OnResponse(statement, mSentAt)) {
+    Log(log_level::Info,
+        "rate_limit_changed",
+        { Field("id", mRequest.mId),
+          Field("server_run", FormatServerRun(mServerRun)),
+          Field("per_second",
+                statement.mRequestsPerSecond
+                  ? fmt::format("{}", *statement.mRequestsPerSecond)
+                  : std::string("none")) });
+  }
+}
+
+void gateway_session::LogLimitedSend(time_point aNow) const
+{
+  const auto limit = mContext.mUpstreamRegistry.RateLimits().Find(
+    upstream_registry::KeyOf(mServerRun.mUpstream));
+  if (!limit) {
+    return;
+  }
+  mContext.mMetrics.OnLimitedSend(mAttempts > 1);
+  Log(
+    log_level::Info,
+    "rate_limited_send",
+    { Field("id", mRequest.mId),
+      Field("server_run", FormatServerRun(mServerRun)),
+      Field("per_second", *limit->mRequestsPerSecond),
+      Field("stated_ms_ago",
+            std::chrono::duration_cast<milliseconds>(aNow - limit->mStatedAt)
+              .count()),
+      Field("waited_ms",
+            std::chrono::duration_cast<milliseconds>(aNow - mArrived).count()),
+      Field("attempts", mAttempts) });
+}
+
 void gateway_session::AbandonUpstream(const char* aReason)
 {
   if (mStage != stage::Sent) {
--- a/Source/Core/Gateway/GatewayTypes.h
+++ b/Source/Core/Gateway/GatewayTypes.h
@@ -176,4 +176,8 @@
   bool mMisdirected = false;
   /// The response carries a server's stamp.
   bool mSigned = false;
+  /// Requests a second that the server takes from all nodes together.
+  std::optional<double> mRequestsPerSecond;
+  /// The response names a limit that is no such number.
+  bool mLimitUnreadable = false;
 };
--- a/Source/Core/Gateway/UpstreamRegistry.h
+++ b/Source/Core/Gateway/UpstreamRegistry.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "Gateway/GatewayTypes.h"
+#include "Gateway/ServerRateLimits.h"
 
 /// The servers of all services, their state as this node estimates it, and the
 /// choice of a server for a request.
@@ -137,6 +138,9 @@
   std::optional<signs_of_life> SignsOfLife(const upstream_id& aId) const;
   std::size_t Size() const { return mUpstreams.size(); }
 
+  server_rate_limits& RateLimits() { return mRateLimits; }
+  const server_rate_limits& RateLimits() const { return mRateLimits; }
+
   /// Hash of a server's identity, its key in messages between nodes.
   static std::uint32_t KeyOf(const upstream_id& aId);
 
@@ -202,6 +206,7 @@
   std::map<upstream_id, upstream_record> mUpstreams;
   std::unordered_map<std::string, gateway_service> mServices;
   std::unordered_map<std::uint32_t, upstream_work> mPeerWork;
+  server_rate_limits mRateLimits;
   /// Prompt segment, then server, to the time until which the server is assumed
   /// to have it cached.
   std::unordered_map<std::string, std::unordered_map<std::uint32_t, time_point>>
