Reproduce LIMIT in the fault soak and in a unit test

Servers of the soak name rate limits, alone or a whole service at once, and a check holds the rule over them.

--- a/Scripts/fault_soak/__main__.py
+++ b/Scripts/fault_soak/__main__.py
@@ -19,6 +19,7 @@
 
 import callers
 import crashing
+import limits
 import nodes as gateway_nodes
 import operator_desk
 import promises
@@ -140,8 +141,15 @@
         crash_task = asyncio.create_task(
             crashing_callers.run(chosen, self.options.seconds)
         )
+        server_limits = limits.ServerLimits(
+            self.servers, random.Random(self.options.seed + 3)
+        )
+        limit_task = asyncio.create_task(
+            server_limits.run(self.options.limits, self.options.seconds)
+        )
         fault_count = await faults.run(self.options.seconds)
         await crash_task
+        await limit_task
         faults_ended_at = now()
         await asyncio.sleep(RECOVERY_TIMEOUT + EVALUATION_PERIOD)
         caller_pool.stopping = True
@@ -202,6 +210,7 @@
         "disconnected callers": promises.disconnects_end_work(history),
         "configuration": promises.config_changes_are_applied(history),
         "crashing requests": promises.crashing_requests_are_stopped(history),
+        "rate limits": promises.rate_limits_are_kept(history),
         "harmless requests": promises.harmless_requests_are_not_taken_for_crashing(
             history
         ),
@@ -257,6 +266,9 @@
     parser.add_argument(
         "--crashing", type=int, default=2, help="number of crashing requests"
     )
+    parser.add_argument(
+        "--limits", type=int, default=3, help="number of rate limits of servers"
+    )
     parser.add_argument("--logs", help="folder for the logs of failed seeds")
     options = parser.parse_args()
     failed_seeds = []
--- a/Scripts/fault_soak/history.py
+++ b/Scripts/fault_soak/history.py
@@ -68,6 +68,18 @@
     at: float
 
 
+@dataclasses.dataclass
+class RateLimit:
+    """A rate limit that a server named from `started_at` to `ended_at`."""
+
+    server: str
+    # Requests a second from all nodes together.
+    rate: float
+    started_at: float
+    # 0 while the limit holds.
+    ended_at: float = 0.0
+
+
 @dataclasses.dataclass
 class Fault:
     """An injected fault; the target is a node, a server or "all"."""
@@ -96,6 +108,9 @@
         self.crashing = {}
         # (name of the crashing request, server that ended, time)
         self.crashes = []
+        self.rate_limits = []
+        # (server, request, time) of each response that named a limit
+        self.limit_responses = []
         # route version -> (time written, time removed or None)
         self.route_versions = {}
 
--- a/Scripts/fault_soak/promises.py
+++ b/Scripts/fault_soak/promises.py
@@ -34,6 +34,15 @@
 # to use a newer one.
 ROLLBACK_TOLERANCE = 0.25
 
+# From LIMIT_NOTICE_TIME after a server first named a rate limit on, it gets in any
+# LIMIT_WINDOW at most LIMIT_FACTOR times what the limit allows, and LIMIT_ALLOWANCE
+# requests more, from nodes that had a response with the limit LIMIT_TOLD_TIME ago.
+LIMIT_NOTICE_TIME = 3.0
+LIMIT_WINDOW = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_ALLOWANCE = 5
+LIMIT_TOLD_TIME = 0.5
+
 
 def stream_event(request_id, number):
     """Returns the bytes of one event of a response stream."""
@@ -295,6 +304,46 @@
             )
 
 
+def rate_limits_are_kept(history):
+    """Servers get no more requests than the rate limits that they name allow."""
+    arrivals = collections.defaultdict(list)
+    for arrival in history.arrivals:
+        arrivals[arrival.server].append(arrival)
+    told = collections.defaultdict(list)
+    for server, request_id, at in history.limit_responses:
+        request = history.requests.get(request_id)
+        if request:
+            told[server, request.node].append(at)
+    for limit in history.rate_limits:
+        allowed = LIMIT_FACTOR * limit.rate * LIMIT_WINDOW + LIMIT_ALLOWANCE
+        counted = []
+        for arrival in arrivals[limit.server]:
+            request = history.requests.get(arrival.id)
+            if (
+                request
+                and limit.started_at <= arrival.at <= limit.ended_at
+                and any(
+                    limit.started_at <= at <= arrival.at - LIMIT_TOLD_TIME
+                    for at in told[limit.server, request.node]
+                )
+                and history.is_fault_free(
+                    arrival.at - MIN_FAULT_FREE_TIME,
+                    arrival.at,
+                    request.node,
+                    kinds=(*NODE_FAULTS, "cut"),
+                )
+            ):
+                counted.append(arrival.at)
+        for end in counted:
+            count = sum(1 for at in counted if end - LIMIT_WINDOW < at <= end)
+            if end > limit.started_at + LIMIT_NOTICE_TIME and count > allowed:
+                yield (
+                    f"{limit.server} named {limit.rate} requests a second and got "
+                    f"{count} in {LIMIT_WINDOW} s, allowed {allowed:.1f}"
+                )
+                break
+
+
 def harmless_requests_are_not_taken_for_crashing(history):
     """Only copies of a crashing request are refused because servers end."""
     for request in history.requests.values():
--- a/Scripts/fault_soak/promises_test.py
+++ b/Scripts/fault_soak/promises_test.py
@@ -3,7 +3,7 @@
 import unittest
 
 import promises
-from history import Arrival, Fault, History, Request, Run
+from history import Arrival, Fault, History, RateLimit, Request, Run
 
 # Time at which the default request is sent, in seconds.
 SENT = 100.0
@@ -177,6 +177,31 @@
         recorded.crashes.pop()
         self.assert_valid(check(recorded))
 
+    def test_requests_above_the_rate_limit_of_a_server(self):
+        check = promises.rate_limits_are_kept
+        recorded = history([request()])
+        recorded.rate_limits = [RateLimit("e-0", 1.0, SENT, SENT + 20)]
+        recorded.limit_responses = [("e-0", "r1", SENT + 1)]
+
+        def arrivals(count, interval):
+            return [
+                Arrival("r1", "engines", "e-0", SENT + 4 + i * interval)
+                for i in range(count)
+            ]
+
+        recorded.arrivals = arrivals(11, 0.3)
+        self.assert_valid(check(recorded))
+        recorded.arrivals = arrivals(12, 0.3)
+        self.assert_violation(check(recorded))
+        recorded.arrivals = arrivals(12, 1.0)
+        self.assert_valid(check(recorded))
+        recorded.arrivals = arrivals(12, 0.3)
+        recorded.faults = [Fault("pause", "n-0", SENT + 2, SENT + 8)]
+        self.assert_valid(check(recorded))
+        recorded.faults = []
+        recorded.limit_responses = [("e-0", "r1", SENT + 9)]
+        self.assert_valid(check(recorded))
+
     def test_harmless_request_that_is_refused_as_crashing(self):
         check = promises.harmless_requests_are_not_taken_for_crashing
         refusal = b'{"error":"request_crashes_servers"}'
--- a/Scripts/fault_soak/servers.py
+++ b/Scripts/fault_soak/servers.py
@@ -7,7 +7,7 @@
 
 import crashing
 import promises
-from history import Arrival, Run, now
+from history import Arrival, RateLimit, Run, now
 from proxy import Proxy
 
 # Interval between writes of a server's entry to the store, in seconds.
@@ -34,6 +34,8 @@
         # Shares of responses that are cut off, or have status 500.
         self.truncated_share = 0.0
         self.error_share = 0.0
+        # The `RateLimit` that responses name, or None.
+        self.limit = None
         # Another fault decides when the server ends and starts.
         self.busy = False
         self._runner = None
@@ -49,6 +51,7 @@
         self.sequence = 0
         self.running = 0
         self.state = "ready"
+        self.end_limit()
         self.history.draining_servers.pop(self.name, None)
         app = web.Application()
         app.router.add_route("*", "/{path:.*}", self._serve)
@@ -120,15 +123,30 @@
             await asyncio.sleep(HEARTBEAT_INTERVAL)
 
     def _refusal(self, request, status):
-        return web.Response(
-            status=status,
-            headers={
-                "Lentilswitch-Not-Executed": "1",
-                "Lentilswitch-Request-Id": request.headers.get(
-                    "Lentilswitch-Request-Id", ""
-                ),
-            },
-        )
+        request_id = request.headers.get("Lentilswitch-Request-Id", "")
+        headers = {
+            "Lentilswitch-Not-Executed": "1",
+            "Lentilswitch-Request-Id": request_id,
+        }
+        if status != 421:
+            headers |= self._limit_header(request_id)
+        return web.Response(status=status, headers=headers)
+
+    def name_limit(self, rate):
+        self.limit = RateLimit(self.name, rate, now())
+        self.history.rate_limits.append(self.limit)
+
+    def end_limit(self):
+        """Ends the limit; a server that starts again names none either."""
+        if self.limit is not None:
+            self.limit.ended_at = now()
+            self.limit = None
+
+    def _limit_header(self, request_id):
+        if self.limit is None:
+            return {}
+        self.history.limit_responses.append((self.name, request_id, now()))
+        return {"Server-Limit": str(self.limit.rate)}
 
     async def _serve(self, request):
         request_id = request.headers.get("Lentilswitch-Request-Id", "")
@@ -174,6 +192,7 @@
         return {
             "Lentilswitch-Request-Id": run.id,
             "Lentilswitch-Server-Stamp": run.stamp,
+            **self._limit_header(run.id),
         }
 
     async def _run_crashing(self, request, run, crashing_request):
@@ -209,10 +228,10 @@
     async def _send_stream(self, request, run):
         sent = self.history.requests.get(run.id)
         events = sent.events if sent else 1
+        await asyncio.sleep(0.02 + 0.004 * self.running)
         response = web.StreamResponse(headers=self._headers(run))
         response.content_type = "text/event-stream"
         response.enable_chunked_encoding()
-        await asyncio.sleep(0.02 + 0.004 * self.running)
         await response.prepare(request)
         truncated_at = 0
         if self.random.random() < self.truncated_share:
