Keep to the rate limits that servers name, all nodes together

Cause: no node used the limit. The new log lines showed first sends by nodes that knew it, so repeats and queues were ruled out as the cause; two of five nodes were below the limit alone, so a limit that each node keeps by itself would not have been enough.

Nodes now tell each other what servers said, with its age, and divide each limit among a few nodes chosen by a hash. No more nodes than the requests a second and two have a part, because each may save up a request. A part starts empty, so that changes of the fleet or of the limit add no requests. The one place that chooses servers leaves out those whose limit forbids a send, so that first sends, repeats, resumed streams and the fallback to tried servers all keep to it. If only limits forbid a send for longer than a request may wait, it is refused at once (servers_limited).

A limit ends when a response without it arrives to a request that was sent after the limit was named, on any node, or when the server starts anew.

--- a/Source/Core/Gateway/Admission.cpp
+++ b/Source/Core/Gateway/Admission.cpp
@@ -37,7 +37,9 @@
   }
   const time_point waitUntil =
     aQuery.mArrived + aQuery.mObjective / kWaitDivisor;
-  return aNow < waitUntil ? admission_verdict::Wait : admission_verdict::Refuse;
+  return aNow < waitUntil && aQuery.mLimitedUntil < waitUntil
+           ? admission_verdict::Wait
+           : admission_verdict::Refuse;
 }
 
 milliseconds RetryAfter(const admission_query& aQuery,
--- a/Source/Core/Gateway/Admission.h
+++ b/Source/Core/Gateway/Admission.h
@@ -28,6 +28,9 @@
   std::chrono::milliseconds mObjective{ 0 };
   /// Whether a server can take the request now.
   bool mHasPlacement = false;
+  /// Time until which the rate limits of all servers forbid to send the
+  /// request; in the past if one of them allows it.
+  time_point mLimitedUntil;
   /// Expected time to the first event at the chosen server, in ms.
   double mExpectedMs = 0.0;
   /// Share of `mExpectedMs` that is caused by other requests, in ms.
--- a/Source/Core/Gateway/Fleet.capnp
+++ b/Source/Core/Gateway/Fleet.capnp
@@ -36,6 +36,20 @@
   held @9 :List(HeldTokens);
   # Capacity relative to other nodes.
   capacity @10 :Float64;
+  rateLimits @12 :List(RateLimit);
+}
+
+# What a server told the sending node of its rate limit.
+struct RateLimit {
+  # Hash of the server's identity.
+  server @0 :UInt32;
+  incarnation @1 :UInt64;
+  # False if the server names no limit any more.
+  limited @2 :Bool;
+  # Requests a second from all nodes together.
+  perSecond @3 :Float64;
+  # Time since the server said so, in milliseconds.
+  ageMs @4 :UInt32;
 }
 
 struct HeldTokens {
--- a/Source/Core/Gateway/Fleet.capnp.h
+++ b/Source/Core/Gateway/Fleet.capnp.h
@@ -19,6 +19,7 @@
 CAPNP_DECLARE_SCHEMA(b1abbd637aad6f99);
 CAPNP_DECLARE_SCHEMA(ab0cbe4b68e5e607);
 CAPNP_DECLARE_SCHEMA(baf5b9cbfe87216a);
+CAPNP_DECLARE_SCHEMA(e5130fc5c9cd9bcd);
 CAPNP_DECLARE_SCHEMA(e94d5515a6c81dc0);
 CAPNP_DECLARE_SCHEMA(a47df8acd16b6891);
 CAPNP_DECLARE_SCHEMA(bfb5347b69f1e42b);
@@ -72,7 +73,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(baf5b9cbfe87216a, 4, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(baf5b9cbfe87216a, 4, 8)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RateLimit {
+  RateLimit() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e5130fc5c9cd9bcd, 4, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -442,6 +458,9 @@
   inline bool hasNamed() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getNamed() const;
 
+  inline bool hasRateLimits() const;
+  inline  ::capnp::List< ::fleet_wire::RateLimit,  ::capnp::Kind::STRUCT>::Reader getRateLimits() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -535,6 +554,13 @@
   inline void adoptNamed(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownNamed();
 
+  inline bool hasRateLimits();
+  inline  ::capnp::List< ::fleet_wire::RateLimit,  ::capnp::Kind::STRUCT>::Builder getRateLimits();
+  inline void setRateLimits( ::capnp::List< ::fleet_wire::RateLimit,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::fleet_wire::RateLimit,  ::capnp::Kind::STRUCT>::Builder initRateLimits(unsigned int size);
+  inline void adoptRateLimits(::capnp::Orphan< ::capnp::List< ::fleet_wire::RateLimit,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::fleet_wire::RateLimit,  ::capnp::Kind::STRUCT>> disownRateLimits();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -561,6 +587,102 @@
 };
 #endif  // !CAPNP_LITE
 
+class RateLimit::Reader {
+public:
+  typedef RateLimit Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getServer() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline bool getLimited() const;
+
+  inline double getPerSecond() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RateLimit::Builder {
+public:
+  typedef RateLimit Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getServer();
+  inline void setServer( ::uint32_t value);
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline bool getLimited();
+  inline void setLimited(bool value);
+
+  inline double getPerSecond();
+  inline void setPerSecond(double value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RateLimit::Pipeline {
+public:
+  typedef RateLimit Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class HeldTokens::Reader {
 public:
   typedef HeldTokens Reads;
@@ -1838,6 +1960,110 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
+inline bool NodeReport::Reader::hasRateLimits() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeReport::Builder::hasRateLimits() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::fleet_wire::RateLimit,  ::capnp::Kind::STRUCT>::Reader NodeReport::Reader::getRateLimits() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::RateLimit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::fleet_wire::RateLimit,  ::capnp::Kind::STRUCT>::Builder NodeReport::Builder::getRateLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::RateLimit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void NodeReport::Builder::setRateLimits( ::capnp::List< ::fleet_wire::RateLimit,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::RateLimit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::fleet_wire::RateLimit,  ::capnp::Kind::STRUCT>::Builder NodeReport::Builder::initRateLimits(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::RateLimit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void NodeReport::Builder::adoptRateLimits(
+    ::capnp::Orphan< ::capnp::List< ::fleet_wire::RateLimit,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::RateLimit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::fleet_wire::RateLimit,  ::capnp::Kind::STRUCT>> NodeReport::Builder::disownRateLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::RateLimit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t RateLimit::Reader::getServer() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RateLimit::Builder::getServer() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RateLimit::Builder::setServer( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RateLimit::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RateLimit::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RateLimit::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RateLimit::Reader::getLimited() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool RateLimit::Builder::getLimited() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void RateLimit::Builder::setLimited(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
+inline double RateLimit::Reader::getPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline double RateLimit::Builder::getPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void RateLimit::Builder::setPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t RateLimit::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RateLimit::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void RateLimit::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t HeldTokens::Reader::getAccount() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Source/Core/Gateway/FleetView.cpp
+++ b/Source/Core/Gateway/FleetView.cpp
@@ -195,6 +195,23 @@
   return holders;
 }
 
+std::vector<rate_limit_statement> fleet_view::PeerRateLimits() const
+{
+  std::vector<rate_limit_statement> statements;
+  for (const auto& [address, peer] : mPeers) {
+    if (!peer.mReport) {
+      continue;
+    }
+    for (const aged_rate_limit& limit : peer.mReport->mRateLimits) {
+      statements.push_back({ limit.mServer,
+                             limit.mIncarnation,
+                             limit.mRequestsPerSecond,
+                             peer.mLastReportAt - limit.mAge });
+    }
+  }
+  return statements;
+}
+
 std::unordered_map<std::uint32_t, upstream_work> fleet_view::PeerWork(
   time_point aNow) const
 {
--- a/Source/Core/Gateway/FleetView.h
+++ b/Source/Core/Gateway/FleetView.h
@@ -14,6 +14,18 @@
 
 /// State of the fleet's nodes as this node knows it.
 
+/// A `rate_limit_statement` for another node, with the time since it was made,
+/// because the clocks of nodes differ.
+struct aged_rate_limit
+{
+  std::uint32_t mServer = 0;
+  std::uint64_t mIncarnation = 0;
+  /// Requests a second from all nodes; nothing if there is no limit any more.
+  std::optional<double> mRequestsPerSecond;
+  std::chrono::milliseconds mAge{ 0 };
+  auto operator<=>(const aged_rate_limit&) const = default;
+};
+
 /// State that a node reports to the others in each round.
 struct node_report
 {
@@ -37,6 +49,8 @@
   double mCapacity = 1.0;
   /// Free prepaid tokens of this node, by `AccountKey`.
   std::vector<std::pair<std::uint32_t, std::int64_t>> mFreeTokens;
+  /// What servers told this node of their rate limits.
+  std::vector<aged_rate_limit> mRateLimits;
 };
 
 /// Hash of a node's datagram address, its key in the reports of others.
@@ -74,6 +88,8 @@
   std::unordered_map<std::uint32_t, upstream_work> PeerWork(
     time_point aNow) const;
   token_holders TokenHolders(time_point aNow) const;
+  /// What servers told the other nodes of their rate limits.
+  std::vector<rate_limit_statement> PeerRateLimits() const;
 
 private:
   struct peer_state
--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -426,6 +426,28 @@
   }
 }
 
+void gateway_node::UpdateRateLimits(time_point aNow)
+{
+  server_rate_limits& limits = mUpstreamRegistry.RateLimits();
+  limits.SetNodes(mFleet.Self().mAddress, mFleet.LivePeerAddresses(aNow), aNow);
+  for (const rate_limit_statement& statement : mFleet.PeerRateLimits()) {
+    if (limits.OnPeerStatement(statement, aNow)) {
+      Log(log_level::Info,
+          "rate_limit_reported",
+          { Field("server_key", fmt::format("{:08x}", statement.mServer)),
+            Field("per_second", FormatRate(statement.mRequestsPerSecond)) });
+    }
+  }
+  mFleet.Self().mRateLimits.clear();
+  for (const rate_limit_statement& statement : limits.OwnStatements(aNow)) {
+    mFleet.Self().mRateLimits.push_back(
+      { statement.mServer,
+        statement.mIncarnation,
+        statement.mRequestsPerSecond,
+        std::chrono::duration_cast<milliseconds>(aNow - statement.mStatedAt) });
+  }
+}
+
 void gateway_node::OnFleetTick()
 {
   const time_point now = mTime.Now();
@@ -438,6 +460,7 @@
   mFleet.Self().mWork = mUpstreamRegistry.LocalWork();
   mFleet.Self().mFreeTokens = mTokenAllowance.AllFreeTokens(now);
   mTokenAllowance.SetHolders(mFleet.TokenHolders(now));
+  UpdateRateLimits(now);
   mPeerTransport.SendReports();
   mUpstreamRegistry.SetPeerWork(mFleet.PeerWork(now));
   mTokenAllowance.SetNodes(mFleet.LiveNodeCount(now));
--- a/Source/Core/Gateway/GatewaySession.cpp
+++ b/Source/Core/Gateway/GatewaySession.cpp
@@ -216,6 +216,9 @@
     query.mExpectedMs = chosen->mExpectedMs;
     query.mWaitMs = chosen->mWaitMs;
     query.mOutputMs = chosen->mOutputMs;
+  } else {
+    query.mLimitedUntil =
+      mContext.mUpstreamRegistry.LimitedUntil(Query(), aNow);
   }
   admission_verdict verdict = Admit(query, aNow);
   if (verdict == admission_verdict::Wait &&
@@ -229,8 +232,11 @@
       Fail(http_status::kBadGateway, "no_server_for_repeat");
       return;
     }
-    Refuse(chosen ? "too_late" : "servers_full",
-           RetryAfter(query, aNow, StableHash(mRequest.mId)));
+    const char* reason = chosen ? "too_late" : "servers_full";
+    if (aNow < query.mLimitedUntil) {
+      reason = "servers_limited";
+    }
+    Refuse(reason, RetryAfter(query, aNow, StableHash(mRequest.mId)));
   }
 }
 
--- a/Source/Core/Gateway/GatewaySessionUpstream.cpp
+++ b/Source/Core/Gateway/GatewaySessionUpstream.cpp
@@ -492,10 +492,7 @@
         "rate_limit_changed",
         { Field("id", mRequest.mId),
           Field("server_run", FormatServerRun(mServerRun)),
-          Field("per_second",
-                statement.mRequestsPerSecond
-                  ? fmt::format("{}", *statement.mRequestsPerSecond)
-                  : std::string("none")) });
+          Field("per_second", FormatRate(statement.mRequestsPerSecond)) });
   }
 }
 
@@ -513,6 +510,10 @@
     { Field("id", mRequest.mId),
       Field("server_run", FormatServerRun(mServerRun)),
       Field("per_second", *limit->mRequestsPerSecond),
+      Field("own_per_second",
+            fmt::format(
+              "{:.3f}",
+              mContext.mUpstreamRegistry.RateLimits().OwnRate(limit->mServer))),
       Field("stated_ms_ago",
             std::chrono::duration_cast<milliseconds>(aNow - limit->mStatedAt)
               .count()),
--- a/Source/Core/Gateway/PeerDatagram.cpp
+++ b/Source/Core/Gateway/PeerDatagram.cpp
@@ -58,6 +58,16 @@
     held[i].setTokens(static_cast<std::uint64_t>(
       std::max<std::int64_t>(aReport.mFreeTokens[i].second, 0)));
   }
+  auto limits =
+    aRoot.initRateLimits(static_cast<unsigned>(aReport.mRateLimits.size()));
+  for (unsigned i = 0; i < limits.size(); ++i) {
+    const aged_rate_limit& limit = aReport.mRateLimits[i];
+    limits[i].setServer(limit.mServer);
+    limits[i].setIncarnation(limit.mIncarnation);
+    limits[i].setLimited(limit.mRequestsPerSecond.has_value());
+    limits[i].setPerSecond(limit.mRequestsPerSecond.value_or(0.0));
+    limits[i].setAgeMs(ClampToUint32(limit.mAge.count()));
+  }
   auto named =
     aRoot.initNamed(static_cast<unsigned>(aReport.mKnownAddresses.size()));
   for (unsigned i = 0; i < named.size(); ++i) {
@@ -89,6 +99,13 @@
     report.mFreeTokens.emplace_back(
       held.getAccount(), static_cast<std::int64_t>(held.getTokens()));
   }
+  for (const auto limit : aRoot.getRateLimits()) {
+    report.mRateLimits.push_back(
+      { limit.getServer(),
+        limit.getIncarnation(),
+        limit.getLimited() ? std::optional(limit.getPerSecond()) : std::nullopt,
+        milliseconds(limit.getAgeMs()) });
+  }
   for (const auto name : aRoot.getNamed()) {
     report.mKnownAddresses.push_back(ReadText(name));
   }
--- a/Source/Core/Gateway/ServerRateLimits.h
+++ b/Source/Core/Gateway/ServerRateLimits.h
@@ -1,13 +1,22 @@
 #pragma once
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "Common/Time.h"
 
-/// Rate limits that servers name for themselves.
+/// Rate limits that servers name for themselves, and this node's part of them.
+///
+/// A server in need states how many requests a second it takes from all nodes
+/// together. Nodes exchange what servers said. Each limit is divided among a
+/// few nodes, chosen by a hash of server and node, so that the nodes keep to it
+/// without asking each other before each request. The limit holds for all kinds
+/// of sends, repeated ones included.
 
 /// What a server run said of its rate limit.
 struct rate_limit_statement
@@ -22,6 +31,9 @@
   auto operator<=>(const rate_limit_statement&) const = default;
 };
 
+/// Text form for logs: requests a second, or `none`.
+std::string FormatRate(const std::optional<double>& aRequestsPerSecond);
+
 class server_rate_limits
 {
 public:
@@ -30,14 +42,54 @@
   /// the limit was named, because responses on different connections overtake
   /// each other. Returns whether the server's limit changed.
   bool OnResponse(const rate_limit_statement& aStatement, time_point aSentAt);
+  /// Records a statement that another node received. Returns whether the
+  /// server's limit changed.
+  bool OnPeerStatement(const rate_limit_statement& aStatement, time_point aNow);
+  /// Ends the limits of earlier runs of a server.
+  void OnServerStart(std::uint32_t aServer, std::uint64_t aIncarnation);
+  /// Forgets a server.
+  void Remove(std::uint32_t aServer) { mServers.erase(aServer); }
+  /// Sets the addresses of the live nodes among which limits are divided.
+  void SetNodes(const std::string& aSelf,
+                std::vector<std::string> aPeers,
+                time_point aNow);
+
+  /// Whether this node may send the server a request now.
+  bool MaySend(std::uint32_t aServer, time_point aNow) const;
+  /// Time from which this node may send the server a request;
+  /// `time_point::max()` if it has no part of the limit.
+  time_point MaySendFrom(std::uint32_t aServer) const;
+  void OnSend(std::uint32_t aServer, time_point aNow);
 
   /// Newest statement of a server that is limited; nothing for others.
   std::optional<rate_limit_statement> Find(std::uint32_t aServer) const;
+  /// This node's part of a server's limit, in requests a second.
+  double OwnRate(std::uint32_t aServer) const;
   /// Number of servers that are limited.
   std::size_t LimitedCount() const;
+  /// Statements that this node received from servers recently, for the other
+  /// nodes.
+  std::vector<rate_limit_statement> OwnStatements(time_point aNow) const;
 
 private:
-  bool Record(const rate_limit_statement& aStatement);
+  struct limited_server
+  {
+    rate_limit_statement mStatement;
+    /// This node received the statement from the server itself.
+    bool mReceivedHere = false;
+    double mOwnRate = 0.0;
+    /// Time from which a send is in line with the rate alone. Sends are allowed
+    /// earlier by the burst tolerance.
+    time_point mNextSendAt;
+  };
+
+  bool Record(const rate_limit_statement& aStatement,
+              bool aReceivedHere,
+              time_point aNow);
+  /// Computes this node's part of the limit.
+  void Divide(limited_server& aServer, time_point aNow) const;
 
-  std::unordered_map<std::uint32_t, rate_limit_statement> mStatements;
+  std::string mSelf;
+  std::vector<std::string> mPeers;
+  std::unordered_map<std::uint32_t, limited_server> mServers;
 };
--- a/Source/Core/Gateway/UpstreamRegistry.cpp
+++ b/Source/Core/Gateway/UpstreamRegistry.cpp
@@ -105,6 +105,7 @@
     record.mFailures = 0;
     record.mSlowness = 1.0;
     record.mKey = KeyOf(aEntry.mId);
+    mRateLimits.OnServerStart(record.mKey, aEntry.mIncarnation);
     for (auto& [segment, holders] : mCachedSegments) {
       holders.erase(record.mKey);
     }
@@ -137,8 +138,13 @@
 {
   std::erase_if(mUpstreams, [&](const auto& aPair) {
     const upstream_record& record = aPair.second;
-    return record.mRemoved && record.mUsableUntil &&
-           *record.mUsableUntil < aNow && record.mLocalWork.mRequests == 0;
+    const bool gone = record.mRemoved && record.mUsableUntil &&
+                      *record.mUsableUntil < aNow &&
+                      record.mLocalWork.mRequests == 0;
+    if (gone) {
+      mRateLimits.Remove(record.mKey);
+    }
+    return gone;
   });
   if (mCachedSegments.size() > kMaxCachedSegments) {
     mCachedSegments.clear();
@@ -263,9 +269,12 @@
   const bool engine =
     service != mServices.end() && service->second.mEngine.has_value();
   const shared_prompt shared = SharedPrompt(aQuery.mPrompt);
-  // If all healthy servers are full, the request waits and is not sent to a
-  // suspect one.
-  const auto candidates = Candidates(aQuery, aNow);
+  // If all healthy servers are full or at their rate limits, the request waits
+  // and is not sent to a suspect one.
+  auto candidates = Candidates(aQuery, aNow);
+  std::erase_if(candidates, [&](const upstream_record* aRecord) {
+    return !mRateLimits.MaySend(aRecord->mKey, aNow);
+  });
   // Every node computes the same preferred server for a shared prompt.
   const upstream_record* preferred = nullptr;
   if (!shared.mSegments.empty() && !candidates.empty()) {
@@ -318,6 +327,16 @@
   return std::move(best->mPlacement);
 }
 
+time_point upstream_registry::LimitedUntil(const placement_query& aQuery,
+                                           time_point aNow) const
+{
+  time_point earliest = time_point::max();
+  for (const upstream_record* record : Candidates(aQuery, aNow)) {
+    earliest = std::min(earliest, mRateLimits.MaySendFrom(record->mKey));
+  }
+  return earliest;
+}
+
 bool upstream_registry::HasUsable(const service_id& aService,
                                   time_point aNow) const
 {
@@ -341,6 +360,7 @@
     record.mBusySince = aNow;
   }
   record.mLocalWork += aPlacement.mWork;
+  mRateLimits.OnSend(record.mKey, aNow);
   for (const auto& [key, tokens] : SharedPrompt(aQuery.mPrompt).mSegments) {
     mCachedSegments[key][record.mKey] = aNow + mSettings.mCacheTimeToLive;
   }
--- a/Source/Core/Gateway/UpstreamRegistry.h
+++ b/Source/Core/Gateway/UpstreamRegistry.h
@@ -101,9 +101,13 @@
   /// Drops servers that left and have no work.
   void Expire(time_point aNow);
 
-  /// Chooses the server of lowest cost; nothing if none has free capacity.
+  /// Chooses the server of lowest cost; nothing if none has free capacity and a
+  /// rate limit that allows the request.
   std::optional<placement> Choose(const placement_query& aQuery,
                                   time_point aNow) const;
+  /// Time from which the rate limits of the servers allow this node to send the
+  /// request; in the past if they do.
+  time_point LimitedUntil(const placement_query& aQuery, time_point aNow) const;
   /// Whether the service has any usable server, busy or not.
   bool HasUsable(const service_id& aService, time_point aNow) const;
 
