Discard responses without identity on kept connections

A server may send a second copy of a response late, when its connection is in use again. The gateway told such a copy by the request identity in it, and took a response without one for the answer to the next request, whose caller then got another caller's answer. Servers send the identity back, so on a kept connection a response without it is discarded like one with another identity, with a log line. On a new connection nothing came before, and such a response is accepted.

LateSecondCopyIsNotTheNextResponse failed before for copies without identity (the second caller got "first"), passed for copies with one, and passes now.

--- a/Source/Core/Gateway/GatewaySessionUpstream.cpp
+++ b/Source/Core/Gateway/GatewaySessionUpstream.cpp
@@ -150,7 +150,16 @@
 {
   const time_point now = mContext.mTime.Now();
   upstream_answer answer = mContext.mCodec.ReadAnswer(aResponse);
-  if (!answer.mRequestId.empty() && answer.mRequestId != mRequest.mId) {
+  // On a kept connection a response without identity may be a late copy of an
+  // earlier one; sound servers send the identity back.
+  const bool unnamed = answer.mRequestId.empty() && mConnection->Uses() == 1;
+  if (!unnamed && answer.mRequestId != mRequest.mId) {
+    Log(log_level::Info,
+        "foreign_response_discarded",
+        { Field("id", mRequest.mId),
+          Field("response_id", answer.mRequestId),
+          Field("status", aResponse.mStatus),
+          Field("server_run", FormatServerRun(mServerRun)) });
     return false;
   }
   mContext.mUpstreamRegistry.OnByte(mPlacement.mUpstream, now);
--- a/Source/UnitTests/Gateway/GatewayFixture.cpp
+++ b/Source/UnitTests/Gateway/GatewayFixture.cpp
@@ -140,11 +140,11 @@
   auto exchange = std::make_unique<client_exchange>();
   exchange->mConnection = std::make_unique<http_client_connection>(
     mNode->ClientAddress(), tcp_liveness{});
-  std::string head = fmt::format("{} {} HTTP/1.1\r\nHost: a.example\r\n"
-                                 "Lentilswitch-Request-Id: r1\r\n{}",
-                                 aMethod,
-                                 aPath,
-                                 aHeaders);
+  std::string head = fmt::format(
+    "{} {} HTTP/1.1\r\nHost: a.example\r\n{}", aMethod, aPath, aHeaders);
+  if (aHeaders.find("Lentilswitch-Request-Id") == std::string::npos) {
+    head.append("Lentilswitch-Request-Id: r1\r\n");
+  }
   if (aHeaders.find("Authorization") == std::string::npos) {
     head.append("Authorization: Bearer key-1\r\n");
   }
--- a/Source/UnitTests/Gateway/GatewayPathTest.cpp
+++ b/Source/UnitTests/Gateway/GatewayPathTest.cpp
@@ -383,3 +383,42 @@
   EXPECT_EQ(Call("POST", "/o/x", {}, body)->mResponse.mStatus, 503U);
   EXPECT_EQ(server.mRequests.size(), 1U);
 }
+
+// Guards against a late second copy of an earlier response that the next caller
+// on the same connection gets as its own.
+TEST_F(gateway_path_test, LateSecondCopyIsNotTheNextResponse)
+{
+  for (const bool signsCopy : { true, false }) {
+    SCOPED_TRACE(signsCopy ? "with request identity" : "without");
+    http_server_request first;
+    scripted_server& server = AddServer("i-1", "app");
+    server.mScript = [&](http_server_connection& aConnection,
+                         const http_server_request& aRequest) {
+      http_server_response response;
+      scripted_server::Sign(response, aRequest);
+      if (first.mTarget.empty()) {
+        first = aRequest;
+        aConnection.Respond(response, "first");
+        return;
+      }
+      http_server_response copy;
+      scripted_server::Sign(copy, first);
+      if (!signsCopy) {
+        std::erase_if(copy.mHeaders, [](const auto& aHeader) {
+          return aHeader.first == "Lentilswitch-Request-Id";
+        });
+      }
+      aConnection.Respond(copy, "first");
+      aConnection.Respond(response, "second");
+    };
+    StartNode();
+    EXPECT_EQ(
+      Call("POST", "/o/x", "Lentilswitch-Request-Id: r1\r\n", "b")->mBody,
+      "first");
+    EXPECT_EQ(
+      Call("POST", "/o/y", "Lentilswitch-Request-Id: r2\r\n", "b")->mBody,
+      "second");
+    mNode.reset();
+    mStore.Remove({ "servers", "", "i-1" });
+  }
+}
