Answer the requests that were accepted last before a stop ends

In a planned stop the node ended as soon as no request was in progress. Requests on connections that it or its kernel had just accepted were cut off without an answer, and so was the rest of a response that its client had not read yet. The node now accepts the connections that are pending, closes its listening socket, so that later clients are refused at once, and ends when the requests of the accepted ones are answered and all bytes are handed to the kernel, or at the end of the grace period. A kept connection with unread bytes is not closed as idle.

--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -53,6 +53,8 @@
 // before it is killed.
 constexpr double kAcceptShare = 0.5;
 constexpr double kShutdownShare = 0.93;
+// Time for the requests of clients whose connections were accepted last.
+constexpr milliseconds kLastRequestTimeout(300);
 
 std::uint64_t RandomRun()
 {
@@ -404,7 +406,7 @@
           Field("open_requests", mSessions.size()) });
   }
   std::string error;
-  if (!mClientListener->SetAccepting(!busy, error)) {
+  if (!mLastRequestsUntil && !mClientListener->SetAccepting(!busy, error)) {
     Log(log_level::Error, "clients_address_lost", { Field("error", error) });
   }
 }
@@ -559,8 +561,14 @@
     mClientListener->CloseIdle();
     mTokenAllowance.ReturnAll();
   }
-  const bool idle = mSessions.empty() && !mTokenAllowance.HasPendingChanges();
-  if (!idle && aNow < *mStopStartedAt + stopDuration) {
+  if (IsIdle() && !mLastRequestsUntil) {
+    std::string error;
+    mClientListener->SetAccepting(false, error);
+    mLastRequestsUntil = aNow + kLastRequestTimeout;
+  }
+  const bool done = mLastRequestsUntil && aNow >= *mLastRequestsUntil &&
+                    IsIdle() && !mClientListener->HasWork();
+  if (!done && aNow < *mStopStartedAt + stopDuration) {
     return;
   }
   mStopped = true;
@@ -569,3 +577,8 @@
       { Field("open_requests", mSessions.size()) });
   mOnStopped();
 }
+
+bool gateway_node::IsIdle() const
+{
+  return mSessions.empty() && !mTokenAllowance.HasPendingChanges();
+}
--- a/Source/Core/Gateway/GatewayNode.h
+++ b/Source/Core/Gateway/GatewayNode.h
@@ -80,6 +80,8 @@
   /// Reports crashes of servers that fell silent, and avoids these servers.
   void ReportSilentServers(time_point aNow);
   void ContinueStop(time_point aNow);
+  /// Whether no request is in progress and all prepaid tokens are returned.
+  bool IsIdle() const;
 
   gateway_settings mSettings;
   const gateway_codec& mCodec;
@@ -120,5 +122,8 @@
 
   time_point mNextSnapshotAt;
   std::optional<time_point> mStopStartedAt;
+  /// Set once the node accepts no more connections in a stop: requests on the
+  /// accepted ones are awaited until then.
+  std::optional<time_point> mLastRequestsUntil;
   bool mStopped = false;
 };
--- a/Source/Core/Net/HttpConnection.h
+++ b/Source/Core/Net/HttpConnection.h
@@ -104,6 +104,8 @@
   void SetCloseAfterResponse() { mClosing = true; }
 
   bool Busy() const { return mBusy; }
+  /// Whether a request is being received or answered.
+  bool HasRequest() const { return mBusy || mRequestStarted; }
   bool Closed() const { return !mStream || mStream->Closed(); }
   std::size_t PendingBytes() const { return mStream->PendingBytes(); }
   /// Once the deadline has passed, answers an incomplete request with status
--- a/Source/Core/Net/HttpListener.cpp
+++ b/Source/Core/Net/HttpListener.cpp
@@ -1,5 +1,6 @@
 #include "Net/HttpListener.h"
 
+#include <algorithm>
 #include <utility>
 
 std::unique_ptr<http_listener> http_listener::Listen(
@@ -43,6 +44,14 @@
   });
 }
 
+bool http_listener::HasWork() const
+{
+  return std::ranges::any_of(mConnections, [](const auto& aConnection) {
+    return !aConnection->Closed() &&
+           (aConnection->HasRequest() || aConnection->PendingBytes() > 0);
+  });
+}
+
 void http_listener::CloseIdle()
 {
   for (const auto& connection : mConnections) {
--- a/Source/Core/Net/HttpListener.h
+++ b/Source/Core/Net/HttpListener.h
@@ -29,6 +29,9 @@
   /// Every later response announces and closes its connection.
   void SetCloseAfterResponse();
   std::size_t Open() const { return mConnections.size(); }
+  /// Whether a connection has a request or response in progress, or response
+  /// bytes that the kernel has not taken yet.
+  bool HasWork() const;
 
 private:
   http_listener(http_request_handler& aHandler, const time_source& aTime)
--- a/Source/Core/Net/HttpServerConnection.cpp
+++ b/Source/Core/Net/HttpServerConnection.cpp
@@ -262,7 +262,9 @@
 void http_server_connection::CloseWhenIdle()
 {
   mClosing = true;
-  if (!mBusy && !mRequestStarted) {
+  // A request may have arrived since the last iteration of the loop; it is
+  // answered before the connection closes.
+  if (!mBusy && !mRequestStarted && !mStream->HasUnreadBytes()) {
     Finish();
   }
 }
--- a/Source/Core/Net/TcpStream.cpp
+++ b/Source/Core/Net/TcpStream.cpp
@@ -249,6 +249,13 @@
   }
 }
 
+bool tcp_stream::HasUnreadBytes() const
+{
+  char byte = 0;
+  return !Closed() &&
+         recv(mDescriptor, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void tcp_stream::Write(std::string_view aBytes)
 {
   if (Closed() || aBytes.empty()) {
--- a/Source/Core/Net/TcpStream.h
+++ b/Source/Core/Net/TcpStream.h
@@ -84,6 +84,8 @@
   std::size_t PendingBytes() const { return mOutput.size() - mOutputStart; }
   bool Connected() const { return mConnected; }
   bool Closed() const { return mDescriptor < 0; }
+  /// Whether the kernel holds received bytes that were not read yet.
+  bool HasUnreadBytes() const;
 
   /// Stops or resumes reading. A close by the peer is not noticed while reading
   /// is stopped.
--- /dev/null
+++ b/Source/UnitTests/Gateway/PlannedStopTest.cpp
@@ -0,0 +1,104 @@
+#include <thread>
+
+#include "GatewayFixture.h"
+
+namespace {
+
+using std::chrono::milliseconds;
+
+class planned_stop_test : public gateway_fixture
+{
+protected:
+  /// Requests may be refused a connection, but not cut off on one.
+  void ExpectAnswers(
+    const std::vector<std::unique_ptr<client_exchange>>& aExchanges)
+  {
+    std::size_t cutOff = 0;
+    for (const auto& exchange : aExchanges) {
+      ASSERT_TRUE(RunUntil([&] { return exchange->Ended(); }));
+      if (exchange->mFailure &&
+          *exchange->mFailure != exchange_failure::NotSent) {
+        ++cutOff;
+      }
+    }
+    EXPECT_EQ(cutOff, 0U) << "of " << aExchanges.size();
+  }
+};
+
+} // namespace
+
+// Guards against connections that were just accepted when the node ends, and
+// that are cut off without an answer.
+TEST_F(planned_stop_test, AcceptedRequestsAreAnswered)
+{
+  AddServer("i-1", "app");
+  StartNode();
+  mNode->Stop();
+  RunFor(milliseconds(470));
+  std::vector<std::unique_ptr<client_exchange>> exchanges;
+  for (unsigned i = 0; i < 50; ++i) {
+    exchanges.push_back(BeginRequest("POST", "/o/x", {}, "b"));
+  }
+  // The node finds the connections and the time to end in the same iteration.
+  std::this_thread::sleep_for(milliseconds(60));
+  EXPECT_TRUE(RunUntil([this] { return mStopped; }));
+  mNode.reset();
+  ExpectAnswers(exchanges);
+}
+
+// Guards against kept connections that are closed while a request is on its way
+// in.
+TEST_F(planned_stop_test, RequestsOnKeptConnectionsAreAnswered)
+{
+  AddServer("i-1", "app");
+  StartNode();
+  std::vector<std::unique_ptr<client_exchange>> exchanges;
+  for (unsigned i = 0; i < 50; ++i) {
+    exchanges.push_back(BeginRequest("POST", "/o/x", {}, "b"));
+    ASSERT_TRUE(RunUntil([&] { return exchanges.back()->Ended(); }));
+    ASSERT_EQ(exchanges.back()->mResponse.mStatus, 200U);
+  }
+  mNode->Stop();
+  // The node closes idle connections after half of the grace period.
+  RunFor(milliseconds(470));
+  for (auto& exchange : exchanges) {
+    ASSERT_FALSE(exchange->mConnection->Closed());
+    exchange->mComplete = false;
+    exchange->mConnection->Start("POST /o/x HTTP/1.1\r\nHost: a.example\r\n"
+                                 "Lentilswitch-Request-Id: r1\r\n"
+                                 "Authorization: Bearer key-1\r\n"
+                                 "Content-Length: 1\r\n\r\n",
+                                 "b",
+                                 false,
+                                 *exchange);
+  }
+  std::this_thread::sleep_for(milliseconds(60));
+  EXPECT_TRUE(RunUntil([this] { return mStopped; }));
+  mNode.reset();
+  ExpectAnswers(exchanges);
+}
+
+// Guards against responses that are cut off because the client had not read all
+// of them when the node ended.
+TEST_F(planned_stop_test, SlowReadersGetTheWholeResponse)
+{
+  // More than the socket buffers hold.
+  const std::string body(48000000, 'x');
+  AddServer("i-1", "app").mScript = [&](http_server_connection& aConnection,
+                                        const http_server_request& aRequest) {
+    http_server_response response;
+    scripted_server::Sign(response, aRequest);
+    aConnection.Respond(response, body);
+  };
+  StartNode();
+  const auto exchange = BeginRequest("POST", "/o/x", {}, "b");
+  exchange->mConnection->SetReading(false);
+  RunFor(milliseconds(300));
+  mNode->Stop();
+  RunFor(milliseconds(600));
+  exchange->mConnection->SetReading(true);
+  EXPECT_TRUE(RunUntil([this] { return mStopped; }));
+  mNode.reset();
+  ASSERT_TRUE(RunUntil([&] { return exchange->Ended(); }));
+  EXPECT_EQ(exchange->mBody.size(), body.size());
+}
