Answer requests that are in progress when the node has to end

Requests whose server was still at work at the end of the grace period were cut off without an answer: the process ended with their connections open. Each now gets its final answer first: 504 if a server got it, because it may have run, 503 if none did. A response that has begun is broken off with a reset.

RequestsInProgressAreAnsweredAtTheEnd failed before (no answer) and passes.

--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -575,6 +575,9 @@
   Log(log_level::Info,
       "gateway_stopped",
       { Field("open_requests", mSessions.size()) });
+  for (const auto& [connection, session] : mSessions) {
+    session->EndAtStop();
+  }
   mOnStopped();
 }
 
--- a/Source/Core/Gateway/GatewaySession.cpp
+++ b/Source/Core/Gateway/GatewaySession.cpp
@@ -247,6 +247,13 @@
   Finish(kClientClosedRequest, "client_gone");
 }
 
+void gateway_session::EndAtStop()
+{
+  if (!Finished()) {
+    EndWithoutServer("node_stopped", "node_leaving");
+  }
+}
+
 void gateway_session::Refuse(const char* aReason, milliseconds aRetryAfter)
 {
   Answer(http_status::kServiceUnavailable, aReason, aRetryAfter);
--- a/Source/Core/Gateway/GatewaySession.h
+++ b/Source/Core/Gateway/GatewaySession.h
@@ -66,6 +66,8 @@
   void Advance(time_point aNow);
   /// Ends the request because the client closed its connection.
   void Cancel();
+  /// Ends the request because the node has to end.
+  void EndAtStop();
   void OnClientDrained();
 
   bool Finished() const { return mStage == stage::Finished; }
@@ -103,6 +105,9 @@
   /// Ends the request and returns true if it must not be sent, because servers
   /// ended under it.
   bool EndIfSuspect(time_point aNow);
+  /// Ends the request without waiting for its server any longer. `aReason` is
+  /// given if the server got it, `aUnsentReason` if not.
+  void EndWithoutServer(const char* aReason, const char* aUnsentReason);
   /// Ends the request instead of sending it, possibly for a further time.
   void EndUnsent(const char* aReason, std::chrono::milliseconds aRetryAfter);
   void AdvanceSent(time_point aNow);
--- a/Source/Core/Gateway/GatewaySessionUpstream.cpp
+++ b/Source/Core/Gateway/GatewaySessionUpstream.cpp
@@ -117,15 +117,7 @@
 void gateway_session::AdvanceSent(time_point aNow)
 {
   if (aNow >= mRouteDeadline || aNow >= mDeadline + kDeadlineGracePeriod) {
-    const bool reached = mConnection && mConnection->Connected();
-    AbandonUpstream("timeout");
-    if (mResponseStarted) {
-      AbortClient("timeout");
-    } else if (reached || mMayHaveRun) {
-      Fail(http_status::kGatewayTimeout, "timeout");
-    } else {
-      Refuse("server_not_reached", kRefusalRetryDelay);
-    }
+    EndWithoutServer("timeout", "server_not_reached");
     return;
   }
   if (!mConnection->Connected() && aNow >= mSentAt + kConnectTimeout) {
@@ -145,6 +137,21 @@
   }
 }
 
+void gateway_session::EndWithoutServer(const char* aReason,
+                                       const char* aUnsentReason)
+{
+  const bool reached =
+    mStage == stage::Sent && mConnection && mConnection->Connected();
+  AbandonUpstream(aReason);
+  if (mResponseStarted) {
+    AbortClient(aReason);
+  } else if (reached || mMayHaveRun) {
+    Fail(http_status::kGatewayTimeout, aReason);
+  } else {
+    Refuse(aUnsentReason, kRefusalRetryDelay);
+  }
+}
+
 bool gateway_session::OnResponse(http_client_connection&,
                                  http_client_response aResponse)
 {
--- a/Source/UnitTests/Gateway/PlannedStopTest.cpp
+++ b/Source/UnitTests/Gateway/PlannedStopTest.cpp
@@ -9,6 +9,14 @@
 class planned_stop_test : public gateway_fixture
 {
 protected:
+  /// Stops the node and ends it as the process does.
+  void StopAndEnd()
+  {
+    mNode->Stop();
+    EXPECT_TRUE(RunUntil([this] { return mStopped; }));
+    mNode.reset();
+  }
+
   /// Requests may be refused a connection, but not cut off on one.
   void ExpectAnswers(
     const std::vector<std::unique_ptr<client_exchange>>& aExchanges)
@@ -102,3 +110,19 @@
   ASSERT_TRUE(RunUntil([&] { return exchange->Ended(); }));
   EXPECT_EQ(exchange->mBody.size(), body.size());
 }
+
+// Guards against requests that get no answer because their server is still at
+// work when the node has to end.
+TEST_F(planned_stop_test, RequestsInProgressAreAnsweredAtTheEnd)
+{
+  AddServer("i-1", "app").mScript = [](http_server_connection&,
+                                       const http_server_request&) {};
+  mSettings.mGracePeriod = milliseconds(400);
+  StartNode();
+  const auto exchange = BeginRequest("POST", "/o/x", {}, "b");
+  ASSERT_TRUE(RunUntil([this] { return !mServers[0]->mRequests.empty(); }));
+  StopAndEnd();
+  ASSERT_TRUE(RunUntil([&] { return exchange->Ended(); }));
+  // The server may have run the request, so it must not count as not run.
+  EXPECT_EQ(exchange->mResponse.mStatus, 504U);
+}
