Reset connections whose unframed response the node cannot finish

A response without length ends with its connection. When the node ended in the middle of one, by a stop or a kill, its socket was closed in the orderly way, and the caller got the part as a complete success. The connection of such a response is now set to be reset by whatever closes it, the end of the process included, until all its bytes are sent.

UnframedResponseIsNotCompletedByTheEnd and ..ByAKill failed before (complete) and pass.

--- a/Source/Core/Net/HttpServerConnection.cpp
+++ b/Source/Core/Net/HttpServerConnection.cpp
@@ -205,6 +205,10 @@
   if (mClosing || mFraming == body_framing::UntilClose) {
     mKeepAlive = false;
   }
+  if (mFraming == body_framing::UntilClose) {
+    // An orderly close would mark the body as complete.
+    mStream->SetResetOnClose();
+  }
   mStream->Write(FormatHead(aResponse, mKeepAlive));
 }
 
--- a/Source/Core/Net/TcpStream.cpp
+++ b/Source/Core/Net/TcpStream.cpp
@@ -306,7 +306,7 @@
   mOutput.clear();
   mOutputStart = 0;
   if (mCloseAfterDrain) {
-    Close();
+    CloseDrained();
     return;
   }
   const bool notify = std::exchange(mNotifyDrained, false);
@@ -327,13 +327,21 @@
 void tcp_stream::CloseAfterDrain()
 {
   if (PendingBytes() == 0) {
-    Close();
+    CloseDrained();
     return;
   }
   mCloseAfterDrain = true;
   UpdateEvents();
 }
 
+void tcp_stream::CloseDrained()
+{
+  if (mResetOnClose) {
+    SetLinger(false);
+  }
+  CloseDescriptor();
+}
+
 void tcp_stream::Close()
 {
   CloseDescriptor();
@@ -342,12 +350,30 @@
 void tcp_stream::Reset()
 {
   if (!Closed()) {
-    const linger abort{ .l_onoff = 1, .l_linger = 0 };
-    setsockopt(mDescriptor, SOL_SOCKET, SO_LINGER, &abort, sizeof abort);
+    SetLinger(true);
   }
   CloseDescriptor();
 }
 
+void tcp_stream::SetResetOnClose()
+{
+  if (!Closed()) {
+    SetLinger(true);
+  }
+}
+
+void tcp_stream::SetLinger(bool aReset)
+{
+  mResetOnClose = aReset;
+  const linger option{ .l_onoff = aReset ? 1 : 0, .l_linger = 0 };
+  if (setsockopt(mDescriptor, SOL_SOCKET, SO_LINGER, &option, sizeof option) !=
+      0) {
+    Log(log_level::Warning,
+        "socket_option_failed",
+        { Field("option", SO_LINGER), Field("error", std::strerror(errno)) });
+  }
+}
+
 void tcp_stream::End(tcp_end_reason aReason)
 {
   CloseDescriptor();
--- a/Source/Core/Net/TcpStream.h
+++ b/Source/Core/Net/TcpStream.h
@@ -96,6 +96,9 @@
   void Close();
   /// Closes with a reset, so that the peer cannot take it for an orderly close.
   void Reset();
+  /// From now on every end of the connection is a reset, also the end of the
+  /// process, until it is closed by `CloseAfterDrain`.
+  void SetResetOnClose();
 
 private:
   tcp_stream(int aDescriptor, bool aConnected, tcp_observer& aObserver);
@@ -107,6 +110,10 @@
   void ReadAvailable();
   void Flush();
   void End(tcp_end_reason aReason);
+  /// Whether the kernel resets the connection when its descriptor is closed.
+  void SetLinger(bool aReset);
+  /// Closes in an orderly way after all bytes were sent.
+  void CloseDrained();
   void CloseDescriptor();
 
   tcp_observer* mObserver;
@@ -116,6 +123,7 @@
   bool mReading = true;
   bool mCloseAfterDrain = false;
   bool mNotifyDrained = false;
+  bool mResetOnClose = false;
   std::string mOutput;
   std::size_t mOutputStart = 0;
 };
--- a/Source/UnitTests/Gateway/PlannedStopTest.cpp
+++ b/Source/UnitTests/Gateway/PlannedStopTest.cpp
@@ -31,8 +31,25 @@
     }
     EXPECT_EQ(cutOff, 0U) << "of " << aExchanges.size();
   }
+
+  /// Adds a server that sends the start of a response without length.
+  void AddServerWithUnframedResponse()
+  {
+    AddServer("i-1", "engine").mScript =
+      [](http_server_connection& aConnection,
+         const http_server_request& aRequest) {
+        http_server_response head;
+        scripted_server::Sign(head, aRequest);
+        head.mHeaders.emplace_back("Content-Type", "text/event-stream");
+        head.mFraming = body_framing::UntilClose;
+        aConnection.StartResponse(head);
+        aConnection.WriteBody("id: 1\ndata: a\n\n");
+      };
+  }
 };
 
+constexpr const char* kPrompt = "Lentilswitch-Token-Counts: 100,50\r\n";
+
 } // namespace
 
 // Guards against connections that were just accepted when the node ends, and
@@ -126,3 +143,30 @@
   // The server may have run the request, so it must not count as not run.
   EXPECT_EQ(exchange->mResponse.mStatus, 504U);
 }
+
+// Guards against a response without length that ends with the node and reaches
+// the caller as complete.
+TEST_F(planned_stop_test, UnframedResponseIsNotCompletedByTheEnd)
+{
+  AddServerWithUnframedResponse();
+  mSettings.mGracePeriod = milliseconds(400);
+  StartNode();
+  const auto exchange = BeginRequest("POST", "/s/x", kPrompt, "b");
+  ASSERT_TRUE(RunUntil([&] { return !exchange->mBody.empty(); }));
+  StopAndEnd();
+  ASSERT_TRUE(RunUntil([&] { return exchange->Ended(); }));
+  EXPECT_FALSE(exchange->mComplete);
+}
+
+// Guards against the same when the process ends without a stop: its sockets are
+// closed by the kernel.
+TEST_F(planned_stop_test, UnframedResponseIsNotCompletedByAKill)
+{
+  AddServerWithUnframedResponse();
+  StartNode();
+  const auto exchange = BeginRequest("POST", "/s/x", kPrompt, "b");
+  ASSERT_TRUE(RunUntil([&] { return !exchange->mBody.empty(); }));
+  mNode.reset();
+  ASSERT_TRUE(RunUntil([&] { return exchange->Ended(); }));
+  EXPECT_FALSE(exchange->mComplete);
+}
