--- a/Source/UnitTests/Gateway/PlatformRowStoreTest.cpp
+++ b/Source/UnitTests/Gateway/PlatformRowStoreTest.cpp
@@ -31,7 +31,11 @@
     if (mSlow) {
       response.mFraming = body_framing::Chunked;
       aConnection.StartResponse(response);
-      mTimer.Every(milliseconds(300), [this, &aConnection] {
+      mTimer.Every(mWriteInterval, [this, &aConnection] {
+        if (mNeverEnds) {
+          aConnection.WriteBody(" ");
+          return;
+        }
         if (mBody.empty()) {
           mTimer.Cancel();
           aConnection.FinishBody();
@@ -53,8 +57,11 @@
   unsigned mStatus = 200;
   std::string mBody;
   bool mSilent = false;
-  /// Sends six bytes each 300 ms.
+  /// Sends six bytes in each interval.
   bool mSlow = false;
+  milliseconds mWriteInterval{ 300 };
+  /// Sends one byte in each interval instead and does not end the body.
+  bool mNeverEnds = false;
   loop_timer mTimer;
 };
 
@@ -160,3 +167,23 @@
   ASSERT_TRUE(mLoop.RunUntil([&] { return reply.has_value(); }, kTestTimeout));
   EXPECT_EQ(reply->error(), row_store_error::HistoryLost);
 }
+
+// Guards against a reply that never ends because a byte arrives now and then:
+// the reader of a table would follow no further changes.
+TEST_F(platform_row_store_test, EndsACallThatOnlyTrickles)
+{
+  mServer.mSlow = true;
+  mServer.mNeverEnds = true;
+  mServer.mWriteInterval = milliseconds(10);
+  manual_time_source time;
+  platform_row_store store(mServer.mListener->Address(), time);
+  std::optional<result<row_page, row_store_error>> reply;
+  store.Read("t", "", "", [&](auto aResult) { reply = aResult; });
+  // Ten times as fast as the clock, so that each byte arrives within the
+  // timeout.
+  loop_timer clock;
+  clock.Every(milliseconds(10), [&] { time.Advance(milliseconds(100)); });
+  ASSERT_TRUE(mLoop.RunUntil([&] { return reply.has_value(); }, kTestTimeout));
+  ASSERT_FALSE(reply->has_value());
+  EXPECT_EQ(reply->error(), row_store_error::Unknown);
+}
