Read what arrived before judging it after a stall of the loop

A node that did not run for a while, suspended or without processor time, checked its time limits before it read what had arrived meanwhile. A request whose response was there got a 504, and after 2 s without reading the node took the servers of its open requests for silent, reported them as crashed under these requests and refused the next copies for up to ten minutes.

After a stall of 200 ms the node now lets one iteration of the loop read all connections before it checks time limits, at most every 500 ms, and judges no server silent for 2 s.

DeliversAResponseThatArrivedMeanwhile (504) and TakesNoServerForSilent (three servers reported, the fourth request refused) failed before and pass. StartsNoWorkAgainThatIsDone passed before too.

--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -120,6 +120,7 @@
                    mTime,
                    [this] { return SnapshotRows(); })
   , mLinkOverload(mSettings.mLinkBytesPerSecond)
+  , mStalls(mTime.Now())
   , mConfigTable(mStore,
                  mTime,
                  mCodec.ConfigTable(),
@@ -361,7 +362,11 @@
 void gateway_node::OnRequestTick()
 {
   const time_point now = mTime.Now();
+  mStalls.OnTick(now);
   mContext.mDiscardedConnections.clear();
+  if (mStalls.MustReadFirst(now)) {
+    return;
+  }
   AdvanceWaiting(now);
   if (mContext.mRoutes) {
     mAllowanceWriter.WriteChanges(now);
@@ -453,8 +458,11 @@
 void gateway_node::OnFleetTick()
 {
   const time_point now = mTime.Now();
+  mStalls.OnTick(now);
   UpdateLinkOverload(now);
-  ReportSilentServers(now);
+  if (mStalls.CanJudgeSilence(now)) {
+    ReportSilentServers(now);
+  }
   const bool ready = Ready();
   if (std::exchange(mFleet.Self().mReady, ready) != ready) {
     Log(log_level::Info, "readiness_changed", { Field("ready", ready) });
@@ -489,6 +497,10 @@
 void gateway_node::OnMaintenanceTick()
 {
   const time_point now = mTime.Now();
+  mStalls.OnTick(now);
+  if (mStalls.MustReadFirst(now)) {
+    return;
+  }
   mRows.OnMaintenanceTick(now);
   mCrashExchange.OnMaintenanceTick(now);
   mUpstreamRegistry.Expire(now);
--- a/Source/Core/Gateway/GatewayNode.h
+++ b/Source/Core/Gateway/GatewayNode.h
@@ -12,6 +12,7 @@
 #include "Gateway/GatewaySession.h"
 #include "Gateway/LinkOverloadDetector.h"
 #include "Gateway/PeerTransport.h"
+#include "Gateway/StallDetector.h"
 #include "Gateway/TableFollower.h"
 #include "Net/HttpListener.h"
 
@@ -104,6 +105,7 @@
   gateway_context mContext;
   peer_transport mPeerTransport;
   link_overload_detector mLinkOverload;
+  stall_detector mStalls;
 
   table_follower mConfigTable;
   table_follower mUpstreamTable;
