--- a/Scripts/fault_soak/__main__.py
+++ b/Scripts/fault_soak/__main__.py
@@ -210,6 +210,7 @@
         "disconnected callers": promises.disconnects_end_work(history),
         "configuration": promises.config_changes_are_applied(history),
         "crashing requests": promises.crashing_requests_are_stopped(history),
+        "cut off requests": promises.requests_are_not_cut_off(history),
         "rate limits": promises.rate_limits_are_kept(history),
         "harmless requests": promises.harmless_requests_are_not_taken_for_crashing(
             history
--- a/Scripts/fault_soak/callers.py
+++ b/Scripts/fault_soak/callers.py
@@ -160,10 +160,10 @@
             )
         except asyncio.TimeoutError:
             request.disconnected_at = now()
-        except aiohttp.ClientError:
+        except aiohttp.ClientError as error:
             # Connections break when nodes end. The history records what was received,
             # and the checks decide whether it is acceptable.
-            pass
+            request.cut_off = not isinstance(error, aiohttp.ClientConnectorError)
         if not request.disconnected_at:
             request.ended_at = now()
 
--- a/Scripts/fault_soak/history.py
+++ b/Scripts/fault_soak/history.py
@@ -32,6 +32,8 @@
     ended_at: float = 0.0
     # Time at which the caller closed the connection or gave up; 0 if it did not.
     disconnected_at: float = 0.0
+    # The connection was established and ended before the response was complete.
+    cut_off: bool = False
     # Retry-After of a refusal, in seconds.
     retry_after: float | None = None
     # Sent by the operator to see whether a route is configured.
--- a/Scripts/fault_soak/promises.py
+++ b/Scripts/fault_soak/promises.py
@@ -28,6 +28,10 @@
 # Faults of a node that excuse it from CRASH_NOTICE_TIME; faults of the store and
 # of connections do not.
 NODE_FAULTS = ("kill", "kill_all", "stop", "pause", "observer")
+# Faults of a node under which it may cut off requests.
+UNPLANNED_NODE_FAULTS = ("kill", "kill_all", "pause", "observer")
+# Faults of a server that end its responses early.
+SERVER_FAULTS = ("crash", "connections", "torn", "observer")
 # Reason in the response to a request that is refused because servers end under it.
 CRASHING_REASON = b"request_crashes_servers"
 # Seconds for which a node may still use an older configuration after it was seen
@@ -344,6 +348,29 @@
                 break
 
 
+def requests_are_not_cut_off(history):
+    """Callers whose requests reached a sound server get a complete response.
+
+    Planned stops and faults of the store excuse nothing.
+    """
+    servers = collections.defaultdict(set)
+    for arrival in history.arrivals:
+        servers[arrival.id].add(arrival.server)
+    for request in history.requests.values():
+        if not request.cut_off or request.id not in servers or request.crashing:
+            continue
+        begin = request.sent_at - MIN_FAULT_FREE_TIME
+        if history.is_fault_free(
+            begin, request.ended_at, request.node, kinds=UNPLANNED_NODE_FAULTS
+        ) and history.is_fault_free(
+            begin, request.ended_at, *servers[request.id], kinds=SERVER_FAULTS
+        ):
+            yield (
+                f"{request.id} for {request.path} on {request.node} was cut off after "
+                f"{request.ended_at - request.sent_at:.2f} s"
+            )
+
+
 def harmless_requests_are_not_taken_for_crashing(history):
     """Only copies of a crashing request are refused because servers end."""
     for request in history.requests.values():
--- a/Scripts/fault_soak/promises_test.py
+++ b/Scripts/fault_soak/promises_test.py
@@ -177,6 +177,25 @@
         recorded.crashes.pop()
         self.assert_valid(check(recorded))
 
+    def test_request_that_is_cut_off_by_a_planned_stop(self):
+        check = promises.requests_are_not_cut_off
+        cut = request(status=0, complete=False, cut_off=True)
+        recorded = history([cut])
+        recorded.faults = [Fault("stop", "n-0", SENT, SENT + 1)]
+        # It did not reach a server.
+        self.assert_valid(check(recorded))
+        recorded.arrivals = [Arrival("r1", "engines", "e-0", SENT)]
+        self.assert_violation(check(recorded))
+        for fault in (
+            Fault("kill", "n-0", SENT, SENT + 1),
+            Fault("crash", "e-0", SENT, SENT + 1),
+        ):
+            recorded.faults = [fault]
+            self.assert_valid(check(recorded))
+        recorded.faults = []
+        recorded.requests = {"r1": request()}
+        self.assert_valid(check(recorded))
+
     def test_requests_above_the_rate_limit_of_a_server(self):
         check = promises.rate_limits_are_kept
         recorded = history([request()])
--- a/Source/UnitTests/Remote/HttpTest.cpp
+++ b/Source/UnitTests/Remote/HttpTest.cpp
@@ -7,6 +7,7 @@
 #include <gtest/gtest.h>
 
 #include "Common/EventLoop.h"
+#include "Net/TcpStream.h"
 #include "Remote/HttpClient.h"
 #include "Remote/HttpServer.h"
 #include "Remote/HttpStream.h"
@@ -18,6 +19,37 @@
 constexpr milliseconds kWaitTimeout{ 5000 };
 using reply_result = result<http_reply, http_failure>;
 
+/// A server that answers each request with fixed bytes and closes.
+class closing_server final
+  : private tcp_listener::acceptor
+  , private tcp_observer
+{
+public:
+  explicit closing_server(std::string aBytes)
+    : mBytes(std::move(aBytes))
+  {
+    std::string error;
+    mListener = tcp_listener::Listen({ "127.0.0.1", 0 }, *this, error);
+  }
+  std::string Address() const { return FormatTcpAddress(mListener->Address()); }
+
+private:
+  void OnAccept(int aDescriptor) override
+  {
+    mStream = tcp_stream::Adopt(aDescriptor, {}, *this);
+  }
+  void OnData(std::string_view) override
+  {
+    mStream->Write(mBytes);
+    mStream->CloseAfterDrain();
+  }
+  void OnEnd(tcp_end_reason) override {}
+
+  std::string mBytes;
+  std::shared_ptr<tcp_stream> mStream;
+  std::unique_ptr<tcp_listener> mListener;
+};
+
 class http_test : public testing::Test
 {
 protected:
@@ -380,3 +412,32 @@
   EXPECT_EQ(Send(request)->error(), http_failure::Unavailable);
   ASSERT_TRUE(mServer.Listen(mServer.Address()).has_value());
 }
+
+// Guards against a reply that broke off halfway and looks complete to callers
+// of a service.
+TEST_F(http_test, TruncatedRepliesAreBroken)
+{
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::vector<std::string> truncated = {
+    head + "Content-Length: 9\r\n\r\npart",
+    chunked,
+    chunked + "4\r\npart\r\n",
+    chunked + "4\r\npa",
+  };
+  for (const std::string& bytes : truncated) {
+    SCOPED_TRACE(bytes);
+    const closing_server server(bytes);
+    http_request request = Request("/");
+    request.mUrl = "http://" + server.Address() + "/";
+    const auto reply = Send(request);
+    ASSERT_TRUE(reply);
+    EXPECT_TRUE(reply->has_error() && reply->error() == http_failure::Broken);
+  }
+  const closing_server server(chunked + "4\r\npart\r\n0\r\n\r\n");
+  http_request request = Request("/");
+  request.mUrl = "http://" + server.Address() + "/";
+  const auto reply = Send(request);
+  ASSERT_TRUE(reply && reply->has_value());
+  EXPECT_EQ(reply->value().mBody, "part");
+}
