--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <random>
-#include <set>
 #include <utility>
 
 #include <fmt/format.h>
@@ -30,9 +29,6 @@
 constexpr milliseconds kUpstreamPollInterval(400);
 constexpr milliseconds kFleetTableLongPollTime(1000);
 constexpr milliseconds kFleetTablePollInterval(500);
-// After this long without contact to the store a newer configuration may be in
-// force.
-constexpr milliseconds kConfigStaleTimeout(2600);
 // A server whose row was removed serves only if no other is usable, for at most
 // this time and this share of the limit for leaving servers. The second pair
 // holds for removals that may be an effect of a store outage.
@@ -40,22 +36,12 @@
 constexpr milliseconds kTentativeRemovalGracePeriod(1900);
 constexpr double kRemovalGraceShare = 0.6;
 constexpr double kTentativeRemovalGraceShare = 0.95;
-// Interval of snapshot requests while the store is unreachable.
-constexpr milliseconds kSnapshotInterval(1000);
 // Connections to a server break after this long without TCP acknowledgements.
 constexpr tcp_liveness kUpstreamLiveness{ milliseconds(3000) };
 // Share of the memory that bodies of open requests may take. The process itself
 // needs about 6 MB; responses and connection buffers need the rest.
 constexpr double kBodyMemoryShare = 0.3;
 
-// Phases of a graceful stop as shares of the grace period: the node takes new
-// requests while clients still hold its address, then refuses them, and ends
-// before it is killed.
-constexpr double kAcceptShare = 0.5;
-constexpr double kShutdownShare = 0.93;
-// Time for the requests of clients whose connections were accepted last.
-constexpr milliseconds kLastRequestTimeout(300);
-
 std::uint64_t RandomRun()
 {
   std::random_device device;
@@ -359,168 +345,6 @@
   return rows;
 }
 
-void gateway_node::OnRequestTick()
-{
-  const time_point now = mTime.Now();
-  mStalls.OnTick(now);
-  mContext.mDiscardedConnections.clear();
-  if (mStalls.MustReadFirst(now)) {
-    return;
-  }
-  AdvanceWaiting(now);
-  if (mContext.mRoutes) {
-    mAllowanceWriter.WriteChanges(now);
-  }
-  mAllowanceWriter.WriteClaim(now);
-  mPeerTransport.SendTokenRequests();
-  mPeerTransport.SendCrashNews();
-  std::erase_if(mSessions,
-                [](const auto& aPair) { return aPair.second->Finished(); });
-  if (mStopStartedAt) {
-    ContinueStop(now);
-  }
-}
-
-void gateway_node::AdvanceWaiting(time_point aNow)
-{
-  std::vector<gateway_session*> waiting;
-  std::vector<gateway_session*> others;
-  for (const auto& [connection, session] : mSessions) {
-    (session->WaitsForServer() ? waiting : others).push_back(session.get());
-  }
-  for (gateway_session* session : others) {
-    if (!session->Finished()) {
-      session->Advance(aNow);
-    }
-  }
-  std::ranges::sort(waiting, {}, &gateway_session::QueueOrder);
-  for (gateway_session* session : waiting) {
-    session->Advance(aNow);
-  }
-}
-
-void gateway_node::UpdateLinkOverload(time_point aNow)
-{
-  const bool wasBusy = mLinkOverload.IsOverloaded();
-  mLinkOverload.Update(ProcessTraffic(), aNow);
-  const bool busy = mLinkOverload.IsOverloaded();
-  if (busy != wasBusy) {
-    Log(log_level::Info,
-        busy ? "link_full" : "link_free",
-        { Field("use", fmt::format("{:.2f}", mLinkOverload.Utilization())),
-          Field("open_requests", mSessions.size()) });
-  }
-  std::string error;
-  if (!mLastRequestsUntil && !mClientListener->SetAccepting(!busy, error)) {
-    Log(log_level::Error, "clients_address_lost", { Field("error", error) });
-  }
-}
-
-void gateway_node::ReportSilentServers(time_point aNow)
-{
-  std::set<upstream_id> servers;
-  for (const crash_report& report : mUnanswered.TakeSilent(
-         mUpstreamRegistry, mUpstreamTable.LastContact(), aNow)) {
-    Log(log_level::Info,
-        "server_silent",
-        { Field("fingerprint", FormatWide(report.mRequest)),
-          Field("server_run", FormatServerRun(report.mServer)) });
-    mCrashExchange.Report(report);
-    servers.insert(report.mServer.mUpstream);
-  }
-  for (const upstream_id& server : servers) {
-    mUpstreamRegistry.OnFailure(server, aNow);
-  }
-}
-
-void gateway_node::UpdateRateLimits(time_point aNow)
-{
-  server_rate_limits& limits = mUpstreamRegistry.RateLimits();
-  limits.SetNodes(mFleet.Self().mAddress, mFleet.LivePeerAddresses(aNow), aNow);
-  for (const rate_limit_statement& statement : mFleet.PeerRateLimits()) {
-    if (limits.OnPeerStatement(statement, aNow)) {
-      Log(log_level::Info,
-          "rate_limit_reported",
-          { Field("server_key", fmt::format("{:08x}", statement.mServer)),
-            Field("per_second", FormatRate(statement.mRequestsPerSecond)) });
-    }
-  }
-  mFleet.Self().mRateLimits.clear();
-  for (const rate_limit_statement& statement : limits.OwnStatements(aNow)) {
-    mFleet.Self().mRateLimits.push_back(
-      { statement.mServer,
-        statement.mIncarnation,
-        statement.mRequestsPerSecond,
-        std::chrono::duration_cast<milliseconds>(aNow - statement.mStatedAt) });
-  }
-}
-
-void gateway_node::OnFleetTick()
-{
-  const time_point now = mTime.Now();
-  mStalls.OnTick(now);
-  UpdateLinkOverload(now);
-  if (mStalls.CanJudgeSilence(now)) {
-    ReportSilentServers(now);
-  }
-  const bool ready = Ready();
-  if (std::exchange(mFleet.Self().mReady, ready) != ready) {
-    Log(log_level::Info, "readiness_changed", { Field("ready", ready) });
-  }
-  mFleet.Self().mWork = mUpstreamRegistry.LocalWork();
-  mFleet.Self().mFreeTokens = mTokenAllowance.AllFreeTokens(now);
-  mTokenAllowance.SetHolders(mFleet.TokenHolders(now));
-  UpdateRateLimits(now);
-  mPeerTransport.SendReports();
-  mUpstreamRegistry.SetPeerWork(mFleet.PeerWork(now));
-  mTokenAllowance.SetNodes(mFleet.LiveNodeCount(now));
-  const bool stateMissing =
-    !mContext.mRoutes ||
-    (!mUpstreamTable.IsLoaded() && mUpstreamRegistry.Size() == 0);
-  const bool storeUnreachable =
-    now > mConfigTable.LastContact() + kConfigStaleTimeout;
-  if (stateMissing || (storeUnreachable && now >= mNextSnapshotAt)) {
-    mNextSnapshotAt = now + kSnapshotInterval;
-    mPeerTransport.FetchSnapshot([this](const std::vector<stored_row>& aRows) {
-      Log(log_level::Info, "snapshot_read", { Field("rows", aRows.size()) });
-      for (const stored_row& row : aRows) {
-        if (row.mKey.mTable == mCodec.ConfigTable()) {
-          mConfigTable.AddPeerRow(row);
-        } else if (row.mKey.mTable == mCodec.UpstreamTable()) {
-          mUpstreamTable.AddPeerRow(row);
-        }
-      }
-    });
-  }
-}
-
-void gateway_node::OnMaintenanceTick()
-{
-  const time_point now = mTime.Now();
-  mStalls.OnTick(now);
-  if (mStalls.MustReadFirst(now)) {
-    return;
-  }
-  mRows.OnMaintenanceTick(now);
-  mCrashExchange.OnMaintenanceTick(now);
-  mUpstreamRegistry.Expire(now);
-  mPool.Expire(now);
-  mClientListener->CheckDeadlines(now);
-  mReadiness->CheckDeadlines(now);
-  mDirectory->CheckDeadlines(now);
-  if (mMetricsListener) {
-    mMetricsListener->CheckDeadlines(now);
-  }
-  mPeerTransport.CheckDeadlines(now);
-  mMetrics.SetOpenRequests(static_cast<double>(mSessions.size()));
-  mMetrics.SetLiveNodes(static_cast<double>(mFleet.LiveNodeCount(now)));
-  mMetrics.SetOpenedConnections(static_cast<double>(mPool.Opened()));
-  mMetrics.SetRateLimitedServers(
-    static_cast<double>(mUpstreamRegistry.RateLimits().LimitedCount()));
-  mMetrics.SetStoreAge(
-    std::chrono::duration<double>(now - mConfigTable.LastContact()).count());
-}
-
 void gateway_node::Reload(const gateway_settings& aSettings)
 {
   mSettings.mRetries = aSettings.mRetries;
@@ -541,59 +365,3 @@
       "settings_reloaded",
       { Field("seeds", mSettings.mSeeds.size()) });
 }
-
-void gateway_node::Stop()
-{
-  if (mStopStartedAt) {
-    return;
-  }
-  const time_point now = mTime.Now();
-  mStopStartedAt = now;
-  mFleet.Self().mLeaving = true;
-  mFleet.Self().mReady = false;
-  mPeerTransport.SendReports();
-  mClientListener->SetCloseAfterResponse();
-  Log(log_level::Info,
-      "stop_began",
-      { Field("open_requests", mSessions.size()) });
-}
-
-void gateway_node::ContinueStop(time_point aNow)
-{
-  const auto acceptDuration =
-    std::chrono::duration_cast<std::chrono::microseconds>(
-      mSettings.mGracePeriod * kAcceptShare);
-  const auto stopDuration =
-    std::chrono::duration_cast<std::chrono::microseconds>(
-      mSettings.mGracePeriod * kShutdownShare);
-  if (mStopped || aNow < *mStopStartedAt + acceptDuration) {
-    return;
-  }
-  if (!std::exchange(mContext.mRefusingRequests, true)) {
-    mClientListener->CloseIdle();
-    mTokenAllowance.ReturnAll();
-  }
-  if (IsIdle() && !mLastRequestsUntil) {
-    std::string error;
-    mClientListener->SetAccepting(false, error);
-    mLastRequestsUntil = aNow + kLastRequestTimeout;
-  }
-  const bool done = mLastRequestsUntil && aNow >= *mLastRequestsUntil &&
-                    IsIdle() && !mClientListener->HasWork();
-  if (!done && aNow < *mStopStartedAt + stopDuration) {
-    return;
-  }
-  mStopped = true;
-  Log(log_level::Info,
-      "gateway_stopped",
-      { Field("open_requests", mSessions.size()) });
-  for (const auto& [connection, session] : mSessions) {
-    session->EndAtStop();
-  }
-  mOnStopped();
-}
-
-bool gateway_node::IsIdle() const
-{
-  return mSessions.empty() && !mTokenAllowance.HasPendingChanges();
-}
--- a/Source/Core/Gateway/GatewayNode.h
+++ b/Source/Core/Gateway/GatewayNode.h
@@ -46,6 +46,10 @@
   }
 
 private:
+  /// After this long without contact to the store a newer configuration may be
+  /// in force.
+  static constexpr std::chrono::milliseconds kConfigStaleTimeout{ 2600 };
+
   gateway_node(const gateway_settings& aSettings,
                const gateway_codec& aCodec,
                row_store& aStore,
--- /dev/null
+++ b/Source/Core/Gateway/GatewaySessionResponse.cpp
@@ -0,0 +1,289 @@
+// Parts of `gateway_session` that relay the responses of servers.
+
+#include "Gateway/GatewaySession.h"
+
+#include <utility>
+
+#include "Common/Hash.h"
+#include "Common/Log.h"
+#include "Net/HttpStatus.h"
+
+namespace {
+
+// Limit of unsent bytes to a client; above it the server is no longer read.
+constexpr std::size_t kMaxPendingBytes = 262144;
+// Response bodies up to this size are buffered and sent whole, so that a broken
+// connection does not truncate them.
+constexpr std::size_t kMaxBufferedBytes = 1048576;
+
+bool IsHopByHopHeader(std::string_view aName)
+{
+  return SameHeaderName(aName, "Connection") ||
+         SameHeaderName(aName, "Keep-Alive") ||
+         SameHeaderName(aName, "Transfer-Encoding") ||
+         SameHeaderName(aName, "Proxy-Connection") ||
+         SameHeaderName(aName, "Upgrade") || SameHeaderName(aName, "Trailer");
+}
+
+bool Succeeded(unsigned aStatus)
+{
+  return aStatus >= 200 && aStatus < 300;
+}
+
+} // namespace
+
+bool gateway_session::OnResponse(http_client_connection&,
+                                 http_client_response aResponse)
+{
+  const time_point now = mContext.mTime.Now();
+  upstream_answer answer = mContext.mCodec.ReadAnswer(aResponse);
+  // On a kept connection a response without identity may be a late copy of an
+  // earlier one; sound servers send the identity back.
+  const bool unnamed = answer.mRequestId.empty() && mConnection->Uses() == 1;
+  if (!unnamed && answer.mRequestId != mRequest.mId) {
+    Log(log_level::Info,
+        "foreign_response_discarded",
+        { Field("id", mRequest.mId),
+          Field("response_id", answer.mRequestId),
+          Field("status", aResponse.mStatus),
+          Field("server_run", FormatServerRun(mServerRun)) });
+    return false;
+  }
+  mContext.mUpstreamRegistry.OnByte(mPlacement.mUpstream, now);
+  if (!answer.mNotRun && !answer.mSigned) {
+    mMayHaveRun = true;
+    mConnection->Cancel();
+    FailAttempt(exchange_failure::Malformed);
+    return true;
+  }
+  mHasResponse = true;
+  mFraming = aResponse.mFraming;
+  mAnswer = std::move(answer);
+  RecordRateLimit(now);
+  mEventStream = mRoute->mKind == request_kind::Streaming &&
+                 Succeeded(aResponse.mStatus) &&
+                 FindHeader(aResponse.mHeaders, "Content-Type")
+                   .starts_with("text/event-stream");
+  if (!mResponseStarted) {
+    mResponse = std::move(aResponse);
+  } else {
+    mResponse.mKeepAlive = aResponse.mKeepAlive;
+  }
+  return true;
+}
+
+void gateway_session::OnBody(std::string_view aBytes)
+{
+  mContext.mUpstreamRegistry.OnByte(mPlacement.mUpstream, mContext.mTime.Now());
+  if (mAnswer.mNotRun) {
+    return;
+  }
+  if (mEventStream) {
+    ForwardEvents(aBytes);
+    return;
+  }
+  if (mResponseStarted) {
+    mClient->WriteBody(aBytes);
+    return;
+  }
+  mBuffered.append(aBytes);
+  if (mBuffered.size() > kMaxBufferedBytes) {
+    mResponseStarted = true;
+    RecordFirstByte();
+    mClient->StartResponse(ClientHead(mResponse.mFraming));
+    mClient->WriteBody(std::exchange(mBuffered, {}));
+  }
+}
+
+void gateway_session::ForwardEvents(std::string_view aBytes)
+{
+  const std::string events = mEvents.Feed(aBytes);
+  if (mEvents.OutOfOrder()) {
+    mConnection->Cancel();
+    FailAttempt(exchange_failure::Malformed);
+    return;
+  }
+  if (events.empty()) {
+    return;
+  }
+  if (!mResponseStarted) {
+    mResponseStarted = true;
+    mClient->StartResponse(ClientHead(mResponse.mFraming == body_framing::Length
+                                        ? body_framing::Chunked
+                                        : mResponse.mFraming));
+  }
+  RecordEvents();
+  mClient->WriteBody(events);
+  if (mClient->PendingBytes() > kMaxPendingBytes && !mReadingPaused) {
+    mReadingPaused = true;
+    mConnection->SetReading(false);
+  }
+}
+
+void gateway_session::RecordEvents()
+{
+  const time_point now = mContext.mTime.Now();
+  if (mLastEventAt != time_point() && mWork.mPrefillTokens == 0) {
+    mContext.mUpstreamRegistry.OnEventGap(
+      mPlacement.mUpstream,
+      std::chrono::duration<double, std::milli>(now - mLastEventAt).count(),
+      now);
+  }
+  mLastEventAt = now;
+  RecordFirstByte();
+}
+
+void gateway_session::RecordFirstByte()
+{
+  const time_point now = mContext.mTime.Now();
+  if (mWork.mPrefillTokens > 0) {
+    mContext.mUpstreamRegistry.OnFirstEvent(
+      mPlacement.mUpstream, mWork, mSentAt, mPlacement.mExpectedMs, now);
+    mWork.mPrefillTokens = 0;
+  }
+  if (!std::exchange(mFirstByteSeen, true)) {
+    mContext.mMetrics.OnFirstByte(
+      mRoute->mName, std::chrono::duration<double>(now - mArrived).count());
+  }
+}
+
+void gateway_session::OnClientDrained()
+{
+  if (std::exchange(mReadingPaused, false) && mConnection) {
+    mConnection->SetReading(true);
+  }
+}
+
+void gateway_session::OnComplete(bool aReusable)
+{
+  const time_point now = mContext.mTime.Now();
+  if (mAnswer.mNotRun) {
+    if (mAnswer.mMisdirected) {
+      mContext.mUpstreamRegistry.OnFailure(mPlacement.mUpstream, now);
+    }
+    ReleaseUpstream(aReusable);
+    if (!mResponseStarted && MayRetry("server_refused")) {
+      Retry();
+    } else if (mResponseStarted) {
+      AbortClient("resume_refused");
+    } else if (mMayHaveRun) {
+      Fail(http_status::kBadGateway, "repeat_refused");
+    } else {
+      Refuse("server_refused",
+             RetryAfter(AdmissionQuery(), now, StableHash(mRequest.mId)));
+    }
+    return;
+  }
+  mMayHaveRun = true;
+  if (mEventStream && !StreamComplete()) {
+    FailAttempt(exchange_failure::Truncated);
+    return;
+  }
+  const bool serverError = mResponse.mStatus >= http_status::kFirstServerError;
+  if (!serverError) {
+    mContext.mUpstreamRegistry.OnSuccess(mPlacement.mUpstream);
+  }
+  RecordFirstByte();
+  if (mFraming != body_framing::UntilClose) {
+    mContext.mReportServed(mContent);
+  } else {
+    // The end of a server looks like the end of a response without length.
+    mContext.mReportCrash({ mContent, mServerRun, now });
+  }
+  ReleaseUpstream(aReusable);
+  if (serverError && !mResponseStarted && MayRetry("server_error")) {
+    Retry();
+    return;
+  }
+  if (mResponseStarted) {
+    // FinishBody may close the connection and so destroy the client object that
+    // this session refers to.
+    http_server_connection* client = std::exchange(mClient, nullptr);
+    Finish(mResponse.mStatus, "complete");
+    client->FinishBody();
+    return;
+  }
+  DeliverBuffered();
+}
+
+void gateway_session::DeliverBuffered()
+{
+  http_server_connection* client = std::exchange(mClient, nullptr);
+  const std::string body = std::move(mBuffered);
+  Finish(mResponse.mStatus, "complete");
+  if (mFraming == body_framing::UntilClose) {
+    // The client must judge whether the server meant to end here, as it would
+    // without the gateway.
+    client->StartResponse(ClientHead(mFraming));
+    client->WriteBody(body);
+    client->FinishBody();
+    return;
+  }
+  client->Respond(ClientHead(body_framing::Chunked), body);
+}
+
+http_server_response gateway_session::ClientHead(body_framing aFraming) const
+{
+  http_server_response head;
+  head.mStatus = mResponse.mStatus;
+  head.mFraming = aFraming;
+  for (const auto& [name, value] : mResponse.mHeaders) {
+    const bool length = SameHeaderName(name, "Content-Length");
+    if (!IsHopByHopHeader(name) &&
+        (!length || aFraming == body_framing::Length)) {
+      head.mHeaders.emplace_back(name, value);
+    }
+  }
+  return head;
+}
+
+bool gateway_session::StreamComplete() const
+{
+  if (mEvents.Partial() || mEvents.Events() == 0) {
+    return false;
+  }
+  if (mFraming != body_framing::UntilClose ||
+      mResponse.mFraming == body_framing::UntilClose) {
+    return true;
+  }
+  // A resumed stream keeps the framing of its first response. An end that is
+  // marked only by the closed connection may not be the end of the stream.
+  return static_cast<std::int64_t>(mEvents.Events()) * TokensPerEvent() >=
+         mRequest.mMaxOutputTokens;
+}
+
+std::int64_t gateway_session::TokensPerEvent() const
+{
+  const gateway_service* service = mRoutes->FindService(mService);
+  return service != nullptr && service->mEngine
+           ? service->mEngine->mTokensPerEvent
+           : 1;
+}
+
+void gateway_session::RecordRateLimit(time_point aNow)
+{
+  // A misdirected request was answered by another server.
+  if (mAnswer.mMisdirected) {
+    return;
+  }
+  if (mAnswer.mLimitUnreadable) {
+    Log(log_level::Warning,
+        "rate_limit_unreadable",
+        { Field("id", mRequest.mId),
+          Field("server_run", FormatServerRun(mServerRun)) });
+    return;
+  }
+  server_rate_limits& limits = mContext.mUpstreamRegistry.RateLimits();
+  const rate_limit_statement statement{ upstream_registry::KeyOf(
+                                          mServerRun.mUpstream),
+                                        mServerRun.mIncarnation,
+                                        mAnswer.mRequestsPerSecond,
+                                        aNow };
+  if (limits.OnResponse(statement, mSentAt)) {
+    Log(log_level::Info,
+        "rate_limit_changed",
+        { Field("id", mRequest.mId),
+          Field("server_run", FormatServerRun(mServerRun)),
+          Field("per_second", FormatRate(statement.mRequestsPerSecond)) });
+  }
+}
--- a/Source/UnitTests/Gateway/PlannedStopTest.cpp
+++ b/Source/UnitTests/Gateway/PlannedStopTest.cpp
@@ -108,7 +108,9 @@
 TEST_F(planned_stop_test, SlowReadersGetTheWholeResponse)
 {
   // More than the socket buffers hold.
-  const std::string body(48000000, 'x');
+  constexpr std::size_t kBodyBytes = 48'000'000;
+  std::string body;
+  body.assign(kBodyBytes, 'x');
   AddServer("i-1", "app").mScript = [&](http_server_connection& aConnection,
                                         const http_server_request& aRequest) {
     http_server_response response;
