--- a/Source/Core/Net/HttpConnection.h
+++ b/Source/Core/Net/HttpConnection.h
@@ -98,7 +98,8 @@
   /// Resets the connection, so that the client cannot take a partial response
   /// for a complete one.
   void Abort();
-  /// Closes the connection now or after the response in progress.
+  /// Closes the connection now, or after the response in progress or to the
+  /// first request.
   void CloseWhenIdle();
   /// The next response closes the connection.
   void SetCloseAfterResponse() { mClosing = true; }
@@ -141,6 +142,7 @@
   time_point mNow;
   body_framing mFraming = body_framing::Length;
   bool mRequestStarted = false;
+  bool mHadRequest = false;
   bool mBusy = false;
   bool mKeepAlive = true;
   bool mClosing = false;
--- a/Source/Core/Net/HttpListener.h
+++ b/Source/Core/Net/HttpListener.h
@@ -21,7 +21,8 @@
   void SetLimits(const http_server_limits& aLimits);
   /// Ends idle and slow connections. Must be called at least every 250 ms.
   void CheckDeadlines(time_point aNow);
-  /// Closes idle connections now and each other one after its response.
+  /// Closes idle connections now and each other one after its response. New
+  /// ones may send their first request.
   void CloseIdle();
   /// Stops or resumes accepting connections. While stopped, new connections are
   /// refused. False when the address cannot be bound again.
--- a/Source/Core/Net/HttpServerConnection.cpp
+++ b/Source/Core/Net/HttpServerConnection.cpp
@@ -169,6 +169,7 @@
   mKeepAlive = request.mKeepAlive;
   mIsHeadRequest = message.method() == http::verb::head;
   mBusy = true;
+  mHadRequest = true;
   StartRequest();
   mHandler.OnRequest(*this, std::move(request));
 }
@@ -266,9 +267,10 @@
 void http_server_connection::CloseWhenIdle()
 {
   mClosing = true;
-  // A request may have arrived since the last iteration of the loop; it is
-  // answered before the connection closes.
-  if (!mBusy && !mRequestStarted && !mStream->HasUnreadBytes()) {
+  // A client that has just connected is about to send its request, and one may
+  // have arrived since the last iteration of the loop; both are answered before
+  // the connection closes.
+  if (mHadRequest && !HasRequest() && !mStream->HasUnreadBytes()) {
     Finish();
   }
 }
