Write no second response head into a stream that has begun

A stream that broke and could be resumed waits for another server. If none could take it, the request was answered with 502, and the status line of that answer went into the middle of the chunked stream: the caller could not read what it got. It is the second way in which broken streams ended; the others reset the connection. Any answer to a request whose response has begun now resets it.

BrokenStreamWithoutAnotherServerIsReset failed before (malformed) and passes.

--- a/Source/Core/Gateway/GatewaySession.cpp
+++ b/Source/Core/Gateway/GatewaySession.cpp
@@ -174,9 +174,7 @@
 
 void gateway_session::EndUnsent(const char* aReason, milliseconds aRetryAfter)
 {
-  if (mResponseStarted) {
-    AbortClient(aReason);
-  } else if (mMayHaveRun) {
+  if (mMayHaveRun) {
     Fail(http_status::kBadGateway, aReason);
   } else {
     Refuse(aReason, aRetryAfter);
@@ -228,15 +226,12 @@
   if (verdict == admission_verdict::Send) {
     Send(*chosen, aNow);
   } else if (verdict == admission_verdict::Refuse) {
-    if (mMayHaveRun) {
-      Fail(http_status::kBadGateway, "no_server_for_repeat");
-      return;
-    }
     const char* reason = chosen ? "too_late" : "servers_full";
     if (aNow < query.mLimitedUntil) {
       reason = "servers_limited";
     }
-    Refuse(reason, RetryAfter(query, aNow, StableHash(mRequest.mId)));
+    EndUnsent(mMayHaveRun ? "no_server_for_repeat" : reason,
+              RetryAfter(query, aNow, StableHash(mRequest.mId)));
   }
 }
 
@@ -268,6 +263,11 @@
                              const char* aReason,
                              std::optional<milliseconds> aRetryAfter)
 {
+  if (mResponseStarted) {
+    // A response that has begun can only be broken off.
+    AbortClient(aReason);
+    return;
+  }
   http_server_connection* client = std::exchange(mClient, nullptr);
   http_server_response response;
   response.mStatus = aStatus;
--- a/Source/Core/Gateway/GatewaySessionUpstream.cpp
+++ b/Source/Core/Gateway/GatewaySessionUpstream.cpp
@@ -122,9 +122,7 @@
   const bool reached =
     mStage == stage::Sent && mConnection && mConnection->Connected();
   AbandonUpstream(aReason);
-  if (mResponseStarted) {
-    AbortClient(aReason);
-  } else if (reached || mMayHaveRun) {
+  if (reached || mMayHaveRun) {
     Fail(http_status::kGatewayTimeout, aReason);
   } else {
     Refuse(aUnsentReason, kRefusalRetryDelay);
--- a/Source/UnitTests/Gateway/GatewayPathTest.cpp
+++ b/Source/UnitTests/Gateway/GatewayPathTest.cpp
@@ -422,3 +422,26 @@
     mStore.Remove({ "servers", "", "i-1" });
   }
 }
+
+// Guards against a second response head within a stream: the stream has broken,
+// and no server may take the rest of it.
+TEST_F(gateway_path_test, BrokenStreamWithoutAnotherServerIsReset)
+{
+  const auto script = [](http_server_connection& aConnection,
+                         const http_server_request& aRequest) {
+    http_server_response head;
+    scripted_server::Sign(head, aRequest);
+    head.mHeaders.emplace_back("Content-Type", "text/event-stream");
+    head.mHeaders.emplace_back("Server-Limit", "0");
+    head.mFraming = body_framing::Chunked;
+    aConnection.StartResponse(head);
+    aConnection.WriteBody("id: 1\ndata: a\n\n");
+    static loop_timer sBreak;
+    sBreak.Once(milliseconds(50), [&aConnection] { aConnection.Abort(); });
+  };
+  AddServer("i-1", "engine").mScript = script;
+  StartNode();
+  const auto exchange = Call("POST", "/r/x", kPrompt, "b");
+  EXPECT_EQ(exchange->mFailure, exchange_failure::Truncated);
+  EXPECT_EQ(exchange->mBody, "id: 1\ndata: a\n\n");
+}
