Break off a resumed stream whose next server fails

When a broken stream was resumed and the next server answered with a failure, the body of that failure was appended to the stream and the stream was ended as complete. Such an answer now counts as a failed attempt: the connection of the caller is reset.

ServerErrorIsNoPartOfAResumedStream failed before (complete, with the text of the error after the first event) and passes.

--- a/Source/Core/Gateway/GatewaySessionResponse.cpp
+++ b/Source/Core/Gateway/GatewaySessionResponse.cpp
@@ -56,14 +56,21 @@
     FailAttempt(exchange_failure::Malformed);
     return true;
   }
+  const bool eventStream = mRoute->mKind == request_kind::Streaming &&
+                           Succeeded(aResponse.mStatus) &&
+                           FindHeader(aResponse.mHeaders, "Content-Type")
+                             .starts_with("text/event-stream");
+  if (mResponseStarted && !answer.mNotRun && !eventStream) {
+    // The failure of the run that resumes a stream is no part of the stream.
+    mConnection->Cancel();
+    FailAttempt(exchange_failure::Malformed);
+    return true;
+  }
   mHasResponse = true;
   mFraming = aResponse.mFraming;
   mAnswer = std::move(answer);
   RecordRateLimit(now);
-  mEventStream = mRoute->mKind == request_kind::Streaming &&
-                 Succeeded(aResponse.mStatus) &&
-                 FindHeader(aResponse.mHeaders, "Content-Type")
-                   .starts_with("text/event-stream");
+  mEventStream = eventStream;
   if (!mResponseStarted) {
     mResponse = std::move(aResponse);
   } else {
--- a/Source/UnitTests/Gateway/GatewayPathTest.cpp
+++ b/Source/UnitTests/Gateway/GatewayPathTest.cpp
@@ -445,3 +445,28 @@
   EXPECT_EQ(exchange->mFailure, exchange_failure::Truncated);
   EXPECT_EQ(exchange->mBody, "id: 1\ndata: a\n\n");
 }
+
+// Guards against the body of a server error that is passed on within a stream,
+// which then looks complete: the server at which the stream is resumed fails.
+TEST_F(gateway_path_test, ServerErrorIsNoPartOfAResumedStream)
+{
+  const auto script = [](http_server_connection& aConnection,
+                         const http_server_request& aRequest) {
+    if (!Header(aRequest, "Last-Event-Id").empty()) {
+      http_server_response failure;
+      scripted_server::Sign(failure, aRequest);
+      failure.mStatus = 500;
+      aConnection.Respond(failure, "error");
+      return;
+    }
+    scripted_server::SendEvents(aConnection, aRequest, "id: 1\ndata: a\n\n");
+    static loop_timer sBreak;
+    sBreak.Once(milliseconds(50), [&aConnection] { aConnection.Abort(); });
+  };
+  AddServer("i-1", "engine").mScript = script;
+  AddServer("i-2", "engine").mScript = script;
+  StartNode();
+  const auto exchange = Call("POST", "/r/x", kPrompt, "b");
+  EXPECT_FALSE(exchange->mComplete);
+  EXPECT_EQ(exchange->mBody, "id: 1\ndata: a\n\n");
+}
