--- a/Scripts/fault_soak/promises.py
+++ b/Scripts/fault_soak/promises.py
@@ -31,7 +31,7 @@
 # Faults of a node under which it may cut off requests.
 UNPLANNED_NODE_FAULTS = ("kill", "kill_all", "pause", "observer")
 # Faults of a server that end its responses early.
-SERVER_FAULTS = ("crash", "connections", "torn", "observer")
+SERVER_FAULTS = ("crash", "leave", "connections", "torn", "observer")
 # Reason in the response to a request that is refused because servers end under it.
 CRASHING_REASON = b"request_crashes_servers"
 # Seconds for which a node may still use an older configuration after it was seen
--- a/Scripts/fault_soak/promises_test.py
+++ b/Scripts/fault_soak/promises_test.py
@@ -189,6 +189,7 @@
         for fault in (
             Fault("kill", "n-0", SENT, SENT + 1),
             Fault("crash", "e-0", SENT, SENT + 1),
+            Fault("leave", "e-0", SENT, SENT),
         ):
             recorded.faults = [fault]
             self.assert_valid(check(recorded))
--- a/Scripts/fault_soak/servers.py
+++ b/Scripts/fault_soak/servers.py
@@ -96,6 +96,7 @@
         self._publish_entry()
         self.history.draining_servers[self.name] = now()
         await asyncio.sleep(DRAIN_TIME * 2)
+        self.history.record_fault("leave", self.name, 0)
         await self.crash()
         self.store.remove("servers", self.name)
 
