Refuse because of rate limits only if they alone hold a request back

A request for which no server was left counted as held back by rate limits without end, and was refused at once instead of waiting for an eighth of its objective; so was a repeat whose other servers were limited while the first one was only full. Rate limits now count over all servers of the service, and not if there is none.

--- a/Source/Core/Gateway/GatewaySession.cpp
+++ b/Source/Core/Gateway/GatewaySession.cpp
@@ -215,8 +215,9 @@
     query.mWaitMs = chosen->mWaitMs;
     query.mOutputMs = chosen->mOutputMs;
   } else {
-    query.mLimitedUntil =
-      mContext.mUpstreamRegistry.LimitedUntil(Query(), aNow);
+    placement_query all = Query();
+    all.mExcluded.clear();
+    query.mLimitedUntil = mContext.mUpstreamRegistry.LimitedUntil(all, aNow);
   }
   admission_verdict verdict = Admit(query, aNow);
   if (verdict == admission_verdict::Wait &&
--- a/Source/Core/Gateway/UpstreamRegistry.cpp
+++ b/Source/Core/Gateway/UpstreamRegistry.cpp
@@ -330,11 +330,12 @@
 time_point upstream_registry::LimitedUntil(const placement_query& aQuery,
                                            time_point aNow) const
 {
-  time_point earliest = time_point::max();
+  std::optional<time_point> earliest;
   for (const upstream_record* record : Candidates(aQuery, aNow)) {
-    earliest = std::min(earliest, mRateLimits.MaySendFrom(record->mKey));
+    const time_point from = mRateLimits.MaySendFrom(record->mKey);
+    earliest = std::min(earliest.value_or(from), from);
   }
-  return earliest;
+  return earliest.value_or(time_point());
 }
 
 bool upstream_registry::HasUsable(const service_id& aService,
--- a/Source/Core/Gateway/UpstreamRegistry.h
+++ b/Source/Core/Gateway/UpstreamRegistry.h
@@ -106,7 +106,7 @@
   std::optional<placement> Choose(const placement_query& aQuery,
                                   time_point aNow) const;
   /// Time from which the rate limits of the servers allow this node to send the
-  /// request; in the past if they do.
+  /// request; in the past if they do, or if there is no server.
   time_point LimitedUntil(const placement_query& aQuery, time_point aNow) const;
   /// Whether the service has any usable server, busy or not.
   bool HasUsable(const service_id& aService, time_point aNow) const;
--- a/Source/UnitTests/Gateway/PlacementTest.cpp
+++ b/Source/UnitTests/Gateway/PlacementTest.cpp
@@ -259,3 +259,22 @@
     EXPECT_GE(RetryAfter(query, now, spread), milliseconds(50));
   }
 }
+
+// Guards against requests that are refused because of rate limits while there
+// is no server, or one without a limit.
+TEST_F(placement_test, OnlyRateLimitsOfAllServersHoldRequestsBack)
+{
+  const auto prompt = Prompt(1, 1);
+  upstream_registry empty{ placement_settings{} };
+  EXPECT_LE(empty.LimitedUntil(Query(prompt), mNow), mNow);
+  for (unsigned i = 0; i < kServers; ++i) {
+    EXPECT_LE(mUpstreamRegistry.LimitedUntil(Query(prompt), mNow), mNow);
+    mUpstreamRegistry.RateLimits().OnResponse(
+      { upstream_registry::KeyOf(upstream_id{ "i-" + std::to_string(i) }),
+        1,
+        0.5,
+        mNow },
+      mNow);
+  }
+  EXPECT_GT(mUpstreamRegistry.LimitedUntil(Query(prompt), mNow), mNow);
+}
