--- a/Source/UnitTests/Gateway/PlannedStopTest.cpp
+++ b/Source/UnitTests/Gateway/PlannedStopTest.cpp
@@ -117,12 +117,14 @@
     scripted_server::Sign(response, aRequest);
     aConnection.Respond(response, body);
   };
+  // The node refuses requests after 2.5 s and must end after 4.65 s.
+  mSettings.mGracePeriod = milliseconds(5000);
   StartNode();
   const auto exchange = BeginRequest("POST", "/o/x", {}, "b");
   exchange->mConnection->SetReading(false);
   RunFor(milliseconds(300));
   mNode->Stop();
-  RunFor(milliseconds(600));
+  RunFor(milliseconds(2600));
   exchange->mConnection->SetReading(true);
   EXPECT_TRUE(RunUntil([this] { return mStopped; }));
   mNode.reset();
