Give the route of the slow reader more time under the sanitizers

Traced: the route's limit of 800 ms ended the request (timeout after 809 ms), because the sanitized program reads the 48 MB in 0.9 to 1.2 s. The test now gives the route 8 s; what it expects is unchanged.

--- a/Source/UnitTests/Gateway/PlannedStopTest.cpp
+++ b/Source/UnitTests/Gateway/PlannedStopTest.cpp
@@ -117,6 +117,9 @@
     scripted_server::Sign(response, aRequest);
     aConnection.Respond(response, body);
   };
+  // The sanitizers read the body more slowly than the route's limit allows.
+  const std::string limit = "\"timeoutMs\": 800";
+  mConfig.replace(mConfig.find(limit), limit.size(), "\"timeoutMs\": 8000");
   // The node refuses requests after 2.5 s and must end after 4.65 s.
   mSettings.mGracePeriod = milliseconds(5000);
   StartNode();
