--- a/Source/Core/Gateway/GatewaySessionUpstream.cpp
+++ b/Source/Core/Gateway/GatewaySessionUpstream.cpp
@@ -30,6 +30,9 @@
 // Time after the client's own deadline at which a request is ended if the
 // client has not left.
 constexpr milliseconds kDeadlineGracePeriod(250);
+// Clients choose number and length of the identities of prompt segments.
+constexpr std::size_t kMaxLoggedSegments = 8;
+constexpr std::size_t kMaxLoggedSegmentLength = 32;
 
 /// Time for which a server keeps an idle connection.
 milliseconds KeepAliveTime(const http_client_response& aResponse)
@@ -47,6 +50,21 @@
                   milliseconds(0));
 }
 
+/// Identities of the shared segments of a prompt, for logs.
+std::string FormatSharedSegments(const std::vector<prompt_segment>& aPrompt)
+{
+  std::string text;
+  for (std::size_t i = 0; i + 1 < aPrompt.size(); ++i) {
+    if (i == kMaxLoggedSegments) {
+      text.append(",...");
+      break;
+    }
+    text.append(i == 0 ? "" : ",");
+    text.append(aPrompt[i].mId, 0, kMaxLoggedSegmentLength);
+  }
+  return text;
+}
+
 } // namespace
 
 void gateway_session::Send(const placement& aPlacement, time_point aNow)
@@ -225,6 +243,7 @@
       "server_broke",
       { Field("id", mRequest.mId),
         Field("fingerprint", FormatWide(mContent)),
+        Field("shared_segments", FormatSharedSegments(mRequest.mPrompt)),
         Field("server_run", FormatServerRun(mServerRun)),
         Field("failure", aFailure),
         Field("kept_connection", aReused),
