Tell the era and the clock of the store

Rows that hold the time of an observation need a clock that all nodes share, and rows that the store lost must be written again. The adapter reads the header Store-Era, which rises when the store comes back from an older copy, and keeps the clock of the last reply. Nothing uses them yet.

--- a/Source/Core/Remote/RowStore.h
+++ b/Source/Core/Remote/RowStore.h
@@ -125,4 +125,11 @@
                            std::uint64_t aAfter,
                            std::chrono::milliseconds aWait,
                            page_callback aReply) = 0;
+
+  /// Rises each time the store comes back from an older copy of its rows, which
+  /// lacks what was written since; 0 until a reply has told it.
+  virtual std::uint64_t Era() const = 0;
+  /// The store's monotonic clock, estimated since the last reply that told it;
+  /// nothing before.
+  virtual std::optional<std::chrono::milliseconds> Clock() const = 0;
 };
--- a/Source/UnitTests/Gateway/FakeRowStore.h
+++ b/Source/UnitTests/Gateway/FakeRowStore.h
@@ -33,6 +33,11 @@
                    std::uint64_t aAfter,
                    std::chrono::milliseconds aWait,
                    page_callback aReply) override;
+  std::uint64_t Era() const override { return mEra; }
+  std::optional<std::chrono::milliseconds> Clock() const override
+  {
+    return mTime;
+  }
 
   /// Writes a row as the operator or a server does.
   void Put(const row_key& aKey, const std::string& aValue);
@@ -46,6 +51,7 @@
   bool mUnreachable = false;
   std::uint64_t mHistoryFrom = 0;
   unsigned mCommits = 0;
+  std::uint64_t mEra = 1;
   /// Clock of the store.
   std::chrono::milliseconds mTime{ 1000 };
 
--- a/Source/UnitTests/Gateway/PlatformRowStoreTest.cpp
+++ b/Source/UnitTests/Gateway/PlatformRowStoreTest.cpp
@@ -28,6 +28,9 @@
     }
     http_server_response response;
     response.mStatus = mStatus;
+    if (!mEra.empty()) {
+      response.mHeaders.emplace_back("Store-Era", mEra);
+    }
     if (mSlow) {
       response.mFraming = body_framing::Chunked;
       aConnection.StartResponse(response);
@@ -56,6 +59,7 @@
   std::vector<http_server_request> mRequests;
   unsigned mStatus = 200;
   std::string mBody;
+  std::string mEra;
   bool mSilent = false;
   /// Sends six bytes in each interval.
   bool mSlow = false;
@@ -187,3 +191,30 @@
   ASSERT_FALSE(reply->has_value());
   EXPECT_EQ(reply->error(), row_store_error::Unknown);
 }
+
+// Guards against a restored store that is not noticed, and against eras that
+// fall back or are unreadable and are taken for a further restore.
+TEST_F(platform_row_store_test, EraOnlyRises)
+{
+  mServer.mBody = R"({"ver":5,"nowMs":1000,"rows":[]})";
+  for (const auto& [text, era] :
+       std::vector<std::pair<std::string, std::uint64_t>>{
+         { "", 0 }, { "3", 3 }, { "x", 3 }, { "2", 3 }, { "4", 4 } }) {
+    mServer.mEra = text;
+    EXPECT_TRUE(Commit().has_value());
+    EXPECT_EQ(mStore.Era(), era) << text;
+  }
+}
+
+// Guards against ages of rows that are off because the store's clock stood
+// still between two replies.
+TEST_F(platform_row_store_test, ClockGoesOnBetweenReplies)
+{
+  EXPECT_FALSE(mStore.Clock());
+  mServer.mBody = R"({"ver":5,"nowMs":1000,"rows":[]})";
+  EXPECT_TRUE(Commit().has_value());
+  ASSERT_TRUE(mStore.Clock());
+  EXPECT_GE(*mStore.Clock(), milliseconds(1000));
+  mLoop.RunUntil([] { return false; }, milliseconds(200));
+  EXPECT_GE(*mStore.Clock(), milliseconds(1200));
+}
