--- a/Source/Core/Common/Hash.cpp
+++ b/Source/Core/Common/Hash.cpp
@@ -48,3 +48,8 @@
 {
   return WideHash<content_tag>(Join(aAccount.mName, aContent));
 }
+
+segment_id MakeSegmentId(std::string_view aName)
+{
+  return WideHash<segment_tag>(std::string(aName));
+}
--- a/Source/Core/Common/Hash.h
+++ b/Source/Core/Common/Hash.h
@@ -22,3 +22,6 @@
 
 /// Fingerprint of a request's content, different for each client account.
 content_id MakeContentId(const account_id& aAccount, std::string_view aContent);
+
+/// Identity of a prompt segment from the name that callers give it.
+segment_id MakeSegmentId(std::string_view aName);
--- a/Source/Core/Common/Identity.h
+++ b/Source/Core/Common/Identity.h
@@ -44,6 +44,8 @@
 /// Fingerprint of a request's content. Requests of one account with equal
 /// prompts have the same.
 using content_id = wide_id<struct content_tag>;
+/// Identity of a prompt segment, the same for all requests that share it.
+using segment_id = wide_id<struct segment_tag>;
 
 /// Identity of one run of a node process, as used for locks, leases and row
 /// owners. A restarted process has a higher incarnation.
--- a/Source/Core/Gateway/CrashExchange.cpp
+++ b/Source/Core/Gateway/CrashExchange.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 
 #include "Common/Log.h"
+#include "Common/TextCodec.h"
 #include "Gateway/FleetRows.h"
 
 namespace {
@@ -30,6 +31,12 @@
 // nodes that started or were cut off, and the limit of these reports.
 constexpr milliseconds kRepeatInterval(1000);
 constexpr std::size_t kMaxRepeatedReports = 48;
+// Number of crashes of a segment from which on they are written to the store.
+// Fewer refuse no request.
+constexpr std::size_t kMinRowCrashes = 3;
+// Limit of the crashes in a row; those that a reader lacks beyond it change
+// nothing.
+constexpr std::size_t kMaxRowCrashes = 16;
 
 std::string RowKey(const crash_report& aReport)
 {
@@ -54,6 +61,63 @@
   return crash_report{ *request, *server, aNow };
 }
 
+std::string SegmentRowKey(const segment_id& aSegment)
+{
+  return fmt::format(
+    "{}{}", crash_exchange::kSegmentRowPrefix, FormatWide(aSegment));
+}
+
+std::optional<segment_id> ParseSegmentRowKey(std::string_view aKey)
+{
+  if (!aKey.starts_with(crash_exchange::kSegmentRowPrefix)) {
+    return std::nullopt;
+  }
+  aKey.remove_prefix(crash_exchange::kSegmentRowPrefix.size());
+  return ParseWide<segment_tag>(aKey);
+}
+
+/// Crashes as `<server run>@<store clock in ms>`, one a line. The clock of the
+/// store is the only one that nodes share.
+std::string WriteSegmentRow(const std::vector<segment_crash>& aCrashes,
+                            milliseconds aStoreClock,
+                            time_point aNow)
+{
+  std::string text;
+  for (const segment_crash& crash : aCrashes) {
+    const auto age =
+      std::chrono::duration_cast<milliseconds>(aNow - crash.mObservedAt);
+    text += fmt::format(
+      "{}@{}\n", FormatServerRun(crash.mServer), (aStoreClock - age).count());
+  }
+  return text;
+}
+
+/// Parses the text of `WriteSegmentRow`; skips malformed lines.
+std::vector<segment_crash> ParseSegmentRow(const segment_id& aSegment,
+                                           std::string_view aText,
+                                           milliseconds aStoreClock,
+                                           time_point aNow)
+{
+  std::vector<segment_crash> crashes;
+  while (!aText.empty() && crashes.size() < kMaxRowCrashes) {
+    const auto end = aText.find('\n');
+    const std::string_view line = aText.substr(0, end);
+    aText.remove_prefix(end == std::string_view::npos ? aText.size() : end + 1);
+    const auto at = line.rfind('@');
+    if (at == std::string_view::npos) {
+      continue;
+    }
+    const auto server = ParseServerRun(line.substr(0, at));
+    const auto clock = ParseDecimal<std::int64_t>(line.substr(at + 1));
+    if (server && clock) {
+      const milliseconds age = aStoreClock - milliseconds(*clock);
+      crashes.push_back(
+        { aSegment, *server, aNow - std::max(age, milliseconds(0)) });
+    }
+  }
+  return crashes;
+}
+
 /// The first keys of a set, at most `aMaxCount`.
 std::vector<std::string> FirstKeys(const std::set<std::string>& aKeys,
                                    std::size_t aMaxCount)
@@ -65,36 +129,58 @@
 
 crash_notice& LastNotice(std::vector<crash_notice>& aNotices)
 {
-  if (aNotices.empty() ||
-      aNotices.back().mReports.size() + aNotices.back().mServed.size() >=
-        kMaxNoticeEntries) {
+  if (aNotices.empty() || aNotices.back().mReports.size() +
+                              aNotices.back().mServed.size() +
+                              aNotices.back().mSegments.size() +
+                              aNotices.back().mServedSegments.size() >=
+                            kMaxNoticeEntries) {
     aNotices.emplace_back();
   }
   return aNotices.back();
 }
 
+milliseconds AgeOf(time_point aTime, time_point aNow)
+{
+  return std::chrono::duration_cast<milliseconds>(aNow - aTime);
+}
+
 /// Divides reports among notices that fit a datagram.
 std::vector<crash_notice> Split(const std::vector<crash_report>& aReports,
                                 const std::vector<served_report>& aServed,
                                 time_point aNow)
 {
-  const auto age = [aNow](time_point aTime) {
-    return std::chrono::duration_cast<milliseconds>(aNow - aTime);
-  };
   std::vector<crash_notice> notices;
   for (const crash_report& report : aReports) {
     LastNotice(notices).mReports.push_back({ report.mRequest,
                                              report.mServer,
-                                             age(report.mObservedAt),
+                                             AgeOf(report.mObservedAt, aNow),
                                              report.mSilent });
   }
   for (const served_report& served : aServed) {
     LastNotice(notices).mServed.push_back(
-      { served.mRequest, age(served.mServedAt) });
+      { served.mRequest, AgeOf(served.mServedAt, aNow) });
   }
   return notices;
 }
 
+/// Appends the crash of a prompt segment to the last notice with room for it.
+void Append(std::vector<crash_notice>& aNotices,
+            const segment_crash& aCrash,
+            time_point aNow)
+{
+  LastNotice(aNotices).mSegments.push_back(
+    { aCrash.mSegment, aCrash.mServer, AgeOf(aCrash.mObservedAt, aNow) });
+}
+
+void Append(std::vector<crash_notice>& aNotices,
+            const segment_id& aServedSegment,
+            time_point aServedAt,
+            time_point aNow)
+{
+  LastNotice(aNotices).mServedSegments.push_back(
+    { aServedSegment, AgeOf(aServedAt, aNow) });
+}
+
 row_key FleetRow(const std::string& aKey)
 {
   return { fleet_rows::kFleetTableName, "", aKey };
@@ -103,11 +189,13 @@
 } // namespace
 
 crash_exchange::crash_exchange(crash_history& aHistory,
+                               segment_crash_history& aSegments,
                                gateway_metrics& aMetrics,
                                row_store& aStore,
                                const time_source& aTime,
                                std::string aRun)
   : mHistory(aHistory)
+  , mSegments(aSegments)
   , mMetrics(aMetrics)
   , mStore(aStore)
   , mTime(aTime)
@@ -137,19 +225,63 @@
   return true;
 }
 
-void crash_exchange::Report(const crash_report& aReport)
+bool crash_exchange::Add(const char* aSource,
+                         const segment_crash& aCrash,
+                         time_point aNow)
 {
-  if (Add("own", aReport, mTime.Now())) {
-    mNewReports.push_back(aReport);
-    QueueRow(aReport);
+  if (!mSegments.Add(aCrash, aNow)) {
+    return false;
+  }
+  mMetrics.OnSegmentCrash(aSource);
+  const std::size_t crashes = mSegments.CrashCount(aCrash.mSegment, aNow);
+  // Each server that ends brings one crash for every segment on it.
+  if (crashes > 1) {
+    Log(log_level::Info,
+        "segment_crash_known",
+        { Field("source", aSource),
+          Field("segment", FormatWide(aCrash.mSegment)),
+          Field("server_run", FormatServerRun(aCrash.mServer)),
+          Field("known_crashes", crashes) });
   }
+  return true;
 }
 
-void crash_exchange::OnServed(const content_id& aRequest)
+void crash_exchange::Report(const observed_crash& aCrash)
 {
   const time_point now = mTime.Now();
-  if (mHistory.OnServed(aRequest, now)) {
-    mNewServed.push_back({ aRequest, now });
+  const crash_report report{
+    aCrash.mRequest.mContent, aCrash.mServer, aCrash.mObservedAt, aCrash.mSilent
+  };
+  if (Add("own", report, now)) {
+    mNewReports.push_back(report);
+    QueueRow(report);
+  }
+  for (const segment_id& segment : aCrash.mRequest.mSegments) {
+    const segment_crash crash{ segment,
+                               aCrash.mServer,
+                               aCrash.mLastByte.value_or(aCrash.mObservedAt) };
+    if (Add("own", crash, now)) {
+      mNewSegmentCrashes.push_back(crash);
+      QueueRow(segment, now);
+    }
+  }
+}
+
+void crash_exchange::OnServed(const request_fingerprint& aRequest)
+{
+  const time_point now = mTime.Now();
+  if (mHistory.OnServed(aRequest.mContent, now)) {
+    mNewServed.push_back({ aRequest.mContent, now });
+  }
+  for (const segment_id& segment : aRequest.mSegments) {
+    const bool hasRow = mSegments.CrashCount(segment, now) >= kMinRowCrashes;
+    if (mSegments.OnServed(segment, now)) {
+      mNewServedSegments[segment] = now;
+    }
+    if (hasRow) {
+      // The node that wrote the row may have ended.
+      mRemovals.insert(SegmentRowKey(segment));
+    }
   }
 }
 
@@ -162,6 +294,16 @@
   std::ranges::move(mNewServed, std::back_inserter(mRecentServed));
   mNewReports.clear();
   mNewServed.clear();
+  for (const segment_crash& crash : mNewSegmentCrashes) {
+    Append(notices, crash, aNow);
+    mRecentSegmentCrashes.emplace_back(crash, aNow);
+  }
+  for (const auto& [segment, servedAt] : mNewServedSegments) {
+    Append(notices, segment, servedAt, aNow);
+    mRecentServedSegments[segment] = { servedAt, aNow + kNewsTime };
+  }
+  mNewSegmentCrashes.clear();
+  mNewServedSegments.clear();
   return notices;
 }
 
@@ -173,18 +315,39 @@
   std::erase_if(mRecentServed, [aNow](const served_report& aServed) {
     return aNow >= aServed.mServedAt + kNewsTime;
   });
+  std::erase_if(mRecentSegmentCrashes, [aNow](const auto& aRecent) {
+    return aNow >= aRecent.second + kNewsTime;
+  });
+  std::erase_if(mRecentServedSegments, [aNow](const auto& aServed) {
+    return aNow >= aServed.second.second;
+  });
   std::set<crash_report> reports;
   for (const auto& [report, sentAt] : mRecentReports) {
     reports.insert(report);
   }
+  std::set<segment_crash> segments;
+  for (const auto& [crash, sentAt] : mRecentSegmentCrashes) {
+    segments.insert(crash);
+  }
   if (aNow >= mNextRepeatAt) {
     mNextRepeatAt = aNow + kRepeatInterval;
     for (const crash_report& report :
          mHistory.RepeatedCrashes(kMaxRepeatedReports)) {
       reports.insert(report);
     }
+    for (const segment_crash& crash :
+         mSegments.RepeatedCrashes(kMaxRepeatedReports)) {
+      segments.insert(crash);
+    }
   }
-  return Split({ reports.begin(), reports.end() }, mRecentServed, aNow);
+  auto notices = Split({ reports.begin(), reports.end() }, mRecentServed, aNow);
+  for (const segment_crash& crash : segments) {
+    Append(notices, crash, aNow);
+  }
+  for (const auto& [segment, served] : mRecentServedSegments) {
+    Append(notices, segment, served.first, aNow);
+  }
+  return notices;
 }
 
 void crash_exchange::OnNotice(const crash_notice& aNotice, time_point aNow)
@@ -194,9 +357,22 @@
   }
   for (const auto& report : aNotice.mReports) {
     Add("peer",
-        { report.mRequest, report.mServer, aNow - report.mAge, report.mSilent },
+        crash_report{
+          report.mRequest, report.mServer, aNow - report.mAge, report.mSilent },
         aNow);
   }
+  for (const auto& response : aNotice.mServedSegments) {
+    mSegments.OnServed(response.mSegment, aNow - response.mAge);
+  }
+  for (const auto& crash : aNotice.mSegments) {
+    const time_point observedAt = aNow - crash.mAge;
+    Add(
+      "peer", segment_crash{ crash.mSegment, crash.mServer, observedAt }, aNow);
+    // The sender has not seen the response that refutes the crash.
+    if (const auto servedAt = mSegments.RefutedAt(crash.mSegment, observedAt)) {
+      mRecentServedSegments[crash.mSegment] = { *servedAt, aNow + kNewsTime };
+    }
+  }
 }
 
 void crash_exchange::QueueRow(const crash_report& aReport)
@@ -213,8 +389,23 @@
   mWrites.insert(key);
 }
 
-void crash_exchange::ApplyRow(std::string_view aKey)
+void crash_exchange::QueueRow(const segment_id& aSegment, time_point aNow)
 {
+  const std::size_t crashes = mSegments.CrashCount(aSegment, aNow);
+  if (crashes < kMinRowCrashes) {
+    return;
+  }
+  const std::string key = SegmentRowKey(aSegment);
+  mRemovals.erase(key);
+  mWrites.insert(key);
+}
+
+void crash_exchange::ApplyRow(std::string_view aKey, std::string_view aValue)
+{
+  if (aKey.starts_with(kSegmentRowPrefix)) {
+    ApplySegmentRow(aKey, aValue);
+    return;
+  }
   const time_point now = mTime.Now();
   const auto report = ParseRowKey(aKey, now);
   if (!report) {
@@ -224,16 +415,76 @@
   Add("store", *report, now);
 }
 
+void crash_exchange::ApplySegmentRow(std::string_view aKey,
+                                     std::string_view aValue)
+{
+  const time_point now = mTime.Now();
+  const auto segment = ParseSegmentRowKey(aKey);
+  const auto clock = mStore.Clock();
+  if (!segment || !clock) {
+    Log(log_level::Info, "crash_row_unusable", { Field("key", aKey) });
+    return;
+  }
+  for (const segment_crash& crash :
+       ParseSegmentRow(*segment, aValue, *clock, now)) {
+    Add("store", crash, now);
+  }
+  if (mSegments.Crashes(*segment).empty()) {
+    // Left behind by a node that ended.
+    mRemovals.insert(std::string(aKey));
+  }
+}
+
+std::optional<std::string> crash_exchange::RowValue(
+  const std::string& aKey) const
+{
+  const auto segment = ParseSegmentRowKey(aKey);
+  if (!segment) {
+    return mRun;
+  }
+  auto crashes = mSegments.Crashes(*segment);
+  const auto clock = mStore.Clock();
+  if (crashes.empty() || !clock) {
+    return std::nullopt;
+  }
+  // The latest crashes decide how long the segment is refused.
+  std::ranges::sort(
+    crashes, std::ranges::greater(), &segment_crash::mObservedAt);
+  crashes.resize(std::min(crashes.size(), kMaxRowCrashes));
+  return WriteSegmentRow(crashes, *clock, mTime.Now());
+}
+
 void crash_exchange::OnMaintenanceTick(time_point aNow)
 {
+  ReviewRows(aNow);
+  WriteRows(aNow);
+}
+
+void crash_exchange::ReviewRows(time_point aNow)
+{
+  std::vector<std::string> dropped;
   for (const crash_report& report : mHistory.Expire(aNow)) {
-    const std::string key = RowKey(report);
+    dropped.push_back(RowKey(report));
+  }
+  for (const segment_id& segment : mSegments.Expire(aNow)) {
+    dropped.push_back(SegmentRowKey(segment));
+  }
+  for (const std::string& key : dropped) {
     mWrites.erase(key);
     if (mWritten.contains(key)) {
       mRemovals.insert(key);
     }
   }
-  WriteRows(aNow);
+  const std::uint64_t era = mStore.Era();
+  if (era > mStoreEra) {
+    if (mStoreEra != 0 && !mWritten.empty()) {
+      Log(log_level::Info,
+          "crash_rows_written_again",
+          { Field("rows", mWritten.size()), Field("era", era) });
+      mWrites.insert(mWritten.begin(), mWritten.end());
+    }
+    mStoreEra = era;
+  }
 }
 
 void crash_exchange::WriteRows(time_point aNow)
@@ -246,7 +497,11 @@
   const auto removals = FirstKeys(mRemovals, kMaxRowsPerCommit - writes.size());
   row_transaction transaction;
   for (const std::string& key : writes) {
-    transaction.mWrites.push_back({ FleetRow(key), mRun });
+    const auto value = RowValue(key);
+    if (!value) {
+      continue;
+    }
+    transaction.mWrites.push_back({ FleetRow(key), *value });
     // The transaction may be applied although its reply is lost.
     mWritten.insert(key);
   }
--- a/Source/Core/Gateway/CrashExchange.h
+++ b/Source/Core/Gateway/CrashExchange.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <cstdint>
+#include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -9,20 +12,25 @@
 
 #include "Gateway/CrashHistory.h"
 #include "Gateway/GatewayMetrics.h"
+#include "Gateway/SegmentCrashHistory.h"
 #include "Remote/RowStore.h"
 
-/// Adds crash reports of this node and of others to the crash history and
+/// Adds crashes that this node and others observed to the crash histories and
 /// shares them: as notices between nodes, which need no store, and as rows, for
 /// nodes that start later or are cut off from the others. Rows are removed once
-/// the history has dropped their reports.
+/// the histories have dropped their crashes.
 class crash_exchange
 {
 public:
-  /// Rows of the fleet table with this key prefix hold crash reports.
+  /// Rows of the fleet table with this key prefix hold crash reports of
+  /// requests.
   static constexpr std::string_view kRowPrefix = "crash/";
+  /// Rows with this key prefix hold the crashes of a prompt segment.
+  static constexpr std::string_view kSegmentRowPrefix = "crash-segment/";
 
   /// `aRun` identifies this run of the process.
   crash_exchange(crash_history& aHistory,
+                 segment_crash_history& aSegments,
                  gateway_metrics& aMetrics,
                  row_store& aStore,
                  const time_source& aTime,
@@ -32,9 +40,9 @@
   crash_exchange& operator=(const crash_exchange&) = delete;
 
   /// A server run seemed to end while it ran a request of this node.
-  void Report(const crash_report& aReport);
+  void Report(const observed_crash& aCrash);
   /// A server answered the request completely.
-  void OnServed(const content_id& aRequest);
+  void OnServed(const request_fingerprint& aRequest);
 
   /// Returns notices of what became known here since the last call. They are
   /// sent to all nodes at once.
@@ -44,18 +52,28 @@
   std::vector<crash_notice> ComposeNotices(time_point aNow);
   void OnNotice(const crash_notice& aNotice, time_point aNow);
 
-  /// Applies a row of another node.
-  void ApplyRow(std::string_view aKey);
-  /// Expires the history and writes the changes of this node's rows.
+  /// Applies a row of this or another node.
+  void ApplyRow(std::string_view aKey, std::string_view aValue);
+  /// Expires the histories and writes the changes of this node's rows.
   void OnMaintenanceTick(time_point aNow);
 
 private:
   /// Adds a report to the history; returns whether it is new.
   bool Add(const char* aSource, const crash_report& aReport, time_point aNow);
+  bool Add(const char* aSource, const segment_crash& aCrash, time_point aNow);
   void QueueRow(const crash_report& aReport);
+  /// Queues the row of a segment that is close to being refused.
+  void QueueRow(const segment_id& aSegment, time_point aNow);
+  void ApplySegmentRow(std::string_view aKey, std::string_view aValue);
+  /// Removes rows whose crashes expired or were refuted, and writes rows again
+  /// that the store lost.
+  void ReviewRows(time_point aNow);
+  /// Value of a row; nothing if its crashes are no longer known.
+  std::optional<std::string> RowValue(const std::string& aKey) const;
   void WriteRows(time_point aNow);
 
   crash_history& mHistory;
+  segment_crash_history& mSegments;
   gateway_metrics& mMetrics;
   row_store& mStore;
   const time_source& mTime;
@@ -66,12 +84,21 @@
   std::vector<served_report> mNewServed;
   std::vector<std::pair<crash_report, time_point>> mRecentReports;
   std::vector<served_report> mRecentServed;
+  /// The same for prompt segments.
+  std::vector<segment_crash> mNewSegmentCrashes;
+  std::map<segment_id, time_point> mNewServedSegments;
+  std::vector<std::pair<segment_crash, time_point>> mRecentSegmentCrashes;
+  /// Segment to the time of the response and the time from which on it is not
+  /// repeated.
+  std::map<segment_id, std::pair<time_point, time_point>> mRecentServedSegments;
   time_point mNextRepeatAt;
   /// Keys of rows that are still to be written and removed.
   std::set<std::string> mWrites;
   std::set<std::string> mRemovals;
   /// Keys of the rows that this run has written.
   std::set<std::string> mWritten;
+  /// Copy of the store that has the rows of `mWritten`.
+  std::uint64_t mStoreEra = 0;
   bool mCommitting = false;
   time_point mNextCommitAt;
   /// Set to false by the destructor; replies that arrive later are ignored.
--- a/Source/Core/Gateway/CrashHistory.cpp
+++ b/Source/Core/Gateway/CrashHistory.cpp
@@ -1,12 +1,9 @@
 #include "Gateway/CrashHistory.h"
 
 #include <algorithm>
-#include <charconv>
 #include <chrono>
 #include <functional>
 
-#include <fmt/format.h>
-
 namespace {
 
 using std::chrono::seconds;
@@ -27,8 +24,6 @@
 // certainly sent to the server before. Servers send to some node every few
 // milliseconds.
 constexpr std::chrono::milliseconds kMinLead(100);
-// Reads from the store may be this old.
-constexpr seconds kMaxReadAge(3);
 // Limits of the tables; a server that is lost breaks every request on it.
 constexpr std::size_t kMaxRecords = 20000;
 constexpr std::size_t kMaxServed = 20000;
@@ -38,27 +33,6 @@
 
 } // namespace
 
-std::string FormatServerRun(const server_run& aRun)
-{
-  return fmt::format("{}.{}", aRun.mUpstream.mName, aRun.mIncarnation);
-}
-
-std::optional<server_run> ParseServerRun(std::string_view aText)
-{
-  const auto dot = aText.rfind('.');
-  if (dot == std::string_view::npos || dot == 0) {
-    return std::nullopt;
-  }
-  server_run run{ upstream_id{ std::string(aText.substr(0, dot)) } };
-  const char* const end = aText.data() + aText.size();
-  const auto [parsed, error] =
-    std::from_chars(aText.data() + dot + 1, end, run.mIncarnation);
-  if (error != std::errc() || parsed != end) {
-    return std::nullopt;
-  }
-  return run;
-}
-
 bool crash_history::Add(const crash_report& aReport, time_point aNow)
 {
   if (!IsValid(aReport.mRequest, aReport.mServer, aReport.mObservedAt) ||
@@ -100,27 +74,6 @@
   return mRecords.contains(aRequest);
 }
 
-void crash_history::OnServerEntry(const server_entry& aEntry, time_point aNow)
-{
-  life_signs& life = mServers[aEntry.mId];
-  if (aEntry.mIncarnation < life.mIncarnation) {
-    return;
-  }
-  if (aEntry.mIncarnation > life.mIncarnation) {
-    life = { aEntry.mIncarnation, aEntry.mSequence, aNow, time_point() };
-    return;
-  }
-  if (aEntry.mSequence <= life.mSequence) {
-    return;
-  }
-  // The new entry was written after the one before it was read, which may have
-  // been old by then. Its own reading proves nothing: after an outage it may be
-  // the last one of a server that ended meanwhile.
-  life.mAliveAt = std::max(life.mAliveAt, life.mReadAt - kMaxReadAge);
-  life.mSequence = aEntry.mSequence;
-  life.mReadAt = aNow;
-}
-
 bool crash_history::IsValid(const content_id& aRequest,
                             const server_run& aServer,
                             time_point aObservedAt) const
@@ -130,10 +83,7 @@
       aObservedAt <= served->second + kServedTrustTime) {
     return false;
   }
-  const auto life = mServers.find(aServer.mUpstream);
-  return life == mServers.end() ||
-         life->second.mIncarnation != aServer.mIncarnation ||
-         aObservedAt > life->second.mAliveAt;
+  return !mLiveness.WasAlive(aServer, aObservedAt);
 }
 
 time_point crash_history::ExpiryOf(const server_runs& aRuns)
@@ -230,9 +180,7 @@
     return aNow >= aPair.second + kServedTimeToLive;
   });
   // Signs of life older than every report refute nothing.
-  std::erase_if(mServers, [aNow](const auto& aPair) {
-    return aNow >= aPair.second.mReadAt + kBlockTime;
-  });
+  mLiveness.Expire(aNow - kBlockTime);
   return dropped;
 }
 
--- a/Source/Core/Gateway/CrashHistory.h
+++ b/Source/Core/Gateway/CrashHistory.h
@@ -6,27 +6,12 @@
 #include <map>
 #include <optional>
 #include <set>
-#include <string>
-#include <string_view>
 #include <unordered_map>
 #include <vector>
 
 #include "Common/Identity.h"
 #include "Common/Time.h"
-#include "Gateway/GatewayTypes.h"
-
-/// One run of a server's process.
-struct server_run
-{
-  upstream_id mUpstream;
-  std::uint64_t mIncarnation = 0;
-  auto operator<=>(const server_run&) const = default;
-};
-
-/// Text form `<upstream>.<incarnation>`, used in row keys and logs.
-std::string FormatServerRun(const server_run& aRun);
-/// Parses the text form of `FormatServerRun`; nothing if it is malformed.
-std::optional<server_run> ParseServerRun(std::string_view aText);
+#include "Gateway/ServerLiveness.h"
 
 /// A server run seemed to end while it ran a request.
 struct crash_report
@@ -41,6 +26,29 @@
   auto operator<=>(const crash_report&) const = default;
 };
 
+/// What identifies a request in the histories of crashes.
+struct request_fingerprint
+{
+  /// Account, target and body.
+  content_id mContent;
+  /// Prompt segments that other requests may share.
+  std::vector<segment_id> mSegments;
+  auto operator<=>(const request_fingerprint&) const = default;
+};
+
+/// A server run seemed to end while it ran a request of this node.
+struct observed_crash
+{
+  request_fingerprint mRequest;
+  server_run mServer;
+  /// See `crash_report`.
+  time_point mObservedAt;
+  bool mSilent = false;
+  /// Last byte of a server that fell silent.
+  std::optional<time_point> mLastByte{};
+  auto operator<=>(const observed_crash&) const = default;
+};
+
 /// A server answered a request completely.
 struct served_report
 {
@@ -67,9 +75,25 @@
     std::chrono::milliseconds mAge{ 0 };
     auto operator<=>(const aged_response&) const = default;
   };
+  struct aged_segment_crash
+  {
+    segment_id mSegment;
+    server_run mServer;
+    std::chrono::milliseconds mAge{ 0 };
+    auto operator<=>(const aged_segment_crash&) const = default;
+  };
+  struct aged_segment_response
+  {
+    segment_id mSegment;
+    std::chrono::milliseconds mAge{ 0 };
+    auto operator<=>(const aged_segment_response&) const = default;
+  };
   std::vector<aged_report> mReports;
   /// Requests that were served although they have reports.
   std::vector<aged_response> mServed;
+  std::vector<aged_segment_crash> mSegments;
+  /// Prompt segments of requests that were served although they have crashes.
+  std::vector<aged_segment_response> mServedSegments;
   bool operator==(const crash_notice&) const = default;
 };
 
@@ -91,7 +115,11 @@
   /// whether it had any.
   bool OnServed(const content_id& aRequest, time_point aServedAt);
   /// The server wrote its entry, so its run was alive until shortly before.
-  void OnServerEntry(const server_entry& aEntry, time_point aNow);
+  void OnServerEntry(const server_entry& aEntry, time_point aNow)
+  {
+    mLiveness.OnServerEntry(aEntry, aNow);
+  }
+  const server_liveness& Liveness() const { return mLiveness; }
 
   /// Number of server runs that ended under the request. Does not count silent
   /// runs for which another request with several crashes was reported clearly
@@ -118,15 +146,6 @@
   };
   /// Server run to the first observation.
   using server_runs = std::map<server_run, observation>;
-  struct life_signs
-  {
-    std::uint64_t mIncarnation = 0;
-    std::uint64_t mSequence = 0;
-    /// When the entry with this sequence was first read.
-    time_point mReadAt;
-    /// The run had not ended at this time.
-    time_point mAliveAt;
-  };
 
   bool IsValid(const content_id& aRequest,
                const server_run& aServer,
@@ -140,5 +159,5 @@
   /// Requests with a report, by server run.
   std::map<server_run, std::set<content_id>> mRequestsByServer;
   std::unordered_map<content_id, time_point> mServed;
-  std::unordered_map<upstream_id, life_signs> mServers;
+  server_liveness mLiveness;
 };
--- a/Source/Core/Gateway/Fleet.capnp
+++ b/Source/Core/Gateway/Fleet.capnp
@@ -99,9 +99,28 @@
   ageMs @2 :UInt32;
 }
 
+# A server run seemed to end while it ran a request with the prompt segment.
+struct SegmentCrash {
+  segmentHigh @0 :UInt64;
+  segmentLow @1 :UInt64;
+  server @2 :Text;
+  incarnation @3 :UInt64;
+  # Time since the end was observed, in milliseconds.
+  ageMs @4 :UInt32;
+}
+
+# A server answered a request with a prompt segment that has crashes.
+struct ServedSegment {
+  segmentHigh @0 :UInt64;
+  segmentLow @1 :UInt64;
+  ageMs @2 :UInt32;
+}
+
 struct CrashNotice {
   reports @0 :List(CrashReport);
   served @1 :List(ServedRequest);
+  segments @2 :List(SegmentCrash);
+  servedSegments @3 :List(ServedSegment);
 }
 
 struct PeerDatagram {
--- a/Source/Core/Gateway/Fleet.capnp.h
+++ b/Source/Core/Gateway/Fleet.capnp.h
@@ -25,6 +25,8 @@
 CAPNP_DECLARE_SCHEMA(bfb5347b69f1e42b);
 CAPNP_DECLARE_SCHEMA(8c8bb56c447964d4);
 CAPNP_DECLARE_SCHEMA(944c404fa231ccec);
+CAPNP_DECLARE_SCHEMA(adf0d4f48e14b3ba);
+CAPNP_DECLARE_SCHEMA(c03503092b2cec8b);
 CAPNP_DECLARE_SCHEMA(f0a1087902406f5d);
 CAPNP_DECLARE_SCHEMA(e415d0c61f2a5799);
 CAPNP_DECLARE_SCHEMA(e843b2f8f0ccf6b8);
@@ -170,6 +172,36 @@
   };
 };
 
+struct SegmentCrash {
+  SegmentCrash() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(adf0d4f48e14b3ba, 4, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ServedSegment {
+  ServedSegment() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c03503092b2cec8b, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct CrashNotice {
   CrashNotice() = delete;
 
@@ -178,7 +210,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f0a1087902406f5d, 0, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(f0a1087902406f5d, 0, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1163,6 +1195,193 @@
 };
 #endif  // !CAPNP_LITE
 
+class SegmentCrash::Reader {
+public:
+  typedef SegmentCrash Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getSegmentHigh() const;
+
+  inline  ::uint64_t getSegmentLow() const;
+
+  inline bool hasServer() const;
+  inline  ::capnp::Text::Reader getServer() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class SegmentCrash::Builder {
+public:
+  typedef SegmentCrash Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getSegmentHigh();
+  inline void setSegmentHigh( ::uint64_t value);
+
+  inline  ::uint64_t getSegmentLow();
+  inline void setSegmentLow( ::uint64_t value);
+
+  inline bool hasServer();
+  inline  ::capnp::Text::Builder getServer();
+  inline void setServer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initServer(unsigned int size);
+  inline void adoptServer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownServer();
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class SegmentCrash::Pipeline {
+public:
+  typedef SegmentCrash Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ServedSegment::Reader {
+public:
+  typedef ServedSegment Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getSegmentHigh() const;
+
+  inline  ::uint64_t getSegmentLow() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ServedSegment::Builder {
+public:
+  typedef ServedSegment Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getSegmentHigh();
+  inline void setSegmentHigh( ::uint64_t value);
+
+  inline  ::uint64_t getSegmentLow();
+  inline void setSegmentLow( ::uint64_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ServedSegment::Pipeline {
+public:
+  typedef ServedSegment Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class CrashNotice::Reader {
 public:
   typedef CrashNotice Reads;
@@ -1186,6 +1405,12 @@
   inline bool hasServed() const;
   inline  ::capnp::List< ::fleet_wire::ServedRequest,  ::capnp::Kind::STRUCT>::Reader getServed() const;
 
+  inline bool hasSegments() const;
+  inline  ::capnp::List< ::fleet_wire::SegmentCrash,  ::capnp::Kind::STRUCT>::Reader getSegments() const;
+
+  inline bool hasServedSegments() const;
+  inline  ::capnp::List< ::fleet_wire::ServedSegment,  ::capnp::Kind::STRUCT>::Reader getServedSegments() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1228,6 +1453,20 @@
   inline void adoptServed(::capnp::Orphan< ::capnp::List< ::fleet_wire::ServedRequest,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::fleet_wire::ServedRequest,  ::capnp::Kind::STRUCT>> disownServed();
 
+  inline bool hasSegments();
+  inline  ::capnp::List< ::fleet_wire::SegmentCrash,  ::capnp::Kind::STRUCT>::Builder getSegments();
+  inline void setSegments( ::capnp::List< ::fleet_wire::SegmentCrash,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::fleet_wire::SegmentCrash,  ::capnp::Kind::STRUCT>::Builder initSegments(unsigned int size);
+  inline void adoptSegments(::capnp::Orphan< ::capnp::List< ::fleet_wire::SegmentCrash,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::fleet_wire::SegmentCrash,  ::capnp::Kind::STRUCT>> disownSegments();
+
+  inline bool hasServedSegments();
+  inline  ::capnp::List< ::fleet_wire::ServedSegment,  ::capnp::Kind::STRUCT>::Builder getServedSegments();
+  inline void setServedSegments( ::capnp::List< ::fleet_wire::ServedSegment,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::fleet_wire::ServedSegment,  ::capnp::Kind::STRUCT>::Builder initServedSegments(unsigned int size);
+  inline void adoptServedSegments(::capnp::Orphan< ::capnp::List< ::fleet_wire::ServedSegment,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::fleet_wire::ServedSegment,  ::capnp::Kind::STRUCT>> disownServedSegments();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2438,6 +2677,138 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t SegmentCrash::Reader::getSegmentHigh() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SegmentCrash::Builder::getSegmentHigh() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void SegmentCrash::Builder::setSegmentHigh( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t SegmentCrash::Reader::getSegmentLow() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SegmentCrash::Builder::getSegmentLow() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void SegmentCrash::Builder::setSegmentLow( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SegmentCrash::Reader::hasServer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool SegmentCrash::Builder::hasServer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SegmentCrash::Reader::getServer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SegmentCrash::Builder::getServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void SegmentCrash::Builder::setServer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SegmentCrash::Builder::initServer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void SegmentCrash::Builder::adoptServer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SegmentCrash::Builder::disownServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t SegmentCrash::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SegmentCrash::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void SegmentCrash::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t SegmentCrash::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t SegmentCrash::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void SegmentCrash::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ServedSegment::Reader::getSegmentHigh() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ServedSegment::Builder::getSegmentHigh() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ServedSegment::Builder::setSegmentHigh( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ServedSegment::Reader::getSegmentLow() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ServedSegment::Builder::getSegmentLow() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ServedSegment::Builder::setSegmentLow( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ServedSegment::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ServedSegment::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void ServedSegment::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool CrashNotice::Reader::hasReports() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2506,6 +2877,74 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool CrashNotice::Reader::hasSegments() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashNotice::Builder::hasSegments() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::fleet_wire::SegmentCrash,  ::capnp::Kind::STRUCT>::Reader CrashNotice::Reader::getSegments() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::SegmentCrash,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::fleet_wire::SegmentCrash,  ::capnp::Kind::STRUCT>::Builder CrashNotice::Builder::getSegments() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::SegmentCrash,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void CrashNotice::Builder::setSegments( ::capnp::List< ::fleet_wire::SegmentCrash,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::SegmentCrash,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::fleet_wire::SegmentCrash,  ::capnp::Kind::STRUCT>::Builder CrashNotice::Builder::initSegments(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::SegmentCrash,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void CrashNotice::Builder::adoptSegments(
+    ::capnp::Orphan< ::capnp::List< ::fleet_wire::SegmentCrash,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::SegmentCrash,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::fleet_wire::SegmentCrash,  ::capnp::Kind::STRUCT>> CrashNotice::Builder::disownSegments() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::SegmentCrash,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool CrashNotice::Reader::hasServedSegments() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashNotice::Builder::hasServedSegments() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::fleet_wire::ServedSegment,  ::capnp::Kind::STRUCT>::Reader CrashNotice::Reader::getServedSegments() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::ServedSegment,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::fleet_wire::ServedSegment,  ::capnp::Kind::STRUCT>::Builder CrashNotice::Builder::getServedSegments() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::ServedSegment,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void CrashNotice::Builder::setServedSegments( ::capnp::List< ::fleet_wire::ServedSegment,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::ServedSegment,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::fleet_wire::ServedSegment,  ::capnp::Kind::STRUCT>::Builder CrashNotice::Builder::initServedSegments(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::ServedSegment,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void CrashNotice::Builder::adoptServedSegments(
+    ::capnp::Orphan< ::capnp::List< ::fleet_wire::ServedSegment,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::ServedSegment,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::fleet_wire::ServedSegment,  ::capnp::Kind::STRUCT>> CrashNotice::Builder::disownServedSegments() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::ServedSegment,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline  ::fleet_wire::PeerDatagram::Which PeerDatagram::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Source/Core/Gateway/FleetRows.cpp
+++ b/Source/Core/Gateway/FleetRows.cpp
@@ -36,8 +36,9 @@
   const std::string_view key = aRow.mKey.mKey;
   if (key.starts_with(kNodePrefix)) {
     mFleet.AddCandidate(std::string(key.substr(kNodePrefix.size())));
-  } else if (key.starts_with(crash_exchange::kRowPrefix)) {
-    mCrashes.ApplyRow(key);
+  } else if (key.starts_with(crash_exchange::kRowPrefix) ||
+             key.starts_with(crash_exchange::kSegmentRowPrefix)) {
+    mCrashes.ApplyRow(key, aRow.mValue);
   }
 }
 
--- a/Source/Core/Gateway/GatewayMetrics.cpp
+++ b/Source/Core/Gateway/GatewayMetrics.cpp
@@ -30,6 +30,10 @@
                     .Name("gateway_crash_reports_total")
                     .Help("Crashes of servers under a request, by source")
                     .Register(*mRegistry))
+  , mSegmentCrashes(prometheus::BuildCounter()
+                      .Name("gateway_segment_crashes_total")
+                      .Help("Ends of servers under a prompt segment, by source")
+                      .Register(*mRegistry))
   , mLimitedSends(prometheus::BuildCounter()
                     .Name("gateway_rate_limited_sends_total")
                     .Help("Sends to servers that named a rate limit")
@@ -96,6 +100,11 @@
   mCrashReports.Add({ { "source", aSource } }).Increment();
 }
 
+void gateway_metrics::OnSegmentCrash(const char* aSource)
+{
+  mSegmentCrashes.Add({ { "source", aSource } }).Increment();
+}
+
 void gateway_metrics::OnLimitedSend(bool aRepeated)
 {
   mLimitedSends.Add({ { "repeated", aRepeated ? "true" : "false" } })
--- a/Source/Core/Gateway/GatewayMetrics.h
+++ b/Source/Core/Gateway/GatewayMetrics.h
@@ -28,6 +28,9 @@
   void OnServerBreak(std::string_view aFailure, bool aCounted);
   /// Counts a crash that this node learned of, by the source of the report.
   void OnCrashReport(const char* aSource);
+  /// Counts a server that ended under a prompt segment, by the source of the
+  /// report.
+  void OnSegmentCrash(const char* aSource);
   /// Counts a send to a server that named a rate limit. `aRepeated` tells
   /// whether the request had been sent before.
   void OnLimitedSend(bool aRepeated);
@@ -49,6 +52,7 @@
   prometheus::Family<prometheus::Counter>& mRetries;
   prometheus::Family<prometheus::Counter>& mServerBreaks;
   prometheus::Family<prometheus::Counter>& mCrashReports;
+  prometheus::Family<prometheus::Counter>& mSegmentCrashes;
   prometheus::Family<prometheus::Counter>& mLimitedSends;
   prometheus::Family<prometheus::Histogram>& mFirstByteSeen;
   prometheus::Gauge& mOpenRequests;
--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -77,29 +77,32 @@
   , mTokenAllowance(mRun, aSettings.mTokenAllowance)
   , mRetries(aSettings.mRetries)
   , mFleet(SelfReport(aSettings, std::stoull(mRun, nullptr, 16)))
-  , mCrashExchange(mCrashes, mMetrics, mStore, mTime, mRun)
+  , mCrashExchange(mCrashes, mSegmentCrashes, mMetrics, mStore, mTime, mRun)
   , mAllowanceWriter(mTokenAllowance,
                      mStore,
                      mTime,
                      FormatTcpAddress(mSettings.mPeer))
   , mRows(mFleet, mCrashExchange, mStore, mTime, mRun)
-  , mContext{
-    .mSettings = mSettings,
-    .mCodec = mCodec,
-    .mTime = mTime,
-    .mUpstreamRegistry = mUpstreamRegistry,
-    .mPool = mPool,
-    .mTokenAllowance = mTokenAllowance,
-    .mRetries = mRetries,
-    .mCrashes = mCrashes,
-    .mUnanswered = mUnanswered,
-    .mFleet = mFleet,
-    .mMetrics = mMetrics,
-    .mReportCrash =
-      [this](const crash_report& aReport) { mCrashExchange.Report(aReport); },
-    .mReportServed =
-      [this](const content_id& aRequest) { mCrashExchange.OnServed(aRequest); }
-  }
+  , mContext{ .mSettings = mSettings,
+              .mCodec = mCodec,
+              .mTime = mTime,
+              .mUpstreamRegistry = mUpstreamRegistry,
+              .mPool = mPool,
+              .mTokenAllowance = mTokenAllowance,
+              .mRetries = mRetries,
+              .mCrashes = mCrashes,
+              .mSegmentCrashes = mSegmentCrashes,
+              .mUnanswered = mUnanswered,
+              .mFleet = mFleet,
+              .mMetrics = mMetrics,
+              .mReportCrash =
+                [this](const observed_crash& aCrash) {
+                  mCrashExchange.Report(aCrash);
+                },
+              .mReportServed =
+                [this](const request_fingerprint& aRequest) {
+                  mCrashExchange.OnServed(aRequest);
+                } }
   , mPeerTransport(mFleet,
                    mTokenAllowance,
                    mCrashExchange,
--- a/Source/Core/Gateway/GatewayNode.h
+++ b/Source/Core/Gateway/GatewayNode.h
@@ -100,6 +100,7 @@
   token_allowance mTokenAllowance;
   retry_window mRetries;
   crash_history mCrashes;
+  segment_crash_history mSegmentCrashes{ mCrashes.Liveness() };
   unanswered_requests mUnanswered;
   fleet_view mFleet;
   gateway_metrics mMetrics;
--- a/Source/Core/Gateway/GatewayNodeTicks.cpp
+++ b/Source/Core/Gateway/GatewayNodeTicks.cpp
@@ -87,14 +87,14 @@
 void gateway_node::ReportSilentServers(time_point aNow)
 {
   std::set<upstream_id> servers;
-  for (const crash_report& report : mUnanswered.TakeSilent(
+  for (const observed_crash& crash : mUnanswered.TakeSilent(
          mUpstreamRegistry, mUpstreamTable.LastContact(), aNow)) {
     Log(log_level::Info,
         "server_silent",
-        { Field("fingerprint", FormatWide(report.mRequest)),
-          Field("server_run", FormatServerRun(report.mServer)) });
-    mCrashExchange.Report(report);
-    servers.insert(report.mServer.mUpstream);
+        { Field("fingerprint", FormatWide(crash.mRequest.mContent)),
+          Field("server_run", FormatServerRun(crash.mServer)) });
+    mCrashExchange.Report(crash);
+    servers.insert(crash.mServer.mUpstream);
   }
   for (const upstream_id& server : servers) {
     mUpstreamRegistry.OnFailure(server, aNow);
--- a/Source/Core/Gateway/GatewaySession.cpp
+++ b/Source/Core/Gateway/GatewaySession.cpp
@@ -27,6 +27,27 @@
 
 constexpr unsigned kClientClosedRequest = 499;
 
+// Segments of a prompt that are watched for crashes. Clients choose their
+// number.
+constexpr std::size_t kMaxWatchedSegments = 32;
+
+/// Identities of all segments but the last one, which belongs to the request
+/// alone.
+std::vector<segment_id> SharedSegments(
+  const std::vector<prompt_segment>& aPrompt)
+{
+  std::vector<segment_id> segments;
+  for (std::size_t i = 0;
+       i + 1 < aPrompt.size() && segments.size() < kMaxWatchedSegments;
+       ++i) {
+    const segment_id segment = MakeSegmentId(aPrompt[i].mId);
+    if (std::ranges::find(segments, segment) == segments.end()) {
+      segments.push_back(segment);
+    }
+  }
+  return segments;
+}
+
 } // namespace
 
 gateway_session::gateway_session(gateway_context& aContext,
@@ -91,8 +112,9 @@
   mContext.mRetries.OnRequest(mService.mName, mArrived);
   const std::string account =
     mAccount == nullptr ? std::string() : mAccount->mName.mName;
-  mContent =
-    MakeContentId(account_id{ account + mRequest.mTarget }, mRequest.mBody);
+  mFingerprint = { MakeContentId(account_id{ account + mRequest.mTarget },
+                                 mRequest.mBody),
+                   SharedSegments(mRequest.mPrompt) };
   if (EndIfSuspect(mArrived)) {
     return;
   }
@@ -160,12 +182,22 @@
 
 bool gateway_session::EndIfSuspect(time_point aNow)
 {
-  if (mContext.mCrashes.Blocked(mContent, aNow)) {
+  const content_id& content = mFingerprint.mContent;
+  if (mContext.mCrashes.Blocked(content, aNow)) {
     EndUnsent("request_crashes_servers", kBlockedRetryDelay);
     return true;
   }
-  if (mContext.mCrashes.IsLastAttempt(mContent, aNow) &&
-      mContext.mUnanswered.Contains(mContent)) {
+  const std::vector<segment_id>& segments = mFingerprint.mSegments;
+  const segment_verdict verdict =
+    mContext.mSegmentCrashes.Judge(segments, aNow);
+  if (verdict == segment_verdict::Refuse) {
+    EndUnsent("prompt_crashes_servers", kBlockedRetryDelay);
+    return true;
+  }
+  if ((mContext.mCrashes.IsLastAttempt(content, aNow) &&
+       mContext.mUnanswered.Contains(content)) ||
+      (verdict == segment_verdict::SendAlone &&
+       mContext.mUnanswered.ContainsAny(segments))) {
     EndUnsent("suspect_in_progress", kSuspectRetryDelay);
     return true;
   }
@@ -184,10 +216,10 @@
 std::optional<placement> gateway_session::ChooseServer(time_point aNow) const
 {
   placement_query query = Query();
-  if (mContext.mCrashes.CrashCount(mContent, aNow) > 0) {
-    std::ranges::copy(
-      mContext.mUnanswered.ServersOfSuspects(mContext.mCrashes, mContent, aNow),
-      std::back_inserter(query.mExcluded));
+  if (mContext.mCrashes.CrashCount(mFingerprint.mContent, aNow) > 0) {
+    std::ranges::copy(mContext.mUnanswered.ServersOfSuspects(
+                        mContext.mCrashes, mFingerprint.mContent, aNow),
+                      std::back_inserter(query.mExcluded));
     if (auto chosen = mContext.mUpstreamRegistry.Choose(query, aNow)) {
       return chosen;
     }
--- a/Source/Core/Gateway/GatewaySession.h
+++ b/Source/Core/Gateway/GatewaySession.h
@@ -14,6 +14,7 @@
 #include "Gateway/GatewayMetrics.h"
 #include "Gateway/GatewaySettings.h"
 #include "Gateway/RouteTable.h"
+#include "Gateway/SegmentCrashHistory.h"
 #include "Gateway/UnansweredRequests.h"
 #include "Gateway/UpstreamPool.h"
 
@@ -28,6 +29,7 @@
   token_allowance& mTokenAllowance;
   retry_window& mRetries;
   crash_history& mCrashes;
+  segment_crash_history& mSegmentCrashes;
   unanswered_requests& mUnanswered;
   fleet_view& mFleet;
   gateway_metrics& mMetrics;
@@ -44,9 +46,9 @@
   std::size_t mBodyBytes = 0;
   std::size_t mMaxBodyBytes = 0;
   /// Reports to the other nodes that a server broke while it ran a request.
-  std::function<void(const crash_report& aReport)> mReportCrash;
+  std::function<void(const observed_crash& aCrash)> mReportCrash;
   /// Reports that a server answered the request completely.
-  std::function<void(const content_id& aRequest)> mReportServed;
+  std::function<void(const request_fingerprint& aRequest)> mReportServed;
   /// Connections that were dropped inside one of their own events and must be
   /// destroyed later.
   std::vector<std::unique_ptr<http_client_connection>> mDiscardedConnections{};
@@ -162,8 +164,8 @@
   const gateway_route* mRoute = nullptr;
   const gateway_account* mAccount = nullptr;
   service_id mService;
-  /// Identity of account, target and body in the crash history.
-  content_id mContent;
+  /// Identity in the crash histories.
+  request_fingerprint mFingerprint;
   stage mStage = stage::NeedTokens;
   int mPriority = 0;
   time_point mArrived;
--- a/Source/Core/Gateway/GatewaySessionResponse.cpp
+++ b/Source/Core/Gateway/GatewaySessionResponse.cpp
@@ -192,10 +192,14 @@
   }
   RecordFirstByte();
   if (mFraming != body_framing::UntilClose) {
-    mContext.mReportServed(mContent);
+    // A failure may come from a server that has not begun to answer.
+    if (!serverError) {
+      mContext.mReportServed(mFingerprint);
+    }
   } else {
-    // The end of a server looks like the end of a response without length.
-    mContext.mReportCrash({ mContent, mServerRun, now });
+    // The end of a server looks like the end of a response without length. Most
+    // are responses, so the segments of the prompt are not suspected.
+    mContext.mReportCrash({ { mFingerprint.mContent, {} }, mServerRun, now });
   }
   ReleaseUpstream(aReusable);
   if (serverError && !mResponseStarted && MayRetry("server_error")) {
--- a/Source/Core/Gateway/GatewaySessionUpstream.cpp
+++ b/Source/Core/Gateway/GatewaySessionUpstream.cpp
@@ -78,19 +78,20 @@
   mEventStream = false;
   mBuffered.clear();
   ++mAttempts;
-  const std::size_t crashes = mContext.mCrashes.CrashCount(mContent, aNow);
+  const std::size_t crashes =
+    mContext.mCrashes.CrashCount(mFingerprint.mContent, aNow);
   if (crashes > 0) {
     Log(log_level::Info,
         "suspect_request_sent",
         { Field("id", mRequest.mId),
-          Field("fingerprint", FormatWide(mContent)),
+          Field("fingerprint", FormatWide(mFingerprint.mContent)),
           Field("server", mPlacement.mUpstream.mName),
           Field("known_crashes", crashes) });
   }
   LogLimitedSend(aNow);
   const placement_query query = Query();
   mContext.mUpstreamRegistry.BeginRequest(aPlacement, query, aNow);
-  mUnansweredTicket = mContext.mUnanswered.Add(mContent, mServerRun, aNow);
+  mUnansweredTicket = mContext.mUnanswered.Add(mFingerprint, mServerRun, aNow);
   upstream_send send;
   send.mUpstream = aPlacement.mUpstream;
   if (mAccount != nullptr) {
@@ -221,7 +222,7 @@
   const bool counted = aFailure != exchange_failure::Malformed;
   LogBreak(ExchangeFailureName(aFailure), reused, counted);
   if (counted) {
-    mContext.mReportCrash({ mContent, mServerRun, now });
+    mContext.mReportCrash({ mFingerprint, mServerRun, now });
   }
   if (MayRetry("server_failed")) {
     Retry();
@@ -242,7 +243,7 @@
   Log(log_level::Info,
       "server_broke",
       { Field("id", mRequest.mId),
-        Field("fingerprint", FormatWide(mContent)),
+        Field("fingerprint", FormatWide(mFingerprint.mContent)),
         Field("shared_segments", FormatSharedSegments(mRequest.mPrompt)),
         Field("server_run", FormatServerRun(mServerRun)),
         Field("failure", aFailure),
--- a/Source/Core/Gateway/PeerDatagram.cpp
+++ b/Source/Core/Gateway/PeerDatagram.cpp
@@ -170,6 +170,24 @@
     served[i].setRequestLow(response.mRequest.mLow);
     served[i].setAgeMs(ClampToUint32(response.mAge.count()));
   }
+  auto segments =
+    aRoot.initSegments(static_cast<unsigned>(aNotice.mSegments.size()));
+  for (unsigned i = 0; i < segments.size(); ++i) {
+    const auto& crash = aNotice.mSegments[i];
+    segments[i].setSegmentHigh(crash.mSegment.mHigh);
+    segments[i].setSegmentLow(crash.mSegment.mLow);
+    segments[i].setServer(crash.mServer.mUpstream.mName);
+    segments[i].setIncarnation(crash.mServer.mIncarnation);
+    segments[i].setAgeMs(ClampToUint32(crash.mAge.count()));
+  }
+  auto servedSegments = aRoot.initServedSegments(
+    static_cast<unsigned>(aNotice.mServedSegments.size()));
+  for (unsigned i = 0; i < servedSegments.size(); ++i) {
+    const auto& response = aNotice.mServedSegments[i];
+    servedSegments[i].setSegmentHigh(response.mSegment.mHigh);
+    servedSegments[i].setSegmentLow(response.mSegment.mLow);
+    servedSegments[i].setAgeMs(ClampToUint32(response.mAge.count()));
+  }
 }
 
 crash_notice Read(fleet_wire::CrashNotice::Reader aRoot)
@@ -188,6 +206,17 @@
       { { response.getRequestHigh(), response.getRequestLow() },
         milliseconds(response.getAgeMs()) });
   }
+  for (const auto crash : aRoot.getSegments()) {
+    notice.mSegments.push_back(
+      { { crash.getSegmentHigh(), crash.getSegmentLow() },
+        { upstream_id{ ReadText(crash.getServer()) }, crash.getIncarnation() },
+        milliseconds(crash.getAgeMs()) });
+  }
+  for (const auto response : aRoot.getServedSegments()) {
+    notice.mServedSegments.push_back(
+      { { response.getSegmentHigh(), response.getSegmentLow() },
+        milliseconds(response.getAgeMs()) });
+  }
   return notice;
 }
 
--- a/Source/Core/Gateway/UnansweredRequests.cpp
+++ b/Source/Core/Gateway/UnansweredRequests.cpp
@@ -20,9 +20,10 @@
 
 } // namespace
 
-unanswered_requests::ticket unanswered_requests::Add(const content_id& aRequest,
-                                                     const server_run& aServer,
-                                                     time_point aSentAt)
+unanswered_requests::ticket unanswered_requests::Add(
+  const request_fingerprint& aRequest,
+  const server_run& aServer,
+  time_point aSentAt)
 {
   mRequests[++mLastTicket] = { aRequest, aServer, aSentAt, {}, false };
   return mLastTicket;
@@ -44,7 +45,16 @@
 bool unanswered_requests::Contains(const content_id& aRequest) const
 {
   return std::ranges::any_of(mRequests, [&](const auto& aPair) {
-    return aPair.second.mRequest == aRequest;
+    return aPair.second.mRequest.mContent == aRequest;
+  });
+}
+
+bool unanswered_requests::ContainsAny(
+  std::span<const segment_id> aSegments) const
+{
+  return std::ranges::any_of(mRequests, [&](const auto& aPair) {
+    const auto& segments = aPair.second.mRequest.mSegments;
+    return std::ranges::find_first_of(segments, aSegments) != segments.end();
   });
 }
 
@@ -55,21 +65,22 @@
 {
   std::vector<upstream_id> servers;
   for (const auto& [ticket, request] : mRequests) {
-    if (!request.mAbandonedAt && request.mRequest != aExcept &&
-        aHistory.CrashCount(request.mRequest, aNow) > 0) {
+    const content_id& content = request.mRequest.mContent;
+    if (!request.mAbandonedAt && content != aExcept &&
+        aHistory.CrashCount(content, aNow) > 0) {
       servers.push_back(request.mServer.mUpstream);
     }
   }
   return servers;
 }
 
-std::vector<crash_report> unanswered_requests::TakeSilent(
+std::vector<observed_crash> unanswered_requests::TakeSilent(
   const upstream_registry& aServers,
   time_point aStoreContact,
   time_point aNow)
 {
   const bool storeLost = aNow >= aStoreContact + kStoreContactTimeout;
-  std::vector<crash_report> silent;
+  std::vector<observed_crash> silent;
   for (auto next = mRequests.begin(); next != mRequests.end();) {
     open_request& request = next->second;
     const auto signs = aServers.SignsOfLife(request.mServer.mUpstream);
@@ -80,7 +91,8 @@
       silent.push_back({ request.mRequest,
                          request.mServer,
                          LastByteOf(request, *signs),
-                         true });
+                         true,
+                         EndOf(request, *signs) });
       request.mReported = true;
     }
     const bool drop = request.mAbandonedAt && found != state::Undecided;
@@ -97,6 +109,14 @@
                  : aRequest.mSentAt;
 }
 
+time_point unanswered_requests::EndOf(const open_request& aRequest,
+                                      const signs_of_life& aSigns)
+{
+  const bool sameRun = aSigns.mIncarnation == aRequest.mServer.mIncarnation;
+  return sameRun && aSigns.mLastByte != time_point() ? aSigns.mLastByte
+                                                     : aRequest.mSentAt;
+}
+
 unanswered_requests::state unanswered_requests::StateOf(
   const open_request& aRequest,
   const std::optional<signs_of_life>& aSigns,
--- a/Source/Core/Gateway/UnansweredRequests.h
+++ b/Source/Core/Gateway/UnansweredRequests.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <span>
 #include <vector>
 
 #include "Gateway/CrashHistory.h"
@@ -17,7 +18,7 @@
 public:
   using ticket = std::uint64_t;
 
-  ticket Add(const content_id& aRequest,
+  ticket Add(const request_fingerprint& aRequest,
              const server_run& aServer,
              time_point aSentAt);
   /// The server's response is complete, or its connection broke.
@@ -28,6 +29,8 @@
 
   /// Whether a copy of the request has no known outcome.
   bool Contains(const content_id& aRequest) const;
+  /// Whether a request with one of the segments has no known outcome.
+  bool ContainsAny(std::span<const segment_id> aSegments) const;
   /// Servers that have an open request with a crash report, except this one. A
   /// request with reports is kept away from them, so that further crashes tell
   /// the requests apart.
@@ -38,14 +41,14 @@
   /// Returns each request once whose server has fallen silent.
   /// `aStoreContact` is the last contact to the store; without it, entries tell
   /// nothing about servers.
-  std::vector<crash_report> TakeSilent(const upstream_registry& aServers,
-                                       time_point aStoreContact,
-                                       time_point aNow);
+  std::vector<observed_crash> TakeSilent(const upstream_registry& aServers,
+                                         time_point aStoreContact,
+                                         time_point aNow);
 
 private:
   struct open_request
   {
-    content_id mRequest;
+    request_fingerprint mRequest;
     server_run mServer;
     time_point mSentAt;
     /// Set once the node has stopped to wait.
@@ -70,6 +73,11 @@
   static time_point LastByteOf(const open_request& aRequest,
                                const signs_of_life& aSigns);
 
+  /// Last byte of the request's server run, also before the request was sent;
+  /// the time of sending if there was none.
+  static time_point EndOf(const open_request& aRequest,
+                          const signs_of_life& aSigns);
+
   ticket mLastTicket = 0;
   std::map<ticket, open_request> mRequests;
 };
--- a/Source/UnitTests/Gateway/CrashExchangeTest.cpp
+++ b/Source/UnitTests/Gateway/CrashExchangeTest.cpp
@@ -43,7 +43,9 @@
   fake_row_store mStore;
   gateway_metrics mMetrics;
   crash_history mHistory;
-  crash_exchange mExchange{ mHistory, mMetrics, mStore, mTime, "run-1" };
+  segment_crash_history mSegments{ mHistory.Liveness() };
+  crash_exchange mExchange{ mHistory, mSegments, mMetrics,
+                            mStore,   mTime,     "run-1" };
 };
 
 } // namespace
@@ -53,7 +55,7 @@
 TEST_F(crash_exchange_test, WritesTheRowsOfAllBrokenRequests)
 {
   for (std::uint64_t i = 0; i < 250; ++i) {
-    mExchange.Report({ Request(i), ServerRun("i-1"), mTime.Now() });
+    mExchange.Report({ { Request(i), {} }, ServerRun("i-1"), mTime.Now() });
   }
   Run(seconds(3));
   for (std::uint64_t i = 0; i < 250; ++i) {
@@ -66,7 +68,7 @@
 TEST_F(crash_exchange_test, WritesRowsOnceTheStoreReturns)
 {
   mStore.mFault = fake_row_store::fault::Refuse;
-  mExchange.Report({ Request(1), ServerRun("i-1"), mTime.Now() });
+  mExchange.Report({ { Request(1), {} }, ServerRun("i-1"), mTime.Now() });
   Run(seconds(10));
   EXPECT_FALSE(IsStored(Request(1), "i-1"));
   mStore.mFault = fake_row_store::fault::None;
@@ -77,7 +79,7 @@
 // Guards against a table of the store that grows with every broken request.
 TEST_F(crash_exchange_test, RemovesRowsOfDroppedReports)
 {
-  mExchange.Report({ Request(1), ServerRun("i-1"), mTime.Now() });
+  mExchange.Report({ { Request(1), {} }, ServerRun("i-1"), mTime.Now() });
   Run(seconds(1));
   ASSERT_TRUE(IsStored(Request(1), "i-1"));
   mHistory.OnServed(Request(1), mTime.Now());
@@ -91,9 +93,10 @@
 {
   gateway_metrics metrics;
   crash_history history;
-  crash_exchange other(history, metrics, mStore, mTime, "run-2");
+  segment_crash_history segments{ history.Liveness() };
+  crash_exchange other(history, segments, metrics, mStore, mTime, "run-2");
   for (const char* upstream : { "i-1", "i-2", "i-3" }) {
-    mExchange.Report({ Request(1), ServerRun(upstream), mTime.Now() });
+    mExchange.Report({ { Request(1), {} }, ServerRun(upstream), mTime.Now() });
   }
   for (const crash_notice& notice : mExchange.TakeNews(mTime.Now())) {
     other.OnNotice(notice, mTime.Now());
@@ -104,7 +107,8 @@
   // A node that starts later hears of it from any node that knows.
   mTime.Advance(seconds(60));
   crash_history later;
-  crash_exchange started(later, metrics, mStore, mTime, "run-3");
+  segment_crash_history laterSegments{ later.Liveness() };
+  crash_exchange started(later, laterSegments, metrics, mStore, mTime, "run-3");
   for (const crash_notice& notice : other.ComposeNotices(mTime.Now())) {
     started.OnNotice(notice, mTime.Now());
   }
@@ -115,15 +119,16 @@
 TEST_F(crash_exchange_test, ServedRequestsAreReportedToOtherNodes)
 {
   crash_history history;
-  crash_exchange other(history, mMetrics, mStore, mTime, "run-2");
-  mExchange.OnServed(Request(2));
+  segment_crash_history segments{ history.Liveness() };
+  crash_exchange other(history, segments, mMetrics, mStore, mTime, "run-2");
+  mExchange.OnServed({ Request(2), {} });
   EXPECT_TRUE(mExchange.TakeNews(mTime.Now()).empty());
   for (const char* upstream : { "i-1", "i-2", "i-3" }) {
-    mExchange.Report({ Request(1), ServerRun(upstream), mTime.Now() });
-    other.Report({ Request(1), ServerRun(upstream), mTime.Now() });
+    mExchange.Report({ { Request(1), {} }, ServerRun(upstream), mTime.Now() });
+    other.Report({ { Request(1), {} }, ServerRun(upstream), mTime.Now() });
   }
   mTime.Advance(seconds(1));
-  mExchange.OnServed(Request(1));
+  mExchange.OnServed({ Request(1), {} });
   for (const crash_notice& notice : mExchange.TakeNews(mTime.Now())) {
     other.OnNotice(notice, mTime.Now());
   }
@@ -135,7 +140,7 @@
 TEST_F(crash_exchange_test, NoticesFitDatagrams)
 {
   for (std::uint64_t i = 0; i < 100; ++i) {
-    mExchange.Report({ Request(i * 0x123456789abcdefULL),
+    mExchange.Report({ { Request(i * 0x123456789abcdefULL), {} },
                        ServerRun("i-0123456789"),
                        mTime.Now() });
   }
@@ -150,10 +155,172 @@
 // Guards against damaged rows and rows of other writers.
 TEST_F(crash_exchange_test, IgnoresUnusableRows)
 {
-  mExchange.ApplyRow("crash/");
-  mExchange.ApplyRow("crash/xyz/i-1.1");
-  mExchange.ApplyRow("crash/" + FormatWide(Request(1)) + "/i-1");
+  mExchange.ApplyRow("crash/", {});
+  mExchange.ApplyRow("crash/xyz/i-1.1", {});
+  mExchange.ApplyRow("crash/" + FormatWide(Request(1)) + "/i-1", {});
   EXPECT_EQ(mHistory.CrashCount(Request(1), mTime.Now()), 0U);
-  mExchange.ApplyRow("crash/" + FormatWide(Request(1)) + "/i-1.1");
+  mExchange.ApplyRow("crash/" + FormatWide(Request(1)) + "/i-1.1", {});
   EXPECT_EQ(mHistory.CrashCount(Request(1), mTime.Now()), 1U);
 }
+
+namespace {
+
+/// A node of a fleet that shares one store.
+struct exchange_node
+{
+  exchange_node(fake_row_store& aStore, const time_source& aTime)
+    : mExchange(mHistory, mSegments, mMetrics, aStore, aTime, "run")
+  {
+  }
+
+  gateway_metrics mMetrics;
+  crash_history mHistory;
+  segment_crash_history mSegments{ mHistory.Liveness() };
+  crash_exchange mExchange;
+};
+
+class segment_exchange_test : public testing::Test
+{
+protected:
+  static constexpr segment_id kSegment{ 3, 4 };
+
+  segment_verdict Judge(const exchange_node& aNode) const
+  {
+    return aNode.mSegments.Judge(std::span(&kSegment, 1), mTime.Now());
+  }
+
+  /// Servers end one after the other under requests that share the segment.
+  void EndServers(exchange_node& aNode, std::uint64_t aFrom, std::uint64_t aTo)
+  {
+    for (std::uint64_t i = aFrom; i < aTo; ++i) {
+      aNode.mExchange.Report({ { { 7, i }, { kSegment } },
+                               { upstream_id{ "i-" + std::to_string(i) }, 1 },
+                               mTime.Now() });
+      Run(aNode, milliseconds(500));
+    }
+  }
+
+  void Run(exchange_node& aNode, milliseconds aDuration)
+  {
+    constexpr milliseconds kTick(250);
+    for (milliseconds passed(0); passed < aDuration; passed += kTick) {
+      mTime.Advance(kTick);
+      mStore.mTime += kTick;
+      aNode.mExchange.OnMaintenanceTick(mTime.Now());
+      mStore.DeliverReplies();
+    }
+  }
+
+  std::optional<std::string> Row() const
+  {
+    return mStore.Value({ fleet_rows::kFleetTableName, "", Key() });
+  }
+
+  static std::string Key() { return "crash-segment/" + FormatWide(kSegment); }
+
+  /// Sends notices through the encoding of datagrams.
+  void Deliver(const std::vector<crash_notice>& aNotices, exchange_node& aTo)
+  {
+    for (const crash_notice& notice : aNotices) {
+      const auto datagram = ParsePeerDatagram(WritePeerDatagram(notice));
+      aTo.mExchange.OnNotice(std::get<crash_notice>(*datagram), mTime.Now());
+    }
+  }
+
+  manual_time_source mTime;
+  fake_row_store mStore;
+  exchange_node mNode{ mStore, mTime };
+  exchange_node mOther{ mStore, mTime };
+};
+
+} // namespace
+
+// Guards against nodes that each let a crashing segment end four servers.
+TEST_F(segment_exchange_test, NodesCountCrashesTogether)
+{
+  EndServers(mNode, 0, 2);
+  EndServers(mOther, 2, 4);
+  Deliver(mNode.mExchange.TakeNews(mTime.Now()), mOther);
+  Deliver(mOther.mExchange.TakeNews(mTime.Now()), mNode);
+  EXPECT_EQ(Judge(mNode), segment_verdict::Refuse);
+  EXPECT_EQ(Judge(mOther), segment_verdict::Refuse);
+  EXPECT_TRUE(mNode.mExchange.TakeNews(mTime.Now()).empty());
+}
+
+// Guards against a node that started or was cut off and never learns of a
+// crashing segment.
+TEST_F(segment_exchange_test, RepeatsCrashesForNodesThatMissedTheNews)
+{
+  EndServers(mNode, 0, 4);
+  mNode.mExchange.TakeNews(mTime.Now());
+  mTime.Advance(seconds(30));
+  Deliver(mNode.mExchange.ComposeNotices(mTime.Now()), mOther);
+  EXPECT_EQ(Judge(mOther), segment_verdict::Refuse);
+}
+
+// Guards against nodes that refuse a sound segment because they missed the
+// response that refutes its crashes.
+TEST_F(segment_exchange_test, ResponsesElsewhereRefuteCrashes)
+{
+  EndServers(mNode, 0, 4);
+  ASSERT_EQ(Judge(mNode), segment_verdict::Refuse);
+  mOther.mExchange.OnServed({ { 9, 9 }, { kSegment } });
+  mOther.mExchange.TakeNews(mTime.Now());
+  mTime.Advance(seconds(30));
+  Deliver(mNode.mExchange.ComposeNotices(mTime.Now()), mOther);
+  EXPECT_EQ(Judge(mOther), segment_verdict::Send);
+  Deliver(mOther.mExchange.ComposeNotices(mTime.Now()), mNode);
+  EXPECT_EQ(Judge(mNode), segment_verdict::Send);
+}
+
+// Guards against a crashing segment that is forgotten when all nodes are killed
+// at once, and against crashes that seem to have happened when they are read.
+TEST_F(segment_exchange_test, CrashesOutliveAllNodes)
+{
+  EndServers(mNode, 0, 4);
+  ASSERT_TRUE(Row());
+  mOther.mExchange.ApplyRow(Key(), *Row());
+  EXPECT_EQ(Judge(mOther), segment_verdict::Refuse);
+  // Rows of the past are no news; a node removes what another left behind.
+  exchange_node late{ mStore, mTime };
+  mTime.Advance(seconds(601));
+  mStore.mTime += seconds(601);
+  late.mExchange.ApplyRow(Key(), *Row());
+  EXPECT_EQ(Judge(late), segment_verdict::Send);
+  Run(late, seconds(2));
+  EXPECT_FALSE(Row());
+}
+
+// Guards against rows that are gone because the store came back from an older
+// copy.
+TEST_F(segment_exchange_test, WritesRowsAgainThatTheStoreLost)
+{
+  EndServers(mNode, 0, 4);
+  ASSERT_TRUE(Row());
+  mStore.Remove({ fleet_rows::kFleetTableName, "", Key() });
+  ++mStore.mEra;
+  Run(mNode, seconds(2));
+  EXPECT_TRUE(Row());
+}
+
+// Guards against a table of the store that keeps segments that proved sound.
+TEST_F(segment_exchange_test, ResponsesRemoveTheRow)
+{
+  EndServers(mNode, 0, 4);
+  Deliver(mNode.mExchange.TakeNews(mTime.Now()), mOther);
+  ASSERT_TRUE(Row());
+  // The node that wrote the row has ended; another one serves the segment.
+  mOther.mExchange.OnServed({ { 9, 9 }, { kSegment } });
+  Run(mOther, seconds(2));
+  EXPECT_FALSE(Row());
+}
+
+// Guards against rows that another program wrote.
+TEST_F(segment_exchange_test, SkipsUnreadableRows)
+{
+  for (const char* value : { "", "x", "i-1.1@", "@5", "i-1@5\n", "\n\n@@" }) {
+    mNode.mExchange.ApplyRow(Key(), value);
+  }
+  mNode.mExchange.ApplyRow("crash-segment/xyz", "i-1.1@5\n");
+  EXPECT_EQ(mNode.mSegments.CrashCount(kSegment, mTime.Now()), 0U);
+}
--- a/Source/UnitTests/Gateway/UnansweredRequestsTest.cpp
+++ b/Source/UnitTests/Gateway/UnansweredRequestsTest.cpp
@@ -8,7 +8,7 @@
 using std::chrono::seconds;
 
 const time_point kSent{ seconds(1000) };
-constexpr content_id kRequest{ 1, 2 };
+const request_fingerprint kRequest{ { 1, 2 }, {} };
 
 class unanswered_requests_test : public testing::Test
 {
