--- a/Scripts/fault_soak/__main__.py
+++ b/Scripts/fault_soak/__main__.py
@@ -138,8 +138,11 @@
             self.history, caller_pool, self.nodes, self.store, crashing_random
         )
         chosen = crashing.choose(crashing_random, self.options.crashing)
+        segments = crashing.choose_segments(
+            random.Random(self.options.seed + 4), self.options.segments
+        )
         crash_task = asyncio.create_task(
-            crashing_callers.run(chosen, self.options.seconds)
+            crashing_callers.run(chosen, segments, self.options.seconds)
         )
         server_limits = limits.ServerLimits(
             self.servers, random.Random(self.options.seed + 3)
@@ -231,11 +234,15 @@
     finally:
         await soak.kill()
     found = find_violations(soak.history, faults_ended_at)
-    for c in soak.history.crashing.values():
+    crashing_causes = [
+        *soak.history.crashing.values(),
+        *soak.history.crashing_segments.values(),
+    ]
+    for c in crashing_causes:
         copies = [r for r in soak.history.requests.values() if r.crashing == c.name]
         ended = sum(1 for name, _, _ in soak.history.crashes if name == c.name)
         print(
-            f"seed {options.seed}: {c.name}, {c.kind}, {c.end}, {c.phase}: "
+            f"seed {options.seed}: {c.name}, {c.end}, {c.phase}: "
             f"{len(copies)} requests, {ended} servers ended"
         )
     requests = soak.history.requests.values()
@@ -267,6 +274,9 @@
     parser.add_argument(
         "--crashing", type=int, default=2, help="number of crashing requests"
     )
+    parser.add_argument(
+        "--segments", type=int, default=1, help="number of crashing prompt segments"
+    )
     parser.add_argument(
         "--limits", type=int, default=3, help="number of rate limits of servers"
     )
--- a/Scripts/fault_soak/callers.py
+++ b/Scripts/fault_soak/callers.py
@@ -131,6 +131,8 @@
             time_limit=limit,
         )
         request.url = f"http://{node.address}:{node.ports['clients']}{request.path}"
+        if streaming:
+            request.segments = (f"{self.random.randrange(6):x}",)
         self.history.requests[request.id] = request
         return request
 
@@ -147,10 +149,11 @@
             headers["Lentilswitch-Token-Counts"] = (
                 f"{request.prompt_tokens},{request.output_tokens}"
             )
-            shared = request.prompt_tokens // 2
-            headers["Lentilswitch-Prompt-Prefix"] = (
-                f"{self.random.randrange(6):x}:{shared},"
-                f"{request.id}:{request.prompt_tokens - shared}"
+            share = request.prompt_tokens // (len(request.segments) + 1)
+            own = request.prompt_tokens - share * len(request.segments)
+            headers["Lentilswitch-Prompt-Prefix"] = ",".join(
+                [f"{name}:{share}" for name in request.segments]
+                + [f"{request.id}:{own}"]
             )
         # A paused node does not answer, so callers give up 3 s after the time limit.
         timeout = disconnect_after or request.time_limit + 3
--- a/Scripts/fault_soak/crashing.py
+++ b/Scripts/fault_soak/crashing.py
@@ -1,4 +1,5 @@
-"""Requests that end every server that runs them, and callers that repeat them."""
+"""Requests and prompt segments that end every server that runs them, and callers
+that send them."""
 
 import asyncio
 import dataclasses
@@ -31,6 +32,32 @@
     phase: str
 
 
+@dataclasses.dataclass
+class CrashingSegment:
+    """A prompt segment, and how servers end that run a request with it.
+
+    `end` and `phase` are as for `CrashingRequest`.
+    """
+
+    name: str
+    segment: str
+    end: str
+    phase: str
+
+
+def choose_segments(random, count):
+    """Returns `count` different segments; servers end at random in each way."""
+    return [
+        CrashingSegment(
+            name=f"s-{number}",
+            segment=f"bad{number:x}",
+            end=random.choice(["reset", "silence"]),
+            phase=random.choice(["before", "after"]),
+        )
+        for number in range(count)
+    ]
+
+
 def choose(random, count):
     """Returns `count` different requests chosen by `random`."""
     chosen = []
@@ -62,12 +89,15 @@
         self.store = store
         self.random = random
 
-    async def run(self, requests, seconds):
-        """Sends the requests for `seconds`, under a random state of the store."""
+    async def run(self, requests, segments, seconds):
+        """Sends the requests and segments for `seconds`, under a random state of
+        the store."""
         self.history.crashing = {(c.tenant, c.path, c.payload): c for c in requests}
+        self.history.crashing_segments = {c.segment: c for c in segments}
         await asyncio.gather(
             self._disturb_store(min(seconds, STORE_FAULT_TIME)),
             *(self._repeat(crashing, seconds) for crashing in requests),
+            *(self._vary(crashing, seconds) for crashing in segments),
         )
 
     async def _disturb_store(self, seconds):
@@ -117,3 +147,30 @@
         if tenant == crashing.tenant and payload is None:
             request.crashing = crashing.name
         await self.callers.send(self.callers.sessions[index], request)
+
+    async def _vary(self, crashing, seconds):
+        """Sends different requests whose prompts share the segment, and sound
+        ones that share their account and first segment."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + seconds
+        sends = []
+        while loop.time() < end:
+            await asyncio.sleep(self.random.uniform(*REPEAT_INTERVAL))
+            sends.append(asyncio.create_task(self._send_prompt(crashing)))
+            if self.random.random() < 0.5:
+                sends.append(asyncio.create_task(self._send_prompt(None)))
+        await asyncio.gather(*sends)
+
+    async def _send_prompt(self, crashing):
+        index, node = await self.callers.pick_node()
+        if node is None:
+            return
+        kind, service, path, limit, _ = callers.KINDS[0]
+        request = self.callers.create_request(kind, service, path, limit, "large", node)
+        request.payload = request.id.encode()
+        if crashing is None:
+            request.segments = ("first",)
+        else:
+            request.segments = ("first", crashing.segment)
+            request.crashing = crashing.name
+        await self.callers.send(self.callers.sessions[index], request)
--- a/Scripts/fault_soak/history.py
+++ b/Scripts/fault_soak/history.py
@@ -39,8 +39,11 @@
     # Sent by the operator to see whether a route is configured.
     is_probe: bool = False
     payload: bytes = b"{}"
-    # Name of the `CrashingRequest` that this is a copy of; empty for others.
+    # Name of the `CrashingRequest` that this is a copy of, or of the
+    # `CrashingSegment` in its prompt; empty for others.
     crashing: str = ""
+    # Segments that the prompt shares with other requests, in order.
+    segments: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass
@@ -108,7 +111,9 @@
         self.probes = []
         # (tenant, path, payload) -> CrashingRequest
         self.crashing = {}
-        # (name of the crashing request, server that ended, time)
+        # segment -> CrashingSegment
+        self.crashing_segments = {}
+        # (name of the crashing request or segment, server that ended, time)
         self.crashes = []
         self.rate_limits = []
         # (server, request, time) of each response that named a limit
--- a/Scripts/fault_soak/promises.py
+++ b/Scripts/fault_soak/promises.py
@@ -25,6 +25,8 @@
 MAX_CRASHES = 3
 MAX_LATE_SENDS = 3
 CRASH_NOTICE_TIME = 3.0
+# The same for requests whose prompts share a segment.
+MAX_SEGMENT_CRASHES = 5
 # Faults of a node that excuse it from CRASH_NOTICE_TIME; faults of the store and
 # of connections do not.
 NODE_FAULTS = ("kill", "kill_all", "stop", "pause", "observer")
@@ -32,8 +34,9 @@
 UNPLANNED_NODE_FAULTS = ("kill", "kill_all", "pause", "observer")
 # Faults of a server that end its responses early.
 SERVER_FAULTS = ("crash", "leave", "connections", "torn", "observer")
-# Reason in the response to a request that is refused because servers end under it.
-CRASHING_REASON = b"request_crashes_servers"
+# Reasons in the response to a request that is refused because servers end under it,
+# or under others with a segment of its prompt.
+CRASHING_REASONS = (b"request_crashes_servers", b"prompt_crashes_servers")
 # Seconds for which a node may still use an older configuration after it was seen
 # to use a newer one.
 ROLLBACK_TOLERANCE = 0.25
@@ -281,7 +284,9 @@
 
 
 def crashing_requests_are_stopped(history):
-    """A request under which three servers ended is not sent on and on."""
+    """A request under which three servers ended is not sent on and on, nor are
+    requests whose prompts share a segment under which five ended."""
+    names = {c.name for c in history.crashing_segments.values()}
     crash_times = collections.defaultdict(list)
     for name, _, at in sorted(history.crashes, key=lambda crash: crash[2]):
         crash_times[name].append(at)
@@ -289,8 +294,11 @@
     for arrival in history.arrivals:
         request = history.requests.get(arrival.id)
         times = crash_times[request.crashing] if request else []
-        if len(times) < MAX_CRASHES or arrival.at < (
-            times[MAX_CRASHES - 1] + CRASH_NOTICE_TIME + OBSERVER_DELAY
+        if not request:
+            continue
+        limit = MAX_SEGMENT_CRASHES if request.crashing in names else MAX_CRASHES
+        if len(times) < limit or arrival.at < (
+            times[limit - 1] + CRASH_NOTICE_TIME + OBSERVER_DELAY
         ):
             continue
         if history.is_fault_free(
@@ -303,7 +311,7 @@
     for name, count in late_sends.items():
         if count > MAX_LATE_SENDS:
             yield (
-                f"{name} was sent {count} times after {MAX_CRASHES} servers ended, "
+                f"{name} was sent {count} times after too many servers ended, "
                 f"{len(crash_times[name])} ended in all"
             )
 
@@ -374,5 +382,7 @@
 def harmless_requests_are_not_taken_for_crashing(history):
     """Only copies of a crashing request are refused because servers end."""
     for request in history.requests.values():
-        if not request.crashing and CRASHING_REASON in request.body:
+        if not request.crashing and any(
+            reason in request.body for reason in CRASHING_REASONS
+        ):
             yield f"{request.id} for {request.path} was refused as crashing"
--- a/Scripts/fault_soak/promises_test.py
+++ b/Scripts/fault_soak/promises_test.py
@@ -3,6 +3,7 @@
 import unittest
 
 import promises
+from crashing import CrashingSegment
 from history import Arrival, Fault, History, RateLimit, Request, Run
 
 # Time at which the default request is sent, in seconds.
@@ -177,6 +178,20 @@
         recorded.crashes.pop()
         self.assert_valid(check(recorded))
 
+    def test_segment_that_is_sent_after_five_servers_ended(self):
+        check = promises.crashing_requests_are_stopped
+        recorded = history([request(crashing="s-0")])
+        recorded.crashing_segments = {
+            "bad": CrashingSegment("s-0", "bad", "reset", "after")
+        }
+        recorded.crashes = [("s-0", f"e-{i}", SENT + i) for i in range(5)]
+        recorded.arrivals = [Arrival("r1", "engines", "e-0", SENT + 8)] * 3
+        self.assert_valid(check(recorded))
+        recorded.arrivals = [Arrival("r1", "engines", "e-0", SENT + 8)] * 4
+        self.assert_violation(check(recorded))
+        recorded.crashes.pop()
+        self.assert_valid(check(recorded))
+
     def test_request_that_is_cut_off_by_a_planned_stop(self):
         check = promises.requests_are_not_cut_off
         cut = request(status=0, complete=False, cut_off=True)
@@ -227,7 +242,10 @@
         refusal = b'{"error":"request_crashes_servers"}'
         copy = request(crashing="c-0", status=503, body=refusal)
         self.assert_valid(check(history([copy])))
-        self.assert_violation(check(history([request(status=503, body=refusal)])))
+        for reason in promises.CRASHING_REASONS:
+            refusal = b'{"error":"%s"}' % reason
+            refused = request(status=503, body=refusal)
+            self.assert_violation(check(history([refused])))
 
     def test_node_that_exits_unasked_or_with_an_error(self):
         recorded = History()
--- a/Scripts/fault_soak/servers.py
+++ b/Scripts/fault_soak/servers.py
@@ -160,7 +160,9 @@
         if self.running >= self.slots:
             return self._refusal(request, 503)
         tenant = request.headers.get("Lentilswitch-Tenant", "")
-        crashing_request = self.history.crashing.get((tenant, request.path, payload))
+        crashing_request = self.history.crashing.get(
+            (tenant, request.path, payload)
+        ) or self._crashing_segment(request)
         if crashing_request and self.busy:
             return self._refusal(request, 503)
         self.run_count += 1
@@ -189,6 +191,15 @@
             self.running -= 1
             run.ended_at = now()
 
+    def _crashing_segment(self, request):
+        """The crashing segment that the request's prompt shares, or None."""
+        prompt = request.headers.get("Lentilswitch-Prompt-Prefix", "").split(",")
+        for entry in prompt[:-1]:
+            found = self.history.crashing_segments.get(entry.split(":")[0])
+            if found:
+                return found
+        return None
+
     def _headers(self, run):
         return {
             "Lentilswitch-Request-Id": run.id,
