Excuse requests that broke with a segment of other prompts

Cause: servers that a segment crashes end under their other requests, too, and these counted as crashes of requests that come again. Ends under a segment with many crashes no longer count against requests that lack it.

--- a/Source/Core/Gateway/CrashHistory.cpp
+++ b/Source/Core/Gateway/CrashHistory.cpp
@@ -119,14 +119,16 @@
   }
 }
 
-std::size_t crash_history::CrashCount(const content_id& aRequest,
-                                      time_point aNow) const
+std::size_t crash_history::CrashCount(
+  const content_id& aRequest,
+  time_point aNow,
+  const server_run_filter& aHasOtherCause) const
 {
   const auto found = mRecords.find(aRequest);
   if (found == mRecords.end() || aNow >= ExpiryOf(found->second)) {
     return 0;
   }
-  const std::size_t reports = ReportCount(aRequest);
+  std::size_t reports = ReportCount(aRequest);
   // Fewer reports decide nothing, and most requests have one.
   if (reports < kMaxCrashes) {
     return reports;
@@ -134,7 +136,14 @@
   std::map<content_id, std::size_t> precededBy;
   std::size_t mostPreceded = 0;
   for (const auto& [run, observed] : found->second) {
-    if (!observed.mSilent || !IsValid(aRequest, run, observed.mAt)) {
+    if (!IsValid(aRequest, run, observed.mAt)) {
+      continue;
+    }
+    if (aHasOtherCause && aHasOtherCause(run)) {
+      --reports;
+      continue;
+    }
+    if (!observed.mSilent) {
       continue;
     }
     for (const content_id& other : mRequestsByServer.at(run)) {
@@ -148,9 +157,11 @@
   return reports - mostPreceded;
 }
 
-bool crash_history::Blocked(const content_id& aRequest, time_point aNow) const
+bool crash_history::Blocked(const content_id& aRequest,
+                            time_point aNow,
+                            const server_run_filter& aHasOtherCause) const
 {
-  return CrashCount(aRequest, aNow) >= kMaxCrashes;
+  return CrashCount(aRequest, aNow, aHasOtherCause) >= kMaxCrashes;
 }
 
 bool crash_history::IsLastAttempt(const content_id& aRequest,
--- a/Source/Core/Gateway/GatewaySession.cpp
+++ b/Source/Core/Gateway/GatewaySession.cpp
@@ -182,12 +182,15 @@
 
 bool gateway_session::EndIfSuspect(time_point aNow)
 {
-  const content_id& content = mFingerprint.mContent;
-  if (mContext.mCrashes.Blocked(content, aNow)) {
+  const auto& [content, segments] = mFingerprint;
+  const auto endedUnderOtherSegment = [&](const server_run& aRun) {
+    return mContext.mSegmentCrashes.AccountsFor(
+      aRun, mFingerprint.mSegments, aNow);
+  };
+  if (mContext.mCrashes.Blocked(content, aNow, endedUnderOtherSegment)) {
     EndUnsent("request_crashes_servers", kBlockedRetryDelay);
     return true;
   }
-  const std::vector<segment_id>& segments = mFingerprint.mSegments;
   const segment_verdict verdict =
     mContext.mSegmentCrashes.Judge(segments, aNow);
   if (verdict == segment_verdict::Refuse) {
--- a/Source/Core/Gateway/SegmentCrashHistory.cpp
+++ b/Source/Core/Gateway/SegmentCrashHistory.cpp
@@ -108,23 +108,25 @@
   return aNow >= last + (several ? kBlockTime : kCrashTimeToLive);
 }
 
-std::size_t segment_crash_history::CountMoments(const segment_id& aSegment,
-                                                const server_runs& aRuns,
-                                                const segment_id* aOther) const
+bool segment_crash_history::EndedUnder(const segment_id& aSegment,
+                                       const server_run& aRun) const
+{
+  const server_runs& runs = mCrashes.at(aSegment);
+  const auto found = runs.find(aRun);
+  return found != runs.end() && IsValid(aSegment, aRun, found->second);
+}
+
+std::size_t segment_crash_history::CountMoments(
+  const segment_id& aSegment,
+  const server_runs& aRuns,
+  const server_run_filter& aHasOtherCause) const
 {
   std::vector<time_point> ends;
   for (const auto& [run, at] : aRuns) {
-    if (!IsValid(aSegment, run, at)) {
-      continue;
+    if (IsValid(aSegment, run, at) &&
+        !(aHasOtherCause && aHasOtherCause(run))) {
+      ends.push_back(at);
     }
-    if (aOther != nullptr) {
-      const server_runs& others = mCrashes.at(*aOther);
-      const auto other = others.find(run);
-      if (other != others.end() && IsValid(*aOther, run, other->second)) {
-        continue;
-      }
-    }
-    ends.push_back(at);
   }
   std::ranges::sort(ends);
   std::size_t moments = 0;
@@ -163,10 +165,25 @@
   return std::ranges::any_of(others, [&](const segment_id& aOther) {
     return std::ranges::find(aRequest, aOther) == aRequest.end() &&
            CountMoments(aOther, mCrashes.at(aOther)) >= kMaxCrashes &&
-           CountMoments(aSegment, aRuns, &aOther) <= kMaxUnexplained;
+           CountMoments(aSegment, aRuns, [&](const server_run& aRun) {
+             return EndedUnder(aOther, aRun);
+           }) <= kMaxUnexplained;
   });
 }
 
+bool segment_crash_history::AccountsFor(const server_run& aRun,
+                                        std::span<const segment_id> aExcept,
+                                        time_point aNow) const
+{
+  const auto found = mSegmentsByServer.find(aRun);
+  return found != mSegmentsByServer.end() &&
+         std::ranges::any_of(found->second, [&](const segment_id& aSegment) {
+           return std::ranges::find(aExcept, aSegment) == aExcept.end() &&
+                  EndedUnder(aSegment, aRun) &&
+                  CrashCount(aSegment, aNow) >= kMaxCrashes;
+         });
+}
+
 segment_verdict segment_crash_history::Judge(
   std::span<const segment_id> aSegments,
   time_point aNow) const
--- a/Source/Core/Gateway/SegmentCrashHistory.h
+++ b/Source/Core/Gateway/SegmentCrashHistory.h
@@ -68,6 +68,11 @@
   /// `aSegments` are the shared segments of a request's prompt.
   segment_verdict Judge(std::span<const segment_id> aSegments,
                         time_point aNow) const;
+  /// Whether the run ended under a segment with many crashes that is not among
+  /// `aExcept`.
+  bool AccountsFor(const server_run& aRun,
+                   std::span<const segment_id> aExcept,
+                   time_point aNow) const;
 
   /// Crashes of the segment that are not refuted.
   std::vector<segment_crash> Crashes(const segment_id& aSegment) const;
@@ -87,14 +92,16 @@
                const server_run& aServer,
                time_point aObservedAt) const;
   /// Number of moments at which servers ended under the segment, apart from
-  /// ends that `aOther` accounts for.
+  /// runs that `aHasOtherCause` excludes.
   std::size_t CountMoments(const segment_id& aSegment,
                            const server_runs& aRuns,
-                           const segment_id* aOther = nullptr) const;
+                           const server_run_filter& aHasOtherCause = {}) const;
   /// Whether a segment that is not in the request accounts for the crashes.
   bool IsExplained(const segment_id& aSegment,
                    const server_runs& aRuns,
                    std::span<const segment_id> aRequest) const;
+  /// Whether the run ended under the segment, as far as is known.
+  bool EndedUnder(const segment_id& aSegment, const server_run& aRun) const;
   static bool IsExpired(const server_runs& aRuns, time_point aNow);
   void RemoveFromServer(const segment_id& aSegment, const server_run& aServer);
   void DropSingleCrashes();
--- a/Source/UnitTests/Gateway/SegmentCrashHistoryTest.cpp
+++ b/Source/UnitTests/Gateway/SegmentCrashHistoryTest.cpp
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include "Gateway/CrashHistory.h"
 #include "Gateway/SegmentCrashHistory.h"
 
 namespace {
@@ -12,6 +13,7 @@
 constexpr segment_id kCrashing{ 1, 2 };
 constexpr segment_id kDocument{ 1, 3 };
 constexpr segment_id kOther{ 1, 4 };
+constexpr content_id kRequest{ 2, 1 };
 
 server_run ServerRun(std::uint64_t aNumber)
 {
@@ -186,3 +188,27 @@
   EXPECT_EQ(Judge({ kCrashing }), segment_verdict::Send);
   EXPECT_EQ(mHistory.Expire(mTime).size(), 1U);
 }
+
+// Guards against sound requests that are refused because they broke with
+// servers that a segment of other prompts crashed.
+TEST_F(segment_crash_history_test, ExcusesRequestsThatBrokeWithASegment)
+{
+  crash_history requests;
+  for (std::uint64_t i = 1; i <= 4; ++i) {
+    EndServer({ kCrashing });
+    requests.Add({ kRequest, ServerRun(i), mTime }, mTime);
+  }
+  const auto blocked = [&](const std::vector<segment_id>& aSegments) {
+    return requests.Blocked(kRequest, mTime, [&](const server_run& aRun) {
+      return mHistory.AccountsFor(aRun, aSegments, mTime);
+    });
+  };
+  EXPECT_FALSE(blocked({ kSystem }));
+  // The request may crash servers itself if it contains the segment.
+  EXPECT_TRUE(blocked({ kSystem, kCrashing }));
+  // Further ends count.
+  for (std::uint64_t i = 11; i <= 13; ++i) {
+    requests.Add({ kRequest, ServerRun(i), mTime }, mTime);
+  }
+  EXPECT_TRUE(blocked({ kSystem }));
+}
