Read and log the software version of servers

Entries of servers name their version; entries without one, or with another type, name no server to use, like other foreign entries. server_changed and request_done log it, and stream_resumed tells each send that resumes a stream: by the client or within a response, the request that began it as the client names it, and the server.

--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -270,6 +270,7 @@
         "server_changed",
         { Field("server", entry->mId.mName),
           Field("service", entry->mService.mName),
+          Field("software", entry->mSoftware.mName),
           Field("address", FormatTcpAddress(entry->mAddress)),
           Field("state",
                 entry->mState == server_state::Ready ? "ready" : "leaving"),
--- a/Source/Core/Gateway/GatewaySession.cpp
+++ b/Source/Core/Gateway/GatewaySession.cpp
@@ -344,6 +344,7 @@
         Field("status", aStatus),
         Field("reason", aReason),
         Field("server", mPlacement.mUpstream.mName),
+        Field("software", mSoftware.mName),
         Field("attempts", mAttempts),
         Field("events", mEvents.Events()),
         Field("reserved", reserved),
--- a/Source/Core/Gateway/GatewaySession.h
+++ b/Source/Core/Gateway/GatewaySession.h
@@ -130,6 +130,8 @@
   void FailAttempt(exchange_failure aFailure);
   /// Records the rate limit that the server's response names or lacks.
   void RecordRateLimit(time_point aNow);
+  /// Logs that a stream goes on at a server.
+  void LogResumption() const;
   /// Logs and counts a send to a server that named a rate limit.
   void LogLimitedSend(time_point aNow) const;
   /// Logs that a server gave no complete response. `aCounted` tells whether it
@@ -156,6 +158,7 @@
   std::int64_t FinishReservation();
   /// The run of a server that is current in the registry.
   server_run CurrentRun(const upstream_id& aUpstream) const;
+  software_version CurrentSoftware(const upstream_id& aUpstream) const;
 
   gateway_context& mContext;
   http_server_connection* mClient;
@@ -181,6 +184,7 @@
   /// Run of the server that the request was sent to. The server may have
   /// restarted by the time the connection breaks.
   server_run mServerRun;
+  software_version mSoftware;
   upstream_work mWork;
   std::unique_ptr<http_client_connection> mConnection;
   unanswered_requests::ticket mUnansweredTicket = 0;
--- a/Source/Core/Gateway/GatewaySessionUpstream.cpp
+++ b/Source/Core/Gateway/GatewaySessionUpstream.cpp
@@ -71,6 +71,7 @@
 {
   mPlacement = aPlacement;
   mServerRun = CurrentRun(aPlacement.mUpstream);
+  mSoftware = CurrentSoftware(aPlacement.mUpstream);
   mWork = aPlacement.mWork;
   mSentAt = aNow;
   mStage = stage::Sent;
@@ -89,6 +90,7 @@
           Field("known_crashes", crashes) });
   }
   LogLimitedSend(aNow);
+  LogResumption();
   const placement_query query = Query();
   mContext.mUpstreamRegistry.BeginRequest(aPlacement, query, aNow);
   mUnansweredTicket = mContext.mUnanswered.Add(mFingerprint, mServerRun, aNow);
@@ -253,6 +255,22 @@
         Field("counted", aCounted) });
 }
 
+void gateway_session::LogResumption() const
+{
+  if (!mResponseStarted && mRequest.mLastEventId.empty()) {
+    return;
+  }
+  Log(log_level::Info,
+      "stream_resumed",
+      { Field("id", mRequest.mId),
+        Field("by_client", !mRequest.mLastEventId.empty()),
+        Field("began_as", mRequest.mResumedRequestId),
+        Field("after_event",
+              mResponseStarted ? mEvents.LastId() : mRequest.mLastEventId),
+        Field("server_run", FormatServerRun(mServerRun)),
+        Field("software", mSoftware.mName) });
+}
+
 void gateway_session::LogLimitedSend(time_point aNow) const
 {
   const auto limit = mContext.mUpstreamRegistry.RateLimits().Find(
@@ -331,3 +349,10 @@
   const server_entry* entry = mContext.mUpstreamRegistry.Find(aUpstream);
   return { aUpstream, entry == nullptr ? 0 : entry->mIncarnation };
 }
+
+software_version gateway_session::CurrentSoftware(
+  const upstream_id& aUpstream) const
+{
+  const server_entry* entry = mContext.mUpstreamRegistry.Find(aUpstream);
+  return entry == nullptr ? software_version() : entry->mSoftware;
+}
--- a/Source/Core/Gateway/GatewayTypes.h
+++ b/Source/Core/Gateway/GatewayTypes.h
@@ -107,6 +107,9 @@
   Leaving,
 };
 
+/// Version of a server's software. Versions have no order.
+using software_version = named_id<struct software_version_tag>;
+
 /// Entry that a server writes to the store about itself.
 struct server_entry
 {
@@ -114,6 +117,7 @@
   service_id mService;
   tcp_address mAddress;
   zone_id mZone;
+  software_version mSoftware;
   std::uint32_t mSlots = 0;
   server_state mState = server_state::Ready;
   /// Rises with each start of the server; orders entries of servers with the
@@ -147,6 +151,9 @@
   /// In prompt order; the last one belongs to this request alone.
   std::vector<prompt_segment> mPrompt;
   std::string mLastEventId;
+  /// Identity of the request that brought the first event of the stream that
+  /// the client resumes; empty if it names none.
+  std::string mResumedRequestId;
   /// Deadline that the client sent; absent if it sent none.
   std::optional<time_point> mDeadline;
   /// Headers that are forwarded to the server unchanged.
--- a/Source/UnitTests/Gateway/CrashingRequestTest.cpp
+++ b/Source/UnitTests/Gateway/CrashingRequestTest.cpp
@@ -191,7 +191,8 @@
   ASSERT_TRUE(RunUntil([&] { return open != nullptr; }));
   mStore.Put({ "servers", "", "i-1" },
              R"({"service":"app","address":")" + mServers[0]->Address() +
-               R"(","zone":"z1","slots":8,"state":"ready","seq":1,"born":2})");
+               R"(","zone":"z1","version":"v1","slots":8,"state":"ready",)"
+               R"("seq":1,"born":2})");
   RunFor(milliseconds(500));
   open->Abort();
   ASSERT_TRUE(RunUntil([&] { return exchange->Ended(); }));
--- a/Source/UnitTests/Gateway/GatewayFixture.cpp
+++ b/Source/UnitTests/Gateway/GatewayFixture.cpp
@@ -108,16 +108,18 @@
 gateway_fixture::~gateway_fixture() = default;
 
 scripted_server& gateway_fixture::AddServer(const std::string& aId,
-                                            const std::string& aService)
+                                            const std::string& aService,
+                                            const std::string& aSoftware)
 {
   mServers.push_back(std::make_unique<scripted_server>(mTime));
   scripted_server& server = *mServers.back();
   mStore.Put(
     { "servers", "", aId },
     fmt::format(R"({{"service":"{}","address":"{}","zone":"z1","slots":8,)"
-                R"("state":"ready","seq":1,"born":1}})",
+                R"("version":"{}","state":"ready","seq":1,"born":1}})",
                 aService,
-                server.Address()));
+                server.Address(),
+                aSoftware));
   return server;
 }
 
--- a/Source/UnitTests/Gateway/GatewayFixture.h
+++ b/Source/UnitTests/Gateway/GatewayFixture.h
@@ -87,7 +87,8 @@
 
   /// Adds a server of a service to the store.
   scripted_server& AddServer(const std::string& aId,
-                             const std::string& aService);
+                             const std::string& aService,
+                             const std::string& aSoftware = "v1");
   /// Starts the node and waits until it is ready.
   void StartNode();
   /// Begins a request. `aHeaders` are further header lines, each ending in
--- a/Source/UnitTests/Gateway/GatewayPathTest.cpp
+++ b/Source/UnitTests/Gateway/GatewayPathTest.cpp
@@ -240,10 +240,10 @@
   scripted_server& first = AddServer("i-1", "app");
   scripted_server& second = AddServer("i-2", "app");
   StartNode();
-  mStore.Put(
-    { "servers", "", "i-1" },
-    R"({"service":"app","address":")" + first.Address() +
-      R"(","zone":"z1","slots":8,"state":"draining","seq":2,"born":1})");
+  mStore.Put({ "servers", "", "i-1" },
+             R"({"service":"app","address":")" + first.Address() +
+               R"(","zone":"z1","version":"v1","slots":8,"state":"draining",)"
+               R"("seq":2,"born":1})");
   RunFor(milliseconds(1000));
   for (int i = 0; i < 6; ++i) {
     EXPECT_EQ(Call("GET", "/l/x")->mResponse.mStatus, 200U);
