--- a/Source/Core/Gateway/Fleet.capnp
+++ b/Source/Core/Gateway/Fleet.capnp
@@ -123,12 +123,48 @@
   servedSegments @3 :List(ServedSegment);
 }
 
+# Software at which a stream began.
+struct StreamRecord {
+  # Hash of the identity of the request that began it.
+  stream @0 :UInt64;
+  # Hash of service and version.
+  software @1 :UInt64;
+  # Time since the stream began, in milliseconds.
+  ageMs @2 :UInt32;
+}
+
+struct StreamNotice {
+  records @0 :List(StreamRecord);
+}
+
+# Asks at which software a stream began.
+struct StreamQuery {
+  # Datagram address for the answer.
+  address @0 :Text;
+  stream @1 :UInt64;
+  services @2 :List(Text);
+}
+
+struct StreamAnswer {
+  stream @0 :UInt64;
+  # 0 if the node does not know.
+  software @1 :UInt64;
+  # The only software of the services; 0 if there are several or the node is not
+  # certain.
+  onlySoftware @2 :UInt64;
+  # Hash of the address of the node that answers.
+  node @3 :UInt32;
+}
+
 struct PeerDatagram {
   union {
     report @0 :NodeReport;
     request @1 :TokenRequest;
     transfer @2 :TokenTransfer;
     crashes @3 :CrashNotice;
+    streams @4 :StreamNotice;
+    streamQuery @5 :StreamQuery;
+    streamAnswer @6 :StreamAnswer;
   }
 }
 
--- a/Source/Core/Gateway/Fleet.capnp.h
+++ b/Source/Core/Gateway/Fleet.capnp.h
@@ -28,6 +28,10 @@
 CAPNP_DECLARE_SCHEMA(adf0d4f48e14b3ba);
 CAPNP_DECLARE_SCHEMA(c03503092b2cec8b);
 CAPNP_DECLARE_SCHEMA(f0a1087902406f5d);
+CAPNP_DECLARE_SCHEMA(e4601e1f8575ff4e);
+CAPNP_DECLARE_SCHEMA(8815a41f31f1cc96);
+CAPNP_DECLARE_SCHEMA(a110a8c0a6ea492d);
+CAPNP_DECLARE_SCHEMA(ba534375921ee2fc);
 CAPNP_DECLARE_SCHEMA(e415d0c61f2a5799);
 CAPNP_DECLARE_SCHEMA(e843b2f8f0ccf6b8);
 CAPNP_DECLARE_SCHEMA(ed0cdd52d6316918);
@@ -217,6 +221,66 @@
   };
 };
 
+struct StreamRecord {
+  StreamRecord() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e4601e1f8575ff4e, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct StreamNotice {
+  StreamNotice() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8815a41f31f1cc96, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct StreamQuery {
+  StreamQuery() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a110a8c0a6ea492d, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct StreamAnswer {
+  StreamAnswer() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ba534375921ee2fc, 4, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct PeerDatagram {
   PeerDatagram() = delete;
 
@@ -228,6 +292,9 @@
     REQUEST,
     TRANSFER,
     CRASHES,
+    STREAMS,
+    STREAM_QUERY,
+    STREAM_ANSWER,
   };
 
   struct _capnpPrivate {
@@ -1460,12 +1527,367 @@
   inline void adoptSegments(::capnp::Orphan< ::capnp::List< ::fleet_wire::SegmentCrash,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::fleet_wire::SegmentCrash,  ::capnp::Kind::STRUCT>> disownSegments();
 
-  inline bool hasServedSegments();
-  inline  ::capnp::List< ::fleet_wire::ServedSegment,  ::capnp::Kind::STRUCT>::Builder getServedSegments();
-  inline void setServedSegments( ::capnp::List< ::fleet_wire::ServedSegment,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::fleet_wire::ServedSegment,  ::capnp::Kind::STRUCT>::Builder initServedSegments(unsigned int size);
-  inline void adoptServedSegments(::capnp::Orphan< ::capnp::List< ::fleet_wire::ServedSegment,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::fleet_wire::ServedSegment,  ::capnp::Kind::STRUCT>> disownServedSegments();
+  inline bool hasServedSegments();
+  inline  ::capnp::List< ::fleet_wire::ServedSegment,  ::capnp::Kind::STRUCT>::Builder getServedSegments();
+  inline void setServedSegments( ::capnp::List< ::fleet_wire::ServedSegment,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::fleet_wire::ServedSegment,  ::capnp::Kind::STRUCT>::Builder initServedSegments(unsigned int size);
+  inline void adoptServedSegments(::capnp::Orphan< ::capnp::List< ::fleet_wire::ServedSegment,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::fleet_wire::ServedSegment,  ::capnp::Kind::STRUCT>> disownServedSegments();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CrashNotice::Pipeline {
+public:
+  typedef CrashNotice Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class StreamRecord::Reader {
+public:
+  typedef StreamRecord Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getStream() const;
+
+  inline  ::uint64_t getSoftware() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StreamRecord::Builder {
+public:
+  typedef StreamRecord Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getStream();
+  inline void setStream( ::uint64_t value);
+
+  inline  ::uint64_t getSoftware();
+  inline void setSoftware( ::uint64_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StreamRecord::Pipeline {
+public:
+  typedef StreamRecord Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class StreamNotice::Reader {
+public:
+  typedef StreamNotice Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRecords() const;
+  inline  ::capnp::List< ::fleet_wire::StreamRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StreamNotice::Builder {
+public:
+  typedef StreamNotice Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRecords();
+  inline  ::capnp::List< ::fleet_wire::StreamRecord,  ::capnp::Kind::STRUCT>::Builder getRecords();
+  inline void setRecords( ::capnp::List< ::fleet_wire::StreamRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::fleet_wire::StreamRecord,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
+  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::fleet_wire::StreamRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::fleet_wire::StreamRecord,  ::capnp::Kind::STRUCT>> disownRecords();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StreamNotice::Pipeline {
+public:
+  typedef StreamNotice Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class StreamQuery::Reader {
+public:
+  typedef StreamQuery Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
+  inline  ::uint64_t getStream() const;
+
+  inline bool hasServices() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getServices() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StreamQuery::Builder {
+public:
+  typedef StreamQuery Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
+  inline  ::uint64_t getStream();
+  inline void setStream( ::uint64_t value);
+
+  inline bool hasServices();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getServices();
+  inline void setServices( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setServices(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initServices(unsigned int size);
+  inline void adoptServices(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownServices();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StreamQuery::Pipeline {
+public:
+  typedef StreamQuery Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class StreamAnswer::Reader {
+public:
+  typedef StreamAnswer Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getStream() const;
+
+  inline  ::uint64_t getSoftware() const;
+
+  inline  ::uint64_t getOnlySoftware() const;
+
+  inline  ::uint32_t getNode() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StreamAnswer::Builder {
+public:
+  typedef StreamAnswer Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getStream();
+  inline void setStream( ::uint64_t value);
+
+  inline  ::uint64_t getSoftware();
+  inline void setSoftware( ::uint64_t value);
+
+  inline  ::uint64_t getOnlySoftware();
+  inline void setOnlySoftware( ::uint64_t value);
+
+  inline  ::uint32_t getNode();
+  inline void setNode( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1477,9 +1899,9 @@
 };
 
 #if !CAPNP_LITE
-class CrashNotice::Pipeline {
+class StreamAnswer::Pipeline {
 public:
-  typedef CrashNotice Pipelines;
+  typedef StreamAnswer Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1527,6 +1949,18 @@
   inline bool hasCrashes() const;
   inline  ::fleet_wire::CrashNotice::Reader getCrashes() const;
 
+  inline bool isStreams() const;
+  inline bool hasStreams() const;
+  inline  ::fleet_wire::StreamNotice::Reader getStreams() const;
+
+  inline bool isStreamQuery() const;
+  inline bool hasStreamQuery() const;
+  inline  ::fleet_wire::StreamQuery::Reader getStreamQuery() const;
+
+  inline bool isStreamAnswer() const;
+  inline bool hasStreamAnswer() const;
+  inline  ::fleet_wire::StreamAnswer::Reader getStreamAnswer() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1588,6 +2022,30 @@
   inline void adoptCrashes(::capnp::Orphan< ::fleet_wire::CrashNotice>&& value);
   inline ::capnp::Orphan< ::fleet_wire::CrashNotice> disownCrashes();
 
+  inline bool isStreams();
+  inline bool hasStreams();
+  inline  ::fleet_wire::StreamNotice::Builder getStreams();
+  inline void setStreams( ::fleet_wire::StreamNotice::Reader value);
+  inline  ::fleet_wire::StreamNotice::Builder initStreams();
+  inline void adoptStreams(::capnp::Orphan< ::fleet_wire::StreamNotice>&& value);
+  inline ::capnp::Orphan< ::fleet_wire::StreamNotice> disownStreams();
+
+  inline bool isStreamQuery();
+  inline bool hasStreamQuery();
+  inline  ::fleet_wire::StreamQuery::Builder getStreamQuery();
+  inline void setStreamQuery( ::fleet_wire::StreamQuery::Reader value);
+  inline  ::fleet_wire::StreamQuery::Builder initStreamQuery();
+  inline void adoptStreamQuery(::capnp::Orphan< ::fleet_wire::StreamQuery>&& value);
+  inline ::capnp::Orphan< ::fleet_wire::StreamQuery> disownStreamQuery();
+
+  inline bool isStreamAnswer();
+  inline bool hasStreamAnswer();
+  inline  ::fleet_wire::StreamAnswer::Builder getStreamAnswer();
+  inline void setStreamAnswer( ::fleet_wire::StreamAnswer::Reader value);
+  inline  ::fleet_wire::StreamAnswer::Builder initStreamAnswer();
+  inline void adoptStreamAnswer(::capnp::Orphan< ::fleet_wire::StreamAnswer>&& value);
+  inline ::capnp::Orphan< ::fleet_wire::StreamAnswer> disownStreamAnswer();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2945,6 +3403,224 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t StreamRecord::Reader::getStream() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StreamRecord::Builder::getStream() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StreamRecord::Builder::setStream( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t StreamRecord::Reader::getSoftware() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StreamRecord::Builder::getSoftware() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void StreamRecord::Builder::setSoftware( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t StreamRecord::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t StreamRecord::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void StreamRecord::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StreamNotice::Reader::hasRecords() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamNotice::Builder::hasRecords() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::fleet_wire::StreamRecord,  ::capnp::Kind::STRUCT>::Reader StreamNotice::Reader::getRecords() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::StreamRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::fleet_wire::StreamRecord,  ::capnp::Kind::STRUCT>::Builder StreamNotice::Builder::getRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::StreamRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StreamNotice::Builder::setRecords( ::capnp::List< ::fleet_wire::StreamRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::StreamRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::fleet_wire::StreamRecord,  ::capnp::Kind::STRUCT>::Builder StreamNotice::Builder::initRecords(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::StreamRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void StreamNotice::Builder::adoptRecords(
+    ::capnp::Orphan< ::capnp::List< ::fleet_wire::StreamRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::StreamRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::fleet_wire::StreamRecord,  ::capnp::Kind::STRUCT>> StreamNotice::Builder::disownRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::StreamRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool StreamQuery::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamQuery::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StreamQuery::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StreamQuery::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StreamQuery::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StreamQuery::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void StreamQuery::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StreamQuery::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t StreamQuery::Reader::getStream() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StreamQuery::Builder::getStream() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StreamQuery::Builder::setStream( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StreamQuery::Reader::hasServices() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamQuery::Builder::hasServices() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader StreamQuery::Reader::getServices() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder StreamQuery::Builder::getServices() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void StreamQuery::Builder::setServices( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void StreamQuery::Builder::setServices(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder StreamQuery::Builder::initServices(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void StreamQuery::Builder::adoptServices(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> StreamQuery::Builder::disownServices() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t StreamAnswer::Reader::getStream() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StreamAnswer::Builder::getStream() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StreamAnswer::Builder::setStream( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t StreamAnswer::Reader::getSoftware() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StreamAnswer::Builder::getSoftware() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void StreamAnswer::Builder::setSoftware( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t StreamAnswer::Reader::getOnlySoftware() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StreamAnswer::Builder::getOnlySoftware() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void StreamAnswer::Builder::setOnlySoftware( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t StreamAnswer::Reader::getNode() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t StreamAnswer::Builder::getNode() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void StreamAnswer::Builder::setNode( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::fleet_wire::PeerDatagram::Which PeerDatagram::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3170,6 +3846,168 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool PeerDatagram::Reader::isStreams() const {
+  return which() == PeerDatagram::STREAMS;
+}
+inline bool PeerDatagram::Builder::isStreams() {
+  return which() == PeerDatagram::STREAMS;
+}
+inline bool PeerDatagram::Reader::hasStreams() const {
+  if (which() != PeerDatagram::STREAMS) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerDatagram::Builder::hasStreams() {
+  if (which() != PeerDatagram::STREAMS) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::fleet_wire::StreamNotice::Reader PeerDatagram::Reader::getStreams() const {
+  KJ_IREQUIRE((which() == PeerDatagram::STREAMS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::fleet_wire::StreamNotice>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::fleet_wire::StreamNotice::Builder PeerDatagram::Builder::getStreams() {
+  KJ_IREQUIRE((which() == PeerDatagram::STREAMS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::fleet_wire::StreamNotice>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerDatagram::Builder::setStreams( ::fleet_wire::StreamNotice::Reader value) {
+  _builder.setDataField<PeerDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerDatagram::STREAMS);
+  ::capnp::_::PointerHelpers< ::fleet_wire::StreamNotice>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::fleet_wire::StreamNotice::Builder PeerDatagram::Builder::initStreams() {
+  _builder.setDataField<PeerDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerDatagram::STREAMS);
+  return ::capnp::_::PointerHelpers< ::fleet_wire::StreamNotice>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerDatagram::Builder::adoptStreams(
+    ::capnp::Orphan< ::fleet_wire::StreamNotice>&& value) {
+  _builder.setDataField<PeerDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerDatagram::STREAMS);
+  ::capnp::_::PointerHelpers< ::fleet_wire::StreamNotice>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::fleet_wire::StreamNotice> PeerDatagram::Builder::disownStreams() {
+  KJ_IREQUIRE((which() == PeerDatagram::STREAMS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::fleet_wire::StreamNotice>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PeerDatagram::Reader::isStreamQuery() const {
+  return which() == PeerDatagram::STREAM_QUERY;
+}
+inline bool PeerDatagram::Builder::isStreamQuery() {
+  return which() == PeerDatagram::STREAM_QUERY;
+}
+inline bool PeerDatagram::Reader::hasStreamQuery() const {
+  if (which() != PeerDatagram::STREAM_QUERY) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerDatagram::Builder::hasStreamQuery() {
+  if (which() != PeerDatagram::STREAM_QUERY) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::fleet_wire::StreamQuery::Reader PeerDatagram::Reader::getStreamQuery() const {
+  KJ_IREQUIRE((which() == PeerDatagram::STREAM_QUERY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::fleet_wire::StreamQuery>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::fleet_wire::StreamQuery::Builder PeerDatagram::Builder::getStreamQuery() {
+  KJ_IREQUIRE((which() == PeerDatagram::STREAM_QUERY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::fleet_wire::StreamQuery>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerDatagram::Builder::setStreamQuery( ::fleet_wire::StreamQuery::Reader value) {
+  _builder.setDataField<PeerDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerDatagram::STREAM_QUERY);
+  ::capnp::_::PointerHelpers< ::fleet_wire::StreamQuery>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::fleet_wire::StreamQuery::Builder PeerDatagram::Builder::initStreamQuery() {
+  _builder.setDataField<PeerDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerDatagram::STREAM_QUERY);
+  return ::capnp::_::PointerHelpers< ::fleet_wire::StreamQuery>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerDatagram::Builder::adoptStreamQuery(
+    ::capnp::Orphan< ::fleet_wire::StreamQuery>&& value) {
+  _builder.setDataField<PeerDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerDatagram::STREAM_QUERY);
+  ::capnp::_::PointerHelpers< ::fleet_wire::StreamQuery>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::fleet_wire::StreamQuery> PeerDatagram::Builder::disownStreamQuery() {
+  KJ_IREQUIRE((which() == PeerDatagram::STREAM_QUERY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::fleet_wire::StreamQuery>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PeerDatagram::Reader::isStreamAnswer() const {
+  return which() == PeerDatagram::STREAM_ANSWER;
+}
+inline bool PeerDatagram::Builder::isStreamAnswer() {
+  return which() == PeerDatagram::STREAM_ANSWER;
+}
+inline bool PeerDatagram::Reader::hasStreamAnswer() const {
+  if (which() != PeerDatagram::STREAM_ANSWER) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerDatagram::Builder::hasStreamAnswer() {
+  if (which() != PeerDatagram::STREAM_ANSWER) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::fleet_wire::StreamAnswer::Reader PeerDatagram::Reader::getStreamAnswer() const {
+  KJ_IREQUIRE((which() == PeerDatagram::STREAM_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::fleet_wire::StreamAnswer>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::fleet_wire::StreamAnswer::Builder PeerDatagram::Builder::getStreamAnswer() {
+  KJ_IREQUIRE((which() == PeerDatagram::STREAM_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::fleet_wire::StreamAnswer>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerDatagram::Builder::setStreamAnswer( ::fleet_wire::StreamAnswer::Reader value) {
+  _builder.setDataField<PeerDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerDatagram::STREAM_ANSWER);
+  ::capnp::_::PointerHelpers< ::fleet_wire::StreamAnswer>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::fleet_wire::StreamAnswer::Builder PeerDatagram::Builder::initStreamAnswer() {
+  _builder.setDataField<PeerDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerDatagram::STREAM_ANSWER);
+  return ::capnp::_::PointerHelpers< ::fleet_wire::StreamAnswer>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerDatagram::Builder::adoptStreamAnswer(
+    ::capnp::Orphan< ::fleet_wire::StreamAnswer>&& value) {
+  _builder.setDataField<PeerDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerDatagram::STREAM_ANSWER);
+  ::capnp::_::PointerHelpers< ::fleet_wire::StreamAnswer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::fleet_wire::StreamAnswer> PeerDatagram::Builder::disownStreamAnswer() {
+  KJ_IREQUIRE((which() == PeerDatagram::STREAM_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::fleet_wire::StreamAnswer>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool StateRow::Reader::hasTable() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Source/Core/Gateway/GatewayMetrics.cpp
+++ b/Source/Core/Gateway/GatewayMetrics.cpp
@@ -34,6 +34,11 @@
                       .Name("gateway_segment_crashes_total")
                       .Help("Ends of servers under a prompt segment, by source")
                       .Register(*mRegistry))
+  , mStreamResumptions(prometheus::BuildCounter()
+                         .Name("gateway_stream_resumptions_total")
+                         .Help("Streams that clients resume, by what is known "
+                               "of their software version")
+                         .Register(*mRegistry))
   , mLimitedSends(prometheus::BuildCounter()
                     .Name("gateway_rate_limited_sends_total")
                     .Help("Sends to servers that named a rate limit")
@@ -105,6 +110,11 @@
   mSegmentCrashes.Add({ { "source", aSource } }).Increment();
 }
 
+void gateway_metrics::OnStreamResumption(const char* aResult)
+{
+  mStreamResumptions.Add({ { "result", aResult } }).Increment();
+}
+
 void gateway_metrics::OnLimitedSend(bool aRepeated)
 {
   mLimitedSends.Add({ { "repeated", aRepeated ? "true" : "false" } })
--- a/Source/Core/Gateway/GatewayMetrics.h
+++ b/Source/Core/Gateway/GatewayMetrics.h
@@ -31,6 +31,9 @@
   /// Counts a server that ended under a prompt segment, by the source of the
   /// report.
   void OnSegmentCrash(const char* aSource);
+  /// Counts a stream that a client resumes, by what became known of its
+  /// software version.
+  void OnStreamResumption(const char* aResult);
   /// Counts a send to a server that named a rate limit. `aRepeated` tells
   /// whether the request had been sent before.
   void OnLimitedSend(bool aRepeated);
@@ -53,6 +56,7 @@
   prometheus::Family<prometheus::Counter>& mServerBreaks;
   prometheus::Family<prometheus::Counter>& mCrashReports;
   prometheus::Family<prometheus::Counter>& mSegmentCrashes;
+  prometheus::Family<prometheus::Counter>& mStreamResumptions;
   prometheus::Family<prometheus::Counter>& mLimitedSends;
   prometheus::Family<prometheus::Histogram>& mFirstByteSeen;
   prometheus::Gauge& mOpenRequests;
--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -77,6 +77,7 @@
   , mTokenAllowance(mRun, aSettings.mTokenAllowance)
   , mRetries(aSettings.mRetries)
   , mFleet(SelfReport(aSettings, std::stoull(mRun, nullptr, 16)))
+  , mStreamOrigins(FormatTcpAddress(aSettings.mPeer))
   , mCrashExchange(mCrashes, mSegmentCrashes, mMetrics, mStore, mTime, mRun)
   , mAllowanceWriter(mTokenAllowance,
                      mStore,
@@ -94,6 +95,7 @@
               .mSegmentCrashes = mSegmentCrashes,
               .mUnanswered = mUnanswered,
               .mFleet = mFleet,
+              .mStreamOrigins = mStreamOrigins,
               .mMetrics = mMetrics,
               .mReportCrash =
                 [this](const observed_crash& aCrash) {
@@ -106,6 +108,7 @@
   , mPeerTransport(mFleet,
                    mTokenAllowance,
                    mCrashExchange,
+                   mStreamOrigins,
                    mTime,
                    [this] { return SnapshotRows(); })
   , mLinkOverload(mSettings.mLinkBytesPerSecond)
@@ -277,6 +280,7 @@
           Field("version", aRow.mVersion) });
   }
   mUpstreamRegistry.Apply(*entry, now);
+  mStreamOrigins.OnServer(entry->mService, entry->mSoftware, now);
   mCrashes.OnServerEntry(*entry, now);
 }
 
--- a/Source/Core/Gateway/GatewayNode.h
+++ b/Source/Core/Gateway/GatewayNode.h
@@ -103,6 +103,7 @@
   segment_crash_history mSegmentCrashes{ mCrashes.Liveness() };
   unanswered_requests mUnanswered;
   fleet_view mFleet;
+  stream_origins mStreamOrigins;
   gateway_metrics mMetrics;
   crash_exchange mCrashExchange;
   allowance_writer mAllowanceWriter;
--- a/Source/Core/Gateway/GatewayNodeTicks.cpp
+++ b/Source/Core/Gateway/GatewayNodeTicks.cpp
@@ -42,6 +42,7 @@
   mAllowanceWriter.WriteClaim(now);
   mPeerTransport.SendTokenRequests();
   mPeerTransport.SendCrashNews();
+  mPeerTransport.SendStreamMessages();
   std::erase_if(mSessions,
                 [](const auto& aPair) { return aPair.second->Finished(); });
   if (mStopStartedAt) {
@@ -139,6 +140,7 @@
   mFleet.Self().mFreeTokens = mTokenAllowance.AllFreeTokens(now);
   mTokenAllowance.SetHolders(mFleet.TokenHolders(now));
   UpdateRateLimits(now);
+  mStreamOrigins.SetPeers(mFleet.LivePeerAddresses(now));
   mPeerTransport.SendReports();
   mUpstreamRegistry.SetPeerWork(mFleet.PeerWork(now));
   mTokenAllowance.SetNodes(mFleet.LiveNodeCount(now));
@@ -172,6 +174,10 @@
   mRows.OnMaintenanceTick(now);
   mCrashExchange.OnMaintenanceTick(now);
   mUpstreamRegistry.Expire(now);
+  for (const auto& [service, software] : mUpstreamRegistry.Software()) {
+    mStreamOrigins.OnServer(service, software, now);
+  }
+  mStreamOrigins.OnTick(mUpstreamTable.LastContact(), now);
   mPool.Expire(now);
   mClientListener->CheckDeadlines(now);
   mReadiness->CheckDeadlines(now);
--- a/Source/Core/Gateway/GatewaySession.cpp
+++ b/Source/Core/Gateway/GatewaySession.cpp
@@ -21,6 +21,9 @@
 // likely.
 constexpr milliseconds kTokenRetryDelay(2000);
 constexpr milliseconds kBlockedRetryDelay(5000);
+// Retry-After of a resumption whose software version has no server left. Its
+// servers do not come back within the time of a stream.
+constexpr milliseconds kVersionGoneRetryDelay(5000);
 // Retry-After while another copy of a suspect is in progress: the time in which
 // a silent server is noticed.
 constexpr milliseconds kSuspectRetryDelay(2000);
@@ -118,11 +121,24 @@
   if (EndIfSuspect(mArrived)) {
     return;
   }
+  if (IsResumption()) {
+    mStage = stage::NeedOrigin;
+  }
   Advance(mArrived);
 }
 
+bool gateway_session::IsResumption() const
+{
+  return mRoute->mKind == request_kind::Streaming &&
+         (!mRequest.mLastEventId.empty() ||
+          !mRequest.mResumedRequestId.empty());
+}
+
 void gateway_session::Advance(time_point aNow)
 {
+  if (mStage == stage::NeedOrigin) {
+    AdvanceOrigin(aNow);
+  }
   if (mStage == stage::NeedTokens) {
     AdvanceTokens(aNow);
   }
@@ -134,6 +150,48 @@
   }
 }
 
+void gateway_session::AdvanceOrigin(time_point aNow)
+{
+  std::vector<service_id> services;
+  for (const service_share& share : mRoute->mServices) {
+    services.push_back(share.mService);
+  }
+  const stream_lookup found = mContext.mStreamOrigins.Lookup(
+    StreamKey(mRequest.mResumedRequestId), services, mArrived, aNow);
+  if (found.mState == stream_lookup::state::Pending) {
+    return;
+  }
+  if (found.mState == stream_lookup::state::Unknown) {
+    mContext.mMetrics.OnStreamResumption("unknown");
+    Refuse("stream_version_unknown", kRefusalRetryDelay);
+    return;
+  }
+  const auto service =
+    std::ranges::find_if(services, [&](const service_id& aService) {
+      return mContext.mUpstreamRegistry.HasUsable(
+        aService, aNow, found.mSoftware);
+    });
+  if (service == services.end()) {
+    mContext.mMetrics.OnStreamResumption("version_gone");
+    Refuse("stream_version_gone", kVersionGoneRetryDelay);
+    return;
+  }
+  mContext.mMetrics.OnStreamResumption(found.mSource);
+  mService = *service;
+  mPinnedSoftware = found.mSoftware;
+  mStage = stage::NeedTokens;
+}
+
+void gateway_session::PinStream(time_point aNow)
+{
+  if (mPinnedSoftware) {
+    return;
+  }
+  mPinnedSoftware = SoftwareKey(mService, mSoftware);
+  mContext.mStreamOrigins.Record(
+    StreamKey(mRequest.mId), mService, *mPinnedSoftware, aNow);
+}
+
 void gateway_session::AdvanceTokens(time_point aNow)
 {
   const std::int64_t need = mRequest.mPromptTokens + mRequest.mMaxOutputTokens;
@@ -163,6 +221,7 @@
 {
   placement_query query;
   query.mService = mService;
+  query.mSoftware = mPinnedSoftware;
   query.mZone = mContext.mSettings.mZone;
   query.mPromptTokens = mRequest.mPromptTokens;
   query.mOutputTokens = mRequest.mMaxOutputTokens;
@@ -256,7 +315,7 @@
   }
   admission_verdict verdict = Admit(query, aNow);
   if (verdict == admission_verdict::Wait &&
-      !mContext.mUpstreamRegistry.HasUsable(mService, aNow)) {
+      !mContext.mUpstreamRegistry.HasUsable(mService, aNow, mPinnedSoftware)) {
     verdict = admission_verdict::Refuse;
   }
   if (verdict == admission_verdict::Send) {
--- a/Source/Core/Gateway/GatewaySession.h
+++ b/Source/Core/Gateway/GatewaySession.h
@@ -15,6 +15,7 @@
 #include "Gateway/GatewaySettings.h"
 #include "Gateway/RouteTable.h"
 #include "Gateway/SegmentCrashHistory.h"
+#include "Gateway/StreamOrigins.h"
 #include "Gateway/UnansweredRequests.h"
 #include "Gateway/UpstreamPool.h"
 
@@ -32,6 +33,7 @@
   segment_crash_history& mSegmentCrashes;
   unanswered_requests& mUnanswered;
   fleet_view& mFleet;
+  stream_origins& mStreamOrigins;
   gateway_metrics& mMetrics;
   /// Null until a configuration was read.
   std::shared_ptr<const route_table> mRoutes{};
@@ -86,6 +88,8 @@
 
   enum class stage : std::uint8_t
   {
+    /// The software version at which the resumed stream began is not known.
+    NeedOrigin,
     NeedTokens,
     NeedServer,
     Sent,
@@ -99,6 +103,11 @@
   void OnExchangeFailed(exchange_failure aFailure) override;
 
   void Begin();
+  /// Whether the client resumes a stream.
+  bool IsResumption() const;
+  void AdvanceOrigin(time_point aNow);
+  /// Keeps the rest of the stream at the software that began it.
+  void PinStream(time_point aNow);
   void AdvanceTokens(time_point aNow);
   void AdvanceServer(time_point aNow);
   /// Chooses a server; keeps a request with crash reports away from others that
@@ -185,6 +194,8 @@
   /// restarted by the time the connection breaks.
   server_run mServerRun;
   software_version mSoftware;
+  /// Software at which the stream began and must go on.
+  std::optional<software_key> mPinnedSoftware;
   upstream_work mWork;
   std::unique_ptr<http_client_connection> mConnection;
   unanswered_requests::ticket mUnansweredTicket = 0;
--- a/Source/Core/Gateway/GatewaySessionResponse.cpp
+++ b/Source/Core/Gateway/GatewaySessionResponse.cpp
@@ -115,6 +115,7 @@
   }
   if (!mResponseStarted) {
     mResponseStarted = true;
+    PinStream(mContext.mTime.Now());
     mClient->StartResponse(ClientHead(mResponse.mFraming == body_framing::Length
                                         ? body_framing::Chunked
                                         : mResponse.mFraming));
--- a/Source/Core/Gateway/PeerDatagram.cpp
+++ b/Source/Core/Gateway/PeerDatagram.cpp
@@ -190,6 +190,66 @@
   }
 }
 
+void Write(fleet_wire::StreamNotice::Builder aRoot,
+           const stream_notice& aNotice)
+{
+  auto records =
+    aRoot.initRecords(static_cast<unsigned>(aNotice.mRecords.size()));
+  for (unsigned i = 0; i < records.size(); ++i) {
+    records[i].setStream(aNotice.mRecords[i].mStream);
+    records[i].setSoftware(aNotice.mRecords[i].mSoftware);
+    records[i].setAgeMs(ClampToUint32(aNotice.mRecords[i].mAge.count()));
+  }
+}
+
+stream_notice Read(fleet_wire::StreamNotice::Reader aRoot)
+{
+  stream_notice notice;
+  for (const auto record : aRoot.getRecords()) {
+    notice.mRecords.push_back({ record.getStream(),
+                                record.getSoftware(),
+                                milliseconds(record.getAgeMs()) });
+  }
+  return notice;
+}
+
+void Write(fleet_wire::StreamQuery::Builder aRoot, const stream_query& aQuery)
+{
+  aRoot.setAddress(aQuery.mAddress);
+  aRoot.setStream(aQuery.mStream);
+  auto services =
+    aRoot.initServices(static_cast<unsigned>(aQuery.mServices.size()));
+  for (unsigned i = 0; i < services.size(); ++i) {
+    services.set(i, aQuery.mServices[i].mName);
+  }
+}
+
+stream_query Read(fleet_wire::StreamQuery::Reader aRoot)
+{
+  stream_query query{ ReadText(aRoot.getAddress()), aRoot.getStream(), {} };
+  for (const auto service : aRoot.getServices()) {
+    query.mServices.push_back(service_id{ ReadText(service) });
+  }
+  return query;
+}
+
+void Write(fleet_wire::StreamAnswer::Builder aRoot,
+           const stream_answer& aAnswer)
+{
+  aRoot.setStream(aAnswer.mStream);
+  aRoot.setSoftware(aAnswer.mSoftware);
+  aRoot.setOnlySoftware(aAnswer.mOnlySoftware);
+  aRoot.setNode(aAnswer.mNode);
+}
+
+stream_answer Read(fleet_wire::StreamAnswer::Reader aRoot)
+{
+  return { aRoot.getStream(),
+           aRoot.getSoftware(),
+           aRoot.getOnlySoftware(),
+           aRoot.getNode() };
+}
+
 crash_notice Read(fleet_wire::CrashNotice::Reader aRoot)
 {
   crash_notice notice;
@@ -232,6 +292,12 @@
     Write(root.initRequest(), *request);
   } else if (const auto* notice = std::get_if<crash_notice>(&aDatagram)) {
     Write(root.initCrashes(), *notice);
+  } else if (const auto* streams = std::get_if<stream_notice>(&aDatagram)) {
+    Write(root.initStreams(), *streams);
+  } else if (const auto* query = std::get_if<stream_query>(&aDatagram)) {
+    Write(root.initStreamQuery(), *query);
+  } else if (const auto* answer = std::get_if<stream_answer>(&aDatagram)) {
+    Write(root.initStreamAnswer(), *answer);
   } else {
     Write(root.initTransfer(), std::get<token_transfer>(aDatagram));
   }
@@ -264,6 +330,15 @@
       case fleet_wire::PeerDatagram::CRASHES:
         datagram = Read(root.getCrashes());
         break;
+      case fleet_wire::PeerDatagram::STREAMS:
+        datagram = Read(root.getStreams());
+        break;
+      case fleet_wire::PeerDatagram::STREAM_QUERY:
+        datagram = Read(root.getStreamQuery());
+        break;
+      case fleet_wire::PeerDatagram::STREAM_ANSWER:
+        datagram = Read(root.getStreamAnswer());
+        break;
     }
   });
   return failure == nullptr ? datagram : std::nullopt;
--- a/Source/Core/Gateway/PeerDatagram.h
+++ b/Source/Core/Gateway/PeerDatagram.h
@@ -7,11 +7,17 @@
 
 #include "Gateway/CrashHistory.h"
 #include "Gateway/FleetView.h"
+#include "Gateway/StreamOrigins.h"
 
 /// Encodes datagrams between nodes as packed Cap'n Proto messages.
 
-using peer_datagram =
-  std::variant<node_report, token_request, token_transfer, crash_notice>;
+using peer_datagram = std::variant<node_report,
+                                   token_request,
+                                   token_transfer,
+                                   crash_notice,
+                                   stream_notice,
+                                   stream_query,
+                                   stream_answer>;
 
 std::string WritePeerDatagram(const peer_datagram& aDatagram);
 /// Returns nothing if the bytes are malformed.
--- a/Source/Core/Gateway/PeerTransport.cpp
+++ b/Source/Core/Gateway/PeerTransport.cpp
@@ -140,11 +140,13 @@
 peer_transport::peer_transport(fleet_view& aView,
                                token_allowance& aTokenAllowance,
                                crash_exchange& aCrashes,
+                               stream_origins& aStreams,
                                const time_source& aTime,
                                rows_source aRows)
   : mView(aView)
   , mTokenAllowance(aTokenAllowance)
   , mCrashes(aCrashes)
+  , mStreams(aStreams)
   , mTime(aTime)
   , mRows(std::move(aRows))
 {
@@ -226,6 +228,16 @@
   }
 }
 
+void peer_transport::SendStreamMessages()
+{
+  for (const auto& [peer, notice] : mStreams.TakeNotices(mTime.Now())) {
+    Send(peer, WritePeerDatagram(notice));
+  }
+  for (const auto& [peer, query] : mStreams.TakeQueries()) {
+    Send(peer, WritePeerDatagram(query));
+  }
+}
+
 void peer_transport::SendTokenRequests()
 {
   for (addressed_request& request :
@@ -279,6 +291,12 @@
     }
   } else if (const auto* notice = std::get_if<crash_notice>(&aDatagram)) {
     mCrashes.OnNotice(*notice, now);
+  } else if (const auto* streams = std::get_if<stream_notice>(&aDatagram)) {
+    mStreams.OnNotice(*streams, now);
+  } else if (const auto* query = std::get_if<stream_query>(&aDatagram)) {
+    Send(query->mAddress, WritePeerDatagram(mStreams.OnQuery(*query, now)));
+  } else if (const auto* answer = std::get_if<stream_answer>(&aDatagram)) {
+    mStreams.OnAnswer(*answer, now);
   } else {
     mTokenAllowance.OnTransfer(std::get<token_transfer>(aDatagram),
                                mView.Self().mRun);
--- a/Source/Core/Gateway/PeerTransport.h
+++ b/Source/Core/Gateway/PeerTransport.h
@@ -26,6 +26,7 @@
   peer_transport(fleet_view& aView,
                  token_allowance& aTokenAllowance,
                  crash_exchange& aCrashes,
+                 stream_origins& aStreams,
                  const time_source& aTime,
                  rows_source aRows);
   ~peer_transport() override;
@@ -37,6 +38,9 @@
   void SendReports();
   /// Sends news about crashed servers to all live nodes.
   void SendCrashNews();
+  /// Sends records of streams that began to the nodes that keep copies, and
+  /// queries about resumed streams.
+  void SendStreamMessages();
   /// Requests prepaid tokens from other nodes for accounts that lack them.
   void SendTokenRequests();
   /// Requests the rows of a live peer; does nothing if there is none or a
@@ -62,6 +66,7 @@
   fleet_view& mView;
   token_allowance& mTokenAllowance;
   crash_exchange& mCrashes;
+  stream_origins& mStreams;
   const time_source& mTime;
   rows_source mRows;
   int mSocket = -1;
--- /dev/null
+++ b/Source/Core/Gateway/StreamOrigins.cpp
@@ -0,0 +1,313 @@
+#include "Gateway/StreamOrigins.h"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "Common/Hash.h"
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Longest time from the first event of a stream to its last resumption: twice
+// the longest timeout of a route.
+constexpr seconds kStreamLifetime(30);
+// Limit of the records: 30 s of four copies of all streams of a node at the
+// peak load of the largest fleet are a tenth of it.
+constexpr std::size_t kMaxRecords = 30000;
+// Age up to which streams are copied when it turns out that their service has
+// several versions. Older ones have mostly ended.
+constexpr seconds kMaxCopyAge(10);
+// Number of nodes that keep a copy, and of nodes that are asked. The second is
+// larger because nodes that started since move the choice.
+constexpr std::size_t kKeepers = 3;
+constexpr std::size_t kMaxAsked = 6;
+// Time for answers, and interval of queries, because datagrams are lost.
+constexpr milliseconds kLookupTimeout(150);
+constexpr milliseconds kQueryInterval(40);
+// Limit of the lookups in progress.
+constexpr std::size_t kMaxLookups = 2000;
+// Without contact to the store for longer, servers of another version may serve
+// unknown to this node. Polls reply within 1.4 s.
+constexpr milliseconds kStoreContactTimeout(2000);
+// Limit of the records in a notice, so that it fits an unfragmented datagram.
+constexpr std::size_t kMaxNoticeRecords = 50;
+
+std::uint32_t NodeHash(const std::string& aAddress)
+{
+  return static_cast<std::uint32_t>(StableHash(aAddress));
+}
+
+} // namespace
+
+stream_key StreamKey(std::string_view aRequestId)
+{
+  return StableHash(aRequestId);
+}
+
+software_key SoftwareKey(const service_id& aService,
+                         const software_version& aSoftware)
+{
+  const software_key key =
+    StableHash(aSoftware.mName, StableHash(aService.mName));
+  return std::max<software_key>(key, 1);
+}
+
+void stream_origins::OnServer(const service_id& aService,
+                              const software_version& aSoftware,
+                              time_point aNow)
+{
+  mSoftware[aService][SoftwareKey(aService, aSoftware)] = aNow;
+}
+
+void stream_origins::OnTick(time_point aStoreContact, time_point aNow)
+{
+  if (aNow >= aStoreContact + kStoreContactTimeout) {
+    mWatchingSince.reset();
+  } else if (!mWatchingSince) {
+    mWatchingSince = aNow;
+  }
+  for (auto& [service, known] : mSoftware) {
+    std::erase_if(known, [aNow](const auto& aPair) {
+      return aNow >= aPair.second + kStreamLifetime;
+    });
+  }
+  std::erase_if(mSoftware,
+                [](const auto& aPair) { return aPair.second.empty(); });
+  while (!mExpiry.empty() && aNow >= mExpiry.front().first) {
+    const auto found = mRecords.find(mExpiry.front().second);
+    if (found != mRecords.end() && aNow >= found->second.mExpiresAt) {
+      mRecords.erase(found);
+    }
+    mExpiry.pop_front();
+  }
+  while (!mNotCopied.empty() &&
+         aNow >= mNotCopied.front().mBeganAt + kMaxCopyAge) {
+    mNotCopied.pop_front();
+  }
+  std::erase_if(mNotCopied, [&](const own_record& aRecord) {
+    const bool copy = OnlySoftware({ aRecord.mService }, aNow) == 0;
+    if (copy) {
+      mToCopy.push_back(aRecord);
+    }
+    return copy;
+  });
+  std::erase_if(mLookups, [aNow](const auto& aPair) {
+    return aNow >= aPair.second.mExpiresAt;
+  });
+}
+
+software_key stream_origins::OnlySoftware(
+  const std::vector<service_id>& aServices,
+  time_point aNow) const
+{
+  if (!mWatchingSince || aNow < *mWatchingSince + kStreamLifetime) {
+    return 0;
+  }
+  software_key only = 0;
+  for (const service_id& service : aServices) {
+    const auto known = mSoftware.find(service);
+    if (known == mSoftware.end()) {
+      continue;
+    }
+    for (const auto& [software, lastKnownAt] : known->second) {
+      if (only != 0 && software != only) {
+        return 0;
+      }
+      only = software;
+    }
+  }
+  return only;
+}
+
+void stream_origins::Insert(stream_key aStream,
+                            software_key aSoftware,
+                            time_point aBeganAt)
+{
+  const time_point expiresAt = aBeganAt + kStreamLifetime;
+  if (!mRecords.try_emplace(aStream, record{ aSoftware, aBeganAt, expiresAt })
+         .second) {
+    return;
+  }
+  mExpiry.emplace_back(expiresAt, aStream);
+  if (mRecords.size() > kMaxRecords) {
+    mRecords.erase(mExpiry.front().second);
+    mExpiry.pop_front();
+  }
+}
+
+void stream_origins::Record(stream_key aStream,
+                            const service_id& aService,
+                            software_key aSoftware,
+                            time_point aNow)
+{
+  if (mRecords.contains(aStream)) {
+    return;
+  }
+  Insert(aStream, aSoftware, aNow);
+  if (OnlySoftware({ aService }, aNow) == 0) {
+    mToCopy.push_back({ aStream, aService, aNow });
+    return;
+  }
+  mNotCopied.push_back({ aStream, aService, aNow });
+  if (mNotCopied.size() > kMaxRecords) {
+    mNotCopied.pop_front();
+  }
+}
+
+std::vector<std::string> stream_origins::Keepers(stream_key aStream,
+                                                 std::size_t aMaxCount) const
+{
+  const std::string key = fmt::format("{:016x}", aStream);
+  std::vector<std::pair<std::uint64_t, std::string>> order;
+  order.reserve(mPeers.size());
+  for (const std::string& peer : mPeers) {
+    order.emplace_back(RendezvousWeight(key, peer), peer);
+  }
+  const std::size_t count = std::min(aMaxCount, order.size());
+  std::ranges::partial_sort(
+    order, order.begin() + static_cast<std::ptrdiff_t>(count), std::greater());
+  std::vector<std::string> keepers;
+  for (std::size_t i = 0; i < count; ++i) {
+    keepers.push_back(std::move(order[i].second));
+  }
+  return keepers;
+}
+
+stream_lookup stream_origins::Lookup(stream_key aStream,
+                                     const std::vector<service_id>& aServices,
+                                     time_point aSince,
+                                     time_point aNow)
+{
+  const auto known = mRecords.find(aStream);
+  if (known != mRecords.end()) {
+    mLookups.erase(aStream);
+    return { stream_lookup::state::Known, known->second.mSoftware, "record" };
+  }
+  if (const software_key only = OnlySoftware(aServices, aNow)) {
+    return { stream_lookup::state::Known, only, "only_version" };
+  }
+  return Ask(aStream, aServices, aSince, aNow);
+}
+
+stream_lookup stream_origins::Ask(stream_key aStream,
+                                  const std::vector<service_id>& aServices,
+                                  time_point aSince,
+                                  time_point aNow)
+{
+  if (!mLookups.contains(aStream) && mLookups.size() >= kMaxLookups) {
+    return {};
+  }
+  const auto [found, isNew] = mLookups.try_emplace(aStream);
+  open_lookup& lookup = found->second;
+  const auto keepers = Keepers(aStream, kMaxAsked);
+  if (isNew) {
+    lookup.mServices = aServices;
+    lookup.mExpiresAt = aNow + kLookupTimeout + kQueryInterval;
+    for (const std::string& keeper : keepers) {
+      lookup.mAwaited.insert(NodeHash(keeper));
+    }
+  }
+  if (lookup.mAwaited.empty() || aNow >= aSince + kLookupTimeout) {
+    const std::set<software_key> only = std::move(lookup.mOnlySoftware);
+    mLookups.erase(found);
+    // No node that was asked knows the stream. One that is certain of a single
+    // version is right: with several, the stream would have been copied.
+    if (only.size() == 1) {
+      return { stream_lookup::state::Known, *only.begin(), "only_version" };
+    }
+    return {};
+  }
+  if (aNow >= lookup.mNextQueryAt) {
+    lookup.mNextQueryAt = aNow + kQueryInterval;
+    for (const std::string& keeper : keepers) {
+      if (lookup.mAwaited.contains(NodeHash(keeper))) {
+        mQueries[keeper].push_back(aStream);
+      }
+    }
+  }
+  return { stream_lookup::state::Pending };
+}
+
+std::vector<std::pair<std::string, stream_notice>> stream_origins::TakeNotices(
+  time_point aNow)
+{
+  std::map<std::string, stream_notice> byKeeper;
+  std::vector<std::pair<std::string, stream_notice>> notices;
+  for (const own_record& own : std::exchange(mToCopy, {})) {
+    const auto found = mRecords.find(own.mStream);
+    if (found == mRecords.end()) {
+      continue;
+    }
+    for (const std::string& keeper : Keepers(own.mStream, kKeepers)) {
+      stream_notice& notice = byKeeper[keeper];
+      notice.mRecords.push_back(
+        { own.mStream,
+          found->second.mSoftware,
+          std::chrono::duration_cast<milliseconds>(aNow - own.mBeganAt) });
+      if (notice.mRecords.size() == kMaxNoticeRecords) {
+        notices.emplace_back(keeper, std::exchange(notice, {}));
+      }
+    }
+  }
+  for (auto& [keeper, notice] : byKeeper) {
+    if (!notice.mRecords.empty()) {
+      notices.emplace_back(keeper, std::move(notice));
+    }
+  }
+  return notices;
+}
+
+std::vector<std::pair<std::string, stream_query>> stream_origins::TakeQueries()
+{
+  std::vector<std::pair<std::string, stream_query>> queries;
+  for (const auto& [keeper, streams] : std::exchange(mQueries, {})) {
+    for (const stream_key stream : streams) {
+      const auto lookup = mLookups.find(stream);
+      if (lookup != mLookups.end()) {
+        queries.emplace_back(
+          keeper, stream_query{ mAddress, stream, lookup->second.mServices });
+      }
+    }
+  }
+  return queries;
+}
+
+void stream_origins::OnNotice(const stream_notice& aNotice, time_point aNow)
+{
+  for (const auto& record : aNotice.mRecords) {
+    if (record.mAge < kStreamLifetime) {
+      Insert(record.mStream, record.mSoftware, aNow - record.mAge);
+    }
+  }
+}
+
+stream_answer stream_origins::OnQuery(const stream_query& aQuery,
+                                      time_point aNow) const
+{
+  const auto known = mRecords.find(aQuery.mStream);
+  return { aQuery.mStream,
+           known == mRecords.end() ? 0 : known->second.mSoftware,
+           OnlySoftware(aQuery.mServices, aNow),
+           NodeHash(mAddress) };
+}
+
+void stream_origins::OnAnswer(const stream_answer& aAnswer, time_point aNow)
+{
+  const auto lookup = mLookups.find(aAnswer.mStream);
+  if (lookup == mLookups.end()) {
+    return;
+  }
+  if (aAnswer.mSoftware != 0) {
+    Insert(aAnswer.mStream, aAnswer.mSoftware, aNow);
+    return;
+  }
+  lookup->second.mAwaited.erase(aAnswer.mNode);
+  if (aAnswer.mOnlySoftware != 0) {
+    lookup->second.mOnlySoftware.insert(aAnswer.mOnlySoftware);
+  }
+}
--- a/Source/Core/Gateway/UpstreamRegistry.cpp
+++ b/Source/Core/Gateway/UpstreamRegistry.cpp
@@ -114,6 +114,7 @@
     record.mEntryReadAt = aNow;
   }
   record.mEntry = aEntry;
+  record.mSoftware = SoftwareKey(aEntry.mService, aEntry.mSoftware);
   record.mRemoved = false;
   if (aEntry.mState == server_state::Ready) {
     record.mUsableUntil.reset();
@@ -200,6 +201,7 @@
   std::vector<const upstream_record*> leaving;
   for (const auto& [id, record] : mUpstreams) {
     if (record.mEntry.mService != aQuery.mService ||
+        record.mSoftware != aQuery.mSoftware.value_or(record.mSoftware) ||
         std::ranges::find(aQuery.mExcluded, id) != aQuery.mExcluded.end()) {
       continue;
     }
@@ -339,15 +341,27 @@
 }
 
 bool upstream_registry::HasUsable(const service_id& aService,
-                                  time_point aNow) const
+                                  time_point aNow,
+                                  std::optional<software_key> aSoftware) const
 {
   return std::ranges::any_of(mUpstreams, [&](const auto& aPair) {
     const upstream_record& record = aPair.second;
     return record.mEntry.mService == aService &&
+           record.mSoftware == aSoftware.value_or(record.mSoftware) &&
            (!record.mUsableUntil || aNow < *record.mUsableUntil);
   });
 }
 
+std::set<std::pair<service_id, software_version>> upstream_registry::Software()
+  const
+{
+  std::set<std::pair<service_id, software_version>> software;
+  for (const auto& [id, record] : mUpstreams) {
+    software.emplace(record.mEntry.mService, record.mEntry.mSoftware);
+  }
+  return software;
+}
+
 void upstream_registry::BeginRequest(const placement& aPlacement,
                                      const placement_query& aQuery,
                                      time_point aNow)
--- a/Source/Core/Gateway/UpstreamRegistry.h
+++ b/Source/Core/Gateway/UpstreamRegistry.h
@@ -3,12 +3,14 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "Gateway/GatewayTypes.h"
 #include "Gateway/ServerRateLimits.h"
+#include "Gateway/StreamOrigins.h"
 
 /// The servers of all services, their state as this node estimates it, and the
 /// choice of a server for a request.
@@ -57,6 +59,8 @@
   std::int64_t mOutputTokens = 0;
   /// Prompt in order; the last element belongs to this request alone.
   const std::vector<prompt_segment>* mPrompt = nullptr;
+  /// Software at which the request must run; any if absent.
+  std::optional<software_key> mSoftware;
   /// Servers that must not be chosen, because they were tried already.
   std::vector<upstream_id> mExcluded;
 };
@@ -108,8 +112,13 @@
   /// Time from which the rate limits of the servers allow this node to send the
   /// request; in the past if they do, or if there is no server.
   time_point LimitedUntil(const placement_query& aQuery, time_point aNow) const;
-  /// Whether the service has any usable server, busy or not.
-  bool HasUsable(const service_id& aService, time_point aNow) const;
+  /// Whether the service has any usable server, busy or not; with the given
+  /// software, if any is given.
+  bool HasUsable(const service_id& aService,
+                 time_point aNow,
+                 std::optional<software_key> aSoftware = {}) const;
+  /// Services and software versions of all servers.
+  std::set<std::pair<service_id, software_version>> Software() const;
 
   void BeginRequest(const placement& aPlacement,
                     const placement_query& aQuery,
@@ -167,6 +176,7 @@
   {
     server_entry mEntry;
     std::uint32_t mKey = 0;
+    software_key mSoftware = 0;
     upstream_work mLocalWork;
     /// Removed or leaving servers are not used after this time.
     std::optional<time_point> mUsableUntil;
--- /dev/null
+++ b/Source/UnitTests/Gateway/StreamOriginsTest.cpp
@@ -0,0 +1,349 @@
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include <fmt/format.h>
+
+#include "Gateway/PeerDatagram.h"
+#include "Gateway/StreamOrigins.h"
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const service_id kService{ "engine" };
+const software_version kOld{ "v1" };
+const software_version kNew{ "v2" };
+
+/// Nodes that exchange their messages over a network that may lose some.
+class stream_origins_test : public testing::Test
+{
+protected:
+  void StartNodes(unsigned aCount)
+  {
+    for (unsigned i = 0; i < aCount; ++i) {
+      Start(Address(i));
+    }
+  }
+
+  static std::string Address(unsigned aNode)
+  {
+    return fmt::format("10.0.{}.{}:7000", aNode / 200, aNode % 200);
+  }
+
+  /// Starts a node, or starts it again without what it knew.
+  void Start(const std::string& aAddress)
+  {
+    mNodes.erase(aAddress);
+    mNodes.emplace(aAddress, aAddress);
+    UpdatePeers();
+  }
+
+  void Kill(const std::string& aAddress)
+  {
+    mNodes.erase(aAddress);
+    UpdatePeers();
+  }
+
+  void UpdatePeers()
+  {
+    for (auto& [address, node] : mNodes) {
+      std::vector<std::string> peers;
+      for (const auto& [peer, other] : mNodes) {
+        if (peer != address && !IsCut(address, peer)) {
+          peers.push_back(peer);
+        }
+      }
+      node.SetPeers(std::move(peers));
+    }
+  }
+
+  bool IsCut(const std::string& aFrom, const std::string& aTo) const
+  {
+    return mCutOff.contains(aFrom) != mCutOff.contains(aTo);
+  }
+
+  /// Lets time pass while the nodes see servers with these versions.
+  void Run(milliseconds aDuration,
+           const std::vector<software_version>& aVersions,
+           milliseconds aTick = milliseconds(250))
+  {
+    for (milliseconds passed(0); passed < aDuration; passed += aTick) {
+      mNow += aTick;
+      for (auto& [address, node] : mNodes) {
+        for (const software_version& version : aVersions) {
+          node.OnServer(kService, version, mNow);
+        }
+        node.OnTick(mStoreAway ? mNow - seconds(5) : mNow, mNow);
+      }
+      Exchange();
+    }
+  }
+
+  template<class Message>
+  void Deliver(const std::string& aFrom,
+               const std::string& aTo,
+               const Message& aMessage)
+  {
+    ++mMessages;
+    const auto receiver = mNodes.find(aTo);
+    if (receiver == mNodes.end() || IsCut(aFrom, aTo) ||
+        std::uniform_real_distribution<>()(mRandom) < mLossShare) {
+      return;
+    }
+    const std::string bytes = WritePeerDatagram(aMessage);
+    mBytes += bytes.size();
+    const auto datagram = ParsePeerDatagram(bytes);
+    ASSERT_TRUE(datagram);
+    if (const auto* notice = std::get_if<stream_notice>(&*datagram)) {
+      receiver->second.OnNotice(*notice, mNow);
+    } else if (const auto* query = std::get_if<stream_query>(&*datagram)) {
+      Deliver(aTo, query->mAddress, receiver->second.OnQuery(*query, mNow));
+    } else {
+      receiver->second.OnAnswer(std::get<stream_answer>(*datagram), mNow);
+    }
+  }
+
+  void Exchange()
+  {
+    for (auto& [address, node] : mNodes) {
+      for (const auto& [to, notice] : node.TakeNotices(mNow)) {
+        Deliver(address, to, notice);
+      }
+      for (const auto& [to, query] : node.TakeQueries()) {
+        Deliver(address, to, query);
+      }
+    }
+  }
+
+  /// A stream begins at a node; returns its key.
+  stream_key Begin(const std::string& aNode, const software_version& aSoftware)
+  {
+    const stream_key stream = StreamKey(fmt::format("request-{}", ++mStreams));
+    mNodes.at(aNode).Record(
+      stream, kService, SoftwareKey(kService, aSoftware), mNow);
+    return stream;
+  }
+
+  /// Looks a stream up until there is a result.
+  stream_lookup Resume(const std::string& aNode, stream_key aStream)
+  {
+    const time_point since = mNow;
+    while (true) {
+      const auto found =
+        mNodes.at(aNode).Lookup(aStream, { kService }, since, mNow);
+      if (found.mState != stream_lookup::state::Pending) {
+        return found;
+      }
+      Exchange();
+      mNow += milliseconds(10);
+    }
+  }
+
+  /// Begins streams of both versions at random nodes, with kills between, and
+  /// resumes them elsewhere. Returns the share that goes on; a stream must
+  /// never go on at the wrong version.
+  double ShareResumed(unsigned aNodes, unsigned aKillEach)
+  {
+    StartNodes(aNodes);
+    Run(seconds(1), { kOld, kNew });
+    unsigned resumed = 0;
+    constexpr unsigned kStreams = 100;
+    for (unsigned i = 0; i < kStreams; ++i) {
+      const std::string origin = Address(mRandom() % aNodes);
+      const software_version software = i % 2 == 0 ? kOld : kNew;
+      const stream_key stream = Begin(origin, software);
+      Run(milliseconds(10), { kOld, kNew }, milliseconds(10));
+      std::string killed;
+      if (aKillEach != 0 && i % aKillEach == 0) {
+        killed = origin;
+        Kill(origin);
+      }
+      std::string node = Address(mRandom() % aNodes);
+      while (node == origin) {
+        node = Address(mRandom() % aNodes);
+      }
+      const auto found = Resume(node, stream);
+      if (found.mState == stream_lookup::state::Known) {
+        ++resumed;
+        EXPECT_EQ(found.mSoftware, SoftwareKey(kService, software));
+      }
+      if (!killed.empty()) {
+        Start(killed);
+      }
+    }
+    return static_cast<double>(resumed) / kStreams;
+  }
+
+  time_point mNow{ seconds(1000) };
+  std::map<std::string, stream_origins> mNodes;
+  std::set<std::string> mCutOff;
+  std::mt19937 mRandom{ 7 };
+  double mLossShare = 0.0;
+  bool mStoreAway = false;
+  unsigned mStreams = 0;
+  unsigned mMessages = 0;
+  std::size_t mBytes = 0;
+};
+
+class stream_origins_fleet_test
+  : public stream_origins_test
+  , public testing::WithParamInterface<unsigned>
+{};
+
+} // namespace
+
+// Guards against streams that no node can place because the node that served
+// them was killed, in small and large fleets.
+TEST_P(stream_origins_fleet_test, RecordsOutliveTheirNode)
+{
+  EXPECT_EQ(ShareResumed(GetParam(), 1), 1.0);
+}
+
+// Guards against lost datagrams that leave most streams without a version.
+TEST_P(stream_origins_fleet_test, SurvivesLostDatagrams)
+{
+  mLossShare = 0.3;
+  EXPECT_GT(ShareResumed(GetParam(), 3), 0.9);
+}
+
+INSTANTIATE_TEST_SUITE_P(Nodes,
+                         stream_origins_fleet_test,
+                         testing::Values(3U, 30U, 340U));
+
+// Guards against control traffic for services with one version, which needs
+// none.
+TEST_F(stream_origins_test, ASingleVersionNeedsNoMessages)
+{
+  StartNodes(5);
+  Run(seconds(31), { kOld });
+  mMessages = 0;
+  const stream_key stream = Begin(Address(1), kOld);
+  Run(seconds(1), { kOld });
+  Kill(Address(1));
+  const auto found = Resume(Address(2), stream);
+  EXPECT_EQ(found.mState, stream_lookup::state::Known);
+  EXPECT_EQ(found.mSoftware, SoftwareKey(kService, kOld));
+  EXPECT_EQ(mMessages, 0U);
+}
+
+// Guards against streams that began before a release and lose their version
+// with its first server.
+TEST_F(stream_origins_test, CopiesRecordsOnceASecondVersionServes)
+{
+  StartNodes(5);
+  Run(seconds(31), { kOld });
+  const stream_key stream = Begin(Address(1), kOld);
+  Run(seconds(1), { kOld });
+  Run(milliseconds(250), { kOld, kNew });
+  Kill(Address(1));
+  const auto found = Resume(Address(2), stream);
+  EXPECT_EQ(found.mState, stream_lookup::state::Known);
+  EXPECT_EQ(found.mSoftware, SoftwareKey(kService, kOld));
+}
+
+// Guards against streams of a version whose servers have all left that go on at
+// the next one, because it is the only one left.
+TEST_F(stream_origins_test, ARecentVersionIsRemembered)
+{
+  StartNodes(2);
+  Run(seconds(31), { kOld });
+  Run(seconds(20), { kNew });
+  EXPECT_EQ(Resume(Address(0), 5).mState, stream_lookup::state::Unknown);
+  Run(seconds(31), { kNew });
+  EXPECT_EQ(Resume(Address(0), 5).mSoftware, SoftwareKey(kService, kNew));
+}
+
+// Guards against a node without contact to the store that takes its only known
+// version for the only one.
+TEST_F(stream_origins_test, IsNotCertainWithoutTheStore)
+{
+  StartNodes(5);
+  Run(seconds(31), { kOld });
+  mStoreAway = true;
+  Run(seconds(1), { kOld });
+  const stream_key stream = Begin(Address(1), kOld);
+  Run(milliseconds(250), { kOld });
+  Kill(Address(1));
+  EXPECT_EQ(Resume(Address(2), stream).mSoftware, SoftwareKey(kService, kOld));
+  EXPECT_EQ(Resume(Address(2), 5).mState, stream_lookup::state::Unknown);
+}
+
+// Guards against a node that has just started and refuses streams although its
+// peers are certain of a single version.
+TEST_F(stream_origins_test, AskingPeersHelpsANewNode)
+{
+  StartNodes(5);
+  Run(seconds(31), { kOld });
+  const stream_key stream = Begin(Address(1), kOld);
+  Kill(Address(1));
+  Start(Address(1));
+  Run(seconds(1), { kOld });
+  const auto found = Resume(Address(1), stream);
+  EXPECT_EQ(found.mState, stream_lookup::state::Known);
+  EXPECT_EQ(found.mSoftware, SoftwareKey(kService, kOld));
+}
+
+// Guards against a client that waits for a node that can ask nobody.
+TEST_F(stream_origins_test, ANodeCutOffAnswersAtOnce)
+{
+  StartNodes(5);
+  Run(seconds(1), { kOld, kNew });
+  const stream_key own = Begin(Address(3), kNew);
+  const stream_key other = Begin(Address(4), kNew);
+  mCutOff.insert(Address(3));
+  UpdatePeers();
+  Run(seconds(1), { kOld, kNew });
+  EXPECT_EQ(Resume(Address(3), own).mSoftware, SoftwareKey(kService, kNew));
+  const time_point asked = mNow;
+  EXPECT_EQ(Resume(Address(3), other + 1).mState,
+            stream_lookup::state::Unknown);
+  EXPECT_EQ(mNow, asked);
+}
+
+// Guards against a client that waits for silent peers beyond the time in which
+// another node could serve it.
+TEST_F(stream_origins_test, WaitsForAnswersForALimitedTime)
+{
+  StartNodes(5);
+  Run(seconds(1), { kOld, kNew });
+  mLossShare = 1.0;
+  const time_point asked = mNow;
+  EXPECT_EQ(Resume(Address(0), 5).mState, stream_lookup::state::Unknown);
+  EXPECT_LE(mNow, asked + milliseconds(200));
+}
+
+// Guards against tables that grow with every stream, or with streams that
+// clients only claim.
+TEST_F(stream_origins_test, TablesAreBounded)
+{
+  StartNodes(2);
+  Run(seconds(1), { kOld, kNew });
+  stream_origins& node = mNodes.at(Address(0));
+  for (int i = 0; i < 100000; ++i) {
+    Begin(Address(0), kOld);
+  }
+  EXPECT_LE(node.Size(), 30000U);
+  for (stream_key claimed = 1; claimed < 5000; ++claimed) {
+    node.Lookup(claimed, { kService }, mNow, mNow);
+  }
+  EXPECT_LE(node.TakeQueries().size(), 2000U);
+  Run(seconds(31), { kOld, kNew });
+  EXPECT_EQ(node.Size(), 0U);
+}
+
+// Guards against copies that cost more than the control traffic that a node may
+// cause at the target size: 2 KB a second.
+TEST_F(stream_origins_test, CopiesOfTheLargestFleetAreSmall)
+{
+  StartNodes(340);
+  Run(seconds(1), { kOld, kNew });
+  mBytes = 0;
+  // 6,300 requests a second over 340 nodes.
+  for (int i = 0; i < 18; ++i) {
+    Begin(Address(7), kOld);
+    Run(milliseconds(10), { kOld, kNew }, milliseconds(10));
+  }
+  EXPECT_LE(mBytes, 2000U);
+}
--- a/Source/UnitTests/Gateway/StreamVersionTest.cpp
+++ b/Source/UnitTests/Gateway/StreamVersionTest.cpp
@@ -53,11 +53,17 @@
                        aNumber);
   }
 
+  static std::string Body(unsigned aNumber)
+  {
+    return fmt::format("question {}", aNumber);
+  }
+
   /// A client begins a stream, which breaks after its first event.
   std::string Begin(unsigned aNumber)
   {
     mResumable = false;
-    const auto begun = Call("POST", "/s/x", Headers(aNumber, "first"), "b");
+    const auto begun =
+      Call("POST", "/s/x", Headers(aNumber, "first"), Body(aNumber));
     EXPECT_EQ(begun->mBody, "id: 1\ndata: a\n\n");
     return mRuns[fmt::format("first-{}", aNumber)].at(0);
   }
@@ -94,7 +100,7 @@
   StartNode();
   mResumable = true;
   for (unsigned i = 0; i < 12; ++i) {
-    const auto exchange = Call("POST", "/r/x", Headers(i, "only"), "b");
+    const auto exchange = Call("POST", "/r/x", Headers(i, "only"), Body(i));
     EXPECT_EQ(exchange->mBody, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
     const auto& runs = mRuns[fmt::format("only-{}", i)];
     ASSERT_EQ(runs.size(), 2U);
@@ -143,3 +149,97 @@
     EXPECT_TRUE(ResumedAt(i).empty());
   }
 }
+
+namespace {
+
+/// Address of a loopback port that is free for datagrams and connections.
+tcp_address FreeAddress(const time_source& aTime)
+{
+  class no_handler final : public http_request_handler
+  {
+    void OnRequest(http_server_connection&, http_server_request) override {}
+    void OnClientDisconnected(http_server_connection&) override {}
+    void OnClientDrained(http_server_connection&) override {}
+    void OnConnectionClosed(http_server_connection&) override {}
+  } handler;
+  std::string error;
+  return http_listener::Listen({ "127.0.0.1", 0 }, handler, aTime, error)
+    ->Address();
+}
+
+/// Two nodes with one store.
+class resumption_elsewhere_test : public stream_version_test
+{
+protected:
+  void StartNodes()
+  {
+    mSettings.mPeer = FreeAddress(mTime);
+    StartNode();
+    mFirst = std::move(mNode);
+    mSettings.mName = "node-2";
+    mSettings.mPeer = FreeAddress(mTime);
+    StartNode();
+    // The nodes find each other by their rows.
+    RunFor(milliseconds(1500));
+    std::swap(mFirst, mNode);
+  }
+
+  void ExpectResumptions()
+  {
+    for (unsigned i = 0; i < 12; ++i) {
+      EXPECT_EQ(Resume(i)->mBody, "id: 2\ndata: b\n\n");
+      EXPECT_EQ(ResumedAt(i), std::vector{ mBeganAt[i] });
+    }
+  }
+
+  void BeginAll()
+  {
+    for (unsigned i = 0; i < 12; ++i) {
+      mBeganAt.push_back(Begin(i));
+    }
+    RunFor(milliseconds(50));
+  }
+
+  /// The node that is not in use.
+  std::unique_ptr<gateway_node> mFirst;
+  std::vector<std::string> mBeganAt;
+};
+
+} // namespace
+
+// Guards against streams that clients take up at another node than the one that
+// began them.
+TEST_F(resumption_elsewhere_test, GoesOnAtTheVersionThatBeganTheStream)
+{
+  AddEngines();
+  StartNodes();
+  BeginAll();
+  std::swap(mFirst, mNode);
+  ExpectResumptions();
+}
+
+// Guards against streams that nobody can place once their node was killed.
+TEST_F(resumption_elsewhere_test, GoesOnAfterTheNodeWasKilled)
+{
+  AddEngines();
+  StartNodes();
+  BeginAll();
+  std::swap(mFirst, mNode);
+  mFirst.reset();
+  ExpectResumptions();
+}
+
+// Guards against streams that are refused because the store is away.
+TEST_F(resumption_elsewhere_test, GoesOnWithoutTheStore)
+{
+  // Without the store, tokens that are not drawn cannot be spent.
+  const std::string prepaid = R"(, "prepaid": 100000)";
+  mConfig.erase(mConfig.find(prepaid), prepaid.size());
+  AddEngines();
+  StartNodes();
+  mStore.mUnreachable = true;
+  RunFor(milliseconds(2500));
+  BeginAll();
+  std::swap(mFirst, mNode);
+  ExpectResumptions();
+}
