Limit what servers may send that is no response

A server in trouble may send bytes without end that are no response, until its caller closes. The gateway read on until the timeout of the route, and kept an event without end in memory; a body that came faster than its client took it was kept without limit, too.

Interim responses, discarded responses, bodies of refusals, single events and the number of events are limited now; beyond the limit the connection is closed at once, and the request fails or is repeated. Bodies are read as fast as the client takes them, like streams. Heads were limited before.

--- a/Source/Core/Gateway/EventJoiner.h
+++ b/Source/Core/Gateway/EventJoiner.h
@@ -19,6 +19,7 @@
   void DropPartial() { mPartial.clear(); }
 
   bool Partial() const { return !mPartial.empty(); }
+  std::size_t PartialBytes() const { return mPartial.size(); }
   std::uint64_t Events() const { return mEvents; }
   /// Identity of the last whole event; empty if it had none.
   const std::string& LastId() const { return mLastId; }
--- a/Source/Core/Gateway/GatewaySession.h
+++ b/Source/Core/Gateway/GatewaySession.h
@@ -126,6 +126,8 @@
   admission_query AdmissionQuery() const;
   void Send(const placement& aPlacement, time_point aNow);
   void ForwardEvents(std::string_view aBytes);
+  /// Stops reading from the server while the client is slower.
+  void PauseForClient();
   /// Records the time between events of the server.
   void RecordEvents();
   void RecordFirstByte();
@@ -215,6 +217,7 @@
   bool mResponseStarted = false;
   bool mFirstByteSeen = false;
   bool mReadingPaused = false;
+  std::size_t mRefusalBytes = 0;
   event_joiner mEvents;
   std::string mBuffered;
 };
--- a/Source/Core/Gateway/GatewaySessionResponse.cpp
+++ b/Source/Core/Gateway/GatewaySessionResponse.cpp
@@ -15,6 +15,12 @@
 // Response bodies up to this size are buffered and sent whole, so that a broken
 // connection does not truncate them.
 constexpr std::size_t kMaxBufferedBytes = 1048576;
+// Longest event of a stream. Events hold a few tokens each.
+constexpr std::size_t kMaxEventBytes = 262144;
+// Events of a stream beyond one for each token that the request allows.
+constexpr std::int64_t kMaxExtraEvents = 16;
+// Longest body of a refusal that is awaited, to keep its connection.
+constexpr std::size_t kMaxRefusalBytes = 65536;
 
 bool IsHopByHopHeader(std::string_view aName)
 {
@@ -83,6 +89,11 @@
 {
   mContext.mUpstreamRegistry.OnByte(mPlacement.mUpstream, mContext.mTime.Now());
   if (mAnswer.mNotRun) {
+    mRefusalBytes += aBytes.size();
+    if (mRefusalBytes > kMaxRefusalBytes) {
+      mConnection->Cancel();
+      OnComplete(false);
+    }
     return;
   }
   if (mEventStream) {
@@ -91,6 +102,7 @@
   }
   if (mResponseStarted) {
     mClient->WriteBody(aBytes);
+    PauseForClient();
     return;
   }
   mBuffered.append(aBytes);
@@ -105,7 +117,11 @@
 void gateway_session::ForwardEvents(std::string_view aBytes)
 {
   const std::string events = mEvents.Feed(aBytes);
-  if (mEvents.OutOfOrder()) {
+  const bool tooMany = mRequest.mMaxOutputTokens > 0 &&
+                       static_cast<std::int64_t>(mEvents.Events()) >
+                         mRequest.mMaxOutputTokens + kMaxExtraEvents;
+  if (mEvents.OutOfOrder() || tooMany ||
+      mEvents.PartialBytes() > kMaxEventBytes) {
     mConnection->Cancel();
     FailAttempt(exchange_failure::Malformed);
     return;
@@ -122,6 +138,11 @@
   }
   RecordEvents();
   mClient->WriteBody(events);
+  PauseForClient();
+}
+
+void gateway_session::PauseForClient()
+{
   if (mClient->PendingBytes() > kMaxPendingBytes && !mReadingPaused) {
     mReadingPaused = true;
     mConnection->SetReading(false);
--- a/Source/Core/Gateway/GatewaySessionUpstream.cpp
+++ b/Source/Core/Gateway/GatewaySessionUpstream.cpp
@@ -78,6 +78,7 @@
   mHasResponse = false;
   mEventStream = false;
   mBuffered.clear();
+  mRefusalBytes = 0;
   ++mAttempts;
   const std::size_t crashes =
     mContext.mCrashes.CrashCount(mFingerprint.mContent, aNow);
--- a/Source/Core/Net/HttpClientConnection.cpp
+++ b/Source/Core/Net/HttpClientConnection.cpp
@@ -17,6 +17,10 @@
 // Most buffered bytes of an incomplete response header.
 constexpr std::size_t kMaxIncompleteHeaderBytes = 131072;
 constexpr std::size_t kBodyBlockBytes = 16384;
+// Limits of what a server may send that is no response: interim responses, and
+// bytes of the body of a response to another request.
+constexpr unsigned kMaxInterimResponses = 16;
+constexpr std::size_t kMaxDiscardedBytes = 262144;
 constexpr unsigned kFirstFinalStatus = 200;
 
 } // namespace
@@ -64,6 +68,8 @@
   mObserver = &aObserver;
   mIsHeadRequest = aIsHeadRequest;
   mDiscardingResponse = false;
+  mDiscardedBytes = 0;
+  mInterimResponses = 0;
   mInput.clear();
   ++mUses;
   StartParser();
@@ -135,6 +141,10 @@
     }
     if (parser.is_header_done() && !mHeadReceived) {
       if (parser.get().result_int() < kFirstFinalStatus) {
+        if (++mInterimResponses > kMaxInterimResponses) {
+          Fail(exchange_failure::Malformed);
+          return;
+        }
         StartParser();
         continue;
       }
@@ -143,6 +153,13 @@
       }
     }
     const std::size_t filled = mParser->mBlock.size() - body.size;
+    if (mDiscardingResponse) {
+      mDiscardedBytes += filled;
+      if (mDiscardedBytes > kMaxDiscardedBytes) {
+        Fail(exchange_failure::NoResponse);
+        return;
+      }
+    }
     if (mHeadReceived && filled > 0 && !mDiscardingResponse) {
       mObserver->OnBody({ mParser->mBlock.data(), filled });
       if (mObserver == nullptr || Closed()) {
--- a/Source/Core/Net/HttpConnection.h
+++ b/Source/Core/Net/HttpConnection.h
@@ -236,4 +236,6 @@
   bool mHeadReceived = false;
   /// The response being read belongs to an earlier request and is discarded.
   bool mDiscardingResponse = false;
+  std::size_t mDiscardedBytes = 0;
+  unsigned mInterimResponses = 0;
 };
