Clear prompt segments that all servers' ends made suspect

Cause: only a complete response clears a segment, and in such a moment there is none. Now a response that goes on for half a second clears its segments, too, as a server crashes when it begins to answer. An end waits 100 ms for bytes of the same server on other connections, which show that only one connection broke.

--- a/Source/Core/Gateway/CrashExchange.cpp
+++ b/Source/Core/Gateway/CrashExchange.cpp
@@ -31,6 +31,10 @@
 // nodes that started or were cut off, and the limit of these reports.
 constexpr milliseconds kRepeatInterval(1000);
 constexpr std::size_t kMaxRepeatedReports = 48;
+// Time for which the end of a server waits for bytes from the server on other
+// connections, and the age from which on bytes were sent after the end.
+constexpr milliseconds kSignOfLifeTimeout(100);
+constexpr milliseconds kMaxByteAge(30);
 // Number of crashes of a segment from which on they are written to the store.
 // Fewer refuse no request.
 constexpr std::size_t kMinRowCrashes = 3;
@@ -257,14 +261,40 @@
     QueueRow(report);
   }
   for (const segment_id& segment : aCrash.mRequest.mSegments) {
-    const segment_crash crash{ segment,
-                               aCrash.mServer,
-                               aCrash.mLastByte.value_or(aCrash.mObservedAt) };
-    if (Add("own", crash, now)) {
+    mPendingSegmentCrashes.emplace_back(
+      segment_crash{ segment,
+                     aCrash.mServer,
+                     aCrash.mLastByte.value_or(aCrash.mObservedAt) },
+      aCrash.mSilent ? now : now + kSignOfLifeTimeout);
+  }
+}
+
+void crash_exchange::OnByte(const server_run& aServer, time_point aSentAt)
+{
+  if (mPendingSegmentCrashes.empty()) {
+    return;
+  }
+  const time_point now = mTime.Now();
+  std::erase_if(mPendingSegmentCrashes, [&](const auto& aPending) {
+    const segment_crash& crash = aPending.first;
+    return crash.mServer == aServer && aSentAt < crash.mObservedAt &&
+           now >= crash.mObservedAt + kMaxByteAge;
+  });
+}
+
+void crash_exchange::AddPending(time_point aNow)
+{
+  std::erase_if(mPendingSegmentCrashes, [&](const auto& aPending) {
+    const auto& [crash, dueAt] = aPending;
+    if (aNow < dueAt) {
+      return false;
+    }
+    if (Add("own", crash, aNow)) {
       mNewSegmentCrashes.push_back(crash);
-      QueueRow(segment, now);
+      QueueRow(crash.mSegment, aNow);
     }
-  }
+    return true;
+  });
 }
 
 void crash_exchange::OnServed(const request_fingerprint& aRequest)
@@ -273,7 +303,13 @@
   if (mHistory.OnServed(aRequest.mContent, now)) {
     mNewServed.push_back({ aRequest.mContent, now });
   }
-  for (const segment_id& segment : aRequest.mSegments) {
+  OnAnswering(aRequest.mSegments);
+}
+
+void crash_exchange::OnAnswering(const std::vector<segment_id>& aSegments)
+{
+  const time_point now = mTime.Now();
+  for (const segment_id& segment : aSegments) {
     const bool hasRow = mSegments.CrashCount(segment, now) >= kMinRowCrashes;
     if (mSegments.OnServed(segment, now)) {
       mNewServedSegments[segment] = now;
@@ -287,6 +323,7 @@
 
 std::vector<crash_notice> crash_exchange::TakeNews(time_point aNow)
 {
+  AddPending(aNow);
   auto notices = Split(mNewReports, mNewServed, aNow);
   for (const crash_report& report : mNewReports) {
     mRecentReports.emplace_back(report, aNow);
@@ -456,6 +493,7 @@
 
 void crash_exchange::OnMaintenanceTick(time_point aNow)
 {
+  AddPending(aNow);
   ReviewRows(aNow);
   WriteRows(aNow);
 }
--- a/Source/Core/Gateway/CrashExchange.h
+++ b/Source/Core/Gateway/CrashExchange.h
@@ -41,8 +41,14 @@
 
   /// A server run seemed to end while it ran a request of this node.
   void Report(const observed_crash& aCrash);
+  /// Bytes arrived from a server run in response to a request that was sent at
+  /// `aSentAt`, so the run has not ended since. Most connections that break
+  /// while others of the server go on do not count against prompt segments.
+  void OnByte(const server_run& aServer, time_point aSentAt);
   /// A server answered the request completely.
   void OnServed(const request_fingerprint& aRequest);
+  /// A server answers a request with these prompt segments without harm.
+  void OnAnswering(const std::vector<segment_id>& aSegments);
 
   /// Returns notices of what became known here since the last call. They are
   /// sent to all nodes at once.
@@ -62,6 +68,8 @@
   bool Add(const char* aSource, const crash_report& aReport, time_point aNow);
   bool Add(const char* aSource, const segment_crash& aCrash, time_point aNow);
   void QueueRow(const crash_report& aReport);
+  /// Adds the crashes that no sign of life has refuted in time.
+  void AddPending(time_point aNow);
   /// Queues the row of a segment that is close to being refused.
   void QueueRow(const segment_id& aSegment, time_point aNow);
   void ApplySegmentRow(std::string_view aKey, std::string_view aValue);
@@ -84,7 +92,10 @@
   std::vector<served_report> mNewServed;
   std::vector<std::pair<crash_report, time_point>> mRecentReports;
   std::vector<served_report> mRecentServed;
-  /// The same for prompt segments.
+  /// Crashes of prompt segments that a sign of life may still refute, with the
+  /// time until which it may.
+  std::vector<std::pair<segment_crash, time_point>> mPendingSegmentCrashes;
+  /// As above for prompt segments.
   std::vector<segment_crash> mNewSegmentCrashes;
   std::map<segment_id, time_point> mNewServedSegments;
   std::vector<std::pair<segment_crash, time_point>> mRecentSegmentCrashes;
--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -104,6 +104,14 @@
               .mReportServed =
                 [this](const request_fingerprint& aRequest) {
                   mCrashExchange.OnServed(aRequest);
+                },
+              .mReportByte =
+                [this](const server_run& aServer, time_point aSentAt) {
+                  mCrashExchange.OnByte(aServer, aSentAt);
+                },
+              .mReportAnswering =
+                [this](const std::vector<segment_id>& aSegments) {
+                  mCrashExchange.OnAnswering(aSegments);
                 } }
   , mPeerTransport(mFleet,
                    mTokenAllowance,
--- a/Source/Core/Gateway/GatewayNodeTicks.cpp
+++ b/Source/Core/Gateway/GatewayNodeTicks.cpp
@@ -140,7 +140,9 @@
   mFleet.Self().mFreeTokens = mTokenAllowance.AllFreeTokens(now);
   mTokenAllowance.SetHolders(mFleet.TokenHolders(now));
   UpdateRateLimits(now);
-  mStreamOrigins.SetPeers(mFleet.LivePeerAddresses(now));
+  const auto peers = mFleet.LivePeerAddresses(now);
+  mStreamOrigins.SetPeers(peers);
+  mSegmentCrashes.SetNodes(mFleet.Self().mAddress, peers);
   mPeerTransport.SendReports();
   mUpstreamRegistry.SetPeerWork(mFleet.PeerWork(now));
   mTokenAllowance.SetNodes(mFleet.LiveNodeCount(now));
--- a/Source/Core/Gateway/GatewaySession.cpp
+++ b/Source/Core/Gateway/GatewaySession.cpp
@@ -242,23 +242,20 @@
 bool gateway_session::EndIfSuspect(time_point aNow)
 {
   const auto& [content, segments] = mFingerprint;
-  const auto endedUnderOtherSegment = [&](const server_run& aRun) {
-    return mContext.mSegmentCrashes.AccountsFor(
-      aRun, mFingerprint.mSegments, aNow);
-  };
-  if (mContext.mCrashes.Blocked(content, aNow, endedUnderOtherSegment)) {
+  if (mContext.mCrashes.Blocked(content, aNow) &&
+      !mContext.mSegmentCrashes.Explains(
+        mContext.mCrashes.CrashedRuns(content), segments, aNow)) {
     EndUnsent("request_crashes_servers", kBlockedRetryDelay);
     return true;
   }
-  const segment_verdict verdict =
-    mContext.mSegmentCrashes.Judge(segments, aNow);
-  if (verdict == segment_verdict::Refuse) {
+  mSegmentVerdict = mContext.mSegmentCrashes.Judge(segments, aNow);
+  if (mSegmentVerdict == segment_verdict::Refuse) {
     EndUnsent("prompt_crashes_servers", kBlockedRetryDelay);
     return true;
   }
   if ((mContext.mCrashes.IsLastAttempt(content, aNow) &&
        mContext.mUnanswered.Contains(content)) ||
-      (verdict == segment_verdict::SendAlone &&
+      (mSegmentVerdict != segment_verdict::Send &&
        mContext.mUnanswered.ContainsAny(segments))) {
     EndUnsent("suspect_in_progress", kSuspectRetryDelay);
     return true;
--- a/Source/Core/Gateway/GatewaySession.h
+++ b/Source/Core/Gateway/GatewaySession.h
@@ -51,6 +51,12 @@
   std::function<void(const observed_crash& aCrash)> mReportCrash;
   /// Reports that a server answered the request completely.
   std::function<void(const request_fingerprint& aRequest)> mReportServed;
+  /// Reports bytes of a server for a request that was sent at `aSentAt`.
+  std::function<void(const server_run& aServer, time_point aSentAt)>
+    mReportByte;
+  /// Reports that a server answers a request with these prompt segments.
+  std::function<void(const std::vector<segment_id>& aSegments)>
+    mReportAnswering;
   /// Connections that were dropped inside one of their own events and must be
   /// destroyed later.
   std::vector<std::unique_ptr<http_client_connection>> mDiscardedConnections{};
@@ -203,7 +209,13 @@
   unanswered_requests::ticket mUnansweredTicket = 0;
   time_point mSentAt;
   time_point mLastEventAt;
+  /// First event of the current server; nothing before it.
+  std::optional<time_point> mFirstEventAt;
+  /// Whether the current server has answered for long enough to clear the
+  /// prompt of crashes.
+  bool mAnswering = false;
   std::vector<upstream_id> mTriedUpstreams;
+  segment_verdict mSegmentVerdict = segment_verdict::Send;
   unsigned mAttempts = 0;
   unsigned mConnectFailures = 0;
 
--- a/Source/Core/Gateway/GatewaySessionResponse.cpp
+++ b/Source/Core/Gateway/GatewaySessionResponse.cpp
@@ -19,6 +19,9 @@
 constexpr std::size_t kMaxEventBytes = 262144;
 // Events of a stream beyond one for each token that the request allows.
 constexpr std::int64_t kMaxExtraEvents = 16;
+// Time after the first event from which on a server does not crash because it
+// begins to answer.
+constexpr std::chrono::milliseconds kAnsweringTime(500);
 // Longest body of a refusal that is awaited, to keep its connection.
 constexpr std::size_t kMaxRefusalBytes = 65536;
 
@@ -56,6 +59,7 @@
     return false;
   }
   mContext.mUpstreamRegistry.OnByte(mPlacement.mUpstream, now);
+  mContext.mReportByte(mServerRun, mSentAt);
   if (!answer.mNotRun && !answer.mSigned) {
     mMayHaveRun = true;
     mConnection->Cancel();
@@ -88,6 +92,7 @@
 void gateway_session::OnBody(std::string_view aBytes)
 {
   mContext.mUpstreamRegistry.OnByte(mPlacement.mUpstream, mContext.mTime.Now());
+  mContext.mReportByte(mServerRun, mSentAt);
   if (mAnswer.mNotRun) {
     mRefusalBytes += aBytes.size();
     if (mRefusalBytes > kMaxRefusalBytes) {
@@ -159,6 +164,12 @@
       now);
   }
   mLastEventAt = now;
+  if (!mFirstEventAt) {
+    mFirstEventAt = now;
+  } else if (now >= *mFirstEventAt + kAnsweringTime &&
+             !std::exchange(mAnswering, true)) {
+    mContext.mReportAnswering(mFingerprint.mSegments);
+  }
   RecordFirstByte();
 }
 
--- a/Source/Core/Gateway/GatewaySessionUpstream.cpp
+++ b/Source/Core/Gateway/GatewaySessionUpstream.cpp
@@ -79,6 +79,8 @@
   mEventStream = false;
   mBuffered.clear();
   mRefusalBytes = 0;
+  mFirstEventAt.reset();
+  mAnswering = false;
   ++mAttempts;
   const std::size_t crashes =
     mContext.mCrashes.CrashCount(mFingerprint.mContent, aNow);
@@ -90,6 +92,10 @@
           Field("server", mPlacement.mUpstream.mName),
           Field("known_crashes", crashes) });
   }
+  if (mSegmentVerdict == segment_verdict::SendTrial) {
+    Log(log_level::Info, "prompt_trial_sent", { Field("id", mRequest.mId) });
+    mContext.mSegmentCrashes.OnTrial(mFingerprint.mSegments, aNow);
+  }
   LogLimitedSend(aNow);
   LogResumption();
   const placement_query query = Query();
--- a/Source/Core/Gateway/SegmentCrashHistory.h
+++ b/Source/Core/Gateway/SegmentCrashHistory.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <span>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -30,6 +31,9 @@
   Send,
   /// A segment may crash servers. One request with it is sent at a time.
   SendAlone,
+  /// A segment is refused, but one request with it is sent to see whether it
+  /// still crashes servers.
+  SendTrial,
   /// A segment crashes servers.
   Refuse,
 };
@@ -42,7 +46,9 @@
 /// rules tell their segments apart: a complete response to any request with a
 /// segment refutes all earlier crashes of that segment, and a segment does not
 /// count against a request if another one, which the request lacks, accounts
-/// for its crashes.
+/// for its crashes. When all servers end at once these rules fail, so one node,
+/// which all choose alike, sends a refused segment again after a while, and
+/// later and later if that crashes a server.
 class segment_crash_history
 {
 public:
@@ -51,11 +57,15 @@
   {
   }
 
+  /// Sets the addresses of this node and of its live peers. Without them there
+  /// are no trials.
+  void SetNodes(std::string aSelf, std::vector<std::string> aPeers);
+
   /// Returns false if the crash is known, refuted or expired, or if the table
   /// is full.
   bool Add(const segment_crash& aCrash, time_point aNow);
-  /// A server answered a request with the segment completely. Returns whether
-  /// the segment had crashes.
+  /// A server answered a request with the segment completely, or for longer
+  /// than it takes to crash. Returns whether the segment had crashes.
   bool OnServed(const segment_id& aSegment, time_point aServedAt);
   /// Time of the last complete response if it refutes a crash that was observed
   /// at the given time.
@@ -68,11 +78,13 @@
   /// `aSegments` are the shared segments of a request's prompt.
   segment_verdict Judge(std::span<const segment_id> aSegments,
                         time_point aNow) const;
-  /// Whether the run ended under a segment with many crashes that is not among
-  /// `aExcept`.
-  bool AccountsFor(const server_run& aRun,
-                   std::span<const segment_id> aExcept,
-                   time_point aNow) const;
+  /// A request with these segments is sent as a trial.
+  void OnTrial(std::span<const segment_id> aSegments, time_point aNow);
+  /// Whether one segment with many crashes, which is not among `aExcept`,
+  /// accounts for the ends of these runs, apart from a single one.
+  bool Explains(const std::vector<server_run>& aRuns,
+                std::span<const segment_id> aExcept,
+                time_point aNow) const;
 
   /// Crashes of the segment that are not refuted.
   std::vector<segment_crash> Crashes(const segment_id& aSegment) const;
@@ -92,16 +104,19 @@
                const server_run& aServer,
                time_point aObservedAt) const;
   /// Number of moments at which servers ended under the segment, apart from
-  /// runs that `aHasOtherCause` excludes.
+  /// ends that `aOther` accounts for.
   std::size_t CountMoments(const segment_id& aSegment,
                            const server_runs& aRuns,
-                           const server_run_filter& aHasOtherCause = {}) const;
+                           const segment_id* aOther = nullptr) const;
   /// Whether a segment that is not in the request accounts for the crashes.
   bool IsExplained(const segment_id& aSegment,
                    const server_runs& aRuns,
                    std::span<const segment_id> aRequest) const;
   /// Whether the run ended under the segment, as far as is known.
   bool EndedUnder(const segment_id& aSegment, const server_run& aRun) const;
+  bool IsTrialDue(const segment_id& aSegment,
+                  const server_runs& aRuns,
+                  time_point aNow) const;
   static bool IsExpired(const server_runs& aRuns, time_point aNow);
   void RemoveFromServer(const segment_id& aSegment, const server_run& aServer);
   void DropSingleCrashes();
@@ -111,4 +126,13 @@
   /// Segments with a crash, by server run.
   std::map<server_run, std::set<segment_id>> mSegmentsByServer;
   std::unordered_map<segment_id, time_point> mServed;
+  struct trials
+  {
+    time_point mLastAt;
+    unsigned mCount = 0;
+  };
+  /// Trials of this node, by refused segment.
+  std::unordered_map<segment_id, trials> mTrials;
+  std::string mSelf;
+  std::vector<std::string> mPeers;
 };
--- a/Source/Core/Gateway/ServerLiveness.h
+++ b/Source/Core/Gateway/ServerLiveness.h
@@ -2,7 +2,6 @@
 
 #include <compare>
 #include <cstdint>
-#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -25,10 +24,6 @@
 /// Parses the text form of `FormatServerRun`; nothing if it is malformed.
 std::optional<server_run> ParseServerRun(std::string_view aText);
 
-/// Tells whether the end of a server run has another cause than the one that is
-/// judged.
-using server_run_filter = std::function<bool(const server_run& aRun)>;
-
 /// Until when the runs of servers were certainly alive, as their entries in the
 /// store show.
 class server_liveness
--- a/Source/UnitTests/Gateway/CrashExchangeTest.cpp
+++ b/Source/UnitTests/Gateway/CrashExchangeTest.cpp
@@ -324,3 +324,23 @@
   mNode.mExchange.ApplyRow("crash-segment/xyz", "i-1.1@5\n");
   EXPECT_EQ(mNode.mSegments.CrashCount(kSegment, mTime.Now()), 0U);
 }
+
+// Guards against sound segments that are refused because single connections of
+// live servers broke.
+TEST_F(segment_exchange_test, BytesOnOtherConnectionsRefuteAnEnd)
+{
+  const server_run server{ upstream_id{ "i-1" }, 1 };
+  const time_point sentAt = mTime.Now();
+  const auto breakAndSend = [&](milliseconds aSentAfter) {
+    mTime.Advance(milliseconds(10));
+    mNode.mExchange.Report({ { { 7, 1 }, { kSegment } }, server, mTime.Now() });
+    mTime.Advance(milliseconds(50));
+    mNode.mExchange.OnByte(server, sentAt + aSentAfter);
+    mTime.Advance(milliseconds(100));
+    mNode.mExchange.TakeNews(mTime.Now());
+    return mNode.mSegments.CrashCount(kSegment, mTime.Now());
+  };
+  EXPECT_EQ(breakAndSend(milliseconds(0)), 0U);
+  // The request was sent after the end, perhaps to the next run of the server.
+  EXPECT_EQ(breakAndSend(milliseconds(200)), 1U);
+}
--- a/Source/UnitTests/Gateway/CrashingPromptTest.cpp
+++ b/Source/UnitTests/Gateway/CrashingPromptTest.cpp
@@ -58,6 +58,8 @@
 
   unsigned mCrashes = 0;
   unsigned mSent = 0;
+  unsigned mEvents = 0;
+  loop_timer mTimer;
 };
 
 } // namespace
@@ -93,3 +95,29 @@
   EXPECT_EQ(Ask({ "document" })->mResponse.mStatus, 200U);
   EXPECT_EQ(Ask({ "system", kCrashingSegment })->mResponse.mStatus, 503U);
 }
+
+// Guards against a long stream that breaks with its server and counts against
+// its segments, although it was answered for a while.
+TEST_F(crashing_prompt_test, AnswersInProgressClearTheirSegments)
+{
+  AddServers(6);
+  for (const auto& server : mServers) {
+    server->mScript = [this](http_server_connection& aConnection,
+                             const http_server_request& aRequest) {
+      scripted_server::SendEvents(aConnection, aRequest, "");
+      mEvents = 0;
+      mTimer.Every(std::chrono::milliseconds(60), [this, &aConnection] {
+        ++mEvents;
+        aConnection.WriteBody(fmt::format("id: {}\ndata: a\n\n", mEvents));
+        if (mEvents == 10) {
+          mTimer.Cancel();
+          aConnection.Abort();
+        }
+      });
+    };
+  }
+  StartNode();
+  for (unsigned i = 0; i < 5; ++i) {
+    EXPECT_EQ(Ask({ "document" })->mResponse.mStatus, 200U);
+  }
+}
