Resume streams over software versions in the fault soak

Engines of the soak have versions now (--versions), and its callers take broken streams up at any node, naming the request that began them.

--- a/Scripts/fault_soak/__main__.py
+++ b/Scripts/fault_soak/__main__.py
@@ -72,7 +72,9 @@
         self.history = History()
         self.store = Store()
         self.store.random = random.Random(options.seed + 1)
-        self.operator = Operator(self.history, self.store, self.random)
+        self.operator = Operator(
+            self.history, self.store, self.random, options.attempts
+        )
         self.nodes = []
         self.servers = []
         self.proxies = {}
@@ -81,9 +83,13 @@
         count = self.options.nodes
         network = free_network(count)
         server_address = f"{network}.250"
-        for name, service, engine in [
-            *((f"e-{i}", "engines", True) for i in range(self.options.engines)),
-            *((f"o-{i}", "orders", False) for i in range(3)),
+        versions = self.options.versions
+        for name, service, engine, software in [
+            *(
+                (f"e-{i}", "engines", True, f"v{i % versions}")
+                for i in range(self.options.engines)
+            ),
+            *((f"o-{i}", "orders", False, "v0") for i in range(3)),
         ]:
             server = Server(
                 self.history,
@@ -93,6 +99,7 @@
                 name,
                 service,
                 engine,
+                software,
             )
             self.servers.append(server)
             await server.open()
@@ -150,7 +157,11 @@
         limit_task = asyncio.create_task(
             server_limits.run(self.options.limits, self.options.seconds)
         )
+        for server in self.servers:
+            server.broken_share = self.options.broken
         fault_count = await faults.run(self.options.seconds)
+        for server in self.servers:
+            server.broken_share = 0.0
         await crash_task
         await limit_task
         faults_ended_at = now()
@@ -218,6 +229,8 @@
         "harmless requests": promises.harmless_requests_are_not_taken_for_crashing(
             history
         ),
+        "software versions": promises.streams_keep_their_version(history),
+        "resumed streams": promises.resumed_streams_go_on(history),
         "stops": promises.nodes_exit_cleanly(history),
         "recovery": promises.service_recovers(
             history, faults_ended_at, RECOVERY_TIMEOUT
@@ -246,6 +259,10 @@
             f"{len(copies)} requests, {ended} servers ended"
         )
     requests = soak.history.requests.values()
+    resumed = [r for r in requests if r.resumes]
+    if resumed:
+        going_on = sum(1 for r in resumed if r.events_received())
+        print(f"seed {options.seed}: {going_on} of {len(resumed)} resumptions go on")
     served = sum(1 for r in requests if r.complete and r.status == 200)
     print(
         f"seed {options.seed}: {len(requests)} requests, {served} served, "
@@ -277,6 +294,15 @@
     parser.add_argument(
         "--segments", type=int, default=1, help="number of crashing prompt segments"
     )
+    parser.add_argument(
+        "--versions", type=int, default=2, help="number of versions of the engines"
+    )
+    parser.add_argument(
+        "--attempts", type=int, default=3, help="servers that a stream is sent to"
+    )
+    parser.add_argument(
+        "--broken", type=float, default=0.0, help="share of streams that break"
+    )
     parser.add_argument(
         "--limits", type=int, default=3, help="number of rate limits of servers"
     )
--- a/Scripts/fault_soak/callers.py
+++ b/Scripts/fault_soak/callers.py
@@ -1,4 +1,5 @@
-"""Simulated callers: they resolve addresses, connect to them and retry once."""
+"""Simulated callers: they resolve addresses, connect to them, retry once and resume
+streams that break."""
 
 import asyncio
 
@@ -12,6 +13,9 @@
 
 KEYS = {"large": "key-large", "middle": "key-middle", "small": "key-small"}
 
+# Times that a caller takes a broken stream up.
+MAX_RESUMPTIONS = 2
+
 # (kind, service, path prefix, time limit in seconds, weight in the random choice)
 KINDS = [
     ("streaming", "engines", "/chat/", 6.0, 5),
@@ -83,10 +87,48 @@
         kind, service, path, limit, _ = self.random.choices(KINDS, weights)[0]
         tenant = self.random.choices(list(KEYS), [6, 3, 1])[0]
         index = self.random.randrange(len(self.sessions))
-        retry_delay = await self._attempt(index, kind, service, path, limit, tenant)
-        if retry_delay is not None and retry_delay < limit / 3:
-            await asyncio.sleep(retry_delay)
-            await self._attempt(index, kind, service, path, limit, tenant)
+        request = await self._attempt(index, kind, service, path, limit, tenant)
+        if request is None:
+            return
+        delay = request.retry_after
+        if delay is not None and delay < limit / 3:
+            await asyncio.sleep(delay)
+            request = await self._attempt(index, kind, service, path, limit, tenant)
+        if request is not None and request.kind == "streaming":
+            await self._resume(request)
+
+    async def _resume(self, first):
+        """Takes a broken stream up at any node, at most MAX_RESUMPTIONS times."""
+        end = first.sent_at + first.time_limit
+        last_event = first.events_received()
+        for _ in range(MAX_RESUMPTIONS):
+            if not last_event or last_event >= first.events or now() > end - 0.5:
+                return
+            if first.disconnected_at:
+                return
+            index, node = await self.pick_node()
+            if node is None:
+                return
+            request = self.create_request(
+                first.kind,
+                first.service,
+                "",
+                end - now(),
+                first.tenant,
+                node,
+                path=first.path,
+            )
+            request.events = first.events
+            request.output_tokens = first.output_tokens
+            request.prompt_tokens = first.prompt_tokens
+            request.segments = first.segments
+            request.payload = first.payload
+            request.resumes = first.id
+            request.resumed_after = last_event
+            await self.send(self.sessions[index], request)
+            last_event += request.events_received()
+            if request.complete and request.status == 200:
+                return
 
     async def pick_node(self, index=None):
         """Returns a session's index and a node from the directory, or None."""
@@ -100,7 +142,7 @@
         return index, node
 
     async def _attempt(self, index, kind, service, path, limit, tenant):
-        """Returns the Retry-After of a refusal in seconds, or None."""
+        """Sends a new request; returns it, or None if no node is known."""
         _, node = await self.pick_node(index)
         if node is None:
             return None
@@ -109,7 +151,7 @@
             disconnect_after = self.random.uniform(0.02, 0.4)
         request = self.create_request(kind, service, path, limit, tenant, node)
         await self.send(self.sessions[index], request, disconnect_after)
-        return request.retry_after
+        return request
 
     def create_request(self, kind, service, prefix, limit, tenant, node, path=None):
         """Records a new request for `path`, or for a random path of `prefix`."""
@@ -155,6 +197,9 @@
                 [f"{name}:{share}" for name in request.segments]
                 + [f"{request.id}:{own}"]
             )
+        if request.resumes:
+            headers["Resumes"] = request.resumes
+            headers["Last-Event-Id"] = str(request.resumed_after)
         # A paused node does not answer, so callers give up 3 s after the time limit.
         timeout = disconnect_after or request.time_limit + 3
         try:
--- a/Scripts/fault_soak/history.py
+++ b/Scripts/fault_soak/history.py
@@ -44,6 +44,14 @@
     crashing: str = ""
     # Segments that the prompt shares with other requests, in order.
     segments: tuple[str, ...] = ()
+    # Request that brought the first event of the stream that this one resumes, and
+    # the number of the last event that the caller has.
+    resumes: str = ""
+    resumed_after: int = 0
+
+    def events_received(self):
+        """Number of whole events in the response."""
+        return self.body.count(b"\n\n") if self.kind == "streaming" else 0
 
 
 @dataclasses.dataclass
@@ -58,6 +66,10 @@
     started_at: float
     resumed_after: int
     stamp: str
+    # Version of the server's software.
+    software: str = ""
+    # The server broke the response off itself.
+    broken_off: bool = False
     status: int = 200
     events_sent: int = 0
     ended_at: float = 0.0
@@ -111,6 +123,8 @@
         self.probes = []
         # (tenant, path, payload) -> CrashingRequest
         self.crashing = {}
+        # server -> version of its software
+        self.software = {}
         # segment -> CrashingSegment
         self.crashing_segments = {}
         # (name of the crashing request or segment, server that ended, time)
--- a/Scripts/fault_soak/operator_desk.py
+++ b/Scripts/fault_soak/operator_desk.py
@@ -16,10 +16,12 @@
 
 
 class Operator:
-    def __init__(self, history, store, random):
+    def __init__(self, history, store, random, stream_attempts):
         self.history = history
         self.store = store
         self.random = random
+        # Servers that one streaming request may be sent to.
+        self.stream_attempts = stream_attempts
         self.version = 1
         # Versions of the routes that were added and not removed, oldest first.
         self.added = []
@@ -87,7 +89,11 @@
             "targetLatencyMs": int(limit * 250),
             "gapAimMs": 600,
             "priority": 1,
-            "maxAttempts": 1 if kind == "non_idempotent" else 3,
+            "maxAttempts": {
+                "non_idempotent": 1,
+                "idempotent": 3,
+                "streaming": self.stream_attempts,
+            }[kind],
             "sticky": kind == "streaming",
             "resumable": kind == "streaming",
         }
--- a/Scripts/fault_soak/promises.py
+++ b/Scripts/fault_soak/promises.py
@@ -41,6 +41,12 @@
 # to use a newer one.
 ROLLBACK_TOLERANCE = 0.25
 
+# Streams that may hold events of two software versions.
+MAX_MIXED_STREAMS = 2
+# Number of resumed streams from which on their share that goes on is judged against
+# that of new streams that begin.
+MIN_RESUMED_STREAMS = 12
+
 # From LIMIT_NOTICE_TIME after a server first named a rate limit on, it gets in any
 # LIMIT_WINDOW at most LIMIT_FACTOR times what the limit allows, and LIMIT_ALLOWANCE
 # requests more, from nodes that had a response with the limit LIMIT_TOLD_TIME ago.
@@ -57,7 +63,10 @@
 
 
 def stream_body(request):
-    return b"".join(stream_event(request.id, n) for n in range(1, request.events + 1))
+    first = request.resumed_after + 1
+    return b"".join(
+        stream_event(request.id, n) for n in range(first, request.events + 1)
+    )
 
 
 def plain_body(request_id, stamp):
@@ -364,9 +373,12 @@
     servers = collections.defaultdict(set)
     for arrival in history.arrivals:
         servers[arrival.id].add(arrival.server)
+    broken_off = {run.id for run in history.runs if run.broken_off}
     for request in history.requests.values():
         if not request.cut_off or request.id not in servers or request.crashing:
             continue
+        if request.id in broken_off:
+            continue
         begin = request.sent_at - MIN_FAULT_FREE_TIME
         if history.is_fault_free(
             begin, request.ended_at, request.node, kinds=UNPLANNED_NODE_FAULTS
@@ -386,3 +398,62 @@
             reason in request.body for reason in CRASHING_REASONS
         ):
             yield f"{request.id} for {request.path} was refused as crashing"
+
+
+def streams_keep_their_version(history):
+    """A stream holds events from servers of one software version only, in one
+    response or over the caller's tries. Faults excuse nothing."""
+    runs = _runs_by_id(history)
+    software = collections.defaultdict(set)
+    for request in history.requests.values():
+        received = request.events_received()
+        if request.kind != "streaming" or not received:
+            continue
+        last = request.resumed_after + received
+        for run in runs[request.id]:
+            # The run sent events that the caller has.
+            if run.events_sent and run.resumed_after < last:
+                software[request.resumes or request.id].add(run.software)
+    mixed = [stream for stream, versions in software.items() if len(versions) > 1]
+    if len(mixed) > MAX_MIXED_STREAMS:
+        yield f"{len(mixed)} streams of two software versions, first {mixed[0]}"
+
+
+def resumed_streams_go_on(history):
+    """Resumed streams go on at least half as often as new ones begin, at nodes
+    without a fault of their own, while two servers of their version are sound."""
+    runs = _runs_by_id(history)
+    resumed = []
+    new = []
+    for request in history.requests.values():
+        if request.kind != "streaming" or request.crashing or request.disconnected_at:
+            continue
+        versions = {run.software for run in runs[request.resumes] if run.events_sent}
+        sound = [
+            server
+            for server, software in history.software.items()
+            if software in versions
+            and history.is_fault_free(
+                request.sent_at - MIN_FAULT_FREE_TIME,
+                request.ended_at,
+                server,
+                kinds=SERVER_FAULTS,
+            )
+        ]
+        if request.resumes and len(sound) < 2:
+            continue
+        if history.is_fault_free(
+            request.sent_at - MIN_FAULT_FREE_TIME,
+            request.ended_at,
+            request.node,
+            kinds=NODE_FAULTS,
+        ):
+            began = request.events_received() > 0
+            (resumed if request.resumes else new).append(began)
+    if len(resumed) >= MIN_RESUMED_STREAMS and (
+        sum(resumed) / len(resumed) < 0.5 * sum(new) / len(new)
+    ):
+        yield (
+            f"{sum(resumed)} of {len(resumed)} resumed streams go on, "
+            f"{sum(new)} of {len(new)} new ones begin"
+        )
--- a/Scripts/fault_soak/promises_test.py
+++ b/Scripts/fault_soak/promises_test.py
@@ -192,6 +192,65 @@
         recorded.crashes.pop()
         self.assert_valid(check(recorded))
 
+    def test_streams_of_two_software_versions(self):
+        check = promises.streams_keep_their_version
+        event = promises.stream_event
+
+        def streams(count, software):
+            requests, runs = [], []
+            for i in range(count):
+                first = request(id=f"a{i}", complete=False, body=event(f"a{i}", 1))
+                second = request(
+                    id=f"b{i}", resumes=f"a{i}", resumed_after=1, body=event("b", 2)
+                )
+                requests += [first, second]
+                runs += [
+                    run(id=f"a{i}", software="v0", events_sent=1),
+                    run(id=f"b{i}", software=software, events_sent=2, resumed_after=1),
+                ]
+            return history(requests, runs)
+
+        self.assert_valid(check(streams(5, "v0")))
+        self.assert_valid(check(streams(2, "v1")))
+        self.assert_violation(check(streams(3, "v1")))
+        # Events that did not reach the caller do not count.
+        recorded = streams(3, "v1")
+        for r in recorded.requests.values():
+            if r.resumes:
+                r.body = b""
+        self.assert_valid(check(recorded))
+
+    def test_resumed_streams_that_are_refused(self):
+        check = promises.resumed_streams_go_on
+
+        def streams(going_on):
+            new = [request(id=f"a{i}") for i in range(20)]
+            resumed = [
+                request(
+                    id=f"b{i}",
+                    resumes=f"a{i}",
+                    status=200 if i < going_on else 503,
+                    body=promises.stream_event("b", 2) if i < going_on else b"",
+                )
+                for i in range(12)
+            ]
+            recorded = history(
+                new + resumed,
+                [run(id=f"a{i}", software="v0", events_sent=1) for i in range(12)],
+            )
+            recorded.software = {"e-0": "v0", "e-1": "v0", "e-2": "v1"}
+            return recorded
+
+        self.assert_valid(check(streams(6)))
+        self.assert_violation(check(streams(5)))
+        refused = streams(5)
+        refused.faults = [Fault("kill", "n-0", SENT - 1, SENT)]
+        self.assert_valid(check(refused))
+        refused.faults = [Fault("crash", "e-1", SENT - 1, SENT)]
+        self.assert_valid(check(refused))
+        refused.faults = [Fault("crash", "e-2", SENT - 1, SENT)]
+        self.assert_violation(check(refused))
+
     def test_request_that_is_cut_off_by_a_planned_stop(self):
         check = promises.requests_are_not_cut_off
         cut = request(status=0, complete=False, cut_off=True)
@@ -209,6 +268,10 @@
             recorded.faults = [fault]
             self.assert_valid(check(recorded))
         recorded.faults = []
+        recorded.runs = [run(broken_off=True)]
+        self.assert_valid(check(recorded))
+        recorded.runs = [run()]
+        self.assert_violation(check(recorded))
         recorded.requests = {"r1": request()}
         self.assert_valid(check(recorded))
 
--- a/Scripts/fault_soak/servers.py
+++ b/Scripts/fault_soak/servers.py
@@ -17,7 +17,9 @@
 
 
 class Server:
-    def __init__(self, history, store, random, address, name, service, engine):
+    def __init__(
+        self, history, store, random, address, name, service, engine, software
+    ):
         self.history = history
         self.store = store
         self.random = random
@@ -25,6 +27,9 @@
         self.name = name
         self.service = service
         self.engine = engine
+        # Version of its software.
+        self.software = software
+        history.software[name] = software
         self.slots = 16 if engine else 12
         self.proxy = Proxy()
         self.running = 0
@@ -34,6 +39,8 @@
         # Shares of responses that are cut off, or have status 500.
         self.truncated_share = 0.0
         self.error_share = 0.0
+        # Share of streams that break in the whole run, apart from faults.
+        self.broken_share = 0.0
         # The `RateLimit` that responses name, or None.
         self.limit = None
         # Another fault decides when the server ends and starts.
@@ -109,7 +116,7 @@
                 "service": self.service,
                 "address": f"{self.address}:{self.proxy.port}",
                 "zone": "z1",
-                "version": "1",
+                "version": self.software,
                 "slots": self.slots,
                 "state": self.state,
                 "coldRemainingMs": 0,
@@ -175,6 +182,7 @@
             started_at=now(),
             resumed_after=int(request.headers.get("Last-Event-Id", "0")),
             stamp=f"{self.name}.{self.started_at_ms}.{self.run_count}",
+            software=self.software,
         )
         self.history.runs.append(run)
         self.running += 1
@@ -246,7 +254,7 @@
         response.enable_chunked_encoding()
         await response.prepare(request)
         truncated_at = 0
-        if self.random.random() < self.truncated_share:
+        if self.random.random() < max(self.truncated_share, self.broken_share):
             truncated_at = self.random.randint(run.resumed_after + 1, events)
         for number in range(run.resumed_after + 1, events + 1):
             if request.transport is None or request.transport.is_closing():
@@ -254,6 +262,7 @@
             event = promises.stream_event(run.id, number)
             if number == truncated_at:
                 # Sends half an event, then closes the connection.
+                run.broken_off = True
                 await response.write(event[: len(event) // 2])
                 if request.transport is not None:
                     request.transport.abort()
