Count crashes of a request whatever its prompt segments

The log shows sends with known_crashes=4 and 5.

When all servers end again and again, a popular segment that crashes nothing accounts for the ends of a request that crashes servers. An excuse by evidence that is refuted later is worse than a wrong refusal, so ends count for every request again.

What the excuse was for came from the soak: its requests with different prompts had the same payload and counted as one. Also, only the suspect segments of a request must not be in progress elsewhere; with a popular one among them the request was refused as long as that one was in use.

OnlySuspectSegmentsMustNotBeInProgress covers the second change.

--- a/Scripts/fault_soak/__main__.py
+++ b/Scripts/fault_soak/__main__.py
@@ -126,7 +126,10 @@
         lag_task = asyncio.create_task(self.watch_lag())
         await asyncio.sleep(WARM_UP_DELAY)
         caller_pool = Callers(
-            self.history, self.nodes, random.Random(self.options.seed)
+            self.history,
+            self.nodes,
+            random.Random(self.options.seed),
+            prompts_in_payloads=self.options.segments > 0,
         )
         traffic_task = asyncio.create_task(caller_pool.run(self.options.rate))
         await asyncio.sleep(1)
--- a/Scripts/fault_soak/callers.py
+++ b/Scripts/fault_soak/callers.py
@@ -25,10 +25,12 @@
 
 
 class Callers:
-    def __init__(self, history, nodes, random):
+    def __init__(self, history, nodes, random, prompts_in_payloads):
         self.history = history
         self.nodes = nodes
         self.random = random
+        # Whether requests with different prompts have different payloads.
+        self.prompts_in_payloads = prompts_in_payloads
         self.stopping = False
         self._tasks = set()
         self._request_count = 0
@@ -175,6 +177,8 @@
         request.url = f"http://{node.address}:{node.ports['clients']}{request.path}"
         if streaming:
             request.segments = (f"{self.random.randrange(6):x}",)
+            if self.prompts_in_payloads:
+                request.payload = b'{"prompt": "%s"}' % request.id.encode()
         self.history.requests[request.id] = request
         return request
 
--- a/Source/Core/Gateway/CrashHistory.cpp
+++ b/Source/Core/Gateway/CrashHistory.cpp
@@ -153,21 +153,6 @@
   return CrashCount(aRequest, aNow) >= kMaxCrashes;
 }
 
-std::vector<server_run> crash_history::CrashedRuns(
-  const content_id& aRequest) const
-{
-  std::vector<server_run> runs;
-  const auto found = mRecords.find(aRequest);
-  if (found != mRecords.end()) {
-    for (const auto& [run, observed] : found->second) {
-      if (IsValid(aRequest, run, observed.mAt)) {
-        runs.push_back(run);
-      }
-    }
-  }
-  return runs;
-}
-
 bool crash_history::IsLastAttempt(const content_id& aRequest,
                                   time_point aNow) const
 {
--- a/Source/Core/Gateway/CrashHistory.h
+++ b/Source/Core/Gateway/CrashHistory.h
@@ -127,8 +127,6 @@
   /// connection that broke proves that its server had not ended before.
   std::size_t CrashCount(const content_id& aRequest, time_point aNow) const;
   bool Blocked(const content_id& aRequest, time_point aNow) const;
-  /// Server runs that ended under the request, as far as reports are valid.
-  std::vector<server_run> CrashedRuns(const content_id& aRequest) const;
   /// Whether one more crash blocks the request. A node then sends one copy at a
   /// time, because the outcome of a copy may become known only seconds later.
   bool IsLastAttempt(const content_id& aRequest, time_point aNow) const;
--- a/Source/Core/Gateway/GatewaySession.cpp
+++ b/Source/Core/Gateway/GatewaySession.cpp
@@ -242,21 +242,20 @@
 bool gateway_session::EndIfSuspect(time_point aNow)
 {
   const auto& [content, segments] = mFingerprint;
-  if (mContext.mCrashes.Blocked(content, aNow) &&
-      !mContext.mSegmentCrashes.Explains(
-        mContext.mCrashes.CrashedRuns(content), segments, aNow)) {
+  if (mContext.mCrashes.Blocked(content, aNow)) {
     EndUnsent("request_crashes_servers", kBlockedRetryDelay);
     return true;
   }
-  mSegmentVerdict = mContext.mSegmentCrashes.Judge(segments, aNow);
+  const segment_judgement judgement =
+    mContext.mSegmentCrashes.Judge(segments, aNow);
+  mSegmentVerdict = judgement.mVerdict;
   if (mSegmentVerdict == segment_verdict::Refuse) {
     EndUnsent("prompt_crashes_servers", kBlockedRetryDelay);
     return true;
   }
   if ((mContext.mCrashes.IsLastAttempt(content, aNow) &&
        mContext.mUnanswered.Contains(content)) ||
-      (mSegmentVerdict != segment_verdict::Send &&
-       mContext.mUnanswered.ContainsAny(segments))) {
+      mContext.mUnanswered.ContainsAny(judgement.mSuspects)) {
     EndUnsent("suspect_in_progress", kSuspectRetryDelay);
     return true;
   }
--- a/Source/Core/Gateway/SegmentCrashHistory.cpp
+++ b/Source/Core/Gateway/SegmentCrashHistory.cpp
@@ -175,47 +175,28 @@
   });
 }
 
-bool segment_crash_history::Explains(const std::vector<server_run>& aRuns,
-                                     std::span<const segment_id> aExcept,
-                                     time_point aNow) const
-{
-  std::map<segment_id, std::size_t> endsBySegment;
-  for (const server_run& run : aRuns) {
-    const auto segments = mSegmentsByServer.find(run);
-    if (segments == mSegmentsByServer.end()) {
-      continue;
-    }
-    for (const segment_id& segment : segments->second) {
-      if (EndedUnder(segment, run)) {
-        ++endsBySegment[segment];
-      }
-    }
-  }
-  return std::ranges::any_of(endsBySegment, [&](const auto& aPair) {
-    return std::ranges::find(aExcept, aPair.first) == aExcept.end() &&
-           aPair.second + kMaxUnexplained >= aRuns.size() &&
-           CrashCount(aPair.first, aNow) >= kMaxCrashes;
-  });
-}
-
-segment_verdict segment_crash_history::Judge(
+segment_judgement segment_crash_history::Judge(
   std::span<const segment_id> aSegments,
   time_point aNow) const
 {
-  segment_verdict verdict = segment_verdict::Send;
+  segment_judgement judgement;
   for (const segment_id& segment : aSegments) {
     const std::size_t crashes = CrashCount(segment, aNow);
+    if (crashes + 1 < kMaxCrashes) {
+      continue;
+    }
+    judgement.mSuspects.push_back(segment);
+    segment_verdict verdict = segment_verdict::SendAlone;
     if (crashes >= kMaxCrashes &&
         !IsExplained(segment, mCrashes.at(segment), aSegments)) {
       if (!IsTrialDue(segment, mCrashes.at(segment), aNow)) {
-        return segment_verdict::Refuse;
+        return { segment_verdict::Refuse, {} };
       }
       verdict = segment_verdict::SendTrial;
-    } else if (crashes + 1 >= kMaxCrashes) {
-      verdict = std::max(verdict, segment_verdict::SendAlone);
     }
+    judgement.mVerdict = std::max(judgement.mVerdict, verdict);
   }
-  return verdict;
+  return judgement;
 }
 
 void segment_crash_history::SetNodes(std::string aSelf,
--- a/Source/Core/Gateway/SegmentCrashHistory.h
+++ b/Source/Core/Gateway/SegmentCrashHistory.h
@@ -38,6 +38,15 @@
   Refuse,
 };
 
+struct segment_judgement
+{
+  segment_verdict mVerdict = segment_verdict::Send;
+  /// Segments that must not be in progress elsewhere, unless the request is
+  /// refused.
+  std::vector<segment_id> mSuspects;
+  auto operator<=>(const segment_judgement&) const = default;
+};
+
 /// Prompt segments that are suspected of crashing servers, as this node and its
 /// peers observed. Other requests share such a segment, so each request that
 /// contains it ends a further server.
@@ -76,15 +85,10 @@
   /// moment count once, because they have one cause, such as a lost rack.
   std::size_t CrashCount(const segment_id& aSegment, time_point aNow) const;
   /// `aSegments` are the shared segments of a request's prompt.
-  segment_verdict Judge(std::span<const segment_id> aSegments,
-                        time_point aNow) const;
+  segment_judgement Judge(std::span<const segment_id> aSegments,
+                          time_point aNow) const;
   /// A request with these segments is sent as a trial.
   void OnTrial(std::span<const segment_id> aSegments, time_point aNow);
-  /// Whether one segment with many crashes, which is not among `aExcept`,
-  /// accounts for the ends of these runs, apart from a single one.
-  bool Explains(const std::vector<server_run>& aRuns,
-                std::span<const segment_id> aExcept,
-                time_point aNow) const;
 
   /// Crashes of the segment that are not refuted.
   std::vector<segment_crash> Crashes(const segment_id& aSegment) const;
--- a/Source/UnitTests/Gateway/CrashExchangeTest.cpp
+++ b/Source/UnitTests/Gateway/CrashExchangeTest.cpp
@@ -186,7 +186,7 @@
 
   segment_verdict Judge(const exchange_node& aNode) const
   {
-    return aNode.mSegments.Judge(std::span(&kSegment, 1), mTime.Now());
+    return aNode.mSegments.Judge(std::span(&kSegment, 1), mTime.Now()).mVerdict;
   }
 
   /// Servers end one after the other under requests that share the segment.
--- a/Source/UnitTests/Gateway/SegmentCrashHistoryTest.cpp
+++ b/Source/UnitTests/Gateway/SegmentCrashHistoryTest.cpp
@@ -1,6 +1,5 @@
 #include <gtest/gtest.h>
 
-#include "Gateway/CrashHistory.h"
 #include "Gateway/SegmentCrashHistory.h"
 
 namespace {
@@ -13,7 +12,6 @@
 constexpr segment_id kCrashing{ 1, 2 };
 constexpr segment_id kDocument{ 1, 3 };
 constexpr segment_id kOther{ 1, 4 };
-constexpr content_id kRequest{ 2, 1 };
 
 server_run ServerRun(std::uint64_t aNumber)
 {
@@ -25,7 +23,7 @@
 protected:
   segment_verdict Judge(const std::vector<segment_id>& aSegments) const
   {
-    return mHistory.Judge(aSegments, mTime);
+    return mHistory.Judge(aSegments, mTime).mVerdict;
   }
 
   /// A further server ends while it runs a request with the segments.
@@ -189,29 +187,6 @@
   EXPECT_EQ(mHistory.Expire(mTime).size(), 1U);
 }
 
-// Guards against sound requests that are refused because they broke with
-// servers that a segment of other prompts crashed.
-TEST_F(segment_crash_history_test, ExcusesRequestsThatBrokeWithASegment)
-{
-  crash_history requests;
-  for (std::uint64_t i = 1; i <= 4; ++i) {
-    EndServer({ kCrashing });
-    requests.Add({ kRequest, ServerRun(i), mTime }, mTime);
-  }
-  const auto blocked = [&](const std::vector<segment_id>& aSegments) {
-    return requests.Blocked(kRequest, mTime) &&
-           !mHistory.Explains(requests.CrashedRuns(kRequest), aSegments, mTime);
-  };
-  EXPECT_FALSE(blocked({ kSystem }));
-  // The request may crash servers itself if it contains the segment.
-  EXPECT_TRUE(blocked({ kSystem, kCrashing }));
-  // One end of its own may be chance, two are not.
-  requests.Add({ kRequest, ServerRun(11), mTime }, mTime);
-  EXPECT_FALSE(blocked({ kSystem }));
-  requests.Add({ kRequest, ServerRun(12), mTime }, mTime);
-  EXPECT_TRUE(blocked({ kSystem }));
-}
-
 // Guards against sound segments that stay refused because their requests broke
 // when all servers ended, and against several nodes that try at once.
 TEST_F(segment_crash_history_test, OneNodeSendsARefusedSegmentAgainAfterAWhile)
@@ -235,7 +210,8 @@
   const auto trials = [&] {
     std::size_t count = 0;
     for (auto& history : histories) {
-      const auto verdict = history.Judge(std::span(&kDocument, 1), mTime);
+      const auto verdict =
+        history.Judge(std::span(&kDocument, 1), mTime).mVerdict;
       EXPECT_GE(verdict, segment_verdict::SendTrial);
       if (verdict == segment_verdict::SendTrial) {
         ++count;
@@ -261,7 +237,21 @@
   // A response clears the segment.
   for (auto& history : histories) {
     history.OnServed(kDocument, mTime);
-    EXPECT_EQ(history.Judge(std::span(&kDocument, 1), mTime),
+    EXPECT_EQ(history.Judge(std::span(&kDocument, 1), mTime).mVerdict,
               segment_verdict::Send);
   }
 }
+
+// Guards against requests that are refused while other requests with their
+// sound segments are in progress, which is always.
+TEST_F(segment_crash_history_test, OnlySuspectSegmentsMustNotBeInProgress)
+{
+  for (int i = 0; i < 3; ++i) {
+    EndServer({ kSystem, kDocument });
+    mHistory.OnServed(kSystem, mTime);
+  }
+  const segment_id segments[] = { kSystem, kDocument };
+  const auto judgement = mHistory.Judge(segments, mTime);
+  EXPECT_EQ(judgement.mVerdict, segment_verdict::SendAlone);
+  EXPECT_EQ(judgement.mSuspects, std::vector{ kDocument });
+}
