Judge resumed streams in the soak by stream and with patient callers

The check counted each try of a caller by itself, and its callers came back without regard to Retry-After.

--- a/Scripts/fault_soak/callers.py
+++ b/Scripts/fault_soak/callers.py
@@ -131,6 +131,10 @@
             last_event += request.events_received()
             if request.complete and request.status == 200:
                 return
+            if request.retry_after is not None:
+                if request.retry_after > (end - now()) / 3:
+                    return
+                await asyncio.sleep(request.retry_after)
 
     async def pick_node(self, index=None):
         """Returns a session's index and a node from the directory, or None."""
--- a/Scripts/fault_soak/promises.py
+++ b/Scripts/fault_soak/promises.py
@@ -420,40 +420,42 @@
 
 
 def resumed_streams_go_on(history):
-    """Resumed streams go on at least half as often as new ones begin, at nodes
-    without a fault of their own, while two servers of their version are sound."""
+    """Streams that callers take up again go on at least half as often as new ones
+    begin, at nodes without a fault of their own, while two servers of their version
+    are sound."""
     runs = _runs_by_id(history)
-    resumed = []
+    resumed = collections.defaultdict(list)
+    excused = set()
     new = []
     for request in history.requests.values():
         if request.kind != "streaming" or request.crashing or request.disconnected_at:
             continue
+        begin = request.sent_at - MIN_FAULT_FREE_TIME
+        at_sound_node = history.is_fault_free(
+            begin, request.ended_at, request.node, kinds=NODE_FAULTS
+        )
+        began = request.events_received() > 0
+        if not request.resumes:
+            if at_sound_node:
+                new.append(began)
+            continue
         versions = {run.software for run in runs[request.resumes] if run.events_sent}
         sound = [
             server
             for server, software in history.software.items()
             if software in versions
             and history.is_fault_free(
-                request.sent_at - MIN_FAULT_FREE_TIME,
-                request.ended_at,
-                server,
-                kinds=SERVER_FAULTS,
+                begin, request.ended_at, server, kinds=SERVER_FAULTS
             )
         ]
-        if request.resumes and len(sound) < 2:
-            continue
-        if history.is_fault_free(
-            request.sent_at - MIN_FAULT_FREE_TIME,
-            request.ended_at,
-            request.node,
-            kinds=NODE_FAULTS,
-        ):
-            began = request.events_received() > 0
-            (resumed if request.resumes else new).append(began)
-    if len(resumed) >= MIN_RESUMED_STREAMS and (
-        sum(resumed) / len(resumed) < 0.5 * sum(new) / len(new)
+        if not at_sound_node or len(sound) < 2:
+            excused.add(request.resumes)
+        resumed[request.resumes].append(began)
+    going_on = [any(tries) for s, tries in resumed.items() if s not in excused]
+    if len(going_on) >= MIN_RESUMED_STREAMS and (
+        sum(going_on) / len(going_on) < 0.5 * sum(new) / len(new)
     ):
         yield (
-            f"{sum(resumed)} of {len(resumed)} resumed streams go on, "
+            f"{sum(going_on)} of {len(going_on)} resumed streams go on, "
             f"{sum(new)} of {len(new)} new ones begin"
         )
