--- a/Source/UnitTests/Gateway/StreamVersionTest.cpp
+++ b/Source/UnitTests/Gateway/StreamVersionTest.cpp
@@ -14,24 +14,23 @@
   void AddEngine(const std::string& aId, const std::string& aSoftware)
   {
     scripted_server& server = AddServer(aId, "engine", aSoftware);
-    server.mScript =
-      [this, &server, aSoftware](http_server_connection& aConnection,
-                                 const http_server_request& aRequest) {
-        const std::string id(
-          FindHeader(aRequest.mHeaders, "Lentilswitch-Request-Id"));
-        const bool resumed =
-          !FindHeader(aRequest.mHeaders, "Last-Event-Id").empty();
-        mRuns[id].push_back(aSoftware);
-        scripted_server::SendEvents(aConnection,
-                                    aRequest,
-                                    resumed ? "id: 2\ndata: b\n\n"
-                                            : "id: 1\ndata: a\n\n");
-        if (resumed && mResumable) {
-          aConnection.FinishBody();
-        } else {
-          aConnection.Abort();
-        }
-      };
+    server.mScript = [this, aSoftware](http_server_connection& aConnection,
+                                       const http_server_request& aRequest) {
+      const std::string id(
+        FindHeader(aRequest.mHeaders, "Lentilswitch-Request-Id"));
+      const bool resumed =
+        !FindHeader(aRequest.mHeaders, "Last-Event-Id").empty();
+      mRuns[id].push_back(aSoftware);
+      scripted_server::SendEvents(aConnection,
+                                  aRequest,
+                                  resumed ? "id: 2\ndata: b\n\n"
+                                          : "id: 1\ndata: a\n\n");
+      if (resumed && mResumable) {
+        aConnection.FinishBody();
+      } else {
+        aConnection.Abort();
+      }
+    };
   }
 
   void AddEngines()
