Attribute events in the soak to the run that they came from

The logs show one response each: the first server's connection broke without a byte (failure=no_response, a proxy had dropped what the server sent), and the second server began the stream anew. The check counted the first run because its server had sent events. A run now counts up to the event at which the next one resumed.

--- a/Scripts/fault_soak/promises.py
+++ b/Scripts/fault_soak/promises.py
@@ -409,10 +409,12 @@
         received = request.events_received()
         if request.kind != "streaming" or not received:
             continue
-        last = request.resumed_after + received
-        for run in runs[request.id]:
-            # The run sent events that the caller has.
-            if run.events_sent and run.resumed_after < last:
+        ordered = sorted(runs[request.id], key=lambda run: run.started_at)
+        # The caller has a run's events up to the one at which the next run resumed.
+        ends = [run.resumed_after for run in ordered[1:]]
+        ends.append(request.resumed_after + received)
+        for run, end in zip(ordered, ends):
+            if run.events_sent and run.resumed_after < end:
                 software[request.resumes or request.id].add(run.software)
     mixed = [stream for stream, versions in software.items() if len(versions) > 1]
     if len(mixed) > MAX_MIXED_STREAMS:
--- a/Scripts/fault_soak/promises_test.py
+++ b/Scripts/fault_soak/promises_test.py
@@ -213,6 +213,20 @@
         self.assert_valid(check(streams(5, "v0")))
         self.assert_valid(check(streams(2, "v1")))
         self.assert_violation(check(streams(3, "v1")))
+        # Events that did not reach the node, which began anew, do not count.
+        recorded = history(
+            [request(id=f"a{i}") for i in range(3)],
+            [
+                run(id=f"a{i}", software=f"v{v}", events_sent=2, started_at=SENT + v)
+                for i in range(3)
+                for v in range(2)
+            ],
+        )
+        self.assert_valid(check(recorded))
+        for r in recorded.runs:
+            if r.software == "v1":
+                r.resumed_after = 1
+        self.assert_violation(check(recorded))
         # Events that did not reach the caller do not count.
         recorded = streams(3, "v1")
         for r in recorded.requests.values():
