--- a/Source/Core/Gateway/CrashExchange.h
+++ b/Source/Core/Gateway/CrashExchange.h
@@ -42,8 +42,8 @@
   /// A server run seemed to end while it ran a request of this node.
   void Report(const observed_crash& aCrash);
   /// Bytes arrived from a server run in response to a request that was sent at
-  /// `aSentAt`, so the run has not ended since. Most connections that break
-  /// while others of the server go on do not count against prompt segments.
+  /// `aSentAt`, so the run has not ended since. A connection that broke
+  /// meanwhile does not count against the segments of its prompt.
   void OnByte(const server_run& aServer, time_point aSentAt);
   /// A server answered the request completely.
   void OnServed(const request_fingerprint& aRequest);
@@ -95,7 +95,7 @@
   /// Crashes of prompt segments that a sign of life may still refute, with the
   /// time until which it may.
   std::vector<std::pair<segment_crash, time_point>> mPendingSegmentCrashes;
-  /// As above for prompt segments.
+  /// News about prompt segments: not sent yet, and of the last second.
   std::vector<segment_crash> mNewSegmentCrashes;
   std::map<segment_id, time_point> mNewServedSegments;
   std::vector<std::pair<segment_crash, time_point>> mRecentSegmentCrashes;
--- a/Source/Core/Gateway/StreamOrigins.cpp
+++ b/Source/Core/Gateway/StreamOrigins.cpp
@@ -24,7 +24,7 @@
 constexpr seconds kMaxCopyAge(10);
 // Number of nodes that keep a copy, and of nodes that are asked. The second is
 // larger because nodes that started since move the choice.
-constexpr std::size_t kKeepers = 3;
+constexpr std::size_t kReplicas = 3;
 constexpr std::size_t kMaxAsked = 6;
 // Time for answers, and interval of queries, because datagrams are lost.
 constexpr milliseconds kLookupTimeout(150);
@@ -159,8 +159,8 @@
   }
 }
 
-std::vector<std::string> stream_origins::Keepers(stream_key aStream,
-                                                 std::size_t aMaxCount) const
+std::vector<std::string> stream_origins::Replicas(stream_key aStream,
+                                                  std::size_t aMaxCount) const
 {
   const std::string key = fmt::format("{:016x}", aStream);
   std::vector<std::pair<std::uint64_t, std::string>> order;
@@ -171,11 +171,11 @@
   const std::size_t count = std::min(aMaxCount, order.size());
   std::ranges::partial_sort(
     order, order.begin() + static_cast<std::ptrdiff_t>(count), std::greater());
-  std::vector<std::string> keepers;
+  std::vector<std::string> replicas;
   for (std::size_t i = 0; i < count; ++i) {
-    keepers.push_back(std::move(order[i].second));
+    replicas.push_back(std::move(order[i].second));
   }
-  return keepers;
+  return replicas;
 }
 
 stream_lookup stream_origins::Lookup(stream_key aStream,
@@ -204,12 +204,12 @@
   }
   const auto [found, isNew] = mLookups.try_emplace(aStream);
   open_lookup& lookup = found->second;
-  const auto keepers = Keepers(aStream, kMaxAsked);
+  const auto replicas = Replicas(aStream, kMaxAsked);
   if (isNew) {
     lookup.mServices = aServices;
     lookup.mExpiresAt = aNow + kLookupTimeout + kQueryInterval;
-    for (const std::string& keeper : keepers) {
-      lookup.mAwaited.insert(NodeHash(keeper));
+    for (const std::string& replica : replicas) {
+      lookup.mAwaited.insert(NodeHash(replica));
     }
   }
   if (lookup.mAwaited.empty() || aNow >= aSince + kLookupTimeout) {
@@ -224,9 +224,9 @@
   }
   if (aNow >= lookup.mNextQueryAt) {
     lookup.mNextQueryAt = aNow + kQueryInterval;
-    for (const std::string& keeper : keepers) {
-      if (lookup.mAwaited.contains(NodeHash(keeper))) {
-        mQueries[keeper].push_back(aStream);
+    for (const std::string& replica : replicas) {
+      if (lookup.mAwaited.contains(NodeHash(replica))) {
+        mQueries[replica].push_back(aStream);
       }
     }
   }
@@ -236,27 +236,27 @@
 std::vector<std::pair<std::string, stream_notice>> stream_origins::TakeNotices(
   time_point aNow)
 {
-  std::map<std::string, stream_notice> byKeeper;
+  std::map<std::string, stream_notice> byReplica;
   std::vector<std::pair<std::string, stream_notice>> notices;
   for (const own_record& own : std::exchange(mToCopy, {})) {
     const auto found = mRecords.find(own.mStream);
     if (found == mRecords.end()) {
       continue;
     }
-    for (const std::string& keeper : Keepers(own.mStream, kKeepers)) {
-      stream_notice& notice = byKeeper[keeper];
+    for (const std::string& replica : Replicas(own.mStream, kReplicas)) {
+      stream_notice& notice = byReplica[replica];
       notice.mRecords.push_back(
         { own.mStream,
           found->second.mSoftware,
           std::chrono::duration_cast<milliseconds>(aNow - own.mBeganAt) });
       if (notice.mRecords.size() == kMaxNoticeRecords) {
-        notices.emplace_back(keeper, std::exchange(notice, {}));
+        notices.emplace_back(replica, std::exchange(notice, {}));
       }
     }
   }
-  for (auto& [keeper, notice] : byKeeper) {
+  for (auto& [replica, notice] : byReplica) {
     if (!notice.mRecords.empty()) {
-      notices.emplace_back(keeper, std::move(notice));
+      notices.emplace_back(replica, std::move(notice));
     }
   }
   return notices;
@@ -265,12 +265,12 @@
 std::vector<std::pair<std::string, stream_query>> stream_origins::TakeQueries()
 {
   std::vector<std::pair<std::string, stream_query>> queries;
-  for (const auto& [keeper, streams] : std::exchange(mQueries, {})) {
+  for (const auto& [replica, streams] : std::exchange(mQueries, {})) {
     for (const stream_key stream : streams) {
       const auto lookup = mLookups.find(stream);
       if (lookup != mLookups.end()) {
         queries.emplace_back(
-          keeper, stream_query{ mAddress, stream, lookup->second.mServices });
+          replica, stream_query{ mAddress, stream, lookup->second.mServices });
       }
     }
   }
--- a/Source/Core/Gateway/StreamOrigins.h
+++ b/Source/Core/Gateway/StreamOrigins.h
@@ -160,8 +160,8 @@
                             time_point aNow) const;
   void Insert(stream_key aStream, software_key aSoftware, time_point aBeganAt);
   /// The live peers that keep copies of the record, first choice first.
-  std::vector<std::string> Keepers(stream_key aStream,
-                                   std::size_t aMaxCount) const;
+  std::vector<std::string> Replicas(stream_key aStream,
+                                    std::size_t aMaxCount) const;
   stream_lookup Ask(stream_key aStream,
                     const std::vector<service_id>& aServices,
                     time_point aSince,
