--- a/Scripts/fault_soak/promises.py
+++ b/Scripts/fault_soak/promises.py
@@ -295,7 +295,9 @@
 def crashing_requests_are_stopped(history):
     """A request under which three servers ended is not sent on and on, nor are
     requests whose prompts share a segment under which five ended."""
-    names = {c.name for c in history.crashing_segments.values()}
+    limits = collections.defaultdict(lambda: MAX_CRASHES)
+    for segment in history.crashing_segments.values():
+        limits[segment.name] = MAX_SEGMENT_CRASHES
     crash_times = collections.defaultdict(list)
     for name, _, at in sorted(history.crashes, key=lambda crash: crash[2]):
         crash_times[name].append(at)
@@ -305,7 +307,7 @@
         times = crash_times[request.crashing] if request else []
         if not request:
             continue
-        limit = MAX_SEGMENT_CRASHES if request.crashing in names else MAX_CRASHES
+        limit = limits[request.crashing]
         if len(times) < limit or arrival.at < (
             times[limit - 1] + CRASH_NOTICE_TIME + OBSERVER_DELAY
         ):
@@ -320,7 +322,7 @@
     for name, count in late_sends.items():
         if count > MAX_LATE_SENDS:
             yield (
-                f"{name} was sent {count} times after too many servers ended, "
+                f"{name} was sent {count} times after {limits[name]} servers ended, "
                 f"{len(crash_times[name])} ended in all"
             )
 
