Reuse what the crash and stream records wrote again

Behaviour is unchanged.

- StreamOrigins hashed node addresses as NodeKey of FleetView does; it calls that now.
- The choice of the node for a trial counted rendezvous weights like the division of rate limits; both call RendezvousRank.
- Sessions reached the crash exchange through four functions in their context, one of them for every piece of a body; the context refers to it.
- The fleet tick listed its live peers twice.
- observed_crash told by a flag what its last byte tells; LastByteOf repeated EndOf; a send looked its server's entry up twice.

--- a/Source/Core/Common/Hash.cpp
+++ b/Source/Core/Common/Hash.cpp
@@ -1,5 +1,6 @@
 #include "Common/Hash.h"
 
+#include <algorithm>
 #include <string>
 
 #include <xxhash.h>
@@ -38,6 +39,17 @@
   return StableHash(aCandidate, StableHash(aKey));
 }
 
+std::size_t RendezvousRank(std::string_view aKey,
+                           std::string_view aCandidate,
+                           const std::vector<std::string>& aOthers)
+{
+  const std::uint64_t own = RendezvousWeight(aKey, aCandidate);
+  return static_cast<std::size_t>(
+    std::ranges::count_if(aOthers, [&](const std::string& aOther) {
+      return RendezvousWeight(aKey, aOther) > own;
+    }));
+}
+
 request_id MakeRequestId(const account_id& aAccount,
                          std::string_view aIdempotencyKey)
 {
--- a/Source/Core/Common/Hash.h
+++ b/Source/Core/Common/Hash.h
@@ -1,8 +1,11 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <initializer_list>
+#include <string>
 #include <string_view>
+#include <vector>
 
 #include "Common/Identity.h"
 
@@ -16,6 +19,11 @@
 std::uint64_t RendezvousWeight(std::string_view aKey,
                                std::string_view aCandidate);
 
+/// Number of the others that are chosen for a key before the candidate.
+std::size_t RendezvousRank(std::string_view aKey,
+                           std::string_view aCandidate,
+                           const std::vector<std::string>& aOthers);
+
 /// Identity of a request from its client account and idempotency key.
 request_id MakeRequestId(const account_id& aAccount,
                          std::string_view aIdempotencyKey);
--- a/Source/Core/Gateway/CrashExchange.h
+++ b/Source/Core/Gateway/CrashExchange.h
@@ -72,6 +72,8 @@
   void AddPending(time_point aNow);
   /// Queues the row of a segment that is close to being refused.
   void QueueRow(const segment_id& aSegment, time_point aNow);
+  /// Queues the removal of the row that a segment has while its crashes count.
+  void QueueRowRemoval(const segment_id& aSegment, time_point aNow);
   void ApplySegmentRow(std::string_view aKey, std::string_view aValue);
   /// Removes rows whose crashes expired or were refuted, and writes rows again
   /// that the store lost.
--- a/Source/Core/Gateway/CrashHistory.h
+++ b/Source/Core/Gateway/CrashHistory.h
@@ -43,8 +43,7 @@
   server_run mServer;
   /// See `crash_report`.
   time_point mObservedAt;
-  bool mSilent = false;
-  /// Last byte of a server that fell silent.
+  /// Last byte of a server that fell silent; nothing if a connection broke.
   std::optional<time_point> mLastByte{};
   auto operator<=>(const observed_crash&) const = default;
 };
--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -93,26 +93,11 @@
               .mRetries = mRetries,
               .mCrashes = mCrashes,
               .mSegmentCrashes = mSegmentCrashes,
+              .mCrashExchange = mCrashExchange,
               .mUnanswered = mUnanswered,
               .mFleet = mFleet,
               .mStreamOrigins = mStreamOrigins,
-              .mMetrics = mMetrics,
-              .mReportCrash =
-                [this](const observed_crash& aCrash) {
-                  mCrashExchange.Report(aCrash);
-                },
-              .mReportServed =
-                [this](const request_fingerprint& aRequest) {
-                  mCrashExchange.OnServed(aRequest);
-                },
-              .mReportByte =
-                [this](const server_run& aServer, time_point aSentAt) {
-                  mCrashExchange.OnByte(aServer, aSentAt);
-                },
-              .mReportAnswering =
-                [this](const std::vector<segment_id>& aSegments) {
-                  mCrashExchange.OnAnswering(aSegments);
-                } }
+              .mMetrics = mMetrics }
   , mPeerTransport(mFleet,
                    mTokenAllowance,
                    mCrashExchange,
--- a/Source/Core/Gateway/GatewayNode.h
+++ b/Source/Core/Gateway/GatewayNode.h
@@ -81,7 +81,8 @@
   void AdvanceWaiting(time_point aNow);
   /// Learns the rate limits of servers from other nodes, and divides all limits
   /// among the live nodes.
-  void UpdateRateLimits(time_point aNow);
+  void UpdateRateLimits(const std::vector<std::string>& aPeers,
+                        time_point aNow);
   /// Reports crashes of servers that fell silent, and avoids these servers.
   void ReportSilentServers(time_point aNow);
   void ContinueStop(time_point aNow);
--- a/Source/Core/Gateway/GatewayNodeTicks.cpp
+++ b/Source/Core/Gateway/GatewayNodeTicks.cpp
@@ -102,10 +102,11 @@
   }
 }
 
-void gateway_node::UpdateRateLimits(time_point aNow)
+void gateway_node::UpdateRateLimits(const std::vector<std::string>& aPeers,
+                                    time_point aNow)
 {
   server_rate_limits& limits = mUpstreamRegistry.RateLimits();
-  limits.SetNodes(mFleet.Self().mAddress, mFleet.LivePeerAddresses(aNow), aNow);
+  limits.SetNodes(mFleet.Self().mAddress, aPeers, aNow);
   for (const rate_limit_statement& statement : mFleet.PeerRateLimits()) {
     if (limits.OnPeerStatement(statement, aNow)) {
       Log(log_level::Info,
@@ -139,8 +140,8 @@
   mFleet.Self().mWork = mUpstreamRegistry.LocalWork();
   mFleet.Self().mFreeTokens = mTokenAllowance.AllFreeTokens(now);
   mTokenAllowance.SetHolders(mFleet.TokenHolders(now));
-  UpdateRateLimits(now);
   const auto peers = mFleet.LivePeerAddresses(now);
+  UpdateRateLimits(peers, now);
   mStreamOrigins.SetPeers(peers);
   mSegmentCrashes.SetNodes(mFleet.Self().mAddress, peers);
   mPeerTransport.SendReports();
--- a/Source/Core/Gateway/GatewaySession.h
+++ b/Source/Core/Gateway/GatewaySession.h
@@ -1,20 +1,18 @@
 #pragma once
 
-#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "Gateway/Admission.h"
-#include "Gateway/CrashHistory.h"
+#include "Gateway/CrashExchange.h"
 #include "Gateway/EventJoiner.h"
 #include "Gateway/FleetView.h"
 #include "Gateway/GatewayCodec.h"
 #include "Gateway/GatewayMetrics.h"
 #include "Gateway/GatewaySettings.h"
 #include "Gateway/RouteTable.h"
-#include "Gateway/SegmentCrashHistory.h"
 #include "Gateway/StreamOrigins.h"
 #include "Gateway/UnansweredRequests.h"
 #include "Gateway/UpstreamPool.h"
@@ -31,6 +29,7 @@
   retry_window& mRetries;
   crash_history& mCrashes;
   segment_crash_history& mSegmentCrashes;
+  crash_exchange& mCrashExchange;
   unanswered_requests& mUnanswered;
   fleet_view& mFleet;
   stream_origins& mStreamOrigins;
@@ -47,16 +46,6 @@
   /// Bytes of the bodies of open requests, and their limit.
   std::size_t mBodyBytes = 0;
   std::size_t mMaxBodyBytes = 0;
-  /// Reports to the other nodes that a server broke while it ran a request.
-  std::function<void(const observed_crash& aCrash)> mReportCrash;
-  /// Reports that a server answered the request completely.
-  std::function<void(const request_fingerprint& aRequest)> mReportServed;
-  /// Reports bytes of a server for a request that was sent at `aSentAt`.
-  std::function<void(const server_run& aServer, time_point aSentAt)>
-    mReportByte;
-  /// Reports that a server answers a request with these prompt segments.
-  std::function<void(const std::vector<segment_id>& aSegments)>
-    mReportAnswering;
   /// Connections that were dropped inside one of their own events and must be
   /// destroyed later.
   std::vector<std::unique_ptr<http_client_connection>> mDiscardedConnections{};
@@ -173,9 +162,6 @@
   /// Ends the token reservation and returns the number of tokens that the
   /// request consumed.
   std::int64_t FinishReservation();
-  /// The run of a server that is current in the registry.
-  server_run CurrentRun(const upstream_id& aUpstream) const;
-  software_version CurrentSoftware(const upstream_id& aUpstream) const;
 
   gateway_context& mContext;
   http_server_connection* mClient;
--- a/Source/Core/Gateway/GatewaySessionResponse.cpp
+++ b/Source/Core/Gateway/GatewaySessionResponse.cpp
@@ -59,7 +59,7 @@
     return false;
   }
   mContext.mUpstreamRegistry.OnByte(mPlacement.mUpstream, now);
-  mContext.mReportByte(mServerRun, mSentAt);
+  mContext.mCrashExchange.OnByte(mServerRun, mSentAt);
   if (!answer.mNotRun && !answer.mSigned) {
     mMayHaveRun = true;
     mConnection->Cancel();
@@ -92,7 +92,7 @@
 void gateway_session::OnBody(std::string_view aBytes)
 {
   mContext.mUpstreamRegistry.OnByte(mPlacement.mUpstream, mContext.mTime.Now());
-  mContext.mReportByte(mServerRun, mSentAt);
+  mContext.mCrashExchange.OnByte(mServerRun, mSentAt);
   if (mAnswer.mNotRun) {
     mRefusalBytes += aBytes.size();
     if (mRefusalBytes > kMaxRefusalBytes) {
@@ -168,7 +168,7 @@
     mFirstEventAt = now;
   } else if (now >= *mFirstEventAt + kAnsweringTime &&
              !std::exchange(mAnswering, true)) {
-    mContext.mReportAnswering(mFingerprint.mSegments);
+    mContext.mCrashExchange.OnAnswering(mFingerprint.mSegments);
   }
   RecordFirstByte();
 }
@@ -227,12 +227,13 @@
   if (mFraming != body_framing::UntilClose) {
     // A failure may come from a server that has not begun to answer.
     if (!serverError) {
-      mContext.mReportServed(mFingerprint);
+      mContext.mCrashExchange.OnServed(mFingerprint);
     }
   } else {
     // The end of a server looks like the end of a response without length. Most
     // are responses, so the segments of the prompt are not suspected.
-    mContext.mReportCrash({ { mFingerprint.mContent, {} }, mServerRun, now });
+    mContext.mCrashExchange.Report(
+      { { mFingerprint.mContent, {} }, mServerRun, now });
   }
   ReleaseUpstream(aReusable);
   if (serverError && !mResponseStarted && MayRetry("server_error")) {
--- a/Source/Core/Gateway/GatewaySessionUpstream.cpp
+++ b/Source/Core/Gateway/GatewaySessionUpstream.cpp
@@ -70,8 +70,11 @@
 void gateway_session::Send(const placement& aPlacement, time_point aNow)
 {
   mPlacement = aPlacement;
-  mServerRun = CurrentRun(aPlacement.mUpstream);
-  mSoftware = CurrentSoftware(aPlacement.mUpstream);
+  const server_entry* entry =
+    mContext.mUpstreamRegistry.Find(aPlacement.mUpstream);
+  mServerRun = { aPlacement.mUpstream,
+                 entry == nullptr ? 0 : entry->mIncarnation };
+  mSoftware = entry == nullptr ? software_version() : entry->mSoftware;
   mWork = aPlacement.mWork;
   mSentAt = aNow;
   mStage = stage::Sent;
@@ -231,7 +234,7 @@
   const bool counted = aFailure != exchange_failure::Malformed;
   LogBreak(ExchangeFailureName(aFailure), reused, counted);
   if (counted) {
-    mContext.mReportCrash({ mFingerprint, mServerRun, now });
+    mContext.mCrashExchange.Report({ mFingerprint, mServerRun, now });
   }
   if (MayRetry("server_failed")) {
     Retry();
@@ -350,16 +353,3 @@
   mTriedUpstreams.push_back(mPlacement.mUpstream);
   mStage = stage::NeedServer;
 }
-
-server_run gateway_session::CurrentRun(const upstream_id& aUpstream) const
-{
-  const server_entry* entry = mContext.mUpstreamRegistry.Find(aUpstream);
-  return { aUpstream, entry == nullptr ? 0 : entry->mIncarnation };
-}
-
-software_version gateway_session::CurrentSoftware(
-  const upstream_id& aUpstream) const
-{
-  const server_entry* entry = mContext.mUpstreamRegistry.Find(aUpstream);
-  return entry == nullptr ? software_version() : entry->mSoftware;
-}
--- a/Source/Core/Gateway/SegmentCrashHistory.cpp
+++ b/Source/Core/Gateway/SegmentCrashHistory.cpp
@@ -228,11 +228,7 @@
     return false;
   }
   // All nodes choose the same one.
-  const std::string key = FormatWide(aSegment);
-  const std::uint64_t own = RendezvousWeight(key, mSelf);
-  return std::ranges::all_of(mPeers, [&](const std::string& aPeer) {
-    return RendezvousWeight(key, aPeer) < own;
-  });
+  return RendezvousRank(FormatWide(aSegment), mSelf, mPeers) == 0;
 }
 
 void segment_crash_history::OnTrial(std::span<const segment_id> aSegments,
--- a/Source/Core/Gateway/ServerRateLimits.cpp
+++ b/Source/Core/Gateway/ServerRateLimits.cpp
@@ -94,10 +94,7 @@
   const double rate =
     std::max(*aServer.mStatement.mRequestsPerSecond, kMinRate);
   const std::string key = fmt::format("{:08x}", aServer.mStatement.mServer);
-  const auto own = RendezvousWeight(key, mSelf);
-  const auto ahead = std::ranges::count_if(mPeers, [&](const auto& aPeer) {
-    return RendezvousWeight(key, aPeer) > own;
-  });
+  const std::size_t ahead = RendezvousRank(key, mSelf, mPeers);
   const auto count = std::min(static_cast<double>(mPeers.size() + 1),
                               std::floor(rate + kExtraNodes));
   const double before = std::exchange(
--- a/Source/Core/Gateway/StreamOrigins.cpp
+++ b/Source/Core/Gateway/StreamOrigins.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include "Common/Hash.h"
+#include "Gateway/FleetView.h"
 
 namespace {
 
@@ -37,11 +38,6 @@
 // Limit of the records in a notice, so that it fits an unfragmented datagram.
 constexpr std::size_t kMaxNoticeRecords = 50;
 
-std::uint32_t NodeHash(const std::string& aAddress)
-{
-  return static_cast<std::uint32_t>(StableHash(aAddress));
-}
-
 } // namespace
 
 stream_key StreamKey(std::string_view aRequestId)
@@ -209,7 +205,7 @@
     lookup.mServices = aServices;
     lookup.mExpiresAt = aNow + kLookupTimeout + kQueryInterval;
     for (const std::string& replica : replicas) {
-      lookup.mAwaited.insert(NodeHash(replica));
+      lookup.mAwaited.insert(NodeKey(replica));
     }
   }
   if (lookup.mAwaited.empty() || aNow >= aSince + kLookupTimeout) {
@@ -225,7 +221,7 @@
   if (aNow >= lookup.mNextQueryAt) {
     lookup.mNextQueryAt = aNow + kQueryInterval;
     for (const std::string& replica : replicas) {
-      if (lookup.mAwaited.contains(NodeHash(replica))) {
+      if (lookup.mAwaited.contains(NodeKey(replica))) {
         mQueries[replica].push_back(aStream);
       }
     }
@@ -293,7 +289,7 @@
   return { aQuery.mStream,
            known == mRecords.end() ? 0 : known->second.mSoftware,
            OnlySoftware(aQuery.mServices, aNow),
-           NodeHash(mAddress) };
+           NodeKey(mAddress) };
 }
 
 void stream_origins::OnAnswer(const stream_answer& aAnswer, time_point aNow)
--- a/Source/Core/Gateway/StreamOrigins.h
+++ b/Source/Core/Gateway/StreamOrigins.h
@@ -60,7 +60,7 @@
   /// The only software at which any stream of the services can have begun; 0 if
   /// there are several or the node is not certain.
   software_key mOnlySoftware = 0;
-  /// Hash of the address of the node that answers.
+  /// `NodeKey` of the node that answers.
   std::uint32_t mNode = 0;
   auto operator<=>(const stream_answer&) const = default;
 };
@@ -148,7 +148,7 @@
     time_point mExpiresAt;
     time_point mNextQueryAt;
     std::vector<service_id> mServices;
-    /// Hashes of the addresses of nodes that were asked and did not answer.
+    /// `NodeKey` of each node that was asked and did not answer.
     std::set<std::uint32_t> mAwaited;
     /// What nodes that do not know the stream are certain of.
     std::set<software_key> mOnlySoftware;
--- a/Source/Core/Gateway/UnansweredRequests.cpp
+++ b/Source/Core/Gateway/UnansweredRequests.cpp
@@ -91,7 +91,6 @@
       silent.push_back({ request.mRequest,
                          request.mServer,
                          LastByteOf(request, *signs),
-                         true,
                          EndOf(request, *signs) });
       request.mReported = true;
     }
@@ -104,9 +103,7 @@
 time_point unanswered_requests::LastByteOf(const open_request& aRequest,
                                            const signs_of_life& aSigns)
 {
-  const bool sameRun = aSigns.mIncarnation == aRequest.mServer.mIncarnation;
-  return sameRun ? std::max(aSigns.mLastByte, aRequest.mSentAt)
-                 : aRequest.mSentAt;
+  return std::max(EndOf(aRequest, aSigns), aRequest.mSentAt);
 }
 
 time_point unanswered_requests::EndOf(const open_request& aRequest,
