Date replies of the store by its clock

A reply that waits on a full link is older than its arrival. The store's clock in each reply and the shortest exchange seen give the earliest time at which it was written.

--- a/Source/Core/Remote/RowStore.h
+++ b/Source/Core/Remote/RowStore.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "Common/Result.h"
+#include "Common/Time.h"
 
 /// A transactional store of rows in partitioned tables with a change feed. The
 /// gateway uses it; `table_service` is the flat key-value table of the nodes.
@@ -84,6 +85,9 @@
   std::uint64_t mVersion = 0;
   /// The store's monotonic clock, if the reply contains it.
   std::optional<std::chrono::milliseconds> mStoreTime{};
+  /// Earliest local time at which the page can have been read; nothing if only
+  /// the time of the call bounds it.
+  std::optional<time_point> mReadAt{};
   auto operator<=>(const row_page&) const = default;
 };
 
