--- a/Scripts/fault_soak/nodes.py
+++ b/Scripts/fault_soak/nodes.py
@@ -48,6 +48,7 @@
             "link_mbps": 1000,
             "memory_mb": 256,
             "leave_limit_ms": int(DRAIN_LIMIT * 1000),
+            "config_limit_ms": int(DRAIN_LIMIT * 1000),
             "grace_s": STOP_GRACE_PERIOD,
             "retry": RETRY,
         }
--- a/Source/Core/Gateway/Fleet.capnp
+++ b/Source/Core/Gateway/Fleet.capnp
@@ -37,6 +37,9 @@
   # Capacity relative to other nodes.
   capacity @10 :Float64;
   rateLimits @12 :List(RateLimit);
+  # Time since the sender's newest state of the store was current, in
+  # milliseconds; the default value if it has none.
+  storeAgeMs @13 :UInt32 = 4294967295;
 }
 
 # What a server told the sending node of its rate limit.
@@ -175,6 +178,17 @@
   version @3 :UInt64;
 }
 
+# The sender's copy of a table.
+struct TableState {
+  table @0 :Text;
+  # Version of the store up to which the copy holds all changes.
+  version @1 :UInt64;
+  # Time since the copy was current, in milliseconds.
+  ageMs @2 :UInt32;
+}
+
 struct StateSnapshot {
   rows @0 :List(StateRow);
+  # Tables whose rows are all in `rows`.
+  tables @1 :List(TableState);
 }
--- a/Source/Core/Gateway/Fleet.capnp.h
+++ b/Source/Core/Gateway/Fleet.capnp.h
@@ -34,6 +34,7 @@
 CAPNP_DECLARE_SCHEMA(ba534375921ee2fc);
 CAPNP_DECLARE_SCHEMA(e415d0c61f2a5799);
 CAPNP_DECLARE_SCHEMA(e843b2f8f0ccf6b8);
+CAPNP_DECLARE_SCHEMA(b7b4e69974ec43ad);
 CAPNP_DECLARE_SCHEMA(ed0cdd52d6316918);
 
 }  // namespace schemas
@@ -320,6 +321,21 @@
   };
 };
 
+struct TableState {
+  TableState() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b7b4e69974ec43ad, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct StateSnapshot {
   StateSnapshot() = delete;
 
@@ -328,7 +344,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ed0cdd52d6316918, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(ed0cdd52d6316918, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -560,6 +576,8 @@
   inline bool hasRateLimits() const;
   inline  ::capnp::List< ::fleet_wire::RateLimit,  ::capnp::Kind::STRUCT>::Reader getRateLimits() const;
 
+  inline  ::uint32_t getStoreAgeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -660,6 +678,9 @@
   inline void adoptRateLimits(::capnp::Orphan< ::capnp::List< ::fleet_wire::RateLimit,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::fleet_wire::RateLimit,  ::capnp::Kind::STRUCT>> disownRateLimits();
 
+  inline  ::uint32_t getStoreAgeMs();
+  inline void setStoreAgeMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2178,6 +2199,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class TableState::Reader {
+public:
+  typedef TableState Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTable() const;
+  inline  ::capnp::Text::Reader getTable() const;
+
+  inline  ::uint64_t getVersion() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class TableState::Builder {
+public:
+  typedef TableState Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTable();
+  inline  ::capnp::Text::Builder getTable();
+  inline void setTable( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTable(unsigned int size);
+  inline void adoptTable(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTable();
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class TableState::Pipeline {
+public:
+  typedef TableState Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class StateSnapshot::Reader {
 public:
   typedef StateSnapshot Reads;
@@ -2198,6 +2310,9 @@
   inline bool hasRows() const;
   inline  ::capnp::List< ::fleet_wire::StateRow,  ::capnp::Kind::STRUCT>::Reader getRows() const;
 
+  inline bool hasTables() const;
+  inline  ::capnp::List< ::fleet_wire::TableState,  ::capnp::Kind::STRUCT>::Reader getTables() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2233,6 +2348,13 @@
   inline void adoptRows(::capnp::Orphan< ::capnp::List< ::fleet_wire::StateRow,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::fleet_wire::StateRow,  ::capnp::Kind::STRUCT>> disownRows();
 
+  inline bool hasTables();
+  inline  ::capnp::List< ::fleet_wire::TableState,  ::capnp::Kind::STRUCT>::Builder getTables();
+  inline void setTables( ::capnp::List< ::fleet_wire::TableState,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::fleet_wire::TableState,  ::capnp::Kind::STRUCT>::Builder initTables(unsigned int size);
+  inline void adoptTables(::capnp::Orphan< ::capnp::List< ::fleet_wire::TableState,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::fleet_wire::TableState,  ::capnp::Kind::STRUCT>> disownTables();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2691,6 +2813,20 @@
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t NodeReport::Reader::getStoreAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, 4294967295u);
+}
+
+inline  ::uint32_t NodeReport::Builder::getStoreAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, 4294967295u);
+}
+inline void NodeReport::Builder::setStoreAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value, 4294967295u);
+}
+
 inline  ::uint32_t RateLimit::Reader::getServer() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4124,6 +4260,68 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool TableState::Reader::hasTable() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool TableState::Builder::hasTable() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader TableState::Reader::getTable() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder TableState::Builder::getTable() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void TableState::Builder::setTable( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder TableState::Builder::initTable(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void TableState::Builder::adoptTable(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> TableState::Builder::disownTable() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t TableState::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TableState::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TableState::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t TableState::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t TableState::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void TableState::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool StateSnapshot::Reader::hasRows() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4158,6 +4356,40 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool StateSnapshot::Reader::hasTables() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool StateSnapshot::Builder::hasTables() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::fleet_wire::TableState,  ::capnp::Kind::STRUCT>::Reader StateSnapshot::Reader::getTables() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::TableState,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::fleet_wire::TableState,  ::capnp::Kind::STRUCT>::Builder StateSnapshot::Builder::getTables() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::TableState,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void StateSnapshot::Builder::setTables( ::capnp::List< ::fleet_wire::TableState,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::TableState,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::fleet_wire::TableState,  ::capnp::Kind::STRUCT>::Builder StateSnapshot::Builder::initTables(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::TableState,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void StateSnapshot::Builder::adoptTables(
+    ::capnp::Orphan< ::capnp::List< ::fleet_wire::TableState,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::TableState,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::fleet_wire::TableState,  ::capnp::Kind::STRUCT>> StateSnapshot::Builder::disownTables() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::TableState,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 
 CAPNP_END_HEADER
--- a/Source/Core/Gateway/FleetView.cpp
+++ b/Source/Core/Gateway/FleetView.cpp
@@ -62,6 +62,8 @@
   sender.mReport = aReport;
   sender.mLastSeen = aNow;
   sender.mLastReportAt = aNow;
+  sender.mStoreContactAt =
+    aReport.mStoreAge ? aNow - *aReport.mStoreAge : time_point();
   for (const std::string& address : aReport.mKnownAddresses) {
     AddCandidate(address);
   }
@@ -195,6 +197,34 @@
   return holders;
 }
 
+std::optional<time_point> fleet_view::PeerStoreContact(time_point aNow) const
+{
+  std::optional<time_point> newest;
+  for (const auto& [address, peer] : mPeers) {
+    if (peer.mReport && aNow <= peer.mLastReportAt + kWorkReportTimeout) {
+      newest = std::max(newest.value_or(time_point()), peer.mStoreContactAt);
+    }
+  }
+  return newest;
+}
+
+std::vector<std::string> fleet_view::PeersByStoreContact(time_point aNow) const
+{
+  std::vector<std::pair<time_point, std::string>> order;
+  for (const auto& [address, peer] : mPeers) {
+    if (IsAlive(peer, aNow)) {
+      order.emplace_back(peer.mStoreContactAt, address);
+    }
+  }
+  std::ranges::sort(order, std::greater());
+  std::vector<std::string> peers;
+  peers.reserve(order.size());
+  for (auto& [contact, address] : order) {
+    peers.push_back(std::move(address));
+  }
+  return peers;
+}
+
 std::vector<rate_limit_statement> fleet_view::PeerRateLimits() const
 {
   std::vector<rate_limit_statement> statements;
--- a/Source/Core/Gateway/FleetView.h
+++ b/Source/Core/Gateway/FleetView.h
@@ -51,6 +51,9 @@
   std::vector<std::pair<std::uint32_t, std::int64_t>> mFreeTokens;
   /// What servers told this node of their rate limits.
   std::vector<aged_rate_limit> mRateLimits;
+  /// Time since the node's newest state of the store was current; nothing if it
+  /// has none.
+  std::optional<std::chrono::milliseconds> mStoreAge;
 };
 
 /// Hash of a node's datagram address, its key in the reports of others.
@@ -88,6 +91,12 @@
   std::unordered_map<std::uint32_t, upstream_work> PeerWork(
     time_point aNow) const;
   token_holders TokenHolders(time_point aNow) const;
+  /// Newest time at which a peer that reported lately was in contact with the
+  /// store; nothing if none reported.
+  std::optional<time_point> PeerStoreContact(time_point aNow) const;
+  /// Datagram addresses of the live peers whose contact with the store is the
+  /// newest, first, and of the others.
+  std::vector<std::string> PeersByStoreContact(time_point aNow) const;
   /// What servers told the other nodes of their rate limits.
   std::vector<rate_limit_statement> PeerRateLimits() const;
 
@@ -99,6 +108,8 @@
     time_point mLastSeen;
     /// Last report received from the node itself.
     time_point mLastReportAt;
+    /// Last contact of the node with the store.
+    time_point mStoreContactAt;
   };
 
   bool IsAlive(const peer_state& aPeer, time_point aNow) const;
--- a/Source/Core/Gateway/GatewayMetrics.cpp
+++ b/Source/Core/Gateway/GatewayMetrics.cpp
@@ -43,6 +43,11 @@
                     .Name("gateway_rate_limited_sends_total")
                     .Help("Sends to servers that named a rate limit")
                     .Register(*mRegistry))
+  , mStateVerdicts(prometheus::BuildCounter()
+                     .Name("gateway_state_verdicts_total")
+                     .Help("Changes of the judgement whether the state of the "
+                           "store may be acted on")
+                     .Register(*mRegistry))
   , mFirstByteSeen(prometheus::BuildHistogram()
                      .Name("gateway_first_byte_seconds")
                      .Help("Time to the first byte of the answer")
@@ -52,7 +57,8 @@
   , mLiveNodes(AddGauge("gateway_live_nodes", "Nodes taken for alive"))
   , mConfigVersion(AddGauge("gateway_config_version", "Configuration in force"))
   , mStoreAge(AddGauge("gateway_store_contact_age_seconds",
-                       "Time since the store answered"))
+                       "Age of the older one of configuration and server "
+                       "entries"))
   , mOpened(
       AddGauge("gateway_opened_connections", "Connections opened to servers"))
   , mRateLimited(AddGauge("gateway_rate_limited_servers",
@@ -70,6 +76,11 @@
     .Add({});
 }
 
+void gateway_metrics::OnStateVerdict(std::string_view aVerdict)
+{
+  mStateVerdicts.Add({ { "verdict", std::string(aVerdict) } }).Increment();
+}
+
 void gateway_metrics::OnAnswer(const std::string& aRoute,
                                unsigned aStatus,
                                const std::string& aReason)
--- a/Source/Core/Gateway/GatewayMetrics.h
+++ b/Source/Core/Gateway/GatewayMetrics.h
@@ -37,6 +37,8 @@
   /// Counts a send to a server that named a rate limit. `aRepeated` tells
   /// whether the request had been sent before.
   void OnLimitedSend(bool aRepeated);
+  /// Counts a change of the judgement on the state that the node has.
+  void OnStateVerdict(std::string_view aVerdict);
   void SetRateLimitedServers(double aCount) { mRateLimited.Set(aCount); }
   void SetOpenRequests(double aCount) { mOpenRequests.Set(aCount); }
   void SetLiveNodes(double aCount) { mLiveNodes.Set(aCount); }
@@ -58,6 +60,7 @@
   prometheus::Family<prometheus::Counter>& mSegmentCrashes;
   prometheus::Family<prometheus::Counter>& mStreamResumptions;
   prometheus::Family<prometheus::Counter>& mLimitedSends;
+  prometheus::Family<prometheus::Counter>& mStateVerdicts;
   prometheus::Family<prometheus::Histogram>& mFirstByteSeen;
   prometheus::Gauge& mOpenRequests;
   prometheus::Gauge& mLiveNodes;
--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -42,6 +42,22 @@
 // needs about 6 MB; responses and connection buffers need the rest.
 constexpr double kBodyMemoryShare = 0.3;
 
+// Share of the limits for leaving servers and for changes of the configuration
+// up to which state is recent. The rest is for the way of a request.
+constexpr double kMaxStateAgeShare = 0.7;
+
+milliseconds MaxStateAge(const gateway_settings& aSettings)
+{
+  return std::chrono::duration_cast<milliseconds>(
+    std::min(aSettings.mLeaveTimeout, aSettings.mConfigTimeout) *
+    kMaxStateAgeShare);
+}
+
+std::int64_t AgeMs(time_point aThen, time_point aNow)
+{
+  return std::chrono::duration_cast<milliseconds>(aNow - aThen).count();
+}
+
 std::uint64_t RandomRun()
 {
   std::random_device device;
@@ -103,7 +119,8 @@
                    mCrashExchange,
                    mStreamOrigins,
                    mTime,
-                   [this] { return SnapshotRows(); })
+                   [this] { return Snapshot(); })
+  , mMaxStateAge(MaxStateAge(aSettings))
   , mLinkOverload(mSettings.mLinkBytesPerSecond)
   , mStalls(mTime.Now())
   , mConfigTable(mStore,
@@ -196,16 +213,17 @@
 
 bool gateway_node::Ready() const
 {
-  return mContext.mRoutes && mUpstreamRegistry.Size() > 0 && !mStopStartedAt;
+  return mContext.mRoutes && mUpstreamRegistry.Size() > 0 && !mStopStartedAt &&
+         mContext.mState != state_verdict::Outdated;
 }
 
 void gateway_node::OnRequest(http_server_connection& aConnection,
                              http_server_request aRequest)
 {
-  mContext.mConfigConfirmedAt = mConfigTable.LastContact();
+  JudgeState(mTime.Now());
   mContext.mConfigMayBeStale =
     !mConfigTable.IsLoaded() ||
-    mTime.Now() > mConfigTable.LastContact() + kConfigStaleTimeout;
+    mTime.Now() > mConfigTable.CurrentAt() + mMaxStateAge;
   if (mLinkOverload.IsOverloaded()) {
     // The client reconnects and finds a host with free capacity.
     aConnection.SetCloseAfterResponse();
@@ -334,16 +352,65 @@
   mContext.mRoutes = std::make_shared<route_table>(std::move(*config));
 }
 
-std::vector<stored_row> gateway_node::SnapshotRows() const
+state_snapshot gateway_node::Snapshot() const
 {
-  std::vector<stored_row> rows;
-  for (const auto& [key, row] : mConfigTable.Rows()) {
-    rows.push_back(row);
+  return { { mCodec.ConfigTable(), mConfigTable.Copy() },
+           { mCodec.UpstreamTable(), mUpstreamTable.Copy() } };
+}
+
+void gateway_node::ApplySnapshot(const state_snapshot& aSnapshot)
+{
+  std::size_t rows = 0;
+  for (const auto& [name, copy] : aSnapshot) {
+    rows += copy.mRows.size();
+    if (name != mCodec.ConfigTable() && name != mCodec.UpstreamTable()) {
+      continue;
+    }
+    table_follower& table =
+      name == mCodec.ConfigTable() ? mConfigTable : mUpstreamTable;
+    if (copy.mVersion > 0) {
+      table.ApplyPeerCopy(copy);
+    } else {
+      for (const stored_row& row : copy.mRows) {
+        table.AddPeerRow(row);
+      }
+    }
   }
-  for (const auto& [key, row] : mUpstreamTable.Rows()) {
-    rows.push_back(row);
+  const time_point now = mTime.Now();
+  Log(log_level::Info,
+      "snapshot_read",
+      { Field("rows", rows),
+        Field("config_age_ms", AgeMs(mConfigTable.CurrentAt(), now)),
+        Field("servers_age_ms", AgeMs(mUpstreamTable.CurrentAt(), now)) });
+}
+
+void gateway_node::JudgeState(time_point aNow)
+{
+  mContext.mConfigCurrentAt = mConfigTable.CurrentAt();
+  mContext.mServersCurrentAt = mUpstreamTable.CurrentAt();
+  const state_evidence evidence{ OldestStateAt(),
+                                 mFleet.PeerStoreContact(aNow),
+                                 mLinkOverload.LastOverloadedAt() };
+  const state_verdict verdict = ::JudgeState(evidence, mMaxStateAge, aNow);
+  if (std::exchange(mContext.mState, verdict) == verdict) {
+    return;
   }
-  return rows;
+  mMetrics.OnStateVerdict(StateVerdictName(verdict));
+  Log(log_level::Info,
+      "state_judged",
+      { Field("verdict", StateVerdictName(verdict)),
+        Field("config_age_ms", AgeMs(mConfigTable.CurrentAt(), aNow)),
+        Field("servers_age_ms", AgeMs(mUpstreamTable.CurrentAt(), aNow)),
+        Field("peer_contact_age_ms",
+              evidence.mPeerContactAt ? AgeMs(*evidence.mPeerContactAt, aNow)
+                                      : -1),
+        Field("link_use", fmt::format("{:.2f}", mLinkOverload.Utilization())),
+        Field("open_requests", mSessions.size()) });
+}
+
+time_point gateway_node::OldestStateAt() const
+{
+  return std::min(mConfigTable.CurrentAt(), mUpstreamTable.CurrentAt());
 }
 
 void gateway_node::Reload(const gateway_settings& aSettings)
--- a/Source/Core/Gateway/GatewayNode.h
+++ b/Source/Core/Gateway/GatewayNode.h
@@ -46,10 +46,6 @@
   }
 
 private:
-  /// After this long without contact to the store a newer configuration may be
-  /// in force.
-  static constexpr std::chrono::milliseconds kConfigStaleTimeout{ 2600 };
-
   gateway_node(const gateway_settings& aSettings,
                const gateway_codec& aCodec,
                row_store& aStore,
@@ -71,7 +67,15 @@
   /// Time for which a server whose row was removed may still be used if no
   /// other server is usable.
   std::chrono::milliseconds RemovalGracePeriod(bool aTentative) const;
-  std::vector<stored_row> SnapshotRows() const;
+  /// The tables of the store that other nodes need as well.
+  state_snapshot Snapshot() const;
+  void ApplySnapshot(const state_snapshot& aSnapshot);
+  /// Decides whether requests may be handled by the state that the node has.
+  void JudgeState(time_point aNow);
+  /// When the older one of configuration and server entries was current.
+  time_point OldestStateAt() const;
+  /// Requests the tables of a peer if the own ones are old.
+  void RefreshStateFromPeers(time_point aNow);
 
   void OnRequestTick();
   void OnFleetTick();
@@ -111,6 +115,8 @@
   fleet_rows mRows;
   gateway_context mContext;
   peer_transport mPeerTransport;
+  /// Age up to which state counts as recent.
+  std::chrono::milliseconds mMaxStateAge;
   link_overload_detector mLinkOverload;
   stall_detector mStalls;
 
--- a/Source/Core/Gateway/GatewayNodeTicks.cpp
+++ b/Source/Core/Gateway/GatewayNodeTicks.cpp
@@ -17,6 +17,10 @@
 
 // Interval of snapshot requests while the store is unreachable.
 constexpr milliseconds kSnapshotInterval(1000);
+// The same while peers are in contact with the store.
+constexpr milliseconds kRefreshInterval(500);
+// Share of the age limit from which on state is requested from peers.
+constexpr double kRefreshAgeShare = 0.8;
 // Phases of a graceful stop as shares of the grace period: the node takes new
 // requests while clients still hold its address, then refuses them, and ends
 // before it is killed.
@@ -32,6 +36,7 @@
   const time_point now = mTime.Now();
   mStalls.OnTick(now);
   mContext.mDiscardedConnections.clear();
+  JudgeState(now);
   if (mStalls.MustReadFirst(now)) {
     return;
   }
@@ -137,6 +142,12 @@
   if (std::exchange(mFleet.Self().mReady, ready) != ready) {
     Log(log_level::Info, "readiness_changed", { Field("ready", ready) });
   }
+  const time_point contact =
+    std::max(mConfigTable.CurrentAt(), mUpstreamTable.CurrentAt());
+  if (contact != time_point()) {
+    mFleet.Self().mStoreAge =
+      std::chrono::duration_cast<milliseconds>(now - contact);
+  }
   mFleet.Self().mWork = mUpstreamRegistry.LocalWork();
   mFleet.Self().mFreeTokens = mTokenAllowance.AllFreeTokens(now);
   mTokenAllowance.SetHolders(mFleet.TokenHolders(now));
@@ -147,24 +158,26 @@
   mPeerTransport.SendReports();
   mUpstreamRegistry.SetPeerWork(mFleet.PeerWork(now));
   mTokenAllowance.SetNodes(mFleet.LiveNodeCount(now));
+  RefreshStateFromPeers(now);
+}
+
+void gateway_node::RefreshStateFromPeers(time_point aNow)
+{
   const bool stateMissing =
     !mContext.mRoutes ||
     (!mUpstreamTable.IsLoaded() && mUpstreamRegistry.Size() == 0);
-  const bool storeUnreachable =
-    now > mConfigTable.LastContact() + kConfigStaleTimeout;
-  if (stateMissing || (storeUnreachable && now >= mNextSnapshotAt)) {
-    mNextSnapshotAt = now + kSnapshotInterval;
-    mPeerTransport.FetchSnapshot([this](const std::vector<stored_row>& aRows) {
-      Log(log_level::Info, "snapshot_read", { Field("rows", aRows.size()) });
-      for (const stored_row& row : aRows) {
-        if (row.mKey.mTable == mCodec.ConfigTable()) {
-          mConfigTable.AddPeerRow(row);
-        } else if (row.mKey.mTable == mCodec.UpstreamTable()) {
-          mUpstreamTable.AddPeerRow(row);
-        }
-      }
-    });
+  const bool stateOld =
+    aNow > OldestStateAt() + std::chrono::duration_cast<milliseconds>(
+                               mMaxStateAge * kRefreshAgeShare);
+  if (!stateMissing && (!stateOld || aNow < mNextSnapshotAt)) {
+    return;
   }
+  const auto contact = mFleet.PeerStoreContact(aNow);
+  const bool peersAreCurrent = contact && aNow <= *contact + mMaxStateAge;
+  mNextSnapshotAt =
+    aNow + (peersAreCurrent ? kRefreshInterval : kSnapshotInterval);
+  mPeerTransport.FetchSnapshot(
+    [this](const state_snapshot& aSnapshot) { ApplySnapshot(aSnapshot); });
 }
 
 void gateway_node::OnMaintenanceTick()
@@ -195,7 +208,7 @@
   mMetrics.SetRateLimitedServers(
     static_cast<double>(mUpstreamRegistry.RateLimits().LimitedCount()));
   mMetrics.SetStoreAge(
-    std::chrono::duration<double>(now - mConfigTable.LastContact()).count());
+    std::chrono::duration<double>(now - OldestStateAt()).count());
 }
 
 void gateway_node::Stop()
--- a/Source/Core/Gateway/GatewaySession.cpp
+++ b/Source/Core/Gateway/GatewaySession.cpp
@@ -20,6 +20,9 @@
 // Retry-After of a refusal for lack of tokens: the time until a grant is
 // likely.
 constexpr milliseconds kTokenRetryDelay(2000);
+// Longest wait for a reply of the store or of a peer while the state is too old
+// to act on. A process that was paused has recent state again within a few ms.
+constexpr milliseconds kStateWaitTimeout(100);
 constexpr milliseconds kBlockedRetryDelay(5000);
 // Retry-After of a resumption whose software version has no server left. Its
 // servers do not come back within the time of a stream.
@@ -86,6 +89,10 @@
     Refuse("memory_full", kRefusalRetryDelay);
     return;
   }
+  if (mContext.mState == state_verdict::Outdated) {
+    mStage = stage::NeedState;
+    return;
+  }
   mRoute = mRoutes->FindRoute(mRequest.mHost, mRequest.mPath);
   if (mRoute == nullptr) {
     if (mContext.mConfigMayBeStale) {
@@ -136,6 +143,10 @@
 
 void gateway_session::Advance(time_point aNow)
 {
+  if (mStage == stage::NeedState) {
+    AdvanceState(aNow);
+    return;
+  }
   if (mStage == stage::NeedOrigin) {
     AdvanceOrigin(aNow);
   }
@@ -150,6 +161,30 @@
   }
 }
 
+void gateway_session::AdvanceState(time_point aNow)
+{
+  if (HasRecentState(aNow)) {
+    mRoutes = mContext.mRoutes;
+    mStage = stage::NeedTokens;
+    Begin();
+  }
+}
+
+bool gateway_session::HasRecentState(time_point aNow)
+{
+  if (mContext.mState != state_verdict::Outdated) {
+    return true;
+  }
+  if (aNow >= mArrived + kStateWaitTimeout) {
+    // The client reconnects and finds a host that knows more.
+    if (mClient != nullptr) {
+      mClient->SetCloseAfterResponse();
+    }
+    EndUnsent("state_outdated", kRefusalRetryDelay);
+  }
+  return false;
+}
+
 void gateway_session::AdvanceOrigin(time_point aNow)
 {
   std::vector<service_id> services;
@@ -287,8 +322,9 @@
 
 void gateway_session::AdvanceServer(time_point aNow)
 {
-  // Crashes may have become known since the request arrived or was sent.
-  if (EndIfSuspect(aNow)) {
+  // State may have become old, or crashes known, since the request arrived or
+  // was sent.
+  if (!HasRecentState(aNow) || EndIfSuspect(aNow)) {
     return;
   }
   auto chosen = ChooseServer(aNow);
@@ -410,7 +446,11 @@
         Field("config", mRoutes ? mRoutes->Version() : 0),
         Field("config_age_ms",
               std::chrono::duration_cast<milliseconds>(
-                now - mContext.mConfigConfirmedAt)
+                now - mContext.mConfigCurrentAt)
+                .count()),
+        Field("servers_age_ms",
+              std::chrono::duration_cast<milliseconds>(
+                now - mContext.mServersCurrentAt)
                 .count()) });
 }
 
--- a/Source/Core/Gateway/GatewaySession.h
+++ b/Source/Core/Gateway/GatewaySession.h
@@ -13,6 +13,7 @@
 #include "Gateway/GatewayMetrics.h"
 #include "Gateway/GatewaySettings.h"
 #include "Gateway/RouteTable.h"
+#include "Gateway/StateFreshness.h"
 #include "Gateway/StreamOrigins.h"
 #include "Gateway/UnansweredRequests.h"
 #include "Gateway/UpstreamPool.h"
@@ -36,8 +37,12 @@
   gateway_metrics& mMetrics;
   /// Null until a configuration was read.
   std::shared_ptr<const route_table> mRoutes{};
-  /// Last successful call to the store for the configuration.
-  time_point mConfigConfirmedAt{};
+  /// When the configuration and the server entries were current, at the
+  /// earliest.
+  time_point mConfigCurrentAt{};
+  time_point mServersCurrentAt{};
+  /// Whether the node may act on its configuration and server entries.
+  state_verdict mState = state_verdict::Current;
   /// Whether a newer configuration may be in force, because the store was out
   /// of contact for too long.
   bool mConfigMayBeStale = true;
@@ -83,6 +88,8 @@
 
   enum class stage : std::uint8_t
   {
+    /// What the node knows of the store is too old to act on.
+    NeedState,
     /// The software version at which the resumed stream began is not known.
     NeedOrigin,
     NeedTokens,
@@ -100,6 +107,10 @@
   void Begin();
   /// Whether the client resumes a stream.
   bool IsResumption() const;
+  void AdvanceState(time_point aNow);
+  /// Whether the node may send the request now. Ends it if recent state does
+  /// not come in time.
+  bool HasRecentState(time_point aNow);
   void AdvanceOrigin(time_point aNow);
   /// Keeps the rest of the stream at the software that began it.
   void PinStream(time_point aNow);
--- a/Source/Core/Gateway/GatewaySettings.cpp
+++ b/Source/Core/Gateway/GatewaySettings.cpp
@@ -174,6 +174,8 @@
   settings.mLinkBytesPerSecond = linkMbps * kBytesPerMbit;
   settings.mLeaveTimeout =
     Milliseconds(root.Number("leave_limit_ms", 1, kMaxMilliseconds));
+  settings.mConfigTimeout =
+    Milliseconds(root.Number("config_limit_ms", 1, kMaxMilliseconds));
   constexpr double kMsPerSecond = 1000;
   settings.mGracePeriod =
     Milliseconds(root.Number("grace_s", 0, kMaxSeconds) * kMsPerSecond);
--- a/Source/Core/Gateway/GatewaySettings.h
+++ b/Source/Core/Gateway/GatewaySettings.h
@@ -40,6 +40,9 @@
   /// Longest time after the store knew that a server leaves in which it may
   /// still get requests.
   std::chrono::milliseconds mLeaveTimeout{ 2000 };
+  /// Longest time after the store knew a configuration in which requests may
+  /// still be handled by an older one.
+  std::chrono::milliseconds mConfigTimeout{ 2000 };
   /// Grace period: time from SIGTERM to SIGKILL.
   std::chrono::milliseconds mGracePeriod{ 8000 };
   allowance_settings mTokenAllowance;
--- a/Source/Core/Gateway/LinkOverloadDetector.cpp
+++ b/Source/Core/Gateway/LinkOverloadDetector.cpp
@@ -43,4 +43,7 @@
     mOverloaded = true;
     mOverloadUntil = aNow + kMaxOverloadTime;
   }
+  if (mOverloaded) {
+    mLastOverloadedAt = aNow;
+  }
 }
--- a/Source/Core/Gateway/LinkOverloadDetector.h
+++ b/Source/Core/Gateway/LinkOverloadDetector.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <optional>
+
 #include "Common/Time.h"
 #include "Net/LinkTraffic.h"
 
@@ -22,6 +24,11 @@
   /// Updates the state from the traffic counters; called every few hundred ms.
   void Update(const link_traffic& aTraffic, time_point aNow);
   bool IsOverloaded() const { return mOverloaded; }
+  /// Last time at which the link was overloaded; nothing if it never was.
+  std::optional<time_point> LastOverloadedAt() const
+  {
+    return mLastOverloadedAt;
+  }
   /// Recent utilization of the busier direction as a share of the capacity.
   double Utilization() const { return mUtilization; }
 
@@ -31,6 +38,7 @@
   time_point mLastAt;
   double mUtilization = 0.0;
   bool mOverloaded = false;
+  std::optional<time_point> mLastOverloadedAt;
   /// Latest end of the current overload state, and end of the time after it in
   /// which no other one begins.
   time_point mOverloadUntil;
--- a/Source/Core/Gateway/PeerDatagram.cpp
+++ b/Source/Core/Gateway/PeerDatagram.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/PeerDatagram.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include <capnp/message.h>
@@ -39,6 +40,9 @@
   aRoot.setLeaving(aReport.mLeaving);
   aRoot.setConfigVersion(aReport.mConfigVersion);
   aRoot.setCapacity(aReport.mCapacity);
+  if (aReport.mStoreAge) {
+    aRoot.setStoreAgeMs(ClampToUint32(aReport.mStoreAge->count()));
+  }
   auto peers = aRoot.initPeers(static_cast<unsigned>(aReport.mPeers.size()));
   for (unsigned i = 0; i < peers.size(); ++i) {
     peers[i].setKey(aReport.mPeers[i].first);
@@ -86,6 +90,9 @@
   report.mLeaving = aRoot.getLeaving();
   report.mConfigVersion = aRoot.getConfigVersion();
   report.mCapacity = aRoot.getCapacity();
+  if (aRoot.getStoreAgeMs() != std::numeric_limits<std::uint32_t>::max()) {
+    report.mStoreAge = milliseconds(aRoot.getStoreAgeMs());
+  }
   for (const auto peer : aRoot.getPeers()) {
     report.mPeers.emplace_back(peer.getKey(), milliseconds(peer.getAgeMs()));
   }
--- a/Source/Core/Gateway/PeerTransport.cpp
+++ b/Source/Core/Gateway/PeerTransport.cpp
@@ -1,8 +1,10 @@
 #include "Gateway/PeerTransport.h"
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <cstring>
+#include <limits>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
@@ -28,31 +30,50 @@
 constexpr int kMaxDatagramsPerRead = 64;
 constexpr milliseconds kSnapshotFetchTimeout(1500);
 constexpr tcp_liveness kPeerLiveness{ milliseconds(1500) };
+// Snapshots are requested from these many peers with the newest state in turn.
+constexpr std::size_t kMaxSnapshotPeers = 4;
 constexpr const char* kSnapshotPath = "/snapshot";
 // Limit of a snapshot in 8-byte words: 64 MB.
 constexpr std::uint64_t kMaxSnapshotWords = 8'000'000;
 
-std::string WriteSnapshot(const std::vector<stored_row>& aRows)
+std::string WriteSnapshot(const state_snapshot& aSnapshot, time_point aNow)
 {
   capnp::MallocMessageBuilder message;
   auto root = message.initRoot<fleet_wire::StateSnapshot>();
-  auto rows = root.initRows(static_cast<unsigned>(aRows.size()));
-  for (unsigned i = 0; i < rows.size(); ++i) {
-    const stored_row& row = aRows[i];
-    rows[i].setTable(row.mKey.mTable);
-    rows[i].setKey(row.mKey.mKey);
-    rows[i].setValue({ reinterpret_cast<const kj::byte*>(row.mValue.data()),
+  std::size_t rowCount = 0;
+  for (const auto& [name, copy] : aSnapshot) {
+    rowCount += copy.mRows.size();
+  }
+  auto rows = root.initRows(static_cast<unsigned>(rowCount));
+  auto tables = root.initTables(static_cast<unsigned>(aSnapshot.size()));
+  unsigned nextRow = 0;
+  unsigned nextTable = 0;
+  for (const auto& [name, copy] : aSnapshot) {
+    auto table = tables[nextTable++];
+    table.setTable(name);
+    table.setVersion(copy.mVersion);
+    const auto age =
+      std::chrono::duration_cast<milliseconds>(aNow - copy.mCurrentAt).count();
+    table.setAgeMs(static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+      age, 0, std::numeric_limits<std::uint32_t>::max())));
+    for (const stored_row& row : copy.mRows) {
+      auto entry = rows[nextRow++];
+      entry.setTable(row.mKey.mTable);
+      entry.setKey(row.mKey.mKey);
+      entry.setValue({ reinterpret_cast<const kj::byte*>(row.mValue.data()),
                        row.mValue.size() });
-    rows[i].setVersion(row.mVersion);
+      entry.setVersion(row.mVersion);
+    }
   }
   const auto words = capnp::messageToFlatArray(message);
   const auto bytes = words.asBytes();
   return { reinterpret_cast<const char*>(bytes.begin()), bytes.size() };
 }
 
-std::vector<stored_row> ParseSnapshot(const std::string& aBytes)
+/// `aRequestedAt` is the local time before which the peer did not write it.
+state_snapshot ParseSnapshot(const std::string& aBytes, time_point aRequestedAt)
 {
-  std::vector<stored_row> rows;
+  state_snapshot snapshot;
   auto aligned =
     kj::heapArray<capnp::word>(aBytes.size() / sizeof(capnp::word));
   std::memcpy(aligned.begin(), aBytes.data(), aligned.asBytes().size());
@@ -60,8 +81,13 @@
     capnp::ReaderOptions options;
     options.traversalLimitInWords = kMaxSnapshotWords;
     capnp::FlatArrayMessageReader reader(aligned, options);
-    for (const auto entry :
-         reader.getRoot<fleet_wire::StateSnapshot>().getRows()) {
+    const auto root = reader.getRoot<fleet_wire::StateSnapshot>();
+    for (const auto table : root.getTables()) {
+      table_copy& copy = snapshot[table.getTable().cStr()];
+      copy.mVersion = table.getVersion();
+      copy.mCurrentAt = aRequestedAt - milliseconds(table.getAgeMs());
+    }
+    for (const auto entry : root.getRows()) {
       stored_row row;
       row.mKey.mTable = entry.getTable().cStr();
       row.mKey.mKey = entry.getKey().cStr();
@@ -69,28 +95,29 @@
       row.mValue.assign(reinterpret_cast<const char*>(value.begin()),
                         value.size());
       row.mVersion = entry.getVersion();
-      rows.push_back(std::move(row));
+      snapshot[row.mKey.mTable].mRows.push_back(std::move(row));
     }
   });
   if (failure != nullptr) {
     Log(log_level::Warning, "snapshot_unreadable");
-    rows.clear();
+    snapshot.clear();
   }
-  return rows;
+  return snapshot;
 }
 
 } // namespace
 
-/// HTTP request for the rows of a peer.
+/// HTTP request for the tables of a peer.
 class peer_transport::snapshot_fetch final
   : public http_client_exchange_observer
 {
 public:
   snapshot_fetch(const tcp_address& aPeer,
-                 time_point aDeadline,
-                 rows_callback aReply)
+                 time_point aNow,
+                 snapshot_callback aReply)
     : mConnection(aPeer, kPeerLiveness)
-    , mDeadline(aDeadline)
+    , mRequestedAt(aNow)
+    , mDeadline(aNow + kSnapshotFetchTimeout)
     , mReply(std::move(aReply))
   {
     mConnection.Start(
@@ -117,7 +144,7 @@
   {
     mFinished = true;
     if (mStatus == http_status::kOk) {
-      mReply(ParseSnapshot(mBody));
+      mReply(ParseSnapshot(mBody, mRequestedAt));
     }
   }
   void OnExchangeFailed(exchange_failure aFailure) override
@@ -130,8 +157,9 @@
   }
 
   http_client_connection mConnection;
+  time_point mRequestedAt;
   time_point mDeadline;
-  rows_callback mReply;
+  snapshot_callback mReply;
   unsigned mStatus = 0;
   std::string mBody;
   bool mFinished = false;
@@ -142,13 +170,13 @@
                                crash_exchange& aCrashes,
                                stream_origins& aStreams,
                                const time_source& aTime,
-                               rows_source aRows)
+                               snapshot_source aSnapshot)
   : mView(aView)
   , mTokenAllowance(aTokenAllowance)
   , mCrashes(aCrashes)
   , mStreams(aStreams)
   , mTime(aTime)
-  , mRows(std::move(aRows))
+  , mSnapshot(std::move(aSnapshot))
 {
 }
 
@@ -303,21 +331,21 @@
   }
 }
 
-void peer_transport::FetchSnapshot(rows_callback aReply)
+void peer_transport::FetchSnapshot(snapshot_callback aReply)
 {
   const time_point now = mTime.Now();
   if (mFetch && !mFetch->Finished(now)) {
     return;
   }
   mFetch.reset();
-  const auto peers = mView.LivePeerAddresses(now);
+  const auto peers = mView.PeersByStoreContact(now);
   if (peers.empty()) {
     return;
   }
-  const auto peer = ParseTcpAddress(peers[mRound % peers.size()]);
+  const std::size_t choices = std::min(peers.size(), kMaxSnapshotPeers);
+  const auto peer = ParseTcpAddress(peers[mRound % choices]);
   if (peer) {
-    mFetch = std::make_unique<snapshot_fetch>(
-      *peer, now + kSnapshotFetchTimeout, std::move(aReply));
+    mFetch = std::make_unique<snapshot_fetch>(*peer, now, std::move(aReply));
   }
 }
 
@@ -331,7 +359,7 @@
     return;
   }
   aConnection.SetCloseAfterResponse();
-  aConnection.Respond(response, WriteSnapshot(mRows()));
+  aConnection.Respond(response, WriteSnapshot(mSnapshot(), mTime.Now()));
 }
 
 void peer_transport::CheckDeadlines(time_point aNow)
--- a/Source/Core/Gateway/PeerTransport.h
+++ b/Source/Core/Gateway/PeerTransport.h
@@ -12,6 +12,7 @@
 #include "Gateway/CrashExchange.h"
 #include "Gateway/FleetView.h"
 #include "Gateway/PeerDatagram.h"
+#include "Gateway/TableFollower.h"
 #include "Net/HttpListener.h"
 #include "Remote/RowStore.h"
 
@@ -20,15 +21,15 @@
 class peer_transport final : private http_request_handler
 {
 public:
-  using rows_source = std::function<std::vector<stored_row>()>;
-  using rows_callback = std::function<void(const std::vector<stored_row>&)>;
+  using snapshot_source = std::function<state_snapshot()>;
+  using snapshot_callback = std::function<void(const state_snapshot&)>;
 
   peer_transport(fleet_view& aView,
                  token_allowance& aTokenAllowance,
                  crash_exchange& aCrashes,
                  stream_origins& aStreams,
                  const time_source& aTime,
-                 rows_source aRows);
+                 snapshot_source aSnapshot);
   ~peer_transport() override;
 
   /// Returns false and sets `aError` if an address cannot be bound.
@@ -43,9 +44,9 @@
   void SendStreamMessages();
   /// Requests prepaid tokens from other nodes for accounts that lack them.
   void SendTokenRequests();
-  /// Requests the rows of a live peer; does nothing if there is none or a
-  /// request is open.
-  void FetchSnapshot(rows_callback aReply);
+  /// Requests the tables of a live peer with recent contact to the store; does
+  /// nothing if there is no peer or a request is open.
+  void FetchSnapshot(snapshot_callback aReply);
   void CheckDeadlines(time_point aNow);
 
 private:
@@ -68,7 +69,7 @@
   crash_exchange& mCrashes;
   stream_origins& mStreams;
   const time_source& mTime;
-  rows_source mRows;
+  snapshot_source mSnapshot;
   int mSocket = -1;
   guint mWatch = 0;
   std::uint64_t mRound = 0;
--- a/Source/Core/Gateway/TableFollower.cpp
+++ b/Source/Core/Gateway/TableFollower.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/TableFollower.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -56,8 +57,42 @@
   }
 }
 
+table_copy table_follower::Copy() const
+{
+  table_copy copy{ Version(), mCurrentAt, {} };
+  copy.mRows.reserve(mRows.size());
+  for (const auto& [key, row] : mRows) {
+    copy.mRows.push_back(row);
+  }
+  return copy;
+}
+
+void table_follower::ApplyPeerCopy(const table_copy& aCopy)
+{
+  if (aCopy.mVersion < Version() || aCopy.mCurrentAt <= mCurrentAt) {
+    return;
+  }
+  std::set<row_key> present;
+  for (const stored_row& row : aCopy.mRows) {
+    present.insert(row.mKey);
+    ApplyRow(row);
+  }
+  std::vector<row_key> removedKeys;
+  for (const auto& [key, row] : mRows) {
+    if (row.mVersion <= aCopy.mVersion && !present.contains(key)) {
+      removedKeys.push_back(key);
+    }
+  }
+  for (const row_key& key : removedKeys) {
+    RemoveRow(key);
+  }
+  mPeerVersion = aCopy.mVersion;
+  mCurrentAt = aCopy.mCurrentAt;
+}
+
 void table_follower::RequestPage(const std::string& aFrom)
 {
+  mCallStartedAt = mTime.Now();
   if (aFrom.empty()) {
     mIncomingRows.clear();
     mReadStartVersion = 0;
@@ -81,6 +116,7 @@
   // of the first page.
   if (mReadStartVersion == 0) {
     mReadStartVersion = page.mVersion;
+    mReadStartedAt = page.mReadAt.value_or(mCallStartedAt);
   }
   for (const stored_row& row : page.mRows) {
     mIncomingRows[row.mKey] = row;
@@ -104,11 +140,13 @@
   for (const row_key& key : removedKeys) {
     RemoveRow(key);
   }
+  mPeerVersion = 0;
   for (const auto& [key, row] : mIncomingRows) {
     ApplyRow(row);
   }
   mIncomingRows.clear();
   mVersion = std::max(mVersion, mReadStartVersion);
+  mCurrentAt = std::max(mCurrentAt, mReadStartedAt);
   mFullReadNeeded = false;
   if (!std::exchange(mLoaded, true)) {
     mListener.OnTableLoaded();
@@ -118,6 +156,7 @@
 
 void table_follower::FollowChanges()
 {
+  mCallStartedAt = mTime.Now();
   mStore.ReadChanges(
     mTable, mVersion, mLongPollTime, [this, alive = mAlive](auto aPage) {
       if (*alive) {
@@ -147,13 +186,17 @@
     }
   }
   mVersion = std::max(mVersion, aPage.value().mVersion);
+  mCurrentAt =
+    std::max(mCurrentAt, aPage.value().mReadAt.value_or(mCallStartedAt));
   ScheduleNextCall(mPollInterval);
 }
 
 void table_follower::ApplyRow(const stored_row& aRow)
 {
   const auto existing = mRows.find(aRow.mKey);
-  if (existing != mRows.end() && existing->second.mVersion >= aRow.mVersion) {
+  const std::uint64_t known =
+    existing == mRows.end() ? mPeerVersion : existing->second.mVersion;
+  if (known >= aRow.mVersion) {
     return;
   }
   mRows[aRow.mKey] = aRow;
--- a/Source/Core/Gateway/TableFollower.h
+++ b/Source/Core/Gateway/TableFollower.h
@@ -1,13 +1,28 @@
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "Common/EventLoop.h"
 #include "Common/Time.h"
 #include "Remote/RowStore.h"
 
+/// Copy of a table that another node holds.
+struct table_copy
+{
+  /// Version of the store up to which the copy holds all changes.
+  std::uint64_t mVersion = 0;
+  /// Local time at which the copy was current, at the earliest.
+  time_point mCurrentAt;
+  std::vector<stored_row> mRows;
+};
+
+/// Copies of tables by their names.
+using state_snapshot = std::map<std::string, table_copy>;
+
 /// Keeps a copy of one table of the store: reads it whole once, then polls its
 /// changes, and reads it again if the store has dropped its change history.
 class table_follower
@@ -44,6 +59,16 @@
   time_point LastContact() const { return mLastContact; }
   /// Known rows, including those from the snapshot of another node.
   const std::map<row_key, stored_row>& Rows() const { return mRows; }
+  /// Local time at which the copy was current, at the earliest; it says nothing
+  /// about changes after it.
+  time_point CurrentAt() const { return mCurrentAt; }
+  /// Version of the store up to which the copy holds all changes.
+  std::uint64_t Version() const { return std::max(mVersion, mPeerVersion); }
+  /// Replaces the copy by one of another node, also with what was removed,
+  /// unless the own one is newer.
+  void ApplyPeerCopy(const table_copy& aCopy);
+  /// The copy, for another node.
+  table_copy Copy() const;
   /// Applies a newer row from another node; ignored while the store can be
   /// read.
   void AddPeerRow(const stored_row& aRow);
@@ -72,6 +97,12 @@
   std::map<row_key, stored_row> mIncomingRows;
   std::uint64_t mReadStartVersion = 0;
   std::uint64_t mVersion = 0;
+  /// Version of the newest copy of another node; rows up to it that are not in
+  /// `mRows` were removed.
+  std::uint64_t mPeerVersion = 0;
+  time_point mCallStartedAt;
+  time_point mReadStartedAt;
+  time_point mCurrentAt;
   bool mLoaded = false;
   bool mFullReadNeeded = true;
   bool mStoreUnreachable = false;
--- a/Source/UnitTests/Gateway/FleetTest.cpp
+++ b/Source/UnitTests/Gateway/FleetTest.cpp
@@ -224,6 +224,35 @@
   EXPECT_TRUE(events.OutOfOrder());
 }
 
+// Guards against rows that were removed while the node heard nothing of the
+// store, and that come back with a late reply of the store.
+TEST_F(follower_test, TakesRemovalsFromTheCopyOfAPeer)
+{
+  mStore.Put({ "t", "", "a" }, "1");
+  mStore.Put({ "t", "", "b" }, "1");
+  mFollower.Start();
+  ASSERT_TRUE(RunUntil([&] { return mFollower.IsLoaded(); }));
+  table_copy copy = mFollower.Copy();
+  ASSERT_EQ(copy.mRows.size(), 2U);
+  std::erase_if(copy.mRows,
+                [](const stored_row& aRow) { return aRow.mKey.mKey == "a"; });
+  copy.mVersion += 2;
+  mFollower.ApplyPeerCopy(copy);
+  EXPECT_EQ(mListener.mRows.size(), 2U) << "a copy as old as the own one";
+  copy.mCurrentAt = mTime.Now() + milliseconds(1000);
+  mFollower.ApplyPeerCopy(copy);
+  EXPECT_EQ(mListener.mRows,
+            (std::map<std::string, std::string>{ { "b", "1" } }));
+  EXPECT_EQ(mFollower.CurrentAt(), copy.mCurrentAt);
+  // The store reports a write of the removed row from before its removal.
+  mStore.Put({ "t", "", "a" }, "2");
+  RunUntil([&] { return false; });
+  EXPECT_FALSE(mListener.mRows.contains("a"));
+  mStore.Put({ "t", "", "c" }, "1");
+  mStore.Put({ "t", "", "a" }, "3");
+  EXPECT_TRUE(RunUntil([&] { return mListener.mRows.contains("a"); }));
+}
+
 // Guards against changes or removals that are missed after the first read.
 TEST_F(follower_test, ReadsThenFollows)
 {
