Send nothing to servers that say in responses that they leave

A server that leaves says so in the header Server-Leaving of all its responses, also before its entry in the store does, or while the store or the feed is late. The statement holds for the run of the server, whatever entries say that are read later.

--- a/Source/Core/Gateway/GatewaySession.h
+++ b/Source/Core/Gateway/GatewaySession.h
@@ -145,6 +145,8 @@
   bool MayRetry(const char* aReason);
   void Retry();
   void FailAttempt(exchange_failure aFailure);
+  /// Records that the server said in its response that it leaves.
+  void RecordLeaving(time_point aNow);
   /// Records the rate limit that the server's response names or lacks.
   void RecordRateLimit(time_point aNow);
   /// Logs that a stream goes on at a server.
--- a/Source/Core/Gateway/GatewaySessionResponse.cpp
+++ b/Source/Core/Gateway/GatewaySessionResponse.cpp
@@ -80,6 +80,7 @@
   mFraming = aResponse.mFraming;
   mAnswer = std::move(answer);
   RecordRateLimit(now);
+  RecordLeaving(now);
   mEventStream = eventStream;
   if (!mResponseStarted) {
     mResponse = std::move(aResponse);
@@ -305,6 +306,21 @@
            : 1;
 }
 
+void gateway_session::RecordLeaving(time_point aNow)
+{
+  // A misdirected request was answered by another server.
+  if (!mAnswer.mLeaving || mAnswer.mMisdirected) {
+    return;
+  }
+  if (mContext.mUpstreamRegistry.OnLeaving(
+        mServerRun.mUpstream, mServerRun.mIncarnation, aNow)) {
+    Log(log_level::Info,
+        "server_said_leaving",
+        { Field("id", mRequest.mId),
+          Field("server_run", FormatServerRun(mServerRun)) });
+  }
+}
+
 void gateway_session::RecordRateLimit(time_point aNow)
 {
   // A misdirected request was answered by another server.
--- a/Source/Core/Gateway/GatewayTypes.h
+++ b/Source/Core/Gateway/GatewayTypes.h
@@ -181,6 +181,8 @@
   bool mNotRun = false;
   /// The address now belongs to another server.
   bool mMisdirected = false;
+  /// The server leaves and wants no further requests.
+  bool mLeaving = false;
   /// The response carries a server's stamp.
   bool mSigned = false;
   /// Requests a second that the server takes from all nodes together.
--- a/Source/Core/Gateway/UpstreamRegistry.cpp
+++ b/Source/Core/Gateway/UpstreamRegistry.cpp
@@ -102,6 +102,7 @@
                          aEntry.mAddress != old.mAddress;
   if (restarted) {
     record.mSuspectUntil = {};
+    record.mSaidLeaving = false;
     record.mFailures = 0;
     record.mSlowness = 1.0;
     record.mKey = KeyOf(aEntry.mId);
@@ -116,13 +117,27 @@
   record.mEntry = aEntry;
   record.mSoftware = SoftwareKey(aEntry.mService, aEntry.mSoftware);
   record.mRemoved = false;
-  if (aEntry.mState == server_state::Ready) {
+  if (aEntry.mState == server_state::Ready && !record.mSaidLeaving) {
     record.mUsableUntil.reset();
   } else if (!record.mUsableUntil) {
     record.mUsableUntil = aNow;
   }
 }
 
+bool upstream_registry::OnLeaving(const upstream_id& aId,
+                                  std::uint64_t aIncarnation,
+                                  time_point aNow)
+{
+  const auto found = mUpstreams.find(aId);
+  if (found == mUpstreams.end() ||
+      found->second.mEntry.mIncarnation != aIncarnation) {
+    return false;
+  }
+  upstream_record& record = found->second;
+  record.mUsableUntil = std::min(record.mUsableUntil.value_or(aNow), aNow);
+  return !std::exchange(record.mSaidLeaving, true);
+}
+
 void upstream_registry::Remove(const upstream_id& aId, time_point aUsableUntil)
 {
   const auto found = mUpstreams.find(aId);
--- a/Source/Core/Gateway/UpstreamRegistry.h
+++ b/Source/Core/Gateway/UpstreamRegistry.h
@@ -99,6 +99,11 @@
   /// Sets the limits of a service; plain services have no engine limits.
   void SetService(const gateway_service& aService);
   void Apply(const server_entry& aEntry, time_point aNow);
+  /// The server run said itself that it leaves. It gets no further requests,
+  /// whatever its entry says. Returns whether this was not known.
+  bool OnLeaving(const upstream_id& aId,
+                 std::uint64_t aIncarnation,
+                 time_point aNow);
   /// The entry was removed from the store. The server is used only if no other
   /// is usable, until `aUsableUntil`.
   void Remove(const upstream_id& aId, time_point aUsableUntil);
@@ -181,6 +186,8 @@
     /// Removed or leaving servers are not used after this time.
     std::optional<time_point> mUsableUntil;
     bool mRemoved = false;
+    /// The server said in a response that it leaves.
+    bool mSaidLeaving = false;
     /// Until this time the server is used only if no healthy one exists.
     time_point mSuspectUntil;
     unsigned mFailures = 0;
--- a/Source/UnitTests/Gateway/OldStateTest.cpp
+++ b/Source/UnitTests/Gateway/OldStateTest.cpp
@@ -198,3 +198,28 @@
   EXPECT_EQ(server.mRequests.size(), kRequests);
   EXPECT_EQ(statuses, std::vector<unsigned>(kRequests, 200));
 }
+
+// Guards against further requests to a server that says in its responses that
+// it leaves, while its entry in the store does not say so yet or an older entry
+// is applied late.
+TEST_F(old_state_test, ServersThatSayThatTheyLeaveGetNoRequests)
+{
+  scripted_server& leaving = AddServer("i-1", "app");
+  leaving.mScript = [](http_server_connection& aConnection,
+                       const http_server_request& aRequest) {
+    http_server_response response;
+    scripted_server::Sign(response, aRequest);
+    response.mHeaders.emplace_back("Server-Leaving", "1");
+    aConnection.Respond(response, "done");
+  };
+  StartNode();
+  EXPECT_EQ(Call("POST", "/l/x", {}, "b")->mResponse.mStatus, 200U);
+  scripted_server& staying = AddServer("i-2", "app");
+  PutServer("i-1", leaving, "ready");
+  RunFor(milliseconds(600));
+  for (unsigned i = 0; i < kRequests; ++i) {
+    EXPECT_EQ(Call("POST", "/l/x", {}, "b")->mResponse.mStatus, 200U);
+  }
+  EXPECT_EQ(leaving.mRequests.size(), 1U);
+  EXPECT_EQ(staying.mRequests.size(), kRequests);
+}
