Add failing tests of a node that is cut off from all servers

0 of 40 requests are served at a node whose connections to all servers are reset or hang, 3 s after the cut, while its peer reaches the servers; the node stays ready.

--- /dev/null
+++ b/Source/UnitTests/Gateway/CutOffNodeTest.cpp
@@ -0,0 +1,362 @@
+#include <map>
+#include <set>
+
+#include "GatewayFixture.h"
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Forwards connections to a server and can be cut like the link of a host.
+class severable_link final : private tcp_listener::acceptor
+{
+public:
+  enum class state : std::uint8_t
+  {
+    Open,
+    /// Nothing is forwarded; connections stay open.
+    Hangs,
+    /// Connections are reset, also new ones.
+    Resets,
+    /// Open connections live on; new ones are refused.
+    RefusesNew,
+  };
+
+  explicit severable_link(tcp_address aTarget)
+    : mTarget(std::move(aTarget))
+  {
+    std::string error;
+    mListener = tcp_listener::Listen({ "127.0.0.1", 0 }, *this, error);
+  }
+
+  std::string Address() const { return FormatTcpAddress(mListener->Address()); }
+
+  void SetState(state aState)
+  {
+    std::string error;
+    mState = aState;
+    if (aState == state::RefusesNew) {
+      mListener->Pause();
+    } else {
+      mListener->Resume(error);
+    }
+    if (aState == state::Resets || aState == state::Open) {
+      // A connection whose bytes were dropped cannot go on.
+      for (const auto& pair : mPairs) {
+        pair->Reset();
+      }
+    }
+  }
+
+private:
+  struct side final : tcp_observer
+  {
+    void OnData(std::string_view aBytes) override
+    {
+      if (mLink->mState != state::Hangs && mOther->mStream) {
+        mOther->mStream->Write(aBytes);
+      }
+    }
+    void OnEnd(tcp_end_reason) override
+    {
+      if (mOther->mStream) {
+        mOther->mStream->CloseAfterDrain();
+      }
+    }
+    severable_link* mLink = nullptr;
+    side* mOther = nullptr;
+    std::shared_ptr<tcp_stream> mStream;
+  };
+  struct connection_pair
+  {
+    void Reset()
+    {
+      mNear.mStream->Reset();
+      mFar.mStream->Reset();
+    }
+    side mNear;
+    side mFar;
+  };
+
+  void OnAccept(int aDescriptor) override
+  {
+    auto pair = std::make_unique<connection_pair>();
+    pair->mNear.mLink = pair->mFar.mLink = this;
+    pair->mNear.mOther = &pair->mFar;
+    pair->mFar.mOther = &pair->mNear;
+    pair->mNear.mStream = tcp_stream::Adopt(aDescriptor, {}, pair->mNear);
+    pair->mFar.mStream = tcp_stream::Connect(mTarget, {}, pair->mFar);
+    if (mState == state::Resets) {
+      pair->Reset();
+    }
+    mPairs.push_back(std::move(pair));
+  }
+
+  tcp_address mTarget;
+  state mState = state::Open;
+  std::unique_ptr<tcp_listener> mListener;
+  std::vector<std::unique_ptr<connection_pair>> mPairs;
+};
+
+/// The store as a host sees it whose way to the servers leads over links.
+class linked_row_store final : public row_store
+{
+public:
+  explicit linked_row_store(row_store& aStore)
+    : mStore(aStore)
+  {
+  }
+
+  void Commit(const row_transaction& aTransaction,
+              commit_callback aReply) override
+  {
+    mStore.Commit(aTransaction, std::move(aReply));
+  }
+  void Read(const std::string& aTable,
+            const std::string& aPart,
+            const std::string& aFrom,
+            page_callback aReply) override
+  {
+    mStore.Read(aTable, aPart, aFrom, Reroute(std::move(aReply)));
+  }
+  void ReadChanges(const std::string& aTable,
+                   std::uint64_t aAfter,
+                   milliseconds aWait,
+                   page_callback aReply) override
+  {
+    mStore.ReadChanges(aTable, aAfter, aWait, Reroute(std::move(aReply)));
+  }
+  std::uint64_t Era() const override { return mStore.Era(); }
+  std::optional<milliseconds> Clock() const override { return mStore.Clock(); }
+
+  void SetState(severable_link::state aState)
+  {
+    for (const auto& [address, link] : mLinks) {
+      link->SetState(aState);
+    }
+  }
+  void SetState(const std::string& aServer, severable_link::state aState)
+  {
+    mLinks.at(aServer)->SetState(aState);
+  }
+
+private:
+  page_callback Reroute(page_callback aReply)
+  {
+    return [this, reply = std::move(aReply)](auto aPage) {
+      if (!aPage.has_value()) {
+        reply(std::move(aPage));
+        return;
+      }
+      row_page page = aPage.value();
+      for (stored_row& row : page.mRows) {
+        Reroute(row.mValue);
+      }
+      reply(std::move(page));
+    };
+  }
+
+  void Reroute(std::string& aValue)
+  {
+    constexpr std::string_view kKey = "\"address\":\"";
+    const auto found = aValue.find(kKey);
+    if (found == std::string::npos) {
+      return;
+    }
+    const auto from = found + kKey.size();
+    const auto size = aValue.find('"', from) - from;
+    const std::string address = aValue.substr(from, size);
+    auto& link = mLinks[address];
+    if (!link) {
+      link = std::make_unique<severable_link>(*ParseTcpAddress(address));
+    }
+    aValue.replace(from, size, link->Address());
+  }
+
+  row_store& mStore;
+  std::map<std::string, std::unique_ptr<severable_link>> mLinks;
+};
+
+/// A node whose host can lose its links to all servers, and a peer that reaches
+/// them.
+class cut_off_node_test : public gateway_fixture
+{
+protected:
+  ~cut_off_node_test() override { mCutNode.reset(); }
+
+  static std::uint16_t FreePort()
+  {
+    struct ignoring_acceptor final : tcp_listener::acceptor
+    {
+      void OnAccept(int) override {}
+    } acceptor;
+    std::string error;
+    return tcp_listener::Listen({ "127.0.0.1", 0 }, acceptor, error)
+      ->Address()
+      .mPort;
+  }
+
+  void StartNodes()
+  {
+    for (const char* id : { "i-1", "i-2", "i-3", "i-4" }) {
+      AddServer(id, "app");
+    }
+    mSettings.mPeer.mPort = FreePort();
+    mSettings.mClientAddress.mPort = FreePort();
+    StartNode();
+    gateway_settings settings = mSettings;
+    settings.mName = "node-2";
+    settings.mSeeds = { FormatTcpAddress(mSettings.mPeer) };
+    settings.mPeer.mPort = FreePort();
+    settings.mClientAddress.mPort = FreePort();
+    std::string error;
+    mCutNode = gateway_node::Start(
+      settings, mCodec, mLinkedStore, mTime, [] {}, error);
+    ASSERT_TRUE(mCutNode) << error;
+    ASSERT_TRUE(RunUntil([this] { return mCutNode->Ready(); }));
+    RunFor(milliseconds(500));
+    EXPECT_EQ(CallCutNode("/l/x", kRequests), kRequests);
+  }
+
+  std::unique_ptr<client_exchange> BeginAtCutNode(const std::string& aPath)
+  {
+    std::swap(mNode, mCutNode);
+    auto exchange = BeginRequest("POST",
+                                 aPath,
+                                 "Lentilswitch-Request-Id: r" +
+                                   std::to_string(++mLastId) + "\r\n",
+                                 "b");
+    std::swap(mNode, mCutNode);
+    return exchange;
+  }
+
+  /// Sends requests to the node one after the other, and returns how many are
+  /// served.
+  unsigned CallCutNode(const std::string& aPath, unsigned aCount)
+  {
+    unsigned served = 0;
+    for (unsigned i = 0; i < aCount; ++i) {
+      const auto exchange = BeginAtCutNode(aPath);
+      EXPECT_TRUE(RunUntil([&] { return exchange->Ended(); }));
+      served += exchange->mResponse.mStatus == 200 ? 1U : 0U;
+    }
+    return served;
+  }
+
+  /// Sends requests at an even rate for the time and does not wait for their
+  /// answers.
+  void SendTraffic(milliseconds aTime)
+  {
+    constexpr milliseconds kInterval(50);
+    for (milliseconds sent(0); sent < aTime; sent += kInterval) {
+      mTraffic.push_back(BeginAtCutNode("/l/x"));
+      RunFor(kInterval);
+    }
+  }
+
+  unsigned Runs() const
+  {
+    unsigned runs = 0;
+    for (const auto& server : mServers) {
+      runs += static_cast<unsigned>(server->mRequests.size());
+    }
+    return runs;
+  }
+
+  static constexpr unsigned kRequests = 20;
+  // Time after the begin of a cut from which on callers must be served.
+  static constexpr milliseconds kStableTime{ 3000 };
+
+  linked_row_store mLinkedStore{ mStore };
+  std::unique_ptr<gateway_node> mCutNode;
+  std::vector<std::unique_ptr<client_exchange>> mTraffic;
+  unsigned mLastId = 0;
+};
+
+} // namespace
+
+// Guards against callers that are refused by a host whose connections to all
+// servers are reset, while other hosts reach them.
+TEST_F(cut_off_node_test, ServesWhileItsLinksReset)
+{
+  StartNodes();
+  mLinkedStore.SetState(severable_link::state::Resets);
+  SendTraffic(kStableTime);
+  EXPECT_EQ(CallCutNode("/l/x", kRequests), kRequests);
+  EXPECT_EQ(CallCutNode("/o/x", kRequests), kRequests);
+}
+
+// Guards against callers whose requests get no answer at a host whose
+// connections to all servers hang.
+TEST_F(cut_off_node_test, ServesWhileItsLinksHang)
+{
+  StartNodes();
+  mLinkedStore.SetState(severable_link::state::Hangs);
+  SendTraffic(kStableTime);
+  EXPECT_EQ(CallCutNode("/l/x", kRequests), kRequests);
+  EXPECT_EQ(CallCutNode("/o/x", kRequests), kRequests);
+}
+
+// Guards against callers that are refused where open connections to servers
+// live on and new ones are refused.
+TEST_F(cut_off_node_test, ServesWhileItsLinksRefuseNewConnections)
+{
+  StartNodes();
+  mLinkedStore.SetState(severable_link::state::RefusesNew);
+  SendTraffic(kStableTime);
+  EXPECT_EQ(CallCutNode("/l/x", kRequests), kRequests);
+  EXPECT_EQ(CallCutNode("/o/x", kRequests), kRequests);
+}
+
+// Guards against clients that are sent to a host that is cut off, and against a
+// host that stays out after its links are back.
+TEST_F(cut_off_node_test, IsReadyOnlyWhileItReachesServers)
+{
+  StartNodes();
+  mLinkedStore.SetState(severable_link::state::Hangs);
+  SendTraffic(milliseconds(2000));
+  EXPECT_FALSE(mCutNode->Ready());
+  EXPECT_TRUE(mNode->Ready());
+  mLinkedStore.SetState(severable_link::state::Open);
+  EXPECT_TRUE(RunUntil([this] { return mCutNode->Ready(); }));
+  const unsigned before = Runs();
+  EXPECT_EQ(CallCutNode("/o/x", kRequests), kRequests);
+  EXPECT_EQ(Runs(), before + kRequests);
+}
+
+// Guards against a host that takes itself for cut off because sound servers
+// fall silent for a second, and that breaks off their requests.
+TEST_F(cut_off_node_test, ShortSilencesOfServersAreBorne)
+{
+  const std::string timeout =
+    R"("timeoutMs": 800, "targetLatencyMs": 300,
+     "priority": 2, "service": "app", "maxAttempts": 1)";
+  mConfig.replace(mConfig.find(timeout),
+                  timeout.size(),
+                  R"("timeoutMs": 4000, "targetLatencyMs": 300,
+     "priority": 2, "service": "app", "maxAttempts": 1)");
+  StartNodes();
+  std::vector<std::pair<http_server_connection*, http_server_request>> silent;
+  for (unsigned i = 0; i < 2; ++i) {
+    mServers[i]->mScript = [&](http_server_connection& aConnection,
+                               const http_server_request& aRequest) {
+      silent.emplace_back(&aConnection, aRequest);
+    };
+  }
+  std::vector<std::unique_ptr<client_exchange>> exchanges;
+  for (unsigned i = 0; i < kRequests; ++i) {
+    exchanges.push_back(BeginAtCutNode("/o/x"));
+    RunFor(milliseconds(60));
+  }
+  EXPECT_TRUE(mCutNode->Ready());
+  EXPECT_FALSE(silent.empty());
+  for (const auto& [connection, request] : silent) {
+    http_server_response response;
+    scripted_server::Sign(response, request);
+    connection->Respond(response, "done");
+  }
+  for (const auto& exchange : exchanges) {
+    EXPECT_TRUE(RunUntil([&] { return exchange->Ended(); }));
+    EXPECT_EQ(exchange->mResponse.mStatus, 200U);
+  }
+}
