--- a/Source/UnitTests/Gateway/GatewayFixture.cpp
+++ b/Source/UnitTests/Gateway/GatewayFixture.cpp
@@ -1,5 +1,7 @@
 #include "GatewayFixture.h"
 
+#include <random>
+
 #include <fmt/format.h>
 
 namespace {
@@ -8,6 +10,9 @@
 
 constexpr milliseconds kTestTimeout(5000);
 constexpr milliseconds kStorePeriod(2);
+// Below the range from which the kernel assigns ports.
+constexpr std::uint16_t kFirstFreePort = 20000;
+constexpr std::uint16_t kLastFreePort = 32000;
 
 constexpr const char* kConfigText = R"({
   "version": 7,
@@ -133,6 +138,24 @@
   ASSERT_TRUE(RunUntil([this] { return mNode->Ready(); }));
 }
 
+std::uint16_t gateway_fixture::FreePort()
+{
+  struct ignoring_acceptor final : tcp_listener::acceptor
+  {
+    void OnAccept(int) override {}
+  } acceptor;
+  std::random_device device;
+  std::uniform_int_distribution<std::uint16_t> ports(kFirstFreePort,
+                                                     kLastFreePort);
+  while (true) {
+    const std::uint16_t port = ports(device);
+    std::string error;
+    if (tcp_listener::Listen({ "127.0.0.1", port }, acceptor, error)) {
+      return port;
+    }
+  }
+}
+
 std::unique_ptr<client_exchange> gateway_fixture::BeginRequest(
   const std::string& aMethod,
   const std::string& aPath,
--- a/Source/UnitTests/Gateway/GatewayFixture.h
+++ b/Source/UnitTests/Gateway/GatewayFixture.h
@@ -91,6 +91,8 @@
                              const std::string& aSoftware = "v1");
   /// Starts the node and waits until it is ready.
   void StartNode();
+  /// A port of the loopback address that the kernel assigns to no connection.
+  static std::uint16_t FreePort();
   /// Begins a request. `aHeaders` are further header lines, each ending in
   /// CRLF.
   std::unique_ptr<client_exchange> BeginRequest(
--- a/Source/UnitTests/Gateway/OldStateTest.cpp
+++ b/Source/UnitTests/Gateway/OldStateTest.cpp
@@ -60,18 +60,6 @@
 protected:
   ~old_state_test() override { mLateNode.reset(); }
 
-  static std::uint16_t FreePort()
-  {
-    struct ignoring_acceptor final : tcp_listener::acceptor
-    {
-      void OnAccept(int) override {}
-    } acceptor;
-    std::string error;
-    return tcp_listener::Listen({ "127.0.0.1", 0 }, acceptor, error)
-      ->Address()
-      .mPort;
-  }
-
   /// Starts a node with the direct store and one whose replies can be held.
   void StartNodes()
   {
