Pass requests on from a host that reaches no server

The host suspected each server by itself, stayed ready and named to clients, and refused what came: no rule looked at all servers together.

A host is now taken for cut off once three servers (or all of two) refused or broke connections and no byte of any server arrived since; servers that are silent or do not accept count if no byte arrived for a second, because sound servers may be silent that long. If a live peer reaches servers, the host is not ready, is not named to clients, and passes on to such a peer what still comes, as clients keep an address for up to three times its lifetime. The peer charges, limits and places the request as one of a client; a request that may have run is only passed on if it may be repeated, and one that was passed on stays where it is. The host asks servers for their health every 400 ms; the first byte ends the state. Breaks in it are not reported as crashes.

--- a/Source/Core/Gateway/Fleet.capnp
+++ b/Source/Core/Gateway/Fleet.capnp
@@ -40,6 +40,8 @@
   # Time since the sender's newest state of the store was current, in
   # milliseconds; the default value if it has none.
   storeAgeMs @13 :UInt32 = 4294967295;
+  # The sender has lost its links to all servers.
+  cutOff @14 :Bool;
 }
 
 # What a server told the sending node of its rate limit.
--- a/Source/Core/Gateway/Fleet.capnp.h
+++ b/Source/Core/Gateway/Fleet.capnp.h
@@ -578,6 +578,8 @@
 
   inline  ::uint32_t getStoreAgeMs() const;
 
+  inline bool getCutOff() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -681,6 +683,9 @@
   inline  ::uint32_t getStoreAgeMs();
   inline void setStoreAgeMs( ::uint32_t value);
 
+  inline bool getCutOff();
+  inline void setCutOff(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2827,6 +2832,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value, 4294967295u);
 }
 
+inline bool NodeReport::Reader::getCutOff() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS);
+}
+
+inline bool NodeReport::Builder::getCutOff() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS);
+}
+inline void NodeReport::Builder::setCutOff(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t RateLimit::Reader::getServer() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Source/Core/Gateway/FleetView.cpp
+++ b/Source/Core/Gateway/FleetView.cpp
@@ -22,6 +22,8 @@
 constexpr std::size_t kMaxPeersPerReport = 400;
 // Limit of the peers whose address a report holds in full.
 constexpr std::size_t kMaxAddressesPerReport = 4;
+// Limit of the nodes to which one request is passed on.
+constexpr std::size_t kMaxRelayTargets = 3;
 // Number of steps when a hash is mapped to the range 0 to 1.
 constexpr std::uint64_t kHashSteps = 1000;
 
@@ -197,6 +199,30 @@
   return holders;
 }
 
+std::vector<std::string> fleet_view::RelayTargets(std::uint64_t aRequest,
+                                                  time_point aNow) const
+{
+  std::vector<std::pair<double, std::string>> order;
+  for (const auto& [address, peer] : mPeers) {
+    if (!IsAlive(peer, aNow) || !peer.mReport || !peer.mReport->mReady ||
+        peer.mReport->mLeaving || peer.mReport->mCutOff ||
+        peer.mReport->mClientAddress.empty()) {
+      continue;
+    }
+    const double point =
+      static_cast<double>(StableHash(address, aRequest) % kHashSteps) /
+      kHashSteps;
+    order.emplace_back(point * peer.mReport->mCapacity,
+                       peer.mReport->mClientAddress);
+  }
+  std::ranges::sort(order, std::greater());
+  std::vector<std::string> targets;
+  for (std::size_t i = 0; i < std::min(order.size(), kMaxRelayTargets); ++i) {
+    targets.push_back(std::move(order[i].second));
+  }
+  return targets;
+}
+
 std::optional<time_point> fleet_view::PeerStoreContact(time_point aNow) const
 {
   std::optional<time_point> newest;
--- a/Source/Core/Gateway/FleetView.h
+++ b/Source/Core/Gateway/FleetView.h
@@ -51,6 +51,8 @@
   std::vector<std::pair<std::uint32_t, std::int64_t>> mFreeTokens;
   /// What servers told this node of their rate limits.
   std::vector<aged_rate_limit> mRateLimits;
+  /// Whether the node has lost its links to all servers.
+  bool mCutOff = false;
   /// Time since the node's newest state of the store was current; nothing if it
   /// has none.
   std::optional<std::chrono::milliseconds> mStoreAge;
@@ -91,6 +93,10 @@
   std::unordered_map<std::uint32_t, upstream_work> PeerWork(
     time_point aNow) const;
   token_holders TokenHolders(time_point aNow) const;
+  /// Client addresses of nodes that reach servers and take requests, in an
+  /// order that depends on the request and prefers hosts of large capacity.
+  std::vector<std::string> RelayTargets(std::uint64_t aRequest,
+                                        time_point aNow) const;
   /// Newest time at which a peer that reported lately was in contact with the
   /// store; nothing if none reported.
   std::optional<time_point> PeerStoreContact(time_point aNow) const;
--- a/Source/Core/Gateway/GatewayCodec.h
+++ b/Source/Core/Gateway/GatewayCodec.h
@@ -34,6 +34,9 @@
   /// Head of the request to a server, including the framing headers.
   virtual std::string WriteSend(const gateway_request& aRequest,
                                 const upstream_send& aSend) const = 0;
+  /// Head of the request to another node, including the framing headers.
+  virtual std::string WriteRelay(const gateway_request& aRequest,
+                                 std::chrono::milliseconds aTimeLeft) const = 0;
   virtual upstream_answer ReadAnswer(
     const http_client_response& aResponse) const = 0;
   /// Body of the answer to `ResolveAddresses`.
--- a/Source/Core/Gateway/GatewayMetrics.h
+++ b/Source/Core/Gateway/GatewayMetrics.h
@@ -39,6 +39,7 @@
   void OnLimitedSend(bool aRepeated);
   /// Counts a change of the judgement on the state that the node has.
   void OnStateVerdict(std::string_view aVerdict);
+  void SetRelaying(double aRelaying) { mRelaying.Set(aRelaying); }
   void SetRateLimitedServers(double aCount) { mRateLimited.Set(aCount); }
   void SetOpenRequests(double aCount) { mOpenRequests.Set(aCount); }
   void SetLiveNodes(double aCount) { mLiveNodes.Set(aCount); }
@@ -68,4 +69,5 @@
   prometheus::Gauge& mStoreAge;
   prometheus::Gauge& mOpened;
   prometheus::Gauge& mRateLimited;
+  prometheus::Gauge& mRelaying;
 };
--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -92,6 +92,7 @@
   , mPool(kUpstreamLiveness)
   , mTokenAllowance(mRun, aSettings.mTokenAllowance)
   , mRetries(aSettings.mRetries)
+  , mProbe([this] { mReachability.OnByte(mTime.Now()); })
   , mFleet(SelfReport(aSettings, std::stoull(mRun, nullptr, 16)))
   , mStreamOrigins(FormatTcpAddress(aSettings.mPeer))
   , mCrashExchange(mCrashes, mSegmentCrashes, mMetrics, mStore, mTime, mRun)
@@ -111,6 +112,7 @@
               .mSegmentCrashes = mSegmentCrashes,
               .mCrashExchange = mCrashExchange,
               .mUnanswered = mUnanswered,
+              .mReachability = mReachability,
               .mFleet = mFleet,
               .mStreamOrigins = mStreamOrigins,
               .mMetrics = mMetrics }
@@ -153,6 +155,7 @@
 gateway_node::~gateway_node()
 {
   mSessions.clear();
+  mRelays.clear();
 }
 
 std::unique_ptr<gateway_node> gateway_node::Start(
@@ -214,7 +217,7 @@
 bool gateway_node::Ready() const
 {
   return mContext.mRoutes && mUpstreamRegistry.Size() > 0 && !mStopStartedAt &&
-         mContext.mState != state_verdict::Outdated;
+         mContext.mState != state_verdict::Outdated && !mContext.mRelaying;
 }
 
 void gateway_node::OnRequest(http_server_connection& aConnection,
@@ -232,7 +235,9 @@
     mContext,
     aConnection,
     mCodec.ReadRequest(std::move(aRequest), mTime.Now()));
-  if (!session->Finished()) {
+  if (session->NeedsRelay()) {
+    StartRelay(aConnection, *session);
+  } else if (!session->Finished()) {
     mSessions[&aConnection] = std::move(session);
   }
 }
@@ -243,6 +248,10 @@
   if (found != mSessions.end()) {
     found->second->Cancel();
   }
+  const auto relay = mRelays.find(&aConnection);
+  if (relay != mRelays.end()) {
+    relay->second->Cancel();
+  }
 }
 
 void gateway_node::OnClientDrained(http_server_connection& aConnection)
@@ -251,6 +260,10 @@
   if (found != mSessions.end()) {
     found->second->OnClientDrained();
   }
+  const auto relay = mRelays.find(&aConnection);
+  if (relay != mRelays.end()) {
+    relay->second->OnClientDrained();
+  }
 }
 
 void gateway_node::OnConnectionClosed(http_server_connection&) {}
--- a/Source/Core/Gateway/GatewayNode.h
+++ b/Source/Core/Gateway/GatewayNode.h
@@ -12,6 +12,8 @@
 #include "Gateway/GatewaySession.h"
 #include "Gateway/LinkOverloadDetector.h"
 #include "Gateway/PeerTransport.h"
+#include "Gateway/RequestRelay.h"
+#include "Gateway/ServerProbe.h"
 #include "Gateway/StallDetector.h"
 #include "Gateway/TableFollower.h"
 #include "Net/HttpListener.h"
@@ -83,6 +85,13 @@
   /// Accepts no new connections while the link of the host is overloaded.
   void UpdateLinkOverload(time_point aNow);
   void AdvanceWaiting(time_point aNow);
+  /// Decides whether the host is cut off from all servers, and probes them
+  /// while it is.
+  void UpdateReachability(time_point aNow);
+  /// Passes on the requests that wait for it.
+  void StartRelays();
+  void StartRelay(http_server_connection& aConnection,
+                  gateway_session& aSession);
   /// Learns the rate limits of servers from other nodes, and divides all limits
   /// among the live nodes.
   void UpdateRateLimits(const std::vector<std::string>& aPeers,
@@ -107,6 +116,8 @@
   crash_history mCrashes;
   segment_crash_history mSegmentCrashes{ mCrashes.Liveness() };
   unanswered_requests mUnanswered;
+  server_reachability mReachability;
+  server_probe mProbe;
   fleet_view mFleet;
   stream_origins mStreamOrigins;
   gateway_metrics mMetrics;
@@ -131,6 +142,8 @@
   std::unique_ptr<http_listener> mMetricsListener;
 
   std::map<http_server_connection*, std::unique_ptr<gateway_session>> mSessions;
+  /// Requests that are passed on to other nodes.
+  std::map<http_server_connection*, std::unique_ptr<request_relay>> mRelays;
   loop_timer mRequestTimer;
   loop_timer mFleetTimer;
   loop_timer mMaintenanceTimer;
--- a/Source/Core/Gateway/GatewayNodeTicks.cpp
+++ b/Source/Core/Gateway/GatewayNodeTicks.cpp
@@ -9,12 +9,15 @@
 
 #include <fmt/format.h>
 
+#include "Common/Hash.h"
 #include "Common/Log.h"
 
 namespace {
 
 using std::chrono::milliseconds;
 
+// Sound servers may be silent under a request for a second.
+constexpr milliseconds kSilenceTime(1000);
 // Interval of snapshot requests while the store is unreachable.
 constexpr milliseconds kSnapshotInterval(1000);
 // The same while peers are in contact with the store.
@@ -37,6 +40,7 @@
   mStalls.OnTick(now);
   mContext.mDiscardedConnections.clear();
   JudgeState(now);
+  UpdateReachability(now);
   if (mStalls.MustReadFirst(now)) {
     return;
   }
@@ -48,8 +52,14 @@
   mPeerTransport.SendTokenRequests();
   mPeerTransport.SendCrashNews();
   mPeerTransport.SendStreamMessages();
+  StartRelays();
+  for (const auto& [connection, relay] : mRelays) {
+    relay->Advance(now);
+  }
   std::erase_if(mSessions,
                 [](const auto& aPair) { return aPair.second->Finished(); });
+  std::erase_if(mRelays,
+                [](const auto& aPair) { return aPair.second->Finished(); });
   if (mStopStartedAt) {
     ContinueStop(now);
   }
@@ -73,6 +83,60 @@
   }
 }
 
+void gateway_node::UpdateReachability(time_point aNow)
+{
+  mReachability.Update(mUpstreamRegistry.Size(), aNow);
+  const bool cutOff = mReachability.IsCutOff();
+  if (std::exchange(mFleet.Self().mCutOff, cutOff) != cutOff) {
+    Log(cutOff ? log_level::Warning : log_level::Info,
+        cutOff ? "servers_lost" : "servers_regained",
+        { Field("failed_servers", mReachability.FailedServers()),
+          Field("last_byte_age_ms",
+                std::chrono::duration_cast<milliseconds>(
+                  aNow - mReachability.LastByteAt())
+                  .count()),
+          Field("open_requests", mSessions.size()) });
+  }
+  if (cutOff) {
+    mProbe.OnTick(mUpstreamRegistry.ProbeTargets(), aNow);
+  } else {
+    mProbe.Stop();
+  }
+  // If no node reaches servers, the fault is with the servers.
+  const bool relaying = cutOff && !mFleet.RelayTargets(0, aNow).empty();
+  if (std::exchange(mContext.mRelaying, relaying) != relaying) {
+    mMetrics.SetRelaying(relaying ? 1.0 : 0.0);
+    Log(log_level::Info, "relaying_changed", { Field("relaying", relaying) });
+  }
+}
+
+void gateway_node::StartRelays()
+{
+  for (const auto& [connection, session] : mSessions) {
+    if (session->NeedsRelay()) {
+      StartRelay(*connection, *session);
+    }
+  }
+}
+
+void gateway_node::StartRelay(http_server_connection& aConnection,
+                              gateway_session& aSession)
+{
+  relay_request request = aSession.TakeForRelay();
+  std::vector<tcp_address> peers;
+  for (const std::string& target :
+       mFleet.RelayTargets(StableHash(request.mRequest.mId), mTime.Now())) {
+    if (const auto address = ParseTcpAddress(target)) {
+      peers.push_back(*address);
+    }
+  }
+  auto relay = std::make_unique<request_relay>(
+    mContext, aConnection, std::move(request), std::move(peers));
+  if (!relay->Finished()) {
+    mRelays[&aConnection] = std::move(relay);
+  }
+}
+
 void gateway_node::UpdateLinkOverload(time_point aNow)
 {
   const bool wasBusy = mLinkOverload.IsOverloaded();
@@ -136,6 +200,10 @@
   mStalls.OnTick(now);
   UpdateLinkOverload(now);
   if (mStalls.CanJudgeSilence(now)) {
+    for (const upstream_id& server :
+         mUpstreamRegistry.SilentFor(kSilenceTime, now)) {
+      mReachability.OnSilence(server, now);
+    }
     ReportSilentServers(now);
   }
   const bool ready = Ready();
@@ -259,10 +327,14 @@
   for (const auto& [connection, session] : mSessions) {
     session->EndAtStop();
   }
+  for (const auto& [connection, relay] : mRelays) {
+    relay->EndAtStop();
+  }
   mOnStopped();
 }
 
 bool gateway_node::IsIdle() const
 {
-  return mSessions.empty() && !mTokenAllowance.HasPendingChanges();
+  return mSessions.empty() && mRelays.empty() &&
+         !mTokenAllowance.HasPendingChanges();
 }
--- a/Source/Core/Gateway/GatewaySession.cpp
+++ b/Source/Core/Gateway/GatewaySession.cpp
@@ -118,6 +118,10 @@
     std::min(mRouteDeadline, mRequest.mDeadline.value_or(mRouteDeadline));
   mPriority = mAccount != nullptr && mAccount->mPriority ? *mAccount->mPriority
                                                          : mRoute->mPriority;
+  if (CanBeRelayed()) {
+    mStage = stage::NeedRelay;
+    return;
+  }
   mService = ChooseService(*mRoute, mRequest.mId);
   mContext.mRetries.OnRequest(mService.mName, mArrived);
   const std::string account =
@@ -327,6 +331,10 @@
   if (!HasRecentState(aNow) || EndIfSuspect(aNow)) {
     return;
   }
+  if (CanBeRelayed()) {
+    mStage = stage::NeedRelay;
+    return;
+  }
   auto chosen = ChooseServer(aNow);
   if (!chosen && !mTriedUpstreams.empty()) {
     // No other server is left; one that failed before is better than none.
@@ -362,6 +370,25 @@
   }
 }
 
+bool gateway_session::CanBeRelayed() const
+{
+  return mContext.mRelaying && !mRequest.mRelayed && !mResponseStarted &&
+         (!mMayHaveRun || IsRetryable());
+}
+
+relay_request gateway_session::TakeForRelay()
+{
+  FinishReservation();
+  mStage = stage::Finished;
+  mClient = nullptr;
+  mContext.mBodyBytes -= mRequest.mBody.size();
+  relay_request relay{
+    std::move(mRequest), mRoute->mName, mArrived, mDeadline
+  };
+  mRequest.mBody.clear();
+  return relay;
+}
+
 void gateway_session::Cancel()
 {
   mClient = nullptr;
--- a/Source/Core/Gateway/GatewaySession.h
+++ b/Source/Core/Gateway/GatewaySession.h
@@ -13,6 +13,7 @@
 #include "Gateway/GatewayMetrics.h"
 #include "Gateway/GatewaySettings.h"
 #include "Gateway/RouteTable.h"
+#include "Gateway/ServerReachability.h"
 #include "Gateway/StateFreshness.h"
 #include "Gateway/StreamOrigins.h"
 #include "Gateway/UnansweredRequests.h"
@@ -32,6 +33,7 @@
   segment_crash_history& mSegmentCrashes;
   crash_exchange& mCrashExchange;
   unanswered_requests& mUnanswered;
+  server_reachability& mReachability;
   fleet_view& mFleet;
   stream_origins& mStreamOrigins;
   gateway_metrics& mMetrics;
@@ -46,6 +48,9 @@
   /// Whether a newer configuration may be in force, because the store was out
   /// of contact for too long.
   bool mConfigMayBeStale = true;
+  /// Whether the node reaches no server and other nodes do, so that it passes
+  /// its requests on.
+  bool mRelaying = false;
   /// Whether the node refuses new requests, at the end of a graceful stop.
   bool mRefusingRequests = false;
   /// Bytes of the bodies of open requests, and their limit.
@@ -75,6 +80,10 @@
   void OnClientDrained();
 
   bool Finished() const { return mStage == stage::Finished; }
+  /// Whether the request is to be passed on to another node.
+  bool NeedsRelay() const { return mStage == stage::NeedRelay; }
+  /// Hands the request over; the session is finished then.
+  relay_request TakeForRelay();
   bool WaitsForServer() const { return mStage == stage::NeedServer; }
   /// Sort key of waiting requests: priority, then arrival; lowest first.
   std::pair<int, time_point> QueueOrder() const
@@ -94,6 +103,7 @@
     NeedOrigin,
     NeedTokens,
     NeedServer,
+    NeedRelay,
     Sent,
     Finished,
   };
@@ -116,6 +126,9 @@
   void PinStream(time_point aNow);
   void AdvanceTokens(time_point aNow);
   void AdvanceServer(time_point aNow);
+  /// Whether another node can take the request over. It has not run, or may run
+  /// again, and nothing of a response was sent.
+  bool CanBeRelayed() const;
   /// Chooses a server; keeps a request with crash reports away from others that
   /// have some.
   std::optional<placement> ChooseServer(time_point aNow) const;
--- a/Source/Core/Gateway/GatewaySessionResponse.cpp
+++ b/Source/Core/Gateway/GatewaySessionResponse.cpp
@@ -59,6 +59,7 @@
     return false;
   }
   mContext.mUpstreamRegistry.OnByte(mPlacement.mUpstream, now);
+  mContext.mReachability.OnByte(now);
   mContext.mCrashExchange.OnByte(mServerRun, mSentAt);
   if (!answer.mNotRun && !answer.mSigned) {
     mMayHaveRun = true;
@@ -93,6 +94,7 @@
 void gateway_session::OnBody(std::string_view aBytes)
 {
   mContext.mUpstreamRegistry.OnByte(mPlacement.mUpstream, mContext.mTime.Now());
+  mContext.mReachability.OnByte(mContext.mTime.Now());
   mContext.mCrashExchange.OnByte(mServerRun, mSentAt);
   if (mAnswer.mNotRun) {
     mRefusalBytes += aBytes.size();
--- a/Source/Core/Gateway/GatewaySessionUpstream.cpp
+++ b/Source/Core/Gateway/GatewaySessionUpstream.cpp
@@ -131,6 +131,7 @@
     return;
   }
   if (!mConnection->Connected() && aNow >= mSentAt + kConnectTimeout) {
+    mContext.mReachability.OnSilence(mPlacement.mUpstream, aNow);
     mConnection->Cancel();
     OnExchangeFailed(exchange_failure::NotSent);
     return;
@@ -139,6 +140,9 @@
   // longer than the objective.
   const bool slow = mRoute->mKind == request_kind::Idempotent &&
                     aNow >= mSentAt + mRoute->mObjective && !mHasResponse;
+  if (slow) {
+    mContext.mReachability.OnSilence(mPlacement.mUpstream, aNow);
+  }
   if (slow && MayRetry("slow_server")) {
     mContext.mUpstreamRegistry.OnFailure(mPlacement.mUpstream, aNow);
     mMayHaveRun = true;
@@ -207,6 +211,12 @@
   const upstream_id upstream = mPlacement.mUpstream;
   ReleaseUpstream(false);
   mEvents.DropPartial();
+  const bool silent =
+    aFailure == exchange_failure::NotSent && now >= mSentAt + kConnectTimeout;
+  if (!silent && (aFailure == exchange_failure::NotSent ||
+                  aFailure == exchange_failure::NoResponse)) {
+    mContext.mReachability.OnFailure(upstream, now);
+  }
   if (aFailure == exchange_failure::NotSent) {
     --mAttempts;
     mContext.mUpstreamRegistry.OnFailure(upstream, now);
@@ -231,7 +241,9 @@
   }
   // A server that goes on may also break a connection, at its idle timeout or
   // within a response; its later entries then refute the report.
-  const bool counted = aFailure != exchange_failure::Malformed;
+  // So may the loss of the host's own links.
+  const bool counted = aFailure != exchange_failure::Malformed &&
+                       !mContext.mReachability.IsCutOff();
   LogBreak(ExchangeFailureName(aFailure), reused, counted);
   if (counted) {
     mContext.mCrashExchange.Report({ mFingerprint, mServerRun, now });
--- a/Source/Core/Gateway/GatewayTypes.h
+++ b/Source/Core/Gateway/GatewayTypes.h
@@ -76,6 +76,8 @@
   service_id mName;
   /// Limit of the connections that one server accepts from all nodes together.
   std::uint32_t mMaxConnections = 0;
+  /// Path at which servers tell their health.
+  std::string mHealthPath;
   std::optional<engine_limits> mEngine;
   auto operator<=>(const gateway_service&) const = default;
 };
@@ -154,6 +156,8 @@
   /// Identity of the request that brought the first event of the stream that
   /// the client resumes; empty if it names none.
   std::string mResumedRequestId;
+  /// Whether another node passed the request on, because it reaches no server.
+  bool mRelayed = false;
   /// Deadline that the client sent; absent if it sent none.
   std::optional<time_point> mDeadline;
   /// Headers that are forwarded to the server unchanged.
@@ -161,6 +165,16 @@
   std::string mBody;
 };
 
+/// A request that this node accepted and cannot send to a server.
+struct relay_request
+{
+  gateway_request mRequest;
+  std::string mRoute;
+  time_point mArrived;
+  /// Latest time for the final answer.
+  time_point mDeadline;
+};
+
 /// Where and how a request is sent to a server.
 struct upstream_send
 {
--- a/Source/Core/Gateway/PeerDatagram.cpp
+++ b/Source/Core/Gateway/PeerDatagram.cpp
@@ -40,6 +40,7 @@
   aRoot.setLeaving(aReport.mLeaving);
   aRoot.setConfigVersion(aReport.mConfigVersion);
   aRoot.setCapacity(aReport.mCapacity);
+  aRoot.setCutOff(aReport.mCutOff);
   if (aReport.mStoreAge) {
     aRoot.setStoreAgeMs(ClampToUint32(aReport.mStoreAge->count()));
   }
@@ -90,6 +91,7 @@
   report.mLeaving = aRoot.getLeaving();
   report.mConfigVersion = aRoot.getConfigVersion();
   report.mCapacity = aRoot.getCapacity();
+  report.mCutOff = aRoot.getCutOff();
   if (aRoot.getStoreAgeMs() != std::numeric_limits<std::uint32_t>::max()) {
     report.mStoreAge = milliseconds(aRoot.getStoreAgeMs());
   }
--- a/Source/Core/Gateway/UpstreamRegistry.cpp
+++ b/Source/Core/Gateway/UpstreamRegistry.cpp
@@ -178,11 +178,37 @@
 }
 
 bool upstream_registry::IsSilent(const upstream_record& aRecord,
-                                 time_point aNow) const
+                                 milliseconds aTime,
+                                 time_point aNow)
 {
   return aRecord.mLocalWork.mRequests > 0 &&
-         aNow >
-           std::max(aRecord.mLastByte, aRecord.mBusySince) + kSilenceTimeout;
+         aNow > std::max(aRecord.mLastByte, aRecord.mBusySince) + aTime;
+}
+
+std::vector<upstream_id> upstream_registry::SilentFor(milliseconds aTime,
+                                                      time_point aNow) const
+{
+  std::vector<upstream_id> silent;
+  for (const auto& [id, record] : mUpstreams) {
+    if (IsSilent(record, aTime, aNow)) {
+      silent.push_back(id);
+    }
+  }
+  return silent;
+}
+
+std::vector<probe_target> upstream_registry::ProbeTargets() const
+{
+  std::vector<probe_target> targets;
+  for (const auto& [id, record] : mUpstreams) {
+    const auto service = mServices.find(record.mEntry.mService.mName);
+    if (!record.mUsableUntil && service != mServices.end() &&
+        !service->second.mHealthPath.empty()) {
+      targets.push_back(
+        { record.mEntry.mAddress, service->second.mHealthPath });
+    }
+  }
+  return targets;
 }
 
 std::int64_t upstream_registry::UncachedTokens(const upstream_record& aRecord,
@@ -224,7 +250,8 @@
       if (aNow < *record.mUsableUntil) {
         leaving.push_back(&record);
       }
-    } else if (aNow < record.mSuspectUntil || IsSilent(record, aNow)) {
+    } else if (aNow < record.mSuspectUntil ||
+               IsSilent(record, kSilenceTimeout, aNow)) {
       suspect.push_back(&record);
     } else {
       healthy.push_back(&record);
--- a/Source/Core/Gateway/UpstreamRegistry.h
+++ b/Source/Core/Gateway/UpstreamRegistry.h
@@ -88,6 +88,14 @@
   time_point mEntryReadAt;
 };
 
+/// Where a server tells its health.
+struct probe_target
+{
+  tcp_address mAddress;
+  std::string mHealthPath;
+  auto operator<=>(const probe_target&) const = default;
+};
+
 class upstream_registry
 {
 public:
@@ -144,6 +152,12 @@
   /// server is avoided for a while.
   void OnFailure(const upstream_id& aId, time_point aNow);
 
+  /// Servers with requests of this node that sent nothing for the time.
+  std::vector<upstream_id> SilentFor(std::chrono::milliseconds aTime,
+                                     time_point aNow) const;
+  /// Health addresses of the servers that are not about to leave.
+  std::vector<probe_target> ProbeTargets() const;
+
   /// Sets the work that other nodes reported, summed by server.
   void SetPeerWork(std::unordered_map<std::uint32_t, upstream_work> aWork)
   {
@@ -221,7 +235,9 @@
   std::int64_t UncachedTokens(const upstream_record& aRecord,
                               const shared_prompt& aShared,
                               time_point aNow) const;
-  bool IsSilent(const upstream_record& aRecord, time_point aNow) const;
+  static bool IsSilent(const upstream_record& aRecord,
+                       std::chrono::milliseconds aTime,
+                       time_point aNow);
 
   placement_settings mSettings;
   std::map<upstream_id, upstream_record> mUpstreams;
--- a/Source/UnitTests/Gateway/CutOffNodeTest.cpp
+++ b/Source/UnitTests/Gateway/CutOffNodeTest.cpp
@@ -1,6 +1,8 @@
 #include <map>
 #include <set>
 
+#include "Gateway/FleetView.h"
+#include "Gateway/ServerReachability.h"
 #include "GatewayFixture.h"
 
 namespace {
@@ -184,18 +186,6 @@
 protected:
   ~cut_off_node_test() override { mCutNode.reset(); }
 
-  static std::uint16_t FreePort()
-  {
-    struct ignoring_acceptor final : tcp_listener::acceptor
-    {
-      void OnAccept(int) override {}
-    } acceptor;
-    std::string error;
-    return tcp_listener::Listen({ "127.0.0.1", 0 }, acceptor, error)
-      ->Address()
-      .mPort;
-  }
-
   void StartNodes()
   {
     for (const char* id : { "i-1", "i-2", "i-3", "i-4" }) {
@@ -360,3 +350,104 @@
     EXPECT_EQ(exchange->mResponse.mStatus, 200U);
   }
 }
+
+// Guards against a relayed stream that breaks off and looks complete, or whose
+// events are lost on the way.
+TEST_F(cut_off_node_test, RelayedStreamsAreWholeOrBroken)
+{
+  std::vector<http_server_connection*> streams;
+  AddServer("e-1", "engine").mScript =
+    [&](http_server_connection& aConnection,
+        const http_server_request& aRequest) {
+      scripted_server::SendEvents(aConnection, aRequest, "id: 1\ndata: a\n\n");
+      streams.push_back(&aConnection);
+    };
+  StartNodes();
+  mLinkedStore.SetState(severable_link::state::Resets);
+  SendTraffic(milliseconds(1500));
+  for (const bool whole : { true, false }) {
+    streams.clear();
+    const auto exchange = BeginAtCutNode("/s/x");
+    ASSERT_TRUE(RunUntil([&] { return !exchange->mBody.empty(); }));
+    ASSERT_EQ(streams.size(), 1U);
+    if (whole) {
+      streams[0]->WriteBody("id: 2\ndata: b\n\n");
+      streams[0]->FinishBody();
+    } else {
+      streams[0]->Abort();
+    }
+    ASSERT_TRUE(RunUntil([&] { return exchange->Ended(); }));
+    EXPECT_EQ(exchange->mComplete, whole);
+    EXPECT_EQ(exchange->mBody,
+              whole ? "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+                    : "id: 1\ndata: a\n\n");
+  }
+}
+
+// Guards against work that goes on after the client of a relayed request has
+// left.
+TEST_F(cut_off_node_test, RelayedRequestsEndWithTheirClient)
+{
+  scripted_server& engine = AddServer("e-1", "engine");
+  engine.mScript = [](http_server_connection& aConnection,
+                      const http_server_request& aRequest) {
+    scripted_server::SendEvents(aConnection, aRequest, "id: 1\ndata: a\n\n");
+  };
+  StartNodes();
+  mLinkedStore.SetState(severable_link::state::Resets);
+  SendTraffic(milliseconds(1500));
+  const auto exchange = BeginAtCutNode("/s/x");
+  ASSERT_TRUE(RunUntil([&] { return !exchange->mBody.empty(); }));
+  exchange->mConnection->Cancel();
+  EXPECT_TRUE(RunUntil([&] { return engine.mClientsGone > 0; }));
+}
+
+namespace {
+
+const time_point kNow{ std::chrono::seconds(100) };
+
+} // namespace
+
+// Guards against a host that takes itself for cut off because two servers end,
+// or because servers are silent while others answer.
+TEST(server_reachability_test, OnlyFailuresOfSeveralServersInARowCount)
+{
+  constexpr std::size_t kServers = 9;
+  server_reachability reachability;
+  reachability.OnFailure(upstream_id{ "a" }, kNow);
+  reachability.OnFailure(upstream_id{ "a" }, kNow);
+  reachability.OnFailure(upstream_id{ "b" }, kNow);
+  reachability.Update(kServers, kNow);
+  EXPECT_FALSE(reachability.IsCutOff());
+  reachability.OnByte(kNow);
+  reachability.OnFailure(upstream_id{ "c" }, kNow);
+  for (const char* id : { "d", "e", "f" }) {
+    reachability.OnSilence(upstream_id{ id }, kNow + milliseconds(900));
+  }
+  reachability.Update(kServers, kNow + milliseconds(900));
+  EXPECT_FALSE(reachability.IsCutOff());
+  reachability.Update(kServers, kNow + milliseconds(1000));
+  EXPECT_TRUE(reachability.IsCutOff());
+  reachability.Update(kServers, kNow + std::chrono::seconds(60));
+  EXPECT_TRUE(reachability.IsCutOff());
+  reachability.OnByte(kNow + std::chrono::seconds(60));
+  EXPECT_FALSE(reachability.IsCutOff());
+}
+
+// Guards against requests that are passed on to hosts that cannot serve them.
+TEST(server_reachability_test, RequestsArePassedOnToNodesThatReachServers)
+{
+  node_report self;
+  self.mAddress = "a:1";
+  fleet_view view(self);
+  for (const char* name : { "b", "c", "d" }) {
+    node_report report;
+    report.mAddress = std::string(name) + ":1";
+    report.mClientAddress = std::string(name) + ":80";
+    report.mReady = name[0] != 'c';
+    report.mCutOff = name[0] == 'd';
+    view.OnReport(report, kNow);
+  }
+  EXPECT_EQ(view.RelayTargets(1, kNow), std::vector<std::string>{ "b:80" });
+  EXPECT_TRUE(view.RelayTargets(1, kNow + std::chrono::seconds(3)).empty());
+}
