Keep within the room of brittle servers, and keep the pauses they ask for

Servers that say Server-Brittle fall over if they turn too many requests away for want of room in a second. Of a brittle server the nodes now use three quarters of the slots, each node an equal part. After a refusal for want of room all nodes leave it alone for a second; nodes report such pauses to each other.

--- a/Source/Core/Gateway/Fleet.capnp
+++ b/Source/Core/Gateway/Fleet.capnp
@@ -42,6 +42,15 @@
   storeAgeMs @13 :UInt32 = 4294967295;
   # The sender has lost its links to all servers.
   cutOff @14 :Bool;
+  pauses @15 :List(ServerPause);
+}
+
+# A brittle server had no room for a request of the sender.
+struct ServerPause {
+  # Hash of the server's identity.
+  server @0 :UInt32;
+  # Time for which it is to get no further requests, in milliseconds.
+  leftMs @1 :UInt32;
 }
 
 # What a server told the sending node of its rate limit.
--- a/Source/Core/Gateway/Fleet.capnp.h
+++ b/Source/Core/Gateway/Fleet.capnp.h
@@ -19,6 +19,7 @@
 CAPNP_DECLARE_SCHEMA(b1abbd637aad6f99);
 CAPNP_DECLARE_SCHEMA(ab0cbe4b68e5e607);
 CAPNP_DECLARE_SCHEMA(baf5b9cbfe87216a);
+CAPNP_DECLARE_SCHEMA(c915a9646c42f92f);
 CAPNP_DECLARE_SCHEMA(e5130fc5c9cd9bcd);
 CAPNP_DECLARE_SCHEMA(e94d5515a6c81dc0);
 CAPNP_DECLARE_SCHEMA(a47df8acd16b6891);
@@ -80,7 +81,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(baf5b9cbfe87216a, 4, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(baf5b9cbfe87216a, 4, 9)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ServerPause {
+  ServerPause() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c915a9646c42f92f, 1, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -580,6 +596,9 @@
 
   inline bool getCutOff() const;
 
+  inline bool hasPauses() const;
+  inline  ::capnp::List< ::fleet_wire::ServerPause,  ::capnp::Kind::STRUCT>::Reader getPauses() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -686,6 +705,13 @@
   inline bool getCutOff();
   inline void setCutOff(bool value);
 
+  inline bool hasPauses();
+  inline  ::capnp::List< ::fleet_wire::ServerPause,  ::capnp::Kind::STRUCT>::Builder getPauses();
+  inline void setPauses( ::capnp::List< ::fleet_wire::ServerPause,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::fleet_wire::ServerPause,  ::capnp::Kind::STRUCT>::Builder initPauses(unsigned int size);
+  inline void adoptPauses(::capnp::Orphan< ::capnp::List< ::fleet_wire::ServerPause,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::fleet_wire::ServerPause,  ::capnp::Kind::STRUCT>> disownPauses();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -712,6 +738,87 @@
 };
 #endif  // !CAPNP_LITE
 
+class ServerPause::Reader {
+public:
+  typedef ServerPause Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getServer() const;
+
+  inline  ::uint32_t getLeftMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ServerPause::Builder {
+public:
+  typedef ServerPause Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getServer();
+  inline void setServer( ::uint32_t value);
+
+  inline  ::uint32_t getLeftMs();
+  inline void setLeftMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ServerPause::Pipeline {
+public:
+  typedef ServerPause Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class RateLimit::Reader {
 public:
   typedef RateLimit Reads;
@@ -2846,6 +2953,68 @@
       ::capnp::bounded<66>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool NodeReport::Reader::hasPauses() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeReport::Builder::hasPauses() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::fleet_wire::ServerPause,  ::capnp::Kind::STRUCT>::Reader NodeReport::Reader::getPauses() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::ServerPause,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::fleet_wire::ServerPause,  ::capnp::Kind::STRUCT>::Builder NodeReport::Builder::getPauses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::ServerPause,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void NodeReport::Builder::setPauses( ::capnp::List< ::fleet_wire::ServerPause,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::ServerPause,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::fleet_wire::ServerPause,  ::capnp::Kind::STRUCT>::Builder NodeReport::Builder::initPauses(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::ServerPause,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void NodeReport::Builder::adoptPauses(
+    ::capnp::Orphan< ::capnp::List< ::fleet_wire::ServerPause,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::ServerPause,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::fleet_wire::ServerPause,  ::capnp::Kind::STRUCT>> NodeReport::Builder::disownPauses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::ServerPause,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t ServerPause::Reader::getServer() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ServerPause::Builder::getServer() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ServerPause::Builder::setServer( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ServerPause::Reader::getLeftMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ServerPause::Builder::getLeftMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ServerPause::Builder::setLeftMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t RateLimit::Reader::getServer() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Source/Core/Gateway/FleetView.cpp
+++ b/Source/Core/Gateway/FleetView.cpp
@@ -223,6 +223,25 @@
   return targets;
 }
 
+std::unordered_map<std::uint32_t, time_point> fleet_view::PeerPauses(
+  time_point aNow) const
+{
+  std::unordered_map<std::uint32_t, time_point> pauses;
+  for (const auto& [address, peer] : mPeers) {
+    if (!peer.mReport) {
+      continue;
+    }
+    for (const auto& [server, left] : peer.mReport->mPauses) {
+      const time_point until = peer.mLastReportAt + left;
+      if (aNow < until) {
+        time_point& latest = pauses[server];
+        latest = std::max(latest, until);
+      }
+    }
+  }
+  return pauses;
+}
+
 std::optional<time_point> fleet_view::PeerStoreContact(time_point aNow) const
 {
   std::optional<time_point> newest;
--- a/Source/Core/Gateway/FleetView.h
+++ b/Source/Core/Gateway/FleetView.h
@@ -53,6 +53,9 @@
   std::vector<aged_rate_limit> mRateLimits;
   /// Whether the node has lost its links to all servers.
   bool mCutOff = false;
+  /// Brittle servers that had no room for a request of the node, with the time
+  /// for which they are to get no further ones.
+  std::vector<std::pair<std::uint32_t, std::chrono::milliseconds>> mPauses;
   /// Time since the node's newest state of the store was current; nothing if it
   /// has none.
   std::optional<std::chrono::milliseconds> mStoreAge;
@@ -97,6 +100,9 @@
   /// order that depends on the request and prefers hosts of large capacity.
   std::vector<std::string> RelayTargets(std::uint64_t aRequest,
                                         time_point aNow) const;
+  /// Until when other nodes pause for brittle servers.
+  std::unordered_map<std::uint32_t, time_point> PeerPauses(
+    time_point aNow) const;
   /// Newest time at which a peer that reported lately was in contact with the
   /// store; nothing if none reported.
   std::optional<time_point> PeerStoreContact(time_point aNow) const;
--- a/Source/Core/Gateway/GatewayNodeTicks.cpp
+++ b/Source/Core/Gateway/GatewayNodeTicks.cpp
@@ -221,6 +221,13 @@
   mTokenAllowance.SetHolders(mFleet.TokenHolders(now));
   const auto peers = mFleet.LivePeerAddresses(now);
   UpdateRateLimits(peers, now);
+  mFleet.Self().mPauses.clear();
+  for (const auto& [server, until] : mUpstreamRegistry.Pauses(now)) {
+    mFleet.Self().mPauses.emplace_back(
+      server, std::chrono::duration_cast<milliseconds>(until - now));
+  }
+  mUpstreamRegistry.SetNodes(mFleet.LiveNodeCount(now));
+  mUpstreamRegistry.SetPeerPauses(mFleet.PeerPauses(now));
   mStreamOrigins.SetPeers(peers);
   mSegmentCrashes.SetNodes(mFleet.Self().mAddress, peers);
   mPeerTransport.SendReports();
--- a/Source/Core/Gateway/GatewaySession.h
+++ b/Source/Core/Gateway/GatewaySession.h
@@ -158,6 +158,8 @@
   bool MayRetry(const char* aReason);
   void Retry();
   void FailAttempt(exchange_failure aFailure);
+  /// Records whether the server is brittle, and that it had no room.
+  void RecordRoom(time_point aNow);
   /// Records that the server said in its response that it leaves.
   void RecordLeaving(time_point aNow);
   /// Records the rate limit that the server's response names or lacks.
--- a/Source/Core/Gateway/GatewaySessionResponse.cpp
+++ b/Source/Core/Gateway/GatewaySessionResponse.cpp
@@ -81,6 +81,7 @@
   mFraming = aResponse.mFraming;
   mAnswer = std::move(answer);
   RecordRateLimit(now);
+  RecordRoom(now);
   RecordLeaving(now);
   mEventStream = eventStream;
   if (!mResponseStarted) {
@@ -308,6 +309,29 @@
            : 1;
 }
 
+void gateway_session::RecordRoom(time_point aNow)
+{
+  // A misdirected request was answered by another server.
+  if (mAnswer.mMisdirected) {
+    return;
+  }
+  upstream_registry& registry = mContext.mUpstreamRegistry;
+  const auto& [server, incarnation] = mServerRun;
+  registry.OnResponse(server, incarnation, mAnswer.mBrittle);
+  if (!mAnswer.mNotRun) {
+    return;
+  }
+  registry.OnNoRoom(server, incarnation, mAnswer.mPause, aNow);
+  if (mAnswer.mBrittle || mAnswer.mPause.count() > 0) {
+    Log(log_level::Info,
+        "server_had_no_room",
+        { Field("id", mRequest.mId),
+          Field("server_run", FormatServerRun(mServerRun)),
+          Field("brittle", mAnswer.mBrittle),
+          Field("pause_ms", mAnswer.mPause.count()) });
+  }
+}
+
 void gateway_session::RecordLeaving(time_point aNow)
 {
   // A misdirected request was answered by another server.
--- a/Source/Core/Gateway/GatewayTypes.h
+++ b/Source/Core/Gateway/GatewayTypes.h
@@ -195,6 +195,11 @@
   bool mNotRun = false;
   /// The address now belongs to another server.
   bool mMisdirected = false;
+  /// The server falls over if it turns too many requests away in a second.
+  bool mBrittle = false;
+  /// Time for which the server, which had no room, wants no further request
+  /// from this node; zero if it named none.
+  std::chrono::milliseconds mPause{ 0 };
   /// The server leaves and wants no further requests.
   bool mLeaving = false;
   /// The response carries a server's stamp.
--- a/Source/Core/Gateway/PeerDatagram.cpp
+++ b/Source/Core/Gateway/PeerDatagram.cpp
@@ -41,6 +41,11 @@
   aRoot.setConfigVersion(aReport.mConfigVersion);
   aRoot.setCapacity(aReport.mCapacity);
   aRoot.setCutOff(aReport.mCutOff);
+  auto pauses = aRoot.initPauses(static_cast<unsigned>(aReport.mPauses.size()));
+  for (unsigned i = 0; i < pauses.size(); ++i) {
+    pauses[i].setServer(aReport.mPauses[i].first);
+    pauses[i].setLeftMs(ClampToUint32(aReport.mPauses[i].second.count()));
+  }
   if (aReport.mStoreAge) {
     aRoot.setStoreAgeMs(ClampToUint32(aReport.mStoreAge->count()));
   }
@@ -92,6 +97,10 @@
   report.mConfigVersion = aRoot.getConfigVersion();
   report.mCapacity = aRoot.getCapacity();
   report.mCutOff = aRoot.getCutOff();
+  for (const auto pause : aRoot.getPauses()) {
+    report.mPauses.emplace_back(pause.getServer(),
+                                milliseconds(pause.getLeftMs()));
+  }
   if (aRoot.getStoreAgeMs() != std::numeric_limits<std::uint32_t>::max()) {
     report.mStoreAge = milliseconds(aRoot.getStoreAgeMs());
   }
--- a/Source/Core/Gateway/UpstreamRegistry.cpp
+++ b/Source/Core/Gateway/UpstreamRegistry.cpp
@@ -34,6 +34,13 @@
 // slots. Requests of a node with a slow link stay open long after the server
 // has answered, so a server whose slots seem taken may be idle.
 constexpr std::int64_t kPlainQueueFactor = 2;
+// Share of the slots of a brittle server that the nodes use together. Each has
+// an equal part, because what it knows of the others' requests is up to a few
+// hundred ms old.
+constexpr std::int64_t kBrittleSharePercent = 75;
+// Time for which a brittle server gets nothing after it had no room for a
+// request: the time in which it counts what it turns away.
+constexpr milliseconds kBrittlePause(1000);
 // Assumed time of a plain request in ms, to compare the load of servers.
 constexpr double kPlainWorkMs = 30.0;
 
@@ -103,6 +110,8 @@
   if (restarted) {
     record.mSuspectUntil = {};
     record.mSaidLeaving = false;
+    record.mBrittle = false;
+    record.mPausedUntil = {};
     record.mFailures = 0;
     record.mSlowness = 1.0;
     record.mKey = KeyOf(aEntry.mId);
@@ -124,18 +133,68 @@
   }
 }
 
+upstream_registry::upstream_record* upstream_registry::FindRun(
+  const upstream_id& aId,
+  std::uint64_t aIncarnation)
+{
+  const auto found = mUpstreams.find(aId);
+  return found != mUpstreams.end() &&
+             found->second.mEntry.mIncarnation == aIncarnation
+           ? &found->second
+           : nullptr;
+}
+
+void upstream_registry::OnResponse(const upstream_id& aId,
+                                   std::uint64_t aIncarnation,
+                                   bool aBrittle)
+{
+  if (upstream_record* record = FindRun(aId, aIncarnation)) {
+    record->mBrittle = aBrittle;
+  }
+}
+
+void upstream_registry::OnNoRoom(const upstream_id& aId,
+                                 std::uint64_t aIncarnation,
+                                 milliseconds aPause,
+                                 time_point aNow)
+{
+  if (upstream_record* record = FindRun(aId, aIncarnation)) {
+    const milliseconds pause =
+      record->mBrittle ? std::max(aPause, kBrittlePause) : aPause;
+    record->mPausedUntil = std::max(record->mPausedUntil, aNow + pause);
+  }
+}
+
+std::vector<std::pair<std::uint32_t, time_point>> upstream_registry::Pauses(
+  time_point aNow) const
+{
+  std::vector<std::pair<std::uint32_t, time_point>> pauses;
+  for (const auto& [id, record] : mUpstreams) {
+    if (record.mBrittle && aNow < record.mPausedUntil) {
+      pauses.emplace_back(record.mKey, record.mPausedUntil);
+    }
+  }
+  return pauses;
+}
+
+time_point upstream_registry::PausedUntil(const upstream_record& aRecord) const
+{
+  const auto peers = mPeerPauses.find(aRecord.mKey);
+  return aRecord.mBrittle && peers != mPeerPauses.end()
+           ? std::max(aRecord.mPausedUntil, peers->second)
+           : aRecord.mPausedUntil;
+}
+
 bool upstream_registry::OnLeaving(const upstream_id& aId,
                                   std::uint64_t aIncarnation,
                                   time_point aNow)
 {
-  const auto found = mUpstreams.find(aId);
-  if (found == mUpstreams.end() ||
-      found->second.mEntry.mIncarnation != aIncarnation) {
+  upstream_record* record = FindRun(aId, aIncarnation);
+  if (record == nullptr) {
     return false;
   }
-  upstream_record& record = found->second;
-  record.mUsableUntil = std::min(record.mUsableUntil.value_or(aNow), aNow);
-  return !std::exchange(record.mSaidLeaving, true);
+  record->mUsableUntil = std::min(record->mUsableUntil.value_or(aNow), aNow);
+  return !std::exchange(record->mSaidLeaving, true);
 }
 
 void upstream_registry::Remove(const upstream_id& aId, time_point aUsableUntil)
@@ -317,7 +376,8 @@
   // and is not sent to a suspect one.
   auto candidates = Candidates(aQuery, aNow);
   std::erase_if(candidates, [&](const upstream_record* aRecord) {
-    return !mRateLimits.MaySend(aRecord->mKey, aNow);
+    return !mRateLimits.MaySend(aRecord->mKey, aNow) ||
+           aNow < PausedUntil(*aRecord);
   });
   // Every node computes the same preferred server for a shared prompt.
   const upstream_record* preferred = nullptr;
@@ -332,8 +392,14 @@
   for (const upstream_record* record : candidates) {
     const std::int64_t slots = std::max(record->mEntry.mSlots, 1U);
     const upstream_work work = WorkAt(*record);
-    const std::int64_t most = engine ? slots : slots * kPlainQueueFactor;
-    if (record->mLocalWork.mRequests >= slots || work.mRequests >= most) {
+    std::int64_t most = engine ? slots : slots * kPlainQueueFactor;
+    std::int64_t mostOfNode = slots;
+    if (record->mBrittle) {
+      most = std::max(slots * kBrittleSharePercent / 100, std::int64_t{ 1 });
+      mostOfNode =
+        std::max(most / static_cast<std::int64_t>(mNodes), std::int64_t{ 1 });
+    }
+    if (record->mLocalWork.mRequests >= mostOfNode || work.mRequests >= most) {
       continue;
     }
     std::optional<rated_placement> rated;
@@ -376,7 +442,8 @@
 {
   std::optional<time_point> earliest;
   for (const upstream_record* record : Candidates(aQuery, aNow)) {
-    const time_point from = mRateLimits.MaySendFrom(record->mKey);
+    const time_point from =
+      std::max(mRateLimits.MaySendFrom(record->mKey), PausedUntil(*record));
     earliest = std::min(earliest.value_or(from), from);
   }
   return earliest.value_or(time_point());
--- a/Source/Core/Gateway/UpstreamRegistry.h
+++ b/Source/Core/Gateway/UpstreamRegistry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -107,6 +108,31 @@
   /// Sets the limits of a service; plain services have no engine limits.
   void SetService(const gateway_service& aService);
   void Apply(const server_entry& aEntry, time_point aNow);
+  /// The server run responded, and said whether it is brittle.
+  void OnResponse(const upstream_id& aId,
+                  std::uint64_t aIncarnation,
+                  bool aBrittle);
+  /// The server run had no room for a request, and asked for a pause, which may
+  /// be zero.
+  void OnNoRoom(const upstream_id& aId,
+                std::uint64_t aIncarnation,
+                std::chrono::milliseconds aPause,
+                time_point aNow);
+  /// Brittle servers that turned a request of this node away within the pause
+  /// after it, with the end of the pause.
+  std::vector<std::pair<std::uint32_t, time_point>> Pauses(
+    time_point aNow) const;
+  /// Sets the number of live nodes, among which the slots of brittle servers
+  /// are divided.
+  void SetNodes(std::size_t aNodes)
+  {
+    mNodes = std::max<std::size_t>(aNodes, 1);
+  }
+  /// Sets until when other nodes pause for brittle servers.
+  void SetPeerPauses(std::unordered_map<std::uint32_t, time_point> aPauses)
+  {
+    mPeerPauses = std::move(aPauses);
+  }
   /// The server run said itself that it leaves. It gets no further requests,
   /// whatever its entry says. Returns whether this was not known.
   bool OnLeaving(const upstream_id& aId,
@@ -202,6 +228,10 @@
     bool mRemoved = false;
     /// The server said in a response that it leaves.
     bool mSaidLeaving = false;
+    /// The server falls over if it turns too many requests away.
+    bool mBrittle = false;
+    /// Until this time the server gets no request of this node.
+    time_point mPausedUntil;
     /// Until this time the server is used only if no healthy one exists.
     time_point mSuspectUntil;
     unsigned mFailures = 0;
@@ -217,6 +247,9 @@
     time_point mBusySince;
   };
 
+  upstream_record* FindRun(const upstream_id& aId, std::uint64_t aIncarnation);
+  /// Time until which the server wants no request of this node.
+  time_point PausedUntil(const upstream_record& aRecord) const;
   upstream_work WorkAt(const upstream_record& aRecord) const;
   static shared_prompt SharedPrompt(const std::vector<prompt_segment>* aPrompt);
   /// Servers of the best non-empty group: healthy, suspect, then leaving or
@@ -243,6 +276,8 @@
   std::map<upstream_id, upstream_record> mUpstreams;
   std::unordered_map<std::string, gateway_service> mServices;
   std::unordered_map<std::uint32_t, upstream_work> mPeerWork;
+  std::size_t mNodes = 1;
+  std::unordered_map<std::uint32_t, time_point> mPeerPauses;
   server_rate_limits mRateLimits;
   /// Prompt segment, then server, to the time until which the server is assumed
   /// to have it cached.
