Judge the age of configuration and server entries apart

The recent contact of the peers was taken as proof of a newer configuration that none of them had, and every node refused.

Reports now tell the age of each table, and only a newer copy of the same table makes the own one outdated. A request in progress waits for recent state from the moment at which it needs it, not from its arrival, so that a stream whose server broke off is not ended at once.

--- a/Source/Core/Gateway/Fleet.capnp
+++ b/Source/Core/Gateway/Fleet.capnp
@@ -37,9 +37,10 @@
   # Capacity relative to other nodes.
   capacity @10 :Float64;
   rateLimits @12 :List(RateLimit);
-  # Time since the sender's newest state of the store was current, in
-  # milliseconds; the default value if it has none.
-  storeAgeMs @13 :UInt32 = 4294967295;
+  # Time since the sender's copies of configuration and server entries were
+  # current, in milliseconds; the default value if it has none.
+  configAgeMs @13 :UInt32 = 4294967295;
+  serversAgeMs @16 :UInt32 = 4294967295;
   # The sender has lost its links to all servers.
   cutOff @14 :Bool;
   pauses @15 :List(ServerPause);
--- a/Source/Core/Gateway/Fleet.capnp.h
+++ b/Source/Core/Gateway/Fleet.capnp.h
@@ -81,7 +81,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(baf5b9cbfe87216a, 4, 9)
+    CAPNP_DECLARE_STRUCT_HEADER(baf5b9cbfe87216a, 5, 9)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -592,13 +592,15 @@
   inline bool hasRateLimits() const;
   inline  ::capnp::List< ::fleet_wire::RateLimit,  ::capnp::Kind::STRUCT>::Reader getRateLimits() const;
 
-  inline  ::uint32_t getStoreAgeMs() const;
+  inline  ::uint32_t getConfigAgeMs() const;
 
   inline bool getCutOff() const;
 
   inline bool hasPauses() const;
   inline  ::capnp::List< ::fleet_wire::ServerPause,  ::capnp::Kind::STRUCT>::Reader getPauses() const;
 
+  inline  ::uint32_t getServersAgeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -699,8 +701,8 @@
   inline void adoptRateLimits(::capnp::Orphan< ::capnp::List< ::fleet_wire::RateLimit,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::fleet_wire::RateLimit,  ::capnp::Kind::STRUCT>> disownRateLimits();
 
-  inline  ::uint32_t getStoreAgeMs();
-  inline void setStoreAgeMs( ::uint32_t value);
+  inline  ::uint32_t getConfigAgeMs();
+  inline void setConfigAgeMs( ::uint32_t value);
 
   inline bool getCutOff();
   inline void setCutOff(bool value);
@@ -712,6 +714,9 @@
   inline void adoptPauses(::capnp::Orphan< ::capnp::List< ::fleet_wire::ServerPause,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::fleet_wire::ServerPause,  ::capnp::Kind::STRUCT>> disownPauses();
 
+  inline  ::uint32_t getServersAgeMs();
+  inline void setServersAgeMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2925,16 +2930,16 @@
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t NodeReport::Reader::getStoreAgeMs() const {
+inline  ::uint32_t NodeReport::Reader::getConfigAgeMs() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, 4294967295u);
 }
 
-inline  ::uint32_t NodeReport::Builder::getStoreAgeMs() {
+inline  ::uint32_t NodeReport::Builder::getConfigAgeMs() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, 4294967295u);
 }
-inline void NodeReport::Builder::setStoreAgeMs( ::uint32_t value) {
+inline void NodeReport::Builder::setConfigAgeMs( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value, 4294967295u);
 }
@@ -2987,6 +2992,20 @@
       ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t NodeReport::Reader::getServersAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, 4294967295u);
+}
+
+inline  ::uint32_t NodeReport::Builder::getServersAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, 4294967295u);
+}
+inline void NodeReport::Builder::setServersAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value, 4294967295u);
+}
+
 inline  ::uint32_t ServerPause::Reader::getServer() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Source/Core/Gateway/FleetView.cpp
+++ b/Source/Core/Gateway/FleetView.cpp
@@ -64,8 +64,10 @@
   sender.mReport = aReport;
   sender.mLastSeen = aNow;
   sender.mLastReportAt = aNow;
-  sender.mStoreContactAt =
-    aReport.mStoreAge ? aNow - *aReport.mStoreAge : time_point();
+  sender.mConfigCurrentAt =
+    aReport.mConfigAge ? aNow - *aReport.mConfigAge : time_point();
+  sender.mServersCurrentAt =
+    aReport.mServersAge ? aNow - *aReport.mServersAge : time_point();
   for (const std::string& address : aReport.mKnownAddresses) {
     AddCandidate(address);
   }
@@ -242,23 +244,36 @@
   return pauses;
 }
 
-std::optional<time_point> fleet_view::PeerStoreContact(time_point aNow) const
+std::optional<time_point> fleet_view::Newest(time_point peer_state::*aMember,
+                                             time_point aNow) const
 {
   std::optional<time_point> newest;
   for (const auto& [address, peer] : mPeers) {
     if (peer.mReport && aNow <= peer.mLastReportAt + kWorkReportTimeout) {
-      newest = std::max(newest.value_or(time_point()), peer.mStoreContactAt);
+      newest = std::max(newest.value_or(time_point()), peer.*aMember);
     }
   }
   return newest;
 }
 
-std::vector<std::string> fleet_view::PeersByStoreContact(time_point aNow) const
+std::optional<time_point> fleet_view::PeerConfigCurrentAt(time_point aNow) const
+{
+  return Newest(&peer_state::mConfigCurrentAt, aNow);
+}
+
+std::optional<time_point> fleet_view::PeerServersCurrentAt(
+  time_point aNow) const
+{
+  return Newest(&peer_state::mServersCurrentAt, aNow);
+}
+
+std::vector<std::string> fleet_view::PeersByState(time_point aNow) const
 {
   std::vector<std::pair<time_point, std::string>> order;
   for (const auto& [address, peer] : mPeers) {
     if (IsAlive(peer, aNow)) {
-      order.emplace_back(peer.mStoreContactAt, address);
+      order.emplace_back(
+        std::min(peer.mConfigCurrentAt, peer.mServersCurrentAt), address);
     }
   }
   std::ranges::sort(order, std::greater());
--- a/Source/Core/Gateway/FleetView.h
+++ b/Source/Core/Gateway/FleetView.h
@@ -56,9 +56,10 @@
   /// Brittle servers that had no room for a request of the node, with the time
   /// for which they are to get no further ones.
   std::vector<std::pair<std::uint32_t, std::chrono::milliseconds>> mPauses;
-  /// Time since the node's newest state of the store was current; nothing if it
-  /// has none.
-  std::optional<std::chrono::milliseconds> mStoreAge;
+  /// Time since the node's copies of configuration and server entries were
+  /// current; nothing if it has none.
+  std::optional<std::chrono::milliseconds> mConfigAge;
+  std::optional<std::chrono::milliseconds> mServersAge;
 };
 
 /// Hash of a node's datagram address, its key in the reports of others.
@@ -103,12 +104,12 @@
   /// Until when other nodes pause for brittle servers.
   std::unordered_map<std::uint32_t, time_point> PeerPauses(
     time_point aNow) const;
-  /// Newest time at which a peer that reported lately was in contact with the
-  /// store; nothing if none reported.
-  std::optional<time_point> PeerStoreContact(time_point aNow) const;
-  /// Datagram addresses of the live peers whose contact with the store is the
-  /// newest, first, and of the others.
-  std::vector<std::string> PeersByStoreContact(time_point aNow) const;
+  /// When the newest copies of peers that reported lately were current; nothing
+  /// if no peer reported.
+  std::optional<time_point> PeerConfigCurrentAt(time_point aNow) const;
+  std::optional<time_point> PeerServersCurrentAt(time_point aNow) const;
+  /// Datagram addresses of the live peers, those with the newest state first.
+  std::vector<std::string> PeersByState(time_point aNow) const;
   /// What servers told the other nodes of their rate limits.
   std::vector<rate_limit_statement> PeerRateLimits() const;
 
@@ -120,11 +121,15 @@
     time_point mLastSeen;
     /// Last report received from the node itself.
     time_point mLastReportAt;
-    /// Last contact of the node with the store.
-    time_point mStoreContactAt;
+    /// When the node's copies of the tables were current.
+    time_point mConfigCurrentAt;
+    time_point mServersCurrentAt;
   };
 
   bool IsAlive(const peer_state& aPeer, time_point aNow) const;
+  /// Latest value of the member among the peers that reported lately.
+  std::optional<time_point> Newest(time_point peer_state::*aMember,
+                                   time_point aNow) const;
   peer_state& Peer(const std::string& aAddress);
 
   node_report mSelf;
--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -401,9 +401,11 @@
 {
   mContext.mConfigCurrentAt = mConfigTable.CurrentAt();
   mContext.mServersCurrentAt = mUpstreamTable.CurrentAt();
-  const state_evidence evidence{ OldestStateAt(),
-                                 mFleet.PeerStoreContact(aNow),
-                                 mLinkOverload.LastOverloadedAt() };
+  const state_evidence evidence{
+    { mConfigTable.CurrentAt(), mFleet.PeerConfigCurrentAt(aNow) },
+    { mUpstreamTable.CurrentAt(), mFleet.PeerServersCurrentAt(aNow) },
+    mLinkOverload.LastOverloadedAt()
+  };
   const state_verdict verdict = ::JudgeState(evidence, mMaxStateAge, aNow);
   if (std::exchange(mContext.mState, verdict) == verdict) {
     return;
@@ -414,9 +416,11 @@
       { Field("verdict", StateVerdictName(verdict)),
         Field("config_age_ms", AgeMs(mConfigTable.CurrentAt(), aNow)),
         Field("servers_age_ms", AgeMs(mUpstreamTable.CurrentAt(), aNow)),
-        Field("peer_contact_age_ms",
-              evidence.mPeerContactAt ? AgeMs(*evidence.mPeerContactAt, aNow)
-                                      : -1),
+        Field("peer_config_age_ms",
+              AgeMs(evidence.mConfig.mPeerCurrentAt.value_or(aNow), aNow)),
+        Field("peer_servers_age_ms",
+              AgeMs(evidence.mServers.mPeerCurrentAt.value_or(aNow), aNow)),
+        Field("peers_report", evidence.mConfig.mPeerCurrentAt.has_value()),
         Field("link_use", fmt::format("{:.2f}", mLinkOverload.Utilization())),
         Field("open_requests", mSessions.size()) });
 }
--- a/Source/Core/Gateway/GatewayNodeTicks.cpp
+++ b/Source/Core/Gateway/GatewayNodeTicks.cpp
@@ -32,6 +32,14 @@
 // Time for the requests of clients whose connections were accepted last.
 constexpr milliseconds kLastRequestTimeout(300);
 
+std::optional<milliseconds> AgeOf(const table_follower& aTable, time_point aNow)
+{
+  if (aTable.CurrentAt() == time_point()) {
+    return std::nullopt;
+  }
+  return std::chrono::duration_cast<milliseconds>(aNow - aTable.CurrentAt());
+}
+
 } // namespace
 
 void gateway_node::OnRequestTick()
@@ -210,12 +218,8 @@
   if (std::exchange(mFleet.Self().mReady, ready) != ready) {
     Log(log_level::Info, "readiness_changed", { Field("ready", ready) });
   }
-  const time_point contact =
-    std::max(mConfigTable.CurrentAt(), mUpstreamTable.CurrentAt());
-  if (contact != time_point()) {
-    mFleet.Self().mStoreAge =
-      std::chrono::duration_cast<milliseconds>(now - contact);
-  }
+  mFleet.Self().mConfigAge = AgeOf(mConfigTable, now);
+  mFleet.Self().mServersAge = AgeOf(mUpstreamTable, now);
   mFleet.Self().mWork = mUpstreamRegistry.LocalWork();
   mFleet.Self().mFreeTokens = mTokenAllowance.AllFreeTokens(now);
   mTokenAllowance.SetHolders(mFleet.TokenHolders(now));
@@ -247,8 +251,10 @@
   if (!stateMissing && (!stateOld || aNow < mNextSnapshotAt)) {
     return;
   }
-  const auto contact = mFleet.PeerStoreContact(aNow);
-  const bool peersAreCurrent = contact && aNow <= *contact + mMaxStateAge;
+  const auto peerCurrentAt = std::min(mFleet.PeerConfigCurrentAt(aNow),
+                                      mFleet.PeerServersCurrentAt(aNow));
+  const bool peersAreCurrent =
+    peerCurrentAt && aNow <= *peerCurrentAt + mMaxStateAge;
   mNextSnapshotAt =
     aNow + (peersAreCurrent ? kRefreshInterval : kSnapshotInterval);
   mPeerTransport.FetchSnapshot(
--- a/Source/Core/Gateway/GatewaySession.cpp
+++ b/Source/Core/Gateway/GatewaySession.cpp
@@ -177,9 +177,13 @@
 bool gateway_session::HasRecentState(time_point aNow)
 {
   if (mContext.mState != state_verdict::Outdated) {
+    mStateWaitUntil.reset();
     return true;
   }
-  if (aNow >= mArrived + kStateWaitTimeout) {
+  if (!mStateWaitUntil) {
+    mStateWaitUntil = aNow + kStateWaitTimeout;
+  }
+  if (aNow >= *mStateWaitUntil) {
     // The client reconnects and finds a host that knows more.
     if (mClient != nullptr) {
       mClient->SetCloseAfterResponse();
--- a/Source/Core/Gateway/GatewaySession.h
+++ b/Source/Core/Gateway/GatewaySession.h
@@ -201,6 +201,8 @@
   /// Identity in the crash histories.
   request_fingerprint mFingerprint;
   stage mStage = stage::NeedTokens;
+  /// Until when the request waits for recent state, while the node has none.
+  std::optional<time_point> mStateWaitUntil;
   int mPriority = 0;
   time_point mArrived;
   /// Latest time for the final answer by the timeout of the route.
--- a/Source/Core/Gateway/PeerDatagram.cpp
+++ b/Source/Core/Gateway/PeerDatagram.cpp
@@ -1,7 +1,6 @@
 #include "Gateway/PeerDatagram.h"
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 #include <capnp/message.h>
@@ -25,6 +24,18 @@
     std::clamp<std::int64_t>(aValue, 0, kMaxUint32));
 }
 
+/// The largest value means that there is no age.
+std::uint32_t WriteAge(const std::optional<milliseconds>& aAge)
+{
+  return aAge ? ClampToUint32(aAge->count()) : kMaxUint32;
+}
+
+std::optional<milliseconds> ReadAge(std::uint32_t aAgeMs)
+{
+  return aAgeMs == kMaxUint32 ? std::nullopt
+                              : std::optional(milliseconds(aAgeMs));
+}
+
 std::string ReadText(capnp::Text::Reader aText)
 {
   return { aText.begin(), aText.size() };
@@ -46,9 +57,8 @@
     pauses[i].setServer(aReport.mPauses[i].first);
     pauses[i].setLeftMs(ClampToUint32(aReport.mPauses[i].second.count()));
   }
-  if (aReport.mStoreAge) {
-    aRoot.setStoreAgeMs(ClampToUint32(aReport.mStoreAge->count()));
-  }
+  aRoot.setConfigAgeMs(WriteAge(aReport.mConfigAge));
+  aRoot.setServersAgeMs(WriteAge(aReport.mServersAge));
   auto peers = aRoot.initPeers(static_cast<unsigned>(aReport.mPeers.size()));
   for (unsigned i = 0; i < peers.size(); ++i) {
     peers[i].setKey(aReport.mPeers[i].first);
@@ -101,9 +111,8 @@
     report.mPauses.emplace_back(pause.getServer(),
                                 milliseconds(pause.getLeftMs()));
   }
-  if (aRoot.getStoreAgeMs() != std::numeric_limits<std::uint32_t>::max()) {
-    report.mStoreAge = milliseconds(aRoot.getStoreAgeMs());
-  }
+  report.mConfigAge = ReadAge(aRoot.getConfigAgeMs());
+  report.mServersAge = ReadAge(aRoot.getServersAgeMs());
   for (const auto peer : aRoot.getPeers()) {
     report.mPeers.emplace_back(peer.getKey(), milliseconds(peer.getAgeMs()));
   }
--- a/Source/Core/Gateway/PeerTransport.cpp
+++ b/Source/Core/Gateway/PeerTransport.cpp
@@ -338,7 +338,7 @@
     return;
   }
   mFetch.reset();
-  const auto peers = mView.PeersByStoreContact(now);
+  const auto peers = mView.PeersByState(now);
   if (peers.empty()) {
     return;
   }
--- a/Source/Core/Gateway/PeerTransport.h
+++ b/Source/Core/Gateway/PeerTransport.h
@@ -44,7 +44,7 @@
   void SendStreamMessages();
   /// Requests prepaid tokens from other nodes for accounts that lack them.
   void SendTokenRequests();
-  /// Requests the tables of a live peer with recent contact to the store; does
+  /// Requests the tables of a live peer with the newest state; does
   /// nothing if there is no peer or a request is open.
   void FetchSnapshot(snapshot_callback aReply);
   void CheckDeadlines(time_point aNow);
--- a/Source/Core/Gateway/StateFreshness.cpp
+++ b/Source/Core/Gateway/StateFreshness.cpp
@@ -1,17 +1,36 @@
 #include "Gateway/StateFreshness.h"
 
+#include <algorithm>
+
 namespace {
 
 using std::chrono::milliseconds;
 
-// A peer whose contact is not older than this is served by the store: nodes
-// read server entries every 400 ms. Peers lose a store that goes away for all
-// at about the same time, so their older contacts prove nothing.
-constexpr milliseconds kPeerContactTime(700);
+// A peer whose copy is not older than this is served by the store: nodes read
+// each table at least every 1,020 ms. Peers lose a store that goes away for all
+// at about the same time, so their older copies prove nothing.
+constexpr milliseconds kPeerCopyTime(1100);
 // Time after an overload of the link for which missing replies of the store and
 // missing reports of peers are attributed to the link.
 constexpr milliseconds kOverloadTime(3000);
 
+state_verdict JudgeTable(const table_age& aAge,
+                         std::optional<time_point> aLinkOverloadedAt,
+                         milliseconds aMaxAge,
+                         time_point aNow)
+{
+  if (aNow <= aAge.mCurrentAt + aMaxAge) {
+    return state_verdict::Current;
+  }
+  bool newerExists = false;
+  if (aAge.mPeerCurrentAt) {
+    newerExists = aNow <= *aAge.mPeerCurrentAt + kPeerCopyTime;
+  } else if (aLinkOverloadedAt) {
+    newerExists = aNow <= *aLinkOverloadedAt + kOverloadTime;
+  }
+  return newerExists ? state_verdict::Outdated : state_verdict::StoreAway;
+}
+
 } // namespace
 
 std::string_view StateVerdictName(state_verdict aVerdict)
@@ -31,14 +50,8 @@
                          milliseconds aMaxAge,
                          time_point aNow)
 {
-  if (aNow <= aEvidence.mCurrentAt + aMaxAge) {
-    return state_verdict::Current;
-  }
-  bool newerExists = false;
-  if (aEvidence.mPeerContactAt) {
-    newerExists = aNow <= *aEvidence.mPeerContactAt + kPeerContactTime;
-  } else if (aEvidence.mLinkOverloadedAt) {
-    newerExists = aNow <= *aEvidence.mLinkOverloadedAt + kOverloadTime;
-  }
-  return newerExists ? state_verdict::Outdated : state_verdict::StoreAway;
+  // The verdicts are in ascending order of severity.
+  return std::max(
+    JudgeTable(aEvidence.mConfig, aEvidence.mLinkOverloadedAt, aMaxAge, aNow),
+    JudgeTable(aEvidence.mServers, aEvidence.mLinkOverloadedAt, aMaxAge, aNow));
 }
--- a/Source/Core/Gateway/StateFreshness.h
+++ b/Source/Core/Gateway/StateFreshness.h
@@ -13,14 +13,21 @@
 /// link is full or the path to the store is cut, would send requests to servers
 /// that have left and apply a configuration that was replaced.
 
-/// What a node knows about the age of its state. Times are local.
-struct state_evidence
+/// Age of a table's copy. Times are local.
+struct table_age
 {
-  /// When the oldest of its tables was current.
+  /// When the own copy was current.
   time_point mCurrentAt;
-  /// Newest time at which a reporting peer was in contact with the store;
-  /// nothing if no peer reported lately.
-  std::optional<time_point> mPeerContactAt;
+  /// When the newest copy of a peer that reported lately was current; nothing
+  /// if no peer did.
+  std::optional<time_point> mPeerCurrentAt;
+};
+
+/// What a node knows about the age of its state.
+struct state_evidence
+{
+  table_age mConfig;
+  table_age mServers;
   /// Last time at which the link of the host was overloaded.
   std::optional<time_point> mLinkOverloadedAt;
 };
--- a/Source/UnitTests/Gateway/StateFreshnessTest.cpp
+++ b/Source/UnitTests/Gateway/StateFreshnessTest.cpp
@@ -14,7 +14,9 @@
 
 state_evidence Evidence(milliseconds aAge)
 {
-  return { kNow - aAge, std::nullopt, std::nullopt };
+  return { { kNow - aAge, std::nullopt },
+           { kNow - aAge, std::nullopt },
+           std::nullopt };
 }
 
 state_verdict Judge(const state_evidence& aEvidence)
@@ -27,7 +29,8 @@
 {
   node_report report;
   report.mAddress = aAddress;
-  report.mStoreAge = aStoreAge;
+  report.mConfigAge = aStoreAge;
+  report.mServersAge = aStoreAge;
   return report;
 }
 
@@ -39,7 +42,8 @@
 {
   state_evidence evidence = Evidence(milliseconds(1500));
   EXPECT_EQ(Judge(evidence), state_verdict::StoreAway);
-  evidence.mPeerContactAt = kNow - milliseconds(800);
+  evidence.mConfig.mPeerCurrentAt = kNow - milliseconds(1200);
+  evidence.mServers.mPeerCurrentAt = kNow - milliseconds(1200);
   evidence.mLinkOverloadedAt = kNow;
   EXPECT_EQ(Judge(evidence), state_verdict::StoreAway);
 }
@@ -49,12 +53,25 @@
 TEST(state_freshness_test, APeerInContactProvesThatNewerStateExists)
 {
   state_evidence evidence = Evidence(milliseconds(1500));
-  evidence.mPeerContactAt = kNow - milliseconds(500);
+  evidence.mConfig.mPeerCurrentAt = kNow - milliseconds(2000);
+  evidence.mServers.mPeerCurrentAt = kNow - milliseconds(500);
   EXPECT_EQ(Judge(evidence), state_verdict::Outdated);
-  evidence.mCurrentAt = kNow - kMaxAge;
+  evidence.mServers.mCurrentAt = kNow - kMaxAge;
+  EXPECT_EQ(Judge(evidence), state_verdict::StoreAway);
+  evidence.mConfig.mCurrentAt = kNow - kMaxAge;
   EXPECT_EQ(Judge(evidence), state_verdict::Current);
 }
 
+// Guards against a fleet that refuses requests because all nodes wait for a
+// reply about one table, while the store has answered about the other.
+TEST(state_freshness_test, NewerStateOfAnotherTableProvesNothing)
+{
+  state_evidence evidence = Evidence(milliseconds(1500));
+  evidence.mConfig.mPeerCurrentAt = kNow - milliseconds(1500);
+  evidence.mServers = { kNow - milliseconds(100), kNow };
+  EXPECT_EQ(Judge(evidence), state_verdict::StoreAway);
+}
+
 // Guards against a node that takes its own full link for an outage of store and
 // peers.
 TEST(state_freshness_test, AFullLinkExplainsMissingReplies)
@@ -71,7 +88,7 @@
 TEST(state_freshness_test, ReportsTellTheAgeOfTheState)
 {
   fleet_view view(Report("127.0.0.1:1", std::nullopt));
-  EXPECT_FALSE(view.PeerStoreContact(kNow));
+  EXPECT_FALSE(view.PeerConfigCurrentAt(kNow));
   for (const auto& report : { Report("127.0.0.1:2", std::nullopt),
                               Report("127.0.0.1:3", milliseconds(300)),
                               Report("127.0.0.1:4", milliseconds(900)) }) {
@@ -79,11 +96,12 @@
     ASSERT_TRUE(datagram);
     view.OnReport(std::get<node_report>(*datagram), kNow);
   }
-  EXPECT_EQ(view.PeerStoreContact(kNow), kNow - milliseconds(300));
+  EXPECT_EQ(view.PeerConfigCurrentAt(kNow), kNow - milliseconds(300));
+  EXPECT_EQ(view.PeerServersCurrentAt(kNow), kNow - milliseconds(300));
   EXPECT_EQ(
-    view.PeersByStoreContact(kNow),
+    view.PeersByState(kNow),
     (std::vector<std::string>{ "127.0.0.1:3", "127.0.0.1:4", "127.0.0.1:2" }));
-  EXPECT_FALSE(view.PeerStoreContact(kNow + milliseconds(1200)));
+  EXPECT_FALSE(view.PeerConfigCurrentAt(kNow + milliseconds(1200)));
 }
 
 // Guards against a reply that waited on a full link and is dated by its
