Withdraw crash reports of a host that was cut off

A host that loses its links to all servers sees their connections break, and reported each as the end of a server under a request. Reports since the last byte of any server are kept, and refuted once the host has been cut off for a second; silent servers are not reported meanwhile. A node that was suspended is not judged before it has read what arrived, and a request is passed on before it is judged as crashing.

--- a/Source/Core/Gateway/GatewayNode.h
+++ b/Source/Core/Gateway/GatewayNode.h
@@ -88,6 +88,8 @@
   /// Decides whether the host is cut off from all servers, and probes them
   /// while it is.
   void UpdateReachability(time_point aNow);
+  /// Refutes the crashes that this node reported because its host was cut off.
+  void WithdrawCrashes();
   /// Passes on the requests that wait for it.
   void StartRelays();
   void StartRelay(http_server_connection& aConnection,
@@ -149,6 +151,7 @@
   loop_timer mMaintenanceTimer;
 
   time_point mNextSnapshotAt;
+  time_point mCutOffSince;
   std::optional<time_point> mStopStartedAt;
   /// Set once the node accepts no more connections in a stop: requests on the
   /// accepted ones are awaited until then.
--- a/Source/Core/Gateway/GatewayNodeTicks.cpp
+++ b/Source/Core/Gateway/GatewayNodeTicks.cpp
@@ -16,6 +16,9 @@
 
 using std::chrono::milliseconds;
 
+// Time after which crash reports are withdrawn on a host that is cut off. If a
+// request ended all these servers, another one has responded by then.
+constexpr milliseconds kWithdrawDelay(1000);
 // Sound servers may be silent under a request for a second.
 constexpr milliseconds kSilenceTime(1000);
 // Interval of snapshot requests while the store is unreachable.
@@ -93,9 +96,17 @@
 
 void gateway_node::UpdateReachability(time_point aNow)
 {
-  mReachability.Update(mUpstreamRegistry.Size(), aNow);
+  // What arrived while the process was suspended may not be read yet.
+  if (mStalls.CanJudgeSilence(aNow)) {
+    mReachability.Update(mUpstreamRegistry.Size(), aNow);
+  }
+  std::erase_if(mContext.mUnconfirmedCrashes,
+                [this](const observed_crash& aCrash) {
+                  return aCrash.mObservedAt < mReachability.LastByteAt();
+                });
   const bool cutOff = mReachability.IsCutOff();
   if (std::exchange(mFleet.Self().mCutOff, cutOff) != cutOff) {
+    mCutOffSince = aNow;
     Log(cutOff ? log_level::Warning : log_level::Info,
         cutOff ? "servers_lost" : "servers_regained",
         { Field("failed_servers", mReachability.FailedServers()),
@@ -105,6 +116,9 @@
                   .count()),
           Field("open_requests", mSessions.size()) });
   }
+  if (cutOff && aNow >= mCutOffSince + kWithdrawDelay) {
+    WithdrawCrashes();
+  }
   if (cutOff) {
     mProbe.OnTick(mUpstreamRegistry.ProbeTargets(), aNow);
   } else {
@@ -118,6 +132,18 @@
   }
 }
 
+void gateway_node::WithdrawCrashes()
+{
+  for (const observed_crash& crash :
+       std::exchange(mContext.mUnconfirmedCrashes, {})) {
+    Log(log_level::Info,
+        "crash_withdrawn",
+        { Field("fingerprint", FormatWide(crash.mRequest.mContent)),
+          Field("server_run", FormatServerRun(crash.mServer)) });
+    mCrashExchange.OnServed(crash.mRequest);
+  }
+}
+
 void gateway_node::StartRelays()
 {
   for (const auto& [connection, session] : mSessions) {
@@ -167,6 +193,9 @@
   std::set<upstream_id> servers;
   for (const observed_crash& crash : mUnanswered.TakeSilent(
          mUpstreamRegistry, mUpstreamTable.LastContact(), aNow)) {
+    if (mReachability.IsCutOff()) {
+      continue;
+    }
     Log(log_level::Info,
         "server_silent",
         { Field("fingerprint", FormatWide(crash.mRequest.mContent)),
--- a/Source/Core/Gateway/GatewaySession.cpp
+++ b/Source/Core/Gateway/GatewaySession.cpp
@@ -332,13 +332,16 @@
 {
   // State may have become old, or crashes known, since the request arrived or
   // was sent.
-  if (!HasRecentState(aNow) || EndIfSuspect(aNow)) {
+  if (!HasRecentState(aNow)) {
     return;
   }
   if (CanBeRelayed()) {
     mStage = stage::NeedRelay;
     return;
   }
+  if (EndIfSuspect(aNow)) {
+    return;
+  }
   auto chosen = ChooseServer(aNow);
   if (!chosen && !mTriedUpstreams.empty()) {
     // No other server is left; one that failed before is better than none.
--- a/Source/Core/Gateway/GatewaySessionUpstream.cpp
+++ b/Source/Core/Gateway/GatewaySessionUpstream.cpp
@@ -30,6 +30,9 @@
 // Time after the client's own deadline at which a request is ended if the
 // client has not left.
 constexpr milliseconds kDeadlineGracePeriod(250);
+// Limit of the crash reports that are withdrawn if the host is cut off. It is
+// detected after a few.
+constexpr std::size_t kMaxUnconfirmedCrashes = 64;
 // Clients choose number and length of the identities of prompt segments.
 constexpr std::size_t kMaxLoggedSegments = 8;
 constexpr std::size_t kMaxLoggedSegmentLength = 32;
@@ -246,7 +249,11 @@
                        !mContext.mReachability.IsCutOff();
   LogBreak(ExchangeFailureName(aFailure), reused, counted);
   if (counted) {
-    mContext.mCrashExchange.Report({ mFingerprint, mServerRun, now });
+    const observed_crash crash{ mFingerprint, mServerRun, now };
+    mContext.mCrashExchange.Report(crash);
+    if (mContext.mUnconfirmedCrashes.size() < kMaxUnconfirmedCrashes) {
+      mContext.mUnconfirmedCrashes.push_back(crash);
+    }
   }
   if (MayRetry("server_failed")) {
     Retry();
