--- a/Scripts/fault_soak/__main__.py
+++ b/Scripts/fault_soak/__main__.py
@@ -22,6 +22,7 @@
 import limits
 import nodes as gateway_nodes
 import operator_desk
+import partitions
 import promises
 from callers import Callers
 from faults import Faults
@@ -118,6 +119,14 @@
             self.proxies[node.name] = proxy
             node.write_settings(seeds, proxy.port, FIRST_PORT)
             self.nodes.append(node)
+        self.links = partitions.Links(
+            self.history,
+            self.store,
+            self.servers,
+            self.nodes,
+            random.Random(self.options.seed + 5),
+        )
+        await self.links.open(self.options.linked if self.options.partitions else 0)
         for node in self.nodes:
             await node.start()
 
@@ -160,6 +169,9 @@
         limit_task = asyncio.create_task(
             server_limits.run(self.options.limits, self.options.seconds)
         )
+        partition_task = asyncio.create_task(
+            self.links.run(self.options.partitions, self.options.seconds)
+        )
         for server in self.servers:
             server.broken_share = self.options.broken
         fault_count = await faults.run(self.options.seconds)
@@ -167,6 +179,7 @@
             server.broken_share = 0.0
         await crash_task
         await limit_task
+        await partition_task
         faults_ended_at = now()
         await asyncio.sleep(RECOVERY_TIMEOUT + EVALUATION_PERIOD)
         caller_pool.stopping = True
@@ -234,6 +247,9 @@
         ),
         "software versions": promises.streams_keep_their_version(history),
         "resumed streams": promises.resumed_streams_go_on(history),
+        "partitions": partitions.cut_off_nodes_serve_their_callers(
+            history, promises.NODE_FAULTS
+        ),
         "stops": promises.nodes_exit_cleanly(history),
         "recovery": promises.service_recovers(
             history, faults_ended_at, RECOVERY_TIMEOUT
@@ -309,6 +325,12 @@
     parser.add_argument(
         "--limits", type=int, default=3, help="number of rate limits of servers"
     )
+    parser.add_argument(
+        "--partitions", type=int, default=0, help="number of partitions from servers"
+    )
+    parser.add_argument(
+        "--linked", type=int, default=2, help="nodes that partitions may cut off"
+    )
     parser.add_argument("--logs", help="folder for the logs of failed seeds")
     options = parser.parse_args()
     failed_seeds = []
--- a/Scripts/fault_soak/callers.py
+++ b/Scripts/fault_soak/callers.py
@@ -95,7 +95,9 @@
         delay = request.retry_after
         if delay is not None and delay < limit / 3:
             await asyncio.sleep(delay)
-            request = await self._attempt(index, kind, service, path, limit, tenant)
+            request = await self._attempt(
+                index, kind, service, path, limit, tenant, first=False
+            )
         if request is not None and request.kind == "streaming":
             await self._resume(request)
 
@@ -126,6 +128,7 @@
             request.segments = first.segments
             request.payload = first.payload
             request.resumes = first.id
+            request.is_first_try = False
             request.resumed_after = last_event
             await self.send(self.sessions[index], request)
             last_event += request.events_received()
@@ -147,7 +150,9 @@
         )
         return index, node
 
-    async def _attempt(self, index, kind, service, path, limit, tenant):
+    async def _attempt(
+        self, index, kind, service, path, limit, tenant, first=True
+    ):
         """Sends a new request; returns it, or None if no node is known."""
         _, node = await self.pick_node(index)
         if node is None:
@@ -156,6 +161,7 @@
         if self.random.random() < 0.05:
             disconnect_after = self.random.uniform(0.02, 0.4)
         request = self.create_request(kind, service, path, limit, tenant, node)
+        request.is_first_try = first
         await self.send(self.sessions[index], request, disconnect_after)
         return request
 
--- a/Scripts/fault_soak/history.py
+++ b/Scripts/fault_soak/history.py
@@ -38,6 +38,8 @@
     retry_after: float | None = None
     # Sent by the operator to see whether a route is configured.
     is_probe: bool = False
+    # Not a repetition of a refused request, nor a resumption.
+    is_first_try: bool = True
     payload: bytes = b"{}"
     # Name of the `CrashingRequest` that this is a copy of, or of the
     # `CrashingSegment` in its prompt; empty for others.
@@ -130,6 +132,8 @@
         # (name of the crashing request or segment, server that ended, time)
         self.crashes = []
         self.rate_limits = []
+        # `Partition` of nodes from all servers
+        self.partitions = []
         # (server, request, time) of each response that named a limit
         self.limit_responses = []
         # route version -> (time written, time removed or None)
