--- a/Source/UnitTests/Gateway/BrittleServerTest.cpp
+++ b/Source/UnitTests/Gateway/BrittleServerTest.cpp
@@ -42,7 +42,7 @@
         }
         ++record.mRunning;
         mRuns.push_back(
-          { mTime.Now() + kWorkTime, [this, &record, response, &aConnection] {
+          { mTime.Now() + kWorkTime, [&record, response, &aConnection] {
              --record.mRunning;
              aConnection.Respond(response, "done");
            } });
