--- a/Scripts/fault_soak/partitions.py
+++ b/Scripts/fault_soak/partitions.py
@@ -4,15 +4,13 @@
 import dataclasses
 
 from history import now
+from promises import PARTITION_NOTICE_TIME
 from proxy import Proxy
 
 # How long nodes are cut off, in seconds.
 DURATION = (7.0, 10.0)
 # How the connections between a node and the servers behave.
 KINDS = ("hang", "reset", "refuse")
-# Seconds after the start of a partition from which on its callers are compared with
-# those of the other nodes.
-STABLE_TIME = 3.0
 # Callers of cut-off nodes may be served worse by this factor, or this many requests
 # and this share of all may fail there.
 MIN_SERVED_RATIO = 2 / 3
@@ -92,7 +90,7 @@
 def cut_off_nodes_serve_their_callers(history, node_faults):
     """Callers of cut-off nodes are served nearly as often as the others."""
     for partition in history.partitions:
-        begin = partition.started_at + STABLE_TIME
+        begin = partition.started_at + PARTITION_NOTICE_TIME
         # First tries at nodes that were not harmed in another way.
         tries = [
             r
--- a/Scripts/fault_soak/promises.py
+++ b/Scripts/fault_soak/promises.py
@@ -34,8 +34,9 @@
 UNPLANNED_NODE_FAULTS = ("kill", "kill_all", "pause", "observer")
 # Faults of a server that end its responses early.
 SERVER_FAULTS = ("crash", "leave", "connections", "torn", "observer")
-# A response that a node relays ends early if its way to the server is cut, also if the
-# request came before the node can have noticed that.
+# Seconds after the start of a partition in which its nodes may not have noticed it.
+# Their responses may end early; from then on callers are compared with those of the
+# other nodes.
 PARTITION_NOTICE_TIME = 3.0
 # Reasons in the response to a request that is refused because servers end under it,
 # or under others with a segment of its prompt.
