Look at peers and servers only when the judgement needs them

Each request and each tick of 10 ms walked all peers twice to judge the age of the state, also while it was recent, and each tick of a host that is cut off collected the health addresses of all servers for a probe every 400 ms. The verdicts and the probes stay as they were.

--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -401,6 +401,10 @@
 {
   mContext.mConfigCurrentAt = mConfigTable.CurrentAt();
   mContext.mServersCurrentAt = mUpstreamTable.CurrentAt();
+  if (mContext.mState == state_verdict::Current &&
+      aNow <= OldestStateAt() + mMaxStateAge) {
+    return;
+  }
   const state_evidence evidence{
     { mConfigTable.CurrentAt(), mFleet.PeerConfigCurrentAt(aNow) },
     { mUpstreamTable.CurrentAt(), mFleet.PeerServersCurrentAt(aNow) },
--- a/Source/Core/Gateway/GatewayNodeTicks.cpp
+++ b/Source/Core/Gateway/GatewayNodeTicks.cpp
@@ -120,7 +120,7 @@
     WithdrawCrashes();
   }
   if (cutOff) {
-    mProbe.OnTick(mUpstreamRegistry.ProbeTargets(), aNow);
+    mProbe.OnTick(mUpstreamRegistry, aNow);
   } else {
     mProbe.Stop();
   }
--- a/Source/Core/Gateway/ServerProbe.cpp
+++ b/Source/Core/Gateway/ServerProbe.cpp
@@ -63,17 +63,20 @@
 
 server_probe::~server_probe() = default;
 
-void server_probe::OnTick(const std::vector<probe_target>& aTargets,
-                          time_point aNow)
+void server_probe::OnTick(const upstream_registry& aServers, time_point aNow)
 {
   std::erase_if(mRequests,
                 [aNow](const auto& aRequest) { return aRequest->Ended(aNow); });
-  if (aTargets.empty() || aNow < mNextAt) {
+  if (aNow < mNextAt) {
+    return;
+  }
+  const auto targets = aServers.ProbeTargets();
+  if (targets.empty()) {
     return;
   }
   mNextAt = aNow + kProbeInterval;
   mRequests.push_back(std::make_unique<request>(
-    aTargets[mNextTarget++ % aTargets.size()], aNow + kProbeTimeout, mOnByte));
+    targets[mNextTarget++ % targets.size()], aNow + kProbeTimeout, mOnByte));
 }
 
 void server_probe::Stop()
--- a/Source/Core/Gateway/ServerProbe.h
+++ b/Source/Core/Gateway/ServerProbe.h
@@ -19,7 +19,7 @@
   ~server_probe();
 
   /// Asks the next servers if it is time, and gives up old requests.
-  void OnTick(const std::vector<probe_target>& aTargets, time_point aNow);
+  void OnTick(const upstream_registry& aServers, time_point aNow);
   /// Gives up all requests.
   void Stop();
 
