Start the second node of tests, and filter hop-by-hop headers, in one place

Three tests each started a second node, and two had a forwarding store of their own; the fixture has both now, and the assertions stay.

--- a/Source/Core/Common/HttpHeaders.cpp
+++ b/Source/Core/Common/HttpHeaders.cpp
@@ -10,6 +10,15 @@
                                { aRight.data(), aRight.size() });
 }
 
+bool IsHopByHopHeader(std::string_view aName)
+{
+  return SameHeaderName(aName, "Connection") ||
+         SameHeaderName(aName, "Keep-Alive") ||
+         SameHeaderName(aName, "Transfer-Encoding") ||
+         SameHeaderName(aName, "Proxy-Connection") ||
+         SameHeaderName(aName, "Upgrade") || SameHeaderName(aName, "Trailer");
+}
+
 std::string_view FindHeader(const http_headers& aHeaders,
                             std::string_view aName)
 {
--- a/Source/Core/Common/HttpHeaders.h
+++ b/Source/Core/Common/HttpHeaders.h
@@ -11,6 +11,10 @@
 /// Compares two field names without regard to letter case.
 bool SameHeaderName(std::string_view aLeft, std::string_view aRight);
 
+/// Whether the field concerns one connection only and is not forwarded with a
+/// response.
+bool IsHopByHopHeader(std::string_view aName);
+
 /// Value of the first field with this name, regardless of letter case; empty
 /// when absent.
 std::string_view FindHeader(const http_headers& aHeaders,
--- a/Source/Core/Gateway/GatewaySessionResponse.cpp
+++ b/Source/Core/Gateway/GatewaySessionResponse.cpp
@@ -25,15 +25,6 @@
 // Longest body of a refusal that is awaited, to keep its connection.
 constexpr std::size_t kMaxRefusalBytes = 65536;
 
-bool IsHopByHopHeader(std::string_view aName)
-{
-  return SameHeaderName(aName, "Connection") ||
-         SameHeaderName(aName, "Keep-Alive") ||
-         SameHeaderName(aName, "Transfer-Encoding") ||
-         SameHeaderName(aName, "Proxy-Connection") ||
-         SameHeaderName(aName, "Upgrade") || SameHeaderName(aName, "Trailer");
-}
-
 bool Succeeded(unsigned aStatus)
 {
   return aStatus >= 200 && aStatus < 300;
--- a/Source/Core/Gateway/RequestRelay.cpp
+++ b/Source/Core/Gateway/RequestRelay.cpp
@@ -23,13 +23,6 @@
 constexpr milliseconds kRefusalRetryDelay(200);
 constexpr unsigned kClientClosedRequest = 499;
 
-bool IsHopByHop(std::string_view aName)
-{
-  return SameHeaderName(aName, "Connection") ||
-         SameHeaderName(aName, "Keep-Alive") ||
-         SameHeaderName(aName, "Transfer-Encoding");
-}
-
 } // namespace
 
 request_relay::request_relay(gateway_context& aContext,
@@ -107,7 +100,7 @@
   head.mStatus = aResponse.mStatus;
   head.mFraming = aResponse.mFraming;
   for (auto& [name, value] : aResponse.mHeaders) {
-    if (!IsHopByHop(name)) {
+    if (!IsHopByHopHeader(name)) {
       head.mHeaders.emplace_back(std::move(name), std::move(value));
     }
   }
--- a/Source/UnitTests/Gateway/BrittleServerTest.cpp
+++ b/Source/UnitTests/Gateway/BrittleServerTest.cpp
@@ -64,17 +64,7 @@
 
   void StartNodes()
   {
-    mSettings.mPeer.mPort = FreePort();
-    StartNode();
-    gateway_settings settings = mSettings;
-    settings.mName = "node-2";
-    settings.mSeeds = { FormatTcpAddress(mSettings.mPeer) };
-    settings.mPeer.mPort = FreePort();
-    std::string error;
-    mSecondNode = gateway_node::Start(
-      settings, mCodec, mStore, mTime, [] {}, error);
-    ASSERT_TRUE(mSecondNode) << error;
-    ASSERT_TRUE(RunUntil([this] { return mSecondNode->Ready(); }));
+    StartTwoNodes(mStore);
     mWorkTimer.Every(milliseconds(2), [this] {
       while (!mRuns.empty() && mTime.Now() >= mRuns.front().first) {
         const auto end = std::move(mRuns.front().second);
@@ -82,7 +72,6 @@
         end();
       }
     });
-    RunFor(milliseconds(500));
   }
 
   /// Sends requests at both nodes in turn at an even rate.
@@ -90,11 +79,7 @@
   {
     for (milliseconds sent(0); sent < aTime; sent += aInterval) {
       std::swap(mNode, mSecondNode);
-      mTraffic.push_back(BeginRequest("POST",
-                                      "/o/x",
-                                      "Lentilswitch-Request-Id: r" +
-                                        std::to_string(++mLastId) + "\r\n",
-                                      "b"));
+      mTraffic.push_back(BeginAtSecondNode("/o/x"));
       RunFor(aInterval);
     }
   }
@@ -103,12 +88,10 @@
   static constexpr std::size_t kMaxRejections = 3;
   static constexpr milliseconds kWorkTime{ 250 };
 
-  std::unique_ptr<gateway_node> mSecondNode;
   std::vector<std::unique_ptr<server_record>> mRecords;
   std::deque<std::pair<time_point, std::function<void()>>> mRuns;
   loop_timer mWorkTimer;
   std::vector<std::unique_ptr<client_exchange>> mTraffic;
-  unsigned mLastId = 0;
 };
 
 } // namespace
--- a/Source/UnitTests/Gateway/CutOffNodeTest.cpp
+++ b/Source/UnitTests/Gateway/CutOffNodeTest.cpp
@@ -1,5 +1,4 @@
 #include <map>
-#include <set>
 
 #include "Gateway/FleetView.h"
 #include "Gateway/ServerReachability.h"
@@ -101,35 +100,10 @@
 };
 
 /// The store as a host sees it whose way to the servers leads over links.
-class linked_row_store final : public row_store
+class linked_row_store final : public forwarding_row_store
 {
 public:
-  explicit linked_row_store(row_store& aStore)
-    : mStore(aStore)
-  {
-  }
-
-  void Commit(const row_transaction& aTransaction,
-              commit_callback aReply) override
-  {
-    mStore.Commit(aTransaction, std::move(aReply));
-  }
-  void Read(const std::string& aTable,
-            const std::string& aPart,
-            const std::string& aFrom,
-            page_callback aReply) override
-  {
-    mStore.Read(aTable, aPart, aFrom, Reroute(std::move(aReply)));
-  }
-  void ReadChanges(const std::string& aTable,
-                   std::uint64_t aAfter,
-                   milliseconds aWait,
-                   page_callback aReply) override
-  {
-    mStore.ReadChanges(aTable, aAfter, aWait, Reroute(std::move(aReply)));
-  }
-  std::uint64_t Era() const override { return mStore.Era(); }
-  std::optional<milliseconds> Clock() const override { return mStore.Clock(); }
+  using forwarding_row_store::forwarding_row_store;
 
   void SetState(severable_link::state aState)
   {
@@ -137,13 +111,9 @@
       link->SetState(aState);
     }
   }
-  void SetState(const std::string& aServer, severable_link::state aState)
-  {
-    mLinks.at(aServer)->SetState(aState);
-  }
 
 private:
-  page_callback Reroute(page_callback aReply)
+  page_callback WrapPage(page_callback aReply) override
   {
     return [this, reply = std::move(aReply)](auto aPage) {
       if (!aPage.has_value()) {
@@ -175,7 +145,6 @@
     aValue.replace(from, size, link->Address());
   }
 
-  row_store& mStore;
   std::map<std::string, std::unique_ptr<severable_link>> mLinks;
 };
 
@@ -184,49 +153,24 @@
 class cut_off_node_test : public gateway_fixture
 {
 protected:
-  ~cut_off_node_test() override { mCutNode.reset(); }
+  ~cut_off_node_test() override { mSecondNode.reset(); }
 
   void StartNodes()
   {
     for (const char* id : { "i-1", "i-2", "i-3", "i-4" }) {
       AddServer(id, "app");
     }
-    mSettings.mPeer.mPort = FreePort();
-    mSettings.mClientAddress.mPort = FreePort();
-    StartNode();
-    gateway_settings settings = mSettings;
-    settings.mName = "node-2";
-    settings.mSeeds = { FormatTcpAddress(mSettings.mPeer) };
-    settings.mPeer.mPort = FreePort();
-    settings.mClientAddress.mPort = FreePort();
-    std::string error;
-    mCutNode = gateway_node::Start(
-      settings, mCodec, mLinkedStore, mTime, [] {}, error);
-    ASSERT_TRUE(mCutNode) << error;
-    ASSERT_TRUE(RunUntil([this] { return mCutNode->Ready(); }));
-    RunFor(milliseconds(500));
+    StartTwoNodes(mLinkedStore);
     EXPECT_EQ(CallCutNode("/l/x", kRequests), kRequests);
   }
 
-  std::unique_ptr<client_exchange> BeginAtCutNode(const std::string& aPath)
-  {
-    std::swap(mNode, mCutNode);
-    auto exchange = BeginRequest("POST",
-                                 aPath,
-                                 "Lentilswitch-Request-Id: r" +
-                                   std::to_string(++mLastId) + "\r\n",
-                                 "b");
-    std::swap(mNode, mCutNode);
-    return exchange;
-  }
-
   /// Sends requests to the node one after the other, and returns how many are
   /// served.
   unsigned CallCutNode(const std::string& aPath, unsigned aCount)
   {
     unsigned served = 0;
     for (unsigned i = 0; i < aCount; ++i) {
-      const auto exchange = BeginAtCutNode(aPath);
+      const auto exchange = BeginAtSecondNode(aPath);
       EXPECT_TRUE(RunUntil([&] { return exchange->Ended(); }));
       served += exchange->mResponse.mStatus == 200 ? 1U : 0U;
     }
@@ -239,7 +183,7 @@
   {
     constexpr milliseconds kInterval(50);
     for (milliseconds sent(0); sent < aTime; sent += kInterval) {
-      mTraffic.push_back(BeginAtCutNode("/l/x"));
+      mTraffic.push_back(BeginAtSecondNode("/l/x"));
       RunFor(kInterval);
     }
   }
@@ -258,9 +202,7 @@
   static constexpr milliseconds kStableTime{ 3000 };
 
   linked_row_store mLinkedStore{ mStore };
-  std::unique_ptr<gateway_node> mCutNode;
   std::vector<std::unique_ptr<client_exchange>> mTraffic;
-  unsigned mLastId = 0;
 };
 
 } // namespace
@@ -305,10 +247,10 @@
   StartNodes();
   mLinkedStore.SetState(severable_link::state::Hangs);
   SendTraffic(milliseconds(2000));
-  EXPECT_FALSE(mCutNode->Ready());
+  EXPECT_FALSE(mSecondNode->Ready());
   EXPECT_TRUE(mNode->Ready());
   mLinkedStore.SetState(severable_link::state::Open);
-  EXPECT_TRUE(RunUntil([this] { return mCutNode->Ready(); }));
+  EXPECT_TRUE(RunUntil([this] { return mSecondNode->Ready(); }));
   const unsigned before = Runs();
   EXPECT_EQ(CallCutNode("/o/x", kRequests), kRequests);
   EXPECT_EQ(Runs(), before + kRequests);
@@ -335,10 +277,10 @@
   }
   std::vector<std::unique_ptr<client_exchange>> exchanges;
   for (unsigned i = 0; i < kRequests; ++i) {
-    exchanges.push_back(BeginAtCutNode("/o/x"));
+    exchanges.push_back(BeginAtSecondNode("/o/x"));
     RunFor(milliseconds(60));
   }
-  EXPECT_TRUE(mCutNode->Ready());
+  EXPECT_TRUE(mSecondNode->Ready());
   EXPECT_FALSE(silent.empty());
   for (const auto& [connection, request] : silent) {
     http_server_response response;
@@ -367,7 +309,7 @@
   SendTraffic(milliseconds(1500));
   for (const bool whole : { true, false }) {
     streams.clear();
-    const auto exchange = BeginAtCutNode("/s/x");
+    const auto exchange = BeginAtSecondNode("/s/x");
     ASSERT_TRUE(RunUntil([&] { return !exchange->mBody.empty(); }));
     ASSERT_EQ(streams.size(), 1U);
     if (whole) {
@@ -396,7 +338,7 @@
   StartNodes();
   mLinkedStore.SetState(severable_link::state::Resets);
   SendTraffic(milliseconds(1500));
-  const auto exchange = BeginAtCutNode("/s/x");
+  const auto exchange = BeginAtSecondNode("/s/x");
   ASSERT_TRUE(RunUntil([&] { return !exchange->mBody.empty(); }));
   exchange->mConnection->Cancel();
   EXPECT_TRUE(RunUntil([&] { return engine.mClientsGone > 0; }));
--- a/Source/UnitTests/Gateway/GatewayFixture.cpp
+++ b/Source/UnitTests/Gateway/GatewayFixture.cpp
@@ -10,6 +10,8 @@
 
 constexpr milliseconds kTestTimeout(5000);
 constexpr milliseconds kStorePeriod(2);
+// Time in which nodes hear of each other.
+constexpr milliseconds kReportTime(500);
 // Below the range from which the kernel assigns ports.
 constexpr std::uint16_t kFirstFreePort = 20000;
 constexpr std::uint16_t kLastFreePort = 32000;
@@ -138,6 +140,37 @@
   ASSERT_TRUE(RunUntil([this] { return mNode->Ready(); }));
 }
 
+void gateway_fixture::StartTwoNodes(row_store& aStore)
+{
+  mSettings.mPeer.mPort = FreePort();
+  mSettings.mClientAddress.mPort = FreePort();
+  StartNode();
+  gateway_settings settings = mSettings;
+  settings.mName = "node-2";
+  settings.mSeeds = { FormatTcpAddress(mSettings.mPeer) };
+  settings.mPeer.mPort = FreePort();
+  settings.mClientAddress.mPort = FreePort();
+  std::string error;
+  mSecondNode = gateway_node::Start(
+    settings, mCodec, aStore, mTime, [] {}, error);
+  ASSERT_TRUE(mSecondNode) << error;
+  ASSERT_TRUE(RunUntil([this] { return mSecondNode->Ready(); }));
+  RunFor(kReportTime);
+}
+
+std::unique_ptr<client_exchange> gateway_fixture::BeginAtSecondNode(
+  const std::string& aPath)
+{
+  std::swap(mNode, mSecondNode);
+  auto exchange = BeginRequest(
+    "POST",
+    aPath,
+    fmt::format("Lentilswitch-Request-Id: r{}\r\n", ++mLastRequestId),
+    "b");
+  std::swap(mNode, mSecondNode);
+  return exchange;
+}
+
 std::uint16_t gateway_fixture::FreePort()
 {
   struct ignoring_acceptor final : tcp_listener::acceptor
--- a/Source/UnitTests/Gateway/GatewayFixture.h
+++ b/Source/UnitTests/Gateway/GatewayFixture.h
@@ -78,6 +78,48 @@
   std::optional<exchange_failure> mFailure;
 };
 
+/// Passes all calls to another store. Tests derive stores from it that change
+/// what reads return.
+class forwarding_row_store : public row_store
+{
+public:
+  explicit forwarding_row_store(row_store& aStore)
+    : mStore(aStore)
+  {
+  }
+
+  void Commit(const row_transaction& aTransaction,
+              commit_callback aReply) override
+  {
+    mStore.Commit(aTransaction, std::move(aReply));
+  }
+  void Read(const std::string& aTable,
+            const std::string& aPart,
+            const std::string& aFrom,
+            page_callback aReply) override
+  {
+    mStore.Read(aTable, aPart, aFrom, WrapPage(std::move(aReply)));
+  }
+  void ReadChanges(const std::string& aTable,
+                   std::uint64_t aAfter,
+                   std::chrono::milliseconds aWait,
+                   page_callback aReply) override
+  {
+    mStore.ReadChanges(aTable, aAfter, aWait, WrapPage(std::move(aReply)));
+  }
+  std::uint64_t Era() const override { return mStore.Era(); }
+  std::optional<std::chrono::milliseconds> Clock() const override
+  {
+    return mStore.Clock();
+  }
+
+protected:
+  virtual page_callback WrapPage(page_callback aReply) = 0;
+
+private:
+  row_store& mStore;
+};
+
 /// One gateway node with an in-memory store and servers of the test.
 class gateway_fixture : public testing::Test
 {
@@ -91,6 +133,11 @@
                              const std::string& aSoftware = "v1");
   /// Starts the node and waits until it is ready.
   void StartNode();
+  /// Starts the node and a second one that uses `aStore`, and waits until both
+  /// are ready and have heard of each other.
+  void StartTwoNodes(row_store& aStore);
+  /// Begins a request at the second node, with an identity of its own.
+  std::unique_ptr<client_exchange> BeginAtSecondNode(const std::string& aPath);
   /// A port of the loopback address that the kernel assigns to no connection.
   static std::uint16_t FreePort();
   /// Begins a request. `aHeaders` are further header lines, each ending in
@@ -117,5 +164,7 @@
   gateway_settings mSettings;
   std::vector<std::unique_ptr<scripted_server>> mServers;
   std::unique_ptr<gateway_node> mNode;
+  std::unique_ptr<gateway_node> mSecondNode;
+  unsigned mLastRequestId = 0;
   bool mStopped = false;
 };
--- a/Source/UnitTests/Gateway/OldStateTest.cpp
+++ b/Source/UnitTests/Gateway/OldStateTest.cpp
@@ -6,39 +6,25 @@
 
 /// Passes calls to another store and can hold back all replies, as a full link
 /// of the host does.
-class held_row_store final : public row_store
+class held_row_store final : public forwarding_row_store
 {
 public:
-  explicit held_row_store(row_store& aStore)
-    : mStore(aStore)
-  {
-  }
+  using forwarding_row_store::forwarding_row_store;
 
   void Commit(const row_transaction& aTransaction,
               commit_callback aReply) override
   {
-    mStore.Commit(aTransaction, Guard(std::move(aReply)));
-  }
-  void Read(const std::string& aTable,
-            const std::string& aPart,
-            const std::string& aFrom,
-            page_callback aReply) override
-  {
-    mStore.Read(aTable, aPart, aFrom, Guard(std::move(aReply)));
+    forwarding_row_store::Commit(aTransaction, Guard(std::move(aReply)));
   }
-  void ReadChanges(const std::string& aTable,
-                   std::uint64_t aAfter,
-                   milliseconds aWait,
-                   page_callback aReply) override
-  {
-    mStore.ReadChanges(aTable, aAfter, aWait, Guard(std::move(aReply)));
-  }
-  std::uint64_t Era() const override { return mStore.Era(); }
-  std::optional<milliseconds> Clock() const override { return mStore.Clock(); }
 
   bool mHeld = false;
 
 private:
+  page_callback WrapPage(page_callback aReply) override
+  {
+    return Guard(std::move(aReply));
+  }
+
   template<typename callback>
   callback Guard(callback aReply)
   {
@@ -50,48 +36,23 @@
       }
     };
   }
-
-  row_store& mStore;
 };
 
 /// A node that gets no reply of the store, while the store serves its peer.
 class old_state_test : public gateway_fixture
 {
 protected:
-  ~old_state_test() override { mLateNode.reset(); }
-
-  /// Starts a node with the direct store and one whose replies can be held.
-  void StartNodes()
-  {
-    mSettings.mPeer.mPort = FreePort();
-    StartNode();
-    gateway_settings settings = mSettings;
-    settings.mName = "node-2";
-    settings.mSeeds = { FormatTcpAddress(mSettings.mPeer) };
-    settings.mPeer.mPort = FreePort();
-    std::string error;
-    mLateNode = gateway_node::Start(
-      settings, mCodec, mHeldStore, mTime, [] {}, error);
-    ASSERT_TRUE(mLateNode) << error;
-    ASSERT_TRUE(RunUntil([this] { return mLateNode->Ready(); }));
-    // The nodes hear of each other.
-    RunFor(milliseconds(500));
-  }
+  ~old_state_test() override { mSecondNode.reset(); }
 
   /// Statuses of requests to the node whose replies are held.
   std::vector<unsigned> CallLateNode(const std::string& aPath, unsigned aCount)
   {
-    std::swap(mNode, mLateNode);
     std::vector<unsigned> statuses;
     for (unsigned i = 0; i < aCount; ++i) {
-      statuses.push_back(
-        Call("POST",
-             aPath,
-             "Lentilswitch-Request-Id: r" + std::to_string(i) + "\r\n",
-             "b")
-          ->mResponse.mStatus);
+      const auto exchange = BeginAtSecondNode(aPath);
+      EXPECT_TRUE(RunUntil([&] { return exchange->Ended(); })) << aPath;
+      statuses.push_back(exchange->mResponse.mStatus);
     }
-    std::swap(mNode, mLateNode);
     return statuses;
   }
 
@@ -106,7 +67,6 @@
   }
 
   held_row_store mHeldStore{ mStore };
-  std::unique_ptr<gateway_node> mLateNode;
 };
 
 constexpr unsigned kRequests = 8;
@@ -120,7 +80,7 @@
 {
   scripted_server& leaving = AddServer("i-1", "app");
   scripted_server& staying = AddServer("i-2", "app");
-  StartNodes();
+  StartTwoNodes(mHeldStore);
   mHeldStore.mHeld = true;
   RunFor(milliseconds(100));
   PutServer("i-1", leaving, "draining");
@@ -137,7 +97,7 @@
 {
   scripted_server& removed = AddServer("i-1", "app");
   scripted_server& staying = AddServer("i-2", "app");
-  StartNodes();
+  StartTwoNodes(mHeldStore);
   mHeldStore.mHeld = true;
   RunFor(milliseconds(100));
   mStore.Remove({ "servers", "", "i-1" });
@@ -154,7 +114,7 @@
 {
   scripted_server& before = AddServer("i-1", "app");
   scripted_server& after = AddServer("i-2", "moved");
-  StartNodes();
+  StartTwoNodes(mHeldStore);
   mHeldStore.mHeld = true;
   RunFor(milliseconds(100));
   std::string config = mConfig;
@@ -179,7 +139,7 @@
 TEST_F(old_state_test, OldStateIsUsedWhileTheStoreServesNobody)
 {
   scripted_server& server = AddServer("i-1", "app");
-  StartNodes();
+  StartTwoNodes(mHeldStore);
   mStore.mUnreachable = true;
   RunFor(mSettings.mLeaveTimeout * 2);
   const auto statuses = CallLateNode("/l/x", kRequests);
