Log the estimated wait of requests at the outgoing link

request_done has link_ms, and the gauge gateway_link_wait_seconds tells the present estimate: the bytes of requests handed over, less what the link has carried since. No decision uses it yet.

--- a/Source/Core/Gateway/GatewayMetrics.cpp
+++ b/Source/Core/Gateway/GatewayMetrics.cpp
@@ -63,6 +63,8 @@
       AddGauge("gateway_opened_connections", "Connections opened to servers"))
   , mRateLimited(AddGauge("gateway_rate_limited_servers",
                           "Servers that named a rate limit"))
+  , mLinkWait(AddGauge("gateway_link_wait_seconds",
+                       "Estimated time that bytes wait for the outgoing link"))
   , mRelaying(AddGauge("gateway_relaying",
                        "1 while the node reaches no server and passes its "
                        "requests on"))
--- a/Source/Core/Gateway/GatewayMetrics.h
+++ b/Source/Core/Gateway/GatewayMetrics.h
@@ -39,6 +39,7 @@
   void OnLimitedSend(bool aRepeated);
   /// Counts a change of the judgement on the state that the node has.
   void OnStateVerdict(std::string_view aVerdict);
+  void SetLinkWait(double aSeconds) { mLinkWait.Set(aSeconds); }
   void SetRelaying(double aRelaying) { mRelaying.Set(aRelaying); }
   void SetRateLimitedServers(double aCount) { mRateLimited.Set(aCount); }
   void SetOpenRequests(double aCount) { mOpenRequests.Set(aCount); }
@@ -69,5 +70,6 @@
   prometheus::Gauge& mStoreAge;
   prometheus::Gauge& mOpened;
   prometheus::Gauge& mRateLimited;
+  prometheus::Gauge& mLinkWait;
   prometheus::Gauge& mRelaying;
 };
--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -92,6 +92,7 @@
   , mPool(kUpstreamLiveness)
   , mTokenAllowance(mRun, aSettings.mTokenAllowance)
   , mRetries(aSettings.mRetries)
+  , mLinkQueue(aSettings.mLinkBytesPerSecond)
   , mProbe([this] { mReachability.OnByte(mTime.Now()); })
   , mFleet(SelfReport(aSettings, std::stoull(mRun, nullptr, 16)))
   , mStreamOrigins(FormatTcpAddress(aSettings.mPeer))
@@ -113,6 +114,7 @@
               .mCrashExchange = mCrashExchange,
               .mUnanswered = mUnanswered,
               .mReachability = mReachability,
+              .mLinkQueue = mLinkQueue,
               .mFleet = mFleet,
               .mStreamOrigins = mStreamOrigins,
               .mMetrics = mMetrics }
--- a/Source/Core/Gateway/GatewayNode.h
+++ b/Source/Core/Gateway/GatewayNode.h
@@ -119,6 +119,7 @@
   segment_crash_history mSegmentCrashes{ mCrashes.Liveness() };
   unanswered_requests mUnanswered;
   server_reachability mReachability;
+  link_queue mLinkQueue;
   server_probe mProbe;
   fleet_view mFleet;
   stream_origins mStreamOrigins;
--- a/Source/Core/Gateway/GatewayNodeTicks.cpp
+++ b/Source/Core/Gateway/GatewayNodeTicks.cpp
@@ -312,6 +312,8 @@
     mMetricsListener->CheckDeadlines(now);
   }
   mPeerTransport.CheckDeadlines(now);
+  mMetrics.SetLinkWait(
+    std::chrono::duration<double>(mLinkQueue.LeavesAt(0, now) - now).count());
   mMetrics.SetOpenRequests(static_cast<double>(mSessions.size()));
   mMetrics.SetLiveNodes(static_cast<double>(mFleet.LiveNodeCount(now)));
   mMetrics.SetOpenedConnections(static_cast<double>(mPool.Opened()));
--- a/Source/Core/Gateway/GatewaySession.cpp
+++ b/Source/Core/Gateway/GatewaySession.cpp
@@ -461,31 +461,35 @@
   const time_point now = mContext.mTime.Now();
   mContext.mMetrics.OnAnswer(
     mRoute == nullptr ? "none" : mRoute->mName, aStatus, aReason);
-  Log(log_level::Info,
-      "request_done",
-      { Field("id", mRequest.mId),
-        Field("route", mRoute == nullptr ? "none" : mRoute->mName),
-        Field("account", mAccount == nullptr ? "" : mAccount->mName.mName),
-        Field("status", aStatus),
-        Field("reason", aReason),
-        Field("server", mPlacement.mUpstream.mName),
-        Field("software", mSoftware.mName),
-        Field("attempts", mAttempts),
-        Field("events", mEvents.Events()),
-        Field("reserved", reserved),
-        Field("used", used),
-        Field("expected_ms", static_cast<int>(mPlacement.mExpectedMs)),
-        Field("took_ms",
-              std::chrono::duration_cast<milliseconds>(now - mArrived).count()),
-        Field("config", mRoutes ? mRoutes->Version() : 0),
-        Field("config_age_ms",
-              std::chrono::duration_cast<milliseconds>(
-                now - mContext.mConfigCurrentAt)
-                .count()),
-        Field("servers_age_ms",
-              std::chrono::duration_cast<milliseconds>(
-                now - mContext.mServersCurrentAt)
-                .count()) });
+  Log(
+    log_level::Info,
+    "request_done",
+    { Field("id", mRequest.mId),
+      Field("route", mRoute == nullptr ? "none" : mRoute->mName),
+      Field("account", mAccount == nullptr ? "" : mAccount->mName.mName),
+      Field("status", aStatus),
+      Field("reason", aReason),
+      Field("server", mPlacement.mUpstream.mName),
+      Field("software", mSoftware.mName),
+      Field("attempts", mAttempts),
+      Field("events", mEvents.Events()),
+      Field("reserved", reserved),
+      Field("used", used),
+      Field("expected_ms", static_cast<int>(mPlacement.mExpectedMs)),
+      Field(
+        "link_ms",
+        std::chrono::duration_cast<milliseconds>(mLeavesAt - mSentAt).count()),
+      Field("took_ms",
+            std::chrono::duration_cast<milliseconds>(now - mArrived).count()),
+      Field("config", mRoutes ? mRoutes->Version() : 0),
+      Field("config_age_ms",
+            std::chrono::duration_cast<milliseconds>(now -
+                                                     mContext.mConfigCurrentAt)
+              .count()),
+      Field("servers_age_ms",
+            std::chrono::duration_cast<milliseconds>(now -
+                                                     mContext.mServersCurrentAt)
+              .count()) });
 }
 
 std::int64_t gateway_session::FinishReservation()
--- a/Source/Core/Gateway/GatewaySession.h
+++ b/Source/Core/Gateway/GatewaySession.h
@@ -12,6 +12,7 @@
 #include "Gateway/GatewayCodec.h"
 #include "Gateway/GatewayMetrics.h"
 #include "Gateway/GatewaySettings.h"
+#include "Gateway/LinkQueue.h"
 #include "Gateway/RouteTable.h"
 #include "Gateway/ServerReachability.h"
 #include "Gateway/StateFreshness.h"
@@ -34,6 +35,7 @@
   crash_exchange& mCrashExchange;
   unanswered_requests& mUnanswered;
   server_reachability& mReachability;
+  link_queue& mLinkQueue;
   fleet_view& mFleet;
   stream_origins& mStreamOrigins;
   gateway_metrics& mMetrics;
@@ -147,6 +149,8 @@
   placement_query Query() const;
   admission_query AdmissionQuery() const;
   void Send(const placement& aPlacement, time_point aNow);
+  /// When the bytes of the request would leave the host if they were sent now.
+  time_point LeavesAt(time_point aNow) const;
   void ForwardEvents(std::string_view aBytes);
   /// Stops reading from the server while the client is slower.
   void PauseForClient();
@@ -227,6 +231,8 @@
   std::unique_ptr<http_client_connection> mConnection;
   unanswered_requests::ticket mUnansweredTicket = 0;
   time_point mSentAt;
+  /// When the bytes of the request have left the host, by estimate.
+  time_point mLeavesAt;
   time_point mLastEventAt;
   /// First event of the current server; nothing before it.
   std::optional<time_point> mFirstEventAt;
--- a/Source/Core/Gateway/GatewaySessionUpstream.cpp
+++ b/Source/Core/Gateway/GatewaySessionUpstream.cpp
@@ -80,6 +80,8 @@
   mSoftware = entry == nullptr ? software_version() : entry->mSoftware;
   mWork = aPlacement.mWork;
   mSentAt = aNow;
+  mLeavesAt = LeavesAt(aNow);
+  mContext.mLinkQueue.Add(mRequest.mBody.size(), aNow);
   mStage = stage::Sent;
   mHasResponse = false;
   mEventStream = false;
@@ -127,6 +129,11 @@
                      *this);
 }
 
+time_point gateway_session::LeavesAt(time_point aNow) const
+{
+  return mContext.mLinkQueue.LeavesAt(mRequest.mBody.size(), aNow);
+}
+
 void gateway_session::AdvanceSent(time_point aNow)
 {
   if (aNow >= mRouteDeadline || aNow >= mDeadline + kDeadlineGracePeriod) {
--- a/Source/Core/Gateway/RequestRelay.cpp
+++ b/Source/Core/Gateway/RequestRelay.cpp
@@ -71,6 +71,7 @@
     EndWithoutResponse("peers_not_reached");
     return;
   }
+  mContext.mLinkQueue.Add(mRequest.mRequest.mBody.size(), now);
   mConnection->Start(
     mContext.mCodec.WriteRelay(
       mRequest.mRequest,
