--- a/Source/UnitTests/Gateway/OldStateTest.cpp
+++ b/Source/UnitTests/Gateway/OldStateTest.cpp
@@ -108,6 +108,22 @@
   EXPECT_EQ(statuses, std::vector<unsigned>(kRequests, 200));
 }
 
+// Guards against requests to the last server of a service longer than the leave
+// limit after its entry was removed, because the node counts from when it
+// learned of the removal.
+TEST_F(old_state_test, RemovedEntriesAreUsedByTheirAge)
+{
+  scripted_server& removed = AddServer("i-1", "app");
+  StartTwoNodes(mHeldStore);
+  mHeldStore.mHeld = true;
+  RunFor(milliseconds(100));
+  mStore.Remove({ "servers", "", "i-1" });
+  RunFor(mSettings.mLeaveTimeout);
+  const auto statuses = CallLateNode("/l/x", kRequests);
+  EXPECT_EQ(removed.mRequests.size(), 0U);
+  EXPECT_EQ(statuses, std::vector<unsigned>(kRequests, 503));
+}
+
 // Guards against requests that are handled as a configuration says that was
 // replaced longer ago than a change may take to be in force.
 TEST_F(old_state_test, RoutesThatMovedAreInForce)
