Date removals of servers by the last state that had them

A removed entry serves as a last resort for a grace period, which counted from when the node learned of the removal. A node that was out of contact for a second, or that got the removal from a peer, learned of it late; its own failed calls even extended the period to 1.9 s, though the store was there for all others.

The period now ends, at the latest, when the last state that had the entry stops to count as recent. Only after an outage that all nodes saw (verdict store_away) a removal is tentative, as entries of live servers expire during it and come back.

The flag left table_follower, which cannot tell whose outage it is.

--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -36,6 +36,9 @@
 constexpr milliseconds kTentativeRemovalGracePeriod(1900);
 constexpr double kRemovalGraceShare = 0.6;
 constexpr double kTentativeRemovalGraceShare = 0.95;
+// Time after an outage of the store in which removals may be its effect: the
+// platform restores the entries of live servers within two seconds.
+constexpr milliseconds kTentativeRemovalWindow(3500);
 // Connections to a server break after this long without TCP acknowledgements.
 constexpr tcp_liveness kUpstreamLiveness{ milliseconds(3000) };
 // Share of the memory that bodies of open requests may take. The process itself
@@ -289,7 +292,7 @@
         "server_entry_unusable",
         { Field("server", aRow.mKey.mKey), Field("version", aRow.mVersion) });
     mUpstreamRegistry.Remove(upstream_id{ aRow.mKey.mKey },
-                             now + RemovalGracePeriod(false));
+                             RemovedUsableUntil(false, now));
     return;
   }
   const server_entry* previous = mUpstreamRegistry.Find(entry->mId);
@@ -310,25 +313,36 @@
   mCrashes.OnServerEntry(*entry, now);
 }
 
-milliseconds gateway_node::RemovalGracePeriod(bool aTentative) const
+time_point gateway_node::RemovedUsableUntil(bool aTentative,
+                                            time_point aNow) const
 {
   const auto share = std::chrono::duration_cast<milliseconds>(
     mSettings.mLeaveTimeout *
     (aTentative ? kTentativeRemovalGraceShare : kRemovalGraceShare));
-  return std::min(
-    aTentative ? kTentativeRemovalGracePeriod : kRemovalGracePeriod, share);
+  const time_point until =
+    aNow +
+    std::min(aTentative ? kTentativeRemovalGracePeriod : kRemovalGracePeriod,
+             share);
+  // The entry may have been removed right after the last read that had it.
+  return aTentative
+           ? until
+           : std::min(until, mUpstreamTable.CurrentAt() + mMaxStateAge);
 }
 
-void gateway_node::OnRowRemoved(const row_key& aKey, bool aTentative)
+void gateway_node::OnRowRemoved(const row_key& aKey)
 {
   if (aKey.mTable != mCodec.UpstreamTable()) {
     return;
   }
+  const time_point now = mTime.Now();
+  const bool tentative = now < mRemovalsTentativeUntil;
   Log(log_level::Info,
       "server_removed",
-      { Field("server", aKey.mKey), Field("doubtful", aTentative) });
+      { Field("server", aKey.mKey),
+        Field("doubtful", tentative),
+        Field("known_age_ms", AgeMs(mUpstreamTable.CurrentAt(), now)) });
   mUpstreamRegistry.Remove(upstream_id{ aKey.mKey },
-                           mTime.Now() + RemovalGracePeriod(aTentative));
+                           RemovedUsableUntil(tentative, now));
 }
 
 void gateway_node::OnTableLoaded()
@@ -413,6 +427,9 @@
     mLinkOverload.LastOverloadedAt()
   };
   const state_verdict verdict = ::JudgeState(evidence, mMaxStateAge, aNow);
+  if (verdict == state_verdict::StoreAway) {
+    mRemovalsTentativeUntil = aNow + kTentativeRemovalWindow;
+  }
   if (std::exchange(mContext.mState, verdict) == verdict) {
     return;
   }
--- a/Source/Core/Gateway/GatewayNode.h
+++ b/Source/Core/Gateway/GatewayNode.h
@@ -62,13 +62,14 @@
   void OnConnectionClosed(http_server_connection& aConnection) override;
 
   void OnRow(const stored_row& aRow) override;
-  void OnRowRemoved(const row_key& aKey, bool aTentative) override;
+  void OnRowRemoved(const row_key& aKey) override;
   void OnTableLoaded() override;
 
   void ApplyConfig(const stored_row& aRow);
-  /// Time for which a server whose row was removed may still be used if no
-  /// other server is usable.
-  std::chrono::milliseconds RemovalGracePeriod(bool aTentative) const;
+  /// Until when a server whose row was removed may be used if no other server
+  /// is usable. A removal is tentative if it may be an effect of an outage of
+  /// the store.
+  time_point RemovedUsableUntil(bool aTentative, time_point aNow) const;
   /// The tables of the store that other nodes need as well.
   state_snapshot Snapshot() const;
   void ApplySnapshot(const state_snapshot& aSnapshot);
@@ -152,6 +153,8 @@
   loop_timer mMaintenanceTimer;
 
   time_point mNextSnapshotAt;
+  /// Until when removals may be an effect of an outage of the store.
+  time_point mRemovalsTentativeUntil;
   time_point mCutOffSince;
   std::optional<time_point> mStopStartedAt;
   /// Set once the node accepts no more connections in a stop: requests on the
--- a/Source/Core/Gateway/TableFollower.cpp
+++ b/Source/Core/Gateway/TableFollower.cpp
@@ -16,9 +16,6 @@
 // within two seconds after it.
 constexpr milliseconds kInitialRetryDelay(100);
 constexpr unsigned kMaxDoublings = 2;
-// For this long after a failed call the removal of a row may be an effect of
-// the outage; the platform restores such rows within two seconds.
-constexpr milliseconds kTentativeRemovalWindow(3500);
 
 } // namespace
 
@@ -206,16 +203,10 @@
 void table_follower::RemoveRow(const row_key& aKey)
 {
   if (mRows.erase(aKey) > 0) {
-    mListener.OnRowRemoved(aKey, RemovalsAreTentative());
+    mListener.OnRowRemoved(aKey);
   }
 }
 
-bool table_follower::RemovalsAreTentative() const
-{
-  return mLastFailure != time_point() &&
-         mTime.Now() < mLastFailure + kTentativeRemovalWindow;
-}
-
 void table_follower::RecordContact()
 {
   mLastContact = mTime.Now();
@@ -227,7 +218,6 @@
 
 void table_follower::ScheduleRetry(row_store_error aError)
 {
-  mLastFailure = mTime.Now();
   if (!std::exchange(mStoreUnreachable, true)) {
     Log(log_level::Warning,
         "store_lost",
--- a/Source/Core/Gateway/TableFollower.h
+++ b/Source/Core/Gateway/TableFollower.h
@@ -33,9 +33,8 @@
   public:
     virtual ~listener() = default;
     virtual void OnRow(const stored_row& aRow) = 0;
-    /// The row was removed. `aTentative` is true shortly after the store was
-    /// unreachable; the row may then come back.
-    virtual void OnRowRemoved(const row_key& aKey, bool aTentative) = 0;
+    /// The row was removed, after the time that `CurrentAt` tells.
+    virtual void OnRowRemoved(const row_key& aKey) = 0;
     /// The whole table was read for the first time.
     virtual void OnTableLoaded() {}
   };
@@ -83,7 +82,6 @@
   void ApplyRow(const stored_row& aRow);
   void RemoveRow(const row_key& aKey);
   void ScheduleNextCall(std::chrono::milliseconds aDelay);
-  bool RemovalsAreTentative() const;
   void RecordContact();
 
   row_store& mStore;
@@ -108,7 +106,6 @@
   bool mStoreUnreachable = false;
   unsigned mFailures = 0;
   time_point mLastContact;
-  time_point mLastFailure;
   /// Set to false by the destructor; replies that arrive later are ignored.
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
 };
--- a/Source/UnitTests/Gateway/OldStateTest.cpp
+++ b/Source/UnitTests/Gateway/OldStateTest.cpp
@@ -124,6 +124,25 @@
   EXPECT_EQ(statuses, std::vector<unsigned>(kRequests, 503));
 }
 
+// Guards against removals taken as final after an outage: entries expire while
+// the store is unreachable and are restored soon after.
+TEST_F(old_state_test, RemovalsAfterAnOutageAreTentative)
+{
+  scripted_server& server = AddServer("i-1", "app");
+  StartTwoNodes(mHeldStore);
+  mStore.mUnreachable = true;
+  RunFor(mSettings.mLeaveTimeout);
+  mStore.Remove({ "servers", "", "i-1" });
+  mStore.mUnreachable = false;
+  RunFor(milliseconds(1000));
+  EXPECT_EQ(CallLateNode("/l/x", kRequests),
+            std::vector<unsigned>(kRequests, 200));
+  RunFor(mSettings.mLeaveTimeout);
+  EXPECT_EQ(CallLateNode("/l/x", kRequests),
+            std::vector<unsigned>(kRequests, 503));
+  EXPECT_EQ(server.mRequests.size(), kRequests);
+}
+
 // Guards against requests that are handled as a configuration says that was
 // replaced longer ago than a change may take to be in force.
 TEST_F(old_state_test, RoutesThatMovedAreInForce)
