Hand over no request that would wait too long at the outgoing link

A request is now sent only if by the estimate of link_queue it leaves the host within 0.9 of the limit after the server entries were current, and the wait counts as time that the response takes. Else it waits as for a full server, or is refused as link_full, on a connection that closes, so that its client finds another host.

--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -49,11 +49,19 @@
 // up to which state is recent. The rest is for the way of a request.
 constexpr double kMaxStateAgeShare = 0.7;
 
+// Share of the limit for leaving servers within which requests must have left
+// the host.
+constexpr double kMaxSendShare = 0.9;
+
+milliseconds Share(milliseconds aTime, double aShare)
+{
+  return std::chrono::duration_cast<milliseconds>(aTime * aShare);
+}
+
 milliseconds MaxStateAge(const gateway_settings& aSettings)
 {
-  return std::chrono::duration_cast<milliseconds>(
-    std::min(aSettings.mLeaveTimeout, aSettings.mConfigTimeout) *
-    kMaxStateAgeShare);
+  return Share(std::min(aSettings.mLeaveTimeout, aSettings.mConfigTimeout),
+               kMaxStateAgeShare);
 }
 
 std::int64_t AgeMs(time_point aThen, time_point aNow)
@@ -316,9 +324,9 @@
 time_point gateway_node::RemovedUsableUntil(bool aTentative,
                                             time_point aNow) const
 {
-  const auto share = std::chrono::duration_cast<milliseconds>(
-    mSettings.mLeaveTimeout *
-    (aTentative ? kTentativeRemovalGraceShare : kRemovalGraceShare));
+  const auto share =
+    Share(mSettings.mLeaveTimeout,
+          aTentative ? kTentativeRemovalGraceShare : kRemovalGraceShare);
   const time_point until =
     aNow +
     std::min(aTentative ? kTentativeRemovalGracePeriod : kRemovalGracePeriod,
@@ -417,6 +425,11 @@
 {
   mContext.mConfigCurrentAt = mConfigTable.CurrentAt();
   mContext.mServersCurrentAt = mUpstreamTable.CurrentAt();
+  // While the store is away, nothing can be known to have left.
+  mContext.mLatestLeavesAt =
+    (mContext.mState == state_verdict::StoreAway ? aNow
+                                                 : mUpstreamTable.CurrentAt()) +
+    Share(mSettings.mLeaveTimeout, kMaxSendShare);
   if (mContext.mState == state_verdict::Current &&
       aNow <= OldestStateAt() + mMaxStateAge) {
     return;
--- a/Source/Core/Gateway/GatewaySession.cpp
+++ b/Source/Core/Gateway/GatewaySession.cpp
@@ -184,10 +184,7 @@
     mStateWaitUntil = aNow + kStateWaitTimeout;
   }
   if (aNow >= *mStateWaitUntil) {
-    // The client reconnects and finds a host that knows more.
-    if (mClient != nullptr) {
-      mClient->SetCloseAfterResponse();
-    }
+    SendClientElsewhere();
     EndUnsent("state_outdated", kRefusalRetryDelay);
   }
   return false;
@@ -350,10 +347,14 @@
     chosen = mContext.mUpstreamRegistry.Choose(query, aNow);
   }
   admission_query query = AdmissionQuery();
-  query.mHasPlacement = chosen.has_value();
+  const time_point leavesAt = LeavesAt(aNow);
+  const bool linkFull = leavesAt > mContext.mLatestLeavesAt;
+  query.mHasPlacement = chosen && !linkFull;
   if (chosen) {
-    query.mExpectedMs = chosen->mExpectedMs;
-    query.mWaitMs = chosen->mWaitMs;
+    const double linkMs =
+      std::chrono::duration<double, std::milli>(leavesAt - aNow).count();
+    query.mExpectedMs = chosen->mExpectedMs + linkMs;
+    query.mWaitMs = chosen->mWaitMs + linkMs;
     query.mOutputMs = chosen->mOutputMs;
   } else {
     placement_query all = Query();
@@ -372,11 +373,22 @@
     if (aNow < query.mLimitedUntil) {
       reason = "servers_limited";
     }
+    if (chosen && linkFull) {
+      reason = "link_full";
+      SendClientElsewhere();
+    }
     EndUnsent(mMayHaveRun ? "no_server_for_repeat" : reason,
               RetryAfter(query, aNow, StableHash(mRequest.mId)));
   }
 }
 
+void gateway_session::SendClientElsewhere()
+{
+  if (mClient != nullptr) {
+    mClient->SetCloseAfterResponse();
+  }
+}
+
 bool gateway_session::CanBeRelayed() const
 {
   return mContext.mRelaying && !mRequest.mRelayed && !mResponseStarted &&
--- a/Source/Core/Gateway/GatewaySession.h
+++ b/Source/Core/Gateway/GatewaySession.h
@@ -47,6 +47,9 @@
   time_point mServersCurrentAt{};
   /// Whether the node may act on its configuration and server entries.
   state_verdict mState = state_verdict::Current;
+  /// Latest time at which requests that are sent now may leave the host, so
+  /// that they reach no server that has left.
+  time_point mLatestLeavesAt{};
   /// Whether a newer configuration may be in force, because the store was out
   /// of contact for too long.
   bool mConfigMayBeStale = true;
@@ -131,6 +134,9 @@
   void PinStream(time_point aNow);
   void AdvanceTokens(time_point aNow);
   void AdvanceServer(time_point aNow);
+  /// Closes the client's connection after the response, so that the client
+  /// reconnects and may find a host that can serve it.
+  void SendClientElsewhere();
   /// Whether another node can take the request over. It has not run, or may run
   /// again, and nothing of a response was sent.
   bool CanBeRelayed() const;
