--- a/Source/Core/Net/HttpClientConnection.cpp
+++ b/Source/Core/Net/HttpClientConnection.cpp
@@ -55,9 +55,7 @@
 
 http_client_connection::~http_client_connection()
 {
-  if (mStream) {
-    mStream->Close();
-  }
+  Cancel();
 }
 
 void http_client_connection::Start(std::string_view aHead,
@@ -92,8 +90,14 @@
 
 void http_client_connection::Cancel()
 {
-  mObserver = nullptr;
-  if (mStream) {
+  const bool inProgress = std::exchange(mObserver, nullptr) != nullptr;
+  if (!mStream) {
+    return;
+  }
+  if (inProgress) {
+    // Drops what the kernel still holds of the request.
+    mStream->Reset();
+  } else {
     mStream->Close();
   }
 }
--- a/Source/Core/Net/HttpConnection.h
+++ b/Source/Core/Net/HttpConnection.h
@@ -204,7 +204,9 @@
              std::string_view aBody,
              bool aIsHeadRequest,
              http_client_exchange_observer& aObserver);
-  /// Abandons the request and closes the connection. No further events follow.
+  /// Abandons the request and closes the connection, with a reset if the
+  /// request is in progress, so that the server gets nothing more of it. No
+  /// further events follow.
   void Cancel();
   void SetReading(bool aReading);
 
