--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -134,6 +134,7 @@
                    mCrashExchange,
                    mStreamOrigins,
                    mTime,
+                   aSettings.mLinkBytesPerSecond,
                    [this] { return Snapshot(); })
   , mMaxStateAge(MaxStateAge(aSettings))
   , mLinkOverload(mSettings.mLinkBytesPerSecond)
@@ -397,6 +398,11 @@
 
 void gateway_node::ApplySnapshot(const state_snapshot& aSnapshot)
 {
+  if (aSnapshot.empty()) {
+    // The next round asks another peer.
+    mNextSnapshotAt = {};
+    return;
+  }
   std::size_t rows = 0;
   for (const auto& [name, copy] : aSnapshot) {
     rows += copy.mRows.size();
--- a/Source/Core/Gateway/PeerTransport.cpp
+++ b/Source/Core/Gateway/PeerTransport.cpp
@@ -32,6 +32,8 @@
 constexpr tcp_liveness kPeerLiveness{ milliseconds(1500) };
 // Snapshots are requested from these many peers with the newest state in turn.
 constexpr std::size_t kMaxSnapshotPeers = 4;
+// Share of the link of the host that snapshots may take.
+constexpr double kSnapshotLinkShare = 0.25;
 constexpr const char* kSnapshotPath = "/snapshot";
 // Limit of a snapshot in 8-byte words: 64 MB.
 constexpr std::uint64_t kMaxSnapshotWords = 8'000'000;
@@ -145,7 +147,13 @@
     mFinished = true;
     if (mStatus == http_status::kOk) {
       mReply(ParseSnapshot(mBody, mRequestedAt));
+      return;
     }
+    Log(log_level::Info,
+        "snapshot_failed",
+        { Field("peer", FormatTcpAddress(mConnection.Address())),
+          Field("status", mStatus) });
+    mReply({});
   }
   void OnExchangeFailed(exchange_failure aFailure) override
   {
@@ -170,12 +178,14 @@
                                crash_exchange& aCrashes,
                                stream_origins& aStreams,
                                const time_source& aTime,
+                               double aLinkBytesPerSecond,
                                snapshot_source aSnapshot)
   : mView(aView)
   , mTokenAllowance(aTokenAllowance)
   , mCrashes(aCrashes)
   , mStreams(aStreams)
   , mTime(aTime)
+  , mLinkBytesPerSecond(aLinkBytesPerSecond)
   , mSnapshot(std::move(aSnapshot))
 {
 }
@@ -358,8 +368,22 @@
     aConnection.Respond(response, {});
     return;
   }
+  const time_point now = mTime.Now();
   aConnection.SetCloseAfterResponse();
-  aConnection.Respond(response, WriteSnapshot(mSnapshot(), mTime.Now()));
+  if (now < mNextSnapshotAt) {
+    response.mStatus = http_status::kServiceUnavailable;
+    aConnection.Respond(response, {});
+    return;
+  }
+  const std::string snapshot = WriteSnapshot(mSnapshot(), now);
+  if (mLinkBytesPerSecond > 0.0) {
+    mNextSnapshotAt =
+      now + std::chrono::duration_cast<std::chrono::microseconds>(
+              std::chrono::duration<double>(
+                static_cast<double>(snapshot.size()) /
+                (mLinkBytesPerSecond * kSnapshotLinkShare)));
+  }
+  aConnection.Respond(response, snapshot);
 }
 
 void peer_transport::CheckDeadlines(time_point aNow)
--- a/Source/Core/Gateway/PeerTransport.h
+++ b/Source/Core/Gateway/PeerTransport.h
@@ -29,6 +29,7 @@
                  crash_exchange& aCrashes,
                  stream_origins& aStreams,
                  const time_source& aTime,
+                 double aLinkBytesPerSecond,
                  snapshot_source aSnapshot);
   ~peer_transport() override;
 
@@ -44,8 +45,9 @@
   void SendStreamMessages();
   /// Requests prepaid tokens from other nodes for accounts that lack them.
   void SendTokenRequests();
-  /// Requests the tables of a live peer with the newest state; does
-  /// nothing if there is no peer or a request is open.
+  /// Requests the tables of a live peer with the newest state; does nothing if
+  /// there is no peer or a request is open. The snapshot is empty if the peer
+  /// gives none now.
   void FetchSnapshot(snapshot_callback aReply);
   void CheckDeadlines(time_point aNow);
 
@@ -69,7 +71,11 @@
   crash_exchange& mCrashes;
   stream_origins& mStreams;
   const time_source& mTime;
+  double mLinkBytesPerSecond;
   snapshot_source mSnapshot;
+  /// Snapshots are refused until this time, so that requests have most of the
+  /// link.
+  time_point mNextSnapshotAt;
   int mSocket = -1;
   guint mWatch = 0;
   std::uint64_t mRound = 0;
