Add a failing test of crash reports of a host that lost its links

Hypothesis: a host reports each broken connection as a crash until it knows that its own links are gone, and takes the reports back a second later; meanwhile the other nodes refuse the same content.

--- a/Source/UnitTests/Gateway/CutOffNodeTest.cpp
+++ b/Source/UnitTests/Gateway/CutOffNodeTest.cpp
@@ -99,6 +99,34 @@
   EXPECT_EQ(CallCutNode("/o/x", kRequests), kRequests);
 }
 
+// Guards against harmless requests that other nodes refuse as crashing, because
+// a host that lost its links reported each broken connection as a crash.
+TEST_F(cut_off_node_test, BrokenLinksAreNoCrashesAtOtherNodes)
+{
+  StartNodes();
+  for (const auto& server : mServers) {
+    server->mScript = [](http_server_connection&, const http_server_request&) {
+    };
+  }
+  std::vector<std::unique_ptr<client_exchange>> exchanges;
+  for (std::size_t i = 0; i < mServers.size(); ++i) {
+    exchanges.push_back(BeginAtSecondNode("/o/harmless"));
+  }
+  RunFor(milliseconds(50));
+  mLinkedStore.SetState(severable_link::state::Resets);
+  for (const auto& server : mServers) {
+    server->mScript = {};
+  }
+  // Nodes tell each other of crashes within a few ms.
+  RunFor(milliseconds(100));
+  for (unsigned i = 0; i < kRequests; ++i) {
+    const auto exchange = Call("POST", "/o/harmless", {}, "b");
+    EXPECT_EQ(exchange->mResponse.mStatus, 200U);
+    EXPECT_EQ(exchange->mBody, "done");
+    RunFor(milliseconds(20));
+  }
+}
+
 // Guards against clients that are sent to a host that is cut off, and against a
 // host that stays out after its links are back.
 TEST_F(cut_off_node_test, IsReadyOnlyWhileItReachesServers)
