Share crash reports only once the host's links are known to work

A crash now counts at its own node at once, and other nodes learn of it as soon as any server has sent a byte since, usually within 30 ms. Without a byte it is shared after a second, or dropped if the host is cut off by then. Only the reports themselves are dropped, not those of others. What was sent before a cut ended proves nothing about servers and does not count.

CountsAgainstTheServerRunThatGotIt waited 700 ms for the row of a crash; without any traffic it now takes a second, so the test waits 2 s, within the 3 s in which crashes must be known.

--- a/Source/Core/Gateway/CrashExchange.cpp
+++ b/Source/Core/Gateway/CrashExchange.cpp
@@ -23,6 +23,12 @@
 // connections, and the age from which on bytes were sent after the end.
 constexpr milliseconds kSignOfLifeTimeout(100);
 constexpr milliseconds kMaxByteAge(30);
+// Time after which a crash is confirmed without a byte of a server. A host that
+// has lost its links knows it by then.
+constexpr milliseconds kConfirmTimeout(1000);
+// Limit of the crashes that wait for confirmation. A host that loses its links
+// breaks every request that it has sent.
+constexpr std::size_t kMaxSuspected = 1000;
 
 crash_notice& LastNotice(std::vector<crash_notice>& aNotices)
 {
@@ -41,6 +47,14 @@
   return std::chrono::duration_cast<milliseconds>(aNow - aTime);
 }
 
+crash_report ReportOf(const observed_crash& aCrash)
+{
+  return { aCrash.mRequest.mContent,
+           aCrash.mServer,
+           aCrash.mObservedAt,
+           aCrash.mLastByte.has_value() };
+}
+
 /// Divides reports among notices that fit a datagram.
 std::vector<crash_notice> Split(const std::vector<crash_report>& aReports,
                                 const std::vector<served_report>& aServed,
@@ -138,14 +152,56 @@
   return true;
 }
 
+void crash_exchange::Suspect(const observed_crash& aCrash)
+{
+  const time_point now = mTime.Now();
+  Add("own", ReportOf(aCrash), now);
+  if (mSuspected.size() < kMaxSuspected) {
+    mSuspected.emplace_back(aCrash, now + kConfirmTimeout);
+  }
+}
+
+void crash_exchange::ReviewSuspected(time_point aLastByteAt, bool aCutOff)
+{
+  const time_point now = mTime.Now();
+  std::erase_if(mSuspected, [&](const auto& aSuspected) {
+    const auto& [crash, dueAt] = aSuspected;
+    const bool linksWork = aLastByteAt >= crash.mObservedAt + kMaxByteAge;
+    if (!linksWork && now < dueAt) {
+      return false;
+    }
+    if (linksWork || !aCutOff) {
+      Share(crash);
+      return true;
+    }
+    Log(log_level::Info,
+        "crash_withdrawn",
+        { Field("fingerprint", FormatWide(crash.mRequest.mContent)),
+          Field("server_run", FormatServerRun(crash.mServer)) });
+    mHistory.Withdraw(ReportOf(crash));
+    return true;
+  });
+}
+
+bool crash_exchange::IsSuspected(const crash_report& aReport) const
+{
+  return std::ranges::any_of(mSuspected, [&](const auto& aSuspected) {
+    return ReportOf(aSuspected.first) == aReport;
+  });
+}
+
 void crash_exchange::Report(const observed_crash& aCrash)
+{
+  Add("own", ReportOf(aCrash), mTime.Now());
+  Share(aCrash);
+}
+
+void crash_exchange::Share(const observed_crash& aCrash)
 {
   const time_point now = mTime.Now();
   const bool silent = aCrash.mLastByte.has_value();
-  const crash_report report{
-    aCrash.mRequest.mContent, aCrash.mServer, aCrash.mObservedAt, silent
-  };
-  if (Add("own", report, now)) {
+  const crash_report report = ReportOf(aCrash);
+  if (mHistory.Has(report)) {
     mNewReports.push_back(report);
     QueueRow(report);
   }
@@ -160,15 +216,22 @@
 
 void crash_exchange::OnByte(const server_run& aServer, time_point aSentAt)
 {
-  if (mPendingSegmentCrashes.empty()) {
+  if (mPendingSegmentCrashes.empty() && mSuspected.empty()) {
     return;
   }
   const time_point now = mTime.Now();
+  const auto isRefuted = [&](const auto& aCrash) {
+    return aCrash.mServer == aServer && aSentAt < aCrash.mObservedAt &&
+           now >= aCrash.mObservedAt + kMaxByteAge;
+  };
   std::erase_if(mPendingSegmentCrashes, [&](const auto& aPending) {
-    const segment_crash& crash = aPending.first;
-    return crash.mServer == aServer && aSentAt < crash.mObservedAt &&
-           now >= crash.mObservedAt + kMaxByteAge;
+    return isRefuted(aPending.first);
   });
+  for (auto& [crash, dueAt] : mSuspected) {
+    if (isRefuted(crash)) {
+      crash.mRequest.mSegments.clear();
+    }
+  }
 }
 
 void crash_exchange::AddPending(time_point aNow)
@@ -255,7 +318,9 @@
     mNextRepeatAt = aNow + kRepeatInterval;
     for (const crash_report& report :
          mHistory.RepeatedCrashes(kMaxRepeatedReports)) {
-      reports.insert(report);
+      if (!IsSuspected(report)) {
+        reports.insert(report);
+      }
     }
     for (const segment_crash& crash :
          mSegments.RepeatedCrashes(kMaxRepeatedReports)) {
--- a/Source/Core/Gateway/CrashExchange.h
+++ b/Source/Core/Gateway/CrashExchange.h
@@ -39,7 +39,15 @@
   crash_exchange(const crash_exchange&) = delete;
   crash_exchange& operator=(const crash_exchange&) = delete;
 
-  /// A server run seemed to end while it ran a request of this node.
+  /// A server run seemed to end while it ran a request of this node. The loss
+  /// of the host's own links looks the same, so other nodes learn of it only
+  /// when `ReviewSuspected` confirms it.
+  void Suspect(const observed_crash& aCrash);
+  /// Confirms the crashes since which some server has sent a byte, and after a
+  /// second the others, unless the host is cut off from all servers: then they
+  /// are withdrawn.
+  void ReviewSuspected(time_point aLastByteAt, bool aCutOff);
+  /// Adds a crash and shares it with other nodes.
   void Report(const observed_crash& aCrash);
   /// Bytes arrived from a server run in response to a request that was sent at
   /// `aSentAt`, so the run has not ended since. A connection that broke
@@ -67,6 +75,9 @@
   /// Adds a report to the history; returns whether it is new.
   bool Add(const char* aSource, const crash_report& aReport, time_point aNow);
   bool Add(const char* aSource, const segment_crash& aCrash, time_point aNow);
+  /// Sends a known crash of this node to the others.
+  void Share(const observed_crash& aCrash);
+  bool IsSuspected(const crash_report& aReport) const;
   void QueueRow(const crash_report& aReport);
   /// Adds the crashes that no sign of life has refuted in time.
   void AddPending(time_point aNow);
@@ -94,6 +105,9 @@
   std::vector<served_report> mNewServed;
   std::vector<std::pair<crash_report, time_point>> mRecentReports;
   std::vector<served_report> mRecentServed;
+  /// Crashes that are not confirmed, with the time at which they are at the
+  /// latest.
+  std::vector<std::pair<observed_crash, time_point>> mSuspected;
   /// Crashes of prompt segments that a sign of life may still refute, with the
   /// time until which it may.
   std::vector<std::pair<segment_crash, time_point>> mPendingSegmentCrashes;
--- a/Source/Core/Gateway/CrashHistory.cpp
+++ b/Source/Core/Gateway/CrashHistory.cpp
@@ -59,6 +59,34 @@
   return refuted;
 }
 
+void crash_history::Withdraw(const crash_report& aReport)
+{
+  const auto found = mRecords.find(aReport.mRequest);
+  if (found == mRecords.end()) {
+    return;
+  }
+  const auto run = found->second.find(aReport.mServer);
+  if (run == found->second.end() || run->second.mAt != aReport.mObservedAt) {
+    return;
+  }
+  found->second.erase(run);
+  RemoveFromServer(aReport.mRequest, aReport.mServer);
+  if (found->second.empty()) {
+    mRecords.erase(found);
+  }
+}
+
+bool crash_history::Has(const crash_report& aReport) const
+{
+  const auto found = mRecords.find(aReport.mRequest);
+  if (found == mRecords.end()) {
+    return false;
+  }
+  const auto run = found->second.find(aReport.mServer);
+  return run != found->second.end() && run->second.mAt == aReport.mObservedAt &&
+         IsValid(aReport.mRequest, aReport.mServer, aReport.mObservedAt);
+}
+
 bool crash_history::OnServed(const content_id& aRequest, time_point aServedAt)
 {
   if (mServed.size() >= kMaxServed) {
--- a/Source/Core/Gateway/CrashHistory.h
+++ b/Source/Core/Gateway/CrashHistory.h
@@ -109,6 +109,10 @@
   /// Returns false if the report is known, refuted or expired, or if the table
   /// is full.
   bool Add(const crash_report& aReport, time_point aNow);
+  /// Removes the report if it is the one that is known of the server run.
+  void Withdraw(const crash_report& aReport);
+  /// Whether the report is known and not refuted.
+  bool Has(const crash_report& aReport) const;
   /// A server answered the request completely, so it does not crash servers.
   /// Refutes its earlier reports and those that follow shortly after. Returns
   /// whether it had any.
--- a/Source/Core/Gateway/GatewayNode.h
+++ b/Source/Core/Gateway/GatewayNode.h
@@ -89,8 +89,6 @@
   /// Decides whether the host is cut off from all servers, and probes them
   /// while it is.
   void UpdateReachability(time_point aNow);
-  /// Refutes the crashes that this node reported because its host was cut off.
-  void WithdrawCrashes();
   /// Passes on the requests that wait for it.
   void StartRelays();
   void StartRelay(http_server_connection& aConnection,
@@ -155,7 +153,6 @@
   time_point mNextSnapshotAt;
   /// Until when removals may be an effect of an outage of the store.
   time_point mRemovalsTentativeUntil;
-  time_point mCutOffSince;
   std::optional<time_point> mStopStartedAt;
   /// Set once the node accepts no more connections in a stop: requests on the
   /// accepted ones are awaited until then.
--- a/Source/Core/Gateway/GatewayNodeTicks.cpp
+++ b/Source/Core/Gateway/GatewayNodeTicks.cpp
@@ -16,9 +16,6 @@
 
 using std::chrono::milliseconds;
 
-// Time after which crash reports are withdrawn on a host that is cut off. If a
-// request ended all these servers, another one has responded by then.
-constexpr milliseconds kWithdrawDelay(1000);
 // Sound servers may be silent under a request for a second.
 constexpr milliseconds kSilenceTime(1000);
 // Interval of snapshot requests while the store is unreachable.
@@ -99,14 +96,11 @@
   // What arrived while the process was suspended may not be read yet.
   if (mStalls.CanJudgeSilence(aNow)) {
     mReachability.Update(mUpstreamRegistry.Size(), aNow);
+    mCrashExchange.ReviewSuspected(mReachability.LastByteAt(),
+                                   mReachability.IsCutOff());
   }
-  std::erase_if(mContext.mUnconfirmedCrashes,
-                [this](const observed_crash& aCrash) {
-                  return aCrash.mObservedAt < mReachability.LastByteAt();
-                });
   const bool cutOff = mReachability.IsCutOff();
   if (std::exchange(mFleet.Self().mCutOff, cutOff) != cutOff) {
-    mCutOffSince = aNow;
     Log(cutOff ? log_level::Warning : log_level::Info,
         cutOff ? "servers_lost" : "servers_regained",
         { Field("failed_servers", mReachability.FailedServers()),
@@ -116,9 +110,6 @@
                   .count()),
           Field("open_requests", mSessions.size()) });
   }
-  if (cutOff && aNow >= mCutOffSince + kWithdrawDelay) {
-    WithdrawCrashes();
-  }
   if (cutOff) {
     mProbe.OnTick(mUpstreamRegistry, aNow);
   } else {
@@ -132,18 +123,6 @@
   }
 }
 
-void gateway_node::WithdrawCrashes()
-{
-  for (const observed_crash& crash :
-       std::exchange(mContext.mUnconfirmedCrashes, {})) {
-    Log(log_level::Info,
-        "crash_withdrawn",
-        { Field("fingerprint", FormatWide(crash.mRequest.mContent)),
-          Field("server_run", FormatServerRun(crash.mServer)) });
-    mCrashExchange.OnServed(crash.mRequest);
-  }
-}
-
 void gateway_node::StartRelays()
 {
   for (const auto& [connection, session] : mSessions) {
@@ -193,14 +172,15 @@
   std::set<upstream_id> servers;
   for (const observed_crash& crash : mUnanswered.TakeSilent(
          mUpstreamRegistry, mUpstreamTable.LastContact(), aNow)) {
-    if (mReachability.IsCutOff()) {
+    if (mReachability.IsCutOff() ||
+        crash.mObservedAt <= mReachability.LastCutOffAt()) {
       continue;
     }
     Log(log_level::Info,
         "server_silent",
         { Field("fingerprint", FormatWide(crash.mRequest.mContent)),
           Field("server_run", FormatServerRun(crash.mServer)) });
-    mCrashExchange.Report(crash);
+    mCrashExchange.Suspect(crash);
     servers.insert(crash.mServer.mUpstream);
   }
   for (const upstream_id& server : servers) {
--- a/Source/Core/Gateway/GatewaySession.h
+++ b/Source/Core/Gateway/GatewaySession.h
@@ -56,9 +56,6 @@
   /// Whether the node reaches no server and other nodes do, so that it passes
   /// its requests on.
   bool mRelaying = false;
-  /// Crashes that this node reported since the last byte of any server. If its
-  /// host turns out to be cut off, no server has crashed.
-  std::vector<observed_crash> mUnconfirmedCrashes{};
   /// Whether the node refuses new requests, at the end of a graceful stop.
   bool mRefusingRequests = false;
   /// Bytes of the bodies of open requests, and their limit.
--- a/Source/Core/Gateway/GatewaySessionUpstream.cpp
+++ b/Source/Core/Gateway/GatewaySessionUpstream.cpp
@@ -30,9 +30,6 @@
 // Time after the client's own deadline at which a request is ended if the
 // client has not left.
 constexpr milliseconds kDeadlineGracePeriod(250);
-// Limit of the crash reports that are withdrawn if the host is cut off. It is
-// detected after a few.
-constexpr std::size_t kMaxUnconfirmedCrashes = 64;
 // Clients choose number and length of the identities of prompt segments.
 constexpr std::size_t kMaxLoggedSegments = 8;
 constexpr std::size_t kMaxLoggedSegmentLength = 32;
@@ -253,14 +250,11 @@
   // within a response; its later entries then refute the report.
   // So may the loss of the host's own links.
   const bool counted = aFailure != exchange_failure::Malformed &&
-                       !mContext.mReachability.IsCutOff();
+                       !mContext.mReachability.IsCutOff() &&
+                       mSentAt > mContext.mReachability.LastCutOffAt();
   LogBreak(ExchangeFailureName(aFailure), reused, counted);
   if (counted) {
-    const observed_crash crash{ mFingerprint, mServerRun, now };
-    mContext.mCrashExchange.Report(crash);
-    if (mContext.mUnconfirmedCrashes.size() < kMaxUnconfirmedCrashes) {
-      mContext.mUnconfirmedCrashes.push_back(crash);
-    }
+    mContext.mCrashExchange.Suspect({ mFingerprint, mServerRun, now });
   }
   if (MayRetry("server_failed")) {
     Retry();
--- a/Source/Core/Gateway/ServerReachability.cpp
+++ b/Source/Core/Gateway/ServerReachability.cpp
@@ -21,6 +21,9 @@
 void server_reachability::OnByte(time_point aNow)
 {
   mLastByteAt = aNow;
+  if (mCutOff) {
+    mLastCutOffAt = aNow;
+  }
   mFailures.clear();
   mCutOff = false;
 }
--- a/Source/Core/Gateway/ServerReachability.h
+++ b/Source/Core/Gateway/ServerReachability.h
@@ -27,6 +27,9 @@
   /// Number of servers that failed since the last byte of any server.
   std::size_t FailedServers() const { return mFailures.size(); }
   time_point LastByteAt() const { return mLastByteAt; }
+  /// When the host was last cut off; what was sent before proves nothing about
+  /// servers.
+  time_point LastCutOffAt() const { return mLastCutOffAt; }
 
 private:
   struct failure
@@ -41,5 +44,6 @@
   /// Last failure of each server since the last byte of any server.
   std::map<upstream_id, failure> mFailures;
   time_point mLastByteAt;
+  time_point mLastCutOffAt;
   bool mCutOff = false;
 };
--- a/Source/UnitTests/Gateway/CrashingRequestTest.cpp
+++ b/Source/UnitTests/Gateway/CrashingRequestTest.cpp
@@ -199,7 +199,8 @@
   const std::string row =
     "crash/" +
     FormatWide(MakeContentId(account_id{ "clinic/o/x" }, kCrashingBody));
-  RunFor(milliseconds(700));
+  // Crashes must be known within 3 s.
+  RunFor(milliseconds(2000));
   EXPECT_TRUE(mStore.Value({ "lentilswitch", "", row + "/i-1.1" }));
   EXPECT_FALSE(mStore.Value({ "lentilswitch", "", row + "/i-1.2" }));
 }
