Count no crash of a server whose other connections live on

Each break counted as the end of its server until the server's next entry, up to two seconds later, and three of them refused the content everywhere.

The end of a server breaks all connections to it. Silent servers are judged as before.

The test BreaksOfServersThatGoOnDoNotCount fails without this (request_crashes_servers) and passes.

--- a/Source/Core/Gateway/CrashExchange.cpp
+++ b/Source/Core/Gateway/CrashExchange.cpp
@@ -161,23 +161,30 @@
   }
 }
 
-void crash_exchange::ReviewSuspected(time_point aLastByteAt, bool aCutOff)
+void crash_exchange::ReviewSuspected(
+  time_point aLastByteAt,
+  bool aCutOff,
+  const std::function<bool(const server_run&)>& aRunsOn)
 {
   const time_point now = mTime.Now();
   std::erase_if(mSuspected, [&](const auto& aSuspected) {
     const auto& [crash, dueAt] = aSuspected;
-    const bool linksWork = aLastByteAt >= crash.mObservedAt + kMaxByteAge;
-    if (!linksWork && now < dueAt) {
+    const time_point settledAt = crash.mObservedAt + kMaxByteAge;
+    const bool linksWork = aLastByteAt >= settledAt;
+    const bool runsOn =
+      !crash.mLastByte && now >= settledAt && aRunsOn(crash.mServer);
+    if (!linksWork && !runsOn && now < dueAt) {
       return false;
     }
-    if (linksWork || !aCutOff) {
+    if (!runsOn && (linksWork || !aCutOff)) {
       Share(crash);
       return true;
     }
     Log(log_level::Info,
         "crash_withdrawn",
         { Field("fingerprint", FormatWide(crash.mRequest.mContent)),
-          Field("server_run", FormatServerRun(crash.mServer)) });
+          Field("server_run", FormatServerRun(crash.mServer)),
+          Field("runs_on", runsOn) });
     mHistory.Withdraw(ReportOf(crash));
     return true;
   });
--- a/Source/Core/Gateway/CrashExchange.h
+++ b/Source/Core/Gateway/CrashExchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -44,9 +45,11 @@
   /// when `ReviewSuspected` confirms it.
   void Suspect(const observed_crash& aCrash);
   /// Confirms the crashes since which some server has sent a byte, and after a
-  /// second the others, unless the host is cut off from all servers: then they
-  /// are withdrawn.
-  void ReviewSuspected(time_point aLastByteAt, bool aCutOff);
+  /// second the others. Withdraws those of server runs that `aRunsOn` knows to
+  /// go on, and what is not confirmed if the host is cut off from all servers.
+  void ReviewSuspected(time_point aLastByteAt,
+                       bool aCutOff,
+                       const std::function<bool(const server_run&)>& aRunsOn);
   /// Adds a crash and shares it with other nodes.
   void Report(const observed_crash& aCrash);
   /// Bytes arrived from a server run in response to a request that was sent at
--- a/Source/Core/Gateway/GatewayNode.h
+++ b/Source/Core/Gateway/GatewayNode.h
@@ -89,6 +89,8 @@
   /// Decides whether the host is cut off from all servers, and probes them
   /// while it is.
   void UpdateReachability(time_point aNow);
+  /// Whether a connection shows that the server run goes on.
+  bool RunsOn(const server_run& aRun) const;
   /// Passes on the requests that wait for it.
   void StartRelays();
   void StartRelay(http_server_connection& aConnection,
--- a/Source/Core/Gateway/GatewayNodeTicks.cpp
+++ b/Source/Core/Gateway/GatewayNodeTicks.cpp
@@ -96,8 +96,10 @@
   // What arrived while the process was suspended may not be read yet.
   if (mStalls.CanJudgeSilence(aNow)) {
     mReachability.Update(mUpstreamRegistry.Size(), aNow);
-    mCrashExchange.ReviewSuspected(mReachability.LastByteAt(),
-                                   mReachability.IsCutOff());
+    mCrashExchange.ReviewSuspected(
+      mReachability.LastByteAt(),
+      mReachability.IsCutOff(),
+      [this](const server_run& aRun) { return RunsOn(aRun); });
   }
   const bool cutOff = mReachability.IsCutOff();
   if (std::exchange(mFleet.Self().mCutOff, cutOff) != cutOff) {
@@ -123,6 +125,14 @@
   }
 }
 
+bool gateway_node::RunsOn(const server_run& aRun) const
+{
+  // The end of a server breaks all connections to it.
+  const server_entry* entry = mUpstreamRegistry.Find(aRun.mUpstream);
+  return entry != nullptr && entry->mIncarnation == aRun.mIncarnation &&
+         mPool.HasIdle(entry->mAddress);
+}
+
 void gateway_node::StartRelays()
 {
   for (const auto& [connection, session] : mSessions) {
--- a/Source/Core/Gateway/UpstreamPool.cpp
+++ b/Source/Core/Gateway/UpstreamPool.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/UpstreamPool.h"
 
+#include <algorithm>
 #include <utility>
 
 std::unique_ptr<http_client_connection> upstream_pool::Acquire(
@@ -31,6 +32,15 @@
   }
 }
 
+bool upstream_pool::HasIdle(const tcp_address& aAddress) const
+{
+  const auto found = mIdle.find(aAddress);
+  return found != mIdle.end() &&
+         std::ranges::any_of(found->second, [](const idle_connection& aIdle) {
+           return !aIdle.mConnection->Closed();
+         });
+}
+
 void upstream_pool::Expire(time_point aNow)
 {
   for (auto& [address, connections] : mIdle) {
--- a/Source/Core/Gateway/UpstreamPool.h
+++ b/Source/Core/Gateway/UpstreamPool.h
@@ -26,6 +26,8 @@
   void Release(std::unique_ptr<http_client_connection> aConnection,
                time_point aUntil,
                std::size_t aMaxIdle);
+  /// Whether an idle connection to the server is open.
+  bool HasIdle(const tcp_address& aAddress) const;
   /// Closes connections that are past their time or were closed by the server.
   void Expire(time_point aNow);
 
--- a/Source/UnitTests/Gateway/CrashingRequestTest.cpp
+++ b/Source/UnitTests/Gateway/CrashingRequestTest.cpp
@@ -36,12 +36,12 @@
     }
   }
 
-  /// Sends one request to each server and answers all of them, so that the node
-  /// keeps a connection to each.
-  void OpenConnections(const std::string& aPath)
+  /// Sends requests to each server and answers all of them, so that the node
+  /// keeps as many connections to each.
+  void OpenConnections(const std::string& aPath, std::size_t aPerServer = 1)
   {
     std::vector<std::unique_ptr<client_exchange>> open;
-    for (std::size_t i = 0; i < mServers.size(); ++i) {
+    for (std::size_t i = 0; i < mServers.size() * aPerServer; ++i) {
       open.push_back(BeginRequest("POST", aPath, {}, "harmless"));
       ASSERT_TRUE(RunUntil([&] { return mHeld.size() == i + 1; }));
     }
@@ -54,7 +54,7 @@
       ASSERT_TRUE(RunUntil([&] { return exchange->Ended(); }));
     }
     for (const auto& server : mServers) {
-      ASSERT_EQ(server->mRequests.size(), 1U);
+      ASSERT_EQ(server->mRequests.size(), aPerServer);
     }
   }
 
@@ -177,6 +177,36 @@
   EXPECT_EQ(mCrashes, 3U);
 }
 
+// Guards against harmless requests that are refused as crashing because servers
+// that go on break single connections.
+TEST_F(crashing_request_test, BreaksOfServersThatGoOnDoNotCount)
+{
+  std::vector<http_server_connection*> running;
+  AddServers("app", [&running](auto& aConnection, const auto&) {
+    running.push_back(&aConnection);
+    return false;
+  });
+  StartNode();
+  OpenConnections("/o/x", 2);
+  std::vector<std::unique_ptr<client_exchange>> broken;
+  for (unsigned i = 0; i < 3; ++i) {
+    broken.push_back(BeginRequest("POST", "/o/x", {}, kCrashingBody));
+  }
+  ASSERT_TRUE(RunUntil([&] { return running.size() == broken.size(); }));
+  for (http_server_connection* connection : running) {
+    connection->Abort();
+  }
+  for (const auto& exchange : broken) {
+    ASSERT_TRUE(RunUntil([&] { return exchange->Ended(); }));
+  }
+  for (const auto& server : mServers) {
+    server->mScript = {};
+  }
+  Call("POST", "/o/x", {}, "harmless");
+  RunFor(milliseconds(500));
+  EXPECT_EQ(Call("POST", "/o/x", {}, kCrashingBody)->mBody, "done");
+}
+
 // Guards against a crash that counts against the next run of the server, whose
 // entries then refute it: the connection may break after the restart.
 TEST_F(crashing_request_test, CountsAgainstTheServerRunThatGotIt)
