Cut links in the soak by the process that owns a connection

The soak gave each linked node server addresses of its own, behind proxies that it could cut.

All nodes now see the same addresses. A proxy asks which process owns the other end of a connection, and drops, resets or closes those of cut nodes.

--- a/Scripts/fault_soak/__main__.py
+++ b/Scripts/fault_soak/__main__.py
@@ -121,12 +121,10 @@
             self.nodes.append(node)
         self.links = partitions.Links(
             self.history,
-            self.store,
             self.servers,
             self.nodes,
             random.Random(self.options.seed + 5),
         )
-        await self.links.open(self.options.linked if self.options.partitions else 0)
         for node in self.nodes:
             await node.start()
 
@@ -170,7 +168,9 @@
             server_limits.run(self.options.limits, self.options.seconds)
         )
         partition_task = asyncio.create_task(
-            self.links.run(self.options.partitions, self.options.seconds)
+            self.links.run(
+                self.options.partitions, self.options.linked, self.options.seconds
+            )
         )
         for server in self.servers:
             server.broken_share = self.options.broken
--- a/Scripts/fault_soak/partitions.py
+++ b/Scripts/fault_soak/partitions.py
@@ -1,11 +1,14 @@
 """Cuts nodes off from all servers, while callers, the store and peers reach them."""
 
 import asyncio
+import contextlib
 import dataclasses
+import os
+import socket
+import struct
 
 from history import now
 from promises import PARTITION_NOTICE_TIME
-from proxy import Proxy
 
 # How long nodes are cut off, in seconds.
 DURATION = (7.0, 10.0)
@@ -29,62 +32,66 @@
 
 
 class Links:
-    """Ways from some nodes to the servers that can be cut for each node."""
+    """Links of the nodes to all servers. Connections are told apart by the process
+    that owns them, because nodes may learn the servers' addresses from each other."""
 
-    def __init__(self, history, store, servers, nodes, random):
+    def __init__(self, history, servers, nodes, random):
         self.history = history
-        self.store = store
         self.servers = servers
         self.nodes = nodes
         self.random = random
-        # node -> proxies to the servers
-        self.proxies = {}
+        self._kind = None
+        self._cut_nodes = set()
 
-    async def open(self, count):
-        for node in self.nodes[:count]:
-            self.proxies[node.name] = []
-            routes = {}
-            for server in self.servers:
-                proxy = Proxy()
-                proxy.target = (server.address, server.proxy.port)
-                await proxy.listen(node.address)
-                self.proxies[node.name].append(proxy)
-                address = f"{server.address}:{server.proxy.port}"
-                routes[address] = f"{node.address}:{proxy.port}"
-            self.store.server_routes[node.name] = routes
-
-    async def run(self, count, seconds):
-        """Makes `count` partitions one after the other within `seconds`."""
+    async def run(self, count, linked, seconds):
+        """Makes `count` partitions of some of the first `linked` nodes, one after the
+        other within `seconds`."""
+        names = [node.name for node in self.nodes[:linked]]
         for _ in range(count):
             await asyncio.sleep(self.random.uniform(0.5, seconds / count / 2))
-            names = list(self.proxies)
-            chosen = self.random.sample(names, self.random.randint(1, len(names)))
+            self._cut_nodes = set(
+                self.random.sample(names, self.random.randint(1, len(names)))
+            )
             duration = self.random.uniform(*DURATION)
-            kind = self.random.choice(KINDS)
+            self._kind = self.random.choice(KINDS)
             started_at = now()
-            self._cut(chosen, kind)
+            owners = self._owners()
+            peers = {p for p, name in owners.items() if name in self._cut_nodes}
+            for server in self.servers:
+                server.proxy.link_cut = self._cut_of
+                server.proxy.cut_links(self._kind, peers)
             await asyncio.sleep(duration)
-            self._heal(chosen)
+            for server in self.servers:
+                server.proxy.link_cut = lambda peer: None
+                server.proxy.heal_links()
             self.history.partitions.append(
-                Partition(kind, set(chosen), started_at, now())
+                Partition(self._kind, self._cut_nodes, started_at, now())
             )
 
-    def _cut(self, names, kind):
-        for proxy in (p for name in names for p in self.proxies[name]):
-            if kind == "hang":
-                proxy.silent = True
-                continue
-            proxy.rejecting = True
-            if kind == "reset":
-                proxy.reset_connections()
+    def _cut_of(self, peer):
+        return self._kind if self._owners().get(peer) in self._cut_nodes else None
 
-    def _heal(self, names):
-        for proxy in (p for name in names for p in self.proxies[name]):
-            if proxy.silent:
-                # Bytes were dropped from these streams, so they cannot continue.
-                proxy.reset_connections()
-            proxy.silent = False
-            proxy.rejecting = False
+    def _owners(self):
+        """Returns a map from the (address, port) of sockets to their nodes."""
+        nodes = {}
+        for node in self.nodes:
+            folder = f"/proc/{node.process.pid}/fd"
+            with contextlib.suppress(OSError):
+                # The process, or one of its descriptors, may end meanwhile.
+                for name in os.listdir(folder):
+                    with contextlib.suppress(OSError):
+                        nodes[os.readlink(f"{folder}/{name}")] = node.name
+        owners = {}
+        with open("/proc/net/tcp", encoding="ascii") as table:
+            next(table)
+            for line in table:
+                fields = line.split()
+                name = nodes.get(f"socket:[{fields[9]}]")
+                if name:
+                    address, port = fields[1].split(":")
+                    address = socket.inet_ntoa(struct.pack("<I", int(address, 16)))
+                    owners[address, int(port, 16)] = name
+        return owners
 
 
 def cut_off_nodes_serve_their_callers(history, node_faults):
--- a/Scripts/fault_soak/proxy.py
+++ b/Scripts/fault_soak/proxy.py
@@ -20,7 +20,14 @@
         self.silent = False
         # New connections are accepted and closed at once.
         self.rejecting = False
+        # Returns how the link of a connecting process is cut ("hang", "reset" or
+        # "refuse"), or None; see partitions.py.
+        self.link_cut = lambda peer: None
         self._connections = set()
+        # (address, port) of each connected process -> its connection
+        self._peers = {}
+        # Peers whose bytes are dropped.
+        self._hanging = set()
         self._server = None
 
     async def listen(self, address, port=0):
@@ -44,37 +51,62 @@
         for writer in list(self._connections):
             writer.transport.abort()
 
+    def cut_links(self, kind, peers):
+        """Cuts the links of connected processes."""
+        for peer in peers & self._peers.keys():
+            if kind == "hang":
+                self._hanging.add(peer)
+            elif kind == "reset":
+                self._peers[peer].transport.abort()
+
+    def heal_links(self):
+        # Bytes were dropped from these streams, so they cannot continue.
+        for peer in self._hanging & self._peers.keys():
+            self._peers[peer].transport.abort()
+        self._hanging.clear()
+
     async def close(self):
         self._server.close()
         self.reset_connections()
 
     async def _serve(self, reader, writer):
         self._connections.add(writer)
+        peer = writer.get_extra_info("peername")
+        self._peers[peer] = writer
         target_writer = None
         try:
-            if self.rejecting or self.target is None:
+            cut = self.link_cut(peer)
+            if self.rejecting or self.target is None or cut in ("reset", "refuse"):
                 return
+            if cut == "hang":
+                self._hanging.add(peer)
             from_target, target_writer = await asyncio.open_connection(*self.target)
             self._connections.add(target_writer)
             await asyncio.gather(
-                self._copy(reader, target_writer, "up"),
-                self._copy(from_target, writer, "down"),
+                self._copy(reader, target_writer, "up", peer),
+                self._copy(from_target, writer, "down", peer),
             )
         except OSError:
             # The target does not listen, or one of the two connections broke; both
             # are closed below.
             pass
         finally:
+            self._peers.pop(peer, None)
+            self._hanging.discard(peer)
             for end in (writer, target_writer):
                 if end is not None:
                     self._connections.discard(end)
                     end.transport.abort()
 
-    async def _copy(self, reader, writer, direction):
+    async def _copy(self, reader, writer, direction, peer):
         while chunk := await reader.read(CHUNK_BYTES):
             if self.delay:
                 await asyncio.sleep(self.delay)
-            if self.silent or direction in self.dropped_directions:
+            if (
+                self.silent
+                or direction in self.dropped_directions
+                or peer in self._hanging
+            ):
                 continue
             writer.write(chunk)
             await writer.drain()
--- a/Scripts/fault_soak/store.py
+++ b/Scripts/fault_soak/store.py
@@ -23,8 +23,6 @@
         # "down" or "silent"; the delay is in seconds.
         self.mode = "sound"
         self.refused_nodes = set()
-        # node -> {address of a server: address by which the node reaches it}
-        self.server_routes = {}
         self.delay = 0.0
         self.random = None
         self.lost_reply_share = 0.0
@@ -72,12 +70,6 @@
         self.changed = asyncio.Event()
         return self.version
 
-    def _route(self, request, value):
-        """The value of a row as the calling node sees it."""
-        for address, route in self.server_routes.get(request.app["node"], {}).items():
-            value = value and value.replace(f'"{address}"'.encode(), f'"{route}"'.encode())
-        return value
-
     def _reply(self, rows, status=200, **more):
         entries = []
         for (table, part, key), version, value in rows:
@@ -154,7 +146,6 @@
             if key[:2] == (query["table"], query["part"])
             and key[2] >= query.get("from", "")
         )
-        found = [(key, ver, self._route(request, value)) for key, ver, value in found]
         return self._reply(found[:500], hasMore=len(found) > 500)
 
     async def _feed(self, request):
@@ -168,7 +159,7 @@
             if after + 1 < oldest:
                 return web.Response(status=410)
             rows = [
-                (key, version, self._route(request, value))
+                (key, version, value)
                 for version, _, key, value in self.changes
                 if version > after and key[0] == table
             ]
