Make servers brittle in the fault soak

--brittle makes the servers of a service say that they are brittle, slow and soon full; one that turns more requests away in a second than it says falls for some seconds.

--- a/Scripts/fault_soak/__main__.py
+++ b/Scripts/fault_soak/__main__.py
@@ -17,6 +17,7 @@
 
 import aiohttp
 
+import brittleness
 import callers
 import crashing
 import limits
@@ -172,6 +173,12 @@
                 self.options.partitions, self.options.linked, self.options.seconds
             )
         )
+        brittle_servers = brittleness.BrittleServers(
+            self.history, self.servers, random.Random(self.options.seed + 6)
+        )
+        brittle_task = asyncio.create_task(
+            brittle_servers.run(self.options.brittle, self.options.seconds)
+        )
         for server in self.servers:
             server.broken_share = self.options.broken
         fault_count = await faults.run(self.options.seconds)
@@ -180,6 +187,7 @@
         await crash_task
         await limit_task
         await partition_task
+        await brittle_task
         faults_ended_at = now()
         await asyncio.sleep(RECOVERY_TIMEOUT + EVALUATION_PERIOD)
         caller_pool.stopping = True
@@ -250,6 +258,7 @@
         "partitions": partitions.cut_off_nodes_serve_their_callers(
             history, promises.NODE_FAULTS
         ),
+        "brittle servers": brittleness.brittle_servers_stand(history),
         "stops": promises.nodes_exit_cleanly(history),
         "recovery": promises.service_recovers(
             history, faults_ended_at, RECOVERY_TIMEOUT
@@ -277,6 +286,11 @@
             f"seed {options.seed}: {c.name}, {c.end}, {c.phase}: "
             f"{len(copies)} requests, {ended} servers ended"
         )
+    for time in soak.history.brittle_times:
+        print(
+            f"seed {options.seed}: {time.servers} brittle servers of {time.service}, "
+            f"{len(time.falls)} falls"
+        )
     requests = soak.history.requests.values()
     resumed = [r for r in requests if r.resumes]
     if resumed:
@@ -331,6 +345,9 @@
     parser.add_argument(
         "--linked", type=int, default=2, help="nodes that partitions may cut off"
     )
+    parser.add_argument(
+        "--brittle", type=int, default=0, help="times of brittle servers"
+    )
     parser.add_argument("--logs", help="folder for the logs of failed seeds")
     options = parser.parse_args()
     failed_seeds = []
--- a/Scripts/fault_soak/history.py
+++ b/Scripts/fault_soak/history.py
@@ -134,6 +134,8 @@
         self.rate_limits = []
         # `Partition` of nodes from all servers
         self.partitions = []
+        # `Brittleness` of the servers of a service
+        self.brittle_times = []
         # (server, request, time) of each response that named a limit
         self.limit_responses = []
         # route version -> (time written, time removed or None)
--- a/Scripts/fault_soak/promises_test.py
+++ b/Scripts/fault_soak/promises_test.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import brittleness
 import promises
 from crashing import CrashingSegment
 from history import Arrival, Fault, History, RateLimit, Request, Run
@@ -289,6 +290,18 @@
         recorded.requests = {"r1": request()}
         self.assert_valid(check(recorded))
 
+    def test_brittle_servers_that_fall(self):
+        check = brittleness.brittle_servers_stand
+        recorded = history([request(), request(id="r2", node="n-1")])
+        time = brittleness.Brittleness("engines", 9, 3, SENT, 1.0, SENT + 20)
+        recorded.brittle_times = [time]
+        time.falls = [("e-0", SENT + 5, ["r1", "r2"])] * 2
+        self.assert_valid(check(recorded))
+        time.falls = time.falls * 2
+        self.assert_violation(check(recorded))
+        recorded.faults = [Fault("pause", "n-0", SENT + 4, SENT + 5)]
+        self.assert_valid(check(recorded))
+
     def test_requests_above_the_rate_limit_of_a_server(self):
         check = promises.rate_limits_are_kept
         recorded = history([request()])
--- a/Scripts/fault_soak/servers.py
+++ b/Scripts/fault_soak/servers.py
@@ -5,6 +5,7 @@
 
 from aiohttp import web
 
+import brittleness
 import crashing
 import promises
 from history import Arrival, RateLimit, Run, now
@@ -43,6 +44,10 @@
         self.broken_share = 0.0
         # The `RateLimit` that responses name, or None.
         self.limit = None
+        # The `Brittleness` of the servers of the service, or None.
+        self.brittleness = None
+        # (time, request) of what the server turned away in the last second.
+        self._rejections = []
         # Another fault decides when the server ends and starts.
         self.busy = False
         self._runner = None
@@ -57,6 +62,7 @@
         self.started_at_ms = int(time.time() * 1000)
         self.sequence = 0
         self.running = 0
+        self._rejections = []
         self.state = "ready"
         self.end_limit()
         self.history.draining_servers.pop(self.name, None)
@@ -78,14 +84,18 @@
 
     def _end_under(self, request):
         """Ends the server, by a crashing request, until it starts again."""
-        self.busy = True
         self.history.crashes.append((request.name, self.name, now()))
-        downtime = self.random.uniform(*crashing.RESTART_DELAY)
+        self._end(crashing.RESTART_DELAY, silent=request.end == "silence")
+
+    def _end(self, downtime_range, silent=False):
+        """Ends the server until it starts again after a random time."""
+        self.busy = True
+        downtime = self.random.uniform(*downtime_range)
         self.history.record_fault("crash", self.name, downtime)
-        self._restart = asyncio.create_task(self._end_and_restart(request, downtime))
+        self._restart = asyncio.create_task(self._end_and_restart(downtime, silent))
 
-    async def _end_and_restart(self, request, downtime):
-        if request.end == "silence":
+    async def _end_and_restart(self, downtime, silent):
+        if silent:
             self.proxy.silent = True
             self._heartbeat.cancel()
             await asyncio.sleep(downtime)
@@ -137,9 +147,23 @@
             "Lentilswitch-Request-Id": request_id,
         }
         if status != 421:
-            headers |= self._limit_header(request_id)
+            headers |= self._state_headers(request_id)
         return web.Response(status=status, headers=headers)
 
+    def _reject(self, request):
+        """Turns a request away for want of room; a brittle server may fall."""
+        brittle = self.brittleness
+        at = now()
+        if brittle is not None and at > brittle.started_at + brittleness.NOTICE_TIME:
+            request_id = request.headers.get("Lentilswitch-Request-Id", "")
+            self._rejections = [r for r in self._rejections if r[0] > at - 1]
+            self._rejections.append((at, request_id))
+            if len(self._rejections) > brittle.max_rejections and not self.busy:
+                rejected = [id for _, id in self._rejections]
+                brittle.falls.append((self.name, at, rejected))
+                self._end(brittleness.DOWNTIME)
+        return self._refusal(request, 503)
+
     def name_limit(self, rate):
         self.limit = RateLimit(self.name, rate, now())
         self.history.rate_limits.append(self.limit)
@@ -165,7 +189,7 @@
         if request.headers.get("Lentilswitch-Expect-Instance") != self.name:
             return self._refusal(request, 421)
         if self.running >= self.slots:
-            return self._refusal(request, 503)
+            return self._reject(request)
         tenant = request.headers.get("Lentilswitch-Tenant", "")
         crashing_request = self.history.crashing.get(
             (tenant, request.path, payload)
@@ -187,6 +211,8 @@
         self.history.runs.append(run)
         self.running += 1
         try:
+            if self.brittleness is not None:
+                await asyncio.sleep(self.brittleness.extra_run_time)
             if crashing_request:
                 return await self._run_crashing(request, run, crashing_request)
             if self.engine:
@@ -212,9 +238,16 @@
         return {
             "Lentilswitch-Request-Id": run.id,
             "Lentilswitch-Server-Stamp": run.stamp,
-            **self._limit_header(run.id),
+            **self._state_headers(run.id),
         }
 
+    def _state_headers(self, request_id):
+        """What all responses say about the server."""
+        headers = self._limit_header(request_id)
+        if self.brittleness is not None:
+            headers["Server-Brittle"] = str(self.brittleness.max_rejections)
+        return headers
+
     async def _run_crashing(self, request, run, crashing_request):
         await asyncio.sleep(self.random.uniform(0.0, 0.05))
         if crashing_request.phase != "before":
