Tell all nodes at once that a brittle server had no room

The first refusal of a pause now goes to all live nodes with the next tick of 10 ms, in a datagram of its own, at most one a second for each server and node; reports repeat it. A pause that another node names is kept also by nodes that have not heard of the server's state.

--- a/Source/Core/Gateway/Fleet.capnp
+++ b/Source/Core/Gateway/Fleet.capnp
@@ -171,6 +171,11 @@
   node @3 :UInt32;
 }
 
+# Sent to all nodes at once, because a server falls within a second.
+struct PauseNotice {
+  pauses @0 :List(ServerPause);
+}
+
 struct PeerDatagram {
   union {
     report @0 :NodeReport;
@@ -180,6 +185,7 @@
     streams @4 :StreamNotice;
     streamQuery @5 :StreamQuery;
     streamAnswer @6 :StreamAnswer;
+    pauses @7 :PauseNotice;
   }
 }
 
--- a/Source/Core/Gateway/Fleet.capnp.h
+++ b/Source/Core/Gateway/Fleet.capnp.h
@@ -33,6 +33,7 @@
 CAPNP_DECLARE_SCHEMA(8815a41f31f1cc96);
 CAPNP_DECLARE_SCHEMA(a110a8c0a6ea492d);
 CAPNP_DECLARE_SCHEMA(ba534375921ee2fc);
+CAPNP_DECLARE_SCHEMA(9347c9608fab244d);
 CAPNP_DECLARE_SCHEMA(e415d0c61f2a5799);
 CAPNP_DECLARE_SCHEMA(e843b2f8f0ccf6b8);
 CAPNP_DECLARE_SCHEMA(b7b4e69974ec43ad);
@@ -298,6 +299,21 @@
   };
 };
 
+struct PauseNotice {
+  PauseNotice() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9347c9608fab244d, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct PeerDatagram {
   PeerDatagram() = delete;
 
@@ -312,6 +328,7 @@
     STREAMS,
     STREAM_QUERY,
     STREAM_ANSWER,
+    PAUSES,
   };
 
   struct _capnpPrivate {
@@ -2053,6 +2070,87 @@
 };
 #endif  // !CAPNP_LITE
 
+class PauseNotice::Reader {
+public:
+  typedef PauseNotice Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPauses() const;
+  inline  ::capnp::List< ::fleet_wire::ServerPause,  ::capnp::Kind::STRUCT>::Reader getPauses() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PauseNotice::Builder {
+public:
+  typedef PauseNotice Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPauses();
+  inline  ::capnp::List< ::fleet_wire::ServerPause,  ::capnp::Kind::STRUCT>::Builder getPauses();
+  inline void setPauses( ::capnp::List< ::fleet_wire::ServerPause,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::fleet_wire::ServerPause,  ::capnp::Kind::STRUCT>::Builder initPauses(unsigned int size);
+  inline void adoptPauses(::capnp::Orphan< ::capnp::List< ::fleet_wire::ServerPause,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::fleet_wire::ServerPause,  ::capnp::Kind::STRUCT>> disownPauses();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PauseNotice::Pipeline {
+public:
+  typedef PauseNotice Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class PeerDatagram::Reader {
 public:
   typedef PeerDatagram Reads;
@@ -2099,6 +2197,10 @@
   inline bool hasStreamAnswer() const;
   inline  ::fleet_wire::StreamAnswer::Reader getStreamAnswer() const;
 
+  inline bool isPauses() const;
+  inline bool hasPauses() const;
+  inline  ::fleet_wire::PauseNotice::Reader getPauses() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2184,6 +2286,14 @@
   inline void adoptStreamAnswer(::capnp::Orphan< ::fleet_wire::StreamAnswer>&& value);
   inline ::capnp::Orphan< ::fleet_wire::StreamAnswer> disownStreamAnswer();
 
+  inline bool isPauses();
+  inline bool hasPauses();
+  inline  ::fleet_wire::PauseNotice::Builder getPauses();
+  inline void setPauses( ::fleet_wire::PauseNotice::Reader value);
+  inline  ::fleet_wire::PauseNotice::Builder initPauses();
+  inline void adoptPauses(::capnp::Orphan< ::fleet_wire::PauseNotice>&& value);
+  inline ::capnp::Orphan< ::fleet_wire::PauseNotice> disownPauses();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3964,6 +4074,40 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PauseNotice::Reader::hasPauses() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PauseNotice::Builder::hasPauses() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::fleet_wire::ServerPause,  ::capnp::Kind::STRUCT>::Reader PauseNotice::Reader::getPauses() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::ServerPause,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::fleet_wire::ServerPause,  ::capnp::Kind::STRUCT>::Builder PauseNotice::Builder::getPauses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::ServerPause,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PauseNotice::Builder::setPauses( ::capnp::List< ::fleet_wire::ServerPause,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::ServerPause,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::fleet_wire::ServerPause,  ::capnp::Kind::STRUCT>::Builder PauseNotice::Builder::initPauses(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::ServerPause,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PauseNotice::Builder::adoptPauses(
+    ::capnp::Orphan< ::capnp::List< ::fleet_wire::ServerPause,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::ServerPause,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::fleet_wire::ServerPause,  ::capnp::Kind::STRUCT>> PauseNotice::Builder::disownPauses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fleet_wire::ServerPause,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::fleet_wire::PeerDatagram::Which PeerDatagram::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4351,6 +4495,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool PeerDatagram::Reader::isPauses() const {
+  return which() == PeerDatagram::PAUSES;
+}
+inline bool PeerDatagram::Builder::isPauses() {
+  return which() == PeerDatagram::PAUSES;
+}
+inline bool PeerDatagram::Reader::hasPauses() const {
+  if (which() != PeerDatagram::PAUSES) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerDatagram::Builder::hasPauses() {
+  if (which() != PeerDatagram::PAUSES) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::fleet_wire::PauseNotice::Reader PeerDatagram::Reader::getPauses() const {
+  KJ_IREQUIRE((which() == PeerDatagram::PAUSES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::fleet_wire::PauseNotice>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::fleet_wire::PauseNotice::Builder PeerDatagram::Builder::getPauses() {
+  KJ_IREQUIRE((which() == PeerDatagram::PAUSES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::fleet_wire::PauseNotice>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerDatagram::Builder::setPauses( ::fleet_wire::PauseNotice::Reader value) {
+  _builder.setDataField<PeerDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerDatagram::PAUSES);
+  ::capnp::_::PointerHelpers< ::fleet_wire::PauseNotice>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::fleet_wire::PauseNotice::Builder PeerDatagram::Builder::initPauses() {
+  _builder.setDataField<PeerDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerDatagram::PAUSES);
+  return ::capnp::_::PointerHelpers< ::fleet_wire::PauseNotice>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerDatagram::Builder::adoptPauses(
+    ::capnp::Orphan< ::fleet_wire::PauseNotice>&& value) {
+  _builder.setDataField<PeerDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerDatagram::PAUSES);
+  ::capnp::_::PointerHelpers< ::fleet_wire::PauseNotice>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::fleet_wire::PauseNotice> PeerDatagram::Builder::disownPauses() {
+  KJ_IREQUIRE((which() == PeerDatagram::PAUSES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::fleet_wire::PauseNotice>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool StateRow::Reader::hasTable() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Source/Core/Gateway/FleetView.cpp
+++ b/Source/Core/Gateway/FleetView.cpp
@@ -68,6 +68,7 @@
     aReport.mConfigAge ? aNow - *aReport.mConfigAge : time_point();
   sender.mServersCurrentAt =
     aReport.mServersAge ? aNow - *aReport.mServersAge : time_point();
+  OnPauses(aReport.mPauses, aNow);
   for (const std::string& address : aReport.mKnownAddresses) {
     AddCandidate(address);
   }
@@ -225,23 +226,20 @@
   return targets;
 }
 
-std::unordered_map<std::uint32_t, time_point> fleet_view::PeerPauses(
-  time_point aNow) const
+void fleet_view::OnPauses(const server_pauses& aPauses, time_point aNow)
 {
-  std::unordered_map<std::uint32_t, time_point> pauses;
-  for (const auto& [address, peer] : mPeers) {
-    if (!peer.mReport) {
-      continue;
-    }
-    for (const auto& [server, left] : peer.mReport->mPauses) {
-      const time_point until = peer.mLastReportAt + left;
-      if (aNow < until) {
-        time_point& latest = pauses[server];
-        latest = std::max(latest, until);
-      }
-    }
+  for (const auto& [server, left] : aPauses) {
+    time_point& until = mPeerPauses[server];
+    until = std::max(until, aNow + left);
   }
-  return pauses;
+}
+
+const std::unordered_map<std::uint32_t, time_point>& fleet_view::PeerPauses(
+  time_point aNow)
+{
+  std::erase_if(mPeerPauses,
+                [aNow](const auto& aPair) { return aNow >= aPair.second; });
+  return mPeerPauses;
 }
 
 std::optional<time_point> fleet_view::Newest(time_point peer_state::*aMember,
--- a/Source/Core/Gateway/FleetView.h
+++ b/Source/Core/Gateway/FleetView.h
@@ -26,6 +26,11 @@
   auto operator<=>(const aged_rate_limit&) const = default;
 };
 
+/// Servers, by the hash of their identity, with the time for which they are to
+/// get no further requests.
+using server_pauses =
+  std::vector<std::pair<std::uint32_t, std::chrono::milliseconds>>;
+
 /// State that a node reports to the others in each round.
 struct node_report
 {
@@ -53,9 +58,8 @@
   std::vector<aged_rate_limit> mRateLimits;
   /// Whether the node has lost its links to all servers.
   bool mCutOff = false;
-  /// Brittle servers that had no room for a request of the node, with the time
-  /// for which they are to get no further ones.
-  std::vector<std::pair<std::uint32_t, std::chrono::milliseconds>> mPauses;
+  /// Brittle servers that had no room for a request of the node.
+  server_pauses mPauses;
   /// Time since the node's copies of configuration and server entries were
   /// current; nothing if it has none.
   std::optional<std::chrono::milliseconds> mConfigAge;
@@ -65,6 +69,13 @@
 /// Hash of a node's datagram address, its key in the reports of others.
 std::uint32_t NodeKey(const std::string& aAddress);
 
+/// Tells other nodes at once that brittle servers had no room.
+struct pause_notice
+{
+  server_pauses mPauses;
+  bool operator==(const pause_notice&) const = default;
+};
+
 class fleet_view
 {
 public:
@@ -76,6 +87,8 @@
   /// Adds an address at which a node may run: a seed or a row of the store.
   void AddCandidate(const std::string& aAddress);
   void OnReport(const node_report& aReport, time_point aNow);
+  /// Another node pauses for brittle servers.
+  void OnPauses(const server_pauses& aPauses, time_point aNow);
 
   /// Report of this node, with what it knows of the others.
   node_report ComposeReport(std::uint64_t aRound, time_point aNow) const;
@@ -102,8 +115,8 @@
   std::vector<std::string> RelayTargets(std::uint64_t aRequest,
                                         time_point aNow) const;
   /// Until when other nodes pause for brittle servers.
-  std::unordered_map<std::uint32_t, time_point> PeerPauses(
-    time_point aNow) const;
+  const std::unordered_map<std::uint32_t, time_point>& PeerPauses(
+    time_point aNow);
   /// When the newest copies of peers that reported lately were current; nothing
   /// if no peer reported.
   std::optional<time_point> PeerConfigCurrentAt(time_point aNow) const;
@@ -135,4 +148,5 @@
   node_report mSelf;
   std::map<std::string, peer_state> mPeers;
   std::unordered_map<std::uint32_t, std::string> mAddresses;
+  std::unordered_map<std::uint32_t, time_point> mPeerPauses;
 };
--- a/Source/Core/Gateway/GatewayNodeTicks.cpp
+++ b/Source/Core/Gateway/GatewayNodeTicks.cpp
@@ -43,6 +43,18 @@
   return std::chrono::duration_cast<milliseconds>(aNow - aTable.CurrentAt());
 }
 
+server_pauses TimesLeft(
+  const std::vector<std::pair<std::uint32_t, time_point>>& aPauses,
+  time_point aNow)
+{
+  server_pauses left;
+  for (const auto& [server, until] : aPauses) {
+    left.emplace_back(server,
+                      std::chrono::duration_cast<milliseconds>(until - aNow));
+  }
+  return left;
+}
+
 } // namespace
 
 void gateway_node::OnRequestTick()
@@ -52,6 +64,7 @@
   mContext.mDiscardedConnections.clear();
   JudgeState(now);
   UpdateReachability(now);
+  mUpstreamRegistry.SetPeerPauses(mFleet.PeerPauses(now));
   if (mStalls.MustReadFirst(now)) {
     return;
   }
@@ -62,6 +75,7 @@
   mAllowanceWriter.WriteClaim(now);
   mPeerTransport.SendTokenRequests();
   mPeerTransport.SendCrashNews();
+  mPeerTransport.SendPauses(TimesLeft(mUpstreamRegistry.TakeNewPauses(), now));
   mPeerTransport.SendStreamMessages();
   StartRelays();
   for (const auto& [connection, relay] : mRelays) {
@@ -247,13 +261,8 @@
   mTokenAllowance.SetHolders(mFleet.TokenHolders(now));
   const auto peers = mFleet.LivePeerAddresses(now);
   UpdateRateLimits(peers, now);
-  mFleet.Self().mPauses.clear();
-  for (const auto& [server, until] : mUpstreamRegistry.Pauses(now)) {
-    mFleet.Self().mPauses.emplace_back(
-      server, std::chrono::duration_cast<milliseconds>(until - now));
-  }
+  mFleet.Self().mPauses = TimesLeft(mUpstreamRegistry.Pauses(now), now);
   mUpstreamRegistry.SetNodes(mFleet.LiveNodeCount(now));
-  mUpstreamRegistry.SetPeerPauses(mFleet.PeerPauses(now));
   mStreamOrigins.SetPeers(peers);
   mSegmentCrashes.SetNodes(mFleet.Self().mAddress, peers);
   mPeerTransport.SendReports();
--- a/Source/Core/Gateway/PeerDatagram.cpp
+++ b/Source/Core/Gateway/PeerDatagram.cpp
@@ -41,6 +41,27 @@
   return { aText.begin(), aText.size() };
 }
 
+/// `builder` and `reader` are those of any message with a list of pauses.
+template<typename builder>
+void WritePauses(builder aRoot, const server_pauses& aPauses)
+{
+  auto pauses = aRoot.initPauses(static_cast<unsigned>(aPauses.size()));
+  for (unsigned i = 0; i < pauses.size(); ++i) {
+    pauses[i].setServer(aPauses[i].first);
+    pauses[i].setLeftMs(ClampToUint32(aPauses[i].second.count()));
+  }
+}
+
+template<typename reader>
+server_pauses ReadPauses(reader aRoot)
+{
+  server_pauses pauses;
+  for (const auto pause : aRoot.getPauses()) {
+    pauses.emplace_back(pause.getServer(), milliseconds(pause.getLeftMs()));
+  }
+  return pauses;
+}
+
 void Write(fleet_wire::NodeReport::Builder aRoot, const node_report& aReport)
 {
   aRoot.setAddress(aReport.mAddress);
@@ -52,11 +73,7 @@
   aRoot.setConfigVersion(aReport.mConfigVersion);
   aRoot.setCapacity(aReport.mCapacity);
   aRoot.setCutOff(aReport.mCutOff);
-  auto pauses = aRoot.initPauses(static_cast<unsigned>(aReport.mPauses.size()));
-  for (unsigned i = 0; i < pauses.size(); ++i) {
-    pauses[i].setServer(aReport.mPauses[i].first);
-    pauses[i].setLeftMs(ClampToUint32(aReport.mPauses[i].second.count()));
-  }
+  WritePauses(aRoot, aReport.mPauses);
   aRoot.setConfigAgeMs(WriteAge(aReport.mConfigAge));
   aRoot.setServersAgeMs(WriteAge(aReport.mServersAge));
   auto peers = aRoot.initPeers(static_cast<unsigned>(aReport.mPeers.size()));
@@ -107,10 +124,7 @@
   report.mConfigVersion = aRoot.getConfigVersion();
   report.mCapacity = aRoot.getCapacity();
   report.mCutOff = aRoot.getCutOff();
-  for (const auto pause : aRoot.getPauses()) {
-    report.mPauses.emplace_back(pause.getServer(),
-                                milliseconds(pause.getLeftMs()));
-  }
+  report.mPauses = ReadPauses(aRoot);
   report.mConfigAge = ReadAge(aRoot.getConfigAgeMs());
   report.mServersAge = ReadAge(aRoot.getServersAgeMs());
   for (const auto peer : aRoot.getPeers()) {
@@ -319,6 +333,8 @@
     Write(root.initRequest(), *request);
   } else if (const auto* notice = std::get_if<crash_notice>(&aDatagram)) {
     Write(root.initCrashes(), *notice);
+  } else if (const auto* pauses = std::get_if<pause_notice>(&aDatagram)) {
+    WritePauses(root.initPauses(), pauses->mPauses);
   } else if (const auto* streams = std::get_if<stream_notice>(&aDatagram)) {
     Write(root.initStreams(), *streams);
   } else if (const auto* query = std::get_if<stream_query>(&aDatagram)) {
@@ -357,6 +373,9 @@
       case fleet_wire::PeerDatagram::CRASHES:
         datagram = Read(root.getCrashes());
         break;
+      case fleet_wire::PeerDatagram::PAUSES:
+        datagram = pause_notice{ ReadPauses(root.getPauses()) };
+        break;
       case fleet_wire::PeerDatagram::STREAMS:
         datagram = Read(root.getStreams());
         break;
--- a/Source/Core/Gateway/PeerDatagram.h
+++ b/Source/Core/Gateway/PeerDatagram.h
@@ -15,6 +15,7 @@
                                    token_request,
                                    token_transfer,
                                    crash_notice,
+                                   pause_notice,
                                    stream_notice,
                                    stream_query,
                                    stream_answer>;
--- a/Source/Core/Gateway/PeerTransport.cpp
+++ b/Source/Core/Gateway/PeerTransport.cpp
@@ -253,16 +253,23 @@
 void peer_transport::SendCrashNews()
 {
   const time_point now = mTime.Now();
-  const auto notices = mCrashes.TakeNews(now);
-  if (notices.empty()) {
-    return;
+  for (const crash_notice& notice : mCrashes.TakeNews(now)) {
+    SendToAll(notice, now);
   }
-  const auto peers = mView.LivePeerAddresses(now);
-  for (const crash_notice& notice : notices) {
-    const std::string bytes = WritePeerDatagram(notice);
-    for (const std::string& peer : peers) {
-      Send(peer, bytes);
-    }
+}
+
+void peer_transport::SendPauses(const server_pauses& aPauses)
+{
+  if (!aPauses.empty()) {
+    SendToAll(pause_notice{ aPauses }, mTime.Now());
+  }
+}
+
+void peer_transport::SendToAll(const peer_datagram& aDatagram, time_point aNow)
+{
+  const std::string bytes = WritePeerDatagram(aDatagram);
+  for (const std::string& peer : mView.LivePeerAddresses(aNow)) {
+    Send(peer, bytes);
   }
 }
 
@@ -329,6 +336,8 @@
     }
   } else if (const auto* notice = std::get_if<crash_notice>(&aDatagram)) {
     mCrashes.OnNotice(*notice, now);
+  } else if (const auto* pauses = std::get_if<pause_notice>(&aDatagram)) {
+    mView.OnPauses(pauses->mPauses, now);
   } else if (const auto* streams = std::get_if<stream_notice>(&aDatagram)) {
     mStreams.OnNotice(*streams, now);
   } else if (const auto* query = std::get_if<stream_query>(&aDatagram)) {
--- a/Source/Core/Gateway/PeerTransport.h
+++ b/Source/Core/Gateway/PeerTransport.h
@@ -40,6 +40,8 @@
   void SendReports();
   /// Sends news about crashed servers to all live nodes.
   void SendCrashNews();
+  /// Sends pauses for brittle servers to all live nodes.
+  void SendPauses(const server_pauses& aPauses);
   /// Sends records of streams that began to the nodes that keep copies, and
   /// queries about resumed streams.
   void SendStreamMessages();
@@ -62,6 +64,7 @@
   void ReceiveDatagrams();
   void OnDatagram(const peer_datagram& aDatagram);
   void Send(const std::string& aTo, const std::string& aBytes);
+  void SendToAll(const peer_datagram& aDatagram, time_point aNow);
   static gboolean OnReadable(gint aDescriptor,
                              GIOCondition aCondition,
                              gpointer aSelf);
--- a/Source/Core/Gateway/UpstreamRegistry.cpp
+++ b/Source/Core/Gateway/UpstreamRegistry.cpp
@@ -161,10 +161,20 @@
   if (upstream_record* record = FindRun(aId, aIncarnation)) {
     const milliseconds pause =
       record->mBrittle ? std::max(aPause, kBrittlePause) : aPause;
+    const bool paused = aNow < record->mPausedUntil;
     record->mPausedUntil = std::max(record->mPausedUntil, aNow + pause);
+    if (record->mBrittle && !paused) {
+      mNewPauses.emplace_back(record->mKey, record->mPausedUntil);
+    }
   }
 }
 
+std::vector<std::pair<std::uint32_t, time_point>>
+upstream_registry::TakeNewPauses()
+{
+  return std::exchange(mNewPauses, {});
+}
+
 std::vector<std::pair<std::uint32_t, time_point>> upstream_registry::Pauses(
   time_point aNow) const
 {
@@ -180,7 +190,7 @@
 time_point upstream_registry::PausedUntil(const upstream_record& aRecord) const
 {
   const auto peers = mPeerPauses.find(aRecord.mKey);
-  return aRecord.mBrittle && peers != mPeerPauses.end()
+  return peers != mPeerPauses.end()
            ? std::max(aRecord.mPausedUntil, peers->second)
            : aRecord.mPausedUntil;
 }
--- a/Source/Core/Gateway/UpstreamRegistry.h
+++ b/Source/Core/Gateway/UpstreamRegistry.h
@@ -118,6 +118,8 @@
                 std::uint64_t aIncarnation,
                 std::chrono::milliseconds aPause,
                 time_point aNow);
+  /// Returns the pauses for brittle servers that began since the last call.
+  std::vector<std::pair<std::uint32_t, time_point>> TakeNewPauses();
   /// Brittle servers that turned a request of this node away within the pause
   /// after it, with the end of the pause.
   std::vector<std::pair<std::uint32_t, time_point>> Pauses(
@@ -278,6 +280,7 @@
   std::unordered_map<std::uint32_t, upstream_work> mPeerWork;
   std::size_t mNodes = 1;
   std::unordered_map<std::uint32_t, time_point> mPeerPauses;
+  std::vector<std::pair<std::uint32_t, time_point>> mNewPauses;
   server_rate_limits mRateLimits;
   /// Prompt segment, then server, to the time until which the server is assumed
   /// to have it cached.
--- a/Source/UnitTests/Gateway/BrittleServerTest.cpp
+++ b/Source/UnitTests/Gateway/BrittleServerTest.cpp
@@ -121,6 +121,34 @@
   EXPECT_GE(served, 190);
 }
 
+// Guards against servers that fall over at large sites, because other nodes
+// learn only with their next reports that a server had no room.
+TEST_F(brittle_server_test, OtherNodesPauseAtOnce)
+{
+  scripted_server& server = AddServer("i-1", "app");
+  server.mScript = [](http_server_connection& aConnection,
+                      const http_server_request& aRequest) {
+    http_server_response response;
+    scripted_server::Sign(response, aRequest);
+    response.mStatus = 503;
+    response.mHeaders.emplace_back("Lentilswitch-Not-Executed", "1");
+    response.mHeaders.emplace_back("Server-Brittle", "3");
+    aConnection.Respond(response, {});
+  };
+  StartTwoNodes(mStore);
+  for (unsigned round = 0; round < 4; ++round) {
+    const std::size_t before = server.mRequests.size();
+    Call("POST", "/o/x", {}, "b");
+    ASSERT_EQ(server.mRequests.size(), before + 1);
+    RunFor(milliseconds(50));
+    const auto exchange = BeginAtSecondNode("/o/x");
+    ASSERT_TRUE(RunUntil([&] { return exchange->Ended(); }));
+    EXPECT_EQ(exchange->mResponse.mStatus, 503U);
+    EXPECT_EQ(server.mRequests.size(), before + 1);
+    RunFor(milliseconds(1200));
+  }
+}
+
 // Guards against requests to a server that asked for a pause.
 TEST_F(brittle_server_test, ServersGetThePauseThatTheyAskFor)
 {
