--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -431,11 +431,15 @@
 {
   mContext.mConfigCurrentAt = mConfigTable.CurrentAt();
   mContext.mServersCurrentAt = mUpstreamTable.CurrentAt();
+  UpdateStateVerdict(aNow);
   // While the store is away, nothing can be known to have left.
-  mContext.mLatestLeavesAt =
-    (mContext.mState == state_verdict::StoreAway ? aNow
-                                                 : mUpstreamTable.CurrentAt()) +
-    Share(mSettings.mLeaveTimeout, kMaxSendShare);
+  const bool storeAway = mContext.mState == state_verdict::StoreAway;
+  mContext.mLatestLeavesAt = (storeAway ? aNow : mUpstreamTable.CurrentAt()) +
+                             Share(mSettings.mLeaveTimeout, kMaxSendShare);
+}
+
+void gateway_node::UpdateStateVerdict(time_point aNow)
+{
   if (mContext.mState == state_verdict::Current &&
       aNow <= OldestStateAt() + mMaxStateAge) {
     return;
--- a/Source/Core/Gateway/GatewayNode.h
+++ b/Source/Core/Gateway/GatewayNode.h
@@ -73,8 +73,10 @@
   /// The tables of the store that other nodes need as well.
   state_snapshot Snapshot() const;
   void ApplySnapshot(const state_snapshot& aSnapshot);
-  /// Decides whether requests may be handled by the state that the node has.
+  /// Decides whether requests may be handled by the state that the node has,
+  /// and by when they must have left the host.
   void JudgeState(time_point aNow);
+  void UpdateStateVerdict(time_point aNow);
   /// When the older one of configuration and server entries was current.
   time_point OldestStateAt() const;
   /// Requests the tables of a peer if the own ones are old.
--- a/Source/UnitTests/Net/TcpLivenessTest.cpp
+++ b/Source/UnitTests/Net/TcpLivenessTest.cpp
@@ -76,7 +76,7 @@
 {
   Connect(milliseconds(3000));
   // More than the buffers of both ends take.
-  const std::string bytes(20000000, 'b');
+  const std::string bytes(8000000, 'b');
   mStream->Write(bytes);
   mLoop.RunUntil([] { return false; }, milliseconds(1500));
   EXPECT_FALSE(mObserver.mEnd);
