Close calls to the store instead of resetting them

Since connections of abandoned requests are reset, so were those of calls to the store: when they time out and when the process ends. What was written and not sent yet is dropped then, also the last claim of a node that stops, and what a run has not settled counts as spent.

Only requests to servers and relayed requests reset. The test OnlyResetDropsWhatWasWritten checks both.

--- a/Source/Core/Gateway/GatewaySession.cpp
+++ b/Source/Core/Gateway/GatewaySession.cpp
@@ -58,7 +58,7 @@
 {
   mContext.mBodyBytes -= mRequest.mBody.size();
   if (mConnection) {
-    mConnection->Cancel();
+    mConnection->Reset();
   }
 }
 
--- a/Source/Core/Gateway/GatewaySessionUpstream.cpp
+++ b/Source/Core/Gateway/GatewaySessionUpstream.cpp
@@ -139,7 +139,7 @@
   }
   if (!mConnection->Connected() && aNow >= mSentAt + kConnectTimeout) {
     mContext.mReachability.OnSilence(mPlacement.mUpstream, aNow);
-    mConnection->Cancel();
+    mConnection->Reset();
     OnExchangeFailed(exchange_failure::NotSent);
     return;
   }
@@ -201,7 +201,7 @@
 void gateway_session::DiscardConnection()
 {
   if (mConnection) {
-    mConnection->Cancel();
+    mConnection->Reset();
     mContext.mDiscardedConnections.push_back(std::move(mConnection));
   }
 }
--- a/Source/Core/Gateway/RequestRelay.cpp
+++ b/Source/Core/Gateway/RequestRelay.cpp
@@ -42,7 +42,7 @@
 {
   mContext.mBodyBytes -= mRequest.mRequest.mBody.size();
   if (mConnection) {
-    mConnection->Cancel();
+    mConnection->Reset();
   }
 }
 
@@ -50,7 +50,7 @@
 {
   const time_point now = mContext.mTime.Now();
   if (mConnection) {
-    mConnection->Cancel();
+    mConnection->Reset();
     mContext.mDiscardedConnections.push_back(std::move(mConnection));
   }
   if (mNextPeer >= mPeers.size()) {
@@ -189,7 +189,7 @@
 {
   mFinished = true;
   if (mConnection) {
-    mConnection->Cancel();
+    mConnection->Reset();
     mContext.mDiscardedConnections.push_back(std::move(mConnection));
   }
   const time_point now = mContext.mTime.Now();
--- a/Source/Core/Net/HttpClientConnection.cpp
+++ b/Source/Core/Net/HttpClientConnection.cpp
@@ -89,6 +89,14 @@
 }
 
 void http_client_connection::Cancel()
+{
+  mObserver = nullptr;
+  if (mStream) {
+    mStream->Close();
+  }
+}
+
+void http_client_connection::Reset()
 {
   const bool inProgress = std::exchange(mObserver, nullptr) != nullptr;
   if (!mStream) {
--- a/Source/Core/Net/HttpConnection.h
+++ b/Source/Core/Net/HttpConnection.h
@@ -204,10 +204,12 @@
              std::string_view aBody,
              bool aIsHeadRequest,
              http_client_exchange_observer& aObserver);
-  /// Abandons the request and closes the connection, with a reset if the
-  /// request is in progress, so that the server gets nothing more of it. No
-  /// further events follow.
+  /// Abandons the request and closes the connection. What was written is still
+  /// sent. No further events follow.
   void Cancel();
+  /// Like `Cancel`, but resets the connection if the request is in progress, so
+  /// that the server gets nothing more of it.
+  void Reset();
   void SetReading(bool aReading);
 
   bool Closed() const { return !mStream || mStream->Closed(); }
--- a/Source/UnitTests/Net/HttpConnectionTest.cpp
+++ b/Source/UnitTests/Net/HttpConnectionTest.cpp
@@ -92,6 +92,7 @@
   bool mResetAfter = false;
   bool mCloseAfter = false;
   std::string mReceived;
+  std::optional<tcp_end_reason> mEnd;
 
 private:
   void OnAccept(int aDescriptor) override
@@ -109,7 +110,7 @@
       mStream->Reset();
     }
   }
-  void OnEnd(tcp_end_reason) override {}
+  void OnEnd(tcp_end_reason aReason) override { mEnd = aReason; }
 
   std::string mBytes;
   std::unique_ptr<tcp_listener> mListener;
@@ -220,6 +221,30 @@
   EXPECT_EQ(server.mReceived, kGet);
 }
 
+// Guards against writes to the store that are lost when the process ends while
+// they are under way, and against requests to servers that are still sent after
+// they were given up.
+TEST_F(http_connection_test, OnlyResetDropsWhatWasWritten)
+{
+  for (const bool reset : { false, true }) {
+    raw_server server("");
+    http_client_connection client(server.Address(), {});
+    response_recorder observer;
+    client.Start(kGet, {}, false, observer);
+    ASSERT_TRUE(
+      mLoop.RunUntil([&] { return server.mReceived == kGet; }, kWaitTimeout));
+    if (reset) {
+      client.Reset();
+    } else {
+      client.Cancel();
+    }
+    ASSERT_TRUE(
+      mLoop.RunUntil([&] { return server.mEnd.has_value(); }, kWaitTimeout));
+    EXPECT_EQ(*server.mEnd,
+              reset ? tcp_end_reason::Broken : tcp_end_reason::Finished);
+  }
+}
+
 // Guards against a refused connection reported as if the request might have
 // been sent, so that it would not be tried elsewhere.
 TEST_F(http_connection_test, ReportsNotSentWhenConnectingFails)
