--- a/Source/UnitTests/Gateway/BrittleServerTest.cpp
+++ b/Source/UnitTests/Gateway/BrittleServerTest.cpp
@@ -49,6 +49,23 @@
       };
   }
 
+  /// Adds a server that refuses all requests with the header.
+  scripted_server& AddRefusingServer(const std::string& aName,
+                                     const std::string& aValue)
+  {
+    scripted_server& server = AddServer("i-1", "app");
+    server.mScript = [aName, aValue](http_server_connection& aConnection,
+                                     const http_server_request& aRequest) {
+      http_server_response response;
+      scripted_server::Sign(response, aRequest);
+      response.mStatus = 503;
+      response.mHeaders.emplace_back("Lentilswitch-Not-Executed", "1");
+      response.mHeaders.emplace_back(aName, aValue);
+      aConnection.Respond(response, {});
+    };
+    return server;
+  }
+
   void Reject(server_record& aRecord)
   {
     const time_point now = mTime.Now();
@@ -125,16 +142,7 @@
 // learn only with their next reports that a server had no room.
 TEST_F(brittle_server_test, OtherNodesPauseAtOnce)
 {
-  scripted_server& server = AddServer("i-1", "app");
-  server.mScript = [](http_server_connection& aConnection,
-                      const http_server_request& aRequest) {
-    http_server_response response;
-    scripted_server::Sign(response, aRequest);
-    response.mStatus = 503;
-    response.mHeaders.emplace_back("Lentilswitch-Not-Executed", "1");
-    response.mHeaders.emplace_back("Server-Brittle", "3");
-    aConnection.Respond(response, {});
-  };
+  scripted_server& server = AddRefusingServer("Server-Brittle", "3");
   StartTwoNodes(mStore);
   for (unsigned round = 0; round < 4; ++round) {
     const std::size_t before = server.mRequests.size();
@@ -152,16 +160,7 @@
 // Guards against requests to a server that asked for a pause.
 TEST_F(brittle_server_test, ServersGetThePauseThatTheyAskFor)
 {
-  scripted_server& server = AddServer("i-1", "app");
-  server.mScript = [](http_server_connection& aConnection,
-                      const http_server_request& aRequest) {
-    http_server_response response;
-    scripted_server::Sign(response, aRequest);
-    response.mStatus = 503;
-    response.mHeaders.emplace_back("Lentilswitch-Not-Executed", "1");
-    response.mHeaders.emplace_back("Retry-After", "1.5");
-    aConnection.Respond(response, {});
-  };
+  scripted_server& server = AddRefusingServer("Retry-After", "1.5");
   StartNode();
   EXPECT_EQ(Call("POST", "/o/x", {}, "b")->mResponse.mStatus, 503U);
   EXPECT_EQ(server.mRequests.size(), 1U);
--- a/Source/UnitTests/Gateway/FullLinkTest.cpp
+++ b/Source/UnitTests/Gateway/FullLinkTest.cpp
@@ -49,16 +49,7 @@
     }
   }
 
-  void PutServer(const std::string& aId,
-                 const scripted_server& aServer,
-                 const std::string& aState)
-  {
-    mStore.Put({ "servers", "", aId },
-               R"({"service":"app","address":")" + aServer.Address() +
-                 R"(","zone":"z1","slots":64,"version":"v1","state":")" +
-                 aState + R"(","seq":2,"born":1})");
-  }
-
+  static constexpr unsigned kSlots = 64;
   static constexpr double kBytesPerSecond = 1e6;
   static constexpr std::size_t kBodyBytes = 100000;
 
@@ -74,7 +65,7 @@
 TEST_F(full_link_test, RequestsDoNotWaitAtTheLinkUntilTheirServerHasLeft)
 {
   scripted_server& server = AddServer("i-1", "app");
-  PutServer("i-1", server, "ready");
+  PutServer("i-1", server, "ready", kSlots);
   std::vector<time_point> arrivals;
   server.mScript = [&](http_server_connection& aConnection,
                        const http_server_request& aRequest) {
@@ -86,7 +77,7 @@
   StartLinkedNode();
   BeginRequests(50);
   RunFor(milliseconds(100));
-  PutServer("i-1", server, "draining");
+  PutServer("i-1", server, "draining", kSlots);
   const time_point leavingAt = mTime.Now();
   for (const auto& exchange : mExchanges) {
     RunUntil([&] { return exchange->Ended(); });
@@ -102,7 +93,7 @@
 TEST_F(full_link_test, CancelledRequestsLeaveNothingAtTheLink)
 {
   scripted_server& server = AddServer("i-1", "app");
-  PutServer("i-1", server, "ready");
+  PutServer("i-1", server, "ready", kSlots);
   StartLinkedNode();
   BeginRequests(10);
   RunFor(milliseconds(100));
--- a/Source/UnitTests/Gateway/GatewayFixture.cpp
+++ b/Source/UnitTests/Gateway/GatewayFixture.cpp
@@ -130,6 +130,20 @@
   return server;
 }
 
+void gateway_fixture::PutServer(const std::string& aId,
+                                const scripted_server& aServer,
+                                const std::string& aState,
+                                unsigned aSlots)
+{
+  mStore.Put(
+    { "servers", "", aId },
+    fmt::format(R"({{"service":"app","address":"{}","zone":"z1","slots":{},)"
+                R"("version":"v1","state":"{}","seq":2,"born":1}})",
+                aServer.Address(),
+                aSlots,
+                aState));
+}
+
 void gateway_fixture::StartNode()
 {
   mStore.Put({ "op", "", "config" }, mConfig);
--- a/Source/UnitTests/Gateway/GatewayFixture.h
+++ b/Source/UnitTests/Gateway/GatewayFixture.h
@@ -131,6 +131,11 @@
   scripted_server& AddServer(const std::string& aId,
                              const std::string& aService,
                              const std::string& aSoftware = "v1");
+  /// Writes a newer entry of a server of the service `app`.
+  void PutServer(const std::string& aId,
+                 const scripted_server& aServer,
+                 const std::string& aState,
+                 unsigned aSlots = 8);
   /// Starts the node and waits until it is ready.
   void StartNode();
   /// Starts the node and a second one that uses `aStore`, and waits until both
--- a/Source/UnitTests/Gateway/OldStateTest.cpp
+++ b/Source/UnitTests/Gateway/OldStateTest.cpp
@@ -56,16 +56,6 @@
     return statuses;
   }
 
-  void PutServer(const std::string& aId,
-                 const scripted_server& aServer,
-                 const std::string& aState)
-  {
-    mStore.Put({ "servers", "", aId },
-               R"({"service":"app","address":")" + aServer.Address() +
-                 R"(","zone":"z1","slots":8,"version":"v1","state":")" +
-                 aState + R"(","seq":2,"born":1})");
-  }
-
   held_row_store mHeldStore{ mStore };
 };
 
