Ask peers before an old copy of the server entries decides a stream's version

Cause: a node that knew a single software version was certain that it had begun every stream, although its copy of the server entries was up to 1.4 s old and other nodes already began streams at a newer version. A client that resumed such a stream there got text of two versions. Ruled out: the loss of all nodes by itself. New runs are certain only after 30 s; they refuse streams until then (tests at 3 and 75 nodes and with a real gateway). Change: a node whose entries are older than the resumption asks the nodes that may hold the record.

--- a/Source/Core/Gateway/GatewaySessionAdmission.cpp
+++ b/Source/Core/Gateway/GatewaySessionAdmission.cpp
@@ -63,8 +63,12 @@
   for (const service_share& share : mRoute->mServices) {
     services.push_back(share.mService);
   }
-  const stream_lookup found = mContext.mStreamOrigins.Lookup(
-    StreamKey(mRequest.mResumedRequestId), services, mArrived, aNow);
+  const stream_lookup found =
+    mContext.mStreamOrigins.Lookup(StreamKey(mRequest.mResumedRequestId),
+                                   services,
+                                   mContext.mServersCurrentAt,
+                                   mArrived,
+                                   aNow);
   if (found.mState == stream_lookup::state::Pending) {
     return;
   }
--- a/Source/Core/Gateway/StreamOrigins.cpp
+++ b/Source/Core/Gateway/StreamOrigins.cpp
@@ -14,9 +14,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// Longest time from the first event of a stream to its last resumption: twice
-// the longest timeout of a route.
-constexpr seconds kStreamLifetime(30);
 // Limit of the records: 30 s of four copies of all streams of a node at the
 // peak load of the largest fleet are a tenth of it.
 constexpr std::size_t kMaxRecords = 30000;
@@ -176,6 +173,7 @@
 
 stream_lookup stream_origins::Lookup(stream_key aStream,
                                      const std::vector<service_id>& aServices,
+                                     time_point aServersCurrentAt,
                                      time_point aSince,
                                      time_point aNow)
 {
@@ -184,7 +182,8 @@
     mLookups.erase(aStream);
     return { stream_lookup::state::Known, known->second.mSoftware, "record" };
   }
-  if (const software_key only = OnlySoftware(aServices, aNow)) {
+  const software_key only = OnlySoftware(aServices, aNow);
+  if (only != 0 && aServersCurrentAt >= aSince) {
     return { stream_lookup::state::Known, only, "only_version" };
   }
   return Ask(aStream, aServices, aSince, aNow);
@@ -202,6 +201,9 @@
   open_lookup& lookup = found->second;
   const auto replicas = Replicas(aStream, kMaxAsked);
   if (isNew) {
+    if (const software_key only = OnlySoftware(aServices, aNow)) {
+      lookup.mOnlySoftware.insert(only);
+    }
     lookup.mServices = aServices;
     lookup.mExpiresAt = aNow + kLookupTimeout + kQueryInterval;
     for (const std::string& replica : replicas) {
--- a/Source/Core/Gateway/StreamOrigins.h
+++ b/Source/Core/Gateway/StreamOrigins.h
@@ -16,6 +16,10 @@
 #include "Common/Time.h"
 #include "Gateway/GatewayTypes.h"
 
+/// Longest time from the first event of a stream to its last resumption: twice
+/// the longest timeout of a route.
+inline constexpr std::chrono::seconds kStreamLifetime{ 30 };
+
 /// Hash of the identity of the request that began a stream.
 using stream_key = std::uint64_t;
 
@@ -84,10 +88,17 @@
 /// Remembers at which software version streams began, because what two versions
 /// write does not fit together and clients resume streams at any node.
 ///
-/// While a service has a single version, every stream began there and nothing
-/// is sent. Otherwise a node copies each new record to the few nodes that a
+/// While a service has a single version, every stream began there and no record
+/// is copied. Otherwise a node copies each new record to the few nodes that a
 /// rendezvous hash of the stream chooses, so that it outlives the node, and the
-/// node at which a stream is resumed asks these.
+/// node at which a stream is resumed asks these. A node that knows a single
+/// version asks as well if its server entries are older than the resumption,
+/// because the stream may have begun at a version that it does not know yet.
+///
+/// A node that has just started knows no versions of the time before, so after
+/// the loss of all nodes streams of unknown version are refused for
+/// `kStreamLifetime`, the longest time from the first event of a stream to its
+/// last resumption.
 class stream_origins
 {
 public:
@@ -114,9 +125,11 @@
               software_key aSoftware,
               time_point aNow);
   /// Tells at which software a stream began, or asks other nodes. `aSince` is
-  /// the time of the first call for the resumption.
+  /// the time of the first call for the resumption, `aServersCurrentAt` the
+  /// time up to which this node knows all servers.
   stream_lookup Lookup(stream_key aStream,
                        const std::vector<service_id>& aServices,
+                       time_point aServersCurrentAt,
                        time_point aSince,
                        time_point aNow);
 
--- a/Source/UnitTests/Gateway/StreamOriginsTest.cpp
+++ b/Source/UnitTests/Gateway/StreamOriginsTest.cpp
@@ -131,8 +131,8 @@
   {
     const time_point since = mNow;
     while (true) {
-      const auto found =
-        mNodes.at(aNode).Lookup(aStream, { kService }, since, mNow);
+      const auto found = mNodes.at(aNode).Lookup(
+        aStream, { kService }, since - mServersAge, since, mNow);
       if (found.mState != stream_lookup::state::Pending) {
         return found;
       }
@@ -182,6 +182,8 @@
   std::mt19937 mRandom{ 7 };
   double mLossShare = 0.0;
   bool mStoreAway = false;
+  /// Age of the server entries at the node at which a stream is resumed.
+  milliseconds mServersAge{ 0 };
   unsigned mStreams = 0;
   unsigned mMessages = 0;
   std::size_t mBytes = 0;
@@ -212,6 +214,142 @@
                          stream_origins_fleet_test,
                          testing::Values(3U, 30U, 340U));
 
+namespace {
+
+/// Fleets of which all nodes are lost at once, with every record.
+class lost_fleet_test
+  : public stream_origins_test
+  , public testing::WithParamInterface<unsigned>
+{
+protected:
+  /// Starts all nodes and lets them know the versions until they are certain.
+  void StartFleet(const std::vector<software_version>& aVersions)
+  {
+    StartNodes(GetParam());
+    Run(seconds(31), aVersions);
+  }
+
+  void RestartFleet()
+  {
+    for (unsigned i = 0; i < GetParam(); ++i) {
+      Start(Address(i));
+    }
+  }
+
+  /// Resumes the streams at a random node at each of the times after the
+  /// restart. Returns the first time in seconds at which one is accepted; fails
+  /// if one is accepted at another version than its own.
+  int FirstAcceptedAt(
+    const std::map<stream_key, software_version>& aStreams,
+    const std::vector<software_version>& aVersionsAfterRestart)
+  {
+    constexpr int kSeconds = 40;
+    int accepted = kSeconds + 1;
+    for (int second = 0; second <= kSeconds; ++second) {
+      for (const auto& [stream, software] : aStreams) {
+        const auto found = Resume(Address(mRandom() % GetParam()), stream);
+        if (found.mState != stream_lookup::state::Known) {
+          EXPECT_EQ(found.mState, stream_lookup::state::Unknown);
+          continue;
+        }
+        accepted = std::min(accepted, second);
+        // Later resumptions are of no stream that still exists.
+        if (seconds(second) < kStreamLifetime) {
+          EXPECT_EQ(found.mSoftware, SoftwareKey(kService, software))
+            << "after " << second << " s";
+        }
+      }
+      Run(seconds(1), aVersionsAfterRestart);
+    }
+    return accepted;
+  }
+};
+
+} // namespace
+
+// Guards against text of two versions when all nodes are lost while both serve:
+// no node can tell the version, so each resumption is refused.
+TEST_P(lost_fleet_test, RefusesStreamsWhileTwoVersionsServe)
+{
+  StartFleet({ kOld, kNew });
+  const std::map<stream_key, software_version> streams{
+    { Begin(Address(0), kOld), kOld }, { Begin(Address(1), kNew), kNew }
+  };
+  RestartFleet();
+  EXPECT_EQ(FirstAcceptedAt(streams, { kOld, kNew }), 41);
+}
+
+// Guards against text of two versions when the last servers of the old version
+// left just before all nodes were lost: the new one is the only version that
+// the nodes can see, and streams of the old one are refused until they have
+// ended.
+TEST_P(lost_fleet_test, RefusesStreamsOfAVersionThatLeftBefore)
+{
+  StartFleet({ kOld, kNew });
+  const std::map<stream_key, software_version> streams{
+    { Begin(Address(0), kOld), kOld }
+  };
+  RestartFleet();
+  EXPECT_GE(FirstAcceptedAt(streams, { kNew }), kStreamLifetime.count());
+}
+
+// The same while a single version serves all the time: the nodes cannot know
+// that, so streams are refused for as long, and then accepted again.
+TEST_P(lost_fleet_test, AcceptsStreamsOfASingleVersionAfterTheirLifetime)
+{
+  StartFleet({ kOld });
+  const std::map<stream_key, software_version> streams{
+    { Begin(Address(0), kOld), kOld }
+  };
+  RestartFleet();
+  const int accepted = FirstAcceptedAt(streams, { kOld });
+  EXPECT_GE(accepted, kStreamLifetime.count());
+  EXPECT_LE(accepted, kStreamLifetime.count() + 2);
+}
+
+INSTANTIATE_TEST_SUITE_P(Nodes, lost_fleet_test, testing::Values(3U, 75U));
+
+// Guards against a node with server entries from before a release: it knows one
+// version, and the stream began at another that only other nodes know.
+TEST_F(stream_origins_test, AsksPeersIfAVersionMayBeUnknown)
+{
+  StartNodes(30);
+  Run(seconds(31), { kOld });
+  for (auto& [address, node] : mNodes) {
+    if (address != Address(2)) {
+      node.OnServer(kService, kNew, mNow);
+    }
+  }
+  std::vector<stream_key> streams;
+  for (int i = 0; i < 20; ++i) {
+    streams.push_back(Begin(Address(1), kNew));
+  }
+  Exchange();
+  Kill(Address(1));
+  mServersAge = milliseconds(1400);
+  for (const stream_key stream : streams) {
+    const auto found = Resume(Address(2), stream);
+    EXPECT_EQ(found.mState, stream_lookup::state::Known);
+    EXPECT_EQ(found.mSoftware, SoftwareKey(kService, kNew));
+  }
+}
+
+// Guards against streams of a service with a single version that are refused
+// because the server entries are a second old.
+TEST_F(stream_origins_test, OldEntriesOfASingleVersionRefuseNothing)
+{
+  StartNodes(5);
+  Run(seconds(31), { kOld });
+  const stream_key stream = Begin(Address(1), kOld);
+  Kill(Address(1));
+  mServersAge = milliseconds(1400);
+  const time_point asked = mNow;
+  const auto found = Resume(Address(2), stream);
+  EXPECT_EQ(found.mState, stream_lookup::state::Known);
+  EXPECT_EQ(found.mSoftware, SoftwareKey(kService, kOld));
+  EXPECT_LE(mNow, asked + milliseconds(20));
+}
+
 // Guards against control traffic for services with one version, which needs
 // none.
 TEST_F(stream_origins_test, ASingleVersionNeedsNoMessages)
@@ -326,7 +464,7 @@
   }
   EXPECT_LE(node.Size(), 30000U);
   for (stream_key claimed = 1; claimed < 5000; ++claimed) {
-    node.Lookup(claimed, { kService }, mNow, mNow);
+    node.Lookup(claimed, { kService }, mNow, mNow, mNow);
   }
   EXPECT_LE(node.TakeQueries().size(), 2000U);
   Run(seconds(31), { kOld, kNew });
--- a/Source/UnitTests/Gateway/StreamVersionTest.cpp
+++ b/Source/UnitTests/Gateway/StreamVersionTest.cpp
@@ -149,6 +149,40 @@
   }
 }
 
+// Guards against text of two versions after the loss of all nodes: the node
+// that comes back knows neither the streams nor the version whose servers have
+// just left.
+TEST_F(stream_version_test, RefusesStreamsOfTheTimeBeforeAllNodesWereLost)
+{
+  AddEngine("i-1", "v1");
+  StartNode();
+  EXPECT_EQ(Begin(1), "v1");
+  AddEngine("i-2", "v2");
+  mStore.Remove({ "servers", "", "i-1" });
+  mNode.reset();
+  StartNode();
+  const auto resumed = Resume(1);
+  EXPECT_EQ(resumed->mResponse.mStatus, 503U);
+  EXPECT_NE(resumed->mBody.find("stream_version_unknown"), std::string::npos);
+  EXPECT_TRUE(ResumedAt(1).empty());
+}
+
+// The same while both versions have servers.
+TEST_F(stream_version_test, RefusesStreamsOfTwoVersionsAfterAllNodesWereLost)
+{
+  AddEngines();
+  StartNode();
+  for (unsigned i = 0; i < 4; ++i) {
+    Begin(i);
+  }
+  mNode.reset();
+  StartNode();
+  for (unsigned i = 0; i < 4; ++i) {
+    EXPECT_EQ(Resume(i)->mResponse.mStatus, 503U);
+    EXPECT_TRUE(ResumedAt(i).empty());
+  }
+}
+
 namespace {
 
 /// Address of a loopback port that is free for datagrams and connections.
