Fetch state only from peers that have newer state, and spread over them

Cause: nodes without the store asked the four peers with the newest state. Change: a copy is fetched from any live peer whose state is newer by 300 ms, in an order that depends on the node, so that copies spread from node to node. Requests for copies begin at 0.7 of the age limit instead of 0.8, which leaves time for three.

--- a/Source/Core/Gateway/FleetView.cpp
+++ b/Source/Core/Gateway/FleetView.cpp
@@ -24,6 +24,9 @@
 constexpr std::size_t kMaxAddressesPerReport = 4;
 // Limit of the nodes to which one request is passed on.
 constexpr std::size_t kMaxRelayTargets = 3;
+// Age by which a peer's copies must be newer than the own ones to be fetched.
+// Nodes that lost the store together have copies of nearly the same age.
+constexpr milliseconds kMinStateGain(300);
 // Number of steps when a hash is mapped to the range 0 to 1.
 constexpr std::uint64_t kHashSteps = 1000;
 
@@ -265,19 +268,22 @@
   return Newest(&peer_state::mServersCurrentAt, aNow);
 }
 
-std::vector<std::string> fleet_view::PeersByState(time_point aNow) const
+std::vector<std::string> fleet_view::StateSources(time_point aOwnCurrentAt,
+                                                  std::uint64_t aRound,
+                                                  time_point aNow) const
 {
-  std::vector<std::pair<time_point, std::string>> order;
+  std::vector<std::pair<std::uint64_t, std::string>> order;
   for (const auto& [address, peer] : mPeers) {
-    if (IsAlive(peer, aNow)) {
-      order.emplace_back(
-        std::min(peer.mConfigCurrentAt, peer.mServersCurrentAt), address);
+    const time_point currentAt =
+      std::min(peer.mConfigCurrentAt, peer.mServersCurrentAt);
+    if (IsAlive(peer, aNow) && currentAt >= aOwnCurrentAt + kMinStateGain) {
+      order.emplace_back(StableHash(address + mSelf.mAddress, aRound), address);
     }
   }
-  std::ranges::sort(order, std::greater());
+  std::ranges::sort(order);
   std::vector<std::string> peers;
   peers.reserve(order.size());
-  for (auto& [contact, address] : order) {
+  for (auto& [point, address] : order) {
     peers.push_back(std::move(address));
   }
   return peers;
--- a/Source/Core/Gateway/FleetView.h
+++ b/Source/Core/Gateway/FleetView.h
@@ -121,8 +121,13 @@
   /// if no peer reported.
   std::optional<time_point> PeerConfigCurrentAt(time_point aNow) const;
   std::optional<time_point> PeerServersCurrentAt(time_point aNow) const;
-  /// Datagram addresses of the live peers, those with the newest state first.
-  std::vector<std::string> PeersByState(time_point aNow) const;
+  /// Datagram addresses of the live peers whose copies of configuration and
+  /// server entries are worth a transfer for a node whose own copies were
+  /// current at `aOwnCurrentAt`, in an order that depends on this node and
+  /// `aRound`, so that the nodes spread over the sources.
+  std::vector<std::string> StateSources(time_point aOwnCurrentAt,
+                                        std::uint64_t aRound,
+                                        time_point aNow) const;
   /// What servers told the other nodes of their rate limits.
   std::vector<rate_limit_statement> PeerRateLimits() const;
 
--- a/Source/Core/Gateway/GatewayNodeTicks.cpp
+++ b/Source/Core/Gateway/GatewayNodeTicks.cpp
@@ -22,8 +22,10 @@
 constexpr milliseconds kSnapshotInterval(1000);
 // The same while peers are in contact with the store.
 constexpr milliseconds kRefreshInterval(500);
-// Share of the age limit from which on state is requested from peers.
-constexpr double kRefreshAgeShare = 0.8;
+// Share of the age limit from which on state is requested from peers. It is
+// above the 1,420 ms that pass between two reads of a store in contact, and
+// leaves time for three attempts.
+constexpr double kRefreshAgeShare = 0.7;
 // Phases of a graceful stop as shares of the grace period: the node takes new
 // requests while clients still hold its address, then refuses them, and ends
 // before it is killed.
@@ -289,6 +291,7 @@
   mNextSnapshotAt =
     aNow + (peersAreCurrent ? kRefreshInterval : kSnapshotInterval);
   mPeerTransport.FetchSnapshot(
+    stateMissing ? time_point() : OldestStateAt(),
     [this](const state_snapshot& aSnapshot) { ApplySnapshot(aSnapshot); });
 }
 
--- a/Source/Core/Gateway/PeerTransport.cpp
+++ b/Source/Core/Gateway/PeerTransport.cpp
@@ -30,8 +30,6 @@
 constexpr int kMaxDatagramsPerRead = 64;
 constexpr milliseconds kSnapshotFetchTimeout(1500);
 constexpr tcp_liveness kPeerLiveness{ milliseconds(1500) };
-// Snapshots are requested from these many peers with the newest state in turn.
-constexpr std::size_t kMaxSnapshotPeers = 4;
 // Share of the link of the host that snapshots may take.
 constexpr double kSnapshotLinkShare = 0.25;
 constexpr const char* kSnapshotPath = "/snapshot";
@@ -350,19 +348,19 @@
   }
 }
 
-void peer_transport::FetchSnapshot(snapshot_callback aReply)
+void peer_transport::FetchSnapshot(time_point aOwnCurrentAt,
+                                   snapshot_callback aReply)
 {
   const time_point now = mTime.Now();
   if (mFetch && !mFetch->Finished(now)) {
     return;
   }
   mFetch.reset();
-  const auto peers = mView.PeersByState(now);
+  const auto peers = mView.StateSources(aOwnCurrentAt, mRound, now);
   if (peers.empty()) {
     return;
   }
-  const std::size_t choices = std::min(peers.size(), kMaxSnapshotPeers);
-  const auto peer = ParseTcpAddress(peers[mRound % choices]);
+  const auto peer = ParseTcpAddress(peers.front());
   if (peer) {
     mFetch = std::make_unique<snapshot_fetch>(*peer, now, std::move(aReply));
   }
--- a/Source/Core/Gateway/PeerTransport.h
+++ b/Source/Core/Gateway/PeerTransport.h
@@ -47,10 +47,10 @@
   void SendStreamMessages();
   /// Requests prepaid tokens from other nodes for accounts that lack them.
   void SendTokenRequests();
-  /// Requests the tables of a live peer with the newest state; does nothing if
-  /// there is no peer or a request is open. The snapshot is empty if the peer
-  /// gives none now.
-  void FetchSnapshot(snapshot_callback aReply);
+  /// Requests the tables of a live peer whose state is newer than that of
+  /// `aOwnCurrentAt`; does nothing if there is no such peer or a request is
+  /// open. The snapshot is empty if the peer gives none now.
+  void FetchSnapshot(time_point aOwnCurrentAt, snapshot_callback aReply);
   void CheckDeadlines(time_point aNow);
 
 private:
--- a/Source/UnitTests/Gateway/StateFreshnessTest.cpp
+++ b/Source/UnitTests/Gateway/StateFreshnessTest.cpp
@@ -98,9 +98,17 @@
   }
   EXPECT_EQ(view.PeerConfigCurrentAt(kNow), kNow - milliseconds(300));
   EXPECT_EQ(view.PeerServersCurrentAt(kNow), kNow - milliseconds(300));
-  EXPECT_EQ(
-    view.PeersByState(kNow),
-    (std::vector<std::string>{ "127.0.0.1:3", "127.0.0.1:4", "127.0.0.1:2" }));
+  // A copy is fetched only if it is newer by 300 ms, and never from a peer of
+  // unknown age.
+  const auto sources = [&](int aOwnAgeMs) {
+    auto found = view.StateSources(kNow - milliseconds(aOwnAgeMs), 1, kNow);
+    std::ranges::sort(found);
+    return found;
+  };
+  EXPECT_EQ(sources(1200),
+            (std::vector<std::string>{ "127.0.0.1:3", "127.0.0.1:4" }));
+  EXPECT_EQ(sources(1199), std::vector<std::string>{ "127.0.0.1:3" });
+  EXPECT_TRUE(sources(599).empty());
   EXPECT_FALSE(view.PeerConfigCurrentAt(kNow + milliseconds(1200)));
 }
 
