Judge claims by the start of the run that takes over

Cause: a claim counted as expired when its reader read it, so a loss of power of 2 to 3 s followed by a slow start left nothing to take over. Change: the earlier run had ended when the new one had bound its addresses; that moment, on the store's clock (reply minus the time between the start and the sending of the write), decides whether the claim was in force.

--- a/Source/Core/Gateway/AllowanceWriter.cpp
+++ b/Source/Core/Gateway/AllowanceWriter.cpp
@@ -92,7 +92,7 @@
   row_transaction transaction;
   transaction.mConditions.push_back({ key, change->mExpectedVersion });
   transaction.mWrites.push_back({ key, WriteClaimRow(change->mRow) });
-  mStore.Commit(transaction, [this, alive = mAlive](auto aResult) {
+  mStore.Commit(transaction, [this, alive = mAlive, aNow](auto aResult) {
     if (!*alive) {
       return;
     }
@@ -113,8 +113,8 @@
       version = commit.mCurrent[0].mVersion;
       current = ParseClaimRow(commit.mCurrent[0].mValue);
     }
-    const std::int64_t takenOver =
-      mTokenAllowance.OnClaimConflict(current, version, commit.mStoreTime);
+    const std::int64_t takenOver = mTokenAllowance.OnClaimConflict(
+      current, version, commit.mStoreTime, aNow);
     Log(log_level::Info,
         "holdings_conflict",
         { Field("run", current ? current->mRun : "none"),
--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -185,6 +185,7 @@
   if (!node->Listen(aError)) {
     return nullptr;
   }
+  node->mTokenAllowance.SetStart(aTime.Now());
   node->mConfigTable.Start();
   node->mUpstreamTable.Start();
   node->mFleetTable.Start();
--- a/Source/Core/Gateway/TokenAllowance.h
+++ b/Source/Core/Gateway/TokenAllowance.h
@@ -131,6 +131,10 @@
 
   /// Sets the total of an account from the newest configuration.
   void SetTotal(const account_id& aAccount, std::int64_t aTokens);
+  /// Sets the time at which this run had bound the addresses of its host. The
+  /// earlier run on the host had ended by then. Without it, that run counts as
+  /// ended when its claim is read.
+  void SetStart(time_point aStartedAt) { mStartedAt = aStartedAt; }
   /// Sets the number of nodes that share the accounts.
   void SetNodes(std::size_t aNodes) { mNodes = aNodes == 0 ? 1 : aNodes; }
 
@@ -177,11 +181,14 @@
   std::optional<claim_change> TakeClaim(time_point aNow);
   void OnClaimCommitted(std::uint64_t aVersion, time_point aNow);
   /// The row had another version. It belongs to an earlier run of this host,
-  /// whose tokens are taken over if its claim has not expired, or to a write of
-  /// this run whose reply was lost. Returns the number of tokens taken over.
+  /// whose tokens are taken over if its claim was in force when it ended, or to
+  /// a write of this run whose reply was lost. `aStoreTime` is the store's
+  /// clock in the reply to the write that was sent at `aSentAt`. Returns the
+  /// number of tokens taken over.
   std::int64_t OnClaimConflict(const std::optional<claim_row>& aCurrent,
                                std::uint64_t aVersion,
-                               std::chrono::milliseconds aStoreTime);
+                               std::chrono::milliseconds aStoreTime,
+                               time_point aSentAt);
   /// `aUnknown` is true if the write may still be applied.
   void OnClaimFailed(bool aUnknown);
 
@@ -282,6 +289,11 @@
   std::int64_t NextSpendLimit(const account_state& aState,
                               time_point aNow) const;
   bool ClaimsExpired(time_point aNow) const;
+  /// Latest time, by the store's clock, at which the earlier run of this host
+  /// can have ended.
+  std::chrono::milliseconds LatestEndOfEarlierRun(
+    std::chrono::milliseconds aStoreTime,
+    time_point aSentAt) const;
   /// Free tokens of the account that other nodes report.
   std::int64_t FreeTokensOnPeers(const account_id& aAccount) const;
   const token_holder* NextHolder(const account_id& aAccount,
@@ -294,6 +306,7 @@
 
   std::string mRun;
   allowance_settings mSettings;
+  std::optional<time_point> mStartedAt;
   std::size_t mNodes = 1;
   std::uint64_t mSequence = 0;
   bool mReturning = false;
--- a/Source/UnitTests/Gateway/TokenAllowanceTest.cpp
+++ b/Source/UnitTests/Gateway/TokenAllowanceTest.cpp
@@ -30,6 +30,7 @@
     , mTokenAllowance(std::make_shared<token_allowance>(std::to_string(aRun),
                                                         allowance_settings{}))
   {
+    mTokenAllowance->SetStart(mNow);
   }
 
   void Step()
@@ -94,7 +95,8 @@
     transaction.mWrites.push_back({ key, WriteClaimRow(aChange.mRow) });
     mStore.Commit(
       transaction,
-      [weak = std::weak_ptr(mTokenAllowance), &now = mNow](auto aResult) {
+      [weak = std::weak_ptr(mTokenAllowance), &now = mNow, sentAt = mNow](
+        auto aResult) {
         const auto allowance = weak.lock();
         if (!allowance) {
           return;
@@ -108,11 +110,13 @@
         if (commit.mCommitted) {
           allowance->OnClaimCommitted(commit.mVersion, now);
         } else if (commit.mCurrent.empty()) {
-          allowance->OnClaimConflict(std::nullopt, 0, commit.mStoreTime);
+          allowance->OnClaimConflict(
+            std::nullopt, 0, commit.mStoreTime, sentAt);
         } else {
           allowance->OnClaimConflict(ParseClaimRow(commit.mCurrent[0].mValue),
                                      commit.mCurrent[0].mVersion,
-                                     commit.mStoreTime);
+                                     commit.mStoreTime,
+                                     sentAt);
         }
       });
   }
@@ -269,6 +273,24 @@
   EXPECT_GE(second.mTokenAllowance->FreeTokens(kAccount), held - kSize);
 }
 
+// Guards against lost tokens when the store replies late to a run that started
+// while the claim of the ended run was in force.
+TEST_F(token_allowance_test, TakesOverByTheTimeOfTheStart)
+{
+  std::int64_t held = 0;
+  {
+    allowance_node first = MakeNode("a");
+    Run(first, milliseconds(1500));
+    held = first.mTokenAllowance->FreeTokens(kAccount);
+  }
+  Advance(milliseconds(2500));
+  allowance_node second = MakeNode("a");
+  second.mTokenAllowance->SetTotal(kAccount, 0);
+  Advance(milliseconds(5000));
+  Run(second, milliseconds(100));
+  EXPECT_GT(second.mTokenAllowance->FreeTokens(kAccount), held / 2);
+}
+
 // Guards against overspending by takeover from an expired claim: the ended run
 // may have spent everything.
 TEST_F(token_allowance_test, TakesNothingOverFromAnExpiredClaim)
