Bound for ever what a node passes out without the store

Cause: once a claim had expired, its node could have spent everything, so nothing could be taken over from a host that was off for longer, or by another node. Change: a third element of a claim entry is a hard limit that binds until a later claim is in the store. The next run takes over what is above it from an expired claim, and any node does so by replacing the row under its version; the owner reads from the row what was taken. Spend limits are in force for 5 s instead of 3.3 s (stated in the row), which covers a loss of power of 3 s and the start after it.

--- a/Source/Core/Gateway/AllowanceWriter.cpp
+++ b/Source/Core/Gateway/AllowanceWriter.cpp
@@ -8,8 +8,6 @@
 
 constexpr const char* kGrantTableName = "prepaid";
 constexpr const char* kGrantKey = "granted";
-constexpr const char* kClaimTableName = "holdings";
-constexpr const char* kClaimKey = "statement";
 
 } // namespace
 
@@ -21,6 +19,7 @@
   , mStore(aStore)
   , mTime(aTime)
   , mHost(std::move(aHost))
+  , mRecovery(aTokenAllowance, aStore, aTime, aTokenAllowance.Run())
 {
 }
 
@@ -88,7 +87,7 @@
   }
   // Every node has its own store partition, so that claim writes of different
   // nodes do not queue behind each other.
-  const row_key key{ kClaimTableName, mHost, kClaimKey };
+  const row_key key = ClaimRowKey(mHost);
   row_transaction transaction;
   transaction.mConditions.push_back({ key, change->mExpectedVersion });
   transaction.mWrites.push_back({ key, WriteClaimRow(change->mRow) });
@@ -123,3 +122,15 @@
           Field("taken_over", takenOver) });
   });
 }
+
+void allowance_writer::RecoverClaims(const std::vector<std::string>& aLostHosts,
+                                     time_point aNow)
+{
+  mRecovery.OnTick(aNow);
+  for (const std::string& host : mTokenAllowance.TakeUnhelpfulHolders()) {
+    mRecovery.Recover(host, aNow);
+  }
+  for (const std::string& host : aLostHosts) {
+    mRecovery.Recover(host, aNow);
+  }
+}
--- a/Source/Core/Gateway/AllowanceWriter.h
+++ b/Source/Core/Gateway/AllowanceWriter.h
@@ -2,8 +2,10 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "Common/Time.h"
+#include "Gateway/ClaimRecovery.h"
 #include "Gateway/TokenAllowance.h"
 #include "Remote/RowStore.h"
 
@@ -26,12 +28,17 @@
   void WriteChanges(time_point aNow);
   /// Writes the claim of this node, if one is due.
   void WriteClaim(time_point aNow);
+  /// Takes over tokens from the claims of these hosts, which are lost, and of
+  /// hosts that hold tokens and do not give what is needed.
+  void RecoverClaims(const std::vector<std::string>& aLostHosts,
+                     time_point aNow);
 
 private:
   token_allowance& mTokenAllowance;
   row_store& mStore;
   const time_source& mTime;
   std::string mHost;
+  claim_recovery mRecovery;
   /// Set to false by the destructor; replies that arrive later are ignored.
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
 };
--- a/Source/Core/Gateway/ClaimRow.cpp
+++ b/Source/Core/Gateway/ClaimRow.cpp
@@ -1,20 +1,59 @@
 #include "Gateway/ClaimRow.h"
 
+#include <algorithm>
+
 #include <nlohmann/json.hpp>
 
 using nlohmann::json;
 
+namespace {
+
+// Places in the array of an account. Versions that know only the first two
+// ignore the others.
+constexpr std::size_t kReceivedPlace = 0;
+constexpr std::size_t kSpendLimitPlace = 1;
+constexpr std::size_t kHardLimitPlace = 2;
+constexpr std::size_t kTakenPlace = 3;
+
+claim_entry ParseEntry(const json& aEntry)
+{
+  claim_entry entry;
+  entry.mReceived = aEntry.at(kReceivedPlace).get<std::int64_t>();
+  entry.mSpendLimit = aEntry.at(kSpendLimitPlace).get<std::int64_t>();
+  entry.mHardLimit = entry.mReceived;
+  if (aEntry.size() > kHardLimitPlace) {
+    entry.mHardLimit = std::max(entry.mSpendLimit,
+                                aEntry.at(kHardLimitPlace).get<std::int64_t>());
+  }
+  if (aEntry.size() > kTakenPlace) {
+    entry.mTaken = aEntry.at(kTakenPlace).get<std::int64_t>();
+  }
+  return entry;
+}
+
+} // namespace
+
 std::string WriteClaimRow(const claim_row& aRow)
 {
   json accounts = json::object();
   for (const auto& [account, entry] : aRow.mAccounts) {
-    accounts[account] = { entry.mReceived, entry.mSpendLimit };
+    accounts[account] = { entry.mReceived,
+                          entry.mSpendLimit,
+                          entry.mHardLimit };
+    if (entry.mTaken != 0) {
+      accounts[account].push_back(entry.mTaken);
+    }
   }
-  return json({ { "run", aRow.mRun },
+  json body = { { "run", aRow.mRun },
                 { "sequence", aRow.mSequence },
                 { "stated_at_ms", aRow.mStartsAt.count() },
-                { "accounts", std::move(accounts) } })
-    .dump();
+                { "in_force_ms", aRow.mTimeToLive.count() },
+                { "accounts", std::move(accounts) } };
+  if (!aRow.mTaker.empty()) {
+    body["taker"] = aRow.mTaker;
+    body["taken_from"] = aRow.mTakenFrom;
+  }
+  return body.dump();
 }
 
 std::optional<claim_row> ParseClaimRow(std::string_view aText)
@@ -29,12 +68,42 @@
     row.mSequence = body.at("sequence").get<std::uint64_t>();
     row.mStartsAt =
       std::chrono::milliseconds(body.at("stated_at_ms").get<std::int64_t>());
+    row.mTimeToLive = std::chrono::milliseconds(
+      body.value("in_force_ms", kDefaultClaimTimeToLive.count()));
     for (const auto& [account, entry] : body.at("accounts").items()) {
-      row.mAccounts[account] = { entry.at(0).get<std::int64_t>(),
-                                 entry.at(1).get<std::int64_t>() };
+      row.mAccounts[account] = ParseEntry(entry);
     }
+    row.mTaker = body.value("taker", std::string());
+    row.mTakenFrom = body.value("taken_from", std::uint64_t{ 0 });
     return row;
   } catch (const json::exception&) {
     return std::nullopt;
   }
 }
+
+claimed_tokens TakeableTokens(const claim_row& aRow)
+{
+  claimed_tokens takeable;
+  for (const auto& [account, entry] : aRow.mAccounts) {
+    if (entry.mReceived > entry.mHardLimit) {
+      takeable[account] = entry.mReceived - entry.mHardLimit;
+    }
+  }
+  return takeable;
+}
+
+claim_row WithoutTakeableTokens(const claim_row& aRow,
+                                const std::string& aTaker,
+                                std::uint64_t aVersion)
+{
+  claim_row row = aRow;
+  for (const auto& [account, tokens] : TakeableTokens(aRow)) {
+    claim_entry& entry = row.mAccounts[account];
+    entry.mReceived -= tokens;
+    entry.mSpendLimit = std::min(entry.mSpendLimit, entry.mReceived);
+    entry.mTaken += tokens;
+  }
+  row.mTaker = aTaker;
+  row.mTakenFrom = aVersion;
+  return row;
+}
--- a/Source/Core/Gateway/ClaimRow.h
+++ b/Source/Core/Gateway/ClaimRow.h
@@ -9,17 +9,26 @@
 #include <string_view>
 
 /// A claim: stored row in which a node records the tokens that it received, so
-/// that the next run on the same host can take over what the ended run did not
-/// use.
+/// that the next run on the same host, or another node, can take over what the
+/// node cannot have used.
+
+/// Time for which the claims of versions that do not state it are in force.
+constexpr std::chrono::milliseconds kDefaultClaimTimeToLive(3300);
 
 /// Claim for one account.
 struct claim_entry
 {
-  /// Tokens that the run received.
+  /// Tokens that the run received, without those that others took over.
   std::int64_t mReceived = 0;
   /// Limit of the tokens that the run may have passed out by the time the claim
   /// expires.
   std::int64_t mSpendLimit = 0;
+  /// Limit that holds for ever, at least `mSpendLimit`: the run passes out no
+  /// more until a claim with a higher limit has replaced this one in the store.
+  /// Equal to `mReceived` in rows of versions that do not state it.
+  std::int64_t mHardLimit = 0;
+  /// Tokens that other nodes took over since the run wrote the row.
+  std::int64_t mTaken = 0;
   auto operator<=>(const claim_entry&) const = default;
 };
 
@@ -29,9 +38,28 @@
   std::uint64_t mSequence = 0;
   /// Start of the claim by the store's clock.
   std::chrono::milliseconds mStartsAt{ 0 };
+  /// Time for which the spend limits are in force.
+  std::chrono::milliseconds mTimeToLive = kDefaultClaimTimeToLive;
   std::map<std::string, claim_entry> mAccounts;
+  /// Run that took tokens over last, and the version of the row that it
+  /// replaced; empty and 0 if none did since the owner wrote the row.
+  std::string mTaker;
+  std::uint64_t mTakenFrom = 0;
   auto operator<=>(const claim_row&) const = default;
 };
 
 std::string WriteClaimRow(const claim_row& aRow);
+/// Returns nothing if the text is not a claim.
 std::optional<claim_row> ParseClaimRow(std::string_view aText);
+
+/// Tokens by account.
+using claimed_tokens = std::map<std::string, std::int64_t>;
+
+/// Tokens above the hard limits, which any node may take over by replacing the
+/// row under its version.
+claimed_tokens TakeableTokens(const claim_row& aRow);
+/// The row that replaces `aRow`, of version `aVersion`, when the run `aTaker`
+/// takes over all of its takeable tokens.
+claim_row WithoutTakeableTokens(const claim_row& aRow,
+                                const std::string& aTaker,
+                                std::uint64_t aVersion);
--- a/Source/Core/Gateway/FleetView.cpp
+++ b/Source/Core/Gateway/FleetView.cpp
@@ -13,6 +13,9 @@
 // A node that was not heard of for this long counts as dead. It covers six
 // rounds of reports, so that single lost datagrams do not matter.
 constexpr milliseconds kPeerTimeout(1300);
+// A node that was not heard of for this long counts as lost. It is longer than
+// the restart of a process takes.
+constexpr milliseconds kPeerLostTimeout(5000);
 // Reported work older than this is ignored.
 constexpr milliseconds kWorkReportTimeout(1000);
 // Limit of the nodes that one round of reports goes to. A smaller fleet reports
@@ -202,6 +205,26 @@
   return holders;
 }
 
+std::vector<std::string> fleet_view::LostPeers(time_point aNow)
+{
+  mWatchedSince = mWatchedSince.value_or(aNow);
+  const std::vector<std::string> live = LivePeerAddresses(aNow);
+  std::vector<std::string> lost;
+  for (const auto& [address, peer] : mPeers) {
+    if (aNow < std::max(peer.mLastSeen, *mWatchedSince) + kPeerLostTimeout) {
+      continue;
+    }
+    const std::uint64_t seed = StableHash(address);
+    const std::uint64_t own = StableHash(mSelf.mAddress, seed);
+    if (std::ranges::all_of(live, [&](const std::string& aOther) {
+          return StableHash(aOther, seed) >= own;
+        })) {
+      lost.push_back(address);
+    }
+  }
+  return lost;
+}
+
 std::vector<std::string> fleet_view::RelayTargets(std::uint64_t aRequest,
                                                   time_point aNow) const
 {
--- a/Source/Core/Gateway/FleetView.h
+++ b/Source/Core/Gateway/FleetView.h
@@ -110,6 +110,10 @@
   std::unordered_map<std::uint32_t, upstream_work> PeerWork(
     time_point aNow) const;
   token_holders TokenHolders(time_point aNow) const;
+  /// Datagram addresses of nodes that were not heard of for 5 s, or since the
+  /// first call, and whose prepaid tokens this node is to take over. One live
+  /// node is responsible for each.
+  std::vector<std::string> LostPeers(time_point aNow);
   /// Client addresses of nodes that reach servers and take requests, in an
   /// order that depends on the request and prefers hosts of large capacity.
   std::vector<std::string> RelayTargets(std::uint64_t aRequest,
@@ -146,6 +150,8 @@
   peer_state& Peer(const std::string& aAddress);
 
   node_report mSelf;
+  /// Time of the first call of `LostPeers`.
+  std::optional<time_point> mWatchedSince;
   std::map<std::string, peer_state> mPeers;
   std::unordered_map<std::uint32_t, std::string> mAddresses;
   std::unordered_map<std::uint32_t, time_point> mPeerPauses;
--- a/Source/Core/Gateway/GatewayNodeTicks.cpp
+++ b/Source/Core/Gateway/GatewayNodeTicks.cpp
@@ -259,6 +259,7 @@
   mFleet.Self().mWork = mUpstreamRegistry.LocalWork();
   mFleet.Self().mFreeTokens = mTokenAllowance.AllFreeTokens(now);
   mTokenAllowance.SetHolders(mFleet.TokenHolders(now));
+  mAllowanceWriter.RecoverClaims(mFleet.LostPeers(now), now);
   const auto peers = mFleet.LivePeerAddresses(now);
   UpdateRateLimits(peers, now);
   mFleet.Self().mPauses = TimesLeft(mUpstreamRegistry.Pauses(now), now);
--- a/Source/Core/Gateway/TokenAllowance.h
+++ b/Source/Core/Gateway/TokenAllowance.h
@@ -23,10 +23,13 @@
 /// reply can overspend.
 ///
 /// Each node also writes a claim, a row of its own with the tokens it received
-/// and a limit on what it passes out. The node keeps to the limit until the
-/// claim expires; the next run on the same host takes over the tokens above it.
-/// A node that cannot reach the store may spend everything it holds once its
-/// claims have expired, and then nothing can be taken over.
+/// and two limits on what it passes out. The node keeps to the spend limit
+/// until the claim expires, and to the higher hard limit until another claim
+/// has replaced it in the store. The next run on the same host takes over the
+/// tokens above the spend limit if the claim was in force when the earlier run
+/// ended, those above the hard limit otherwise. Any node takes over the tokens
+/// above the hard limit by replacing the row under its version, because the
+/// owner can then commit no further claim before it has read what was taken.
 
 enum class reserve_verdict : std::uint8_t
 {
@@ -116,9 +119,10 @@
   double mInitialShare = 0.15;
   /// Tokens held beyond this multiple of the target are returned.
   double mReturnFactor = 2.0;
-  /// Time for which a claim binds the node. It is longer than the restart of a
-  /// process takes, so that its tokens can be taken over.
-  std::chrono::milliseconds mClaimTimeToLive{ 3300 };
+  /// Time for which a claim's spend limit binds the node. It is longer than a
+  /// loss of power of 3 s and the slow start after it, so that the tokens can
+  /// be taken over.
+  std::chrono::milliseconds mClaimTimeToLive{ 5000 };
   /// Interval between claims.
   std::chrono::milliseconds mClaimInterval{ 300 };
 };
@@ -129,6 +133,7 @@
   /// `aRun` identifies this run of the process.
   token_allowance(std::string aRun, const allowance_settings& aSettings);
 
+  const std::string& Run() const { return mRun; }
   /// Sets the total of an account from the newest configuration.
   void SetTotal(const account_id& aAccount, std::int64_t aTokens);
   /// Sets the time at which this run had bound the addresses of its host. The
@@ -189,6 +194,8 @@
                                std::uint64_t aVersion,
                                std::chrono::milliseconds aStoreTime,
                                time_point aSentAt);
+  /// Counts tokens that this node took over from the claim of another one.
+  void OnTakenOver(const claimed_tokens& aTokens);
   /// `aUnknown` is true if the write may still be applied.
   void OnClaimFailed(bool aUnknown);
 
@@ -198,6 +205,9 @@
   /// unanswered ones are repeated.
   std::vector<addressed_request> TakeTokenRequests(std::uint64_t aRun,
                                                    time_point aNow);
+  /// Addresses of nodes that reported tokens and did not transfer what was
+  /// needed, since the last call.
+  std::vector<std::string> TakeUnhelpfulHolders();
   /// Answers the request of another node; returns nothing if no tokens can be
   /// spared.
   std::optional<token_transfer> AnswerRequest(const token_request& aRequest,
@@ -286,8 +296,13 @@
   std::int64_t Available(const account_id& aAccount,
                          const account_state& aState,
                          time_point aNow) const;
-  std::int64_t NextSpendLimit(const account_state& aState,
-                              time_point aNow) const;
+  claim_entry NextClaimEntry(const account_state& aState,
+                             time_point aNow) const;
+  /// Tokens that the hard limit of a claim allows for.
+  std::int64_t OutageTokens(const account_state& aState, time_point aNow) const;
+  void ForgetExpiredClaims(time_point aNow);
+  /// Replaces what is known of this run's claims by the row in the store.
+  void AdoptStoredClaim(const claim_row& aRow);
   bool ClaimsExpired(time_point aNow) const;
   /// Latest time, by the store's clock, at which the earlier run of this host
   /// can have ended.
@@ -314,6 +329,11 @@
 
   /// Claims that bind this node, oldest first.
   std::deque<active_claim> mClaims;
+  /// Tokens above the hard limits of expired claims that may be in the store.
+  claimed_tokens mExpiredTakeable;
+  /// Tokens that others took over from the claim of this sequence.
+  std::uint64_t mTakenSequence = 0;
+  claimed_tokens mKnownTaken;
   std::uint64_t mClaimVersion = 0;
   bool mClaimPending = false;
   bool mClaimConfirmed = false;
@@ -328,6 +348,7 @@
 
   time_point mLastClaimAt;
   token_holders mHolders;
+  std::set<std::string> mUnhelpfulHolders;
   /// Recently sent transfers by requesting run and request identity.
   std::map<std::pair<std::uint64_t, std::uint64_t>, sent_transfer>
     mSentTransfers;
--- a/Source/Core/Gateway/TokenAllowanceClaims.cpp
+++ b/Source/Core/Gateway/TokenAllowanceClaims.cpp
@@ -16,6 +16,10 @@
 constexpr double kSpendLimitRequests = 0.5;
 // Largest difference between the clocks of the store and of a node.
 constexpr milliseconds kMaxClockSkew(200);
+// With more nodes than this, a claim's hard limit spares tokens for others.
+constexpr std::size_t kMaxSmallFleetNodes = 16;
+// Requests of mean size of the target that the hard limit does not allow for.
+constexpr std::int64_t kSparedRequests = 2;
 // Divisor of an elapsed time that gives the largest drift between the clocks of
 // the store and of a node: both may be slewed by 500 ppm.
 constexpr int kClockDriftDivisor = 1000;
@@ -33,35 +37,62 @@
                                         const account_state& aState,
                                         time_point aNow) const
 {
-  std::int64_t limit = aState.mReceived;
-  for (const active_claim& entry : mClaims) {
-    const auto found = entry.mAccounts.find(aAccount.mName);
-    // Tokens that a claim does not name cannot be taken over.
-    if (aNow < entry.mExpires && found != entry.mAccounts.end()) {
-      const std::int64_t unnamed = aState.mReceived - found->second.mReceived;
-      limit = std::min(limit, found->second.mSpendLimit + unnamed);
+  // Tokens that others may take over by one of the claims that may be in the
+  // store. Tokens that a claim does not name cannot be taken over by it.
+  std::int64_t takeable = 0;
+  const auto unconfirmed = mExpiredTakeable.find(aAccount.mName);
+  if (unconfirmed != mExpiredTakeable.end()) {
+    takeable = unconfirmed->second;
+  }
+  for (const active_claim& claim : mClaims) {
+    const auto found = claim.mAccounts.find(aAccount.mName);
+    if (found != claim.mAccounts.end()) {
+      const claim_entry& entry = found->second;
+      const std::int64_t limit =
+        aNow < claim.mExpires ? entry.mSpendLimit : entry.mHardLimit;
+      takeable = std::max(takeable, entry.mReceived - limit);
     }
   }
-  return limit - aState.mSpent;
+  return aState.Free() - takeable;
 }
 
-std::int64_t token_allowance::NextSpendLimit(const account_state& aState,
-                                             time_point aNow) const
+claim_entry token_allowance::NextClaimEntry(const account_state& aState,
+                                            time_point aNow) const
 {
-  // Without a claim in force the store was unreachable. The next outage may be
-  // near, so the limit is everything until the first reply.
-  if (mReturning || !mClaimConfirmed || ClaimsExpired(aNow)) {
-    return aState.mReceived;
+  claim_entry entry{ aState.mReceived, aState.mReceived, aState.mReceived, 0 };
+  if (mReturning || !mClaimConfirmed) {
+    return entry;
   }
+  const std::int64_t needed =
+    std::max(aState.mUnmetNeed, aState.mSpendLimitNeed);
+  const std::int64_t base = aState.mSpent + needed;
   const double life =
     std::chrono::duration<double>(mSettings.mClaimTimeToLive).count() +
     std::chrono::duration<double>(mSettings.mClaimInterval).count();
   const double ahead = UsedPerSecond(aState, aNow) * life +
                        aState.mMeanRequestTokens * kSpendLimitRequests;
-  const std::int64_t needed =
-    std::max(aState.mUnmetNeed, aState.mSpendLimitNeed);
-  return std::min(aState.mReceived,
-                  aState.mSpent + needed + static_cast<std::int64_t>(ahead));
+  const std::int64_t spendLimit = base + static_cast<std::int64_t>(ahead);
+  entry.mHardLimit = std::min(
+    aState.mReceived, std::max(spendLimit, base + OutageTokens(aState, aNow)));
+  // Without a claim in force the store was unreachable. The next outage may be
+  // near, so only the hard limit applies until the first reply.
+  entry.mSpendLimit = ClaimsExpired(aNow)
+                        ? entry.mHardLimit
+                        : std::min(entry.mHardLimit, spendLimit);
+  return entry;
+}
+
+std::int64_t token_allowance::OutageTokens(const account_state& aState,
+                                           time_point aNow) const
+{
+  const std::int64_t target = TargetTokens(aState, aNow);
+  if (mNodes <= kMaxSmallFleetNodes) {
+    return target;
+  }
+  // In a large fleet the other nodes help during an outage.
+  const std::int64_t spared =
+    static_cast<std::int64_t>(aState.mMeanRequestTokens) * kSparedRequests;
+  return std::max<std::int64_t>(target - spared, 0);
 }
 
 void token_allowance::OnStoreTime(milliseconds aStoreTime, time_point aNow)
@@ -76,13 +107,12 @@
   if (mClaimPending || !due || mAccounts.empty()) {
     return std::nullopt;
   }
-  std::erase_if(mClaims, [aNow](const active_claim& aEntry) {
-    return aNow >= aEntry.mExpires;
-  });
+  ForgetExpiredClaims(aNow);
   claim_change change;
   change.mExpectedVersion = mClaimVersion;
   change.mRow.mRun = mRun;
   change.mRow.mSequence = ++mSequence;
+  change.mRow.mTimeToLive = mSettings.mClaimTimeToLive;
   if (mStoreTime) {
     // The reply that carried the time was under way for a while, so this is not
     // later than the store's clock.
@@ -91,9 +121,9 @@
       std::chrono::duration_cast<milliseconds>(aNow - mStoreTimeAt);
   }
   for (auto& [account, state] : mAccounts) {
-    if (state.mReceived > 0) {
-      change.mRow.mAccounts[account.mName] = { state.mReceived,
-                                               NextSpendLimit(state, aNow) };
+    // Without free tokens there is nothing to take over.
+    if (state.Free() > 0) {
+      change.mRow.mAccounts[account.mName] = NextClaimEntry(state, aNow);
     }
     state.mSpendLimitNeed = 0;
   }
@@ -108,6 +138,22 @@
   return change;
 }
 
+void token_allowance::ForgetExpiredClaims(time_point aNow)
+{
+  // Their hard limits stay, because each of them may still be in the store.
+  for (const active_claim& claim : mClaims) {
+    if (aNow >= claim.mExpires) {
+      for (const auto& [account, entry] : claim.mAccounts) {
+        std::int64_t& takeable = mExpiredTakeable[account];
+        takeable = std::max(takeable, entry.mReceived - entry.mHardLimit);
+      }
+    }
+  }
+  std::erase_if(mClaims, [aNow](const active_claim& aEntry) {
+    return aNow >= aEntry.mExpires;
+  });
+}
+
 void token_allowance::OnClaimCommitted(std::uint64_t aVersion, time_point aNow)
 {
   mLastClaimAt = aNow;
@@ -116,6 +162,7 @@
   ConfirmClaim();
   // Older claims, and unanswered ones that expected the same version, can no
   // longer be in the store.
+  mExpiredTakeable.clear();
   while (mClaims.size() > 1) {
     mClaims.pop_front();
   }
@@ -140,23 +187,23 @@
   mNextClaimAt = {};
   mClaimVersion = aVersion;
   if (aCurrent && aCurrent->mRun == mRun) {
-    // The reply to an earlier write was lost; only that claim is in the store.
-    std::erase_if(mClaims, [&](const active_claim& aEntry) {
-      return aEntry.mSequence != aCurrent->mSequence;
-    });
+    AdoptStoredClaim(*aCurrent);
     ConfirmClaim();
     return 0;
   }
   mClaims.clear();
-  if (!aCurrent || LatestEndOfEarlierRun(aStoreTime, aSentAt) >=
-                     aCurrent->mStartsAt + mSettings.mClaimTimeToLive) {
+  mExpiredTakeable.clear();
+  mTakenOver.clear();
+  if (!aCurrent || mClaimConfirmed) {
     return 0;
   }
-  mTakenOver.clear();
+  const bool inForce = LatestEndOfEarlierRun(aStoreTime, aSentAt) <
+                       aCurrent->mStartsAt + aCurrent->mTimeToLive;
   std::int64_t takenOver = 0;
   for (const auto& [account, entry] : aCurrent->mAccounts) {
-    const std::int64_t tokens = entry.mReceived - entry.mSpendLimit;
-    if (tokens > 0 && !mClaimConfirmed) {
+    const std::int64_t tokens =
+      entry.mReceived - (inForce ? entry.mSpendLimit : entry.mHardLimit);
+    if (tokens > 0) {
       mTakenOver[account_id{ account }] = tokens;
       takenOver += tokens;
     }
@@ -164,6 +211,38 @@
   return takenOver;
 }
 
+void token_allowance::AdoptStoredClaim(const claim_row& aRow)
+{
+  // The reply to an earlier write was lost, or another node took tokens over.
+  // Only the claim in the row is in the store.
+  if (mTakenSequence != aRow.mSequence) {
+    mTakenSequence = aRow.mSequence;
+    mKnownTaken.clear();
+  }
+  std::erase_if(mClaims, [&](const active_claim& aEntry) {
+    return aEntry.mSequence != aRow.mSequence;
+  });
+  mExpiredTakeable.clear();
+  for (const auto& [account, entry] : aRow.mAccounts) {
+    std::int64_t& known = mKnownTaken[account];
+    mAccounts[account_id{ account }].mReceived -= entry.mTaken - known;
+    known = entry.mTaken;
+    if (entry.mReceived > entry.mHardLimit) {
+      mExpiredTakeable[account] = entry.mReceived - entry.mHardLimit;
+    }
+  }
+  for (active_claim& claim : mClaims) {
+    claim.mAccounts = aRow.mAccounts;
+  }
+}
+
+void token_allowance::OnTakenOver(const claimed_tokens& aTokens)
+{
+  for (const auto& [account, tokens] : aTokens) {
+    mAccounts[account_id{ account }].mReceived += tokens;
+  }
+}
+
 milliseconds token_allowance::LatestEndOfEarlierRun(milliseconds aStoreTime,
                                                     time_point aSentAt) const
 {
--- a/Source/Core/Gateway/TokenAllowancePeers.cpp
+++ b/Source/Core/Gateway/TokenAllowancePeers.cpp
@@ -41,6 +41,7 @@
   std::vector<addressed_request> requests;
   for (auto& [account, state] : mAccounts) {
     if (state.mOpenRequest && aNow >= state.mRequestExpiresAt) {
+      mUnhelpfulHolders.insert(state.mOpenRequest->mTo);
       state.mOpenRequest.reset();
     }
     if (state.mOpenRequest) {
@@ -80,6 +81,12 @@
   return requests;
 }
 
+std::vector<std::string> token_allowance::TakeUnhelpfulHolders()
+{
+  const auto holders = std::exchange(mUnhelpfulHolders, {});
+  return { holders.begin(), holders.end() };
+}
+
 const token_holder* token_allowance::NextHolder(
   const account_id& aAccount,
   const account_state& aState) const
