Let holdings of prepaid tokens follow demand

Cause: idle nodes kept the reserve of three requests for each account, since returns were limited by their own claims; a node that saw all tokens granted never read the row again; a node that had just started took itself for the only one and drew 15 % of each account. Change: targets shrink with what is unspent and with the nodes that hold tokens, idle nodes of large fleets return all after 8 s, rows are read again while tokens lack, the last tenth moves in one message, and exhaustion needs a fresh row and reports that have had time to arrive.

--- a/Source/Core/Gateway/AllowanceWriter.cpp
+++ b/Source/Core/Gateway/AllowanceWriter.cpp
@@ -30,6 +30,7 @@
 
 void allowance_writer::WriteChanges(time_point aNow)
 {
+  ReadGrants(aNow);
   for (const grant_change& change : mTokenAllowance.TakeGrantChanges(aNow)) {
     const row_key key{ kGrantTableName, change.mAccount.mName, kGrantKey };
     row_transaction transaction;
@@ -79,6 +80,27 @@
   }
 }
 
+void allowance_writer::ReadGrants(time_point aNow)
+{
+  for (const account_id& account : mTokenAllowance.TakeGrantReads(aNow)) {
+    mStore.Read(kGrantTableName,
+                account.mName,
+                kGrantKey,
+                [this, alive = mAlive, account](auto aResult) {
+                  if (!*alive || !aResult.has_value()) {
+                    return;
+                  }
+                  for (const stored_row& row : aResult.value().mRows) {
+                    const auto grant = ParseGrantRow(row.mValue);
+                    if (row.mKey.mKey == kGrantKey && !row.mRemoved && grant) {
+                      mTokenAllowance.OnGrantRead(
+                        account, *grant, row.mVersion, mTime.Now());
+                    }
+                  }
+                });
+  }
+}
+
 void allowance_writer::WriteClaim(time_point aNow)
 {
   const auto change = mTokenAllowance.TakeClaim(aNow);
--- a/Source/Core/Gateway/AllowanceWriter.h
+++ b/Source/Core/Gateway/AllowanceWriter.h
@@ -24,7 +24,8 @@
   allowance_writer(const allowance_writer&) = delete;
   allowance_writer& operator=(const allowance_writer&) = delete;
 
-  /// Writes the draws and returns of tokens that are due.
+  /// Writes the draws and returns of tokens that are due, and reads the rows of
+  /// accounts that lack tokens.
   void WriteChanges(time_point aNow);
   /// Writes the claim of this node, if one is due.
   void WriteClaim(time_point aNow);
@@ -34,6 +35,9 @@
                      time_point aNow);
 
 private:
+  /// Reads the rows of accounts that other nodes may have changed.
+  void ReadGrants(time_point aNow);
+
   token_allowance& mTokenAllowance;
   row_store& mStore;
   const time_source& mTime;
--- a/Source/Core/Gateway/GatewayNodeTicks.cpp
+++ b/Source/Core/Gateway/GatewayNodeTicks.cpp
@@ -268,7 +268,9 @@
   mSegmentCrashes.SetNodes(mFleet.Self().mAddress, peers);
   mPeerTransport.SendReports();
   mUpstreamRegistry.SetPeerWork(mFleet.PeerWork(now));
-  mTokenAllowance.SetNodes(mFleet.LiveNodeCount(now));
+  if (mTokenAllowance.KnowsFleet(now)) {
+    mTokenAllowance.SetNodes(mFleet.LiveNodeCount(now));
+  }
   RefreshStateFromPeers(now);
 }
 
--- a/Source/Core/Gateway/TokenAllowance.cpp
+++ b/Source/Core/Gateway/TokenAllowance.cpp
@@ -9,29 +9,31 @@
 
 using std::chrono::milliseconds;
 
-// With more nodes than this no tokens are drawn before the first usage.
-constexpr std::size_t kMaxInitialDrawNodes = 16;
-// Period over which the usage of an account is measured.
-constexpr std::chrono::seconds kUsagePeriod(4);
-// Shortest part of a period that is used to compute a rate.
-constexpr std::chrono::duration<double> kMinUsagePeriod(2.0);
 // Delay after a conflict, doubled up to the limit; spread by node.
 constexpr milliseconds kInitialBackoff(8);
 constexpr unsigned kMaxBackoffDoublings = 6;
 // Delay after the store refused a write or did not answer.
 constexpr milliseconds kStoreRetryDelay(300);
-// Smaller draws are not worth a transaction.
-constexpr std::int64_t kMinDrawTokens = 256;
-// A draw that no request needs now must bring at least the target divided by
-// this.
-constexpr std::int64_t kMinDrawDivisor = 8;
 // Weight of the newest request in the moving average of the size.
 constexpr double kRequestSizeGain = 0.1;
-// Requests of mean size that are held in addition to the observed usage.
-constexpr std::int64_t kReserveRequests = 3;
-// Tokens are drawn when less than three quarters of the target are left.
-constexpr std::int64_t kRefillDenominator = 4;
-constexpr std::int64_t kRefillNumerator = 3;
+// Time for which tokens are fetched for a request that could not be covered;
+// its client may come again.
+constexpr milliseconds kNeedTimeout(1000);
+// Age up to which a copy of an account's row tells that no tokens are left.
+constexpr milliseconds kRowFreshTime(500);
+// Time between reads of the row while a request lacks tokens, and while tokens
+// are held without need.
+constexpr milliseconds kNeededReadInterval(200);
+constexpr milliseconds kIdleReadInterval(5000);
+// Shortest time between receiving and returning tokens; it bounds the writes
+// for an account.
+constexpr milliseconds kReturnInterval(300);
+// Each node reports in this interval to at most this many others.
+constexpr milliseconds kReportInterval(200);
+constexpr std::size_t kReportTargets = 16;
+// Time after the start after which the other nodes have reported, in the
+// largest fleets most of them.
+constexpr milliseconds kFleetKnownTime(2000);
 
 } // namespace
 
@@ -55,6 +57,7 @@
   RotateUsagePeriod(state, aNow);
   state.mMeanRequestTokens += kRequestSizeGain * (static_cast<double>(aTokens) -
                                                   state.mMeanRequestTokens);
+  state.mLastRequestAt = aNow;
   if (Available(aAccount, state, aNow) >= aTokens) {
     state.mSpent += aTokens;
     return reserve_verdict::Granted;
@@ -66,14 +69,87 @@
     return reserve_verdict::Awaiting;
   }
   state.mUnmetNeed = std::max(state.mUnmetNeed, aTokens);
-  const std::int64_t remaining =
-    std::max<std::int64_t>(state.mTotal - state.mGranted, 0);
+  state.mNeedExpiresAt = aNow + kNeedTimeout;
+  // Other nodes may have returned tokens since the row was read.
+  const bool rowFresh =
+    state.mRowKnown && aNow < state.mRowReadAt + kRowFreshTime;
+  // What was granted or transferred a moment ago is not in the reports yet.
+  const bool reported =
+    KnowsFleet(aNow) && aNow >= state.mMovedAt + ReportTime();
   const bool exhausted =
-    state.mRowKnown &&
-    remaining + state.Free() + FreeTokensOnPeers(aAccount) < aTokens;
+    aTokens > state.mTotal ||
+    (rowFresh && reported && UnspentTokens(aAccount, state) < aTokens);
   return exhausted ? reserve_verdict::Exhausted : reserve_verdict::Awaiting;
 }
 
+bool token_allowance::KnowsFleet(time_point aNow) const
+{
+  return !mStartedAt || aNow >= *mStartedAt + kFleetKnownTime;
+}
+
+milliseconds token_allowance::ReportTime() const
+{
+  return kReportInterval * (mNodes / kReportTargets + 2);
+}
+
+std::vector<account_id> token_allowance::TakeGrantReads(time_point aNow)
+{
+  std::vector<account_id> reads;
+  for (auto& [account, state] : mAccounts) {
+    if (!state.mRowKnown || state.mPending || aNow < state.mNextReadAt) {
+      continue;
+    }
+    const bool lacking =
+      state.mUnmetNeed > state.Free() &&
+      state.mTotal - state.mGranted < state.mUnmetNeed - state.Free();
+    const bool old =
+      state.Free() > 0 && aNow >= state.mRowReadAt + kIdleReadInterval;
+    if (lacking || old) {
+      state.mNextReadAt = aNow + kNeededReadInterval;
+      reads.push_back(account);
+    }
+  }
+  return reads;
+}
+
+void token_allowance::OnGrantRead(const account_id& aAccount,
+                                  const grant_row& aCurrent,
+                                  std::uint64_t aVersion,
+                                  time_point aNow)
+{
+  account_state& state = mAccounts[aAccount];
+  if (state.mPending || aVersion < state.mVersion) {
+    return;
+  }
+  state.mRowReadAt = aNow;
+  if (aVersion > state.mVersion) {
+    LearnRow(state, aCurrent, aVersion, aNow);
+  }
+}
+
+bool token_allowance::LearnRow(account_state& aState,
+                               const std::optional<grant_row>& aCurrent,
+                               std::uint64_t aVersion,
+                               time_point aNow)
+{
+  aState.mVersion = aVersion;
+  const std::int64_t granted = aCurrent ? aCurrent->mGranted : 0;
+  if (granted > aState.mGranted) {
+    aState.mMovedAt = aNow;
+  }
+  aState.mGranted = granted;
+  aState.mRowKnown = true;
+  const auto unanswered = std::exchange(aState.mUnanswered, std::nullopt);
+  if (!unanswered || !aCurrent || aCurrent->mWriter != mRun ||
+      aCurrent->mSequence != unanswered->mSequence) {
+    return false;
+  }
+  // The unanswered change was applied after all. If it was a return, nothing is
+  // left to do, because its tokens were deducted when it was sent.
+  aState.mReceived += std::max<std::int64_t>(unanswered->mAmount, 0);
+  return true;
+}
+
 std::int64_t token_allowance::FreeTokensOnPeers(
   const account_id& aAccount) const
 {
@@ -105,90 +181,7 @@
   account_state& state = mAccounts[aAccount];
   RotateUsagePeriod(state, aNow);
   state.mUsedInPeriod += static_cast<double>(aTokens);
-}
-
-void token_allowance::RotateUsagePeriod(account_state& aState,
-                                        time_point aNow) const
-{
-  if (aNow < aState.mPeriodEndsAt) {
-    return;
-  }
-  const bool adjacent = aNow < aState.mPeriodEndsAt + kUsagePeriod;
-  aState.mUsedInLastPeriod = adjacent ? aState.mUsedInPeriod : 0.0;
-  aState.mUsedInPeriod = 0.0;
-  aState.mPeriodEndsAt = aNow + kUsagePeriod;
-}
-
-double token_allowance::UsedPerSecond(const account_state& aState,
-                                      time_point aNow) const
-{
-  const std::chrono::duration<double> period = kUsagePeriod;
-  const std::chrono::duration<double> left = aState.mPeriodEndsAt - aNow;
-  const double elapsed =
-    std::clamp(period - left, kMinUsagePeriod, period).count();
-  return std::max(aState.mUsedInLastPeriod / period.count(),
-                  aState.mUsedInPeriod / elapsed);
-}
-
-std::int64_t token_allowance::TargetTokens(const account_state& aState,
-                                           time_point aNow) const
-{
-  const double use = UsedPerSecond(aState, aNow) * mSettings.mHorizonSeconds;
-  const double first = static_cast<double>(aState.mTotal) *
-                       mSettings.mInitialShare / static_cast<double>(mNodes);
-  // In a large fleet the initial share of a node would be smaller than a
-  // request.
-  const bool spread = mNodes <= kMaxInitialDrawNodes;
-  const double start = aState.mUsedInLastPeriod > 0.0 || !spread ? 0.0 : first;
-  return static_cast<std::int64_t>(std::max(use, start)) +
-         static_cast<std::int64_t>(aState.mMeanRequestTokens) *
-           kReserveRequests;
-}
-
-std::int64_t token_allowance::SharingNodes(const account_id& aAccount) const
-{
-  const auto found = mHolders.find(AccountKey(aAccount));
-  const std::size_t others = found == mHolders.end() ? 0 : found->second.size();
-  return static_cast<std::int64_t>(std::min(others + 1, mNodes));
-}
-
-std::int64_t token_allowance::DrawAmount(const account_id& aAccount,
-                                         const account_state& aState,
-                                         time_point aNow) const
-{
-  const std::int64_t remaining = aState.mTotal - aState.mGranted;
-  const std::int64_t target = TargetTokens(aState, aNow);
-  const bool needed = aState.mUnmetNeed > aState.Free();
-  if (remaining <= 0 || (!needed && aState.Free() * kRefillDenominator >=
-                                      target * kRefillNumerator)) {
-    return 0;
-  }
-  // Other nodes need tokens as well, so one draw leaves most of the remaining
-  // tokens.
-  const std::int64_t fairShare = remaining / (SharingNodes(aAccount) + 1);
-  std::int64_t amount = std::min(target - aState.Free(), fairShare);
-  if (needed) {
-    amount = std::max(amount, aState.mUnmetNeed - aState.Free());
-  }
-  amount = std::min(amount, remaining);
-  const bool small =
-    amount < std::max(kMinDrawTokens, target / kMinDrawDivisor) && !needed;
-  return small ? 0 : std::max<std::int64_t>(amount, 0);
-}
-
-std::int64_t token_allowance::ReturnAmount(const account_id& aAccount,
-                                           const account_state& aState,
-                                           time_point aNow) const
-{
-  const std::int64_t available = Available(aAccount, aState, aNow);
-  if (mReturning) {
-    return std::max<std::int64_t>(available, 0);
-  }
-  const auto retained = static_cast<std::int64_t>(
-    static_cast<double>(TargetTokens(aState, aNow)) * mSettings.mReturnFactor);
-  const std::int64_t surplus = std::min(aState.Free() - retained, available);
-  // Small amounts are not returned; they are likely to be used.
-  return surplus > retained / 2 ? surplus : 0;
+  state.mLastRequestAt = aNow;
 }
 
 std::vector<grant_change> token_allowance::TakeGrantChanges(time_point aNow)
@@ -199,6 +192,9 @@
       continue;
     }
     RotateUsagePeriod(state, aNow);
+    if (aNow >= state.mNeedExpiresAt) {
+      state.mUnmetNeed = 0;
+    }
     std::int64_t amount = mReturning ? 0 : DrawAmount(account, state, aNow);
     if (amount == 0 && state.mRowKnown) {
       const std::int64_t returned = ReturnAmount(account, state, aNow);
@@ -238,6 +234,8 @@
   state.mVersion = aVersion;
   state.mGranted += state.mPending->mAmount;
   state.mRowKnown = true;
+  state.mRowReadAt = aNow;
+  state.mNextReturnAt = std::max(state.mNextReturnAt, aNow + kReturnInterval);
   state.mConflicts = 0;
   if (state.mPending->mAmount > 0) {
     state.mReceived += state.mPending->mAmount;
@@ -264,17 +262,10 @@
   if (pending.mAmount < 0) {
     state.mSpent += pending.mAmount;
   }
-  state.mVersion = aVersion;
-  state.mGranted = aCurrent ? aCurrent->mGranted : 0;
-  state.mRowKnown = true;
-  if (state.mUnanswered && aCurrent && aCurrent->mWriter == mRun &&
-      aCurrent->mSequence == state.mUnanswered->mSequence) {
-    // The unanswered change was applied after all. If it was a return, nothing
-    // is left to do, because its tokens were deducted when it was sent.
-    state.mReceived += std::max<std::int64_t>(state.mUnanswered->mAmount, 0);
+  state.mRowReadAt = aNow;
+  if (LearnRow(state, aCurrent, aVersion, aNow)) {
     state.mConflicts = 0;
   }
-  state.mUnanswered.reset();
   ++state.mConflicts;
   state.mNextChangeAt = aNow + Backoff(aAccount, state);
 }
--- a/Source/Core/Gateway/TokenAllowance.h
+++ b/Source/Core/Gateway/TokenAllowance.h
@@ -142,6 +142,8 @@
   void SetStart(time_point aStartedAt) { mStartedAt = aStartedAt; }
   /// Sets the number of nodes that share the accounts.
   void SetNodes(std::size_t aNodes) { mNodes = aNodes == 0 ? 1 : aNodes; }
+  /// Whether the other nodes have had the time to report since the start.
+  bool KnowsFleet(time_point aNow) const;
 
   reserve_verdict Reserve(const account_id& aAccount,
                           std::int64_t aTokens,
@@ -162,6 +164,13 @@
 
   /// Returns the grant changes to write now, at most one per account at a time.
   std::vector<grant_change> TakeGrantChanges(time_point aNow);
+  /// Returns the accounts whose rows are to be read now; answered by
+  /// `OnGrantRead` if the row exists and is readable.
+  std::vector<account_id> TakeGrantReads(time_point aNow);
+  void OnGrantRead(const account_id& aAccount,
+                   const grant_row& aCurrent,
+                   std::uint64_t aVersion,
+                   time_point aNow);
   /// From now on returns all unreserved tokens to the store; used at the end of
   /// the process.
   void ReturnAll() { mReturning = true; }
@@ -223,6 +232,10 @@
   std::int64_t UngrantedTokens(const account_id& aAccount) const;
 
 private:
+  // In larger fleets no tokens are drawn before the first usage, and a claim's
+  // hard limit spares tokens for others.
+  static constexpr std::size_t kMaxSmallFleetNodes = 16;
+
   struct pending_change
   {
     std::uint64_t mSequence = 0;
@@ -246,6 +259,14 @@
     std::uint64_t mVersion = 0;
     std::int64_t mGranted = 0;
     bool mRowKnown = false;
+    /// When the row was read, or written by this run, last.
+    time_point mRowReadAt;
+    time_point mNextReadAt;
+    std::optional<time_point> mLastRequestAt;
+    time_point mNeedExpiresAt;
+    /// When tokens were last seen to be granted or transferred to another node.
+    time_point mMovedAt;
+    time_point mNextReturnAt;
     std::optional<pending_change> mPending;
     /// A change without a reply that may still be applied while the row has the
     /// version it expects.
@@ -283,23 +304,38 @@
   /// Tokens used per second, the higher of the rates of the current and the
   /// previous usage period.
   double UsedPerSecond(const account_state& aState, time_point aNow) const;
-  std::int64_t TargetTokens(const account_state& aState, time_point aNow) const;
+  bool IsSmallFleet() const
+  {
+    return mNodes != 0 && mNodes <= kMaxSmallFleetNodes;
+  }
+  /// Whether clients used the account at this node lately.
+  bool HasDemand(const account_state& aState, time_point aNow) const;
+  /// Tokens that are not granted, or free on this node or on others.
+  std::int64_t UnspentTokens(const account_id& aAccount,
+                             const account_state& aState) const;
+  bool IsScarce(const account_id& aAccount, const account_state& aState) const;
+  std::int64_t TargetTokens(const account_id& aAccount,
+                            const account_state& aState,
+                            time_point aNow) const;
   /// Number of nodes that use the account, this one included.
   std::int64_t SharingNodes(const account_id& aAccount) const;
   std::int64_t DrawAmount(const account_id& aAccount,
                           const account_state& aState,
                           time_point aNow) const;
   std::int64_t ReturnAmount(const account_id& aAccount,
-                            const account_state& aState,
-                            time_point aNow) const;
+                            account_state& aState,
+                            time_point aNow);
   /// Tokens that may be passed out now without exceeding the limit of a claim.
   std::int64_t Available(const account_id& aAccount,
                          const account_state& aState,
                          time_point aNow) const;
-  claim_entry NextClaimEntry(const account_state& aState,
+  claim_entry NextClaimEntry(const account_id& aAccount,
+                             const account_state& aState,
                              time_point aNow) const;
   /// Tokens that the hard limit of a claim allows for.
-  std::int64_t OutageTokens(const account_state& aState, time_point aNow) const;
+  std::int64_t OutageTokens(const account_id& aAccount,
+                            const account_state& aState,
+                            time_point aNow) const;
   void ForgetExpiredClaims(time_point aNow);
   /// Replaces what is known of this run's claims by the row in the store.
   void AdoptStoredClaim(const claim_row& aRow);
@@ -315,14 +351,33 @@
                                  const account_state& aState) const;
   /// Called when a claim of this run has replaced that of the earlier run in
   /// the store.
-  void ConfirmClaim();
+  void ConfirmClaim(time_point aNow);
+  std::chrono::milliseconds ClaimInterval() const;
+  /// Time in which a change of what a node holds reaches all others.
+  std::chrono::milliseconds ReportTime() const;
+  /// Whether the claim in the store is empty and there is nothing to add to it.
+  bool IsStoredClaimEmpty() const;
+  /// Whether the limits cannot be raised because the store does not reply.
+  bool AreLimitsFixed(time_point aNow) const;
+  std::int64_t TransferAmount(const token_request& aRequest,
+                              const account_state& aState,
+                              time_point aNow) const;
+  /// Records the stored row. Returns whether it shows that the unanswered
+  /// change was applied.
+  bool LearnRow(account_state& aState,
+                const std::optional<grant_row>& aCurrent,
+                std::uint64_t aVersion,
+                time_point aNow);
   std::chrono::milliseconds Backoff(const account_id& aAccount,
                                     const account_state& aState) const;
 
   std::string mRun;
   allowance_settings mSettings;
   std::optional<time_point> mStartedAt;
-  std::size_t mNodes = 1;
+  /// 0 until the other nodes have reported.
+  std::size_t mNodes = 0;
+  /// This run in messages between nodes.
+  std::uint64_t mRunNumber = 0;
   std::uint64_t mSequence = 0;
   bool mReturning = false;
   std::unordered_map<account_id, account_state> mAccounts;
@@ -337,6 +392,7 @@
   std::uint64_t mClaimVersion = 0;
   bool mClaimPending = false;
   bool mClaimConfirmed = false;
+  bool mStoredClaimEmpty = false;
   /// A claim's limit is too low for a request that the held tokens cover.
   bool mSpendLimitTooLow = false;
   time_point mNextClaimAt;
--- a/Source/Core/Gateway/TokenAllowanceClaims.cpp
+++ b/Source/Core/Gateway/TokenAllowanceClaims.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 
+#include "Common/Hash.h"
+
 namespace {
 
 using std::chrono::milliseconds;
@@ -16,10 +18,13 @@
 constexpr double kSpendLimitRequests = 0.5;
 // Largest difference between the clocks of the store and of a node.
 constexpr milliseconds kMaxClockSkew(200);
-// With more nodes than this, a claim's hard limit spares tokens for others.
-constexpr std::size_t kMaxSmallFleetNodes = 16;
 // Requests of mean size of the target that the hard limit does not allow for.
 constexpr std::int64_t kSparedRequests = 2;
+// Interval between claims in large fleets: all nodes together write at most 500
+// claims a second, a third of what the store carries.
+constexpr milliseconds kClaimIntervalPerNode(2);
+// Time over which the returns of tokens that were taken over are spread.
+constexpr milliseconds kTakeoverReturnSpread(1500);
 // Divisor of an elapsed time that gives the largest drift between the clocks of
 // the store and of a node: both may be slewed by 500 ppm.
 constexpr int kClockDriftDivisor = 1000;
@@ -56,7 +61,8 @@
   return aState.Free() - takeable;
 }
 
-claim_entry token_allowance::NextClaimEntry(const account_state& aState,
+claim_entry token_allowance::NextClaimEntry(const account_id& aAccount,
+                                            const account_state& aState,
                                             time_point aNow) const
 {
   claim_entry entry{ aState.mReceived, aState.mReceived, aState.mReceived, 0 };
@@ -68,25 +74,31 @@
   const std::int64_t base = aState.mSpent + needed;
   const double life =
     std::chrono::duration<double>(mSettings.mClaimTimeToLive).count() +
-    std::chrono::duration<double>(mSettings.mClaimInterval).count();
-  const double ahead = UsedPerSecond(aState, aNow) * life +
-                       aState.mMeanRequestTokens * kSpendLimitRequests;
+    std::chrono::duration<double>(ClaimInterval()).count();
+  // An idle node may have to wait a few ms for a new claim.
+  const double more = HasDemand(aState, aNow) || IsSmallFleet()
+                        ? aState.mMeanRequestTokens * kSpendLimitRequests
+                        : 0.0;
+  const double ahead = UsedPerSecond(aState, aNow) * life + more;
   const std::int64_t spendLimit = base + static_cast<std::int64_t>(ahead);
-  entry.mHardLimit = std::min(
-    aState.mReceived, std::max(spendLimit, base + OutageTokens(aState, aNow)));
+  entry.mHardLimit =
+    std::min(aState.mReceived,
+             std::max(spendLimit, base + OutageTokens(aAccount, aState, aNow)));
   // Without a claim in force the store was unreachable. The next outage may be
   // near, so only the hard limit applies until the first reply.
-  entry.mSpendLimit = ClaimsExpired(aNow)
+  // An empty claim is not renewed, so it may expire while the store replies.
+  entry.mSpendLimit = ClaimsExpired(aNow) && !mStoredClaimEmpty
                         ? entry.mHardLimit
                         : std::min(entry.mHardLimit, spendLimit);
   return entry;
 }
 
-std::int64_t token_allowance::OutageTokens(const account_state& aState,
+std::int64_t token_allowance::OutageTokens(const account_id& aAccount,
+                                           const account_state& aState,
                                            time_point aNow) const
 {
-  const std::int64_t target = TargetTokens(aState, aNow);
-  if (mNodes <= kMaxSmallFleetNodes) {
+  const std::int64_t target = TargetTokens(aAccount, aState, aNow);
+  if (IsSmallFleet()) {
     return target;
   }
   // In a large fleet the other nodes help during an outage.
@@ -104,7 +116,7 @@
 std::optional<claim_change> token_allowance::TakeClaim(time_point aNow)
 {
   const bool due = aNow >= mNextClaimAt || mSpendLimitTooLow;
-  if (mClaimPending || !due || mAccounts.empty()) {
+  if (mClaimPending || !due || mAccounts.empty() || IsStoredClaimEmpty()) {
     return std::nullopt;
   }
   ForgetExpiredClaims(aNow);
@@ -123,7 +135,8 @@
   for (auto& [account, state] : mAccounts) {
     // Without free tokens there is nothing to take over.
     if (state.Free() > 0) {
-      change.mRow.mAccounts[account.mName] = NextClaimEntry(state, aNow);
+      change.mRow.mAccounts[account.mName] =
+        NextClaimEntry(account, state, aNow);
     }
     state.mSpendLimitNeed = 0;
   }
@@ -134,10 +147,23 @@
                       aNow + mSettings.mClaimTimeToLive });
   mClaimPending = true;
   mSpendLimitTooLow = false;
-  mNextClaimAt = aNow + mSettings.mClaimInterval;
+  mNextClaimAt = aNow + ClaimInterval();
   return change;
 }
 
+milliseconds token_allowance::ClaimInterval() const
+{
+  return std::max(mSettings.mClaimInterval,
+                  kClaimIntervalPerNode * static_cast<int>(mNodes));
+}
+
+bool token_allowance::IsStoredClaimEmpty() const
+{
+  const bool holdsTokens = std::ranges::any_of(
+    mAccounts, [](const auto& aPair) { return aPair.second.Free() > 0; });
+  return mClaimConfirmed && mStoredClaimEmpty && !holdsTokens;
+}
+
 void token_allowance::ForgetExpiredClaims(time_point aNow)
 {
   // Their hard limits stay, because each of them may still be in the store.
@@ -159,7 +185,8 @@
   mLastClaimAt = aNow;
   mClaimPending = false;
   mClaimVersion = aVersion;
-  ConfirmClaim();
+  mStoredClaimEmpty = !mClaims.empty() && mClaims.back().mAccounts.empty();
+  ConfirmClaim(aNow);
   // Older claims, and unanswered ones that expected the same version, can no
   // longer be in the store.
   mExpiredTakeable.clear();
@@ -168,11 +195,16 @@
   }
 }
 
-void token_allowance::ConfirmClaim()
+void token_allowance::ConfirmClaim(time_point aNow)
 {
   mClaimConfirmed = true;
   for (const auto& [account, tokens] : mTakenOver) {
-    mAccounts[account].mReceived += tokens;
+    account_state& state = mAccounts[account];
+    state.mReceived += tokens;
+    // After the loss of all nodes, all of them return tokens.
+    const auto spread =
+      StableHash(mRun + account.mName) % kTakeoverReturnSpread.count();
+    state.mNextReturnAt = aNow + milliseconds(static_cast<int>(spread));
   }
   mTakenOver.clear();
 }
@@ -186,9 +218,10 @@
   mClaimPending = false;
   mNextClaimAt = {};
   mClaimVersion = aVersion;
+  mStoredClaimEmpty = false;
   if (aCurrent && aCurrent->mRun == mRun) {
     AdoptStoredClaim(*aCurrent);
-    ConfirmClaim();
+    ConfirmClaim(aSentAt);
     return 0;
   }
   mClaims.clear();
--- /dev/null
+++ b/Source/Core/Gateway/TokenAllowanceDemand.cpp
@@ -0,0 +1,174 @@
+// Parts of `token_allowance` that decide how many tokens this node holds.
+
+#include "Gateway/TokenAllowance.h"
+
+#include <algorithm>
+
+namespace {
+
+// Period over which the usage of an account is measured.
+constexpr std::chrono::seconds kUsagePeriod(4);
+// Shortest part of a period that is used to compute a rate.
+constexpr std::chrono::duration<double> kMinUsagePeriod(2.0);
+// Time after the last request of an account after which the node is idle for
+// it.
+constexpr std::chrono::seconds kDemandTimeout(8);
+// Smaller draws and returns are not worth a transaction.
+constexpr std::int64_t kMinDrawTokens = 256;
+// A draw that no request needs now must bring at least the target divided by
+// this.
+constexpr std::int64_t kMinDrawDivisor = 8;
+// Requests of mean size that are held in addition to the observed usage.
+constexpr std::int64_t kReserveRequests = 3;
+// Tokens are drawn when less than three quarters of the target are left.
+constexpr std::int64_t kRefillDenominator = 4;
+constexpr std::int64_t kRefillNumerator = 3;
+// A node holds at most one part in this many of its equal share of the tokens
+// that are left, so that the others stay where any node can draw them.
+constexpr std::int64_t kShareDivisor = 2;
+// An account with less than its total divided by this is scarce.
+constexpr std::int64_t kScarceDivisor = 10;
+
+} // namespace
+
+bool token_allowance::HasDemand(const account_state& aState,
+                                time_point aNow) const
+{
+  return aState.mLastRequestAt &&
+         aNow < *aState.mLastRequestAt + kDemandTimeout;
+}
+
+std::int64_t token_allowance::UnspentTokens(const account_id& aAccount,
+                                            const account_state& aState) const
+{
+  return std::max<std::int64_t>(aState.mTotal - aState.mGranted, 0) +
+         aState.Free() + FreeTokensOnPeers(aAccount);
+}
+
+bool token_allowance::IsScarce(const account_id& aAccount,
+                               const account_state& aState) const
+{
+  return aState.mRowKnown &&
+         UnspentTokens(aAccount, aState) <= aState.mTotal / kScarceDivisor;
+}
+
+void token_allowance::RotateUsagePeriod(account_state& aState,
+                                        time_point aNow) const
+{
+  if (aNow < aState.mPeriodEndsAt) {
+    return;
+  }
+  const bool adjacent = aNow < aState.mPeriodEndsAt + kUsagePeriod;
+  aState.mUsedInLastPeriod = adjacent ? aState.mUsedInPeriod : 0.0;
+  aState.mUsedInPeriod = 0.0;
+  aState.mPeriodEndsAt = aNow + kUsagePeriod;
+}
+
+double token_allowance::UsedPerSecond(const account_state& aState,
+                                      time_point aNow) const
+{
+  const std::chrono::duration<double> period = kUsagePeriod;
+  const std::chrono::duration<double> left = aState.mPeriodEndsAt - aNow;
+  const double elapsed =
+    std::clamp(period - left, kMinUsagePeriod, period).count();
+  return std::max(aState.mUsedInLastPeriod / period.count(),
+                  aState.mUsedInPeriod / elapsed);
+}
+
+std::int64_t token_allowance::TargetTokens(const account_id& aAccount,
+                                           const account_state& aState,
+                                           time_point aNow) const
+{
+  const double use = UsedPerSecond(aState, aNow) * mSettings.mHorizonSeconds;
+  // In a large fleet the initial share of a node would be smaller than a
+  // request.
+  const double first = IsSmallFleet() ? static_cast<double>(aState.mTotal) *
+                                          mSettings.mInitialShare /
+                                          static_cast<double>(mNodes)
+                                      : 0.0;
+  const double start = aState.mUsedInLastPeriod > 0.0 ? 0.0 : first;
+  const bool keepsReserve = IsSmallFleet() || HasDemand(aState, aNow);
+  const auto meanRequest = static_cast<std::int64_t>(aState.mMeanRequestTokens);
+  const std::int64_t reserve =
+    keepsReserve ? meanRequest * kReserveRequests : 0;
+  const std::int64_t target =
+    static_cast<std::int64_t>(std::max(use, start)) + reserve;
+  if (!aState.mRowKnown) {
+    return target;
+  }
+  const std::int64_t share =
+    UnspentTokens(aAccount, aState) / (kShareDivisor * SharingNodes(aAccount));
+  if (target <= share) {
+    return target;
+  }
+  // Tokens that cover no request are better left to other nodes; each request
+  // then draws what it needs.
+  return share < meanRequest ? 0 : share;
+}
+
+std::int64_t token_allowance::SharingNodes(const account_id& aAccount) const
+{
+  const auto found = mHolders.find(AccountKey(aAccount));
+  const std::size_t others = found == mHolders.end() ? 0 : found->second.size();
+  return static_cast<std::int64_t>(mNodes == 0 ? others + 1
+                                               : std::min(others + 1, mNodes));
+}
+
+std::int64_t token_allowance::DrawAmount(const account_id& aAccount,
+                                         const account_state& aState,
+                                         time_point aNow) const
+{
+  const std::int64_t remaining = aState.mTotal - aState.mGranted;
+  const std::int64_t target = TargetTokens(aAccount, aState, aNow);
+  const bool needed = aState.mUnmetNeed > aState.Free();
+  if (remaining <= 0 || (!needed && aState.Free() * kRefillDenominator >=
+                                      target * kRefillNumerator)) {
+    return 0;
+  }
+  // Other nodes need tokens as well, so one draw leaves most of the remaining
+  // tokens.
+  const std::int64_t fairShare = remaining / (SharingNodes(aAccount) + 1);
+  std::int64_t amount = std::min(target - aState.Free(), fairShare);
+  if (needed) {
+    amount = std::max(amount, aState.mUnmetNeed - aState.Free());
+  }
+  amount = std::min(amount, remaining);
+  const bool small =
+    amount < std::max(kMinDrawTokens, target / kMinDrawDivisor) && !needed;
+  return small ? 0 : std::max<std::int64_t>(amount, 0);
+}
+
+std::int64_t token_allowance::ReturnAmount(const account_id& aAccount,
+                                           account_state& aState,
+                                           time_point aNow)
+{
+  const std::int64_t available = Available(aAccount, aState, aNow);
+  if (mReturning) {
+    return std::max<std::int64_t>(available, 0);
+  }
+  if (aState.mUnmetNeed > 0 || aNow < aState.mNextReturnAt) {
+    return 0;
+  }
+  const bool idle = !HasDemand(aState, aNow);
+  const std::int64_t target = TargetTokens(aAccount, aState, aNow);
+  // Tokens that are needed elsewhere are returned down to the target.
+  const bool exact = (idle && !IsSmallFleet()) || IsScarce(aAccount, aState);
+  const auto retained =
+    exact ? target
+          : static_cast<std::int64_t>(static_cast<double>(target) *
+                                      mSettings.mReturnFactor);
+  const std::int64_t surplus = aState.Free() - retained;
+  // Small amounts are not returned by a node that is likely to use them.
+  const std::int64_t smallest =
+    idle && exact ? 0 : std::max(kMinDrawTokens, retained / (exact ? 4 : 2));
+  if (surplus <= smallest) {
+    return 0;
+  }
+  if (available < surplus) {
+    // The next claim allows for the return, so that no other run can take the
+    // tokens over as well.
+    aState.mSpendLimitNeed = std::max(aState.mSpendLimitNeed, surplus);
+    return 0;
+  }
+  return surplus;
+}
--- a/Source/Core/Gateway/TokenAllowancePeers.cpp
+++ b/Source/Core/Gateway/TokenAllowancePeers.cpp
@@ -39,6 +39,7 @@
   time_point aNow)
 {
   std::vector<addressed_request> requests;
+  mRunNumber = aRun;
   for (auto& [account, state] : mAccounts) {
     if (state.mOpenRequest && aNow >= state.mRequestExpiresAt) {
       mUnhelpfulHolders.insert(state.mOpenRequest->mTo);
@@ -56,7 +57,9 @@
     const bool storeMayHelp =
       aNow >= state.mNextChangeAt && !state.mUnanswered &&
       state.mTotal - state.mGranted >= state.mUnmetNeed && !state.mPending;
-    if (mReturning || state.mUnmetNeed <= state.Free() || storeMayHelp) {
+    const bool needed = state.mUnmetNeed > state.Free() &&
+                        UnspentTokens(account, state) >= state.mUnmetNeed;
+    if (mReturning || !needed || storeMayHelp) {
       state.mTriedHolders.clear();
       continue;
     }
@@ -71,8 +74,11 @@
     request.mRun = aRun;
     request.mAccount = account;
     request.mNeeded = state.mUnmetNeed - state.Free();
-    request.mWanted = std::max(request.mNeeded * kNeedFactor,
-                               TargetTokens(state, aNow) - state.Free());
+    // Of a scarce account only the tokens that are needed are requested.
+    const std::int64_t factor = IsScarce(account, state) ? 1 : kNeedFactor;
+    request.mWanted =
+      std::max(request.mNeeded * factor,
+               TargetTokens(account, state, aNow) - state.Free());
     state.mOpenRequest = addressed_request{ holder->mAddress, request };
     state.mResendAt = aNow + kTokenRequestResendInterval;
     state.mRequestExpiresAt = aNow + kTokenRequestTimeout;
@@ -121,29 +127,57 @@
     return std::nullopt;
   }
   account_state& state = found->second;
+  if (state.mUnmetNeed > 0 && aNow < state.mNeedExpiresAt &&
+      aRequest.mRun > mRunNumber) {
+    // Of two nodes that lack tokens one collects them, so that they are not
+    // passed to and fro.
+    return std::nullopt;
+  }
   const std::int64_t available = Available(aRequest.mAccount, state, aNow);
-  if (available < aRequest.mNeeded && state.Free() > available) {
+  const std::int64_t tokens =
+    std::min(state.Free(), TransferAmount(aRequest, state, aNow));
+  if (available < tokens && !AreLimitsFixed(aNow)) {
     // A claim with a higher limit is written before the request is repeated.
-    state.mSpendLimitNeed =
-      std::max(state.mSpendLimitNeed, std::min(aRequest.mNeeded, state.Free()));
+    state.mSpendLimitNeed = std::max(state.mSpendLimitNeed, tokens);
     mSpendLimitTooLow = true;
+    return std::nullopt;
   }
   // The last tokens of an account are spread over nodes, so less than the need
   // is transferred if there is no more.
-  const std::int64_t tokens = std::min(
-    available,
-    std::max(aRequest.mNeeded, std::min(aRequest.mWanted, state.Free() / 2)));
-  if (tokens <= 0) {
+  const std::int64_t given = std::min(available, tokens);
+  if (given <= 0) {
     return std::nullopt;
   }
-  state.mSpent += tokens;
+  state.mSpent += given;
+  state.mMovedAt = aNow;
   const token_transfer transfer{
-    aRequest.mId, aRequest.mRun, aRequest.mAccount, tokens
+    aRequest.mId, aRequest.mRun, aRequest.mAccount, given
   };
   mSentTransfers[key] = { transfer, aNow + kTransferTimeToLive };
   return transfer;
 }
 
+std::int64_t token_allowance::TransferAmount(const token_request& aRequest,
+                                             const account_state& aState,
+                                             time_point aNow) const
+{
+  if (HasDemand(aState, aNow)) {
+    return std::max(aRequest.mNeeded,
+                    std::min(aRequest.mWanted, aState.Free() / 2));
+  }
+  // The last tokens of an account move to the node with the demand in one
+  // message.
+  return IsScarce(aRequest.mAccount, aState)
+           ? aState.Free()
+           : std::max(aRequest.mNeeded, aRequest.mWanted);
+}
+
+bool token_allowance::AreLimitsFixed(time_point aNow) const
+{
+  return aNow >=
+         mLastClaimAt + std::max(kClaimStaleTimeout, 3 * ClaimInterval());
+}
+
 bool token_allowance::WasAnswered(const token_request& aRequest) const
 {
   return mSentTransfers.contains({ aRequest.mRun, aRequest.mId });
@@ -172,7 +206,7 @@
 token_allowance::AllFreeTokens(time_point aNow) const
 {
   // While the store is unreachable the limits cannot be raised.
-  const bool limitsFixed = aNow >= mLastClaimAt + kClaimStaleTimeout;
+  const bool limitsFixed = AreLimitsFixed(aNow);
   std::vector<std::pair<std::uint32_t, std::int64_t>> held;
   for (const auto& [account, state] : mAccounts) {
     const std::int64_t tokens =
