Tell refused clients when tokens are expected

Cause: each refusal for tokens said 2 s, also for tokens that never come. Change: the time follows from a pending draw or transfer, requests in progress, claims that expire and lost nodes; without any of them there is no Retry-After.

--- a/Source/Core/Gateway/GatewaySessionAdmission.cpp
+++ b/Source/Core/Gateway/GatewaySessionAdmission.cpp
@@ -16,9 +16,6 @@
 // Longest wait for prepaid tokens that are being fetched: two transactions of a
 // store that is not slowed down.
 constexpr milliseconds kTokenWaitTimeout(150);
-// Retry-After of a refusal for lack of tokens: the time until a grant is
-// likely.
-constexpr milliseconds kTokenRetryDelay(2000);
 // Longest wait for a reply of the store or of a peer while the state is too old
 // to act on. A process that was paused has recent state again within a few ms.
 constexpr milliseconds kStateWaitTimeout(100);
@@ -108,9 +105,16 @@
     if (verdict == reserve_verdict::Awaiting) {
       mContext.mTokenAllowance.OnUnmetDemand(mAccount->mName, need, aNow);
     }
-    Refuse(verdict == reserve_verdict::Exhausted ? "prepaid_exhausted"
+    const auto expected =
+      mContext.mTokenAllowance.TokensExpectedAt(mAccount->mName, need, aNow);
+    std::optional<milliseconds> retryAfter;
+    if (expected) {
+      retryAfter = std::chrono::ceil<milliseconds>(*expected - aNow);
+    }
+    Answer(http_status::kServiceUnavailable,
+           verdict == reserve_verdict::Exhausted ? "prepaid_exhausted"
                                                  : "prepaid_unavailable",
-           kTokenRetryDelay);
+           retryAfter);
   }
 }
 
--- a/Source/Core/Gateway/TokenAllowance.cpp
+++ b/Source/Core/Gateway/TokenAllowance.cpp
@@ -60,6 +60,7 @@
   state.mLastRequestAt = aNow;
   if (Available(aAccount, state, aNow) >= aTokens) {
     state.mSpent += aTokens;
+    state.mReserved += aTokens;
     return reserve_verdict::Granted;
   }
   if (state.Free() >= aTokens) {
@@ -171,6 +172,7 @@
   account_state& state = mAccounts[aAccount];
   RotateUsagePeriod(state, aNow);
   state.mSpent -= aReserved - std::min(aUsed, aReserved);
+  state.mReserved -= aReserved;
   state.mUsedInPeriod += static_cast<double>(aUsed);
 }
 
--- a/Source/Core/Gateway/TokenAllowance.h
+++ b/Source/Core/Gateway/TokenAllowance.h
@@ -162,6 +162,13 @@
                      std::int64_t aTokens,
                      time_point aNow);
 
+  /// When a request of `aTokens` that was refused may be covered: by a pending
+  /// draw or transfer, by a claim that expires, by reservations that end, or by
+  /// tokens of lost nodes. Nothing if no tokens are expected.
+  std::optional<time_point> TokensExpectedAt(const account_id& aAccount,
+                                             std::int64_t aTokens,
+                                             time_point aNow) const;
+
   /// Returns the grant changes to write now, at most one per account at a time.
   std::vector<grant_change> TakeGrantChanges(time_point aNow);
   /// Returns the accounts whose rows are to be read now; answered by
@@ -246,6 +253,8 @@
     std::int64_t Free() const { return mReceived - mSpent; }
 
     std::int64_t mTotal = 0;
+    /// Tokens of the requests in progress.
+    std::int64_t mReserved = 0;
     /// Tokens granted, transferred or taken over to this run.
     std::int64_t mReceived = 0;
     /// Tokens reserved, used, transferred away or returned by this run.
--- a/Source/Core/Gateway/TokenAllowanceDemand.cpp
+++ b/Source/Core/Gateway/TokenAllowanceDemand.cpp
@@ -29,6 +29,16 @@
 // An account with less than its total divided by this is scarce.
 constexpr std::int64_t kScarceDivisor = 10;
 
+// Time after the start in which other hosts start as well and the tokens of
+// lost ones are taken over: 5 s until they count as lost, and the calls to the
+// store.
+constexpr std::chrono::seconds kRecoveryTime(8);
+// Time in which a draw, a return or a transfer ends while the store replies.
+constexpr std::chrono::milliseconds kMoveTime(500);
+// Time after which tokens of requests in progress are expected, about the
+// length of a stream.
+constexpr std::chrono::seconds kReservationTime(2);
+
 } // namespace
 
 bool token_allowance::HasDemand(const account_state& aState,
@@ -172,3 +182,34 @@
   }
   return surplus;
 }
+
+std::optional<time_point> token_allowance::TokensExpectedAt(
+  const account_id& aAccount,
+  std::int64_t aTokens,
+  time_point aNow) const
+{
+  const auto found = mAccounts.find(aAccount);
+  if (found == mAccounts.end() || aTokens > found->second.mTotal) {
+    return std::nullopt;
+  }
+  const account_state& state = found->second;
+  const std::int64_t unspent = UnspentTokens(aAccount, state);
+  if (unspent >= aTokens || !state.mRowKnown) {
+    if (!AreLimitsFixed(aNow)) {
+      return std::max(aNow, state.mNextChangeAt) + kMoveTime;
+    }
+    // Without the store the node has more only when its claims expire.
+    time_point expected = aNow + kReservationTime;
+    for (const active_claim& claim : mClaims) {
+      expected = std::max(expected, claim.mExpires);
+    }
+    return expected;
+  }
+  if (unspent + state.mReserved >= aTokens) {
+    return aNow + kReservationTime;
+  }
+  if (mStartedAt && aNow < *mStartedAt + kRecoveryTime) {
+    return std::max(*mStartedAt + kRecoveryTime, aNow + kMoveTime);
+  }
+  return std::nullopt;
+}
--- a/Source/UnitTests/Gateway/TokenAllowanceTest.cpp
+++ b/Source/UnitTests/Gateway/TokenAllowanceTest.cpp
@@ -591,6 +591,32 @@
   EXPECT_TRUE(second.mTokenAllowance->AnswerRequest(ofFirst[0].mRequest, mNow));
 }
 
+// Guards against a retry delay for tokens that never come, and against none for
+// tokens that do.
+TEST_F(token_allowance_test, TellsWhenTokensAreExpected)
+{
+  mStore.Put(kGrantKey, WriteGrantRow({ kTotal - 6000, "other", 1 }));
+  allowance_node node = MakeNode("a");
+  node.mTokenAllowance->SetNodes(71);
+  const auto expected = [&](std::int64_t aTokens) {
+    return node.mTokenAllowance->TokensExpectedAt(kAccount, aTokens, mNow);
+  };
+  node.mTokenAllowance->Reserve(kAccount, 5000, mNow);
+  Run(node, milliseconds(100));
+  ASSERT_EQ(node.mTokenAllowance->Reserve(kAccount, 5000, mNow),
+            reserve_verdict::Granted);
+  // The other nodes, or the tokens of lost ones, are not known yet.
+  EXPECT_TRUE(expected(9000));
+  EXPECT_FALSE(expected(kTotal + 1));
+  Run(node, milliseconds(10000));
+  EXPECT_FALSE(expected(9000));
+  // The request in progress may leave some of its tokens.
+  EXPECT_TRUE(expected(3000));
+  EXPECT_TRUE(expected(500));
+  node.mTokenAllowance->FinishReservation(kAccount, 5000, 5000, mNow);
+  EXPECT_FALSE(expected(3000));
+}
+
 // Guards against overspending: in random schedules of grants, transfers, kills,
 // restarts, outages, lost replies and late writes the fleet must never consume
 // more than the account has. The 10,000 schedules are divided into 20 tests,
