Let the limit of a claim rise with its age

Cause: a run that took over a claim in force lost the usage of 5.3 s, also when its host had been off for one second only. Change: the limit rises evenly from a start limit (fifth element of the entry) to the spend limit; the age at the start of the new run decides. The claims of large fleets allow for no part of a request beyond the usage any more.

--- a/Source/Core/Gateway/ClaimRow.cpp
+++ b/Source/Core/Gateway/ClaimRow.cpp
@@ -14,6 +14,7 @@
 constexpr std::size_t kSpendLimitPlace = 1;
 constexpr std::size_t kHardLimitPlace = 2;
 constexpr std::size_t kTakenPlace = 3;
+constexpr std::size_t kStartLimitPlace = 4;
 
 claim_entry ParseEntry(const json& aEntry)
 {
@@ -28,21 +29,41 @@
   if (aEntry.size() > kTakenPlace) {
     entry.mTaken = aEntry.at(kTakenPlace).get<std::int64_t>();
   }
+  entry.mStartLimit = entry.mSpendLimit;
+  if (aEntry.size() > kStartLimitPlace) {
+    entry.mStartLimit = std::min(
+      entry.mSpendLimit, aEntry.at(kStartLimitPlace).get<std::int64_t>());
+  }
   return entry;
 }
 
 } // namespace
 
+std::int64_t LimitAt(const claim_entry& aEntry,
+                     std::chrono::milliseconds aAge,
+                     std::chrono::milliseconds aTimeToLive)
+{
+  if (aAge >= aTimeToLive) {
+    return aEntry.mHardLimit;
+  }
+  const double share = std::max(0.0,
+                                static_cast<double>(aAge.count()) /
+                                  static_cast<double>(aTimeToLive.count()));
+  return aEntry.mStartLimit +
+         static_cast<std::int64_t>(
+           share *
+           static_cast<double>(aEntry.mSpendLimit - aEntry.mStartLimit));
+}
+
 std::string WriteClaimRow(const claim_row& aRow)
 {
   json accounts = json::object();
   for (const auto& [account, entry] : aRow.mAccounts) {
     accounts[account] = { entry.mReceived,
                           entry.mSpendLimit,
-                          entry.mHardLimit };
-    if (entry.mTaken != 0) {
-      accounts[account].push_back(entry.mTaken);
-    }
+                          entry.mHardLimit,
+                          entry.mTaken,
+                          entry.mStartLimit };
   }
   json body = { { "run", aRow.mRun },
                 { "sequence", aRow.mSequence },
@@ -101,6 +122,7 @@
     claim_entry& entry = row.mAccounts[account];
     entry.mReceived -= tokens;
     entry.mSpendLimit = std::min(entry.mSpendLimit, entry.mReceived);
+    entry.mStartLimit = std::min(entry.mStartLimit, entry.mReceived);
     entry.mTaken += tokens;
   }
   row.mTaker = aTaker;
--- a/Source/Core/Gateway/ClaimRow.h
+++ b/Source/Core/Gateway/ClaimRow.h
@@ -29,9 +29,19 @@
   std::int64_t mHardLimit = 0;
   /// Tokens that other nodes took over since the run wrote the row.
   std::int64_t mTaken = 0;
+  /// Limit at the start of the claim, from which the limit rises evenly to
+  /// `mSpendLimit` when it expires. Equal to `mSpendLimit` in rows of versions
+  /// that do not state it.
+  std::int64_t mStartLimit = mSpendLimit;
   auto operator<=>(const claim_entry&) const = default;
 };
 
+/// Tokens that the run may have passed out when a claim with this time to live
+/// has this age.
+std::int64_t LimitAt(const claim_entry& aEntry,
+                     std::chrono::milliseconds aAge,
+                     std::chrono::milliseconds aTimeToLive);
+
 struct claim_row
 {
   std::string mRun;
--- a/Source/Core/Gateway/TokenAllowanceClaims.cpp
+++ b/Source/Core/Gateway/TokenAllowanceClaims.cpp
@@ -18,6 +18,11 @@
 constexpr double kSpendLimitRequests = 0.5;
 // Largest difference between the clocks of the store and of a node.
 constexpr milliseconds kMaxClockSkew(200);
+// Time in seconds of the observed usage that a claim's limit allows for at its
+// start. In a small fleet an outage of the store is served with it until the
+// claim expires.
+constexpr double kSmallFleetStartSeconds = 3.6;
+constexpr double kStartSeconds = 1.0;
 // Requests of mean size of the target that the hard limit does not allow for.
 constexpr std::int64_t kSparedRequests = 2;
 // Interval between claims in large fleets: all nodes together write at most 500
@@ -52,10 +57,13 @@
   for (const active_claim& claim : mClaims) {
     const auto found = claim.mAccounts.find(aAccount.mName);
     if (found != claim.mAccounts.end()) {
-      const claim_entry& entry = found->second;
+      // A run that takes over sees an age that is not lower, because the start
+      // in the row is not later than this one.
+      const auto age = std::chrono::duration_cast<milliseconds>(
+        aNow - claim.mExpires + mSettings.mClaimTimeToLive);
       const std::int64_t limit =
-        aNow < claim.mExpires ? entry.mSpendLimit : entry.mHardLimit;
-      takeable = std::max(takeable, entry.mReceived - limit);
+        LimitAt(found->second, age, mSettings.mClaimTimeToLive);
+      takeable = std::max(takeable, found->second.mReceived - limit);
     }
   }
   return aState.Free() - takeable;
@@ -65,7 +73,7 @@
                                             const account_state& aState,
                                             time_point aNow) const
 {
-  claim_entry entry{ aState.mReceived, aState.mReceived, aState.mReceived, 0 };
+  claim_entry entry{ aState.mReceived, aState.mReceived, aState.mReceived };
   if (mReturning || !mClaimConfirmed) {
     return entry;
   }
@@ -75,12 +83,17 @@
   const double life =
     std::chrono::duration<double>(mSettings.mClaimTimeToLive).count() +
     std::chrono::duration<double>(ClaimInterval()).count();
-  // An idle node may have to wait a few ms for a new claim.
-  const double more = HasDemand(aState, aNow) || IsSmallFleet()
-                        ? aState.mMeanRequestTokens * kSpendLimitRequests
-                        : 0.0;
-  const double ahead = UsedPerSecond(aState, aNow) * life + more;
-  const std::int64_t spendLimit = base + static_cast<std::int64_t>(ahead);
+  const double usage = UsedPerSecond(aState, aNow);
+  // In a large fleet a node gets few requests of an account, and most of them
+  // have to wait a few ms for a new claim in any case.
+  const double more =
+    IsSmallFleet() ? aState.mMeanRequestTokens * kSpendLimitRequests : 0.0;
+  const double startSeconds =
+    IsSmallFleet() ? kSmallFleetStartSeconds : kStartSeconds;
+  const std::int64_t spendLimit =
+    base + static_cast<std::int64_t>(usage * life + more);
+  const std::int64_t startLimit =
+    base + static_cast<std::int64_t>(usage * startSeconds + more);
   entry.mHardLimit =
     std::min(aState.mReceived,
              std::max(spendLimit, base + OutageTokens(aAccount, aState, aNow)));
@@ -90,6 +103,9 @@
   entry.mSpendLimit = ClaimsExpired(aNow) && !mStoredClaimEmpty
                         ? entry.mHardLimit
                         : std::min(entry.mHardLimit, spendLimit);
+  entry.mStartLimit = ClaimsExpired(aNow) && !mStoredClaimEmpty
+                        ? entry.mSpendLimit
+                        : std::min(entry.mSpendLimit, startLimit);
   return entry;
 }
 
@@ -230,12 +246,12 @@
   if (!aCurrent || mClaimConfirmed) {
     return 0;
   }
-  const bool inForce = LatestEndOfEarlierRun(aStoreTime, aSentAt) <
-                       aCurrent->mStartsAt + aCurrent->mTimeToLive;
+  const milliseconds age =
+    LatestEndOfEarlierRun(aStoreTime, aSentAt) - aCurrent->mStartsAt;
   std::int64_t takenOver = 0;
   for (const auto& [account, entry] : aCurrent->mAccounts) {
     const std::int64_t tokens =
-      entry.mReceived - (inForce ? entry.mSpendLimit : entry.mHardLimit);
+      entry.mReceived - LimitAt(entry, age, aCurrent->mTimeToLive);
     if (tokens > 0) {
       mTakenOver[account_id{ account }] = tokens;
       takenOver += tokens;
