Draw tokens later in large fleets

Change: they draw when less than half of the target is left, small fleets at three quarters as before. The tests of tokens, paths and losses passed; the full suite was not run again.

--- a/Source/Core/Gateway/TokenAllowanceDemand.cpp
+++ b/Source/Core/Gateway/TokenAllowanceDemand.cpp
@@ -20,9 +20,11 @@
 constexpr std::int64_t kMinDrawDivisor = 8;
 // Requests of mean size that are held in addition to the observed usage.
 constexpr std::int64_t kReserveRequests = 3;
-// Tokens are drawn when less than three quarters of the target are left.
+// Tokens are drawn when less than three quarters of the target are left, in a
+// large fleet less than half, because its store carries less for each node.
 constexpr std::int64_t kRefillDenominator = 4;
-constexpr std::int64_t kRefillNumerator = 3;
+constexpr std::int64_t kSmallFleetRefillNumerator = 3;
+constexpr std::int64_t kRefillNumerator = 2;
 // A node holds at most one part in this many of its equal share of the tokens
 // that are left, so that the others stay where any node can draw them.
 constexpr std::int64_t kShareDivisor = 2;
@@ -131,8 +133,10 @@
   const std::int64_t remaining = aState.mTotal - aState.mGranted;
   const std::int64_t target = TargetTokens(aAccount, aState, aNow);
   const bool needed = aState.mUnmetNeed > aState.Free();
-  if (remaining <= 0 || (!needed && aState.Free() * kRefillDenominator >=
-                                      target * kRefillNumerator)) {
+  const std::int64_t refill =
+    IsSmallFleet() ? kSmallFleetRefillNumerator : kRefillNumerator;
+  const bool enough = aState.Free() * kRefillDenominator >= target * refill;
+  if (remaining <= 0 || (!needed && enough)) {
     return 0;
   }
   // Other nodes need tokens as well, so one draw leaves most of the remaining
