--- a/Source/Core/Gateway/AllowanceWriter.cpp
+++ b/Source/Core/Gateway/AllowanceWriter.cpp
@@ -8,8 +8,6 @@
 
 constexpr const char* kGrantTableName = "prepaid";
 constexpr const char* kGrantKey = "granted";
-constexpr const char* kClaimTableName = "holdings";
-constexpr const char* kClaimKey = "statement";
 
 } // namespace
 
@@ -21,6 +19,7 @@
   , mStore(aStore)
   , mTime(aTime)
   , mHost(std::move(aHost))
+  , mRecovery(aTokenAllowance, aStore, aTime, aTokenAllowance.Run())
 {
 }
 
@@ -31,6 +30,7 @@
 
 void allowance_writer::WriteChanges(time_point aNow)
 {
+  ReadGrants(aNow);
   for (const grant_change& change : mTokenAllowance.TakeGrantChanges(aNow)) {
     const row_key key{ kGrantTableName, change.mAccount.mName, kGrantKey };
     row_transaction transaction;
@@ -80,6 +80,27 @@
   }
 }
 
+void allowance_writer::ReadGrants(time_point aNow)
+{
+  for (const account_id& account : mTokenAllowance.TakeGrantReads(aNow)) {
+    mStore.Read(kGrantTableName,
+                account.mName,
+                kGrantKey,
+                [this, alive = mAlive, account](auto aResult) {
+                  if (!*alive || !aResult.has_value()) {
+                    return;
+                  }
+                  for (const stored_row& row : aResult.value().mRows) {
+                    const auto grant = ParseGrantRow(row.mValue);
+                    if (row.mKey.mKey == kGrantKey && !row.mRemoved && grant) {
+                      mTokenAllowance.OnGrantRead(
+                        account, *grant, row.mVersion, mTime.Now());
+                    }
+                  }
+                });
+  }
+}
+
 void allowance_writer::WriteClaim(time_point aNow)
 {
   const auto change = mTokenAllowance.TakeClaim(aNow);
@@ -88,11 +109,11 @@
   }
   // Every node has its own store partition, so that claim writes of different
   // nodes do not queue behind each other.
-  const row_key key{ kClaimTableName, mHost, kClaimKey };
+  const row_key key = ClaimRowKey(mHost);
   row_transaction transaction;
   transaction.mConditions.push_back({ key, change->mExpectedVersion });
   transaction.mWrites.push_back({ key, WriteClaimRow(change->mRow) });
-  mStore.Commit(transaction, [this, alive = mAlive](auto aResult) {
+  mStore.Commit(transaction, [this, alive = mAlive, aNow](auto aResult) {
     if (!*alive) {
       return;
     }
@@ -113,8 +134,8 @@
       version = commit.mCurrent[0].mVersion;
       current = ParseClaimRow(commit.mCurrent[0].mValue);
     }
-    const std::int64_t takenOver =
-      mTokenAllowance.OnClaimConflict(current, version, commit.mStoreTime);
+    const std::int64_t takenOver = mTokenAllowance.OnClaimConflict(
+      current, version, commit.mStoreTime, aNow);
     Log(log_level::Info,
         "holdings_conflict",
         { Field("run", current ? current->mRun : "none"),
@@ -123,3 +144,15 @@
           Field("taken_over", takenOver) });
   });
 }
+
+void allowance_writer::RecoverClaims(const std::vector<std::string>& aLostHosts,
+                                     time_point aNow)
+{
+  mRecovery.OnTick(aNow);
+  for (const std::string& host : mTokenAllowance.TakeUnhelpfulHolders()) {
+    mRecovery.Recover(host, aNow);
+  }
+  for (const std::string& host : aLostHosts) {
+    mRecovery.Recover(host, aNow);
+  }
+}
--- a/Source/Core/Gateway/GatewayNodeTicks.cpp
+++ b/Source/Core/Gateway/GatewayNodeTicks.cpp
@@ -261,6 +261,7 @@
   mFleet.Self().mWork = mUpstreamRegistry.LocalWork();
   mFleet.Self().mFreeTokens = mTokenAllowance.AllFreeTokens(now);
   mTokenAllowance.SetHolders(mFleet.TokenHolders(now));
+  mAllowanceWriter.RecoverClaims(mFleet.LostPeers(now), now);
   const auto peers = mFleet.LivePeerAddresses(now);
   UpdateRateLimits(peers, now);
   mFleet.Self().mPauses = TimesLeft(mUpstreamRegistry.Pauses(now), now);
@@ -269,7 +270,9 @@
   mSegmentCrashes.SetNodes(mFleet.Self().mAddress, peers);
   mPeerTransport.SendReports();
   mUpstreamRegistry.SetPeerWork(mFleet.PeerWork(now));
-  mTokenAllowance.SetNodes(mFleet.LiveNodeCount(now));
+  if (mTokenAllowance.KnowsFleet(now)) {
+    mTokenAllowance.SetNodes(mFleet.LiveNodeCount(now));
+  }
   RefreshStateFromPeers(now);
 }
 
--- a/Source/Core/Gateway/TokenAllowance.h
+++ b/Source/Core/Gateway/TokenAllowance.h
@@ -23,10 +23,13 @@
 /// reply can overspend.
 ///
 /// Each node also writes a claim, a row of its own with the tokens it received
-/// and a limit on what it passes out. The node keeps to the limit until the
-/// claim expires; the next run on the same host takes over the tokens above it.
-/// A node that cannot reach the store may spend everything it holds once its
-/// claims have expired, and then nothing can be taken over.
+/// and two limits on what it passes out. The node keeps to the spend limit
+/// until the claim expires, and to the higher hard limit until another claim
+/// has replaced it in the store. The next run on the same host takes over the
+/// tokens above the spend limit if the claim was in force when the earlier run
+/// ended, those above the hard limit otherwise. Any node takes over the tokens
+/// above the hard limit by replacing the row under its version, because the
+/// owner can then commit no further claim before it has read what was taken.
 
 enum class reserve_verdict : std::uint8_t
 {
@@ -116,9 +119,10 @@
   double mInitialShare = 0.15;
   /// Tokens held beyond this multiple of the target are returned.
   double mReturnFactor = 2.0;
-  /// Time for which a claim binds the node. It is longer than the restart of a
-  /// process takes, so that its tokens can be taken over.
-  std::chrono::milliseconds mClaimTimeToLive{ 3300 };
+  /// Time for which a claim's spend limit binds the node. It is longer than a
+  /// loss of power of 3 s and the slow start after it, so that the tokens can
+  /// be taken over.
+  std::chrono::milliseconds mClaimTimeToLive{ 5000 };
   /// Interval between claims.
   std::chrono::milliseconds mClaimInterval{ 300 };
 };
@@ -129,10 +133,17 @@
   /// `aRun` identifies this run of the process.
   token_allowance(std::string aRun, const allowance_settings& aSettings);
 
+  const std::string& Run() const { return mRun; }
   /// Sets the total of an account from the newest configuration.
   void SetTotal(const account_id& aAccount, std::int64_t aTokens);
+  /// Sets the time at which this run had bound the addresses of its host. The
+  /// earlier run on the host had ended by then. Without it, that run counts as
+  /// ended when its claim is read.
+  void SetStart(time_point aStartedAt) { mStartedAt = aStartedAt; }
   /// Sets the number of nodes that share the accounts.
   void SetNodes(std::size_t aNodes) { mNodes = aNodes == 0 ? 1 : aNodes; }
+  /// Whether the other nodes have had the time to report since the start.
+  bool KnowsFleet(time_point aNow) const;
 
   reserve_verdict Reserve(const account_id& aAccount,
                           std::int64_t aTokens,
@@ -151,8 +162,22 @@
                      std::int64_t aTokens,
                      time_point aNow);
 
+  /// When a request of `aTokens` that was refused may be covered: by a pending
+  /// draw or transfer, by a claim that expires, by reservations that end, or by
+  /// tokens of lost nodes. Nothing if no tokens are expected.
+  std::optional<time_point> TokensExpectedAt(const account_id& aAccount,
+                                             std::int64_t aTokens,
+                                             time_point aNow) const;
+
   /// Returns the grant changes to write now, at most one per account at a time.
   std::vector<grant_change> TakeGrantChanges(time_point aNow);
+  /// Returns the accounts whose rows are to be read now; answered by
+  /// `OnGrantRead` if the row exists and is readable.
+  std::vector<account_id> TakeGrantReads(time_point aNow);
+  void OnGrantRead(const account_id& aAccount,
+                   const grant_row& aCurrent,
+                   std::uint64_t aVersion,
+                   time_point aNow);
   /// From now on returns all unreserved tokens to the store; used at the end of
   /// the process.
   void ReturnAll() { mReturning = true; }
@@ -177,11 +202,16 @@
   std::optional<claim_change> TakeClaim(time_point aNow);
   void OnClaimCommitted(std::uint64_t aVersion, time_point aNow);
   /// The row had another version. It belongs to an earlier run of this host,
-  /// whose tokens are taken over if its claim has not expired, or to a write of
-  /// this run whose reply was lost. Returns the number of tokens taken over.
+  /// whose tokens are taken over if its claim was in force when it ended, or to
+  /// a write of this run whose reply was lost. `aStoreTime` is the store's
+  /// clock in the reply to the write that was sent at `aSentAt`. Returns the
+  /// number of tokens taken over.
   std::int64_t OnClaimConflict(const std::optional<claim_row>& aCurrent,
                                std::uint64_t aVersion,
-                               std::chrono::milliseconds aStoreTime);
+                               std::chrono::milliseconds aStoreTime,
+                               time_point aSentAt);
+  /// Counts tokens that this node took over from the claim of another one.
+  void OnTakenOver(const claimed_tokens& aTokens);
   /// `aUnknown` is true if the write may still be applied.
   void OnClaimFailed(bool aUnknown);
 
@@ -191,6 +221,9 @@
   /// unanswered ones are repeated.
   std::vector<addressed_request> TakeTokenRequests(std::uint64_t aRun,
                                                    time_point aNow);
+  /// Addresses of nodes that reported tokens and did not transfer what was
+  /// needed, since the last call.
+  std::vector<std::string> TakeUnhelpfulHolders();
   /// Answers the request of another node; returns nothing if no tokens can be
   /// spared.
   std::optional<token_transfer> AnswerRequest(const token_request& aRequest,
@@ -206,6 +239,10 @@
   std::int64_t UngrantedTokens(const account_id& aAccount) const;
 
 private:
+  // In larger fleets no tokens are drawn before the first usage, and a claim's
+  // hard limit spares tokens for others.
+  static constexpr std::size_t kMaxSmallFleetNodes = 16;
+
   struct pending_change
   {
     std::uint64_t mSequence = 0;
@@ -216,6 +253,8 @@
     std::int64_t Free() const { return mReceived - mSpent; }
 
     std::int64_t mTotal = 0;
+    /// Tokens of the requests in progress.
+    std::int64_t mReserved = 0;
     /// Tokens granted, transferred or taken over to this run.
     std::int64_t mReceived = 0;
     /// Tokens reserved, used, transferred away or returned by this run.
@@ -229,6 +268,14 @@
     std::uint64_t mVersion = 0;
     std::int64_t mGranted = 0;
     bool mRowKnown = false;
+    /// When the row was read, or written by this run, last.
+    time_point mRowReadAt;
+    time_point mNextReadAt;
+    std::optional<time_point> mLastRequestAt;
+    time_point mNeedExpiresAt;
+    /// When tokens were last seen to be granted or transferred to another node.
+    time_point mMovedAt;
+    time_point mNextReturnAt;
     std::optional<pending_change> mPending;
     /// A change without a reply that may still be applied while the row has the
     /// version it expects.
@@ -266,44 +313,95 @@
   /// Tokens used per second, the higher of the rates of the current and the
   /// previous usage period.
   double UsedPerSecond(const account_state& aState, time_point aNow) const;
-  std::int64_t TargetTokens(const account_state& aState, time_point aNow) const;
+  bool IsSmallFleet() const
+  {
+    return mNodes != 0 && mNodes <= kMaxSmallFleetNodes;
+  }
+  /// Whether clients used the account at this node lately.
+  bool HasDemand(const account_state& aState, time_point aNow) const;
+  /// Tokens that are not granted, or free on this node or on others.
+  std::int64_t UnspentTokens(const account_id& aAccount,
+                             const account_state& aState) const;
+  bool IsScarce(const account_id& aAccount, const account_state& aState) const;
+  std::int64_t TargetTokens(const account_id& aAccount,
+                            const account_state& aState,
+                            time_point aNow) const;
   /// Number of nodes that use the account, this one included.
   std::int64_t SharingNodes(const account_id& aAccount) const;
   std::int64_t DrawAmount(const account_id& aAccount,
                           const account_state& aState,
                           time_point aNow) const;
   std::int64_t ReturnAmount(const account_id& aAccount,
-                            const account_state& aState,
-                            time_point aNow) const;
+                            account_state& aState,
+                            time_point aNow);
   /// Tokens that may be passed out now without exceeding the limit of a claim.
   std::int64_t Available(const account_id& aAccount,
                          const account_state& aState,
                          time_point aNow) const;
-  std::int64_t NextSpendLimit(const account_state& aState,
-                              time_point aNow) const;
+  claim_entry NextClaimEntry(const account_id& aAccount,
+                             const account_state& aState,
+                             time_point aNow) const;
+  /// Tokens that the hard limit of a claim allows for.
+  std::int64_t OutageTokens(const account_id& aAccount,
+                            const account_state& aState,
+                            time_point aNow) const;
+  void ForgetExpiredClaims(time_point aNow);
+  /// Replaces what is known of this run's claims by the row in the store.
+  void AdoptStoredClaim(const claim_row& aRow);
   bool ClaimsExpired(time_point aNow) const;
+  /// Latest time, by the store's clock, at which the earlier run of this host
+  /// can have ended.
+  std::chrono::milliseconds LatestEndOfEarlierRun(
+    std::chrono::milliseconds aStoreTime,
+    time_point aSentAt) const;
   /// Free tokens of the account that other nodes report.
   std::int64_t FreeTokensOnPeers(const account_id& aAccount) const;
   const token_holder* NextHolder(const account_id& aAccount,
                                  const account_state& aState) const;
   /// Called when a claim of this run has replaced that of the earlier run in
   /// the store.
-  void ConfirmClaim();
+  void ConfirmClaim(time_point aNow);
+  std::chrono::milliseconds ClaimInterval() const;
+  /// Time in which a change of what a node holds reaches all others.
+  std::chrono::milliseconds ReportTime() const;
+  /// Whether the claim in the store is empty and there is nothing to add to it.
+  bool IsStoredClaimEmpty() const;
+  /// Whether the limits cannot be raised because the store does not reply.
+  bool AreLimitsFixed(time_point aNow) const;
+  std::int64_t TransferAmount(const token_request& aRequest,
+                              const account_state& aState,
+                              time_point aNow) const;
+  /// Records the stored row. Returns whether it shows that the unanswered
+  /// change was applied.
+  bool LearnRow(account_state& aState,
+                const std::optional<grant_row>& aCurrent,
+                std::uint64_t aVersion,
+                time_point aNow);
   std::chrono::milliseconds Backoff(const account_id& aAccount,
                                     const account_state& aState) const;
 
   std::string mRun;
   allowance_settings mSettings;
-  std::size_t mNodes = 1;
+  std::optional<time_point> mStartedAt;
+  /// 0 until the other nodes have reported.
+  std::size_t mNodes = 0;
+  /// This run in messages between nodes.
+  std::uint64_t mRunNumber = 0;
   std::uint64_t mSequence = 0;
   bool mReturning = false;
   std::unordered_map<account_id, account_state> mAccounts;
 
   /// Claims that bind this node, oldest first.
   std::deque<active_claim> mClaims;
+  /// Tokens above the hard limits of expired claims that may be in the store.
+  claimed_tokens mExpiredTakeable;
+  /// Tokens that others took over from the claim of this sequence.
+  std::uint64_t mTakenSequence = 0;
+  claimed_tokens mKnownTaken;
   std::uint64_t mClaimVersion = 0;
   bool mClaimPending = false;
   bool mClaimConfirmed = false;
+  bool mStoredClaimEmpty = false;
   /// A claim's limit is too low for a request that the held tokens cover.
   bool mSpendLimitTooLow = false;
   time_point mNextClaimAt;
@@ -315,6 +413,7 @@
 
   time_point mLastClaimAt;
   token_holders mHolders;
+  std::set<std::string> mUnhelpfulHolders;
   /// Recently sent transfers by requesting run and request identity.
   std::map<std::pair<std::uint64_t, std::uint64_t>, sent_transfer>
     mSentTransfers;
