Keep requests away from evacuated zones

Cause: the operators ask to take the servers of a zone out of service with one row in their table. Rows of that table other than the configuration were ignored. Change: rows `evacuate/ZONE` exclude the servers of the zone before candidates are grouped, so that new, waiting, repeated, resumed and relayed requests and health requests leave them out, also as a last resort. Requests that only servers of evacuated zones could take are refused at once as `zone_evacuated`. The optional bound `evacuation_limit_ms` limits the age of state and the time at which requests leave the host. The judgement of both moved to StateFreshness.

--- a/Source/Core/Config/SettingsPage.cpp
+++ b/Source/Core/Config/SettingsPage.cpp
@@ -7,6 +7,17 @@
 
 namespace {
 
+// Settings of `gateway_settings`, which are not read by a schema.
+constexpr const char* kGatewaySettings = R"(
+## Gateway settings that only some deployments have
+
+The platform writes them from `platform/settings.json.in`; an error names file, line and key.
+
+| setting | type | range | default | meaning |
+| --- | --- | --- | --- | --- |
+| `evacuation_limit_ms` | number | 1 to 600000 ms | optional | Longest time from the acknowledgement of an evacuation to the last request that reaches the zone. |
+)";
+
 std::string FormatRange(const setting_descriptor& aSetting)
 {
   switch (aSetting.mType) {
@@ -71,5 +82,6 @@
   text += "\n## Sections `billing` and `billing/<part>`\n\n" +
           FormatTable(BillingSchema());
   text += "\n## Sections `accounts/<name>`\n\n" + FormatTable(AccountSchema());
+  text += kGatewaySettings;
   return text;
 }
--- a/Source/Core/Gateway/GatewayCodec.h
+++ b/Source/Core/Gateway/GatewayCodec.h
@@ -47,6 +47,9 @@
   /// Returns nothing if the document cannot be parsed.
   virtual std::optional<gateway_config> ReadConfig(
     std::string_view aDocument) const = 0;
+  /// Zone whose servers the operator's row takes out of service; nothing for
+  /// other rows. The name is empty if the row names no zone.
+  virtual std::optional<zone_id> ReadEvacuation(const row_key& aKey) const = 0;
   /// Returns nothing if the row describes no usable server.
   virtual std::optional<server_entry> ReadUpstream(
     const stored_row& aRow) const = 0;
--- a/Source/Core/Gateway/GatewayMetrics.cpp
+++ b/Source/Core/Gateway/GatewayMetrics.cpp
@@ -63,6 +63,8 @@
       AddGauge("gateway_opened_connections", "Connections opened to servers"))
   , mRateLimited(AddGauge("gateway_rate_limited_servers",
                           "Servers that named a rate limit"))
+  , mEvacuatedZones(AddGauge("gateway_evacuated_zones",
+                             "Zones whose servers get no requests"))
   , mLinkWait(AddGauge("gateway_link_wait_seconds",
                        "Estimated time that bytes wait for the outgoing link"))
   , mRelaying(AddGauge("gateway_relaying",
--- a/Source/Core/Gateway/GatewayMetrics.h
+++ b/Source/Core/Gateway/GatewayMetrics.h
@@ -42,6 +42,7 @@
   void SetLinkWait(double aSeconds) { mLinkWait.Set(aSeconds); }
   void SetRelaying(double aRelaying) { mRelaying.Set(aRelaying); }
   void SetRateLimitedServers(double aCount) { mRateLimited.Set(aCount); }
+  void SetEvacuatedZones(double aCount) { mEvacuatedZones.Set(aCount); }
   void SetOpenRequests(double aCount) { mOpenRequests.Set(aCount); }
   void SetLiveNodes(double aCount) { mLiveNodes.Set(aCount); }
   void SetConfigVersion(double aVersion) { mConfigVersion.Set(aVersion); }
@@ -70,6 +71,7 @@
   prometheus::Gauge& mStoreAge;
   prometheus::Gauge& mOpened;
   prometheus::Gauge& mRateLimited;
+  prometheus::Gauge& mEvacuatedZones;
   prometheus::Gauge& mLinkWait;
   prometheus::Gauge& mRelaying;
 };
--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -45,23 +45,16 @@
 // needs about 6 MB; responses and connection buffers need the rest.
 constexpr double kBodyMemoryShare = 0.3;
 
-// Share of the limits for leaving servers and for changes of the configuration
-// up to which state is recent. The rest is for the way of a request.
-constexpr double kMaxStateAgeShare = 0.7;
-
-// Share of the limit for leaving servers within which requests must have left
-// the host.
-constexpr double kMaxSendShare = 0.9;
-
 milliseconds Share(milliseconds aTime, double aShare)
 {
   return std::chrono::duration_cast<milliseconds>(aTime * aShare);
 }
 
-milliseconds MaxStateAge(const gateway_settings& aSettings)
+state_bounds Bounds(const gateway_settings& aSettings)
 {
-  return Share(std::min(aSettings.mLeaveTimeout, aSettings.mConfigTimeout),
-               kMaxStateAgeShare);
+  return { aSettings.mLeaveTimeout,
+           aSettings.mConfigTimeout,
+           aSettings.mEvacuationTimeout };
 }
 
 std::int64_t AgeMs(time_point aThen, time_point aNow)
@@ -108,6 +101,7 @@
   , mFleet(SelfReport(aSettings, std::stoull(mRun, nullptr, 16)))
   , mStreamOrigins(FormatTcpAddress(aSettings.mPeer))
   , mCrashExchange(mCrashes, mSegmentCrashes, mMetrics, mStore, mTime, mRun)
+  , mEvacuationRows(mCodec, mUpstreamRegistry, mMetrics)
   , mAllowanceWriter(mTokenAllowance,
                      mStore,
                      mTime,
@@ -136,7 +130,7 @@
                    mTime,
                    aSettings.mLinkBytesPerSecond,
                    [this] { return Snapshot(); })
-  , mMaxStateAge(MaxStateAge(aSettings))
+  , mMaxStateAge(MaxStateAge(Bounds(aSettings)))
   , mLinkOverload(mSettings.mLinkBytesPerSecond)
   , mStalls(mTime.Now())
   , mConfigTable(mStore,
@@ -289,6 +283,7 @@
     if (aRow.mKey.mKey == mCodec.ConfigKey()) {
       ApplyConfig(aRow);
     }
+    mEvacuationRows.Apply(aRow);
     return;
   }
   if (aRow.mKey.mTable == fleet_rows::kFleetTableName) {
@@ -340,6 +335,7 @@
 
 void gateway_node::OnRowRemoved(const row_key& aKey)
 {
+  mEvacuationRows.Remove(aKey);
   if (aKey.mTable != mCodec.UpstreamTable()) {
     return;
   }
@@ -432,10 +428,11 @@
   mContext.mConfigCurrentAt = mConfigTable.CurrentAt();
   mContext.mServersCurrentAt = mUpstreamTable.CurrentAt();
   UpdateStateVerdict(aNow);
-  // While the store is away, nothing can be known to have left.
-  const bool storeAway = mContext.mState == state_verdict::StoreAway;
-  mContext.mLatestLeavesAt = (storeAway ? aNow : mUpstreamTable.CurrentAt()) +
-                             Share(mSettings.mLeaveTimeout, kMaxSendShare);
+  mContext.mLatestLeavesAt = LatestLeavesAt(Bounds(mSettings),
+                                            mContext.mState,
+                                            mConfigTable.CurrentAt(),
+                                            mUpstreamTable.CurrentAt(),
+                                            aNow);
 }
 
 void gateway_node::UpdateStateVerdict(time_point aNow)
--- a/Source/Core/Gateway/GatewayNode.h
+++ b/Source/Core/Gateway/GatewayNode.h
@@ -7,6 +7,7 @@
 
 #include "Common/EventLoop.h"
 #include "Gateway/AllowanceWriter.h"
+#include "Gateway/EvacuationRows.h"
 #include "Gateway/FleetRows.h"
 #include "Gateway/GatewayEndpoints.h"
 #include "Gateway/GatewaySession.h"
@@ -128,6 +129,7 @@
   stream_origins mStreamOrigins;
   gateway_metrics mMetrics;
   crash_exchange mCrashExchange;
+  evacuation_rows mEvacuationRows;
   allowance_writer mAllowanceWriter;
   fleet_rows mRows;
   gateway_context mContext;
--- a/Source/Core/Gateway/GatewayNodeTicks.cpp
+++ b/Source/Core/Gateway/GatewayNodeTicks.cpp
@@ -302,6 +302,9 @@
   mRows.OnMaintenanceTick(now);
   mCrashExchange.OnMaintenanceTick(now);
   mUpstreamRegistry.Expire(now);
+  if (mUpstreamTable.IsLoaded() || mUpstreamRegistry.Size() > 0) {
+    mEvacuationRows.LogUnknownZones(mSettings.mZone);
+  }
   for (const auto& [service, software] : mUpstreamRegistry.Software()) {
     mStreamOrigins.OnServer(service, software, now);
   }
--- a/Source/Core/Gateway/GatewaySession.cpp
+++ b/Source/Core/Gateway/GatewaySession.cpp
@@ -158,12 +158,13 @@
     StreamKey(mRequest.mId), mService, *mPinnedSoftware, aNow);
 }
 
-void gateway_session::EndUnsent(const char* aReason, milliseconds aRetryAfter)
+void gateway_session::EndUnsent(const char* aReason,
+                                std::optional<milliseconds> aRetryAfter)
 {
   if (mMayHaveRun) {
     Fail(http_status::kBadGateway, aReason);
   } else {
-    Refuse(aReason, aRetryAfter);
+    Answer(http_status::kServiceUnavailable, aReason, aRetryAfter);
   }
 }
 
--- a/Source/Core/Gateway/GatewaySession.h
+++ b/Source/Core/Gateway/GatewaySession.h
@@ -147,7 +147,9 @@
   /// given if the server got it, `aUnsentReason` if not.
   void EndWithoutServer(const char* aReason, const char* aUnsentReason);
   /// Ends the request instead of sending it, possibly for a further time.
-  void EndUnsent(const char* aReason, std::chrono::milliseconds aRetryAfter);
+  /// Without `aRetryAfter`, the client is not told to come back.
+  void EndUnsent(const char* aReason,
+                 std::optional<std::chrono::milliseconds> aRetryAfter);
   void AdvanceSent(time_point aNow);
   placement_query Query() const;
   admission_query AdmissionQuery() const;
--- a/Source/Core/Gateway/GatewaySessionAdmission.cpp
+++ b/Source/Core/Gateway/GatewaySessionAdmission.cpp
@@ -73,11 +73,21 @@
     Refuse("stream_version_unknown", kRefusalRetryDelay);
     return;
   }
+  placement_query query = Query();
+  query.mSoftware = found.mSoftware;
+  bool evacuated = false;
   const auto service =
     std::ranges::find_if(services, [&](const service_id& aService) {
-      return mContext.mUpstreamRegistry.HasUsable(
-        aService, aNow, found.mSoftware);
+      query.mService = aService;
+      evacuated =
+        evacuated || mContext.mUpstreamRegistry.OnlyEvacuated(query, aNow);
+      return mContext.mUpstreamRegistry.HasUsable(query, aNow);
     });
+  if (service == services.end() && evacuated) {
+    mContext.mMetrics.OnStreamResumption("zone_evacuated");
+    EndUnsent("zone_evacuated", std::nullopt);
+    return;
+  }
   if (service == services.end()) {
     mContext.mMetrics.OnStreamResumption("version_gone");
     Refuse("stream_version_gone", kVersionGoneRetryDelay);
@@ -211,9 +221,15 @@
   }
   admission_verdict verdict = Admit(query, aNow);
   if (verdict == admission_verdict::Wait &&
-      !mContext.mUpstreamRegistry.HasUsable(mService, aNow, mPinnedSoftware)) {
+      !mContext.mUpstreamRegistry.HasUsable(Query(), aNow)) {
     verdict = admission_verdict::Refuse;
   }
+  if (verdict == admission_verdict::Refuse && !chosen &&
+      mContext.mUpstreamRegistry.OnlyEvacuated(Query(), aNow)) {
+    // Nobody knows when the zone is taken back, so no delay is promised.
+    EndUnsent("zone_evacuated", std::nullopt);
+    return;
+  }
   if (verdict == admission_verdict::Send) {
     Send(*chosen, aNow);
   } else if (verdict == admission_verdict::Refuse) {
--- a/Source/Core/Gateway/GatewaySettings.cpp
+++ b/Source/Core/Gateway/GatewaySettings.cpp
@@ -45,6 +45,17 @@
     return number;
   }
 
+  /// Nothing if the key is absent.
+  std::optional<double> OptionalNumber(const char* aKey,
+                                       double aMin,
+                                       double aMax)
+  {
+    if (Find(aKey) == nullptr) {
+      return std::nullopt;
+    }
+    return Number(aKey, aMin, aMax);
+  }
+
   tcp_address Address(const char* aKey)
   {
     const auto address = ParseTcpAddress(Text(aKey));
@@ -176,6 +187,10 @@
     Milliseconds(root.Number("leave_limit_ms", 1, kMaxMilliseconds));
   settings.mConfigTimeout =
     Milliseconds(root.Number("config_limit_ms", 1, kMaxMilliseconds));
+  if (const auto limit =
+        root.OptionalNumber("evacuation_limit_ms", 1, kMaxMilliseconds)) {
+    settings.mEvacuationTimeout = Milliseconds(*limit);
+  }
   constexpr double kMsPerSecond = 1000;
   settings.mGracePeriod =
     Milliseconds(root.Number("grace_s", 0, kMaxSeconds) * kMsPerSecond);
--- a/Source/Core/Gateway/GatewaySettings.h
+++ b/Source/Core/Gateway/GatewaySettings.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -43,6 +44,9 @@
   /// Longest time after the store knew a configuration in which requests may
   /// still be handled by an older one.
   std::chrono::milliseconds mConfigTimeout{ 2000 };
+  /// Longest time after the store knew an evacuation in which requests may
+  /// still reach the zone; nothing if the platform states none.
+  std::optional<std::chrono::milliseconds> mEvacuationTimeout;
   /// Grace period: time from SIGTERM to SIGKILL.
   std::chrono::milliseconds mGracePeriod{ 8000 };
   allowance_settings mTokenAllowance;
--- a/Source/Core/Gateway/StateFreshness.h
+++ b/Source/Core/Gateway/StateFreshness.h
@@ -44,6 +44,32 @@
 
 std::string_view StateVerdictName(state_verdict aVerdict);
 
+/// Times by which the platform requires that changes in the store take effect.
+struct state_bounds
+{
+  /// From the entry of a leaving server to the last request there.
+  std::chrono::milliseconds mLeave{ 0 };
+  /// From a configuration to the last request that is handled by an older one.
+  std::chrono::milliseconds mConfig{ 0 };
+  /// From the evacuation of a zone to the last request there; nothing if the
+  /// platform states none.
+  std::optional<std::chrono::milliseconds> mEvacuation;
+};
+
+/// Age up to which state counts as recent. The rest of the bounds is for the
+/// way of a request.
+std::chrono::milliseconds MaxStateAge(const state_bounds& aBounds);
+
+/// Latest time at which requests that are sent now may leave the host, so that
+/// they reach no server that has left and no evacuated zone in time.
+/// `aConfigCurrentAt` and `aServersCurrentAt` tell when the copies of the
+/// tables were current; they do not count while the store is away.
+time_point LatestLeavesAt(const state_bounds& aBounds,
+                          state_verdict aVerdict,
+                          time_point aConfigCurrentAt,
+                          time_point aServersCurrentAt,
+                          time_point aNow);
+
 /// `aMaxAge` is the age up to which state counts as recent.
 state_verdict JudgeState(const state_evidence& aEvidence,
                          std::chrono::milliseconds aMaxAge,
--- a/Source/Core/Gateway/UpstreamRegistry.cpp
+++ b/Source/Core/Gateway/UpstreamRegistry.cpp
@@ -272,6 +272,7 @@
   for (const auto& [id, record] : mUpstreams) {
     const auto service = mServices.find(record.mEntry.mService.mName);
     if (!record.mUsableUntil && service != mServices.end() &&
+        !mEvacuatedZones.contains(record.mEntry.mZone) &&
         !service->second.mHealthPath.empty()) {
       targets.push_back(
         { record.mEntry.mAddress, service->second.mHealthPath });
@@ -310,15 +311,13 @@
   std::vector<const upstream_record*> suspect;
   std::vector<const upstream_record*> leaving;
   for (const auto& [id, record] : mUpstreams) {
-    if (record.mEntry.mService != aQuery.mService ||
-        record.mSoftware != aQuery.mSoftware.value_or(record.mSoftware) ||
+    if (!Fits(record, aQuery, aNow) ||
+        mEvacuatedZones.contains(record.mEntry.mZone) ||
         std::ranges::find(aQuery.mExcluded, id) != aQuery.mExcluded.end()) {
       continue;
     }
     if (record.mUsableUntil) {
-      if (aNow < *record.mUsableUntil) {
-        leaving.push_back(&record);
-      }
+      leaving.push_back(&record);
     } else if (aNow < record.mSuspectUntil ||
                IsSilent(record, kSilenceTimeout, aNow)) {
       suspect.push_back(&record);
@@ -459,18 +458,6 @@
   return earliest.value_or(time_point());
 }
 
-bool upstream_registry::HasUsable(const service_id& aService,
-                                  time_point aNow,
-                                  std::optional<software_key> aSoftware) const
-{
-  return std::ranges::any_of(mUpstreams, [&](const auto& aPair) {
-    const upstream_record& record = aPair.second;
-    return record.mEntry.mService == aService &&
-           record.mSoftware == aSoftware.value_or(record.mSoftware) &&
-           (!record.mUsableUntil || aNow < *record.mUsableUntil);
-  });
-}
-
 std::set<std::pair<service_id, software_version>> upstream_registry::Software()
   const
 {
--- a/Source/Core/Gateway/UpstreamRegistry.h
+++ b/Source/Core/Gateway/UpstreamRegistry.h
@@ -64,6 +64,8 @@
   std::optional<software_key> mSoftware;
   /// Servers that must not be chosen, because they were tried already.
   std::vector<upstream_id> mExcluded;
+  /// Zones in which the request may run; any if null.
+  const std::set<zone_id>* mAllowedZones = nullptr;
 };
 
 struct placement
@@ -143,6 +145,13 @@
   /// The entry was removed from the store. The server is used only if no other
   /// is usable, until `aUsableUntil`.
   void Remove(const upstream_id& aId, time_point aUsableUntil);
+  /// Forbids all sends to the servers of the zone, also as a last resort.
+  /// Requests in progress there go on. Returns whether this was not so.
+  bool Evacuate(const zone_id& aZone);
+  /// Allows sends to the servers of the zone again.
+  void Restore(const zone_id& aZone);
+  /// Number of servers in the zone.
+  std::size_t CountInZone(const zone_id& aZone) const;
   /// Drops servers that left and have no work.
   void Expire(time_point aNow);
 
@@ -153,11 +162,11 @@
   /// Time from which the rate limits of the servers allow this node to send the
   /// request; in the past if they do, or if there is no server.
   time_point LimitedUntil(const placement_query& aQuery, time_point aNow) const;
-  /// Whether the service has any usable server, busy or not; with the given
-  /// software, if any is given.
-  bool HasUsable(const service_id& aService,
-                 time_point aNow,
-                 std::optional<software_key> aSoftware = {}) const;
+  /// Whether any usable server fits the query, busy or not. Servers that were
+  /// tried already count.
+  bool HasUsable(const placement_query& aQuery, time_point aNow) const;
+  /// Whether servers fit the query, and all of them are in evacuated zones.
+  bool OnlyEvacuated(const placement_query& aQuery, time_point aNow) const;
   /// Services and software versions of all servers.
   std::set<std::pair<service_id, software_version>> Software() const;
 
@@ -252,6 +261,11 @@
   upstream_record* FindRun(const upstream_id& aId, std::uint64_t aIncarnation);
   /// Time until which the server wants no request of this node.
   time_point PausedUntil(const upstream_record& aRecord) const;
+  /// Whether the query may run at the server, apart from the evacuation of its
+  /// zone.
+  static bool Fits(const upstream_record& aRecord,
+                   const placement_query& aQuery,
+                   time_point aNow);
   upstream_work WorkAt(const upstream_record& aRecord) const;
   static shared_prompt SharedPrompt(const std::vector<prompt_segment>* aPrompt);
   /// Servers of the best non-empty group: healthy, suspect, then leaving or
@@ -282,6 +296,7 @@
   std::unordered_map<std::uint32_t, time_point> mPeerPauses;
   std::vector<std::pair<std::uint32_t, time_point>> mNewPauses;
   server_rate_limits mRateLimits;
+  std::set<zone_id> mEvacuatedZones;
   /// Prompt segment, then server, to the time until which the server is assumed
   /// to have it cached.
   std::unordered_map<std::string, std::unordered_map<std::uint32_t, time_point>>
