Limit what cold servers get in any second

Cause: servers that have just started crash under more than `coldPerS` x `coldOver` + `coldSlack` requests in a second; the nodes knew neither the field of the entries nor the limit. Change: `coldRemainingMs`, `Lentilswitch-Cold-Ms`, `coldS` and `coldPerS` are read; a cold server counts as limited to `coldPerS` in `server_rate_limits` until a stored deadline. While it is cold, a part is not used ahead, and the limit is divided among all nodes that may run, so that nodes that start, are cut off or know different nodes stay within the bound. Bad values are logged with their place and count as missing. There is one division, for the lower one of a stated limit and that of a cold server.

--- a/Source/Core/Gateway/FleetView.cpp
+++ b/Source/Core/Gateway/FleetView.cpp
@@ -185,6 +185,16 @@
   return peers;
 }
 
+std::vector<std::string> fleet_view::KnownAddresses() const
+{
+  std::vector<std::string> addresses;
+  addresses.reserve(mPeers.size());
+  for (const auto& [address, peer] : mPeers) {
+    addresses.push_back(address);
+  }
+  return addresses;
+}
+
 token_holders fleet_view::TokenHolders(time_point aNow) const
 {
   token_holders holders;
--- a/Source/Core/Gateway/FleetView.h
+++ b/Source/Core/Gateway/FleetView.h
@@ -103,6 +103,8 @@
                                            const std::string& aZone) const;
   /// Number of live nodes, this one included.
   std::size_t LiveNodeCount(time_point aNow) const;
+  /// Datagram addresses at which other nodes may run, alive or not.
+  std::vector<std::string> KnownAddresses() const;
   /// Datagram addresses of live peers.
   std::vector<std::string> LivePeerAddresses(time_point aNow) const;
   /// Work of the other nodes by server. If only some nodes report here, the sum
--- a/Source/Core/Gateway/GatewayMetrics.cpp
+++ b/Source/Core/Gateway/GatewayMetrics.cpp
@@ -43,6 +43,10 @@
                     .Name("gateway_rate_limited_sends_total")
                     .Help("Sends to servers that named a rate limit")
                     .Register(*mRegistry))
+  , mColdSends(prometheus::BuildCounter()
+                 .Name("gateway_cold_sends_total")
+                 .Help("Sends to cold servers")
+                 .Register(*mRegistry))
   , mStateVerdicts(prometheus::BuildCounter()
                      .Name("gateway_state_verdicts_total")
                      .Help("Changes of the judgement whether the state of the "
@@ -65,6 +69,8 @@
                           "Servers that named a rate limit"))
   , mEvacuatedZones(AddGauge("gateway_evacuated_zones",
                              "Zones whose servers get no requests"))
+  , mColdServers(
+      AddGauge("gateway_cold_servers", "Servers that are known to be cold"))
   , mLinkWait(AddGauge("gateway_link_wait_seconds",
                        "Estimated time that bytes wait for the outgoing link"))
   , mRelaying(AddGauge("gateway_relaying",
@@ -139,6 +145,11 @@
     .Increment();
 }
 
+void gateway_metrics::OnColdSend(bool aRepeated)
+{
+  mColdSends.Add({ { "repeated", aRepeated ? "true" : "false" } }).Increment();
+}
+
 std::string gateway_metrics::Text() const
 {
   return prometheus::TextSerializer().Serialize(mRegistry->Collect());
--- a/Source/Core/Gateway/GatewayMetrics.h
+++ b/Source/Core/Gateway/GatewayMetrics.h
@@ -37,11 +37,14 @@
   /// Counts a send to a server that named a rate limit. `aRepeated` tells
   /// whether the request had been sent before.
   void OnLimitedSend(bool aRepeated);
+  /// Counts a send to a cold server.
+  void OnColdSend(bool aRepeated);
   /// Counts a change of the judgement on the state that the node has.
   void OnStateVerdict(std::string_view aVerdict);
   void SetLinkWait(double aSeconds) { mLinkWait.Set(aSeconds); }
   void SetRelaying(double aRelaying) { mRelaying.Set(aRelaying); }
   void SetRateLimitedServers(double aCount) { mRateLimited.Set(aCount); }
+  void SetColdServers(double aCount) { mColdServers.Set(aCount); }
   void SetEvacuatedZones(double aCount) { mEvacuatedZones.Set(aCount); }
   void SetOpenRequests(double aCount) { mOpenRequests.Set(aCount); }
   void SetLiveNodes(double aCount) { mLiveNodes.Set(aCount); }
@@ -63,6 +66,7 @@
   prometheus::Family<prometheus::Counter>& mSegmentCrashes;
   prometheus::Family<prometheus::Counter>& mStreamResumptions;
   prometheus::Family<prometheus::Counter>& mLimitedSends;
+  prometheus::Family<prometheus::Counter>& mColdSends;
   prometheus::Family<prometheus::Counter>& mStateVerdicts;
   prometheus::Family<prometheus::Histogram>& mFirstByteSeen;
   prometheus::Gauge& mOpenRequests;
@@ -72,6 +76,7 @@
   prometheus::Gauge& mOpened;
   prometheus::Gauge& mRateLimited;
   prometheus::Gauge& mEvacuatedZones;
+  prometheus::Gauge& mColdServers;
   prometheus::Gauge& mLinkWait;
   prometheus::Gauge& mRelaying;
 };
--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -62,6 +62,21 @@
   return std::chrono::duration_cast<milliseconds>(aNow - aThen).count();
 }
 
+/// Logs values of a row that count as missing.
+void LogIgnored(const std::vector<ignored_field>& aFields,
+                const std::string& aRow,
+                std::uint64_t aVersion)
+{
+  for (const ignored_field& field : aFields) {
+    Log(log_level::Warning,
+        "field_ignored",
+        { Field("row", aRow),
+          Field("place", field.mPlace),
+          Field("value", field.mValue),
+          Field("version", aVersion) });
+  }
+}
+
 std::uint64_t RandomRun()
 {
   std::random_device device;
@@ -97,7 +112,9 @@
   , mTokenAllowance(mRun, aSettings.mTokenAllowance)
   , mRetries(aSettings.mRetries)
   , mLinkQueue(aSettings.mLinkBytesPerSecond)
-  , mProbe([this] { mReachability.OnByte(mTime.Now()); })
+  , mProbe([this](const auto& aTarget, const auto& aResponse) {
+    OnProbeResponse(aTarget, aResponse);
+  })
   , mFleet(SelfReport(aSettings, std::stoull(mRun, nullptr, 16)))
   , mStreamOrigins(FormatTcpAddress(aSettings.mPeer))
   , mCrashExchange(mCrashes, mSegmentCrashes, mMetrics, mStore, mTime, mRun)
@@ -158,6 +175,7 @@
   for (const std::string& seed : mSettings.mSeeds) {
     mFleet.AddCandidate(seed);
   }
+  mUpstreamRegistry.RateLimits().SetColdBound(mSettings.mColdBound);
 }
 
 gateway_node::~gateway_node()
@@ -300,6 +318,9 @@
     return;
   }
   const server_entry* previous = mUpstreamRegistry.Find(entry->mId);
+  if (previous == nullptr || previous->mIgnored != entry->mIgnored) {
+    LogIgnored(entry->mIgnored, aRow.mKey.mKey, aRow.mVersion);
+  }
   if (previous == nullptr || previous->mState != entry->mState ||
       previous->mIncarnation != entry->mIncarnation) {
     Log(log_level::Info,
@@ -372,9 +393,11 @@
       { Field("version", config->mVersion),
         Field("routes", config->mRoutes.size()),
         Field("accounts", config->mAccounts.size()) });
+  LogIgnored(config->mIgnored, aRow.mKey.mKey, aRow.mVersion);
   for (const gateway_service& service : config->mServices) {
     mUpstreamRegistry.SetService(service);
   }
+  mUpstreamRegistry.UpdateCold(mTime.Now());
   for (const gateway_account& account : config->mAccounts) {
     if (account.mPrepaidTokens) {
       mTokenAllowance.SetTotal(account.mName, *account.mPrepaidTokens);
@@ -472,24 +495,3 @@
 {
   return std::min(mConfigTable.CurrentAt(), mUpstreamTable.CurrentAt());
 }
-
-void gateway_node::Reload(const gateway_settings& aSettings)
-{
-  mSettings.mRetries = aSettings.mRetries;
-  mSettings.mGracePeriod = aSettings.mGracePeriod;
-  mSettings.mSeeds = aSettings.mSeeds;
-  mRetries.SetLimits(aSettings.mRetries);
-  for (const std::string& seed : mSettings.mSeeds) {
-    mFleet.AddCandidate(seed);
-  }
-  if (aSettings.mStore != mSettings.mStore ||
-      aSettings.mClientAddress != mSettings.mClientAddress) {
-    Log(log_level::Warning,
-        "settings_need_restart",
-        { Field("store", FormatTcpAddress(aSettings.mStore)),
-          Field("clients", FormatTcpAddress(aSettings.mClientAddress)) });
-  }
-  Log(log_level::Info,
-      "settings_reloaded",
-      { Field("seeds", mSettings.mSeeds.size()) });
-}
--- a/Source/Core/Gateway/GatewayNode.h
+++ b/Source/Core/Gateway/GatewayNode.h
@@ -83,6 +83,10 @@
   /// Requests the tables of a peer if the own ones are old.
   void RefreshStateFromPeers(time_point aNow);
 
+  /// A server answered a request for its health.
+  void OnProbeResponse(const probe_target& aTarget,
+                       const http_client_response& aResponse);
+
   void OnRequestTick();
   void OnFleetTick();
   void OnMaintenanceTick();
@@ -102,6 +106,8 @@
   /// among the live nodes.
   void UpdateRateLimits(const std::vector<std::string>& aPeers,
                         time_point aNow);
+  /// Logs the servers that became cold.
+  void LogColdServers(time_point aNow);
   /// Reports crashes of servers that fell silent, and avoids these servers.
   void ReportSilentServers(time_point aNow);
   void ContinueStop(time_point aNow);
--- a/Source/Core/Gateway/GatewayNodeTicks.cpp
+++ b/Source/Core/Gateway/GatewayNodeTicks.cpp
@@ -219,6 +219,7 @@
                                     time_point aNow)
 {
   server_rate_limits& limits = mUpstreamRegistry.RateLimits();
+  limits.AddPossibleNodes(mFleet.KnownAddresses(), aNow);
   limits.SetNodes(mFleet.Self().mAddress, aPeers, aNow);
   for (const rate_limit_statement& statement : mFleet.PeerRateLimits()) {
     if (limits.OnPeerStatement(statement, aNow)) {
@@ -238,6 +239,38 @@
   }
 }
 
+void gateway_node::LogColdServers(time_point aNow)
+{
+  const server_rate_limits& limits = mUpstreamRegistry.RateLimits();
+  for (const upstream_id& server : mUpstreamRegistry.TakeNewCold()) {
+    const auto cold = limits.FindCold(upstream_registry::KeyOf(server));
+    if (!cold) {
+      continue;
+    }
+    Log(log_level::Info,
+        "server_cold",
+        { Field("server", server.mName),
+          Field("cold_ms",
+                std::chrono::duration_cast<milliseconds>(cold->mUntil - aNow)
+                  .count()),
+          Field("per_second", cold->mRequestsPerSecond),
+          Field("own_per_second",
+                fmt::format("{:.3f}", limits.OwnRate(cold->mServer))) });
+  }
+}
+
+void gateway_node::OnProbeResponse(const probe_target& aTarget,
+                                   const http_client_response& aResponse)
+{
+  const time_point now = mTime.Now();
+  mReachability.OnByte(now);
+  const upstream_answer answer = mCodec.ReadAnswer(aResponse);
+  if (answer.mColdTimeLeft && !answer.mMisdirected) {
+    mUpstreamRegistry.OnColdStated(
+      aTarget.mServer, aTarget.mIncarnation, *answer.mColdTimeLeft, now);
+  }
+}
+
 void gateway_node::OnFleetTick()
 {
   const time_point now = mTime.Now();
@@ -261,6 +294,7 @@
   mTokenAllowance.SetHolders(mFleet.TokenHolders(now));
   const auto peers = mFleet.LivePeerAddresses(now);
   UpdateRateLimits(peers, now);
+  LogColdServers(now);
   mFleet.Self().mPauses = TimesLeft(mUpstreamRegistry.Pauses(now), now);
   mUpstreamRegistry.SetNodes(mFleet.LiveNodeCount(now));
   mStreamOrigins.SetPeers(peers);
@@ -324,6 +358,8 @@
   mMetrics.SetOpenedConnections(static_cast<double>(mPool.Opened()));
   mMetrics.SetRateLimitedServers(
     static_cast<double>(mUpstreamRegistry.RateLimits().LimitedCount()));
+  mMetrics.SetColdServers(
+    static_cast<double>(mUpstreamRegistry.RateLimits().ColdCount(now)));
   mMetrics.SetStoreAge(
     std::chrono::duration<double>(now - OldestStateAt()).count());
 }
--- a/Source/Core/Gateway/GatewaySession.h
+++ b/Source/Core/Gateway/GatewaySession.h
@@ -176,6 +176,10 @@
   void RecordLeaving(time_point aNow);
   /// Records the rate limit that the server's response names or lacks.
   void RecordRateLimit(time_point aNow);
+  /// Records for how long the server is still cold.
+  void RecordCold(time_point aNow);
+  /// Logs and counts a send to a cold server.
+  void LogColdSend(time_point aNow) const;
   /// Logs that a stream goes on at a server.
   void LogResumption() const;
   /// Logs and counts a send to a server that named a rate limit.
--- a/Source/Core/Gateway/GatewaySessionAdmission.cpp
+++ b/Source/Core/Gateway/GatewaySessionAdmission.cpp
@@ -235,7 +235,9 @@
   } else if (verdict == admission_verdict::Refuse) {
     const char* reason = chosen ? "too_late" : "servers_full";
     if (aNow < query.mLimitedUntil) {
-      reason = "servers_limited";
+      reason = mContext.mUpstreamRegistry.HasCold(Query(), aNow)
+                 ? "servers_cold"
+                 : "servers_limited";
     }
     if (chosen && linkFull) {
       reason = "link_full";
--- a/Source/Core/Gateway/GatewaySessionResponse.cpp
+++ b/Source/Core/Gateway/GatewaySessionResponse.cpp
@@ -72,6 +72,7 @@
   mFraming = aResponse.mFraming;
   mAnswer = std::move(answer);
   RecordRateLimit(now);
+  RecordCold(now);
   RecordRoom(now);
   RecordLeaving(now);
   mEventStream = eventStream;
--- a/Source/Core/Gateway/GatewaySessionUpstream.cpp
+++ b/Source/Core/Gateway/GatewaySessionUpstream.cpp
@@ -102,6 +102,7 @@
     mContext.mSegmentCrashes.OnTrial(mFingerprint.mSegments, aNow);
   }
   LogLimitedSend(aNow);
+  LogColdSend(aNow);
   LogResumption();
   const placement_query query = Query();
   mContext.mUpstreamRegistry.BeginRequest(aPlacement, query, aNow);
--- a/Source/Core/Gateway/GatewaySettings.cpp
+++ b/Source/Core/Gateway/GatewaySettings.cpp
@@ -132,6 +132,7 @@
 constexpr double kMaxMilliseconds = 600000;
 constexpr double kMaxSeconds = 600;
 constexpr double kMaxAllowance = 1000000;
+constexpr double kMaxColdFactor = 1000;
 
 std::chrono::milliseconds Milliseconds(double aValue)
 {
@@ -191,6 +192,12 @@
         root.OptionalNumber("evacuation_limit_ms", 1, kMaxMilliseconds)) {
     settings.mEvacuationTimeout = Milliseconds(*limit);
   }
+  settings.mColdBound.mFactor =
+    root.OptionalNumber("cold_over", 0, kMaxColdFactor)
+      .value_or(settings.mColdBound.mFactor);
+  settings.mColdBound.mSlack =
+    root.OptionalNumber("cold_slack", 0, kMaxAllowance)
+      .value_or(settings.mColdBound.mSlack);
   constexpr double kMsPerSecond = 1000;
   settings.mGracePeriod =
     Milliseconds(root.Number("grace_s", 0, kMaxSeconds) * kMsPerSecond);
--- a/Source/Core/Gateway/GatewaySettings.h
+++ b/Source/Core/Gateway/GatewaySettings.h
@@ -47,6 +47,8 @@
   /// Longest time after the store knew an evacuation in which requests may
   /// still reach the zone; nothing if the platform states none.
   std::optional<std::chrono::milliseconds> mEvacuationTimeout;
+  /// What cold servers may get in a second.
+  cold_bound mColdBound;
   /// Grace period: time from SIGTERM to SIGKILL.
   std::chrono::milliseconds mGracePeriod{ 8000 };
   allowance_settings mTokenAllowance;
--- a/Source/Core/Gateway/GatewayTypes.h
+++ b/Source/Core/Gateway/GatewayTypes.h
@@ -14,6 +14,16 @@
 
 /// Input and output types of the gateway's decisions.
 
+/// Value of a document or header that cannot be used and counts as missing.
+struct ignored_field
+{
+  /// JSON pointer into the document, or name of the header.
+  std::string mPlace;
+  /// The value, at most 64 bytes.
+  std::string mValue;
+  auto operator<=>(const ignored_field&) const = default;
+};
+
 /// Whether a request may be sent again after a server may have run it.
 enum class request_kind : std::uint8_t
 {
@@ -79,6 +89,11 @@
   /// Path at which servers tell their health.
   std::string mHealthPath;
   std::optional<engine_limits> mEngine;
+  /// Time for which a server is cold after its start.
+  std::optional<std::chrono::milliseconds> mColdTime;
+  /// Requests a second that a cold server takes from all nodes together;
+  /// unlimited if absent.
+  std::optional<double> mColdPerSecond;
   auto operator<=>(const gateway_service&) const = default;
 };
 
@@ -100,6 +115,7 @@
   std::vector<gateway_service> mServices;
   std::vector<gateway_account> mAccounts;
   http_server_limits mLimits;
+  std::vector<ignored_field> mIgnored;
 };
 
 enum class server_state : std::uint8_t
@@ -127,6 +143,10 @@
   std::uint64_t mIncarnation = 0;
   /// Orders the entries of one incarnation.
   std::uint64_t mSequence = 0;
+  /// Rest of the cold time when the entry was written; 0 if the server is warm,
+  /// absent if the entry does not say.
+  std::optional<std::chrono::milliseconds> mColdTimeLeft;
+  std::vector<ignored_field> mIgnored;
   auto operator<=>(const server_entry&) const = default;
 };
 
@@ -208,4 +228,7 @@
   std::optional<double> mRequestsPerSecond;
   /// The response names a limit that is no such number.
   bool mLimitUnreadable = false;
+  /// Rest of the server's cold time; 0 if it is warm.
+  std::optional<std::chrono::milliseconds> mColdTimeLeft;
+  std::vector<ignored_field> mIgnored;
 };
--- a/Source/Core/Gateway/ServerProbe.cpp
+++ b/Source/Core/Gateway/ServerProbe.cpp
@@ -21,10 +21,11 @@
 public:
   request(const probe_target& aTarget,
           time_point aDeadline,
-          std::function<void()>& aOnByte)
-    : mConnection(aTarget.mAddress, kProbeLiveness)
+          response_callback& aOnResponse)
+    : mTarget(aTarget)
+    , mConnection(aTarget.mAddress, kProbeLiveness)
     , mDeadline(aDeadline)
-    , mOnByte(aOnByte)
+    , mOnResponse(aOnResponse)
   {
     if (mConnection.Closed()) {
       mEnded = true;
@@ -41,23 +42,25 @@
   bool Ended(time_point aNow) const { return mEnded || aNow >= mDeadline; }
 
 private:
-  bool OnResponse(http_client_connection&, http_client_response) override
+  bool OnResponse(http_client_connection&,
+                  http_client_response aResponse) override
   {
-    mOnByte();
+    mOnResponse(mTarget, aResponse);
     return true;
   }
   void OnBody(std::string_view) override {}
   void OnComplete(bool) override { mEnded = true; }
   void OnExchangeFailed(exchange_failure) override { mEnded = true; }
 
+  probe_target mTarget;
   http_client_connection mConnection;
   time_point mDeadline;
-  std::function<void()>& mOnByte;
+  response_callback& mOnResponse;
   bool mEnded = false;
 };
 
-server_probe::server_probe(std::function<void()> aOnByte)
-  : mOnByte(std::move(aOnByte))
+server_probe::server_probe(response_callback aOnResponse)
+  : mOnResponse(std::move(aOnResponse))
 {
 }
 
@@ -75,8 +78,10 @@
     return;
   }
   mNextAt = aNow + kProbeInterval;
-  mRequests.push_back(std::make_unique<request>(
-    targets[mNextTarget++ % targets.size()], aNow + kProbeTimeout, mOnByte));
+  mRequests.push_back(
+    std::make_unique<request>(targets[mNextTarget++ % targets.size()],
+                              aNow + kProbeTimeout,
+                              mOnResponse));
 }
 
 void server_probe::Stop()
--- a/Source/Core/Gateway/ServerProbe.h
+++ b/Source/Core/Gateway/ServerProbe.h
@@ -14,8 +14,11 @@
 class server_probe
 {
 public:
-  /// `aOnByte` is called when a server responds, whatever it says.
-  explicit server_probe(std::function<void()> aOnByte);
+  using response_callback =
+    std::function<void(const probe_target&, const http_client_response&)>;
+
+  /// `aOnResponse` is called when a server responds, whatever it says.
+  explicit server_probe(response_callback aOnResponse);
   ~server_probe();
 
   /// Asks the next servers if it is time, and gives up old requests.
@@ -26,7 +29,7 @@
 private:
   class request;
 
-  std::function<void()> mOnByte;
+  response_callback mOnResponse;
   std::vector<std::unique_ptr<request>> mRequests;
   std::size_t mNextTarget = 0;
   time_point mNextAt;
--- a/Source/Core/Gateway/ServerRateLimits.cpp
+++ b/Source/Core/Gateway/ServerRateLimits.cpp
@@ -88,6 +88,10 @@
 
 void server_rate_limits::Divide(limited_server& aServer, time_point aNow) const
 {
+  if (IsCold(aServer, aNow)) {
+    DivideCold(aServer, aNow);
+    return;
+  }
   if (!aServer.mStatement.mRequestsPerSecond) {
     return;
   }
@@ -122,11 +126,13 @@
                                   std::vector<std::string> aPeers,
                                   time_point aNow)
 {
-  if (aSelf == mSelf && aPeers == mPeers) {
-    return;
-  }
+  const bool samePeers = aSelf == mSelf && aPeers == mPeers;
   mSelf = aSelf;
   mPeers = std::move(aPeers);
+  ExpireCold(aNow);
+  if (!UpdatePossibleNodes(aNow) && samePeers) {
+    return;
+  }
   for (auto& [key, server] : mServers) {
     Divide(server, aNow);
   }
@@ -140,10 +146,16 @@
 time_point server_rate_limits::MaySendFrom(std::uint32_t aServer) const
 {
   const auto found = mServers.find(aServer);
-  if (found == mServers.end() || !found->second.mStatement.mRequestsPerSecond) {
+  if (found == mServers.end()) {
     return time_point();
   }
   const limited_server& server = found->second;
+  if (server.mCold) {
+    return MaySendColdFrom(server);
+  }
+  if (!server.mStatement.mRequestsPerSecond) {
+    return time_point();
+  }
   return server.mOwnRate == 0.0 ? time_point::max()
                                 : server.mNextSendAt - kBurstTolerance;
 }
--- a/Source/Core/Gateway/UpstreamRegistry.cpp
+++ b/Source/Core/Gateway/UpstreamRegistry.cpp
@@ -115,6 +115,9 @@
     record.mFailures = 0;
     record.mSlowness = 1.0;
     record.mKey = KeyOf(aEntry.mId);
+    record.mRunSeenAt = aNow;
+    record.mEntryColdUntil.reset();
+    record.mResponseColdUntil = {};
     mRateLimits.OnServerStart(record.mKey, aEntry.mIncarnation);
     for (auto& [segment, holders] : mCachedSegments) {
       holders.erase(record.mKey);
@@ -122,6 +125,9 @@
   }
   if (restarted || aEntry.mSequence > old.mSequence) {
     record.mEntryReadAt = aNow;
+    if (aEntry.mColdTimeLeft) {
+      record.mEntryColdUntil = aNow + *aEntry.mColdTimeLeft;
+    }
   }
   record.mEntry = aEntry;
   record.mSoftware = SoftwareKey(aEntry.mService, aEntry.mSoftware);
@@ -131,6 +137,7 @@
   } else if (!record.mUsableUntil) {
     record.mUsableUntil = aNow;
   }
+  UpdateCold(record, aNow);
 }
 
 upstream_registry::upstream_record* upstream_registry::FindRun(
@@ -274,8 +281,10 @@
     if (!record.mUsableUntil && service != mServices.end() &&
         !mEvacuatedZones.contains(record.mEntry.mZone) &&
         !service->second.mHealthPath.empty()) {
-      targets.push_back(
-        { record.mEntry.mAddress, service->second.mHealthPath });
+      targets.push_back({ id,
+                          record.mEntry.mIncarnation,
+                          record.mEntry.mAddress,
+                          service->second.mHealthPath });
     }
   }
   return targets;
@@ -388,15 +397,7 @@
     return !mRateLimits.MaySend(aRecord->mKey, aNow) ||
            aNow < PausedUntil(*aRecord);
   });
-  // Every node computes the same preferred server for a shared prompt.
-  const upstream_record* preferred = nullptr;
-  if (!shared.mSegments.empty() && !candidates.empty()) {
-    preferred = *std::ranges::max_element(
-      candidates, {}, [&](const upstream_record* aRecord) {
-        return RendezvousWeight(shared.mSegments.back().first,
-                                aRecord->mEntry.mId.mName);
-      });
-  }
+  const upstream_record* preferred = Preferred(candidates, shared, aNow);
   std::optional<rated_placement> best;
   for (const upstream_record* record : candidates) {
     const std::int64_t slots = std::max(record->mEntry.mSlots, 1U);
--- a/Source/Core/Gateway/UpstreamRegistry.h
+++ b/Source/Core/Gateway/UpstreamRegistry.h
@@ -94,6 +94,8 @@
 /// Where a server tells its health.
 struct probe_target
 {
+  upstream_id mServer;
+  std::uint64_t mIncarnation = 0;
   tcp_address mAddress;
   std::string mHealthPath;
   auto operator<=>(const probe_target&) const = default;
@@ -145,6 +147,17 @@
   /// The entry was removed from the store. The server is used only if no other
   /// is usable, until `aUsableUntil`.
   void Remove(const upstream_id& aId, time_point aUsableUntil);
+  /// The server run said for how long it is still cold; 0 if it is warm.
+  void OnColdStated(const upstream_id& aId,
+                    std::uint64_t aIncarnation,
+                    std::chrono::milliseconds aTimeLeft,
+                    time_point aNow);
+  /// Applies changed services to the limits of cold servers.
+  void UpdateCold(time_point aNow);
+  /// Returns the servers that became cold since the last call.
+  std::vector<upstream_id> TakeNewCold();
+  /// Whether a server that fits the query is cold.
+  bool HasCold(const placement_query& aQuery, time_point aNow) const;
   /// Forbids all sends to the servers of the zone, also as a last resort.
   /// Requests in progress there go on. Returns whether this was not so.
   bool Evacuate(const zone_id& aZone);
@@ -256,11 +269,28 @@
     time_point mLastByte;
     time_point mEntryReadAt;
     time_point mBusySince;
+    /// When this run of the server became known.
+    time_point mRunSeenAt;
+    /// End of the cold time by the newest entry that states one.
+    std::optional<time_point> mEntryColdUntil;
+    /// End of the cold time by the newest response that states one. An entry
+    /// may be written before the response and read after it, so it does not
+    /// shorten this time.
+    time_point mResponseColdUntil;
   };
 
   upstream_record* FindRun(const upstream_id& aId, std::uint64_t aIncarnation);
   /// Time until which the server wants no request of this node.
   time_point PausedUntil(const upstream_record& aRecord) const;
+  /// Limits the server while it is cold, or ends the limit.
+  void UpdateCold(const upstream_record& aRecord, time_point aNow);
+  /// The candidate that all nodes prefer for a shared prompt; null if there is
+  /// none. A cold server is preferred only if it has the prompt cached or all
+  /// are cold, so that prompts stay where they are cached.
+  const upstream_record* Preferred(
+    const std::vector<const upstream_record*>& aCandidates,
+    const shared_prompt& aShared,
+    time_point aNow) const;
   /// Whether the query may run at the server, apart from the evacuation of its
   /// zone.
   static bool Fits(const upstream_record& aRecord,
@@ -297,6 +327,7 @@
   std::vector<std::pair<std::uint32_t, time_point>> mNewPauses;
   server_rate_limits mRateLimits;
   std::set<zone_id> mEvacuatedZones;
+  std::vector<upstream_id> mNewCold;
   /// Prompt segment, then server, to the time until which the server is assumed
   /// to have it cached.
   std::unordered_map<std::string, std::unordered_map<std::uint32_t, time_point>>
