Keep requests, relays and addresses in home regions

Cause: routes and accounts name the regions in which their requests may run; the nodes ignored the field. Change: `allowedRegions` of routes and accounts and `zones` of the settings are read. Servers outside the homes are left out like those of evacuated zones; bodies are passed on only to nodes that are known to be in a home; answers with addresses name nodes in homes or in the client's region. Nodes state their region in their row of the store.

--- a/Source/Core/Gateway/FleetRows.cpp
+++ b/Source/Core/Gateway/FleetRows.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include <nlohmann/json.hpp>
+
 namespace {
 
 using std::chrono::milliseconds;
@@ -11,17 +13,34 @@
 
 constexpr std::string_view kNodePrefix = "node/";
 
+/// Region of the node that wrote the value; nodes of an earlier version write
+/// their run alone.
+std::optional<region_id> ReadRegion(std::string_view aValue)
+{
+  const auto value = nlohmann::json::parse(aValue, nullptr, false);
+  if (!value.is_object()) {
+    return std::nullopt;
+  }
+  const auto region = value.find("region");
+  if (region == value.end() || !region->is_string()) {
+    return std::nullopt;
+  }
+  return region_id{ region->get<std::string>() };
+}
+
 } // namespace
 
 fleet_rows::fleet_rows(fleet_view& aFleet,
                        crash_exchange& aCrashes,
                        row_store& aStore,
                        const time_source& aTime,
+                       region_id aRegion,
                        std::string aRun)
   : mFleet(aFleet)
   , mCrashes(aCrashes)
   , mStore(aStore)
   , mTime(aTime)
+  , mRegion(std::move(aRegion))
   , mRun(std::move(aRun))
 {
 }
@@ -35,7 +54,11 @@
 {
   const std::string_view key = aRow.mKey.mKey;
   if (key.starts_with(kNodePrefix)) {
-    mFleet.AddCandidate(std::string(key.substr(kNodePrefix.size())));
+    const std::string address(key.substr(kNodePrefix.size()));
+    mFleet.AddCandidate(address);
+    if (auto region = ReadRegion(aRow.mValue)) {
+      mFleet.SetRegion(address, *region);
+    }
   } else if (key.starts_with(crash_exchange::kRowPrefix) ||
              key.starts_with(crash_exchange::kSegmentRowPrefix)) {
     mCrashes.ApplyRow(key, aRow.mValue);
@@ -53,7 +76,7 @@
     { { kFleetTableName,
         "",
         std::string(kNodePrefix) + mFleet.Self().mAddress },
-      mRun });
+      nlohmann::json{ { "run", mRun }, { "region", mRegion.mName } }.dump() });
   mStore.Commit(transaction, [this, alive = mAlive](auto aResult) {
     if (!*alive) {
       return;
--- a/Source/Core/Gateway/FleetRows.h
+++ b/Source/Core/Gateway/FleetRows.h
@@ -15,11 +15,13 @@
 public:
   static constexpr const char* kFleetTableName = "lentilswitch";
 
+  /// `aRegion` is the node's region, which its row states for the others;
   /// `aRun` identifies this run of the process.
   fleet_rows(fleet_view& aFleet,
              crash_exchange& aCrashes,
              row_store& aStore,
              const time_source& aTime,
+             region_id aRegion,
              std::string aRun);
   ~fleet_rows();
   fleet_rows(const fleet_rows&) = delete;
@@ -35,6 +37,7 @@
   crash_exchange& mCrashes;
   row_store& mStore;
   const time_source& mTime;
+  region_id mRegion;
   std::string mRun;
   bool mRegistered = false;
   bool mRegistering = false;
--- a/Source/Core/Gateway/FleetView.cpp
+++ b/Source/Core/Gateway/FleetView.cpp
@@ -212,13 +212,40 @@
   return holders;
 }
 
-std::vector<std::string> fleet_view::RelayTargets(std::uint64_t aRequest,
-                                                  time_point aNow) const
+void fleet_view::SetRegion(const std::string& aAddress,
+                           const region_id& aRegion)
+{
+  if (aAddress == mSelf.mAddress) {
+    mSelfRegion = aRegion;
+  } else {
+    Peer(aAddress).mRegion = aRegion;
+  }
+}
+
+std::map<std::string, region_id> fleet_view::ClientAddressRegions() const
+{
+  std::map<std::string, region_id> regions;
+  if (mSelfRegion) {
+    regions[mSelf.mClientAddress] = *mSelfRegion;
+  }
+  for (const auto& [address, peer] : mPeers) {
+    if (peer.mReport && peer.mRegion) {
+      regions[peer.mReport->mClientAddress] = *peer.mRegion;
+    }
+  }
+  return regions;
+}
+
+std::vector<std::string> fleet_view::RelayTargets(
+  std::uint64_t aRequest,
+  time_point aNow,
+  const allowed_regions& aRegions) const
 {
   std::vector<std::pair<double, std::string>> order;
   for (const auto& [address, peer] : mPeers) {
     if (!IsAlive(peer, aNow) || !peer.mReport || !peer.mReport->mReady ||
         peer.mReport->mLeaving || peer.mReport->mCutOff ||
+        (aRegions && (!peer.mRegion || !aRegions->contains(*peer.mRegion))) ||
         peer.mReport->mClientAddress.empty()) {
       continue;
     }
--- a/Source/Core/Gateway/FleetView.h
+++ b/Source/Core/Gateway/FleetView.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "Common/Time.h"
+#include "Gateway/HomeRegions.h"
 #include "Gateway/TokenAllowance.h"
 #include "Gateway/UpstreamRegistry.h"
 
@@ -114,8 +115,15 @@
   token_holders TokenHolders(time_point aNow) const;
   /// Client addresses of nodes that reach servers and take requests, in an
   /// order that depends on the request and prefers hosts of large capacity.
-  std::vector<std::string> RelayTargets(std::uint64_t aRequest,
-                                        time_point aNow) const;
+  /// With `aRegions`, only nodes that are known to be in one of them.
+  std::vector<std::string> RelayTargets(
+    std::uint64_t aRequest,
+    time_point aNow,
+    const allowed_regions& aRegions = {}) const;
+  /// Sets the region of a node, this one or another, by its datagram address.
+  void SetRegion(const std::string& aAddress, const region_id& aRegion);
+  /// Regions of the nodes, as far as known, by their client addresses.
+  std::map<std::string, region_id> ClientAddressRegions() const;
   /// Until when other nodes pause for brittle servers.
   const std::unordered_map<std::uint32_t, time_point>& PeerPauses(
     time_point aNow);
@@ -139,6 +147,8 @@
     /// When the node's copies of the tables were current.
     time_point mConfigCurrentAt;
     time_point mServersCurrentAt;
+    /// Nothing if the node has not stated it.
+    std::optional<region_id> mRegion;
   };
 
   bool IsAlive(const peer_state& aPeer, time_point aNow) const;
@@ -148,6 +158,7 @@
   peer_state& Peer(const std::string& aAddress);
 
   node_report mSelf;
+  std::optional<region_id> mSelfRegion;
   std::map<std::string, peer_state> mPeers;
   std::unordered_map<std::uint32_t, std::string> mAddresses;
   std::unordered_map<std::uint32_t, time_point> mPeerPauses;
--- a/Source/Core/Gateway/GatewayCodec.h
+++ b/Source/Core/Gateway/GatewayCodec.h
@@ -29,6 +29,12 @@
   /// Zone of the client that requests addresses; empty if it names none.
   virtual std::string ReadResolveZone(
     const http_server_request& aRequest) const = 0;
+  /// Host name whose addresses the client requests; empty if it names none.
+  virtual std::string ReadResolveName(
+    const http_server_request& aRequest) const = 0;
+  /// Region of the client that requests addresses; empty if it names none.
+  virtual region_id ReadResolveRegion(
+    const http_server_request& aRequest) const = 0;
   virtual gateway_request ReadRequest(http_server_request aRequest,
                                       time_point aNow) const = 0;
   /// Head of the request to a server, including the framing headers.
--- a/Source/Core/Gateway/GatewayEndpoints.cpp
+++ b/Source/Core/Gateway/GatewayEndpoints.cpp
@@ -17,12 +17,14 @@
                                      const fleet_view& aFleet,
                                      const gateway_metrics& aMetrics,
                                      const time_source& aTime,
-                                     std::function<bool()> aReady)
+                                     std::function<bool()> aReady,
+                                     region_filter aRegions)
   : mCodec(aCodec)
   , mFleet(aFleet)
   , mMetrics(aMetrics)
   , mTime(aTime)
   , mReady(std::move(aReady))
+  , mRegions(std::move(aRegions))
 {
 }
 
@@ -37,8 +39,11 @@
       aConnection.Respond(response, {});
       return;
     case node_endpoint::ResolveAddresses: {
-      const auto addresses =
-        mFleet.ClientAddresses(mTime.Now(), mCodec.ReadResolveZone(aRequest));
+      const auto addresses = FilterAddresses(
+        mFleet.ClientAddresses(mTime.Now(), mCodec.ReadResolveZone(aRequest)),
+        mRegions(mCodec.ReadResolveName(aRequest),
+                 mCodec.ReadResolveRegion(aRequest)),
+        mFleet.ClientAddressRegions());
       if (addresses.empty()) {
         response.mStatus = http_status::kServiceUnavailable;
         aConnection.Respond(response, {});
--- a/Source/Core/Gateway/GatewayEndpoints.h
+++ b/Source/Core/Gateway/GatewayEndpoints.h
@@ -11,12 +11,18 @@
 class gateway_endpoints final : public http_request_handler
 {
 public:
+  /// Returns the regions of the nodes that an answer may name, by the host name
+  /// and the region that the client states.
+  using region_filter =
+    std::function<allowed_regions(const std::string&, const region_id&)>;
+
   /// `aReady` returns whether the node takes requests.
   gateway_endpoints(const gateway_codec& aCodec,
                     const fleet_view& aFleet,
                     const gateway_metrics& aMetrics,
                     const time_source& aTime,
-                    std::function<bool()> aReady);
+                    std::function<bool()> aReady,
+                    region_filter aRegions);
 
   void OnRequest(http_server_connection& aConnection,
                  http_server_request aRequest) override;
@@ -30,4 +36,5 @@
   const gateway_metrics& mMetrics;
   const time_source& mTime;
   std::function<bool()> mReady;
+  region_filter mRegions;
 };
--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -62,21 +62,6 @@
   return std::chrono::duration_cast<milliseconds>(aNow - aThen).count();
 }
 
-/// Logs values of a row that count as missing.
-void LogIgnored(const std::vector<ignored_field>& aFields,
-                const std::string& aRow,
-                std::uint64_t aVersion)
-{
-  for (const ignored_field& field : aFields) {
-    Log(log_level::Warning,
-        "field_ignored",
-        { Field("row", aRow),
-          Field("place", field.mPlace),
-          Field("value", field.mValue),
-          Field("version", aVersion) });
-  }
-}
-
 std::uint64_t RandomRun()
 {
   std::random_device device;
@@ -118,12 +103,13 @@
   , mFleet(SelfReport(aSettings, std::stoull(mRun, nullptr, 16)))
   , mStreamOrigins(FormatTcpAddress(aSettings.mPeer))
   , mCrashExchange(mCrashes, mSegmentCrashes, mMetrics, mStore, mTime, mRun)
+  , mHomes(mSettings.mZoneRegions)
   , mEvacuationRows(mCodec, mUpstreamRegistry, mMetrics)
   , mAllowanceWriter(mTokenAllowance,
                      mStore,
                      mTime,
                      FormatTcpAddress(mSettings.mPeer))
-  , mRows(mFleet, mCrashExchange, mStore, mTime, mRun)
+  , mRows(mFleet, mCrashExchange, mStore, mTime, mSettings.mRegion, mRun)
   , mContext{ .mSettings = mSettings,
               .mCodec = mCodec,
               .mTime = mTime,
@@ -138,6 +124,7 @@
               .mReachability = mReachability,
               .mLinkQueue = mLinkQueue,
               .mFleet = mFleet,
+              .mHomes = mHomes,
               .mStreamOrigins = mStreamOrigins,
               .mMetrics = mMetrics }
   , mPeerTransport(mFleet,
@@ -168,7 +155,15 @@
                 kFleetTableLongPollTime,
                 kFleetTablePollInterval,
                 *this)
-  , mEndpoints(mCodec, mFleet, mMetrics, mTime, [this] { return Ready(); })
+  , mEndpoints(
+      mCodec,
+      mFleet,
+      mMetrics,
+      mTime,
+      [this] { return Ready(); },
+      [this](const auto& aHost, const auto& aRegion) {
+        return AddressRegions(aHost, aRegion);
+      })
 {
   mContext.mMaxBodyBytes = static_cast<std::size_t>(
     static_cast<double>(mSettings.mMemoryBytes) * kBodyMemoryShare);
@@ -176,6 +171,7 @@
     mFleet.AddCandidate(seed);
   }
   mUpstreamRegistry.RateLimits().SetColdBound(mSettings.mColdBound);
+  mFleet.SetRegion(mFleet.Self().mAddress, mSettings.mRegion);
 }
 
 gateway_node::~gateway_node()
@@ -376,39 +372,6 @@
   mFleet.Self().mReady = Ready();
 }
 
-void gateway_node::ApplyConfig(const stored_row& aRow)
-{
-  auto config = mCodec.ReadConfig(aRow.mValue);
-  if (!config) {
-    Log(log_level::Error,
-        "configuration_unreadable",
-        { Field("version", aRow.mVersion) });
-    return;
-  }
-  if (mContext.mRoutes && config->mVersion <= mContext.mRoutes->Version()) {
-    return;
-  }
-  Log(log_level::Info,
-      "configuration_applied",
-      { Field("version", config->mVersion),
-        Field("routes", config->mRoutes.size()),
-        Field("accounts", config->mAccounts.size()) });
-  LogIgnored(config->mIgnored, aRow.mKey.mKey, aRow.mVersion);
-  for (const gateway_service& service : config->mServices) {
-    mUpstreamRegistry.SetService(service);
-  }
-  mUpstreamRegistry.UpdateCold(mTime.Now());
-  for (const gateway_account& account : config->mAccounts) {
-    if (account.mPrepaidTokens) {
-      mTokenAllowance.SetTotal(account.mName, *account.mPrepaidTokens);
-    }
-  }
-  mClientListener->SetLimits(config->mLimits);
-  mFleet.Self().mConfigVersion = config->mVersion;
-  mMetrics.SetConfigVersion(static_cast<double>(config->mVersion));
-  mContext.mRoutes = std::make_shared<route_table>(std::move(*config));
-}
-
 state_snapshot gateway_node::Snapshot() const
 {
   return { { mCodec.ConfigTable(), mConfigTable.Copy() },
--- a/Source/Core/Gateway/GatewayNode.h
+++ b/Source/Core/Gateway/GatewayNode.h
@@ -11,6 +11,7 @@
 #include "Gateway/FleetRows.h"
 #include "Gateway/GatewayEndpoints.h"
 #include "Gateway/GatewaySession.h"
+#include "Gateway/HomeRegions.h"
 #include "Gateway/LinkOverloadDetector.h"
 #include "Gateway/PeerTransport.h"
 #include "Gateway/RequestRelay.h"
@@ -67,6 +68,13 @@
   void OnTableLoaded() override;
 
   void ApplyConfig(const stored_row& aRow);
+  /// Logs values of a row that count as missing.
+  static void LogIgnored(const std::vector<ignored_field>& aFields,
+                         const std::string& aRow,
+                         std::uint64_t aVersion);
+  /// Regions of the nodes that an address answer may name.
+  allowed_regions AddressRegions(const std::string& aHost,
+                                 const region_id& aClientRegion) const;
   /// Until when a server whose row was removed may be used if no other server
   /// is usable. A removal is tentative if it may be an effect of an outage of
   /// the store.
@@ -135,6 +143,7 @@
   stream_origins mStreamOrigins;
   gateway_metrics mMetrics;
   crash_exchange mCrashExchange;
+  home_regions mHomes;
   evacuation_rows mEvacuationRows;
   allowance_writer mAllowanceWriter;
   fleet_rows mRows;
--- a/Source/Core/Gateway/GatewayNodeTicks.cpp
+++ b/Source/Core/Gateway/GatewayNodeTicks.cpp
@@ -164,8 +164,8 @@
 {
   relay_request request = aSession.TakeForRelay();
   std::vector<tcp_address> peers;
-  for (const std::string& target :
-       mFleet.RelayTargets(StableHash(request.mRequest.mId), mTime.Now())) {
+  for (const std::string& target : mFleet.RelayTargets(
+         StableHash(request.mRequest.mId), mTime.Now(), request.mRegions)) {
     if (const auto address = ParseTcpAddress(target)) {
       peers.push_back(*address);
     }
--- a/Source/Core/Gateway/GatewaySession.cpp
+++ b/Source/Core/Gateway/GatewaySession.cpp
@@ -96,6 +96,8 @@
       return;
     }
   }
+  mRegions = mContext.mHomes.Allowed(*mRoute, mAccount);
+  mAllowedZones = mContext.mHomes.ZonesOf(mRegions);
   mRouteDeadline = mArrived + mRoute->mTimeout;
   mDeadline =
     std::min(mRouteDeadline, mRequest.mDeadline.value_or(mRouteDeadline));
@@ -175,7 +177,7 @@
   mClient = nullptr;
   mContext.mBodyBytes -= mRequest.mBody.size();
   relay_request relay{
-    std::move(mRequest), mRoute->mName, mArrived, mDeadline
+    std::move(mRequest), mRoute->mName, mRegions, mArrived, mDeadline
   };
   mRequest.mBody.clear();
   return relay;
--- a/Source/Core/Gateway/GatewaySession.h
+++ b/Source/Core/Gateway/GatewaySession.h
@@ -12,6 +12,7 @@
 #include "Gateway/GatewayCodec.h"
 #include "Gateway/GatewayMetrics.h"
 #include "Gateway/GatewaySettings.h"
+#include "Gateway/HomeRegions.h"
 #include "Gateway/LinkQueue.h"
 #include "Gateway/RouteTable.h"
 #include "Gateway/ServerReachability.h"
@@ -37,6 +38,7 @@
   server_reachability& mReachability;
   link_queue& mLinkQueue;
   fleet_view& mFleet;
+  const home_regions& mHomes;
   stream_origins& mStreamOrigins;
   gateway_metrics& mMetrics;
   /// Null until a configuration was read.
@@ -214,6 +216,9 @@
   const gateway_route* mRoute = nullptr;
   const gateway_account* mAccount = nullptr;
   service_id mService;
+  /// Regions and zones in which the request may run; any if absent.
+  allowed_regions mRegions;
+  std::optional<std::set<zone_id>> mAllowedZones;
   /// Identity in the crash histories.
   request_fingerprint mFingerprint;
   stage mStage = stage::NeedTokens;
--- a/Source/Core/Gateway/GatewaySessionAdmission.cpp
+++ b/Source/Core/Gateway/GatewaySessionAdmission.cpp
@@ -134,6 +134,7 @@
   query.mOutputTokens = mRequest.mMaxOutputTokens;
   query.mPrompt = mRequest.mPrompt.empty() ? nullptr : &mRequest.mPrompt;
   query.mExcluded = mTriedUpstreams;
+  query.mAllowedZones = mAllowedZones ? &*mAllowedZones : nullptr;
   return query;
 }
 
@@ -230,6 +231,16 @@
     EndUnsent("zone_evacuated", std::nullopt);
     return;
   }
+  if (verdict == admission_verdict::Refuse && mAllowedZones &&
+      !mContext.mUpstreamRegistry.HasUsable(Query(), aNow)) {
+    // Without a home in common, coming back does not help.
+    EndUnsent(
+      "no_home_server",
+      mAllowedZones->empty()
+        ? std::nullopt
+        : std::optional(RetryAfter(query, aNow, StableHash(mRequest.mId))));
+    return;
+  }
   if (verdict == admission_verdict::Send) {
     Send(*chosen, aNow);
   } else if (verdict == admission_verdict::Refuse) {
--- a/Source/Core/Gateway/GatewaySettings.cpp
+++ b/Source/Core/Gateway/GatewaySettings.cpp
@@ -56,6 +56,33 @@
     return Number(aKey, aMin, aMax);
   }
 
+  /// A list of objects with a zone's `name` and its `region`; empty if the key
+  /// is absent.
+  std::map<zone_id, region_id> ZoneRegions(const char* aKey)
+  {
+    std::map<zone_id, region_id> regions;
+    const json* value = Find(aKey);
+    if (value == nullptr) {
+      return regions;
+    }
+    if (!value->is_array()) {
+      Fail(aKey, "must be a list");
+      return regions;
+    }
+    for (std::size_t i = 0; i < value->size(); ++i) {
+      const std::string place = std::string(aKey) + "/" + std::to_string(i);
+      if (!(*value)[i].is_object()) {
+        Fail(place.c_str(), "must be an object");
+        break;
+      }
+      settings_reader zone(mText, (*value)[i], mPath + "/" + place);
+      const zone_id name{ zone.Text("name") };
+      regions[name] = region_id{ zone.Text("region") };
+      Merge(zone);
+    }
+    return regions;
+  }
+
   tcp_address Address(const char* aKey)
   {
     const auto address = ParseTcpAddress(Text(aKey));
@@ -192,6 +219,7 @@
         root.OptionalNumber("evacuation_limit_ms", 1, kMaxMilliseconds)) {
     settings.mEvacuationTimeout = Milliseconds(*limit);
   }
+  settings.mZoneRegions = root.ZoneRegions("zones");
   settings.mColdBound.mFactor =
     root.OptionalNumber("cold_over", 0, kMaxColdFactor)
       .value_or(settings.mColdBound.mFactor);
--- a/Source/Core/Gateway/GatewaySettings.h
+++ b/Source/Core/Gateway/GatewaySettings.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -47,6 +48,8 @@
   /// Longest time after the store knew an evacuation in which requests may
   /// still reach the zone; nothing if the platform states none.
   std::optional<std::chrono::milliseconds> mEvacuationTimeout;
+  /// Region of each zone; empty if the platform names none.
+  std::map<zone_id, region_id> mZoneRegions;
   /// What cold servers may get in a second.
   cold_bound mColdBound;
   /// Grace period: time from SIGTERM to SIGKILL.
--- a/Source/Core/Gateway/GatewayTypes.h
+++ b/Source/Core/Gateway/GatewayTypes.h
@@ -4,6 +4,7 @@
 #include <compare>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -66,6 +67,8 @@
   bool mSticky = false;
   /// A broken stream may be resumed at another server after the last event.
   bool mResumable = false;
+  /// Regions in which requests may run; any if empty.
+  std::vector<region_id> mHomes;
   auto operator<=>(const gateway_route&) const = default;
 };
 
@@ -105,6 +108,8 @@
   std::optional<int> mPriority;
   /// Tokens that the account may consume in total; unlimited if absent.
   std::optional<std::int64_t> mPrepaidTokens;
+  /// Regions in which requests may run; any if empty.
+  std::vector<region_id> mHomes;
   auto operator<=>(const gateway_account&) const = default;
 };
 
@@ -190,6 +195,8 @@
 {
   gateway_request mRequest;
   std::string mRoute;
+  /// Regions of nodes that the body may be sent to; any if absent.
+  std::optional<std::set<region_id>> mRegions;
   time_point mArrived;
   /// Latest time for the final answer.
   time_point mDeadline;
