--- a/Source/Core/Gateway/FleetView.h
+++ b/Source/Core/Gateway/FleetView.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "Common/Time.h"
+#include "Gateway/HomeRegions.h"
 #include "Gateway/TokenAllowance.h"
 #include "Gateway/UpstreamRegistry.h"
 
@@ -103,6 +104,8 @@
                                            const std::string& aZone) const;
   /// Number of live nodes, this one included.
   std::size_t LiveNodeCount(time_point aNow) const;
+  /// Datagram addresses at which other nodes may run, alive or not.
+  std::vector<std::string> KnownAddresses() const;
   /// Datagram addresses of live peers.
   std::vector<std::string> LivePeerAddresses(time_point aNow) const;
   /// Work of the other nodes by server. If only some nodes report here, the sum
@@ -116,8 +119,15 @@
   std::vector<std::string> LostPeers(time_point aNow);
   /// Client addresses of nodes that reach servers and take requests, in an
   /// order that depends on the request and prefers hosts of large capacity.
-  std::vector<std::string> RelayTargets(std::uint64_t aRequest,
-                                        time_point aNow) const;
+  /// With `aRegions`, only nodes that are known to be in one of them.
+  std::vector<std::string> RelayTargets(
+    std::uint64_t aRequest,
+    time_point aNow,
+    const allowed_regions& aRegions = {}) const;
+  /// Sets the region of a node, this one or another, by its datagram address.
+  void SetRegion(const std::string& aAddress, const region_id& aRegion);
+  /// Regions of the nodes, as far as known, by their client addresses.
+  std::map<std::string, region_id> ClientAddressRegions() const;
   /// Until when other nodes pause for brittle servers.
   const std::unordered_map<std::uint32_t, time_point>& PeerPauses(
     time_point aNow);
@@ -146,6 +156,8 @@
     /// When the node's copies of the tables were current.
     time_point mConfigCurrentAt;
     time_point mServersCurrentAt;
+    /// Nothing if the node has not stated it.
+    std::optional<region_id> mRegion;
   };
 
   bool IsAlive(const peer_state& aPeer, time_point aNow) const;
@@ -157,6 +169,7 @@
   node_report mSelf;
   /// Time of the first call of `LostPeers`.
   std::optional<time_point> mWatchedSince;
+  std::optional<region_id> mSelfRegion;
   std::map<std::string, peer_state> mPeers;
   std::unordered_map<std::uint32_t, std::string> mAddresses;
   std::unordered_map<std::uint32_t, time_point> mPeerPauses;
--- a/Source/Core/Gateway/GatewayCodec.h
+++ b/Source/Core/Gateway/GatewayCodec.h
@@ -29,6 +29,12 @@
   /// Zone of the client that requests addresses; empty if it names none.
   virtual std::string ReadResolveZone(
     const http_server_request& aRequest) const = 0;
+  /// Host name whose addresses the client requests; empty if it names none.
+  virtual std::string ReadResolveName(
+    const http_server_request& aRequest) const = 0;
+  /// Region of the client that requests addresses; empty if it names none.
+  virtual region_id ReadResolveRegion(
+    const http_server_request& aRequest) const = 0;
   virtual gateway_request ReadRequest(http_server_request aRequest,
                                       time_point aNow) const = 0;
   /// Head of the request to a server, including the framing headers.
@@ -47,6 +53,9 @@
   /// Returns nothing if the document cannot be parsed.
   virtual std::optional<gateway_config> ReadConfig(
     std::string_view aDocument) const = 0;
+  /// Zone whose servers the operator's row takes out of service; nothing for
+  /// other rows. The name is empty if the row names no zone.
+  virtual std::optional<zone_id> ReadEvacuation(const row_key& aKey) const = 0;
   /// Returns nothing if the row describes no usable server.
   virtual std::optional<server_entry> ReadUpstream(
     const stored_row& aRow) const = 0;
--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -45,23 +45,16 @@
 // needs about 6 MB; responses and connection buffers need the rest.
 constexpr double kBodyMemoryShare = 0.3;
 
-// Share of the limits for leaving servers and for changes of the configuration
-// up to which state is recent. The rest is for the way of a request.
-constexpr double kMaxStateAgeShare = 0.7;
-
-// Share of the limit for leaving servers within which requests must have left
-// the host.
-constexpr double kMaxSendShare = 0.9;
-
 milliseconds Share(milliseconds aTime, double aShare)
 {
   return std::chrono::duration_cast<milliseconds>(aTime * aShare);
 }
 
-milliseconds MaxStateAge(const gateway_settings& aSettings)
+state_bounds Bounds(const gateway_settings& aSettings)
 {
-  return Share(std::min(aSettings.mLeaveTimeout, aSettings.mConfigTimeout),
-               kMaxStateAgeShare);
+  return { aSettings.mLeaveTimeout,
+           aSettings.mConfigTimeout,
+           aSettings.mEvacuationTimeout };
 }
 
 std::int64_t AgeMs(time_point aThen, time_point aNow)
@@ -104,15 +97,19 @@
   , mTokenAllowance(mRun, aSettings.mTokenAllowance)
   , mRetries(aSettings.mRetries)
   , mLinkQueue(aSettings.mLinkBytesPerSecond)
-  , mProbe([this] { mReachability.OnByte(mTime.Now()); })
+  , mProbe([this](const auto& aTarget, const auto& aResponse) {
+    OnProbeResponse(aTarget, aResponse);
+  })
   , mFleet(SelfReport(aSettings, std::stoull(mRun, nullptr, 16)))
   , mStreamOrigins(FormatTcpAddress(aSettings.mPeer))
   , mCrashExchange(mCrashes, mSegmentCrashes, mMetrics, mStore, mTime, mRun)
+  , mHomes(mSettings.mZoneRegions)
+  , mEvacuationRows(mCodec, mUpstreamRegistry, mMetrics)
   , mAllowanceWriter(mTokenAllowance,
                      mStore,
                      mTime,
                      FormatTcpAddress(mSettings.mPeer))
-  , mRows(mFleet, mCrashExchange, mStore, mTime, mRun)
+  , mRows(mFleet, mCrashExchange, mStore, mTime, mSettings.mRegion, mRun)
   , mContext{ .mSettings = mSettings,
               .mCodec = mCodec,
               .mTime = mTime,
@@ -127,6 +124,7 @@
               .mReachability = mReachability,
               .mLinkQueue = mLinkQueue,
               .mFleet = mFleet,
+              .mHomes = mHomes,
               .mStreamOrigins = mStreamOrigins,
               .mMetrics = mMetrics }
   , mPeerTransport(mFleet,
@@ -136,7 +134,7 @@
                    mTime,
                    aSettings.mLinkBytesPerSecond,
                    [this] { return Snapshot(); })
-  , mMaxStateAge(MaxStateAge(aSettings))
+  , mMaxStateAge(MaxStateAge(Bounds(aSettings)))
   , mLinkOverload(mSettings.mLinkBytesPerSecond)
   , mStalls(mTime.Now())
   , mConfigTable(mStore,
@@ -157,13 +155,23 @@
                 kFleetTableLongPollTime,
                 kFleetTablePollInterval,
                 *this)
-  , mEndpoints(mCodec, mFleet, mMetrics, mTime, [this] { return Ready(); })
+  , mEndpoints(
+      mCodec,
+      mFleet,
+      mMetrics,
+      mTime,
+      [this] { return Ready(); },
+      [this](const auto& aHost, const auto& aRegion) {
+        return AddressRegions(aHost, aRegion);
+      })
 {
   mContext.mMaxBodyBytes = static_cast<std::size_t>(
     static_cast<double>(mSettings.mMemoryBytes) * kBodyMemoryShare);
   for (const std::string& seed : mSettings.mSeeds) {
     mFleet.AddCandidate(seed);
   }
+  mUpstreamRegistry.RateLimits().SetColdBound(mSettings.mColdBound);
+  mFleet.SetRegion(mFleet.Self().mAddress, mSettings.mRegion);
 }
 
 gateway_node::~gateway_node()
@@ -290,6 +298,7 @@
     if (aRow.mKey.mKey == mCodec.ConfigKey()) {
       ApplyConfig(aRow);
     }
+    mEvacuationRows.Apply(aRow);
     return;
   }
   if (aRow.mKey.mTable == fleet_rows::kFleetTableName) {
@@ -306,6 +315,9 @@
     return;
   }
   const server_entry* previous = mUpstreamRegistry.Find(entry->mId);
+  if (previous == nullptr || previous->mIgnored != entry->mIgnored) {
+    LogIgnored(entry->mIgnored, aRow.mKey.mKey, aRow.mVersion);
+  }
   if (previous == nullptr || previous->mState != entry->mState ||
       previous->mIncarnation != entry->mIncarnation) {
     Log(log_level::Info,
@@ -341,6 +353,7 @@
 
 void gateway_node::OnRowRemoved(const row_key& aKey)
 {
+  mEvacuationRows.Remove(aKey);
   if (aKey.mTable != mCodec.UpstreamTable()) {
     return;
   }
@@ -360,37 +373,6 @@
   mFleet.Self().mReady = Ready();
 }
 
-void gateway_node::ApplyConfig(const stored_row& aRow)
-{
-  auto config = mCodec.ReadConfig(aRow.mValue);
-  if (!config) {
-    Log(log_level::Error,
-        "configuration_unreadable",
-        { Field("version", aRow.mVersion) });
-    return;
-  }
-  if (mContext.mRoutes && config->mVersion <= mContext.mRoutes->Version()) {
-    return;
-  }
-  Log(log_level::Info,
-      "configuration_applied",
-      { Field("version", config->mVersion),
-        Field("routes", config->mRoutes.size()),
-        Field("accounts", config->mAccounts.size()) });
-  for (const gateway_service& service : config->mServices) {
-    mUpstreamRegistry.SetService(service);
-  }
-  for (const gateway_account& account : config->mAccounts) {
-    if (account.mPrepaidTokens) {
-      mTokenAllowance.SetTotal(account.mName, *account.mPrepaidTokens);
-    }
-  }
-  mClientListener->SetLimits(config->mLimits);
-  mFleet.Self().mConfigVersion = config->mVersion;
-  mMetrics.SetConfigVersion(static_cast<double>(config->mVersion));
-  mContext.mRoutes = std::make_shared<route_table>(std::move(*config));
-}
-
 state_snapshot gateway_node::Snapshot() const
 {
   return { { mCodec.ConfigTable(), mConfigTable.Copy() },
@@ -433,10 +415,11 @@
   mContext.mConfigCurrentAt = mConfigTable.CurrentAt();
   mContext.mServersCurrentAt = mUpstreamTable.CurrentAt();
   UpdateStateVerdict(aNow);
-  // While the store is away, nothing can be known to have left.
-  const bool storeAway = mContext.mState == state_verdict::StoreAway;
-  mContext.mLatestLeavesAt = (storeAway ? aNow : mUpstreamTable.CurrentAt()) +
-                             Share(mSettings.mLeaveTimeout, kMaxSendShare);
+  mContext.mLatestLeavesAt = LatestLeavesAt(Bounds(mSettings),
+                                            mContext.mState,
+                                            mConfigTable.CurrentAt(),
+                                            mUpstreamTable.CurrentAt(),
+                                            aNow);
 }
 
 void gateway_node::UpdateStateVerdict(time_point aNow)
@@ -476,24 +459,3 @@
 {
   return std::min(mConfigTable.CurrentAt(), mUpstreamTable.CurrentAt());
 }
-
-void gateway_node::Reload(const gateway_settings& aSettings)
-{
-  mSettings.mRetries = aSettings.mRetries;
-  mSettings.mGracePeriod = aSettings.mGracePeriod;
-  mSettings.mSeeds = aSettings.mSeeds;
-  mRetries.SetLimits(aSettings.mRetries);
-  for (const std::string& seed : mSettings.mSeeds) {
-    mFleet.AddCandidate(seed);
-  }
-  if (aSettings.mStore != mSettings.mStore ||
-      aSettings.mClientAddress != mSettings.mClientAddress) {
-    Log(log_level::Warning,
-        "settings_need_restart",
-        { Field("store", FormatTcpAddress(aSettings.mStore)),
-          Field("clients", FormatTcpAddress(aSettings.mClientAddress)) });
-  }
-  Log(log_level::Info,
-      "settings_reloaded",
-      { Field("seeds", mSettings.mSeeds.size()) });
-}
--- a/Source/Core/Gateway/GatewayNode.h
+++ b/Source/Core/Gateway/GatewayNode.h
@@ -7,9 +7,11 @@
 
 #include "Common/EventLoop.h"
 #include "Gateway/AllowanceWriter.h"
+#include "Gateway/EvacuationRows.h"
 #include "Gateway/FleetRows.h"
 #include "Gateway/GatewayEndpoints.h"
 #include "Gateway/GatewaySession.h"
+#include "Gateway/HomeRegions.h"
 #include "Gateway/LinkOverloadDetector.h"
 #include "Gateway/PeerTransport.h"
 #include "Gateway/RequestRelay.h"
@@ -66,6 +68,13 @@
   void OnTableLoaded() override;
 
   void ApplyConfig(const stored_row& aRow);
+  /// Logs values of a row that count as missing.
+  static void LogIgnored(const std::vector<ignored_field>& aFields,
+                         const std::string& aRow,
+                         std::uint64_t aVersion);
+  /// Regions of the nodes that an address answer may name.
+  allowed_regions AddressRegions(const std::string& aHost,
+                                 const region_id& aClientRegion) const;
   /// Until when a server whose row was removed may be used if no other server
   /// is usable. A removal is tentative if it may be an effect of an outage of
   /// the store.
@@ -82,6 +91,10 @@
   /// Requests the tables of a peer if the own ones are old.
   void RefreshStateFromPeers(time_point aNow);
 
+  /// A server answered a request for its health.
+  void OnProbeResponse(const probe_target& aTarget,
+                       const http_client_response& aResponse);
+
   void OnRequestTick();
   void OnFleetTick();
   void OnMaintenanceTick();
@@ -101,6 +114,8 @@
   /// among the live nodes.
   void UpdateRateLimits(const std::vector<std::string>& aPeers,
                         time_point aNow);
+  /// Logs the servers that became cold.
+  void LogColdServers(time_point aNow);
   /// Reports crashes of servers that fell silent, and avoids these servers.
   void ReportSilentServers(time_point aNow);
   void ContinueStop(time_point aNow);
@@ -128,6 +143,8 @@
   stream_origins mStreamOrigins;
   gateway_metrics mMetrics;
   crash_exchange mCrashExchange;
+  home_regions mHomes;
+  evacuation_rows mEvacuationRows;
   allowance_writer mAllowanceWriter;
   fleet_rows mRows;
   gateway_context mContext;
--- a/Source/Core/Gateway/GatewayNodeTicks.cpp
+++ b/Source/Core/Gateway/GatewayNodeTicks.cpp
@@ -166,8 +166,8 @@
 {
   relay_request request = aSession.TakeForRelay();
   std::vector<tcp_address> peers;
-  for (const std::string& target :
-       mFleet.RelayTargets(StableHash(request.mRequest.mId), mTime.Now())) {
+  for (const std::string& target : mFleet.RelayTargets(
+         StableHash(request.mRequest.mId), mTime.Now(), request.mRegions)) {
     if (const auto address = ParseTcpAddress(target)) {
       peers.push_back(*address);
     }
@@ -221,6 +221,7 @@
                                     time_point aNow)
 {
   server_rate_limits& limits = mUpstreamRegistry.RateLimits();
+  limits.AddPossibleNodes(mFleet.KnownAddresses(), aNow);
   limits.SetNodes(mFleet.Self().mAddress, aPeers, aNow);
   for (const rate_limit_statement& statement : mFleet.PeerRateLimits()) {
     if (limits.OnPeerStatement(statement, aNow)) {
@@ -240,6 +241,38 @@
   }
 }
 
+void gateway_node::LogColdServers(time_point aNow)
+{
+  const server_rate_limits& limits = mUpstreamRegistry.RateLimits();
+  for (const upstream_id& server : mUpstreamRegistry.TakeNewCold()) {
+    const auto cold = limits.FindCold(upstream_registry::KeyOf(server));
+    if (!cold) {
+      continue;
+    }
+    Log(log_level::Info,
+        "server_cold",
+        { Field("server", server.mName),
+          Field("cold_ms",
+                std::chrono::duration_cast<milliseconds>(cold->mUntil - aNow)
+                  .count()),
+          Field("per_second", cold->mRequestsPerSecond),
+          Field("own_per_second",
+                fmt::format("{:.3f}", limits.OwnRate(cold->mServer))) });
+  }
+}
+
+void gateway_node::OnProbeResponse(const probe_target& aTarget,
+                                   const http_client_response& aResponse)
+{
+  const time_point now = mTime.Now();
+  mReachability.OnByte(now);
+  const upstream_answer answer = mCodec.ReadAnswer(aResponse);
+  if (answer.mColdTimeLeft && !answer.mMisdirected) {
+    mUpstreamRegistry.OnColdStated(
+      aTarget.mServer, aTarget.mIncarnation, *answer.mColdTimeLeft, now);
+  }
+}
+
 void gateway_node::OnFleetTick()
 {
   const time_point now = mTime.Now();
@@ -264,6 +297,7 @@
   mAllowanceWriter.RecoverClaims(mFleet.LostPeers(now), now);
   const auto peers = mFleet.LivePeerAddresses(now);
   UpdateRateLimits(peers, now);
+  LogColdServers(now);
   mFleet.Self().mPauses = TimesLeft(mUpstreamRegistry.Pauses(now), now);
   mUpstreamRegistry.SetNodes(mFleet.LiveNodeCount(now));
   mStreamOrigins.SetPeers(peers);
@@ -308,6 +342,9 @@
   mRows.OnMaintenanceTick(now);
   mCrashExchange.OnMaintenanceTick(now);
   mUpstreamRegistry.Expire(now);
+  if (mUpstreamTable.IsLoaded() || mUpstreamRegistry.Size() > 0) {
+    mEvacuationRows.LogUnknownZones(mSettings.mZone);
+  }
   for (const auto& [service, software] : mUpstreamRegistry.Software()) {
     mStreamOrigins.OnServer(service, software, now);
   }
@@ -327,6 +364,8 @@
   mMetrics.SetOpenedConnections(static_cast<double>(mPool.Opened()));
   mMetrics.SetRateLimitedServers(
     static_cast<double>(mUpstreamRegistry.RateLimits().LimitedCount()));
+  mMetrics.SetColdServers(
+    static_cast<double>(mUpstreamRegistry.RateLimits().ColdCount(now)));
   mMetrics.SetStoreAge(
     std::chrono::duration<double>(now - OldestStateAt()).count());
 }
--- a/Source/Core/Gateway/GatewaySession.h
+++ b/Source/Core/Gateway/GatewaySession.h
@@ -12,6 +12,7 @@
 #include "Gateway/GatewayCodec.h"
 #include "Gateway/GatewayMetrics.h"
 #include "Gateway/GatewaySettings.h"
+#include "Gateway/HomeRegions.h"
 #include "Gateway/LinkQueue.h"
 #include "Gateway/RouteTable.h"
 #include "Gateway/ServerReachability.h"
@@ -37,6 +38,7 @@
   server_reachability& mReachability;
   link_queue& mLinkQueue;
   fleet_view& mFleet;
+  const home_regions& mHomes;
   stream_origins& mStreamOrigins;
   gateway_metrics& mMetrics;
   /// Null until a configuration was read.
@@ -147,7 +149,9 @@
   /// given if the server got it, `aUnsentReason` if not.
   void EndWithoutServer(const char* aReason, const char* aUnsentReason);
   /// Ends the request instead of sending it, possibly for a further time.
-  void EndUnsent(const char* aReason, std::chrono::milliseconds aRetryAfter);
+  /// Without `aRetryAfter`, the client is not told to come back.
+  void EndUnsent(const char* aReason,
+                 std::optional<std::chrono::milliseconds> aRetryAfter);
   void AdvanceSent(time_point aNow);
   placement_query Query() const;
   admission_query AdmissionQuery() const;
@@ -174,6 +178,10 @@
   void RecordLeaving(time_point aNow);
   /// Records the rate limit that the server's response names or lacks.
   void RecordRateLimit(time_point aNow);
+  /// Records for how long the server is still cold.
+  void RecordCold(time_point aNow);
+  /// Logs and counts a send to a cold server.
+  void LogColdSend(time_point aNow) const;
   /// Logs that a stream goes on at a server.
   void LogResumption() const;
   /// Logs and counts a send to a server that named a rate limit.
@@ -208,6 +216,9 @@
   const gateway_route* mRoute = nullptr;
   const gateway_account* mAccount = nullptr;
   service_id mService;
+  /// Regions and zones in which the request may run; any if absent.
+  allowed_regions mRegions;
+  std::optional<std::set<zone_id>> mAllowedZones;
   /// Identity in the crash histories.
   request_fingerprint mFingerprint;
   stage mStage = stage::NeedTokens;
--- a/Source/Core/Gateway/GatewaySessionAdmission.cpp
+++ b/Source/Core/Gateway/GatewaySessionAdmission.cpp
@@ -74,11 +74,21 @@
     Refuse("stream_version_unknown", kRefusalRetryDelay);
     return;
   }
+  placement_query query = Query();
+  query.mSoftware = found.mSoftware;
+  bool evacuated = false;
   const auto service =
     std::ranges::find_if(services, [&](const service_id& aService) {
-      return mContext.mUpstreamRegistry.HasUsable(
-        aService, aNow, found.mSoftware);
+      query.mService = aService;
+      evacuated =
+        evacuated || mContext.mUpstreamRegistry.OnlyEvacuated(query, aNow);
+      return mContext.mUpstreamRegistry.HasUsable(query, aNow);
     });
+  if (service == services.end() && evacuated) {
+    mContext.mMetrics.OnStreamResumption("zone_evacuated");
+    EndUnsent("zone_evacuated", std::nullopt);
+    return;
+  }
   if (service == services.end()) {
     mContext.mMetrics.OnStreamResumption("version_gone");
     Refuse("stream_version_gone", kVersionGoneRetryDelay);
@@ -132,6 +142,7 @@
   query.mOutputTokens = mRequest.mMaxOutputTokens;
   query.mPrompt = mRequest.mPrompt.empty() ? nullptr : &mRequest.mPrompt;
   query.mExcluded = mTriedUpstreams;
+  query.mAllowedZones = mAllowedZones ? &*mAllowedZones : nullptr;
   return query;
 }
 
@@ -219,15 +230,33 @@
   }
   admission_verdict verdict = Admit(query, aNow);
   if (verdict == admission_verdict::Wait &&
-      !mContext.mUpstreamRegistry.HasUsable(mService, aNow, mPinnedSoftware)) {
+      !mContext.mUpstreamRegistry.HasUsable(Query(), aNow)) {
     verdict = admission_verdict::Refuse;
   }
+  if (verdict == admission_verdict::Refuse && !chosen &&
+      mContext.mUpstreamRegistry.OnlyEvacuated(Query(), aNow)) {
+    // Nobody knows when the zone is taken back, so no delay is promised.
+    EndUnsent("zone_evacuated", std::nullopt);
+    return;
+  }
+  if (verdict == admission_verdict::Refuse && mAllowedZones &&
+      !mContext.mUpstreamRegistry.HasUsable(Query(), aNow)) {
+    // Without a home in common, coming back does not help.
+    EndUnsent(
+      "no_home_server",
+      mAllowedZones->empty()
+        ? std::nullopt
+        : std::optional(RetryAfter(query, aNow, StableHash(mRequest.mId))));
+    return;
+  }
   if (verdict == admission_verdict::Send) {
     Send(*chosen, aNow);
   } else if (verdict == admission_verdict::Refuse) {
     const char* reason = chosen ? "too_late" : "servers_full";
     if (aNow < query.mLimitedUntil) {
-      reason = "servers_limited";
+      reason = mContext.mUpstreamRegistry.HasCold(Query(), aNow)
+                 ? "servers_cold"
+                 : "servers_limited";
     }
     if (chosen && linkFull) {
       reason = "link_full";
--- a/Source/Core/Gateway/GatewaySettings.cpp
+++ b/Source/Core/Gateway/GatewaySettings.cpp
@@ -45,6 +45,44 @@
     return number;
   }
 
+  /// Nothing if the key is absent.
+  std::optional<double> OptionalNumber(const char* aKey,
+                                       double aMin,
+                                       double aMax)
+  {
+    if (Find(aKey) == nullptr) {
+      return std::nullopt;
+    }
+    return Number(aKey, aMin, aMax);
+  }
+
+  /// A list of objects with a zone's `name` and its `region`; empty if the key
+  /// is absent.
+  std::map<zone_id, region_id> ZoneRegions(const char* aKey)
+  {
+    std::map<zone_id, region_id> regions;
+    const json* value = Find(aKey);
+    if (value == nullptr) {
+      return regions;
+    }
+    if (!value->is_array()) {
+      Fail(aKey, "must be a list");
+      return regions;
+    }
+    for (std::size_t i = 0; i < value->size(); ++i) {
+      const std::string place = std::string(aKey) + "/" + std::to_string(i);
+      if (!(*value)[i].is_object()) {
+        Fail(place.c_str(), "must be an object");
+        break;
+      }
+      settings_reader zone(mText, (*value)[i], mPath + "/" + place);
+      const zone_id name{ zone.Text("name") };
+      regions[name] = region_id{ zone.Text("region") };
+      Merge(zone);
+    }
+    return regions;
+  }
+
   tcp_address Address(const char* aKey)
   {
     const auto address = ParseTcpAddress(Text(aKey));
@@ -121,6 +159,7 @@
 constexpr double kMaxMilliseconds = 600000;
 constexpr double kMaxSeconds = 600;
 constexpr double kMaxAllowance = 1000000;
+constexpr double kMaxColdFactor = 1000;
 
 std::chrono::milliseconds Milliseconds(double aValue)
 {
@@ -176,6 +215,17 @@
     Milliseconds(root.Number("leave_limit_ms", 1, kMaxMilliseconds));
   settings.mConfigTimeout =
     Milliseconds(root.Number("config_limit_ms", 1, kMaxMilliseconds));
+  if (const auto limit =
+        root.OptionalNumber("evacuation_limit_ms", 1, kMaxMilliseconds)) {
+    settings.mEvacuationTimeout = Milliseconds(*limit);
+  }
+  settings.mZoneRegions = root.ZoneRegions("zones");
+  settings.mColdBound.mFactor =
+    root.OptionalNumber("cold_over", 0, kMaxColdFactor)
+      .value_or(settings.mColdBound.mFactor);
+  settings.mColdBound.mSlack =
+    root.OptionalNumber("cold_slack", 0, kMaxAllowance)
+      .value_or(settings.mColdBound.mSlack);
   constexpr double kMsPerSecond = 1000;
   settings.mGracePeriod =
     Milliseconds(root.Number("grace_s", 0, kMaxSeconds) * kMsPerSecond);
--- a/Source/Core/Gateway/GatewayTypes.h
+++ b/Source/Core/Gateway/GatewayTypes.h
@@ -4,6 +4,7 @@
 #include <compare>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -14,6 +15,16 @@
 
 /// Input and output types of the gateway's decisions.
 
+/// Value of a document or header that cannot be used and counts as missing.
+struct ignored_field
+{
+  /// JSON pointer into the document, or name of the header.
+  std::string mPlace;
+  /// The value, at most 64 bytes.
+  std::string mValue;
+  auto operator<=>(const ignored_field&) const = default;
+};
+
 /// Whether a request may be sent again after a server may have run it.
 enum class request_kind : std::uint8_t
 {
@@ -56,6 +67,8 @@
   bool mSticky = false;
   /// A broken stream may be resumed at another server after the last event.
   bool mResumable = false;
+  /// Regions in which requests may run; any if empty.
+  std::vector<region_id> mHomes;
   auto operator<=>(const gateway_route&) const = default;
 };
 
@@ -79,6 +92,11 @@
   /// Path at which servers tell their health.
   std::string mHealthPath;
   std::optional<engine_limits> mEngine;
+  /// Time for which a server is cold after its start.
+  std::optional<std::chrono::milliseconds> mColdTime;
+  /// Requests a second that a cold server takes from all nodes together;
+  /// unlimited if absent.
+  std::optional<double> mColdPerSecond;
   auto operator<=>(const gateway_service&) const = default;
 };
 
@@ -90,6 +108,8 @@
   std::optional<int> mPriority;
   /// Tokens that the account may consume in total; unlimited if absent.
   std::optional<std::int64_t> mPrepaidTokens;
+  /// Regions in which requests may run; any if empty.
+  std::vector<region_id> mHomes;
   auto operator<=>(const gateway_account&) const = default;
 };
 
@@ -100,6 +120,7 @@
   std::vector<gateway_service> mServices;
   std::vector<gateway_account> mAccounts;
   http_server_limits mLimits;
+  std::vector<ignored_field> mIgnored;
 };
 
 enum class server_state : std::uint8_t
@@ -127,6 +148,10 @@
   std::uint64_t mIncarnation = 0;
   /// Orders the entries of one incarnation.
   std::uint64_t mSequence = 0;
+  /// Rest of the cold time when the entry was written; 0 if the server is warm,
+  /// absent if the entry does not say.
+  std::optional<std::chrono::milliseconds> mColdTimeLeft;
+  std::vector<ignored_field> mIgnored;
   auto operator<=>(const server_entry&) const = default;
 };
 
@@ -170,6 +195,8 @@
 {
   gateway_request mRequest;
   std::string mRoute;
+  /// Regions of nodes that the body may be sent to; any if absent.
+  std::optional<std::set<region_id>> mRegions;
   time_point mArrived;
   /// Latest time for the final answer.
   time_point mDeadline;
@@ -208,4 +235,7 @@
   std::optional<double> mRequestsPerSecond;
   /// The response names a limit that is no such number.
   bool mLimitUnreadable = false;
+  /// Rest of the server's cold time; 0 if it is warm.
+  std::optional<std::chrono::milliseconds> mColdTimeLeft;
+  std::vector<ignored_field> mIgnored;
 };
--- a/Source/Core/Gateway/UpstreamRegistry.cpp
+++ b/Source/Core/Gateway/UpstreamRegistry.cpp
@@ -115,6 +115,9 @@
     record.mFailures = 0;
     record.mSlowness = 1.0;
     record.mKey = KeyOf(aEntry.mId);
+    record.mRunSeenAt = aNow;
+    record.mEntryColdUntil.reset();
+    record.mResponseColdUntil = {};
     mRateLimits.OnServerStart(record.mKey, aEntry.mIncarnation);
     for (auto& [segment, holders] : mCachedSegments) {
       holders.erase(record.mKey);
@@ -122,6 +125,9 @@
   }
   if (restarted || aEntry.mSequence > old.mSequence) {
     record.mEntryReadAt = aNow;
+    if (aEntry.mColdTimeLeft) {
+      record.mEntryColdUntil = aNow + *aEntry.mColdTimeLeft;
+    }
   }
   record.mEntry = aEntry;
   record.mSoftware = SoftwareKey(aEntry.mService, aEntry.mSoftware);
@@ -131,6 +137,7 @@
   } else if (!record.mUsableUntil) {
     record.mUsableUntil = aNow;
   }
+  UpdateCold(record, aNow);
 }
 
 upstream_registry::upstream_record* upstream_registry::FindRun(
@@ -272,9 +279,12 @@
   for (const auto& [id, record] : mUpstreams) {
     const auto service = mServices.find(record.mEntry.mService.mName);
     if (!record.mUsableUntil && service != mServices.end() &&
+        !mEvacuatedZones.contains(record.mEntry.mZone) &&
         !service->second.mHealthPath.empty()) {
-      targets.push_back(
-        { record.mEntry.mAddress, service->second.mHealthPath });
+      targets.push_back({ id,
+                          record.mEntry.mIncarnation,
+                          record.mEntry.mAddress,
+                          service->second.mHealthPath });
     }
   }
   return targets;
@@ -310,15 +320,13 @@
   std::vector<const upstream_record*> suspect;
   std::vector<const upstream_record*> leaving;
   for (const auto& [id, record] : mUpstreams) {
-    if (record.mEntry.mService != aQuery.mService ||
-        record.mSoftware != aQuery.mSoftware.value_or(record.mSoftware) ||
+    if (!Fits(record, aQuery, aNow) ||
+        mEvacuatedZones.contains(record.mEntry.mZone) ||
         std::ranges::find(aQuery.mExcluded, id) != aQuery.mExcluded.end()) {
       continue;
     }
     if (record.mUsableUntil) {
-      if (aNow < *record.mUsableUntil) {
-        leaving.push_back(&record);
-      }
+      leaving.push_back(&record);
     } else if (aNow < record.mSuspectUntil ||
                IsSilent(record, kSilenceTimeout, aNow)) {
       suspect.push_back(&record);
@@ -389,15 +397,7 @@
     return !mRateLimits.MaySend(aRecord->mKey, aNow) ||
            aNow < PausedUntil(*aRecord);
   });
-  // Every node computes the same preferred server for a shared prompt.
-  const upstream_record* preferred = nullptr;
-  if (!shared.mSegments.empty() && !candidates.empty()) {
-    preferred = *std::ranges::max_element(
-      candidates, {}, [&](const upstream_record* aRecord) {
-        return RendezvousWeight(shared.mSegments.back().first,
-                                aRecord->mEntry.mId.mName);
-      });
-  }
+  const upstream_record* preferred = Preferred(candidates, shared, aNow);
   std::optional<rated_placement> best;
   for (const upstream_record* record : candidates) {
     const std::int64_t slots = std::max(record->mEntry.mSlots, 1U);
@@ -459,18 +459,6 @@
   return earliest.value_or(time_point());
 }
 
-bool upstream_registry::HasUsable(const service_id& aService,
-                                  time_point aNow,
-                                  std::optional<software_key> aSoftware) const
-{
-  return std::ranges::any_of(mUpstreams, [&](const auto& aPair) {
-    const upstream_record& record = aPair.second;
-    return record.mEntry.mService == aService &&
-           record.mSoftware == aSoftware.value_or(record.mSoftware) &&
-           (!record.mUsableUntil || aNow < *record.mUsableUntil);
-  });
-}
-
 std::set<std::pair<service_id, software_version>> upstream_registry::Software()
   const
 {
