State the load of a host in its report, and forget lost hosts in time

Cause: reports carry neither zone nor load. A node without live peers names all nodes that it ever knew, for ever. Each node that passes on the age of another adds the time of the datagram to its life.

Change: NodeReport has zone, region, use of link and processor, open client connections and client state (@17 to @22; default values mean unknown). fleet_view asks endpoint_choice. A node without live peers names others for 3 s after they were last heard of; if it does not serve and nobody else is left, all that it knew. Relayed ages count 20 ms more.

Two tests changed with the requirement. ReturnsAllKnownNodesWhenNoPeerIsAlive asked for dead nodes after 5 s; the new one bounds them at 3 s. The share of small hosts in answers of a large fleet was bounded on both sides; now none is named beside large ones.

--- a/Source/Core/Gateway/Fleet.capnp
+++ b/Source/Core/Gateway/Fleet.capnp
@@ -44,6 +44,18 @@
   # The sender has lost its links to all servers.
   cutOff @14 :Bool;
   pauses @15 :List(ServerPause);
+  # Availability zone and region of the host.
+  zone @17 :Text;
+  region @18 :Text;
+  # Use of the busier direction of the link, and of the processor, in thousandths
+  # of what the host has; the default value if not known.
+  linkUsePermille @19 :UInt16 = 65535;
+  processorUsePermille @20 :UInt16 = 65535;
+  # Open connections of clients; the default value if not known.
+  clientConnections @21 :UInt16 = 65535;
+  # 0 not stated, 1 accepts clients, 2 close to its limit and to be left out of
+  # address answers, 3 refuses connections as well.
+  clientState @22 :UInt8;
 }
 
 # A brittle server had no room for a request of the sender.
--- a/Source/Core/Gateway/Fleet.capnp.h
+++ b/Source/Core/Gateway/Fleet.capnp.h
@@ -82,7 +82,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(baf5b9cbfe87216a, 5, 9)
+    CAPNP_DECLARE_STRUCT_HEADER(baf5b9cbfe87216a, 5, 11)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -618,6 +618,20 @@
 
   inline  ::uint32_t getServersAgeMs() const;
 
+  inline bool hasZone() const;
+  inline  ::capnp::Text::Reader getZone() const;
+
+  inline bool hasRegion() const;
+  inline  ::capnp::Text::Reader getRegion() const;
+
+  inline  ::uint16_t getLinkUsePermille() const;
+
+  inline  ::uint16_t getProcessorUsePermille() const;
+
+  inline  ::uint16_t getClientConnections() const;
+
+  inline  ::uint8_t getClientState() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -734,6 +748,32 @@
   inline  ::uint32_t getServersAgeMs();
   inline void setServersAgeMs( ::uint32_t value);
 
+  inline bool hasZone();
+  inline  ::capnp::Text::Builder getZone();
+  inline void setZone( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initZone(unsigned int size);
+  inline void adoptZone(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownZone();
+
+  inline bool hasRegion();
+  inline  ::capnp::Text::Builder getRegion();
+  inline void setRegion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRegion(unsigned int size);
+  inline void adoptRegion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRegion();
+
+  inline  ::uint16_t getLinkUsePermille();
+  inline void setLinkUsePermille( ::uint16_t value);
+
+  inline  ::uint16_t getProcessorUsePermille();
+  inline void setProcessorUsePermille( ::uint16_t value);
+
+  inline  ::uint16_t getClientConnections();
+  inline void setClientConnections( ::uint16_t value);
+
+  inline  ::uint8_t getClientState();
+  inline void setClientState( ::uint8_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3116,6 +3156,130 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value, 4294967295u);
 }
 
+inline bool NodeReport::Reader::hasZone() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeReport::Builder::hasZone() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader NodeReport::Reader::getZone() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder NodeReport::Builder::getZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline void NodeReport::Builder::setZone( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder NodeReport::Builder::initZone(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
+}
+inline void NodeReport::Builder::adoptZone(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> NodeReport::Builder::disownZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+
+inline bool NodeReport::Reader::hasRegion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeReport::Builder::hasRegion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader NodeReport::Reader::getRegion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder NodeReport::Builder::getRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline void NodeReport::Builder::setRegion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder NodeReport::Builder::initRegion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), size);
+}
+inline void NodeReport::Builder::adoptRegion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> NodeReport::Builder::disownRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+
+inline  ::uint16_t NodeReport::Reader::getLinkUsePermille() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, 65535u);
+}
+
+inline  ::uint16_t NodeReport::Builder::getLinkUsePermille() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, 65535u);
+}
+inline void NodeReport::Builder::setLinkUsePermille( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value, 65535u);
+}
+
+inline  ::uint16_t NodeReport::Reader::getProcessorUsePermille() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS, 65535u);
+}
+
+inline  ::uint16_t NodeReport::Builder::getProcessorUsePermille() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS, 65535u);
+}
+inline void NodeReport::Builder::setProcessorUsePermille( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS, value, 65535u);
+}
+
+inline  ::uint16_t NodeReport::Reader::getClientConnections() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<19>() * ::capnp::ELEMENTS, 65535u);
+}
+
+inline  ::uint16_t NodeReport::Builder::getClientConnections() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<19>() * ::capnp::ELEMENTS, 65535u);
+}
+inline void NodeReport::Builder::setClientConnections( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<19>() * ::capnp::ELEMENTS, value, 65535u);
+}
+
+inline  ::uint8_t NodeReport::Reader::getClientState() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t NodeReport::Builder::getClientState() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void NodeReport::Builder::setClientState( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t ServerPause::Reader::getServer() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Source/Core/Gateway/FleetView.cpp
+++ b/Source/Core/Gateway/FleetView.cpp
@@ -13,6 +13,10 @@
 // A node that was not heard of for this long counts as dead. It covers six
 // rounds of reports, so that single lost datagrams do not matter.
 constexpr milliseconds kPeerTimeout(1300);
+// Time that a relayed age loses between two nodes: the way of the datagram, and
+// fractions of a millisecond. Without it a dead node that is relayed from node
+// to node would age more slowly than the clock.
+constexpr milliseconds kRelayTime(20);
 // Reported work older than this is ignored.
 constexpr milliseconds kWorkReportTimeout(1000);
 // Limit of the nodes that one round of reports goes to. A smaller fleet reports
@@ -72,11 +76,19 @@
   for (const std::string& address : aReport.mKnownAddresses) {
     AddCandidate(address);
   }
+  if (aNow > mLastPeerReportAt + kWorkReportTimeout) {
+    mPeersReportSince = aNow;
+  }
+  mLastPeerReportAt = aNow;
+  const std::uint32_t ownKey = NodeKey(mSelf.mAddress);
   for (const auto& [key, age] : aReport.mPeers) {
+    if (key == ownKey) {
+      mHeardByPeersAt = std::max(mHeardByPeersAt, aNow - age - kRelayTime);
+    }
     const auto address = mAddresses.find(key);
     if (address != mAddresses.end()) {
       peer_state& peer = Peer(address->second);
-      peer.mLastSeen = std::max(peer.mLastSeen, aNow - age);
+      peer.mLastSeen = std::max(peer.mLastSeen, aNow - age - kRelayTime);
     }
   }
 }
@@ -126,47 +138,6 @@
   return targets;
 }
 
-std::vector<std::string> fleet_view::ClientAddresses(
-  time_point aNow,
-  const std::string& aZone) const
-{
-  std::vector<const node_report*> live;
-  std::vector<const node_report*> knownNodes;
-  bool anyPeerAlive = false;
-  for (const auto& [address, peer] : mPeers) {
-    anyPeerAlive = anyPeerAlive || IsAlive(peer, aNow);
-    if (!peer.mReport || peer.mReport->mClientAddress.empty() ||
-        !peer.mReport->mReady || peer.mReport->mLeaving) {
-      continue;
-    }
-    knownNodes.push_back(&*peer.mReport);
-    if (IsAlive(peer, aNow)) {
-      live.push_back(&*peer.mReport);
-    }
-  }
-  std::vector<const node_report*> nodes = anyPeerAlive ? live : knownNodes;
-  if (mSelf.mReady && !mSelf.mLeaving) {
-    nodes.push_back(&mSelf);
-  }
-  double maxCapacity = 0.0;
-  for (const node_report* node : nodes) {
-    maxCapacity = std::max(maxCapacity, node->mCapacity);
-  }
-  const bool limitSmallNodes = nodes.size() > kMaxReportTargets;
-  std::vector<std::string> addresses;
-  for (const node_report* node : nodes) {
-    // The choice depends on zone and node only, because clients drop
-    // connections to addresses that a new answer lacks.
-    const double point =
-      static_cast<double>(StableHash(aZone + node->mAddress) % kHashSteps) /
-      kHashSteps;
-    if (!limitSmallNodes || point * maxCapacity < node->mCapacity) {
-      addresses.push_back(node->mClientAddress);
-    }
-  }
-  return addresses;
-}
-
 std::size_t fleet_view::LiveNodeCount(time_point aNow) const
 {
   const auto live = std::ranges::count_if(
--- a/Source/Core/Gateway/FleetView.h
+++ b/Source/Core/Gateway/FleetView.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "Common/Time.h"
+#include "Endpoints/EndpointChoice.h"
 #include "Gateway/TokenAllowance.h"
 #include "Gateway/UpstreamRegistry.h"
 
@@ -31,6 +32,18 @@
 using server_pauses =
   std::vector<std::pair<std::uint32_t, std::chrono::milliseconds>>;
 
+/// What a node states of its readiness for clients, by its own load.
+enum class client_state : std::uint8_t
+{
+  /// Nodes that do not state it.
+  Unknown,
+  Accepting,
+  /// Close to its limit: answers should leave it out.
+  LeftAnswers,
+  /// Refuses new connections.
+  Refusing,
+};
+
 /// State that a node reports to the others in each round.
 struct node_report
 {
@@ -64,6 +77,16 @@
   /// current; nothing if it has none.
   std::optional<std::chrono::milliseconds> mConfigAge;
   std::optional<std::chrono::milliseconds> mServersAge;
+  /// Empty if the node does not state them.
+  zone_id mZone;
+  region_id mRegion;
+  /// Use of the busier direction of the link, and of the processor, as a share
+  /// of what the host has; nothing if not stated.
+  std::optional<double> mLinkUse;
+  std::optional<double> mProcessorUse;
+  /// Open connections of clients; nothing if not stated.
+  std::optional<std::uint32_t> mClientConnections;
+  client_state mClientState = client_state::Unknown;
 };
 
 /// Hash of a node's datagram address, its key in the reports of others.
@@ -95,12 +118,20 @@
   /// Datagram addresses to which the report is sent in this round; at most 16.
   std::vector<std::string> ReportTargets(std::uint64_t aRound) const;
 
-  /// Addresses of nodes for clients. A node that has no live peer returns all
-  /// nodes it ever knew, because it is more likely cut off than alone. In a
-  /// fleet of more than 16 nodes, nodes of small capacity are returned only to
-  /// some client zones, so that they get a share that fits them.
+  /// Adapts the choice of hosts for clients to their use, and returns what
+  /// changed; called in each round.
+  std::vector<endpoint_change> UpdateEndpoints(time_point aNow);
+  /// Client addresses of nodes for clients of a zone, see `endpoint_choice`. A
+  /// node that has no live peer names peers up to 3 s after they were last
+  /// heard of, and itself if it serves. If that leaves none, it names all that
+  /// it ever knew, because it is more likely cut off than alone.
   std::vector<std::string> ClientAddresses(time_point aNow,
                                            const std::string& aZone) const;
+  /// Whether answers name only hosts chosen by capacity and use.
+  bool ChoosesEndpoints() const { return mEndpoints.IsSelective(); }
+  /// Whether peers that report here say that they heard of this node lately;
+  /// true if none reports.
+  bool IsHeardByPeers(time_point aNow) const;
   /// Number of live nodes, this one included.
   std::size_t LiveNodeCount(time_point aNow) const;
   /// Datagram addresses of live peers.
@@ -140,6 +171,8 @@
   };
 
   bool IsAlive(const peer_state& aPeer, time_point aNow) const;
+  /// What is known of the nodes that were ready when they last reported.
+  endpoint_view EndpointView(time_point aNow) const;
   /// Latest value of the member among the peers that reported lately.
   std::optional<time_point> Newest(time_point peer_state::*aMember,
                                    time_point aNow) const;
@@ -149,4 +182,10 @@
   std::map<std::string, peer_state> mPeers;
   std::unordered_map<std::uint32_t, std::string> mAddresses;
   std::unordered_map<std::uint32_t, time_point> mPeerPauses;
+  endpoint_choice mEndpoints;
+  /// Last time at which a peer had heard of this node, and the time since which
+  /// peers report here without interruption.
+  time_point mHeardByPeersAt;
+  time_point mPeersReportSince;
+  time_point mLastPeerReportAt;
 };
--- a/Source/Core/Gateway/PeerDatagram.cpp
+++ b/Source/Core/Gateway/PeerDatagram.cpp
@@ -36,6 +36,35 @@
                               : std::optional(milliseconds(aAgeMs));
 }
 
+// Unknown use or number of connections.
+constexpr std::uint16_t kUnknownUint16 = 0xffff;
+constexpr double kPermille = 1000.0;
+
+std::uint16_t ClampToUint16(double aValue)
+{
+  return static_cast<std::uint16_t>(
+    std::clamp(aValue, 0.0, static_cast<double>(kUnknownUint16 - 1)));
+}
+
+std::uint16_t WriteUse(const std::optional<double>& aUse)
+{
+  return aUse ? ClampToUint16(*aUse * kPermille) : kUnknownUint16;
+}
+
+std::optional<double> ReadUse(std::uint16_t aPermille)
+{
+  return aPermille == kUnknownUint16
+           ? std::nullopt
+           : std::optional(static_cast<double>(aPermille) / kPermille);
+}
+
+/// A state of a later version means that the node is not to be named.
+client_state ReadClientState(std::uint8_t aState)
+{
+  return static_cast<client_state>(
+    std::min(aState, static_cast<std::uint8_t>(client_state::Refusing)));
+}
+
 std::string ReadText(capnp::Text::Reader aText)
 {
   return { aText.begin(), aText.size() };
@@ -62,6 +91,39 @@
   return pauses;
 }
 
+/// What a node states of itself for the address answers.
+void WriteClientFields(fleet_wire::NodeReport::Builder aRoot,
+                       const node_report& aReport)
+{
+  if (!aReport.mZone.mName.empty()) {
+    aRoot.setZone(aReport.mZone.mName);
+  }
+  if (!aReport.mRegion.mName.empty()) {
+    aRoot.setRegion(aReport.mRegion.mName);
+  }
+  aRoot.setLinkUsePermille(WriteUse(aReport.mLinkUse));
+  aRoot.setProcessorUsePermille(WriteUse(aReport.mProcessorUse));
+  aRoot.setClientConnections(
+    aReport.mClientConnections
+      ? ClampToUint16(static_cast<double>(*aReport.mClientConnections))
+      : kUnknownUint16);
+  aRoot.setClientState(static_cast<std::uint8_t>(aReport.mClientState));
+}
+
+void ReadClientFields(fleet_wire::NodeReport::Reader aRoot,
+                      node_report& aReport)
+{
+  aReport.mZone = zone_id{ ReadText(aRoot.getZone()) };
+  aReport.mRegion = region_id{ ReadText(aRoot.getRegion()) };
+  aReport.mLinkUse = ReadUse(aRoot.getLinkUsePermille());
+  aReport.mProcessorUse = ReadUse(aRoot.getProcessorUsePermille());
+  const std::uint16_t connections = aRoot.getClientConnections();
+  if (connections != kUnknownUint16) {
+    aReport.mClientConnections = connections;
+  }
+  aReport.mClientState = ReadClientState(aRoot.getClientState());
+}
+
 void Write(fleet_wire::NodeReport::Builder aRoot, const node_report& aReport)
 {
   aRoot.setAddress(aReport.mAddress);
@@ -76,6 +138,7 @@
   WritePauses(aRoot, aReport.mPauses);
   aRoot.setConfigAgeMs(WriteAge(aReport.mConfigAge));
   aRoot.setServersAgeMs(WriteAge(aReport.mServersAge));
+  WriteClientFields(aRoot, aReport);
   auto peers = aRoot.initPeers(static_cast<unsigned>(aReport.mPeers.size()));
   for (unsigned i = 0; i < peers.size(); ++i) {
     peers[i].setKey(aReport.mPeers[i].first);
@@ -127,6 +190,7 @@
   report.mPauses = ReadPauses(aRoot);
   report.mConfigAge = ReadAge(aRoot.getConfigAgeMs());
   report.mServersAge = ReadAge(aRoot.getServersAgeMs());
+  ReadClientFields(aRoot, report);
   for (const auto peer : aRoot.getPeers()) {
     report.mPeers.emplace_back(peer.getKey(), milliseconds(peer.getAgeMs()));
   }
--- a/Source/UnitTests/Gateway/FleetTest.cpp
+++ b/Source/UnitTests/Gateway/FleetTest.cpp
@@ -58,15 +58,20 @@
 
 } // namespace
 
-// Guards against an empty address list for clients when this node is cut off
-// from its peers: it then returns every node it knew.
-TEST(FleetViewTest, ReturnsAllKnownNodesWhenNoPeerIsAlive)
+// Guards against addresses of dead nodes from a node that hears no peer, and
+// against an empty list from one that does not serve and knows nothing better.
+TEST(FleetViewTest, NamesPeersForThreeSecondsWhenNoneIsAlive)
 {
   fleet_view view(Report("a"));
   view.OnReport(Report("b"), kNow);
   view.OnReport(Report("c"), kNow);
   EXPECT_EQ(view.ClientAddresses(kNow, "z").size(), 3U);
-  EXPECT_EQ(view.ClientAddresses(kNow + milliseconds(5000), "z").size(), 3U);
+  EXPECT_EQ(view.ClientAddresses(kNow + milliseconds(2900), "z").size(), 3U);
+  EXPECT_EQ(view.ClientAddresses(kNow + milliseconds(3000), "z"),
+            (std::vector<std::string>{ "a:80" }));
+  view.Self().mReady = false;
+  EXPECT_EQ(view.ClientAddresses(kNow + milliseconds(60000), "z").size(), 2U);
+  view.Self().mReady = true;
   view.OnReport(Report("c"), kNow + milliseconds(4900));
   EXPECT_EQ(view.ClientAddresses(kNow + milliseconds(5000), "z"),
             (std::vector<std::string>{ "c:80", "a:80" }));
@@ -83,9 +88,9 @@
             (std::vector<std::string>{ "a:80" }));
 }
 
-// Guards against equal shares of clients for all nodes: hosts with a tenth of
-// the capacity are overloaded by an equal share.
-TEST(FleetViewTest, ReturnsSmallNodesOfALargeFleetLessOften)
+// Guards against shares of clients on hosts with a tenth of the capacity while
+// large ones are known: a large account keeps to one address.
+TEST(FleetViewTest, NamesNoSmallNodesOfALargeFleetBesideLargeOnes)
 {
   fleet_view view(Report("a"));
   for (unsigned i = 0; i < 60; ++i) {
@@ -93,14 +98,54 @@
     report.mCapacity = i < 30 ? 0.1 : 1.0;
     view.OnReport(report, kNow);
   }
-  unsigned small = 0;
+  view.UpdateEndpoints(kNow);
+  EXPECT_TRUE(view.ChoosesEndpoints());
   for (unsigned zone = 0; zone < 10; ++zone) {
     const auto addresses = view.ClientAddresses(kNow, std::to_string(zone));
-    EXPECT_GE(addresses.size(), 31U);
-    small += static_cast<unsigned>(addresses.size()) - 31U;
+    EXPECT_EQ(addresses.size(), 31U);
+    for (unsigned i = 0; i < 30; ++i) {
+      EXPECT_EQ(std::ranges::count(addresses, "n" + std::to_string(i) + ":80"),
+                0);
+    }
+  }
+}
+
+// Guards against a node that serves clients although its datagrams reach no
+// peer, and against one that leaves because peers just started.
+TEST(FleetViewTest, NoticesThatNoPeerHearsIt)
+{
+  fleet_view view(Report("a"));
+  const auto report = [&](milliseconds aLater, milliseconds aAge) {
+    node_report peer = Report("b");
+    peer.mPeers.emplace_back(NodeKey("a:7000"), aAge);
+    view.OnReport(peer, kNow + aLater);
+  };
+  EXPECT_TRUE(view.IsHeardByPeers(kNow));
+  for (unsigned i = 0; i < 20; ++i) {
+    report(milliseconds(200 * i), milliseconds(200 * i));
+    EXPECT_EQ(view.IsHeardByPeers(kNow + milliseconds(200 * i)), i < 8) << i;
   }
-  EXPECT_GT(small, 10U);
-  EXPECT_LT(small, 70U);
+  report(milliseconds(4000), milliseconds(100));
+  EXPECT_TRUE(view.IsHeardByPeers(kNow + milliseconds(4000)));
+  EXPECT_TRUE(view.IsHeardByPeers(kNow + milliseconds(9000)))
+    << "no peer reports";
+}
+
+// Guards against a dead node that nodes tell each other of, so that it ages
+// more slowly than the clock.
+TEST(FleetViewTest, RelayedAgesNeverMakeANodeYounger)
+{
+  fleet_view first(Report("a"));
+  fleet_view second(Report("b"));
+  first.OnReport(Report("dead"), kNow);
+  // Datagrams take 10 ms each.
+  for (unsigned i = 0; i < 200; ++i) {
+    const auto now = kNow + milliseconds(20 * i);
+    second.OnReport(first.ComposeReport(i, now), now + milliseconds(10));
+    first.OnReport(second.ComposeReport(i, now + milliseconds(10)),
+                   now + milliseconds(20));
+  }
+  EXPECT_EQ(first.LiveNodeCount(kNow + milliseconds(1400)), 1U + 1U);
 }
 
 // Guards against live nodes counted as dead: in a large fleet most information
@@ -141,6 +186,11 @@
                   kNow - milliseconds(13 * i));
   }
   node_report report = view.ComposeReport(1, kNow);
+  report.mZone = zone_id{ "zone-of-ten" };
+  report.mRegion = region_id{ "region-of-ten" };
+  report.mLinkUse = report.mProcessorUse = 0.543;
+  report.mClientConnections = 1234;
+  report.mClientState = client_state::LeftAnswers;
   for (unsigned i = 0; i < 24; ++i) {
     report.mFreeTokens.emplace_back(AccountKey(account_id{ std::to_string(i) }),
                                     123456 + i);
@@ -169,6 +219,38 @@
   }
 }
 
+// Guards against a load that is lost in encoding, and against nodes of an
+// earlier version, which state none, taken for idle or full ones.
+TEST(PeerDatagramTest, EncodesTheLoadAndThatItIsUnknown)
+{
+  node_report report = Report("a");
+  const auto parse = [&] {
+    const auto parsed = ParsePeerDatagram(WritePeerDatagram(report));
+    return std::get<node_report>(*parsed);
+  };
+  const node_report unknown = parse();
+  EXPECT_FALSE(unknown.mLinkUse);
+  EXPECT_FALSE(unknown.mProcessorUse);
+  EXPECT_FALSE(unknown.mClientConnections);
+  EXPECT_EQ(unknown.mClientState, client_state::Unknown);
+  EXPECT_EQ(unknown.mZone, zone_id());
+  report.mZone = zone_id{ "zone-a" };
+  report.mRegion = region_id{ "north" };
+  report.mLinkUse = 0.625;
+  report.mProcessorUse = 0.0;
+  report.mClientConnections = 1000000;
+  report.mClientState = client_state::LeftAnswers;
+  const node_report stated = parse();
+  EXPECT_EQ(stated.mZone, report.mZone);
+  EXPECT_EQ(stated.mRegion, report.mRegion);
+  EXPECT_EQ(stated.mLinkUse, 0.625);
+  EXPECT_EQ(stated.mProcessorUse, 0.0);
+  EXPECT_EQ(stated.mClientConnections, 65534U);
+  EXPECT_EQ(stated.mClientState, client_state::LeftAnswers);
+  report.mLinkUse = report.mProcessorUse = 99.0;
+  EXPECT_EQ(parse().mLinkUse, 65.534);
+}
+
 // Guards against crash reports that change on the way to another node.
 TEST(PeerDatagramTest, EncodesCrashNotices)
 {
