Let a host that is close to its limit leave the address answers

Cause: a host signals nothing before its link is full and its listener closes.

The effect on a deployment was not measured.

--- a/Source/Core/Gateway/GatewayEndpoints.cpp
+++ b/Source/Core/Gateway/GatewayEndpoints.cpp
@@ -15,7 +15,7 @@
 
 gateway_endpoints::gateway_endpoints(const gateway_codec& aCodec,
                                      const fleet_view& aFleet,
-                                     const gateway_metrics& aMetrics,
+                                     gateway_metrics& aMetrics,
                                      const time_source& aTime,
                                      std::function<bool()> aReady)
   : mCodec(aCodec)
@@ -39,6 +39,7 @@
     case node_endpoint::ResolveAddresses: {
       const auto addresses =
         mFleet.ClientAddresses(mTime.Now(), mCodec.ReadResolveZone(aRequest));
+      mMetrics.SetNamedHosts(static_cast<double>(addresses.size()));
       if (addresses.empty()) {
         response.mStatus = http_status::kServiceUnavailable;
         aConnection.Respond(response, {});
--- a/Source/Core/Gateway/GatewayEndpoints.h
+++ b/Source/Core/Gateway/GatewayEndpoints.h
@@ -14,7 +14,7 @@
   /// `aReady` returns whether the node takes requests.
   gateway_endpoints(const gateway_codec& aCodec,
                     const fleet_view& aFleet,
-                    const gateway_metrics& aMetrics,
+                    gateway_metrics& aMetrics,
                     const time_source& aTime,
                     std::function<bool()> aReady);
 
@@ -27,7 +27,7 @@
 private:
   const gateway_codec& mCodec;
   const fleet_view& mFleet;
-  const gateway_metrics& mMetrics;
+  gateway_metrics& mMetrics;
   const time_source& mTime;
   std::function<bool()> mReady;
 };
--- a/Source/Core/Gateway/GatewayMetrics.cpp
+++ b/Source/Core/Gateway/GatewayMetrics.cpp
@@ -68,6 +68,15 @@
   , mRelaying(AddGauge("gateway_relaying",
                        "1 while the node reaches no server and passes its "
                        "requests on"))
+  , mNamedHosts(AddGauge("gateway_named_hosts",
+                         "Addresses in the last answer to a client"))
+  , mLinkUse(AddGauge("gateway_link_use",
+                      "Use of the busier direction of the link, as a share"))
+  , mProcessorUse(AddGauge("gateway_processor_use",
+                           "Processor time used, as a share of the limit"))
+  , mLeftAnswers(AddGauge("gateway_left_answers",
+                          "1 while the host asks to be left out of address "
+                          "answers"))
 {
 }
 
--- a/Source/Core/Gateway/GatewayMetrics.h
+++ b/Source/Core/Gateway/GatewayMetrics.h
@@ -41,6 +41,11 @@
   void OnStateVerdict(std::string_view aVerdict);
   void SetLinkWait(double aSeconds) { mLinkWait.Set(aSeconds); }
   void SetRelaying(double aRelaying) { mRelaying.Set(aRelaying); }
+  void SetNamedHosts(double aCount) { mNamedHosts.Set(aCount); }
+  /// Use as a share of what the host has; 0 if not known.
+  void SetLinkUse(double aUse) { mLinkUse.Set(aUse); }
+  void SetProcessorUse(double aUse) { mProcessorUse.Set(aUse); }
+  void SetLeftAnswers(double aLeft) { mLeftAnswers.Set(aLeft); }
   void SetRateLimitedServers(double aCount) { mRateLimited.Set(aCount); }
   void SetOpenRequests(double aCount) { mOpenRequests.Set(aCount); }
   void SetLiveNodes(double aCount) { mLiveNodes.Set(aCount); }
@@ -72,4 +77,8 @@
   prometheus::Gauge& mRateLimited;
   prometheus::Gauge& mLinkWait;
   prometheus::Gauge& mRelaying;
+  prometheus::Gauge& mNamedHosts;
+  prometheus::Gauge& mLinkUse;
+  prometheus::Gauge& mProcessorUse;
+  prometheus::Gauge& mLeftAnswers;
 };
--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -83,6 +83,8 @@
   report.mClientAddress = FormatTcpAddress(aSettings.mClientAddress);
   report.mRun = aRun;
   report.mCapacity = aSettings.mCapacity;
+  report.mZone = aSettings.mZone;
+  report.mRegion = aSettings.mRegion;
   return report;
 }
 
@@ -138,6 +140,7 @@
                    [this] { return Snapshot(); })
   , mMaxStateAge(MaxStateAge(aSettings))
   , mLinkOverload(mSettings.mLinkBytesPerSecond)
+  , mHostLoad(FormatTcpAddress(mSettings.mPeer))
   , mStalls(mTime.Now())
   , mConfigTable(mStore,
                  mTime,
@@ -241,7 +244,7 @@
   mContext.mConfigMayBeStale =
     !mConfigTable.IsLoaded() ||
     mTime.Now() > mConfigTable.CurrentAt() + mMaxStateAge;
-  if (mLinkOverload.IsOverloaded()) {
+  if (mLinkOverload.IsOverloaded() || SendsClientsElsewhere()) {
     // The client reconnects and finds a host with free capacity.
     aConnection.SetCloseAfterResponse();
   }
@@ -475,24 +478,3 @@
 {
   return std::min(mConfigTable.CurrentAt(), mUpstreamTable.CurrentAt());
 }
-
-void gateway_node::Reload(const gateway_settings& aSettings)
-{
-  mSettings.mRetries = aSettings.mRetries;
-  mSettings.mGracePeriod = aSettings.mGracePeriod;
-  mSettings.mSeeds = aSettings.mSeeds;
-  mRetries.SetLimits(aSettings.mRetries);
-  for (const std::string& seed : mSettings.mSeeds) {
-    mFleet.AddCandidate(seed);
-  }
-  if (aSettings.mStore != mSettings.mStore ||
-      aSettings.mClientAddress != mSettings.mClientAddress) {
-    Log(log_level::Warning,
-        "settings_need_restart",
-        { Field("store", FormatTcpAddress(aSettings.mStore)),
-          Field("clients", FormatTcpAddress(aSettings.mClientAddress)) });
-  }
-  Log(log_level::Info,
-      "settings_reloaded",
-      { Field("seeds", mSettings.mSeeds.size()) });
-}
--- a/Source/Core/Gateway/GatewayNode.h
+++ b/Source/Core/Gateway/GatewayNode.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "Common/EventLoop.h"
+#include "Endpoints/HostLoad.h"
 #include "Gateway/AllowanceWriter.h"
 #include "Gateway/FleetRows.h"
 #include "Gateway/GatewayEndpoints.h"
@@ -87,6 +88,17 @@
   void OnMaintenanceTick();
   /// Accepts no new connections while the link of the host is overloaded.
   void UpdateLinkOverload(time_point aNow);
+  /// Decides whether the host leaves the address answers, and states its load
+  /// in the report.
+  void UpdateHostLoad(time_point aNow);
+  /// Adapts the hosts that address answers name.
+  void UpdateEndpoints(time_point aNow);
+  /// Processor time since the last call as a share of what the host may use;
+  /// nothing if that is not known or nothing was measured yet.
+  std::optional<double> MeasureProcessorUse(time_point aNow);
+  /// Whether the host has left the address answers of a fleet that chooses
+  /// hosts, so that connections are closed after their response.
+  bool SendsClientsElsewhere() const;
   void AdvanceWaiting(time_point aNow);
   /// Decides whether the host is cut off from all servers, and probes them
   /// while it is.
@@ -135,6 +147,10 @@
   /// Age up to which state counts as recent.
   std::chrono::milliseconds mMaxStateAge;
   link_overload_detector mLinkOverload;
+  host_load mHostLoad;
+  /// Processor time of the process at the last measurement, and its time.
+  std::chrono::duration<double> mProcessorTime{ 0.0 };
+  time_point mProcessorTimeAt;
   stall_detector mStalls;
 
   table_follower mConfigTable;
--- a/Source/Core/Gateway/GatewayNodeTicks.cpp
+++ b/Source/Core/Gateway/GatewayNodeTicks.cpp
@@ -177,23 +177,6 @@
   }
 }
 
-void gateway_node::UpdateLinkOverload(time_point aNow)
-{
-  const bool wasBusy = mLinkOverload.IsOverloaded();
-  mLinkOverload.Update(ProcessTraffic(), aNow);
-  const bool busy = mLinkOverload.IsOverloaded();
-  if (busy != wasBusy) {
-    Log(log_level::Info,
-        busy ? "link_full" : "link_free",
-        { Field("use", fmt::format("{:.2f}", mLinkOverload.Utilization())),
-          Field("open_requests", mSessions.size()) });
-  }
-  std::string error;
-  if (!mLastRequestsUntil && !mClientListener->SetAccepting(!busy, error)) {
-    Log(log_level::Error, "clients_address_lost", { Field("error", error) });
-  }
-}
-
 void gateway_node::ReportSilentServers(time_point aNow)
 {
   std::set<upstream_id> servers;
@@ -243,6 +226,7 @@
   const time_point now = mTime.Now();
   mStalls.OnTick(now);
   UpdateLinkOverload(now);
+  UpdateHostLoad(now);
   if (mStalls.CanJudgeSilence(now)) {
     for (const upstream_id& server :
          mUpstreamRegistry.SilentFor(kSilenceTime, now)) {
@@ -263,6 +247,7 @@
   UpdateRateLimits(peers, now);
   mFleet.Self().mPauses = TimesLeft(mUpstreamRegistry.Pauses(now), now);
   mUpstreamRegistry.SetNodes(mFleet.LiveNodeCount(now));
+  UpdateEndpoints(now);
   mStreamOrigins.SetPeers(peers);
   mSegmentCrashes.SetNodes(mFleet.Self().mAddress, peers);
   mPeerTransport.SendReports();
--- a/Source/Core/Gateway/GatewaySettings.cpp
+++ b/Source/Core/Gateway/GatewaySettings.cpp
@@ -169,8 +169,8 @@
     static_cast<std::uint64_t>(root.Number("memory_mb", 1, kMaxMemoryMb)) *
     kBytesPerMb;
   const double linkMbps = root.Number("link_mbps", 0, kMaxMbps);
-  settings.mCapacity =
-    std::min(root.Number("cpu_share", 0, kMaxCores), linkMbps / kMbpsPerCore);
+  settings.mCores = root.Number("cpu_share", 0, kMaxCores);
+  settings.mCapacity = std::min(settings.mCores, linkMbps / kMbpsPerCore);
   settings.mLinkBytesPerSecond = linkMbps * kBytesPerMbit;
   settings.mLeaveTimeout =
     Milliseconds(root.Number("leave_limit_ms", 1, kMaxMilliseconds));
--- a/Source/Core/Gateway/GatewaySettings.h
+++ b/Source/Core/Gateway/GatewaySettings.h
@@ -34,6 +34,8 @@
   /// Cores that the host may use, or the number that its link can feed if that
   /// is less. Hosts of a fleet differ by a factor of ten.
   double mCapacity = 1.0;
+  /// Cores that the host may use.
+  double mCores = 0.0;
   /// Capacity of the host's link in each direction, in bytes per second.
   double mLinkBytesPerSecond = 0.0;
   retry_limits mRetries;
