--- a/Source/Core/Endpoints/EndpointChoice.cpp
+++ b/Source/Core/Endpoints/EndpointChoice.cpp
@@ -330,6 +330,7 @@
 
   const auto candidates = Candidates(aRunning, aZone, aChoice.mChosen, aNow);
   std::vector<endpoint_host> choosable;
+  choosable.reserve(candidates.size());
   for (const candidate& entry : candidates) {
     choosable.push_back(*entry.mHost);
   }
--- a/Source/Core/Endpoints/HostLoad.cpp
+++ b/Source/Core/Endpoints/HostLoad.cpp
@@ -15,6 +15,9 @@
 // A process that uses its whole processor share delays every response.
 constexpr double kLeaveProcessorUse = 0.8;
 constexpr double kReturnProcessorUse = 0.55;
+// Requests are refused when the memory for bodies is full.
+constexpr double kLeaveMemoryUse = 0.7;
+constexpr double kReturnMemoryUse = 0.4;
 // Weight of the newest sample of processor use, five a second.
 constexpr double kProcessorGain = 0.25;
 // Shortest absence: clients that keep an answer for 3 s have left by then.
@@ -41,15 +44,20 @@
   }
   const double link = mLinkUse.value_or(0.0);
   const double processor = mProcessorUse.value_or(0.0);
-  const bool tooBusy = link > kLeaveLinkUse || processor > kLeaveProcessorUse;
-  if (tooBusy || !aMeasurement.mHeardByPeers) {
+  const double memory = aMeasurement.mMemoryUse.value_or(0.0);
+  const char* cause = link > kLeaveLinkUse             ? "link"
+                      : processor > kLeaveProcessorUse ? "processor"
+                      : memory > kLeaveMemoryUse       ? "memory"
+                      : !aMeasurement.mHeardByPeers    ? "peers"
+                                                       : nullptr;
+  if (cause != nullptr) {
     if (!mLeft) {
-      mCause = !tooBusy ? "peers" : link > kLeaveLinkUse ? "link" : "processor";
+      mCause = cause;
     }
     mLeft = true;
     mReturnsAt = aNow + kMinAbsence + mSpread;
   } else if (mLeft && aNow >= mReturnsAt && link < kReturnLinkUse &&
-             processor < kReturnProcessorUse) {
+             processor < kReturnProcessorUse && memory < kReturnMemoryUse) {
     mLeft = false;
     mCause.clear();
   }
--- a/Source/Core/Endpoints/HostLoad.h
+++ b/Source/Core/Endpoints/HostLoad.h
@@ -14,6 +14,9 @@
   /// Processor time as a share of what the host may use; nothing if that is not
   /// known.
   std::optional<double> mProcessorUse;
+  /// Memory taken by bodies of open requests as a share of its limit; nothing
+  /// if there is no limit.
+  std::optional<double> mMemoryUse;
   /// Whether peers that report here have heard of this host lately.
   bool mHeardByPeers = true;
 };
@@ -31,7 +34,8 @@
   void Update(const host_measurement& aMeasurement, time_point aNow);
   /// Whether answers should leave this host out.
   bool HasLeftAnswers() const { return mLeft; }
-  /// Name of what made the host leave: `link`, `processor` or `peers`; empty if
+  /// Name of what made the host leave: `link`, `processor`, `memory`
+  /// or `peers`; empty if
   /// it has not left.
   const std::string& Cause() const { return mCause; }
   std::optional<double> LinkUse() const { return mLinkUse; }
--- a/Source/Core/Gateway/GatewayNodeEndpoints.cpp
+++ b/Source/Core/Gateway/GatewayNodeEndpoints.cpp
@@ -65,6 +65,10 @@
     measurement.mLinkUse = mLinkOverload.Utilization();
   }
   measurement.mProcessorUse = MeasureProcessorUse(aNow);
+  if (mContext.mMaxBodyBytes > 0) {
+    measurement.mMemoryUse = static_cast<double>(mContext.mBodyBytes) /
+                             static_cast<double>(mContext.mMaxBodyBytes);
+  }
   // While the process was suspended no report was read.
   measurement.mHeardByPeers =
     !mStalls.CanJudgeSilence(aNow) || mFleet.IsHeardByPeers(aNow);
--- a/Source/UnitTests/Endpoints/HostLoadTest.cpp
+++ b/Source/UnitTests/Endpoints/HostLoadTest.cpp
@@ -32,14 +32,14 @@
 // one that does not come back.
 TEST_F(host_load_test, LeavesBeforeTheLinkIsFullAndComesBack)
 {
-  Run(milliseconds(5000), { 0.55, 0.3, true });
+  Run(milliseconds(5000), { 0.55, 0.3, {}, true });
   EXPECT_FALSE(mLoad.HasLeftAnswers());
-  Run(milliseconds(200), { 0.65, 0.3, true });
+  Run(milliseconds(200), { 0.65, 0.3, {}, true });
   EXPECT_TRUE(mLoad.HasLeftAnswers());
   EXPECT_EQ(mLoad.Cause(), "link");
-  Run(milliseconds(2000), { 0.1, 0.1, true });
+  Run(milliseconds(2000), { 0.1, 0.1, {}, true });
   EXPECT_TRUE(mLoad.HasLeftAnswers()) << "clients keep answers for 3 s";
-  Run(milliseconds(4000), { 0.1, 0.1, true });
+  Run(milliseconds(4000), { 0.1, 0.1, {}, true });
   EXPECT_FALSE(mLoad.HasLeftAnswers());
   EXPECT_EQ(mChanges, 2U);
 }
@@ -48,7 +48,7 @@
 TEST_F(host_load_test, StaysOutWhileUseVariesAroundTheLimit)
 {
   for (unsigned i = 0; i < 100; ++i) {
-    Run(milliseconds(400), { i % 2 == 0 ? 0.65 : 0.45, 0.3, true });
+    Run(milliseconds(400), { i % 2 == 0 ? 0.65 : 0.45, 0.3, {}, true });
   }
   EXPECT_EQ(mChanges, 1U);
 }
@@ -57,20 +57,34 @@
 // that leaves because of a single sample.
 TEST_F(host_load_test, LeavesWhenTheProcessorIsFull)
 {
-  Run(milliseconds(200), { 0.1, 3.0, true });
+  Run(milliseconds(200), { 0.1, 3.0, {}, true });
   EXPECT_FALSE(mLoad.HasLeftAnswers());
-  Run(milliseconds(3000), { 0.1, 0.95, true });
+  Run(milliseconds(3000), { 0.1, 0.95, {}, true });
   EXPECT_TRUE(mLoad.HasLeftAnswers());
   EXPECT_EQ(mLoad.Cause(), "processor");
 }
 
+// Guards against requests refused for lack of memory while other hosts have
+// room.
+TEST_F(host_load_test, LeavesBeforeTheMemoryIsFull)
+{
+  Run(milliseconds(200), { 0.1, 0.1, 0.65, true });
+  EXPECT_FALSE(mLoad.HasLeftAnswers());
+  Run(milliseconds(200), { 0.1, 0.1, 0.75, true });
+  EXPECT_EQ(mLoad.Cause(), "memory");
+  Run(milliseconds(6000), { 0.1, 0.1, 0.5, true });
+  EXPECT_TRUE(mLoad.HasLeftAnswers());
+  Run(milliseconds(200), { 0.1, 0.1, 0.1, true });
+  EXPECT_FALSE(mLoad.HasLeftAnswers());
+}
+
 // Guards against clients sent to a host whose datagrams reach no peer.
 TEST_F(host_load_test, LeavesWhileNoPeerHearsIt)
 {
-  Run(milliseconds(200), { 0.1, 0.1, false });
+  Run(milliseconds(200), { 0.1, 0.1, {}, false });
   EXPECT_TRUE(mLoad.HasLeftAnswers());
   EXPECT_EQ(mLoad.Cause(), "peers");
-  Run(milliseconds(6000), { 0.1, 0.1, true });
+  Run(milliseconds(6000), { 0.1, 0.1, {}, true });
   EXPECT_FALSE(mLoad.HasLeftAnswers());
 }
 
--- a/Source/UnitTests/Gateway/FleetTest.cpp
+++ b/Source/UnitTests/Gateway/FleetTest.cpp
@@ -199,6 +199,23 @@
   EXPECT_LT(WritePeerDatagram(report).size(), kMaxBytes);
 }
 
+// Guards against a load that takes a share of the links: a report goes to 16
+// nodes five times a second.
+TEST(PeerDatagramTest, LoadTakesFewBytes)
+{
+  constexpr std::size_t kMaxLoadBytes = 48;
+  node_report report = Report("10.1.0.40");
+  const std::size_t before = WritePeerDatagram(report).size();
+  report.mZone = zone_id{ "scl-b" };
+  report.mRegion = region_id{ "scl" };
+  report.mLinkUse = report.mProcessorUse = 0.543;
+  report.mClientConnections = 57;
+  report.mClientState = client_state::Accepting;
+  const std::size_t bytes = WritePeerDatagram(report).size() - before;
+  RecordProperty("bytes", static_cast<int>(bytes));
+  EXPECT_LE(bytes, kMaxLoadBytes);
+}
+
 // Guards against fields lost in encoding, and against crashes on truncated or
 // damaged datagrams.
 TEST(PeerDatagramTest, EncodesReportsAndRejectsDamage)
