--- a/Source/UnitTests/Endpoints/EndpointModel.cpp
+++ b/Source/UnitTests/Endpoints/EndpointModel.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <utility>
 
 #include <fmt/format.h>
@@ -34,6 +35,8 @@
 constexpr int kMinKeepMs = 1000;
 constexpr int kMaxKeepMs = 3000;
 constexpr unsigned kTargetsPerRound = 16;
+// Link use above which `link_overload_detector` closes the listener.
+constexpr double kRefusalLinkUse = 0.75;
 
 } // namespace
 
@@ -192,6 +195,26 @@
   }
 }
 
+unsigned endpoint_model::Connect(const caller& aFrom,
+                                 const std::string& aTarget)
+{
+  const auto refuses = [&](const std::string& aAddress) {
+    return mRefusesConnections &&
+           mHosts[mByAddress.at(aAddress)].mLinkUse > kRefusalLinkUse;
+  };
+  if (!refuses(aTarget)) {
+    return mByAddress.at(aTarget);
+  }
+  std::vector<std::string> others;
+  std::ranges::remove_copy_if(
+    aFrom.mAnswer, std::back_inserter(others), refuses);
+  if (others.empty()) {
+    return mByAddress.at(aTarget);
+  }
+  std::uniform_int_distribution<std::size_t> any(0, others.size() - 1);
+  return mByAddress.at(others[any(mRandom)]);
+}
+
 void endpoint_model::Send(model_result& aResult)
 {
   for (caller& from : mCallers) {
@@ -203,7 +226,7 @@
     const std::vector<std::string> one{ from.mHost };
     const auto& targets = from.mKeepsToOneHost ? one : from.mAnswer;
     for (const std::string& target : targets) {
-      host& to = mHosts[mByAddress.at(target)];
+      host& to = mHosts[Connect(from, target)];
       const double part = bytes / static_cast<double>(targets.size());
       if (to.mRunning) {
         to.mBytes += part;
--- a/Source/UnitTests/Endpoints/EndpointModel.h
+++ b/Source/UnitTests/Endpoints/EndpointModel.h
@@ -48,6 +48,9 @@
   void SetRunning(const std::function<bool(unsigned)>& aHosts, bool aRunning);
   /// Adds traffic to one host, as a share of what it carries.
   void SetForeignUse(unsigned aHost, double aUse);
+  /// Whether hosts refuse connections while their link is overloaded, so that
+  /// clients use another address of their answer at once.
+  void SetRefusesConnections(bool aRefuses) { mRefusesConnections = aRefuses; }
   unsigned Size() const { return static_cast<unsigned>(mHosts.size()); }
   bool IsLarge(unsigned aHost) const;
   unsigned Zone(unsigned aHost) const { return aHost % 4; }
@@ -90,9 +93,13 @@
   std::vector<std::string> AnswerBefore(const endpoint_view& aView,
                                         const std::string& aZone) const;
   endpoint_view View(const answerer& aAnswerer) const;
+  /// The host that takes the connection: another of the answer if the target
+  /// refuses it.
+  unsigned Connect(const caller& aFrom, const std::string& aTarget);
   void Send(model_result& aResult);
 
   answer_rule mRule;
+  bool mRefusesConnections = false;
   std::vector<host> mHosts;
   std::unordered_map<std::string, unsigned> mByAddress;
   std::vector<caller> mCallers;
--- a/Source/UnitTests/Endpoints/EndpointModelTest.cpp
+++ b/Source/UnitTests/Endpoints/EndpointModelTest.cpp
@@ -113,6 +113,26 @@
   EXPECT_LT(settled.FailedShare(), kMaxFailedShare);
 }
 
+// Guards against the end of refused connections at a full link as long as they
+// save requests: callers keep an answer for up to 3 s after the host left it.
+TEST_P(endpoint_model_test, RefusedConnectionsSaveRequestsAtAFullHost)
+{
+  std::array<model_result, 2> results;
+  for (const bool refuses : { false, true }) {
+    for (const unsigned seed : kSeeds) {
+      endpoint_model model(GetParam(), answer_rule::After, seed);
+      model.SetRefusesConnections(refuses);
+      model.Run(kSettleTime);
+      model.SetForeignUse(model.HostOfLargestAccount(), 0.95);
+      results.at(refuses ? 1 : 0).Add(model.Run(kTakeoverTime));
+    }
+    Print("full host",
+          refuses ? "connections refused" : "requests refused",
+          results.at(refuses ? 1 : 0));
+  }
+  EXPECT_LT(results[1].FailedShare(), results[0].FailedShare());
+}
+
 // Guards against a zone whose clients fail while its hosts are cut off, and
 // against a herd when they come back.
 TEST_P(endpoint_model_test, ZoneCutOff)
