--- a/Source/Core/Gateway/GatewayEndpoints.cpp
+++ b/Source/Core/Gateway/GatewayEndpoints.cpp
@@ -15,7 +15,7 @@
 
 gateway_endpoints::gateway_endpoints(const gateway_codec& aCodec,
                                      const fleet_view& aFleet,
-                                     const gateway_metrics& aMetrics,
+                                     gateway_metrics& aMetrics,
                                      const time_source& aTime,
                                      std::function<bool()> aReady,
                                      region_filter aRegions)
@@ -44,6 +44,7 @@
         mRegions(mCodec.ReadResolveName(aRequest),
                  mCodec.ReadResolveRegion(aRequest)),
         mFleet.ClientAddressRegions());
+      mMetrics.SetNamedHosts(static_cast<double>(addresses.size()));
       if (addresses.empty()) {
         response.mStatus = http_status::kServiceUnavailable;
         aConnection.Respond(response, {});
--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -76,6 +76,8 @@
   report.mClientAddress = FormatTcpAddress(aSettings.mClientAddress);
   report.mRun = aRun;
   report.mCapacity = aSettings.mCapacity;
+  report.mZone = aSettings.mZone;
+  report.mRegion = aSettings.mRegion;
   return report;
 }
 
@@ -136,6 +138,7 @@
                    [this] { return Snapshot(); })
   , mMaxStateAge(MaxStateAge(Bounds(aSettings)))
   , mLinkOverload(mSettings.mLinkBytesPerSecond)
+  , mHostLoad(FormatTcpAddress(mSettings.mPeer))
   , mStalls(mTime.Now())
   , mConfigTable(mStore,
                  mTime,
@@ -250,7 +253,7 @@
   mContext.mConfigMayBeStale =
     !mConfigTable.IsLoaded() ||
     mTime.Now() > mConfigTable.CurrentAt() + mMaxStateAge;
-  if (mLinkOverload.IsOverloaded()) {
+  if (mLinkOverload.IsOverloaded() || SendsClientsElsewhere()) {
     // The client reconnects and finds a host with free capacity.
     aConnection.SetCloseAfterResponse();
   }
