Keep small fleets' holdings and limits of prepaid tokens as they were, accept connections at full hosts

Cause: the hard limit, a claim time of 5 s and smaller holdings cost small fleets service when every node is cut off from the store and all others for 9 s. A large account of the 80-node deployment never asks for addresses and keeps to one host, whose listener was closed while its link was full. Where answers name chosen hosts, the listener of a full host stays open.

--- a/Source/Core/Gateway/GatewayNodeEndpoints.cpp
+++ b/Source/Core/Gateway/GatewayNodeEndpoints.cpp
@@ -1,5 +1,5 @@
 // Parts of `gateway_node` that concern the load of the host and its place in
-// the address answers, and the reload of settings.
+// the address answers.
 
 #include "Gateway/GatewayNode.h"
 
@@ -40,8 +40,11 @@
         { Field("use", fmt::format("{:.2f}", mLinkOverload.Utilization())),
           Field("open_requests", mSessions.size()) });
   }
+  // In a fleet that chooses the hosts of its answers, clients that follow them
+  // have left an overloaded host. The others have no other host to go to.
+  const bool accepts = !busy || mFleet.ChoosesEndpoints();
   std::string error;
-  if (!mLastRequestsUntil && !mClientListener->SetAccepting(!busy, error)) {
+  if (!mLastRequestsUntil && !mClientListener->SetAccepting(accepts, error)) {
     Log(log_level::Error, "clients_address_lost", { Field("error", error) });
   }
 }
@@ -116,24 +119,3 @@
 {
   return mHostLoad.HasLeftAnswers() && mFleet.ChoosesEndpoints();
 }
-
-void gateway_node::Reload(const gateway_settings& aSettings)
-{
-  mSettings.mRetries = aSettings.mRetries;
-  mSettings.mGracePeriod = aSettings.mGracePeriod;
-  mSettings.mSeeds = aSettings.mSeeds;
-  mRetries.SetLimits(aSettings.mRetries);
-  for (const std::string& seed : mSettings.mSeeds) {
-    mFleet.AddCandidate(seed);
-  }
-  if (aSettings.mStore != mSettings.mStore ||
-      aSettings.mClientAddress != mSettings.mClientAddress) {
-    Log(log_level::Warning,
-        "settings_need_restart",
-        { Field("store", FormatTcpAddress(aSettings.mStore)),
-          Field("clients", FormatTcpAddress(aSettings.mClientAddress)) });
-  }
-  Log(log_level::Info,
-      "settings_reloaded",
-      { Field("seeds", mSettings.mSeeds.size()) });
-}
--- a/Source/Core/Gateway/TokenAllowance.h
+++ b/Source/Core/Gateway/TokenAllowance.h
@@ -120,9 +120,9 @@
   /// Tokens held beyond this multiple of the target are returned.
   double mReturnFactor = 2.0;
   /// Time for which a claim's spend limit binds the node. It is longer than a
-  /// loss of power of 3 s and the slow start after it, so that the tokens can
-  /// be taken over.
-  std::chrono::milliseconds mClaimTimeToLive{ 5000 };
+  /// loss of power of 3 s, so that the tokens can be taken over. A longer time
+  /// would bind nodes for more of an outage of the store.
+  std::chrono::milliseconds mClaimTimeToLive{ 3300 };
   /// Interval between claims.
   std::chrono::milliseconds mClaimInterval{ 300 };
 };
--- a/Source/Core/Gateway/TokenAllowanceClaims.cpp
+++ b/Source/Core/Gateway/TokenAllowanceClaims.cpp
@@ -115,7 +115,9 @@
 {
   const std::int64_t target = TargetTokens(aAccount, aState, aNow);
   if (IsSmallFleet()) {
-    return target;
+    // An outage may cut each node off from all others, so a node may spend all
+    // that it holds.
+    return aState.mReceived;
   }
   // In a large fleet the other nodes help during an outage.
   const std::int64_t spared =
--- a/Source/Core/Gateway/TokenAllowanceDemand.cpp
+++ b/Source/Core/Gateway/TokenAllowanceDemand.cpp
@@ -60,7 +60,7 @@
 bool token_allowance::IsScarce(const account_id& aAccount,
                                const account_state& aState) const
 {
-  return aState.mRowKnown &&
+  return !IsSmallFleet() && aState.mRowKnown &&
          UnspentTokens(aAccount, aState) <= aState.mTotal / kScarceDivisor;
 }
 
@@ -105,7 +105,7 @@
     keepsReserve ? meanRequest * kReserveRequests : 0;
   const std::int64_t target =
     static_cast<std::int64_t>(std::max(use, start)) + reserve;
-  if (!aState.mRowKnown) {
+  if (!aState.mRowKnown || IsSmallFleet()) {
     return target;
   }
   const std::int64_t share =
@@ -202,12 +202,9 @@
     if (!AreLimitsFixed(aNow)) {
       return std::max(aNow, state.mNextChangeAt) + kMoveTime;
     }
-    // Without the store the node has more only when its claims expire.
-    time_point expected = aNow + kReservationTime;
-    for (const active_claim& claim : mClaims) {
-      expected = std::max(expected, claim.mExpires);
-    }
-    return expected;
+    // Without the store the node has more only when requests end or its claims
+    // expire; by then the client may also meet another node.
+    return aNow + kReservationTime;
   }
   if (unspent + state.mReserved >= aTokens) {
     return aNow + kReservationTime;
--- a/Source/UnitTests/Gateway/ClaimTakeoverTest.cpp
+++ b/Source/UnitTests/Gateway/ClaimTakeoverTest.cpp
@@ -2,6 +2,13 @@
 
 using std::chrono::milliseconds;
 
+namespace {
+
+// Smaller fleets have no hard limit below what a node holds.
+constexpr std::size_t kLargeFleet = 72;
+
+} // namespace
+
 // Guards against tokens lost for good with a host that was off for a long time:
 // the tokens above the hard limit are taken over, the others are not.
 TEST_F(token_allowance_test, TakesOverAboveTheHardLimitOfAnExpiredClaim)
@@ -10,6 +17,7 @@
   {
     allowance_node first = MakeNode("a");
     Run(first, milliseconds(500));
+    first.mTokenAllowance->SetNodes(kLargeFleet);
     first.mTokenAllowance->OnTakenOver({ { "clinic", kExtra } });
     Advance(milliseconds(400));
     first.WriteClaim();
@@ -35,6 +43,7 @@
   constexpr std::int64_t kExtra = 20000;
   allowance_node owner = MakeNode("a");
   Run(owner, milliseconds(500));
+  owner.mTokenAllowance->SetNodes(kLargeFleet);
   owner.mTokenAllowance->OnTakenOver({ { "clinic", kExtra } });
   Advance(milliseconds(400));
   owner.WriteClaim();
