--- a/Source/Core/Gateway/GatewayNodeEndpoints.cpp
+++ b/Source/Core/Gateway/GatewayNodeEndpoints.cpp
@@ -40,11 +40,8 @@
         { Field("use", fmt::format("{:.2f}", mLinkOverload.Utilization())),
           Field("open_requests", mSessions.size()) });
   }
-  // In a fleet that chooses the hosts of its answers, clients that follow them
-  // have left an overloaded host. The others have no other host to go to.
-  const bool accepts = !busy || mFleet.ChoosesEndpoints();
   std::string error;
-  if (!mLastRequestsUntil && !mClientListener->SetAccepting(accepts, error)) {
+  if (!mLastRequestsUntil && !mClientListener->SetAccepting(!busy, error)) {
     Log(log_level::Error, "clients_address_lost", { Field("error", error) });
   }
 }
