--- a/Source/UnitTests/Capacity/ServerEstimatesTest.cpp
+++ b/Source/UnitTests/Capacity/ServerEstimatesTest.cpp
@@ -131,6 +131,7 @@
 TEST(ObservationTargetsTest, SamplesOfLargeFleetsReachAllNodes)
 {
   std::vector<std::string> peers;
+  peers.reserve(339);
   for (int i = 0; i < 339; ++i) {
     peers.push_back("10.0.0." + std::to_string(i));
   }
--- a/Source/UnitTests/Gateway/StreamOriginsTest.cpp
+++ b/Source/UnitTests/Gateway/StreamOriginsTest.cpp
@@ -321,6 +321,7 @@
     }
   }
   std::vector<stream_key> streams;
+  streams.reserve(20);
   for (int i = 0; i < 20; ++i) {
     streams.push_back(Begin(Address(1), kNew));
   }
--- a/Source/UnitTests/Gateway/TokenLossTest.cpp
+++ b/Source/UnitTests/Gateway/TokenLossTest.cpp
@@ -290,7 +290,7 @@
   void Commit(const row_key& aKey,
               std::uint64_t aVersion,
               const std::string& aValue,
-              std::function<void(row_commit_reply)> aReply)
+              const std::function<void(row_commit_reply)>& aReply)
   {
     row_transaction transaction;
     transaction.mConditions.push_back({ aKey, aVersion });
