Add a check of the platform's configuration before it is sent

Cause: operators learn of a hidden route, a key of two client accounts or contradicting limits only from refused requests, and an unknown kind of route counted as the strictest one without a word. Change: `config lint` lists values that nodes ignore, entries that can never match, limits that contradict each other and the differences from the version in force.

--- a/Source/LentilSwitch/ConfigCommands.cpp
+++ b/Source/LentilSwitch/ConfigCommands.cpp
@@ -11,6 +11,7 @@
 #include "Common/TextCodec.h"
 #include "Config/FleetDocument.h"
 #include "Config/TextDiff.h"
+#include "ConfigLintCommand.h"
 #include "OperatorClient.h"
 #include "OperatorOutput.h"
 
@@ -289,6 +290,7 @@
                    { .mTarget = false, .mFile = true },
                    RunCheck,
                    aContext);
+  AddConfigLintCommand(*config, aContext);
   AddConfigCommand(*config,
                    "import",
                    "Store the first document of a fleet",
