Hold and pass on prepaid tokens for an outage of the store in large fleets

Cause: usage was counted when requests ended, over at least 2 s, so that a node held too little when the store was lost soon after the first requests or after a jump of the demand. The claim's limits did not let nodes spend what they held, and holders without the store answered only within their limits.

Change, in fleets of more than 16 nodes only: while more than half of an account is not granted, demand is counted when requests begin, a node holds the demand of 9 to 18 s, and the claim's limits follow that demand (hard limit 10 s and three requests). A node notices within 100 ms that the store does not take its claim and then asks holders also when only its limits are too low. A holder with contact to the store draws what another node asks for. A request that neither the node nor a holder can cover is refused at once.

--- a/Source/Core/Gateway/GatewaySessionAdmission.cpp
+++ b/Source/Core/Gateway/GatewaySessionAdmission.cpp
@@ -115,7 +115,13 @@
   } else if (need > *mAccount->mPrepaidTokens) {
     Answer(http_status::kPaymentRequired, "larger_than_prepaid", std::nullopt);
   } else if (verdict == reserve_verdict::Exhausted ||
-             aNow >= mArrived + kTokenWaitTimeout) {
+             aNow >= mArrived + kTokenWaitTimeout ||
+             !mContext.mTokenAllowance.MayCoverWithin(
+               mAccount->mName,
+               need,
+               std::chrono::ceil<milliseconds>(mArrived + kTokenWaitTimeout -
+                                               aNow),
+               aNow)) {
     if (verdict == reserve_verdict::Awaiting) {
       mContext.mTokenAllowance.OnUnmetDemand(mAccount->mName, need, aNow);
     }
--- a/Source/Core/Gateway/TokenAllowance.cpp
+++ b/Source/Core/Gateway/TokenAllowance.cpp
@@ -16,6 +16,8 @@
 constexpr milliseconds kStoreRetryDelay(300);
 // Weight of the newest request in the moving average of the size.
 constexpr double kRequestSizeGain = 0.1;
+// Weight of the newest request in the moving average of the used share.
+constexpr double kUsedShareGain = 0.1;
 // Time for which tokens are fetched for a request that could not be covered;
 // its client may come again.
 constexpr milliseconds kNeedTimeout(1000);
@@ -55,18 +57,27 @@
 {
   account_state& state = mAccounts[aAccount];
   RotateUsagePeriod(state, aNow);
+  if (IsLargeFleet() && state.mMeanRequestTokens == 0.0) {
+    state.mMeanRequestTokens = static_cast<double>(aTokens);
+  }
   state.mMeanRequestTokens += kRequestSizeGain * (static_cast<double>(aTokens) -
                                                   state.mMeanRequestTokens);
   state.mLastRequestAt = aNow;
   if (Available(aAccount, state, aNow) >= aTokens) {
     state.mSpent += aTokens;
     state.mReserved += aTokens;
+    CountDemand(state, static_cast<double>(aTokens) * state.mUsedShare, aNow);
     return reserve_verdict::Granted;
   }
   if (state.Free() >= aTokens) {
     // Only the claim's limit is too low; the next claim allows for the request.
     state.mSpendLimitNeed = std::max(state.mSpendLimitNeed, aTokens);
     mSpendLimitTooLow = true;
+    if (IsStoreLost(aNow)) {
+      // Only tokens of other nodes can be spent beyond the limit.
+      state.mUnmetNeed = std::max(state.mUnmetNeed, aTokens);
+      state.mNeedExpiresAt = aNow + kNeedTimeout;
+    }
     return reserve_verdict::Awaiting;
   }
   state.mUnmetNeed = std::max(state.mUnmetNeed, aTokens);
@@ -174,6 +185,11 @@
   state.mSpent -= aReserved - std::min(aUsed, aReserved);
   state.mReserved -= aReserved;
   state.mUsedInPeriod += static_cast<double>(aUsed);
+  if (aReserved > 0) {
+    const double share =
+      static_cast<double>(aUsed) / static_cast<double>(aReserved);
+    state.mUsedShare += kUsedShareGain * (share - state.mUsedShare);
+  }
 }
 
 void token_allowance::OnUnmetDemand(const account_id& aAccount,
@@ -183,6 +199,7 @@
   account_state& state = mAccounts[aAccount];
   RotateUsagePeriod(state, aNow);
   state.mUsedInPeriod += static_cast<double>(aTokens);
+  CountDemand(state, static_cast<double>(aTokens) * state.mUsedShare, aNow);
   state.mLastRequestAt = aNow;
 }
 
@@ -208,7 +225,9 @@
     if (amount == 0) {
       continue;
     }
-    const pending_change pending{ ++mSequence, amount };
+    const pending_change pending{ ++mSequence,
+                                  amount,
+                                  aNow + kStoreReplyTimeout };
     state.mPending = pending;
     changes.push_back({ account,
                         state.mVersion,
--- a/Source/Core/Gateway/TokenAllowance.h
+++ b/Source/Core/Gateway/TokenAllowance.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <chrono>
 #include <compare>
 #include <cstdint>
@@ -169,6 +170,14 @@
                                              std::int64_t aTokens,
                                              time_point aNow) const;
 
+  /// Whether a request for which `Reserve` returned `Awaiting` may be covered
+  /// within `aWait`. In a large fleet without contact to the store it is false
+  /// if neither this node nor one that reported tokens can cover it.
+  bool MayCoverWithin(const account_id& aAccount,
+                      std::int64_t aTokens,
+                      std::chrono::milliseconds aWait,
+                      time_point aNow) const;
+
   /// Returns the grant changes to write now, at most one per account at a time.
   std::vector<grant_change> TakeGrantChanges(time_point aNow);
   /// Returns the accounts whose rows are to be read now; answered by
@@ -242,11 +251,17 @@
   // In larger fleets no tokens are drawn before the first usage, and a claim's
   // hard limit spares tokens for others.
   static constexpr std::size_t kMaxSmallFleetNodes = 16;
+  static constexpr std::size_t kRecentIntervals = 4;
+  // Time without a reply after which the store counts as unreachable; it
+  // replies within a few ms.
+  static constexpr std::chrono::milliseconds kStoreReplyTimeout{ 100 };
 
   struct pending_change
   {
     std::uint64_t mSequence = 0;
     std::int64_t mAmount = 0;
+    /// When the store counts as unreachable if the change has no reply.
+    time_point mReplyDueAt;
   };
   struct account_state
   {
@@ -285,13 +300,27 @@
     /// Tokens used in the current and in the previous usage period.
     double mUsedInPeriod = 0;
     double mUsedInLastPeriod = 0;
+    /// Expected usage of the requests that began in these periods.
+    double mBegunInPeriod = 0;
+    double mBegunInLastPeriod = 0;
     time_point mPeriodEndsAt;
+    /// Expected usage of the requests that began in the latest short intervals,
+    /// newest first.
+    std::array<double, kRecentIntervals> mBegunRecently{};
+    time_point mIntervalEndsAt;
+    /// Moving average of the share of a reservation that is used.
+    double mUsedShare = 1.0;
     /// Request to another node that awaits its answer.
     std::optional<addressed_request> mOpenRequest;
     time_point mResendAt;
     time_point mRequestExpiresAt;
     /// Nodes that were asked since the account began to lack tokens.
     std::vector<std::string> mTriedHolders;
+    /// No node is asked before this time, because none could help.
+    time_point mNextRequestAt;
+    /// Tokens that another node asked for and that are drawn for it.
+    std::int64_t mPeerNeed = 0;
+    time_point mPeerNeedExpiresAt;
     /// Need of this or another node that the held tokens cover but the claim's
     /// limit does not; reset by the next claim.
     std::int64_t mSpendLimitNeed = 0;
@@ -313,10 +342,24 @@
   /// Tokens used per second, the higher of the rates of the current and the
   /// previous usage period.
   double UsedPerSecond(const account_state& aState, time_point aNow) const;
+  /// Counts the expected usage of a request that begins or was refused.
+  static void CountDemand(account_state& aState,
+                          double aTokens,
+                          time_point aNow);
+  /// Tokens used per second, measured when requests begin. It follows growth
+  /// within a second.
+  double DemandPerSecond(const account_state& aState, time_point aNow) const;
   bool IsSmallFleet() const
   {
     return mNodes != 0 && mNodes <= kMaxSmallFleetNodes;
   }
+  bool IsLargeFleet() const { return mNodes > kMaxSmallFleetNodes; }
+  /// Whether the node holds tokens for a whole outage of the store: in a large
+  /// fleet, while more than half of the account's total is not granted.
+  bool HoldsForOutage(const account_state& aState) const
+  {
+    return IsLargeFleet() && aState.mGranted < aState.mTotal / 2;
+  }
   /// Whether clients used the account at this node lately.
   bool HasDemand(const account_state& aState, time_point aNow) const;
   /// Tokens that are not granted, or free on this node or on others.
@@ -345,6 +388,12 @@
   std::int64_t OutageTokens(const account_id& aAccount,
                             const account_state& aState,
                             time_point aNow) const;
+  /// Tokens of up to `aRequests` requests of mean size that a claim's limits
+  /// allow for in addition to the usage, less where many nodes hold the
+  /// account.
+  double ReservedForRequests(const account_id& aAccount,
+                             const account_state& aState,
+                             double aRequests) const;
   void ForgetExpiredClaims(time_point aNow);
   /// Replaces what is known of this run's claims by the row in the store.
   void AdoptStoredClaim(const claim_row& aRow);
@@ -356,6 +405,10 @@
     time_point aSentAt) const;
   /// Free tokens of the account that other nodes report.
   std::int64_t FreeTokensOnPeers(const account_id& aAccount) const;
+  /// Tokens that can be spent without a claim that cannot be written now.
+  std::int64_t SpendableTokens(const account_id& aAccount,
+                               const account_state& aState,
+                               time_point aNow) const;
   const token_holder* NextHolder(const account_id& aAccount,
                                  const account_state& aState) const;
   /// Called when a claim of this run has replaced that of the earlier run in
@@ -366,6 +419,8 @@
   std::chrono::milliseconds ReportTime() const;
   /// Whether the claim in the store is empty and there is nothing to add to it.
   bool IsStoredClaimEmpty() const;
+  /// Whether, in a large fleet, the store did not take the newest claim.
+  bool IsStoreLost(time_point aNow) const;
   /// Whether the limits cannot be raised because the store does not reply.
   bool AreLimitsFixed(time_point aNow) const;
   std::int64_t TransferAmount(const token_request& aRequest,
@@ -400,6 +455,10 @@
   claimed_tokens mKnownTaken;
   std::uint64_t mClaimVersion = 0;
   bool mClaimPending = false;
+  /// When the store counts as unreachable if no claim has been written by then.
+  time_point mClaimReplyDueAt;
+  /// The newest claim that ended was not written.
+  bool mClaimFailed = false;
   bool mClaimConfirmed = false;
   bool mStoredClaimEmpty = false;
   /// A claim's limit is too low for a request that the held tokens cover.
--- a/Source/Core/Gateway/TokenAllowanceClaims.cpp
+++ b/Source/Core/Gateway/TokenAllowanceClaims.cpp
@@ -25,6 +25,17 @@
 constexpr double kStartSeconds = 1.0;
 // Requests of mean size of the target that the hard limit does not allow for.
 constexpr std::int64_t kSparedRequests = 2;
+// Time in seconds of the demand that the hard limit allows for in a large fleet
+// while most tokens are not granted: an outage of 9 s and the claim interval.
+constexpr double kOutageSeconds = 10.0;
+// Requests of mean size that the limits allow for in addition, at the start of
+// a claim and in the whole outage, because few requests of an account do not
+// come evenly.
+constexpr double kStartRequests = 2.0;
+constexpr double kOutageRequests = 3.0;
+// The limits of all nodes together allow for such requests up to one part in
+// this many of the unspent tokens; so much is lost if all nodes are lost.
+constexpr std::int64_t kReservedDivisor = 32;
 // Interval between claims in large fleets: all nodes together write at most 500
 // claims a second, a third of what the store carries.
 constexpr milliseconds kClaimIntervalPerNode(2);
@@ -83,11 +94,18 @@
   const double life =
     std::chrono::duration<double>(mSettings.mClaimTimeToLive).count() +
     std::chrono::duration<double>(ClaimInterval()).count();
-  const double usage = UsedPerSecond(aState, aNow);
+  const bool holdsForOutage = HoldsForOutage(aState);
+  const double usage = holdsForOutage ? DemandPerSecond(aState, aNow)
+                                      : UsedPerSecond(aState, aNow);
   // In a large fleet a node gets few requests of an account, and most of them
-  // have to wait a few ms for a new claim in any case.
+  // have to wait a few ms for a new claim in any case. In an outage no new
+  // claim comes, so the next requests are allowed for while tokens are not
+  // short.
+  const double reserved =
+    holdsForOutage ? ReservedForRequests(aAccount, aState, kStartRequests)
+                   : 0.0;
   const double more =
-    IsSmallFleet() ? aState.mMeanRequestTokens * kSpendLimitRequests : 0.0;
+    IsSmallFleet() ? aState.mMeanRequestTokens * kSpendLimitRequests : reserved;
   const double startSeconds =
     IsSmallFleet() ? kSmallFleetStartSeconds : kStartSeconds;
   const std::int64_t spendLimit =
@@ -109,6 +127,16 @@
   return entry;
 }
 
+double token_allowance::ReservedForRequests(const account_id& aAccount,
+                                            const account_state& aState,
+                                            double aRequests) const
+{
+  const std::int64_t most = UnspentTokens(aAccount, aState) /
+                            (kReservedDivisor * SharingNodes(aAccount));
+  return std::min(aState.mMeanRequestTokens * aRequests,
+                  static_cast<double>(most));
+}
+
 std::int64_t token_allowance::OutageTokens(const account_id& aAccount,
                                            const account_state& aState,
                                            time_point aNow) const
@@ -122,6 +150,13 @@
   // In a large fleet the other nodes help during an outage.
   const std::int64_t spared =
     static_cast<std::int64_t>(aState.mMeanRequestTokens) * kSparedRequests;
+  if (HoldsForOutage(aState)) {
+    // The target is higher than what an outage takes.
+    const double needed =
+      DemandPerSecond(aState, aNow) * kOutageSeconds +
+      ReservedForRequests(aAccount, aState, kOutageRequests);
+    return static_cast<std::int64_t>(needed);
+  }
   return std::max<std::int64_t>(target - spared, 0);
 }
 
@@ -164,6 +199,9 @@
                       change.mRow.mAccounts,
                       aNow + mSettings.mClaimTimeToLive });
   mClaimPending = true;
+  if (!mClaimFailed) {
+    mClaimReplyDueAt = aNow + kStoreReplyTimeout;
+  }
   mSpendLimitTooLow = false;
   mNextClaimAt = aNow + ClaimInterval();
   return change;
@@ -202,6 +240,7 @@
 {
   mLastClaimAt = aNow;
   mClaimPending = false;
+  mClaimFailed = false;
   mClaimVersion = aVersion;
   mStoredClaimEmpty = !mClaims.empty() && mClaims.back().mAccounts.empty();
   ConfirmClaim(aNow);
@@ -234,6 +273,7 @@
   time_point aSentAt)
 {
   mClaimPending = false;
+  mClaimFailed = false;
   mNextClaimAt = {};
   mClaimVersion = aVersion;
   mStoredClaimEmpty = false;
@@ -276,7 +316,13 @@
   mExpiredTakeable.clear();
   for (const auto& [account, entry] : aRow.mAccounts) {
     std::int64_t& known = mKnownTaken[account];
-    mAccounts[account_id{ account }].mReceived -= entry.mTaken - known;
+    account_state& state = mAccounts[account_id{ account }];
+    if (IsLargeFleet() && state.mUnmetNeed <= state.Free()) {
+      // Only the limits did not cover it while the store was lost. A request
+      // that still waits states its need again.
+      state.mUnmetNeed = 0;
+    }
+    state.mReceived -= entry.mTaken - known;
     known = entry.mTaken;
     if (entry.mReceived > entry.mHardLimit) {
       mExpiredTakeable[account] = entry.mReceived - entry.mHardLimit;
@@ -311,6 +357,7 @@
 void token_allowance::OnClaimFailed(bool aUnknown)
 {
   mClaimPending = false;
+  mClaimFailed = true;
   if (!aUnknown && !mClaims.empty()) {
     mClaims.pop_back();
   }
--- a/Source/Core/Gateway/TokenAllowanceDemand.cpp
+++ b/Source/Core/Gateway/TokenAllowanceDemand.cpp
@@ -10,6 +10,14 @@
 constexpr std::chrono::seconds kUsagePeriod(4);
 // Shortest part of a period that is used to compute a rate.
 constexpr std::chrono::duration<double> kMinUsagePeriod(2.0);
+// Length of the intervals in which the newest demand is counted; those that are
+// kept cover a second.
+constexpr std::chrono::milliseconds kRecentInterval(250);
+constexpr double kRecentSeconds = 1.0;
+// Time in seconds of the demand that a node of a large fleet holds while most
+// tokens are not granted. Tokens are drawn when half of it is left, which still
+// covers an outage of the store of 9 s.
+constexpr double kOutageHorizonSeconds = 18.0;
 // Time after the last request of an account after which the node is idle for
 // it.
 constexpr std::chrono::seconds kDemandTimeout(8);
@@ -73,6 +81,8 @@
   const bool adjacent = aNow < aState.mPeriodEndsAt + kUsagePeriod;
   aState.mUsedInLastPeriod = adjacent ? aState.mUsedInPeriod : 0.0;
   aState.mUsedInPeriod = 0.0;
+  aState.mBegunInLastPeriod = adjacent ? aState.mBegunInPeriod : 0.0;
+  aState.mBegunInPeriod = 0.0;
   aState.mPeriodEndsAt = aNow + kUsagePeriod;
 }
 
@@ -87,11 +97,60 @@
                   aState.mUsedInPeriod / elapsed);
 }
 
+void token_allowance::CountDemand(account_state& aState,
+                                  double aTokens,
+                                  time_point aNow)
+{
+  aState.mBegunInPeriod += aTokens;
+  auto& intervals = aState.mBegunRecently;
+  if (aNow >= aState.mIntervalEndsAt + kRecentInterval * kRecentIntervals) {
+    intervals.fill(0.0);
+    aState.mIntervalEndsAt = aNow + kRecentInterval;
+  }
+  while (aNow >= aState.mIntervalEndsAt) {
+    std::shift_right(intervals.begin(), intervals.end(), 1);
+    intervals[0] = 0.0;
+    aState.mIntervalEndsAt += kRecentInterval;
+  }
+  intervals[0] += aTokens;
+}
+
+double token_allowance::DemandPerSecond(const account_state& aState,
+                                        time_point aNow) const
+{
+  const std::chrono::duration<double> period = kUsagePeriod;
+  const std::chrono::duration<double> left = aState.mPeriodEndsAt - aNow;
+  const double elapsed =
+    std::clamp(period - left, kMinUsagePeriod, period).count();
+  double recent = 0.0;
+  time_point intervalEndsAt = aState.mIntervalEndsAt;
+  for (const double tokens : aState.mBegunRecently) {
+    // The interval ended less than a second ago.
+    if (aNow < intervalEndsAt + kRecentInterval * (kRecentIntervals - 1)) {
+      recent += tokens;
+    }
+    intervalEndsAt -= kRecentInterval;
+  }
+  // A single request within the last second tells nothing of a rate.
+  recent -= aState.mMeanRequestTokens * aState.mUsedShare;
+  return std::max({ UsedPerSecond(aState, aNow),
+                    aState.mBegunInLastPeriod / period.count(),
+                    aState.mBegunInPeriod / elapsed,
+                    recent / kRecentSeconds });
+}
+
 std::int64_t token_allowance::TargetTokens(const account_id& aAccount,
                                            const account_state& aState,
                                            time_point aNow) const
 {
-  const double use = UsedPerSecond(aState, aNow) * mSettings.mHorizonSeconds;
+  double use = UsedPerSecond(aState, aNow) * mSettings.mHorizonSeconds;
+  if (HoldsForOutage(aState)) {
+    // The request that waits has not been counted yet.
+    const double waiting =
+      static_cast<double>(aState.mUnmetNeed) / kMinUsagePeriod.count();
+    use =
+      std::max(DemandPerSecond(aState, aNow), waiting) * kOutageHorizonSeconds;
+  }
   // In a large fleet the initial share of a node would be smaller than a
   // request.
   const double first = IsSmallFleet() ? static_cast<double>(aState.mTotal) *
@@ -132,7 +191,10 @@
 {
   const std::int64_t remaining = aState.mTotal - aState.mGranted;
   const std::int64_t target = TargetTokens(aAccount, aState, aNow);
-  const bool needed = aState.mUnmetNeed > aState.Free();
+  const std::int64_t peerNeed =
+    aNow < aState.mPeerNeedExpiresAt ? aState.mPeerNeed : 0;
+  const std::int64_t need = std::max(aState.mUnmetNeed, peerNeed);
+  const bool needed = need > aState.Free();
   const std::int64_t refill =
     IsSmallFleet() ? kSmallFleetRefillNumerator : kRefillNumerator;
   const bool enough = aState.Free() * kRefillDenominator >= target * refill;
@@ -144,7 +206,7 @@
   const std::int64_t fairShare = remaining / (SharingNodes(aAccount) + 1);
   std::int64_t amount = std::min(target - aState.Free(), fairShare);
   if (needed) {
-    amount = std::max(amount, aState.mUnmetNeed - aState.Free());
+    amount = std::max(amount, need - aState.Free());
   }
   amount = std::min(amount, remaining);
   const bool small =
@@ -164,6 +226,10 @@
     return 0;
   }
   const bool idle = !HasDemand(aState, aNow);
+  if (!idle && HoldsForOutage(aState)) {
+    // The tokens are not short, and the next outage may need them.
+    return 0;
+  }
   const std::int64_t target = TargetTokens(aAccount, aState, aNow);
   // Tokens that are needed elsewhere are returned down to the target.
   const bool exact = (idle && !IsSmallFleet()) || IsScarce(aAccount, aState);
--- a/Source/Core/Gateway/TokenAllowancePeers.cpp
+++ b/Source/Core/Gateway/TokenAllowancePeers.cpp
@@ -24,6 +24,14 @@
 // Time without a committed claim after which the limits cannot be raised.
 // Claims are written at least twice in this time while the store replies.
 constexpr milliseconds kClaimStaleTimeout(1200);
+// Time after a claim that could not be written for which the store counts as
+// unreachable. A node that holds tokens writes claims more often.
+constexpr milliseconds kStoreLostTime(1500);
+// Time for which tokens are drawn for another node that asked.
+constexpr milliseconds kPeerNeedTimeout(150);
+// Delay before nodes are asked again, after none could help: the interval in
+// which each node reports.
+constexpr milliseconds kNoHolderDelay(200);
 // Time for which transfers are kept for repeated requests.
 constexpr milliseconds kTransferTimeToLive(2000);
 
@@ -57,14 +65,23 @@
     const bool storeMayHelp =
       aNow >= state.mNextChangeAt && !state.mUnanswered &&
       state.mTotal - state.mGranted >= state.mUnmetNeed && !state.mPending;
-    const bool needed = state.mUnmetNeed > state.Free() &&
+    const std::int64_t spendable = SpendableTokens(account, state, aNow);
+    const bool needed = state.mUnmetNeed > spendable &&
                         UnspentTokens(account, state) >= state.mUnmetNeed;
-    if (mReturning || !needed || storeMayHelp) {
+    const bool limited = spendable < state.Free();
+    if (mReturning || !needed || (storeMayHelp && !limited)) {
       state.mTriedHolders.clear();
       continue;
     }
+    if (aNow < state.mNextRequestAt) {
+      // None of the nodes could help a moment ago.
+      continue;
+    }
     const token_holder* holder = NextHolder(account, state);
     if (holder == nullptr) {
+      if (IsLargeFleet() && !state.mTriedHolders.empty()) {
+        state.mNextRequestAt = aNow + kNoHolderDelay;
+      }
       state.mTriedHolders.clear();
       continue;
     }
@@ -73,12 +90,11 @@
     request.mId = ++mSequence;
     request.mRun = aRun;
     request.mAccount = account;
-    request.mNeeded = state.mUnmetNeed - state.Free();
+    request.mNeeded = state.mUnmetNeed - spendable;
     // Of a scarce account only the tokens that are needed are requested.
     const std::int64_t factor = IsScarce(account, state) ? 1 : kNeedFactor;
-    request.mWanted =
-      std::max(request.mNeeded * factor,
-               TargetTokens(account, state, aNow) - state.Free());
+    request.mWanted = std::max(request.mNeeded * factor,
+                               TargetTokens(account, state, aNow) - spendable);
     state.mOpenRequest = addressed_request{ holder->mAddress, request };
     state.mResendAt = aNow + kTokenRequestResendInterval;
     state.mRequestExpiresAt = aNow + kTokenRequestTimeout;
@@ -93,6 +109,38 @@
   return { holders.begin(), holders.end() };
 }
 
+std::int64_t token_allowance::SpendableTokens(const account_id& aAccount,
+                                              const account_state& aState,
+                                              time_point aNow) const
+{
+  return IsStoreLost(aNow)
+           ? std::max<std::int64_t>(Available(aAccount, aState, aNow), 0)
+           : aState.Free();
+}
+
+bool token_allowance::MayCoverWithin(const account_id& aAccount,
+                                     std::int64_t aTokens,
+                                     std::chrono::milliseconds aWait,
+                                     time_point aNow) const
+{
+  const auto found = mAccounts.find(aAccount);
+  if (found == mAccounts.end() || !IsLargeFleet()) {
+    return true;
+  }
+  const account_state& state = found->second;
+  const bool drawOverdue =
+    state.mPending && aNow >= state.mPending->mReplyDueAt;
+  if (!IsStoreLost(aNow) && !drawOverdue) {
+    return true;
+  }
+  if (state.mOpenRequest ||
+      Available(aAccount, state, aNow + aWait) >= aTokens) {
+    return true;
+  }
+  return aNow + aWait >= state.mNextRequestAt &&
+         NextHolder(aAccount, state) != nullptr;
+}
+
 const token_holder* token_allowance::NextHolder(
   const account_id& aAccount,
   const account_state& aState) const
@@ -136,7 +184,20 @@
   const std::int64_t available = Available(aRequest.mAccount, state, aNow);
   const std::int64_t tokens =
     std::min(state.Free(), TransferAmount(aRequest, state, aNow));
-  if (available < tokens && !AreLimitsFixed(aNow)) {
+  if (HoldsForOutage(state) && !IsStoreLost(aNow) &&
+      state.Free() < aRequest.mNeeded) {
+    // The tokens are drawn before the request is repeated.
+    const std::int64_t share =
+      (state.mTotal - state.mGranted) / (SharingNodes(aRequest.mAccount) + 1);
+    const std::int64_t earlier =
+      aNow < state.mPeerNeedExpiresAt ? state.mPeerNeed : 0;
+    state.mPeerNeed = std::max(
+      { earlier, aRequest.mNeeded, std::min(aRequest.mWanted, share) });
+    state.mPeerNeedExpiresAt = aNow + kPeerNeedTimeout;
+    return std::nullopt;
+  }
+  const bool enough = IsLargeFleet() && available >= aRequest.mNeeded;
+  if (available < tokens && !AreLimitsFixed(aNow) && !enough) {
     // A claim with a higher limit is written before the request is repeated.
     state.mSpendLimitNeed = std::max(state.mSpendLimitNeed, tokens);
     mSpendLimitTooLow = true;
@@ -149,6 +210,7 @@
     return std::nullopt;
   }
   state.mSpent += given;
+  state.mPeerNeed = 0;
   state.mMovedAt = aNow;
   const token_transfer transfer{
     aRequest.mId, aRequest.mRun, aRequest.mAccount, given
@@ -172,10 +234,20 @@
            : std::max(aRequest.mNeeded, aRequest.mWanted);
 }
 
+bool token_allowance::IsStoreLost(time_point aNow) const
+{
+  if (!IsLargeFleet() || aNow < mClaimReplyDueAt) {
+    return false;
+  }
+  return mClaimPending ||
+         (mClaimFailed && aNow < mNextClaimAt + kStoreLostTime);
+}
+
 bool token_allowance::AreLimitsFixed(time_point aNow) const
 {
-  return aNow >=
-         mLastClaimAt + std::max(kClaimStaleTimeout, 3 * ClaimInterval());
+  return IsStoreLost(aNow) ||
+         aNow >=
+           mLastClaimAt + std::max(kClaimStaleTimeout, 3 * ClaimInterval());
 }
 
 bool token_allowance::WasAnswered(const token_request& aRequest) const
--- a/Source/UnitTests/Gateway/TokenAllowanceSchedulesTest.cpp
+++ b/Source/UnitTests/Gateway/TokenAllowanceSchedulesTest.cpp
@@ -8,7 +8,7 @@
 // restarts, takeovers by other nodes, outages, lost replies and late writes the
 // fleet must never consume more than the account has. The 10,000 schedules are
 // divided into 20 tests, because all of them take longer under the sanitizers
-// than one test may.
+// than one test may. Another 20 tests run them with the rules of a large fleet.
 class token_allowance_schedules
   : public token_allowance_test
   , public testing::WithParamInterface<unsigned>
@@ -19,8 +19,12 @@
   constexpr unsigned kSchedules = 500;
   constexpr unsigned kSteps = 60;
   constexpr unsigned kHosts = 3;
+  constexpr unsigned kSmallFleetTests = 20;
+  constexpr unsigned kLargeFleetNodes = 71;
+  const unsigned fleetNodes =
+    GetParam() < kSmallFleetTests ? kHosts : kLargeFleetNodes;
   std::int64_t consumedByAll = 0;
-  const unsigned firstSeed = GetParam() * kSchedules + 1;
+  const unsigned firstSeed = GetParam() % kSmallFleetTests * kSchedules + 1;
   for (unsigned seed = firstSeed; seed < firstSeed + kSchedules; ++seed) {
     std::mt19937 random(seed);
     const auto chance = [&random](unsigned aPercent) {
@@ -34,7 +38,7 @@
       auto node = std::make_unique<allowance_node>(
         std::to_string(aHost), ++runs, store, now);
       node->mTokenAllowance->SetTotal(kAccount, kTotal);
-      node->mTokenAllowance->SetNodes(kHosts);
+      node->mTokenAllowance->SetNodes(fleetNodes);
       return node;
     };
     std::vector<std::unique_ptr<allowance_node>> nodes;
@@ -127,4 +131,4 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds,
                          token_allowance_schedules,
-                         testing::Range(0U, 20U));
+                         testing::Range(0U, 40U));
--- a/Source/UnitTests/Gateway/TokenDemandTest.cpp
+++ b/Source/UnitTests/Gateway/TokenDemandTest.cpp
@@ -138,3 +138,93 @@
   node.mTokenAllowance->FinishReservation(kAccount, 5000, 5000, mNow);
   EXPECT_FALSE(expected(3000));
 }
+
+// Guards against a node that holds too little for an outage right after its
+// demand has grown: requests that are still in progress count.
+TEST_F(token_allowance_test, HoldsTokensOfAnOutageWithinASecondOfGrowth)
+{
+  allowance_node node = MakeNode("a");
+  node.mTokenAllowance->SetTotal(kAccount, 100 * kTotal);
+  node.mTokenAllowance->SetNodes(71);
+  const auto run = [&](unsigned aRequests, milliseconds aInterval) {
+    for (unsigned i = 0; i < aRequests; ++i) {
+      node.mTokenAllowance->Reserve(kAccount, 500, mNow);
+      Run(node, aInterval);
+    }
+  };
+  run(6, milliseconds(400));
+  EXPECT_GE(node.mTokenAllowance->FreeTokens(kAccount), 500 * 9 * 5 / 2);
+  run(20, milliseconds(50));
+  EXPECT_GE(node.mTokenAllowance->FreeTokens(kAccount), 500 * 9 * 20);
+}
+
+// Guards against a node without contact to the store whose request waits though
+// nobody can cover it, and against a refusal at once while the store replies or
+// another node reported tokens.
+TEST_F(token_allowance_test, KnowsThatNoTokensCanCome)
+{
+  allowance_node node = MakeNode("a");
+  node.mTokenAllowance->SetNodes(71);
+  const auto mayCover = [&](std::int64_t aTokens) {
+    return node.mTokenAllowance->MayCoverWithin(
+      kAccount, aTokens, milliseconds(150), mNow);
+  };
+  EXPECT_TRUE(mayCover(500));
+  node.mTokenAllowance->Reserve(kAccount, 500, mNow);
+  Run(node, milliseconds(100));
+  node.mTokenAllowance->Reserve(kAccount, 500, mNow);
+  Run(node, milliseconds(400));
+  EXPECT_TRUE(mayCover(kTotal / 2));
+  mStore.mFault = fake_row_store::fault::Refuse;
+  Run(node, milliseconds(500));
+  EXPECT_FALSE(mayCover(kTotal / 2));
+  EXPECT_TRUE(mayCover(500));
+  node.mTokenAllowance->SetHolders(
+    { { AccountKey(kAccount), { { "b", kTotal / 2 } } } });
+  EXPECT_TRUE(mayCover(kTotal / 2));
+  node.mTokenAllowance->SetHolders({});
+  mStore.mFault = fake_row_store::fault::None;
+  Run(node, milliseconds(500));
+  EXPECT_TRUE(mayCover(kTotal / 2));
+}
+
+// Guards against a node with contact to the store that turns away a node
+// without it, though the account has tokens that are not granted.
+TEST_F(token_allowance_test, DrawsForAnotherNode)
+{
+  allowance_node node = MakeNode("a");
+  node.mTokenAllowance->SetNodes(71);
+  node.mTokenAllowance->Reserve(kAccount, 500, mNow);
+  Run(node, milliseconds(400));
+  const std::int64_t needed = node.mTokenAllowance->FreeTokens(kAccount) + 500;
+  const token_request request{ "b", 1, 99, kAccount, needed, needed };
+  EXPECT_FALSE(node.mTokenAllowance->AnswerRequest(request, mNow));
+  std::optional<token_transfer> transfer;
+  // The request is repeated until it expires.
+  for (unsigned i = 0; i < 4 && !transfer; ++i) {
+    Run(node, milliseconds(25));
+    transfer = node.mTokenAllowance->AnswerRequest(request, mNow);
+  }
+  ASSERT_TRUE(transfer);
+  EXPECT_EQ(transfer->mTokens, needed);
+}
+
+// Guards against a change of the rules for fleets of up to 16 nodes: no tokens
+// beyond their target are drawn, and requests wait for the store.
+TEST_F(token_allowance_test, SmallFleetKeepsItsRules)
+{
+  allowance_node node = MakeNode("a");
+  node.mTokenAllowance->SetNodes(16);
+  mStore.mFault = fake_row_store::fault::Refuse;
+  node.mTokenAllowance->Reserve(kAccount, 500, mNow);
+  Run(node, milliseconds(500));
+  EXPECT_TRUE(node.mTokenAllowance->MayCoverWithin(
+    kAccount, kTotal / 2, milliseconds(150), mNow));
+  const token_request request{ "b", 1, 99, kAccount, 5000, 5000 };
+  EXPECT_FALSE(node.mTokenAllowance->AnswerRequest(request, mNow));
+  mStore.mFault = fake_row_store::fault::None;
+  Run(node, milliseconds(500));
+  // The initial share, and the three requests of mean size.
+  EXPECT_LT(node.mTokenAllowance->FreeTokens(kAccount),
+            kTotal * 15 / 100 / 16 + 3 * 500);
+}
