Shed load by rank and account at overloaded services

Admit looks at one request at a time, so with too little capacity the order is arbitrary and clients that come back as told are refused again. Resumed and repeated requests are not shed.

--- a/Source/Core/Admission/AdmissionControl.cpp
+++ b/Source/Core/Admission/AdmissionControl.cpp
@@ -22,6 +22,9 @@
 // Time in which the interval moves through the hash range.
 constexpr milliseconds kPeriod(4000);
 constexpr milliseconds kMaxReportAge(1000);
+constexpr milliseconds kMaxLoadAge(1000);
+// Longer than the interval at which loads are set.
+constexpr milliseconds kNoRoomTime(250);
 constexpr milliseconds kChangeInterval(1000);
 // Part of the full capacity that each rank keeps. A tenth is to be served, and
 // some admitted requests of the less urgent ranks find no slot.
@@ -186,6 +189,14 @@
   }
 }
 
+void admission_control::OnNoRoom(std::uint16_t aService, time_point aNow)
+{
+  const auto found = mServices.find(aService);
+  if (found != mServices.end()) {
+    found->second.mNoRoomUntil = aNow + kNoRoomTime;
+  }
+}
+
 void admission_control::SetLoad(std::uint16_t aService,
                                 const service_load& aLoad,
                                 time_point aNow)
@@ -196,8 +207,11 @@
   }
   service_record& record = found->second;
   record.mLoad = aLoad;
-  const bool full = Use(aLoad) > kNearlyFull || aLoad.mWaiting;
-  const bool relieved = Use(aLoad) < kRelieved && !aLoad.mWaiting;
+  record.mLoadUntil = aNow + kMaxLoadAge;
+  record.mLoad.mWaiting = aLoad.mWaiting || aNow < record.mNoRoomUntil;
+  const bool waiting = record.mLoad.mWaiting;
+  const bool full = Use(aLoad) > kNearlyFull || waiting;
+  const bool relieved = Use(aLoad) < kRelieved && !waiting;
   if (!full) {
     record.mStartsAt.reset();
   } else if (!record.mStartsAt) {
@@ -213,12 +227,19 @@
     record.mIntegral = 0.0;
     record.mUpdatedAt = aNow;
   } else if (record.mInForce && record.mEndsAt && aNow >= *record.mEndsAt) {
-    record.mInForce = false;
-    record.mShares.clear();
-    record.mCapacity = 0.0;
+    End(record);
   }
 }
 
+void admission_control::End(service_record& aRecord)
+{
+  aRecord.mInForce = false;
+  aRecord.mStartsAt.reset();
+  aRecord.mEndsAt.reset();
+  aRecord.mShares.clear();
+  aRecord.mCapacity = 0.0;
+}
+
 void admission_control::OnReport(std::uint32_t aPeer,
                                  const std::vector<offered_cost>& aCosts,
                                  time_point aNow)
@@ -232,12 +253,15 @@
 {
   std::vector<offered_cost> costs;
   std::vector<offered_cost> completed;
-  for (auto& [service, record] : mServices) {
-    std::erase_if(record.mDemand, [aNow](const auto& aEntry) {
-      return aEntry.second.mOffered.Rate(aNow) < kForgottenCost;
-    });
+  for (const auto& [service, record] : mServices) {
+    if (!record.mInForce && !record.mStartsAt) {
+      continue;
+    }
     for (const auto& [key, demand] : record.mDemand) {
       const double offered = demand.mOffered.Rate(aNow);
+      if (offered < kForgottenCost) {
+        continue;
+      }
       const double promised =
         std::min(demand.mPromised.Rate(aNow) / offered, 1.0);
       costs.push_back(
@@ -430,6 +454,13 @@
     return aPeer.second.mValidUntil < aNow;
   });
   for (auto& [service, record] : mServices) {
+    std::erase_if(record.mDemand, [aNow](const auto& aEntry) {
+      return aEntry.second.mOffered.Rate(aNow) < kForgottenCost;
+    });
+    if (record.mLoadUntil < aNow) {
+      // No server is known any more.
+      End(record);
+    }
     UpdateService(service, record, aLiveNodes, aNow);
   }
 }
--- a/Source/Core/Admission/AdmissionControl.h
+++ b/Source/Core/Admission/AdmissionControl.h
@@ -83,6 +83,9 @@
                    double aCost,
                    std::chrono::microseconds aTook,
                    time_point aNow);
+  /// A request found no place, or would wait for longer than its objective
+  /// allows. The service counts as full for 250 ms.
+  void OnNoRoom(std::uint16_t aService, time_point aNow);
   void SetLoad(std::uint16_t aService,
                const service_load& aLoad,
                time_point aNow);
@@ -90,7 +93,8 @@
   void OnReport(std::uint32_t aPeer,
                 const std::vector<offered_cost>& aCosts,
                 time_point aNow);
-  /// Costs of this node for its report, the largest first.
+  /// Costs of this node at services that are nearly full, for its report, the
+  /// largest first.
   std::vector<offered_cost> Report(time_point aNow);
   /// Computes the shares, with the number of live nodes, this one included.
   /// Called when reports are exchanged.
@@ -134,6 +138,10 @@
     faded_sum mCompletedCost;
     faded_sum mSlotSeconds;
     service_load mLoad;
+    /// Until when the load counts as known.
+    time_point mLoadUntil;
+    /// Until when requests count as waiting.
+    time_point mNoRoomUntil;
     /// When the service will count as overloaded, or no longer, if its load
     /// stays as it is.
     std::optional<time_point> mStartsAt;
@@ -182,6 +190,8 @@
                              time_point aNow);
   static void UpdateShares(service_record& aRecord,
                            const fleet_demand& aDemand);
+  /// Ends the overload of the service.
+  static void End(service_record& aRecord);
   static demand_record& Demand(service_record& aRecord,
                                const shed_query& aQuery,
                                time_point aNow);
--- a/Source/Core/Config/SettingsPage.cpp
+++ b/Source/Core/Config/SettingsPage.cpp
@@ -18,6 +18,7 @@
 | `evacuation_limit_ms` | number | 1 to 600000 ms | optional | Longest time from the acknowledgement of an evacuation to the last request that reaches the zone. |
 | `cold_over` | number | 0 to 1000 | `1` | Factor of the requests a second that a cold server states, for the requests of any one second. |
 | `cold_slack` | number | 0 to 1000000 requests | `0` | Requests that a cold server may get in any one second beyond that. |
+| `shed_by_rank` | true or false |  | `false` | Overloaded services shed load by rank and account, see `design/admission.md`. |
 | `zones[].name` | name |  | required | Availability zone. |
 | `zones[].region` | name |  | required | Region of the zone; homes of routes and accounts have an effect if there are at least two. |
 )";
--- a/Source/Core/Gateway/Admission.cpp
+++ b/Source/Core/Gateway/Admission.cpp
@@ -16,6 +16,7 @@
 // Clients honour a retry delay of up to a third of the time that they have
 // left.
 constexpr int kRetryDivisor = 4;
+constexpr int kHonoredDivisor = 3;
 constexpr milliseconds kMinRetryDelay(50);
 constexpr milliseconds kMaxRetryDelay(1500);
 // Upper limit of the random extra delay, so that clients refused together do
@@ -24,14 +25,18 @@
 
 } // namespace
 
+bool WaitsTooLong(const admission_query& aQuery)
+{
+  return aQuery.mWaitMs >
+         kMaxWaitShare * static_cast<double>(aQuery.mObjective.count());
+}
+
 admission_verdict Admit(const admission_query& aQuery, time_point aNow)
 {
   const auto timeLeft =
     std::chrono::duration_cast<milliseconds>(aQuery.mDeadline - aNow);
   const double total = aQuery.mExpectedMs + aQuery.mOutputMs;
-  const double maxWaitMs =
-    kMaxWaitShare * static_cast<double>(aQuery.mObjective.count());
-  if (aQuery.mHasPlacement && aQuery.mWaitMs <= maxWaitMs &&
+  if (aQuery.mHasPlacement && !WaitsTooLong(aQuery) &&
       total <= kMaxResponseShare * static_cast<double>(timeLeft.count())) {
     return admission_verdict::Send;
   }
@@ -42,6 +47,20 @@
            : admission_verdict::Refuse;
 }
 
+milliseconds LongestDelay(const admission_query& aQuery, time_point aNow)
+{
+  const auto timeLeft =
+    std::chrono::duration_cast<milliseconds>(aQuery.mDeadline - aNow);
+  const double response =
+    aQuery.mHasPlacement
+      ? (aQuery.mExpectedMs + aQuery.mOutputMs) / kMaxResponseShare
+      : static_cast<double>(aQuery.mObjective.count());
+  const auto needed = milliseconds(static_cast<std::int64_t>(response));
+  return std::clamp(timeLeft - needed,
+                    milliseconds(0),
+                    std::max(timeLeft / kHonoredDivisor, milliseconds(0)));
+}
+
 milliseconds RetryAfter(const admission_query& aQuery,
                         time_point aNow,
                         std::uint64_t aSpread)
--- a/Source/Core/Gateway/Admission.h
+++ b/Source/Core/Gateway/Admission.h
@@ -39,8 +39,16 @@
   double mOutputMs = 0.0;
 };
 
+/// Whether other requests delay the first event for longer than the objective
+/// allows.
+bool WaitsTooLong(const admission_query& aQuery);
 admission_verdict Admit(const admission_query& aQuery, time_point aNow);
 
+/// Longest delay that a refused client honors, a third of the time that it has
+/// left, and after which it can still be served in time. 0 if there is none.
+std::chrono::milliseconds LongestDelay(const admission_query& aQuery,
+                                       time_point aNow);
+
 /// Delay after which a refused client should retry: half of the objective, at
 /// most a quarter of the time that the client has left, and spread by
 /// `aSpread`, a hash of the request identity.
--- a/Source/Core/Gateway/Fleet.capnp
+++ b/Source/Core/Gateway/Fleet.capnp
@@ -19,6 +19,8 @@
   kvTokens @3 :UInt32;
 }
 
+# The costs that clients offer are sent beside the report in a datagram of another
+# layout, see `offered_notice` in `PeerDatagram.h`.
 struct NodeReport {
   # Datagram address of the sender.
   address @0 :Text;
--- a/Source/Core/Gateway/GatewayMetrics.cpp
+++ b/Source/Core/Gateway/GatewayMetrics.cpp
@@ -52,6 +52,10 @@
                      .Help("Changes of the judgement whether the state of the "
                            "store may be acted on")
                      .Register(*mRegistry))
+  , mShed(prometheus::BuildCounter()
+            .Name("gateway_shed_requests_total")
+            .Help("Requests refused under overload, by rank")
+            .Register(*mRegistry))
   , mFirstByteSeen(prometheus::BuildHistogram()
                      .Name("gateway_first_byte_seconds")
                      .Help("Time to the first byte of the answer")
@@ -85,6 +89,8 @@
   , mLeftAnswers(AddGauge("gateway_left_answers",
                           "1 while the host asks to be left out of address "
                           "answers"))
+  , mShedding(AddGauge("gateway_shedding_services",
+                       "Services whose load is shed by rank"))
 {
 }
 
@@ -159,6 +165,14 @@
   mColdSends.Add({ { "repeated", aRepeated ? "true" : "false" } }).Increment();
 }
 
+void gateway_metrics::OnShed(int aRank, bool aPromised)
+{
+  mShed
+    .Add({ { "rank", fmt::format("{}", aRank) },
+           { "promised", aPromised ? "true" : "false" } })
+    .Increment();
+}
+
 std::string gateway_metrics::Text() const
 {
   return prometheus::TextSerializer().Serialize(mRegistry->Collect());
--- a/Source/Core/Gateway/GatewayMetrics.h
+++ b/Source/Core/Gateway/GatewayMetrics.h
@@ -51,6 +51,10 @@
   void SetRateLimitedServers(double aCount) { mRateLimited.Set(aCount); }
   void SetColdServers(double aCount) { mColdServers.Set(aCount); }
   void SetEvacuatedZones(double aCount) { mEvacuatedZones.Set(aCount); }
+  void SetSheddingServices(double aCount) { mShedding.Set(aCount); }
+  /// Counts a refusal under overload, by rank. `aPromised` tells whether the
+  /// client was told when it will be admitted.
+  void OnShed(int aRank, bool aPromised);
   void SetOpenRequests(double aCount) { mOpenRequests.Set(aCount); }
   void SetLiveNodes(double aCount) { mLiveNodes.Set(aCount); }
   void SetConfigVersion(double aVersion) { mConfigVersion.Set(aVersion); }
@@ -73,6 +77,7 @@
   prometheus::Family<prometheus::Counter>& mLimitedSends;
   prometheus::Family<prometheus::Counter>& mColdSends;
   prometheus::Family<prometheus::Counter>& mStateVerdicts;
+  prometheus::Family<prometheus::Counter>& mShed;
   prometheus::Family<prometheus::Histogram>& mFirstByteSeen;
   prometheus::Gauge& mOpenRequests;
   prometheus::Gauge& mLiveNodes;
@@ -88,4 +93,5 @@
   prometheus::Gauge& mLinkUse;
   prometheus::Gauge& mProcessorUse;
   prometheus::Gauge& mLeftAnswers;
+  prometheus::Gauge& mShedding;
 };
--- a/Source/Core/Gateway/GatewayNode.h
+++ b/Source/Core/Gateway/GatewayNode.h
@@ -130,6 +130,9 @@
   void LogColdServers(time_point aNow);
   /// Reports crashes of servers that fell silent, and avoids these servers.
   void ReportSilentServers(time_point aNow);
+  /// Exchanges the costs that clients offer, and adapts what overloaded
+  /// services admit.
+  void UpdateAdmission(time_point aNow);
   void ContinueStop(time_point aNow);
   /// Whether no request is in progress and all prepaid tokens are returned.
   bool IsIdle() const;
@@ -153,6 +156,7 @@
   server_probe mProbe;
   fleet_view mFleet;
   stream_origins mStreamOrigins;
+  admission_control mAdmission;
   gateway_metrics mMetrics;
   crash_exchange mCrashExchange;
   home_regions mHomes;
--- a/Source/Core/Gateway/GatewayNodeTicks.cpp
+++ b/Source/Core/Gateway/GatewayNodeTicks.cpp
@@ -289,6 +289,7 @@
   mSegmentCrashes.SetNodes(mFleet.Self().mAddress, peers);
   mPeerTransport.SendReports();
   mUpstreamRegistry.SetPeerWork(mFleet.PeerWork(now));
+  UpdateAdmission(now);
   if (mTokenAllowance.KnowsFleet(now)) {
     mTokenAllowance.SetNodes(mFleet.LiveNodeCount(now));
   }
--- a/Source/Core/Gateway/GatewaySession.h
+++ b/Source/Core/Gateway/GatewaySession.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "Admission/AdmissionControl.h"
 #include "Gateway/Admission.h"
 #include "Gateway/CrashExchange.h"
 #include "Gateway/EventJoiner.h"
@@ -40,6 +41,8 @@
   fleet_view& mFleet;
   const home_regions& mHomes;
   stream_origins& mStreamOrigins;
+  admission_control& mAdmission;
+  const row_store& mStore;
   gateway_metrics& mMetrics;
   /// Null until a configuration was read.
   std::shared_ptr<const route_table> mRoutes{};
@@ -152,6 +155,16 @@
   /// Without `aRetryAfter`, the client is not told to come back.
   void EndUnsent(const char* aReason,
                  std::optional<std::chrono::milliseconds> aRetryAfter);
+  /// Cost by which overloaded services share their capacity: prompt tokens +
+  /// 10 x output tokens; 1 without tokens.
+  double AdmissionCost() const;
+  /// Ends the request and returns true if its service is overloaded and does
+  /// not admit it. Resumed and repeated requests are admitted.
+  bool EndIfShed(const admission_query& aQuery, time_point aNow);
+  /// Records whether the request finds no place, or waits for too long.
+  void RecordNoRoom(const std::optional<placement>& aChosen,
+                    admission_query aQuery,
+                    time_point aNow);
   void AdvanceSent(time_point aNow);
   placement_query Query() const;
   admission_query AdmissionQuery() const;
@@ -233,6 +246,8 @@
   time_point mDeadline;
   std::int64_t mReserved = 0;
   bool mMayHaveRun = false;
+  /// Whether the request was admitted under overload.
+  bool mAdmitted = false;
 
   placement mPlacement;
   /// Run of the server that the request was sent to. The server may have
--- a/Source/Core/Gateway/GatewaySessionAdmission.cpp
+++ b/Source/Core/Gateway/GatewaySessionAdmission.cpp
@@ -228,7 +228,13 @@
     all.mExcluded.clear();
     query.mLimitedUntil = mContext.mUpstreamRegistry.LimitedUntil(all, aNow);
   }
+  if (EndIfShed(query, aNow)) {
+    return;
+  }
   admission_verdict verdict = Admit(query, aNow);
+  if (verdict != admission_verdict::Send) {
+    RecordNoRoom(chosen, query, aNow);
+  }
   if (verdict == admission_verdict::Wait &&
       !mContext.mUpstreamRegistry.HasUsable(Query(), aNow)) {
     verdict = admission_verdict::Refuse;
--- a/Source/Core/Gateway/GatewaySessionResponse.cpp
+++ b/Source/Core/Gateway/GatewaySessionResponse.cpp
@@ -219,6 +219,8 @@
   if (!serverError) {
     mContext.mUpstreamRegistry.OnSuccess(mPlacement.mUpstream);
   }
+  mContext.mAdmission.OnCompleted(
+    ServiceKey(mService.mName), AdmissionCost(), now - mSentAt, now);
   RecordFirstByte();
   if (mFraming != body_framing::UntilClose) {
     // A failure may come from a server that has not begun to answer.
--- a/Source/Core/Gateway/GatewaySettings.cpp
+++ b/Source/Core/Gateway/GatewaySettings.cpp
@@ -56,6 +56,20 @@
     return Number(aKey, aMin, aMax);
   }
 
+  /// False if the key is absent.
+  bool OptionalFlag(const char* aKey)
+  {
+    const json* value = Find(aKey);
+    if (value == nullptr) {
+      return false;
+    }
+    if (!value->is_boolean()) {
+      Fail(aKey, "must be true or false");
+      return false;
+    }
+    return value->get<bool>();
+  }
+
   /// A list of objects with a zone's `name` and its `region`; empty if the key
   /// is absent.
   std::map<zone_id, region_id> ZoneRegions(const char* aKey)
@@ -226,6 +240,7 @@
   settings.mColdBound.mSlack =
     root.OptionalNumber("cold_slack", 0, kMaxAllowance)
       .value_or(settings.mColdBound.mSlack);
+  settings.mShedByRank = root.OptionalFlag("shed_by_rank");
   constexpr double kMsPerSecond = 1000;
   settings.mGracePeriod =
     Milliseconds(root.Number("grace_s", 0, kMaxSeconds) * kMsPerSecond);
--- a/Source/Core/Gateway/GatewaySettings.h
+++ b/Source/Core/Gateway/GatewaySettings.h
@@ -54,6 +54,8 @@
   std::map<zone_id, region_id> mZoneRegions;
   /// What cold servers may get in a second.
   cold_bound mColdBound;
+  /// Whether overloaded services shed load by rank and account.
+  bool mShedByRank = false;
   /// Grace period: time from SIGTERM to SIGKILL.
   std::chrono::milliseconds mGracePeriod{ 8000 };
   allowance_settings mTokenAllowance;
--- a/Source/Core/Gateway/PeerDatagram.cpp
+++ b/Source/Core/Gateway/PeerDatagram.cpp
@@ -385,10 +385,48 @@
   return notice;
 }
 
+// The first byte means to a reader of packed messages that the next four bytes
+// are the number of segments, which is then too large.
+constexpr std::string_view kOfferedMark = "\x0fLSO";
+constexpr std::size_t kKeyBytes = 4;
+constexpr unsigned kByteBits = 8;
+
+std::string WriteOffered(const offered_notice& aNotice)
+{
+  std::string bytes(kOfferedMark);
+  for (std::size_t i = 0; i < kKeyBytes; ++i) {
+    bytes.push_back(static_cast<char>(aNotice.mNode >> (kByteBits * i)));
+  }
+  return bytes + WriteOfferedCosts(aNotice.mCosts);
+}
+
+std::optional<peer_datagram> ParseOffered(std::string_view aBytes)
+{
+  aBytes.remove_prefix(kOfferedMark.size());
+  if (aBytes.size() < kKeyBytes) {
+    return std::nullopt;
+  }
+  offered_notice notice;
+  for (std::size_t i = 0; i < kKeyBytes; ++i) {
+    notice.mNode |=
+      static_cast<std::uint32_t>(static_cast<unsigned char>(aBytes[i]))
+      << (kByteBits * i);
+  }
+  auto costs = ParseOfferedCosts(aBytes.substr(kKeyBytes));
+  if (!costs) {
+    return std::nullopt;
+  }
+  notice.mCosts = std::move(*costs);
+  return notice;
+}
+
 } // namespace
 
 std::string WritePeerDatagram(const peer_datagram& aDatagram)
 {
+  if (const auto* offered = std::get_if<offered_notice>(&aDatagram)) {
+    return WriteOffered(*offered);
+  }
   capnp::MallocMessageBuilder message;
   auto root = message.initRoot<fleet_wire::PeerDatagram>();
   if (const auto* report = std::get_if<node_report>(&aDatagram)) {
@@ -416,6 +454,9 @@
 
 std::optional<peer_datagram> ParsePeerDatagram(std::string_view aBytes)
 {
+  if (aBytes.starts_with(kOfferedMark)) {
+    return ParseOffered(aBytes);
+  }
   std::optional<peer_datagram> datagram;
   const auto failure = kj::runCatchingExceptions([&] {
     kj::ArrayInputStream bytes(kj::arrayPtr(
--- a/Source/Core/Gateway/PeerTransport.cpp
+++ b/Source/Core/Gateway/PeerTransport.cpp
@@ -175,6 +175,7 @@
                                token_allowance& aTokenAllowance,
                                crash_exchange& aCrashes,
                                stream_origins& aStreams,
+                               admission_control& aAdmission,
                                const time_source& aTime,
                                double aLinkBytesPerSecond,
                                snapshot_source aSnapshot)
@@ -182,6 +183,7 @@
   , mTokenAllowance(aTokenAllowance)
   , mCrashes(aCrashes)
   , mStreams(aStreams)
+  , mAdmission(aAdmission)
   , mTime(aTime)
   , mLinkBytesPerSecond(aLinkBytesPerSecond)
   , mSnapshot(std::move(aSnapshot))
@@ -248,6 +250,15 @@
   }
 }
 
+void peer_transport::SendOfferedCosts(const std::vector<offered_cost>& aCosts)
+{
+  const std::string bytes =
+    WritePeerDatagram(offered_notice{ NodeKey(mView.Self().mAddress), aCosts });
+  for (const std::string& target : mView.ReportTargets(mRound)) {
+    Send(target, bytes);
+  }
+}
+
 void peer_transport::SendCrashNews()
 {
   const time_point now = mTime.Now();
@@ -342,6 +353,8 @@
     Send(query->mAddress, WritePeerDatagram(mStreams.OnQuery(*query, now)));
   } else if (const auto* answer = std::get_if<stream_answer>(&aDatagram)) {
     mStreams.OnAnswer(*answer, now);
+  } else if (const auto* offered = std::get_if<offered_notice>(&aDatagram)) {
+    mAdmission.OnReport(offered->mNode, offered->mCosts, now);
   } else {
     mTokenAllowance.OnTransfer(std::get<token_transfer>(aDatagram),
                                mView.Self().mRun);
--- a/Source/Core/Gateway/PeerTransport.h
+++ b/Source/Core/Gateway/PeerTransport.h
@@ -7,6 +7,7 @@
 
 #include <glib.h>
 
+#include "Admission/AdmissionControl.h"
 #include "Common/EventLoop.h"
 #include "Common/Time.h"
 #include "Gateway/CrashExchange.h"
@@ -28,6 +29,7 @@
                  token_allowance& aTokenAllowance,
                  crash_exchange& aCrashes,
                  stream_origins& aStreams,
+                 admission_control& aAdmission,
                  const time_source& aTime,
                  double aLinkBytesPerSecond,
                  snapshot_source aSnapshot);
@@ -38,6 +40,9 @@
   /// Sends the report of this node, and its notices about crashed servers, to
   /// the targets of the next round.
   void SendReports();
+  /// Sends the costs that clients offer at this node to the targets of the last
+  /// report.
+  void SendOfferedCosts(const std::vector<offered_cost>& aCosts);
   /// Sends news about crashed servers to all live nodes.
   void SendCrashNews();
   /// Sends pauses for brittle servers to all live nodes.
@@ -73,6 +78,7 @@
   token_allowance& mTokenAllowance;
   crash_exchange& mCrashes;
   stream_origins& mStreams;
+  admission_control& mAdmission;
   const time_source& mTime;
   double mLinkBytesPerSecond;
   snapshot_source mSnapshot;
--- a/Source/Core/Gateway/UpstreamRegistry.cpp
+++ b/Source/Core/Gateway/UpstreamRegistry.cpp
@@ -382,6 +382,39 @@
   return rated;
 }
 
+std::int64_t upstream_registry::MostRequests(const upstream_record& aRecord,
+                                             bool aEngine)
+{
+  const std::int64_t slots = std::max(aRecord.mEntry.mSlots, 1U);
+  if (aRecord.mBrittle) {
+    return std::max(slots * kBrittleSharePercent / 100, std::int64_t{ 1 });
+  }
+  return aEngine ? slots : slots * kPlainQueueFactor;
+}
+
+std::map<service_id, service_use> upstream_registry::ServiceUse(
+  time_point aNow) const
+{
+  std::map<service_id, service_use> uses;
+  for (const auto& [id, record] : mUpstreams) {
+    if (record.mUsableUntil || aNow < record.mSuspectUntil ||
+        mEvacuatedZones.contains(record.mEntry.mZone) ||
+        IsSilent(record, kSilenceTimeout, aNow)) {
+      continue;
+    }
+    const auto service = mServices.find(record.mEntry.mService.mName);
+    service_use& use = uses[record.mEntry.mService];
+    const bool engine =
+      service != mServices.end() && service->second.mEngine.has_value();
+    // A node has at most as many requests at a server as it has slots.
+    use.mPlaces += std::min(MostRequests(record, engine),
+                            static_cast<std::int64_t>(mNodes) *
+                              std::max(record.mEntry.mSlots, 1U));
+    use.mTaken += WorkAt(record).mRequests;
+  }
+  return uses;
+}
+
 std::optional<placement> upstream_registry::Choose(
   const placement_query& aQuery,
   time_point aNow) const
@@ -402,10 +435,9 @@
   for (const upstream_record* record : candidates) {
     const std::int64_t slots = std::max(record->mEntry.mSlots, 1U);
     const upstream_work work = WorkAt(*record);
-    std::int64_t most = engine ? slots : slots * kPlainQueueFactor;
+    const std::int64_t most = MostRequests(*record, engine);
     std::int64_t mostOfNode = slots;
     if (record->mBrittle) {
-      most = std::max(slots * kBrittleSharePercent / 100, std::int64_t{ 1 });
       mostOfNode =
         std::max(most / static_cast<std::int64_t>(mNodes), std::int64_t{ 1 });
     }
--- a/Source/Core/Gateway/UpstreamRegistry.h
+++ b/Source/Core/Gateway/UpstreamRegistry.h
@@ -81,6 +81,15 @@
   double mOutputMs = 0.0;
 };
 
+/// Requests at the servers of a service, of all nodes.
+struct service_use
+{
+  /// Requests that the limits of the usable servers allow.
+  std::int64_t mPlaces = 0;
+  std::int64_t mTaken = 0;
+  auto operator<=>(const service_use&) const = default;
+};
+
 /// When a server last showed that it runs.
 struct signs_of_life
 {
@@ -180,6 +189,9 @@
   bool HasUsable(const placement_query& aQuery, time_point aNow) const;
   /// Whether servers fit the query, and all of them are in evacuated zones.
   bool OnlyEvacuated(const placement_query& aQuery, time_point aNow) const;
+  /// Use of the servers that get new requests, by service. Suspect servers do
+  /// not count, and neither do those of evacuated zones.
+  std::map<service_id, service_use> ServiceUse(time_point aNow) const;
   /// Services and software versions of all servers.
   std::set<std::pair<service_id, software_version>> Software() const;
 
@@ -297,6 +309,9 @@
                    const placement_query& aQuery,
                    time_point aNow);
   upstream_work WorkAt(const upstream_record& aRecord) const;
+  /// Limit of the requests of all nodes at the server.
+  static std::int64_t MostRequests(const upstream_record& aRecord,
+                                   bool aEngine);
   static shared_prompt SharedPrompt(const std::vector<prompt_segment>* aPrompt);
   /// Servers of the best non-empty group: healthy, suspect, then leaving or
   /// removed ones.
--- a/Source/UnitTests/Admission/AdmissionControlTest.cpp
+++ b/Source/UnitTests/Admission/AdmissionControlTest.cpp
@@ -94,6 +94,16 @@
   EXPECT_FALSE(control.InForce(kService));
 }
 
+// Guards against shedding by the load of servers that are no longer known.
+TEST(admission_control_test, OldLoadEndsTheShedding)
+{
+  admission_control control;
+  Overload(control);
+  EXPECT_TRUE(control.InForce(kService));
+  control.Update(1, At(milliseconds(3100)));
+  EXPECT_FALSE(control.InForce(kService));
+}
+
 // Guards against refusals while the servers are half empty.
 TEST(admission_control_test, HalfEmptyServersRefuseNothing)
 {
@@ -159,6 +169,9 @@
   for (std::uint32_t account = 0; account < 3000; ++account) {
     control.Decide({ kService, account, 1, 1.0, 0, {} }, {}, At({}));
   }
+  // Without overload, nothing is reported.
+  EXPECT_TRUE(control.Report(At({})).empty());
+  control.SetLoad(kService, { 10.0, 10.0, false }, At({}));
   const std::vector<offered_cost> report = control.Report(At({}));
   EXPECT_EQ(report.size(), kMaxOfferedCosts);
   double sum = 0.0;
