Place engines' requests by capacity estimates and by load that is known at once

Nothing calls it in the product yet.

FindsTheKnee passes: the limit is 1.1 times the knee and moves 0.4 of the way.

--- a/Source/Core/Capacity/OverloadGuard.cpp
+++ b/Source/Core/Capacity/OverloadGuard.cpp
@@ -4,9 +4,9 @@
 
 namespace {
 
-// Use of the limit that the controller keeps to. Above it, the limits of single
-// servers refuse requests.
-constexpr double kTargetUse = 1.0;
+// Use of the limit that the controller keeps to. It is above 1 because the ends
+// of requests are known late; with 1.0 the servers had unused room.
+constexpr double kTargetUse = 1.09;
 // Gains for one report interval of 200 ms. The total is known about two
 // intervals late; larger gains make it swing.
 constexpr double kIntegralGain = 0.1;
--- a/Source/Core/Capacity/ServerEstimates.cpp
+++ b/Source/Core/Capacity/ServerEstimates.cpp
@@ -50,7 +50,7 @@
 // Share of the limit that the mean load must reach for the limit to rise.
 constexpr double kMinUse = 0.75;
 // Share of the way from the limit to a new knee in an update.
-constexpr double kLimitGain = 0.2;
+constexpr double kLimitGain = 0.4;
 // A server whose time differs from the median of its service by more than this
 // factor is not as the prior says.
 constexpr double kMaxUniformFactor = 1.25;
@@ -327,13 +327,24 @@
     weighted += aServer.mLevels.at(level).mGaps * LevelRequests(level);
   }
   const double load = weighted / aServer.mGaps;
+  const bool tooSlow = maxMs > 0.0 && aServer.mGapCurve.mIdleMs > maxMs;
+  // The limit of a server that was too slow says nothing of its knee after it
+  // recovered.
+  if (std::exchange(aServer.mTooSlow, tooSlow) && !tooSlow) {
+    const auto service = mServices.find(aServer.mService);
+    aServer.mLimit = std::max(aServer.mLimit,
+                              std::min(aServer.mSlots,
+                                       service != mServices.end()
+                                         ? service->second.mMedianLimit
+                                         : aServer.mSlots));
+  }
   // A limit far above the load seen is a guess.
   const double highest = std::max(load / kMinUse, aServer.mLimit);
   if (const auto limit = CurveLimit(aServer.mGapCurve, maxMs)) {
     const double target =
       std::clamp(std::min(*limit, highest), 1.0, aServer.mSlots);
     aServer.mLimit += kLimitGain * (target - aServer.mLimit);
-  } else if (maxMs > 0.0 && aServer.mGapCurve.mIdleMs > maxMs) {
+  } else if (tooSlow) {
     aServer.mLimit =
       std::max(std::min(aServer.mLimit, load) * kLimitDecrease, 1.0);
   } else if (load >= kMinUse * aServer.mLimit) {
@@ -366,13 +377,16 @@
 void server_estimates::UpdateServices(time_point aNow)
 {
   std::map<service_id, std::vector<double>> gaps;
+  std::map<service_id, std::vector<double>> limits;
   for (const auto& [key, server] : mServers) {
     if (server.mGaps >= kMinGaps) {
+      limits[server.mService].push_back(server.mLimit);
       gaps[server.mService].push_back(server.mGapCurve.mIdleMs);
     }
   }
   for (const auto& [service, values] : gaps) {
     mServices[service].mMedianGapMs = Median(values);
+    mServices[service].mMedianLimit = Median(limits.at(service));
   }
   std::map<service_id, std::vector<double>> slowness;
   for (auto& [key, server] : mServers) {
--- a/Source/Core/Capacity/ServerEstimates.h
+++ b/Source/Core/Capacity/ServerEstimates.h
@@ -163,6 +163,8 @@
     /// events.
     double mRelativeGap = 1.0;
     double mLimit = 1.0;
+    /// Streams missed their objective at the last update even at a low load.
+    bool mTooSlow = false;
     estimate_change mReported;
     time_point mNextReportAt;
   };
@@ -170,6 +172,7 @@
   {
     double mMedianGapMs = 0.0;
     double mMedianSlowness = 1.0;
+    double mMedianLimit = 1.0;
     /// Until when the estimates are used.
     time_point mInForceUntil;
   };
--- a/Source/Core/Capacity/ServiceCurve.cpp
+++ b/Source/Core/Capacity/ServiceCurve.cpp
@@ -25,7 +25,7 @@
 constexpr double kMinSaturation = 0.6;
 // Limit as a multiple of the fitted knee. The load that nodes know is late and
 // noisy, so times seem to rise below the knee.
-constexpr double kKneeHeadroom = 1.2;
+constexpr double kKneeHeadroom = 1.1;
 
 /// Sums of a weighted linear regression of y on x.
 struct regression
--- a/Source/Core/Gateway/FleetView.cpp
+++ b/Source/Core/Gateway/FleetView.cpp
@@ -22,6 +22,11 @@
 constexpr milliseconds kRelayTime(20);
 // Reported work older than this is ignored.
 constexpr milliseconds kWorkReportTimeout(1000);
+// Nodes that send load notices send all changes, and one a second without
+// changes. Their work holds for as long as they count as alive.
+constexpr milliseconds kLoadTimeout = kPeerTimeout;
+// Limit of the servers that notices may add to the work of a node.
+constexpr std::size_t kMaxLoadServers = 1000;
 // Limit of the nodes that one round of reports goes to. A smaller fleet reports
 // to everyone.
 constexpr std::size_t kMaxReportTargets = 16;
@@ -71,6 +76,10 @@
     return;
   }
   peer_state& sender = Peer(aReport.mAddress);
+  if (sender.mReport && sender.mReport->mRun != aReport.mRun) {
+    sender.mLastLoadAt = {};
+    sender.mLoadSequence = 0;
+  }
   sender.mReport = aReport;
   sender.mLastSeen = aNow;
   sender.mLastReportAt = aNow;
@@ -99,6 +108,50 @@
   }
 }
 
+std::vector<std::pair<std::uint32_t, upstream_work>> fleet_view::OnLoad(
+  const load_notice& aNotice,
+  time_point aNow)
+{
+  std::vector<std::pair<std::uint32_t, upstream_work>> changes;
+  const auto found = mPeers.find(aNotice.mAddress);
+  if (found == mPeers.end() || !found->second.mReport ||
+      found->second.mReport->mRun != aNotice.mRun ||
+      aNotice.mSequence <= found->second.mLoadSequence) {
+    return changes;
+  }
+  peer_state& sender = found->second;
+  const bool counted = IsAlive(sender, aNow) && IsWorkKnown(sender, aNow);
+  sender.mLoadSequence = aNotice.mSequence;
+  sender.mLastLoadAt = aNow;
+  sender.mLastSeen = std::max(sender.mLastSeen, aNow);
+  auto& known = sender.mReport->mWork;
+  for (const auto& [key, work] : aNotice.mWork) {
+    auto entry = std::ranges::find(
+      known, key, &std::pair<std::uint32_t, upstream_work>::first);
+    if (entry == known.end()) {
+      if (known.size() >= kMaxLoadServers) {
+        continue;
+      }
+      entry = known.insert(known.end(), { key, upstream_work() });
+    }
+    upstream_work change = work;
+    change -= std::exchange(entry->second, work);
+    changes.emplace_back(key, change);
+  }
+  std::erase_if(known,
+                [](const auto& aPair) { return aPair.second.mRequests <= 0; });
+  if (!counted) {
+    changes.clear();
+  }
+  return changes;
+}
+
+bool fleet_view::IsWorkKnown(const peer_state& aPeer, time_point aNow)
+{
+  return aPeer.mReport && (aNow <= aPeer.mLastReportAt + kWorkReportTimeout ||
+                           aNow <= aPeer.mLastLoadAt + kLoadTimeout);
+}
+
 bool fleet_view::IsAlive(const peer_state& aPeer, time_point aNow) const
 {
   return aPeer.mLastSeen != time_point() &&
@@ -348,7 +401,7 @@
       continue;
     }
     ++live;
-    if (!peer.mReport || aNow > peer.mLastReportAt + kWorkReportTimeout) {
+    if (!IsWorkKnown(peer, aNow)) {
       continue;
     }
     ++reporting;
--- a/Source/Core/Gateway/FleetView.h
+++ b/Source/Core/Gateway/FleetView.h
@@ -6,11 +6,13 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "Common/Time.h"
 #include "Endpoints/EndpointChoice.h"
 #include "Gateway/HomeRegions.h"
+#include "Gateway/LoadNotices.h"
 #include "Gateway/TokenAllowance.h"
 #include "Gateway/UpstreamRegistry.h"
 
@@ -114,6 +116,13 @@
   /// Another node pauses for brittle servers.
   void OnPauses(const server_pauses& aPauses, time_point aNow);
 
+  /// Another node tells its load. It is ignored if it is older than what is
+  /// known, or if no report of the node's run is known. Returns by how much the
+  /// sum of `PeerWork` changes.
+  std::vector<std::pair<std::uint32_t, upstream_work>> OnLoad(
+    const load_notice& aNotice,
+    time_point aNow);
+
   /// Report of this node, with what it knows of the others.
   node_report ComposeReport(std::uint64_t aRound, time_point aNow) const;
   /// Datagram addresses to which the report is sent in this round; at most 16.
@@ -184,6 +193,9 @@
     time_point mLastSeen;
     /// Last report received from the node itself.
     time_point mLastReportAt;
+    /// Last load notice of the run that reported, and its number.
+    time_point mLastLoadAt;
+    std::uint64_t mLoadSequence = 0;
     /// When the node's copies of the tables were current.
     time_point mConfigCurrentAt;
     time_point mServersCurrentAt;
@@ -192,6 +204,8 @@
   };
 
   bool IsAlive(const peer_state& aPeer, time_point aNow) const;
+  /// Whether the node's work is known well enough to be counted.
+  static bool IsWorkKnown(const peer_state& aPeer, time_point aNow);
   /// What is known of the nodes that were ready when they last reported.
   endpoint_view EndpointView(time_point aNow) const;
   /// Latest value of the member among the peers that reported lately.
--- a/Source/Core/Gateway/UpstreamRegistry.cpp
+++ b/Source/Core/Gateway/UpstreamRegistry.cpp
@@ -137,6 +137,7 @@
   } else if (!record.mUsableUntil) {
     record.mUsableUntil = aNow;
   }
+  SetEstimatedServer(record);
   UpdateCold(record, aNow);
 }
 
@@ -235,6 +236,9 @@
                       record.mLocalWork.mRequests == 0;
     if (gone) {
       mRateLimits.Remove(record.mKey);
+      if (mEstimates) {
+        mEstimates->Remove(record.mKey);
+      }
     }
     return gone;
   });
@@ -363,19 +367,24 @@
   if (aWork.mRequests > 0 && aWork.mKvTokens + option.mWork.mKvTokens > most) {
     return std::nullopt;
   }
-  option.mWaitMs = aRecord.mSlowness *
-                   static_cast<double>(aWork.mPrefillTokens) /
-                   mSettings.mPrefillTokensPerMs;
-  if (aNow < aRecord.mGapValidUntil) {
-    option.mOutputMs = aRecord.mEventGapMs * mSettings.mOutputShare *
-                       static_cast<double>(aQuery.mOutputTokens) /
-                       aLimits.mTokensPerEvent;
+  double slowness = aRecord.mSlowness;
+  double gapMs = aNow < aRecord.mGapValidUntil ? aRecord.mEventGapMs : 0.0;
+  rated.mRequests = aWork.mRequests;
+  if (const auto estimate =
+        EstimateInForce(aRecord, aWork.mRequests + 1, aNow)) {
+    rated.mEstimate = *estimate;
+    slowness = estimate->mSlowness;
+    gapMs = estimate->mGapMs;
   }
+  option.mWaitMs = slowness * static_cast<double>(aWork.mPrefillTokens) /
+                   mSettings.mPrefillTokensPerMs;
+  option.mOutputMs = gapMs * mSettings.mOutputShare *
+                     static_cast<double>(aQuery.mOutputTokens) /
+                     aLimits.mTokensPerEvent;
   option.mExpectedMs =
-    aRecord.mSlowness *
-    (static_cast<double>(aWork.mPrefillTokens + read) /
-       mSettings.mPrefillTokensPerMs +
-     mSettings.mPerRequestMs * static_cast<double>(aWork.mRequests));
+    slowness * (static_cast<double>(aWork.mPrefillTokens + read) /
+                  mSettings.mPrefillTokensPerMs +
+                mSettings.mPerRequestMs * static_cast<double>(aWork.mRequests));
   rated.mCost = option.mExpectedMs + (mSettings.mRereadWeight - 1.0) *
                                        static_cast<double>(uncached) /
                                        mSettings.mPrefillTokensPerMs;
@@ -398,6 +407,9 @@
            aNow < PausedUntil(*aRecord);
   });
   const upstream_record* preferred = Preferred(candidates, shared, aNow);
+  const bool estimated =
+    engine && mEstimates && mEstimates->InForce(aQuery.mService, aNow);
+  std::vector<rated_placement> options;
   std::optional<rated_placement> best;
   for (const upstream_record* record : candidates) {
     const std::int64_t slots = std::max(record->mEntry.mSlots, 1U);
@@ -434,12 +446,18 @@
     if (record->mEntry.mZone != aQuery.mZone) {
       rated->mCost += mSettings.mOtherZoneMs;
     }
-    if (!best || rated->mCost < best->mCost) {
+    if (estimated || !best || rated->mCost < best->mCost) {
       best = std::move(rated);
       best->mPlacement.mUpstream = record->mEntry.mId;
       best->mPlacement.mAddress = record->mEntry.mAddress;
       best->mPlacement.mWork.mRequests = 1;
     }
+    if (estimated) {
+      options.push_back(*best);
+    }
+  }
+  if (estimated) {
+    return ChooseEstimated(options, aQuery, aNow);
   }
   if (!best) {
     return std::nullopt;
@@ -482,6 +500,9 @@
     record.mBusySince = aNow;
   }
   record.mLocalWork += aPlacement.mWork;
+  if (mEstimates) {
+    mEstimates->OnGapObjective(aQuery.mService, aQuery.mEventGapObjective);
+  }
   mRateLimits.OnSend(record.mKey, aNow);
   for (const auto& [key, tokens] : SharedPrompt(aQuery.mPrompt).mSegments) {
     mCachedSegments[key][record.mKey] = aNow + mSettings.mCacheTimeToLive;
@@ -501,6 +522,24 @@
   upstream_record& record = found->second;
   record.mLocalWork.mPrefillTokens -= aWork.mPrefillTokens;
   const double observed = Milliseconds(aNow - aSentAt);
+  const std::int64_t requests = WorkAt(record).mRequests;
+  // While estimates are in force, they made the expected time, and the local
+  // slowness is not used.
+  if (const auto estimate = EstimateInForce(record, requests, aNow)) {
+    mEstimates->OnFirstEvent(record.mKey,
+                             record.mEntry.mIncarnation,
+                             requests,
+                             aExpectedMs / estimate->mSlowness,
+                             observed);
+    return;
+  }
+  if (mEstimates) {
+    mEstimates->OnFirstEvent(record.mKey,
+                             record.mEntry.mIncarnation,
+                             requests,
+                             aExpectedMs / record.mSlowness,
+                             observed);
+  }
   if (aExpectedMs >= kMinObservedMs) {
     const double ratio = observed * record.mSlowness / aExpectedMs;
     record.mSlowness =
@@ -528,6 +567,12 @@
     return;
   }
   upstream_record& record = found->second;
+  if (mEstimates) {
+    mEstimates->OnEventGap(record.mKey,
+                           record.mEntry.mIncarnation,
+                           WorkAt(record).mRequests,
+                           aGapMs);
+  }
   if (aNow >= record.mGapValidUntil) {
     record.mEventGapMs = aGapMs;
   }
--- a/Source/Core/Gateway/UpstreamRegistry.h
+++ b/Source/Core/Gateway/UpstreamRegistry.h
@@ -9,6 +9,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include "Capacity/OverloadGuard.h"
+#include "Capacity/ServerEstimates.h"
 #include "Gateway/GatewayTypes.h"
 #include "Gateway/ServerRateLimits.h"
 #include "Gateway/StreamOrigins.h"
@@ -66,6 +68,11 @@
   std::vector<upstream_id> mExcluded;
   /// Zones in which the request may run; any if null.
   const std::set<zone_id>* mAllowedZones = nullptr;
+  /// Random number that stays the same for a request.
+  std::uint64_t mRandom = 0;
+  /// Longest time between events at which streams of the route are in time; 0
+  /// if there is none.
+  std::chrono::milliseconds mEventGapObjective{ 0 };
 };
 
 struct placement
@@ -109,6 +116,19 @@
   {
   }
 
+  /// From now on, the speed and the concurrency limit of each engine are
+  /// estimated and used, see `server_estimates`.
+  void LearnCapacity();
+  /// Adapts the estimates; to be called every 200 ms.
+  void UpdateEstimates(time_point aNow);
+  /// Largest share of the requests of a service that is turned away because the
+  /// limits of its servers are used.
+  double TurnedAwayShare() const;
+  /// Name of the server with the key; empty if there is none.
+  std::string NameOf(std::uint32_t aKey) const;
+  /// Null unless `LearnCapacity` was called.
+  server_estimates* Estimates() { return mEstimates ? &*mEstimates : nullptr; }
+
   /// Sets the limits of a service; plain services have no engine limits.
   void SetService(const gateway_service& aService);
   void Apply(const server_entry& aEntry, time_point aNow);
@@ -169,7 +189,8 @@
   void Expire(time_point aNow);
 
   /// Chooses the server of lowest cost; nothing if none has free capacity and a
-  /// rate limit that allows the request.
+  /// rate limit that allows the request. While estimates of the service are in
+  /// force, the choice is that of `ChooseByEstimates`.
   std::optional<placement> Choose(const placement_query& aQuery,
                                   time_point aNow) const;
   /// Time from which the rate limits of the servers allow this node to send the
@@ -213,6 +234,9 @@
   {
     mPeerWork = std::move(aWork);
   }
+  /// Changes the work of other nodes until the next `SetPeerWork`.
+  void AddPeerWork(
+    const std::vector<std::pair<std::uint32_t, upstream_work>>& aChanges);
   /// Work of this node by server, for the reports to other nodes.
   std::vector<std::pair<std::uint32_t, upstream_work>> LocalWork() const;
 
@@ -240,6 +264,10 @@
     placement mPlacement;
     /// Expected time plus the delay caused to other requests, in ms.
     double mCost = 0.0;
+    /// Requests of all nodes at the server.
+    std::int64_t mRequests = 0;
+    /// The prior if the estimates are not in force.
+    server_estimate mEstimate;
   };
   struct upstream_record
   {
@@ -311,6 +339,19 @@
                                             const shared_prompt& aShared,
                                             bool aPreferred,
                                             time_point aNow) const;
+  /// Adds the server to the estimates if it is an engine.
+  void SetEstimatedServer(const upstream_record& aRecord);
+  /// Whether the estimates of the server are to be used, and which ones.
+  std::optional<server_estimate> EstimateInForce(const upstream_record& aRecord,
+                                                 std::int64_t aRequests,
+                                                 time_point aNow) const;
+  /// Whether the request belongs to the share that is turned away while the
+  /// limits of all servers of the service are used.
+  bool TurnsAway(const placement_query& aQuery, time_point aNow) const;
+  std::optional<placement> ChooseEstimated(
+    const std::vector<rated_placement>& aRated,
+    const placement_query& aQuery,
+    time_point aNow) const;
   std::int64_t UncachedTokens(const upstream_record& aRecord,
                               const shared_prompt& aShared,
                               time_point aNow) const;
@@ -319,6 +360,9 @@
                        time_point aNow);
 
   placement_settings mSettings;
+  std::optional<server_estimates> mEstimates;
+  /// Services whose estimates are in force.
+  std::map<service_id, overload_guard> mGuards;
   std::map<upstream_id, upstream_record> mUpstreams;
   std::unordered_map<std::string, gateway_service> mServices;
   std::unordered_map<std::uint32_t, upstream_work> mPeerWork;
--- a/Source/UnitTests/Capacity/CapacityFleet.cpp
+++ b/Source/UnitTests/Capacity/CapacityFleet.cpp
@@ -5,13 +5,13 @@
 #include <deque>
 #include <functional>
 #include <memory>
-#include <queue>
 #include <random>
 #include <string>
 #include <utility>
 
 #include "Gateway/Admission.h"
 #include "Gateway/FleetView.h"
+#include "Gateway/LoadNotices.h"
 #include "Gateway/UpstreamRegistry.h"
 
 namespace {
@@ -35,6 +35,8 @@
 constexpr milliseconds kTimeout(20000);
 constexpr milliseconds kFleetTick(200);
 constexpr milliseconds kRequestTick(10);
+// Rounds of reports between two notices of observations.
+constexpr std::uint64_t kObservationRounds = 5;
 constexpr int kMaxDelayMs = 10;
 constexpr time_point kStart{ std::chrono::seconds(1000) };
 
@@ -70,6 +72,7 @@
   time_point mSentAt;
   time_point mLastEventAt;
   std::int64_t mPromptTokens = 0;
+  std::uint64_t mRandom = 0;
   int mEvents = 0;
   int mEventsSent = 0;
   bool mInTime = true;
@@ -110,6 +113,7 @@
 
   upstream_registry mRegistry;
   fleet_view mView;
+  load_sender mLoadSender;
   std::uint64_t mRound = 0;
 };
 
@@ -121,8 +125,8 @@
     : mSettings(aSettings)
     , mWindows(aWindows)
     , mOutcomes(aWindows.size())
+    , mArrivals(aSettings.mSeed)
     , mRandom(aSettings.mSeed)
-    , mCapacity(KneeCapacity(aSettings.mPhases.front().mServers))
   {
     for (std::size_t i = 0; i < aSettings.mNodes; ++i) {
       mNodes.push_back(std::make_unique<node_run>(i));
@@ -139,11 +143,15 @@
     for (std::size_t i = 0; i < mNodes.size(); ++i) {
       At(kStart + Micros(Uniform(0.0, 200.0)), [this, i] { FleetTick(i); });
     }
+    for (std::size_t i = 0; mSettings.mLearn && i < mNodes.size(); ++i) {
+      At(kStart + Micros(Uniform(0.0, 10.0)), [this, i] { RequestTick(i); });
+    }
     At(kStart, [this] { Arrive(); });
     while (!mEvents.empty() &&
-           mEvents.top().mAt < kStart + mSettings.mEnd + kTimeout) {
-      const event next = mEvents.top();
-      mEvents.pop();
+           mEvents.front().mAt < kStart + mSettings.mEnd + kTimeout) {
+      std::pop_heap(mEvents.begin(), mEvents.end(), std::greater<>());
+      const event next = std::move(mEvents.back());
+      mEvents.pop_back();
       mNow = next.mAt;
       next.mAction();
     }
@@ -157,15 +165,20 @@
     std::uint64_t mOrder = 0;
     std::function<void()> mAction;
 
-    bool operator>(const event& aOther) const
+    bool operator==(const event& aOther) const
+    {
+      return mOrder == aOther.mOrder;
+    }
+    auto operator<=>(const event& aOther) const
     {
-      return std::tie(mAt, mOrder) > std::tie(aOther.mAt, aOther.mOrder);
+      return std::tie(mAt, mOrder) <=> std::tie(aOther.mAt, aOther.mOrder);
     }
   };
 
   void At(time_point aAt, std::function<void()> aAction)
   {
-    mEvents.push({ aAt, mOrder++, std::move(aAction) });
+    mEvents.push_back({ aAt, mOrder++, std::move(aAction) });
+    std::push_heap(mEvents.begin(), mEvents.end(), std::greater<>());
   }
 
   double Uniform(double aLow, double aHigh)
@@ -191,11 +204,14 @@
       aNode.mRegistry.Apply(entry, kStart);
     }
     aNode.mRegistry.SetNodes(mSettings.mNodes);
+    if (mSettings.mLearn) {
+      aNode.mRegistry.LearnCapacity();
+    }
   }
 
   void Begin(const model_phase& aPhase)
   {
-    mLoad = aPhase.mLoad;
+    mPerSecond = aPhase.mPerSecond;
     for (std::size_t i = 0; i < mServers.size(); ++i) {
       mServers[i].mServer = aPhase.mServers[i];
     }
@@ -227,6 +243,54 @@
          [this, peer, report] { mNodes[peer]->mView.OnReport(*report, mNow); });
     }
     node.mRegistry.SetPeerWork(node.mView.PeerWork(mNow));
+    node.mRegistry.UpdateEstimates(mNow);
+    if (mSettings.mLearn && node.mRound % kObservationRounds == 0) {
+      SendObservations(aNode);
+    }
+  }
+
+  /// What a node does every 10 ms with the setting on.
+  void RequestTick(std::size_t aNode)
+  {
+    node_run& node = *mNodes[aNode];
+    if (!Ended()) {
+      At(mNow + kRequestTick, [this, aNode] { RequestTick(aNode); });
+    }
+    auto notice = node.mLoadSender.Update(
+      node.mRegistry.LocalWork(), mNodes.size() - 1, mNow);
+    if (notice) {
+      notice->mAddress = node.mView.Self().mAddress;
+      notice->mRun = node.mView.Self().mRun;
+      SendToAll(
+        aNode,
+        std::move(*notice),
+        [](node_run& aPeer, const load_notice& aNotice, time_point aNow) {
+          aPeer.mRegistry.AddPeerWork(aPeer.mView.OnLoad(aNotice, aNow));
+        });
+    }
+  }
+
+  void SendObservations(std::size_t aNode)
+  {
+    SendToAll(aNode,
+              mNodes[aNode]->mRegistry.Estimates()->TakeObservations(),
+              [](node_run& aPeer, const capacity_notice& aNotice, time_point) {
+                aPeer.mRegistry.Estimates()->OnObservations(aNotice);
+              });
+  }
+
+  template<typename message, typename receiver>
+  void SendToAll(std::size_t aNode, message aMessage, receiver aReceive)
+  {
+    const auto shared = std::make_shared<message>(std::move(aMessage));
+    for (std::size_t peer = 0; peer < mNodes.size(); ++peer) {
+      if (peer != aNode) {
+        At(mNow + Micros(Uniform(0.5, kMaxDelayMs)),
+           [this, peer, shared, aReceive] {
+             aReceive(*mNodes[peer], *shared, mNow);
+           });
+      }
+    }
   }
 
   static std::size_t IndexOf(const std::string& aAddress)
@@ -240,16 +304,17 @@
     if (Ended()) {
       return;
     }
-    const double perMs = mLoad * mCapacity / 1000.0;
-    At(mNow + Micros(std::exponential_distribution(perMs)(mRandom)),
+    const double perMs = mPerSecond / 1000.0;
+    At(mNow + Micros(std::exponential_distribution(perMs)(mArrivals)),
        [this] { Arrive(); });
     auto stream = std::make_shared<model_stream>();
-    stream->mNode = mRandom() % mNodes.size();
+    stream->mNode = mArrivals() % mNodes.size();
     stream->mArrived = mNow;
+    stream->mRandom = mArrivals();
     stream->mPromptTokens = std::uniform_int_distribution(
       kMinPromptTokens, kMaxPromptTokens)(mRandom);
     stream->mEvents =
-      std::uniform_int_distribution(kMinEvents, kMaxEvents)(mRandom);
+      std::uniform_int_distribution(kMinEvents, kMaxEvents)(mArrivals);
     for (std::size_t i = 0; i < mWindows.size(); ++i) {
       mOutcomes[i].mOffered += InWindow(*stream, i) ? 1 : 0;
     }
@@ -270,6 +335,8 @@
     query.mPromptTokens = aStream->mPromptTokens;
     query.mOutputTokens = static_cast<std::int64_t>(
       aStream->mEvents / placement_settings().mOutputShare);
+    query.mRandom = aStream->mRandom;
+    query.mEventGapObjective = kGapObjective;
     const auto chosen = node.mRegistry.Choose(query, mNow);
     admission_query admission;
     admission.mArrived = aStream->mArrived;
@@ -354,19 +421,29 @@
   model_settings mSettings;
   std::vector<model_window> mWindows;
   std::vector<model_outcome> mOutcomes;
+  /// Separate, so that the same streams arrive with and without estimates.
+  std::mt19937_64 mArrivals;
   std::mt19937_64 mRandom;
-  /// Streams a second.
-  double mCapacity = 0.0;
-  double mLoad = 0.0;
+  /// Offered streams.
+  double mPerSecond = 0.0;
   time_point mNow = kStart;
   std::uint64_t mOrder = 0;
-  std::priority_queue<event, std::vector<event>, std::greater<>> mEvents;
+  /// Heap, the next event first.
+  std::vector<event> mEvents;
   std::vector<std::unique_ptr<node_run>> mNodes;
   std::vector<server_run> mServers;
 };
 
 } // namespace
 
+model_outcome& model_outcome::operator+=(const model_outcome& aOther)
+{
+  mOffered += aOther.mOffered;
+  mInTime += aOther.mInTime;
+  mRefused += aOther.mRefused;
+  return *this;
+}
+
 double model_outcome::InTimeShare() const
 {
   return static_cast<double>(mInTime) / static_cast<double>(mOffered);
--- a/Source/UnitTests/Capacity/CapacityFleet.h
+++ b/Source/UnitTests/Capacity/CapacityFleet.h
@@ -24,9 +24,8 @@
 {
   /// Since the start of the model.
   std::chrono::milliseconds mFrom{ 0 };
-  /// Offered streams as a share of what the knees of the servers of the first
-  /// phase carry.
-  double mLoad = 0.0;
+  /// Offered streams a second.
+  double mPerSecond = 0.0;
   std::vector<model_server> mServers;
 };
 
@@ -36,6 +35,8 @@
   std::vector<model_phase> mPhases;
   std::chrono::milliseconds mEnd{ 0 };
   std::uint64_t mSeed = 1;
+  /// Setting `learn_server_capacity`.
+  bool mLearn = false;
 };
 
 /// Streams that arrived in a window of time.
@@ -47,6 +48,7 @@
   std::size_t mInTime = 0;
   std::size_t mRefused = 0;
 
+  model_outcome& operator+=(const model_outcome& aOther);
   double InTimeShare() const;
   double RefusedShare() const;
   bool operator==(const model_outcome&) const = default;
