Connect the capacity estimates behind learn_server_capacity

The datagrams load and capacity are members 9 and 8 of PeerDatagram, encoded by layout because the generated code lacks them. Setting learn_server_capacity, default false, and not in the platform's template, because two cases of the model miss their bounds.

With the setting off, nothing is sent, and received notices are ignored.

--- a/Source/Core/Gateway/Fleet.capnp
+++ b/Source/Core/Gateway/Fleet.capnp
@@ -188,6 +188,31 @@
   pauses @0 :List(ServerPause);
 }
 
+# Sums of observations by server run and load level, see `ServerEstimates.h`.
+# All lists have the same length. Encoded in `CapacityDatagram.cpp`; the
+# generated code does not contain it.
+#
+# struct CapacityNotice {
+#   servers @0 :List(UInt32);
+#   incarnations @1 :List(UInt64);
+#   levels @2 :List(UInt8);
+#   firstEvents @3 :List(Float32);
+#   expectedMs @4 :List(Float32);
+#   observedMs @5 :List(Float32);
+#   gaps @6 :List(Float32);
+#   gapMs @7 :List(Float32);
+# }
+#
+# The sender's work at the servers where it changed, see `LoadNotices.h`.
+#
+# struct LoadNotice {
+#   address @0 :Text;
+#   run @1 :UInt64;
+#   sequence @2 :UInt64;
+#   work @3 :List(UpstreamLoad);
+# }
+
+# Members 8 and 9 are `capacity :CapacityNotice` and `load :LoadNotice`.
 struct PeerDatagram {
   union {
     report @0 :NodeReport;
--- a/Source/Core/Gateway/GatewayMetrics.cpp
+++ b/Source/Core/Gateway/GatewayMetrics.cpp
@@ -71,6 +71,14 @@
                              "Zones whose servers get no requests"))
   , mColdServers(
       AddGauge("gateway_cold_servers", "Servers that are known to be cold"))
+  , mEstimatedServers(AddGauge("gateway_estimated_servers",
+                               "Servers whose capacity is estimated"))
+  , mTurnedAway(AddGauge(
+      "gateway_turned_away_share",
+      "Share of requests refused because the limits of servers are used"))
+  , mIgnoredObservations(
+      AddGauge("gateway_ignored_observations",
+               "Implausible observations of other nodes since the start"))
   , mLinkWait(AddGauge("gateway_link_wait_seconds",
                        "Estimated time that bytes wait for the outgoing link"))
   , mRelaying(AddGauge("gateway_relaying",
--- a/Source/Core/Gateway/GatewayMetrics.h
+++ b/Source/Core/Gateway/GatewayMetrics.h
@@ -49,6 +49,16 @@
   void SetProcessorUse(double aUse) { mProcessorUse.Set(aUse); }
   void SetLeftAnswers(double aLeft) { mLeftAnswers.Set(aLeft); }
   void SetRateLimitedServers(double aCount) { mRateLimited.Set(aCount); }
+  /// Sets the number of servers with estimates, the share of requests that is
+  /// turned away, and the number of ignored observations of other nodes.
+  void SetServerEstimates(std::size_t aServers,
+                          double aTurnedAway,
+                          std::size_t aIgnored)
+  {
+    mEstimatedServers.Set(static_cast<double>(aServers));
+    mTurnedAway.Set(aTurnedAway);
+    mIgnoredObservations.Set(static_cast<double>(aIgnored));
+  }
   void SetColdServers(double aCount) { mColdServers.Set(aCount); }
   void SetEvacuatedZones(double aCount) { mEvacuatedZones.Set(aCount); }
   void SetOpenRequests(double aCount) { mOpenRequests.Set(aCount); }
@@ -82,6 +92,9 @@
   prometheus::Gauge& mRateLimited;
   prometheus::Gauge& mEvacuatedZones;
   prometheus::Gauge& mColdServers;
+  prometheus::Gauge& mEstimatedServers;
+  prometheus::Gauge& mTurnedAway;
+  prometheus::Gauge& mIgnoredObservations;
   prometheus::Gauge& mLinkWait;
   prometheus::Gauge& mRelaying;
   prometheus::Gauge& mNamedHosts;
--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -197,6 +197,10 @@
     return nullptr;
   }
   node->mTokenAllowance.SetStart(aTime.Now());
+  if (aSettings.mLearnServerCapacity) {
+    node->mUpstreamRegistry.LearnCapacity();
+    node->mPeerTransport.LearnCapacity(node->mUpstreamRegistry);
+  }
   node->mConfigTable.Start();
   node->mUpstreamTable.Start();
   node->mFleetTable.Start();
--- a/Source/Core/Gateway/GatewayNode.h
+++ b/Source/Core/Gateway/GatewayNode.h
@@ -128,6 +128,9 @@
                         time_point aNow);
   /// Logs the servers that became cold.
   void LogColdServers(time_point aNow);
+  /// Sends this node's load if it changed and the setting is on.
+  void SendLoad(time_point aNow);
+  void UpdateServerEstimates(time_point aNow);
   /// Reports crashes of servers that fell silent, and avoids these servers.
   void ReportSilentServers(time_point aNow);
   void ContinueStop(time_point aNow);
@@ -161,6 +164,9 @@
   fleet_rows mRows;
   gateway_context mContext;
   peer_transport mPeerTransport;
+  load_sender mLoadSender;
+  /// Number of updates of the estimates.
+  std::uint64_t mEstimateRound = 0;
   /// Age up to which state counts as recent.
   std::chrono::milliseconds mMaxStateAge;
   link_overload_detector mLinkOverload;
--- a/Source/Core/Gateway/GatewayNodeTicks.cpp
+++ b/Source/Core/Gateway/GatewayNodeTicks.cpp
@@ -67,6 +67,7 @@
   JudgeState(now);
   UpdateReachability(now);
   mUpstreamRegistry.SetPeerPauses(mFleet.PeerPauses(now));
+  SendLoad(now);
   if (mStalls.MustReadFirst(now)) {
     return;
   }
@@ -289,6 +290,7 @@
   mSegmentCrashes.SetNodes(mFleet.Self().mAddress, peers);
   mPeerTransport.SendReports();
   mUpstreamRegistry.SetPeerWork(mFleet.PeerWork(now));
+  UpdateServerEstimates(now);
   if (mTokenAllowance.KnowsFleet(now)) {
     mTokenAllowance.SetNodes(mFleet.LiveNodeCount(now));
   }
--- a/Source/Core/Gateway/GatewaySessionAdmission.cpp
+++ b/Source/Core/Gateway/GatewaySessionAdmission.cpp
@@ -143,6 +143,11 @@
   query.mPrompt = mRequest.mPrompt.empty() ? nullptr : &mRequest.mPrompt;
   query.mExcluded = mTriedUpstreams;
   query.mAllowedZones = mAllowedZones ? &*mAllowedZones : nullptr;
+  if (mContext.mSettings.mLearnServerCapacity) {
+    query.mRandom = StableHash(mRequest.mId);
+    query.mEventGapObjective =
+      mRoute == nullptr ? milliseconds(0) : mRoute->mEventGapObjective;
+  }
   return query;
 }
 
--- a/Source/Core/Gateway/GatewaySettings.cpp
+++ b/Source/Core/Gateway/GatewaySettings.cpp
@@ -31,6 +31,20 @@
     return value->get<std::string>();
   }
 
+  /// False if the key is absent.
+  bool OptionalFlag(const char* aKey)
+  {
+    const json* value = Find(aKey);
+    if (value == nullptr) {
+      return false;
+    }
+    if (!value->is_boolean()) {
+      Fail(aKey, "must be true or false");
+      return false;
+    }
+    return value->get<bool>();
+  }
+
   double Number(const char* aKey, double aMin, double aMax)
   {
     const json* value = Find(aKey);
@@ -226,6 +240,7 @@
   settings.mColdBound.mSlack =
     root.OptionalNumber("cold_slack", 0, kMaxAllowance)
       .value_or(settings.mColdBound.mSlack);
+  settings.mLearnServerCapacity = root.OptionalFlag("learn_server_capacity");
   constexpr double kMsPerSecond = 1000;
   settings.mGracePeriod =
     Milliseconds(root.Number("grace_s", 0, kMaxSeconds) * kMsPerSecond);
--- a/Source/Core/Gateway/GatewaySettings.h
+++ b/Source/Core/Gateway/GatewaySettings.h
@@ -58,6 +58,9 @@
   std::chrono::milliseconds mGracePeriod{ 8000 };
   allowance_settings mTokenAllowance;
   placement_settings mUpstreamRegistry;
+  /// Whether the speed and the concurrency limit of servers are estimated and
+  /// used, see `server_estimates`.
+  bool mLearnServerCapacity = false;
 };
 
 /// Parses settings from JSON with comments; the error names file, line and key.
--- a/Source/Core/Gateway/PeerDatagram.cpp
+++ b/Source/Core/Gateway/PeerDatagram.cpp
@@ -7,6 +7,7 @@
 #include <capnp/serialize-packed.h>
 #include <kj/exception.h>
 
+#include "Gateway/CapacityDatagram.h"
 #include "Gateway/Fleet.capnp.h"
 
 namespace {
@@ -385,11 +386,39 @@
   return notice;
 }
 
+/// Reads a datagram that the generated code does not know.
+std::optional<peer_datagram> ReadLayout(capnp::AnyPointer::Reader aRoot)
+{
+  if (auto capacity = ReadCapacity(aRoot)) {
+    return std::move(*capacity);
+  }
+  if (auto load = ReadLoad(aRoot)) {
+    return std::move(*load);
+  }
+  return std::nullopt;
+}
+
+std::string Pack(capnp::MessageBuilder& aMessage)
+{
+  kj::VectorOutputStream packed;
+  capnp::writePackedMessage(packed, aMessage);
+  const auto bytes = packed.getArray();
+  return { reinterpret_cast<const char*>(bytes.begin()), bytes.size() };
+}
+
 } // namespace
 
 std::string WritePeerDatagram(const peer_datagram& aDatagram)
 {
   capnp::MallocMessageBuilder message;
+  if (const auto* capacity = std::get_if<capacity_notice>(&aDatagram)) {
+    WriteCapacity(message, *capacity);
+    return Pack(message);
+  }
+  if (const auto* load = std::get_if<load_notice>(&aDatagram)) {
+    WriteLoad(message, *load);
+    return Pack(message);
+  }
   auto root = message.initRoot<fleet_wire::PeerDatagram>();
   if (const auto* report = std::get_if<node_report>(&aDatagram)) {
     Write(root.initReport(), *report);
@@ -408,10 +437,7 @@
   } else {
     Write(root.initTransfer(), std::get<token_transfer>(aDatagram));
   }
-  kj::VectorOutputStream packed;
-  capnp::writePackedMessage(packed, message);
-  const auto bytes = packed.getArray();
-  return { reinterpret_cast<const char*>(bytes.begin()), bytes.size() };
+  return Pack(message);
 }
 
 std::optional<peer_datagram> ParsePeerDatagram(std::string_view aBytes)
@@ -449,6 +475,9 @@
       case fleet_wire::PeerDatagram::STREAM_ANSWER:
         datagram = Read(root.getStreamAnswer());
         break;
+      default:
+        datagram = ReadLayout(reader.getRoot<capnp::AnyPointer>());
+        break;
     }
   });
   return failure == nullptr ? datagram : std::nullopt;
--- a/Source/Core/Gateway/PeerTransport.cpp
+++ b/Source/Core/Gateway/PeerTransport.cpp
@@ -15,6 +15,7 @@
 #include <glib-unix.h>
 #include <kj/exception.h>
 
+#include "Capacity/ObservationTargets.h"
 #include "Common/Log.h"
 #include "Gateway/Fleet.capnp.h"
 #include "Net/HttpStatus.h"
@@ -263,6 +264,27 @@
   }
 }
 
+void peer_transport::SendLoad(load_notice aNotice)
+{
+  aNotice.mAddress = mView.Self().mAddress;
+  aNotice.mRun = mView.Self().mRun;
+  SendToAll(aNotice, mTime.Now());
+}
+
+void peer_transport::SendObservations(const capacity_notice& aNotice)
+{
+  if (aNotice.mObservations.empty()) {
+    return;
+  }
+  const std::string bytes = WritePeerDatagram(aNotice);
+  for (const std::string& peer :
+       ObservationTargets(mView.LivePeerAddresses(mTime.Now()),
+                          mView.Self().mAddress,
+                          ++mObservationRound)) {
+    Send(peer, bytes);
+  }
+}
+
 void peer_transport::SendToAll(const peer_datagram& aDatagram, time_point aNow)
 {
   const std::string bytes = WritePeerDatagram(aDatagram);
@@ -317,7 +339,15 @@
 void peer_transport::OnDatagram(const peer_datagram& aDatagram)
 {
   const time_point now = mTime.Now();
-  if (const auto* report = std::get_if<node_report>(&aDatagram)) {
+  if (const auto* load = std::get_if<load_notice>(&aDatagram)) {
+    if (mLearning != nullptr) {
+      mLearning->AddPeerWork(mView.OnLoad(*load, now));
+    }
+  } else if (const auto* capacity = std::get_if<capacity_notice>(&aDatagram)) {
+    if (mLearning != nullptr && mLearning->Estimates() != nullptr) {
+      mIgnoredObservations += mLearning->Estimates()->OnObservations(*capacity);
+    }
+  } else if (const auto* report = std::get_if<node_report>(&aDatagram)) {
     mView.OnReport(*report, now);
   } else if (const auto* request = std::get_if<token_request>(&aDatagram)) {
     const bool repeated = mTokenAllowance.WasAnswered(*request);
--- a/Source/Core/Gateway/PeerTransport.h
+++ b/Source/Core/Gateway/PeerTransport.h
@@ -45,6 +45,16 @@
   /// Sends records of streams that began to the nodes that keep copies, and
   /// queries about resumed streams.
   void SendStreamMessages();
+  /// From now on, loads and observations of other nodes are passed to the
+  /// registry. They are ignored otherwise.
+  void LearnCapacity(upstream_registry& aServers) { mLearning = &aServers; }
+  /// Sends the load of this node to all live nodes.
+  void SendLoad(load_notice aNotice);
+  /// Sends observations of servers to all live nodes, or to some of them in
+  /// large fleets.
+  void SendObservations(const capacity_notice& aNotice);
+  /// Number of implausible observations of other nodes so far.
+  std::size_t IgnoredObservations() const { return mIgnoredObservations; }
   /// Requests prepaid tokens from other nodes for accounts that lack them.
   void SendTokenRequests();
   /// Requests the tables of a live peer whose state is newer than that of
@@ -74,6 +84,10 @@
   crash_exchange& mCrashes;
   stream_origins& mStreams;
   const time_source& mTime;
+  /// Null unless capacity is learned.
+  upstream_registry* mLearning = nullptr;
+  std::uint64_t mObservationRound = 0;
+  std::size_t mIgnoredObservations = 0;
   double mLinkBytesPerSecond;
   snapshot_source mSnapshot;
   /// Snapshots are refused until this time, so that requests have most of the
