--- a/Source/Core/Gateway/PeerDatagram.h
+++ b/Source/Core/Gateway/PeerDatagram.h
@@ -7,8 +7,10 @@
 #include <vector>
 
 #include "Admission/OfferedCosts.h"
+#include "Capacity/ServerEstimates.h"
 #include "Gateway/CrashHistory.h"
 #include "Gateway/FleetView.h"
+#include "Gateway/LoadNotices.h"
 #include "Gateway/StreamOrigins.h"
 
 /// Encodes datagrams between nodes as packed Cap'n Proto messages, apart from
@@ -33,6 +35,8 @@
                                    stream_notice,
                                    stream_query,
                                    stream_answer,
+                                   capacity_notice,
+                                   load_notice,
                                    offered_notice>;
 
 std::string WritePeerDatagram(const peer_datagram& aDatagram);
