--- a/Source/UnitTests/Capacity/CapacityFleet.cpp
+++ b/Source/UnitTests/Capacity/CapacityFleet.cpp
@@ -149,7 +149,7 @@
     At(kStart, [this] { Arrive(); });
     while (!mEvents.empty() &&
            mEvents.front().mAt < kStart + mSettings.mEnd + kTimeout) {
-      std::pop_heap(mEvents.begin(), mEvents.end(), std::greater<>());
+      std::pop_heap(mEvents.begin(), mEvents.end(), event::IsLater);
       const event next = std::move(mEvents.back());
       mEvents.pop_back();
       mNow = next.mAt;
@@ -165,20 +165,17 @@
     std::uint64_t mOrder = 0;
     std::function<void()> mAction;
 
-    bool operator==(const event& aOther) const
+    static bool IsLater(const event& aFirst, const event& aSecond)
     {
-      return mOrder == aOther.mOrder;
-    }
-    auto operator<=>(const event& aOther) const
-    {
-      return std::tie(mAt, mOrder) <=> std::tie(aOther.mAt, aOther.mOrder);
+      return aFirst.mAt != aSecond.mAt ? aFirst.mAt > aSecond.mAt
+                                       : aFirst.mOrder > aSecond.mOrder;
     }
   };
 
   void At(time_point aAt, std::function<void()> aAction)
   {
     mEvents.push_back({ aAt, mOrder++, std::move(aAction) });
-    std::push_heap(mEvents.begin(), mEvents.end(), std::greater<>());
+    std::push_heap(mEvents.begin(), mEvents.end(), event::IsLater);
   }
 
   double Uniform(double aLow, double aHigh)
--- a/Source/UnitTests/Capacity/CapacityFleetTest.cpp
+++ b/Source/UnitTests/Capacity/CapacityFleetTest.cpp
@@ -109,7 +109,7 @@
       slow[i].mSpeed /= 4.0;
     }
     const double capacity = KneeCapacity(aServers);
-    const auto outcomes =
+    auto outcomes =
       Run({ Phase(milliseconds(0), kMediumLoad * capacity, aServers),
             Phase(kWarm, kMediumLoad * capacity, slow),
             Phase(kChange, kHighLoad * capacity, aServers) },
