Bound what a node holds for clients and servers, and end slow clients

Only the bodies of open requests were bounded. Bytes that clients and servers did not take grew with the number of streams, and a client that never reads kept its server's slot until the server cut it off.

A stream at its bound whose client takes nothing for 2 s ends (slow_client_ended); above the node's bound, clients that do not read end, the largest first. What a client takes is read from the kernel, so bytes that wait for the network do not count as unread. Connections free large output buffers once they are sent.

A planned stop still lets slow clients read whole responses.

--- a/Source/Core/Endpoints/HostLoad.cpp
+++ b/Source/Core/Endpoints/HostLoad.cpp
@@ -15,7 +15,7 @@
 // A process that uses its whole processor share delays every response.
 constexpr double kLeaveProcessorUse = 0.8;
 constexpr double kReturnProcessorUse = 0.55;
-// Requests are refused when the memory for bodies is full.
+// Requests are refused when the memory for held bytes is full.
 constexpr double kLeaveMemoryUse = 0.7;
 constexpr double kReturnMemoryUse = 0.4;
 // Weight of the newest sample of processor use, five a second.
--- a/Source/Core/Endpoints/HostLoad.h
+++ b/Source/Core/Endpoints/HostLoad.h
@@ -14,8 +14,8 @@
   /// Processor time as a share of what the host may use; nothing if that is not
   /// known.
   std::optional<double> mProcessorUse;
-  /// Memory taken by bodies of open requests as a share of its limit; nothing
-  /// if there is no limit.
+  /// Bytes held for clients and servers as a share of their limit; nothing if
+  /// there is no limit.
   std::optional<double> mMemoryUse;
   /// Whether peers that report here have heard of this host lately.
   bool mHeardByPeers = true;
--- a/Source/Core/Gateway/GatewayMetrics.cpp
+++ b/Source/Core/Gateway/GatewayMetrics.cpp
@@ -52,6 +52,15 @@
                      .Help("Changes of the judgement whether the state of the "
                            "store may be acted on")
                      .Register(*mRegistry))
+  , mSlowClients(prometheus::BuildCounter()
+                   .Name("gateway_slow_clients_ended_total")
+                   .Help("Clients that were ended because they did not read, "
+                         "by the bound")
+                   .Register(*mRegistry))
+  , mHeldBytes(prometheus::BuildGauge()
+                 .Name("gateway_held_bytes")
+                 .Help("Bytes held for clients and servers, by kind")
+                 .Register(*mRegistry))
   , mFirstByteSeen(prometheus::BuildHistogram()
                      .Name("gateway_first_byte_seconds")
                      .Help("Time to the first byte of the answer")
@@ -85,6 +94,8 @@
   , mLeftAnswers(AddGauge("gateway_left_answers",
                           "1 while the host asks to be left out of address "
                           "answers"))
+  , mUnreadClients(AddGauge("gateway_unread_clients",
+                            "Clients with unsent bytes that do not read"))
 {
 }
 
@@ -98,6 +109,16 @@
     .Add({});
 }
 
+void gateway_metrics::OnSlowClient(bool aForNode)
+{
+  mSlowClients.Add({ { "bound", aForNode ? "node" : "stream" } }).Increment();
+}
+
+void gateway_metrics::SetHeldBytes(std::string_view aKind, double aBytes)
+{
+  mHeldBytes.Add({ { "kind", std::string(aKind) } }).Set(aBytes);
+}
+
 void gateway_metrics::OnStateVerdict(std::string_view aVerdict)
 {
   mStateVerdicts.Add({ { "verdict", std::string(aVerdict) } }).Increment();
--- a/Source/Core/Gateway/GatewayMetrics.h
+++ b/Source/Core/Gateway/GatewayMetrics.h
@@ -39,6 +39,12 @@
   void OnLimitedSend(bool aRepeated);
   /// Counts a send to a cold server.
   void OnColdSend(bool aRepeated);
+  /// Counts a client that was ended because it did not read. `aForNode` tells
+  /// whether for the memory of the node.
+  void OnSlowClient(bool aForNode);
+  /// Sets the bytes that are held for clients and servers, by kind.
+  void SetHeldBytes(std::string_view aKind, double aBytes);
+  void SetUnreadClients(double aCount) { mUnreadClients.Set(aCount); }
   /// Counts a change of the judgement on the state that the node has.
   void OnStateVerdict(std::string_view aVerdict);
   void SetLinkWait(double aSeconds) { mLinkWait.Set(aSeconds); }
@@ -73,6 +79,8 @@
   prometheus::Family<prometheus::Counter>& mLimitedSends;
   prometheus::Family<prometheus::Counter>& mColdSends;
   prometheus::Family<prometheus::Counter>& mStateVerdicts;
+  prometheus::Family<prometheus::Counter>& mSlowClients;
+  prometheus::Family<prometheus::Gauge>& mHeldBytes;
   prometheus::Family<prometheus::Histogram>& mFirstByteSeen;
   prometheus::Gauge& mOpenRequests;
   prometheus::Gauge& mLiveNodes;
@@ -88,4 +96,5 @@
   prometheus::Gauge& mLinkUse;
   prometheus::Gauge& mProcessorUse;
   prometheus::Gauge& mLeftAnswers;
+  prometheus::Gauge& mUnreadClients;
 };
--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -41,9 +41,6 @@
 constexpr milliseconds kTentativeRemovalWindow(3500);
 // Connections to a server break after this long without TCP acknowledgements.
 constexpr tcp_liveness kUpstreamLiveness{ milliseconds(3000) };
-// Share of the memory that bodies of open requests may take. The process itself
-// needs about 6 MB; responses and connection buffers need the rest.
-constexpr double kBodyMemoryShare = 0.3;
 
 milliseconds Share(milliseconds aTime, double aShare)
 {
@@ -104,6 +101,7 @@
   })
   , mFleet(SelfReport(aSettings, std::stoull(mRun, nullptr, 16)))
   , mStreamOrigins(FormatTcpAddress(aSettings.mPeer))
+  , mHeld(aSettings.mMemoryBytes)
   , mCrashExchange(mCrashes, mSegmentCrashes, mMetrics, mStore, mTime, mRun)
   , mHomes(mSettings.mZoneRegions)
   , mEvacuationRows(mCodec, mUpstreamRegistry, mMetrics)
@@ -128,6 +126,7 @@
               .mFleet = mFleet,
               .mHomes = mHomes,
               .mStreamOrigins = mStreamOrigins,
+              .mHeld = mHeld,
               .mMetrics = mMetrics }
   , mPeerTransport(mFleet,
                    mTokenAllowance,
@@ -168,8 +167,6 @@
         return AddressRegions(aHost, aRegion);
       })
 {
-  mContext.mMaxBodyBytes = static_cast<std::size_t>(
-    static_cast<double>(mSettings.mMemoryBytes) * kBodyMemoryShare);
   for (const std::string& seed : mSettings.mSeeds) {
     mFleet.AddCandidate(seed);
   }
--- a/Source/Core/Gateway/GatewayNode.h
+++ b/Source/Core/Gateway/GatewayNode.h
@@ -17,6 +17,7 @@
 #include "Gateway/PeerTransport.h"
 #include "Gateway/RequestRelay.h"
 #include "Gateway/ServerProbe.h"
+#include "Gateway/SlowReaders.h"
 #include "Gateway/StallDetector.h"
 #include "Gateway/TableFollower.h"
 #include "Net/HttpListener.h"
@@ -104,6 +105,14 @@
   /// Decides whether the host leaves the address answers, and states its load
   /// in the report.
   void UpdateHostLoad(time_point aNow);
+  /// Sums the bytes that are held for clients and servers.
+  void UpdateHeldBytes();
+  /// Ends streams of clients that do not read.
+  void EndSlowReaders(time_point aNow);
+  std::vector<client_sample> SampleClients(time_point aNow) const;
+  void EndSlowReader(http_server_connection& aConnection,
+                     const client_to_end& aClient,
+                     time_point aNow);
   /// Adapts the hosts that address answers name.
   void UpdateEndpoints(time_point aNow);
   /// Processor time since the last call as a share of what the host may use;
@@ -153,6 +162,8 @@
   server_probe mProbe;
   fleet_view mFleet;
   stream_origins mStreamOrigins;
+  held_bytes mHeld;
+  slow_readers mSlowReaders;
   gateway_metrics mMetrics;
   crash_exchange mCrashExchange;
   home_regions mHomes;
--- a/Source/Core/Gateway/GatewayNodeEndpoints.cpp
+++ b/Source/Core/Gateway/GatewayNodeEndpoints.cpp
@@ -65,9 +65,8 @@
     measurement.mLinkUse = mLinkOverload.Utilization();
   }
   measurement.mProcessorUse = MeasureProcessorUse(aNow);
-  if (mContext.mMaxBodyBytes > 0) {
-    measurement.mMemoryUse = static_cast<double>(mContext.mBodyBytes) /
-                             static_cast<double>(mContext.mMaxBodyBytes);
+  if (mHeld.Limit() > 0) {
+    measurement.mMemoryUse = mHeld.Use();
   }
   // While the process was suspended no report was read.
   measurement.mHeardByPeers =
--- /dev/null
+++ b/Source/Core/Gateway/GatewayNodeMemory.cpp
@@ -0,0 +1,114 @@
+// Parts of `gateway_node` that bound the memory held for clients and servers.
+
+#include "Gateway/GatewayNode.h"
+
+#include <algorithm>
+
+#include "Common/Log.h"
+
+void gateway_node::UpdateHeldBytes()
+{
+  std::size_t arriving = 0;
+  std::size_t toClients = 0;
+  for (const auto& connection : mClientListener->Connections()) {
+    arriving += connection->InputBytes();
+    toClients += connection->PendingBytes();
+  }
+  std::size_t toServers = 0;
+  std::size_t buffered = 0;
+  for (const auto& [connection, session] : mSessions) {
+    toServers += session->BytesToServer();
+    buffered += session->BufferedBytes();
+  }
+  for (const auto& [connection, relay] : mRelays) {
+    toServers += relay->BytesToNode();
+  }
+  mHeld.Set(held_kind::ArrivingRequests, arriving);
+  mHeld.Set(held_kind::ToServers, toServers);
+  mHeld.Set(held_kind::BufferedResponses, buffered);
+  mHeld.Set(held_kind::ToClients, toClients);
+}
+
+std::vector<client_sample> gateway_node::SampleClients(time_point aNow) const
+{
+  std::vector<client_sample> samples;
+  for (const auto& connection : mClientListener->Connections()) {
+    if (connection->Closed() || connection->PendingBytes() == 0) {
+      continue;
+    }
+    const auto state = connection->SendState();
+    if (!state) {
+      continue;
+    }
+    const auto session = mSessions.find(connection.get());
+    const auto relay = mRelays.find(connection.get());
+    // A planned stop lets clients read their whole responses.
+    const bool paused =
+      !mStopStartedAt &&
+      ((session != mSessions.end() && session->second->ReadingPaused()) ||
+       (relay != mRelays.end() && relay->second->ReadingPaused()));
+    samples.push_back({ reinterpret_cast<std::uintptr_t>(connection.get()),
+                        connection->PendingBytes(),
+                        state->mAcknowledgedBytes,
+                        state->mWindowClosed,
+                        aNow - state->mSinceHeard,
+                        paused });
+  }
+  return samples;
+}
+
+void gateway_node::EndSlowReaders(time_point aNow)
+{
+  // Acknowledgements that arrived during a suspension may not be handled yet.
+  if (mStalls.MustReadFirst(aNow)) {
+    return;
+  }
+  UpdateHeldBytes();
+  const auto ended =
+    mSlowReaders.Update(SampleClients(aNow), mHeld.Excess(), aNow);
+  for (const client_to_end& client : ended) {
+    const auto& connections = mClientListener->Connections();
+    const auto found =
+      std::ranges::find_if(connections, [&](const auto& aConnection) {
+        return reinterpret_cast<std::uintptr_t>(aConnection.get()) ==
+               client.mConnection;
+      });
+    if (found != connections.end() && !(*found)->Closed()) {
+      EndSlowReader(**found, client, aNow);
+    }
+  }
+}
+
+void gateway_node::EndSlowReader(http_server_connection& aConnection,
+                                 const client_to_end& aClient,
+                                 time_point aNow)
+{
+  const auto session = mSessions.find(&aConnection);
+  const auto relay = mRelays.find(&aConnection);
+  const bool hasSession =
+    session != mSessions.end() && !session->second->Finished();
+  const bool hasRelay = relay != mRelays.end() && !relay->second->Finished();
+  // The response may be complete and only its last bytes unread.
+  Log(log_level::Info,
+      "slow_client_ended",
+      { Field("id",
+              hasSession ? session->second->RequestId()
+              : hasRelay ? relay->second->RequestId()
+                         : std::string()),
+        Field("bytes", aClient.mUnsentBytes),
+        Field("unread_ms",
+              std::chrono::duration_cast<std::chrono::milliseconds>(
+                aNow - aClient.mUnreadSince)
+                .count()),
+        Field("bound", aClient.mForNode ? "node" : "stream"),
+        Field("held_bytes", mHeld.Total()),
+        Field("held_limit", mHeld.Limit()) });
+  mMetrics.OnSlowClient(aClient.mForNode);
+  if (hasSession) {
+    session->second->EndSlowClient();
+  } else if (hasRelay) {
+    relay->second->EndSlowClient();
+  } else {
+    aConnection.Abort();
+  }
+}
--- a/Source/Core/Gateway/GatewayNodeTicks.cpp
+++ b/Source/Core/Gateway/GatewayNodeTicks.cpp
@@ -87,6 +87,7 @@
                 [](const auto& aPair) { return aPair.second->Finished(); });
   std::erase_if(mRelays,
                 [](const auto& aPair) { return aPair.second->Finished(); });
+  UpdateHeldBytes();
   if (mStopStartedAt) {
     ContinueStop(now);
   }
@@ -262,6 +263,7 @@
   mStalls.OnTick(now);
   UpdateLinkOverload(now);
   UpdateHostLoad(now);
+  EndSlowReaders(now);
   if (mStalls.CanJudgeSilence(now)) {
     for (const upstream_id& server :
          mUpstreamRegistry.SilentFor(kSilenceTime, now)) {
@@ -344,6 +346,11 @@
   mPeerTransport.CheckDeadlines(now);
   mMetrics.SetLinkWait(
     std::chrono::duration<double>(mLinkQueue.LeavesAt(0, now) - now).count());
+  for (const held_kind kind : kHeldKinds) {
+    mMetrics.SetHeldBytes(HeldKindName(kind),
+                          static_cast<double>(mHeld.Of(kind)));
+  }
+  mMetrics.SetUnreadClients(static_cast<double>(mSlowReaders.UnreadCount()));
   mMetrics.SetOpenRequests(static_cast<double>(mSessions.size()));
   mMetrics.SetLiveNodes(static_cast<double>(mFleet.LiveNodeCount(now)));
   mMetrics.SetOpenedConnections(static_cast<double>(mPool.Opened()));
--- a/Source/Core/Gateway/GatewaySession.cpp
+++ b/Source/Core/Gateway/GatewaySession.cpp
@@ -50,13 +50,13 @@
 {
   mRouteDeadline = mArrived;
   mDeadline = mArrived;
-  mContext.mBodyBytes += mRequest.mBody.size();
+  mContext.mHeld.Add(held_kind::RequestBodies, mRequest.mBody.size());
   Begin();
 }
 
 gateway_session::~gateway_session()
 {
-  mContext.mBodyBytes -= mRequest.mBody.size();
+  mContext.mHeld.Remove(held_kind::RequestBodies, mRequest.mBody.size());
   if (mConnection) {
     mConnection->Reset();
   }
@@ -68,7 +68,7 @@
     Refuse(mRoutes ? "node_leaving" : "no_configuration", kRefusalRetryDelay);
     return;
   }
-  if (mContext.mBodyBytes > mContext.mMaxBodyBytes) {
+  if (mContext.mHeld.IsFull()) {
     Refuse("memory_full", kRefusalRetryDelay);
     return;
   }
@@ -175,7 +175,7 @@
   FinishReservation();
   mStage = stage::Finished;
   mClient = nullptr;
-  mContext.mBodyBytes -= mRequest.mBody.size();
+  mContext.mHeld.Remove(held_kind::RequestBodies, mRequest.mBody.size());
   relay_request relay{
     std::move(mRequest), mRoute->mName, mRegions, mArrived, mDeadline
   };
@@ -190,6 +190,14 @@
   Finish(kClientClosedRequest, "client_gone");
 }
 
+void gateway_session::EndSlowClient()
+{
+  http_server_connection* client = std::exchange(mClient, nullptr);
+  AbandonUpstream("slow_client");
+  Finish(kClientClosedRequest, "slow_client");
+  client->Abort();
+}
+
 void gateway_session::EndAtStop()
 {
   if (!Finished()) {
--- a/Source/Core/Gateway/GatewaySession.h
+++ b/Source/Core/Gateway/GatewaySession.h
@@ -12,6 +12,7 @@
 #include "Gateway/GatewayCodec.h"
 #include "Gateway/GatewayMetrics.h"
 #include "Gateway/GatewaySettings.h"
+#include "Gateway/HeldBytes.h"
 #include "Gateway/HomeRegions.h"
 #include "Gateway/LinkQueue.h"
 #include "Gateway/RouteTable.h"
@@ -40,6 +41,7 @@
   fleet_view& mFleet;
   const home_regions& mHomes;
   stream_origins& mStreamOrigins;
+  held_bytes& mHeld;
   gateway_metrics& mMetrics;
   /// Null until a configuration was read.
   std::shared_ptr<const route_table> mRoutes{};
@@ -60,9 +62,6 @@
   bool mRelaying = false;
   /// Whether the node refuses new requests, at the end of a graceful stop.
   bool mRefusingRequests = false;
-  /// Bytes of the bodies of open requests, and their limit.
-  std::size_t mBodyBytes = 0;
-  std::size_t mMaxBodyBytes = 0;
   /// Connections that were dropped inside one of their own events and must be
   /// destroyed later.
   std::vector<std::unique_ptr<http_client_connection>> mDiscardedConnections{};
@@ -85,7 +84,22 @@
   /// Ends the request because the node has to end.
   void EndAtStop();
   void OnClientDrained();
+  /// Ends the request because its client does not read.
+  void EndSlowClient();
 
+  const std::string& RequestId() const { return mRequest.mId; }
+  /// Bytes of the request that its server has not taken.
+  std::size_t BytesToServer() const
+  {
+    return mConnection ? mConnection->PendingBytes() : 0;
+  }
+  /// Bytes of the response that are held until it is complete.
+  std::size_t BufferedBytes() const
+  {
+    return mBuffered.size() + mEvents.PartialBytes();
+  }
+  /// Whether the server is not read because the client is slower.
+  bool ReadingPaused() const { return mReadingPaused; }
   bool Finished() const { return mStage == stage::Finished; }
   /// Whether the request is to be passed on to another node.
   bool NeedsRelay() const { return mStage == stage::NeedRelay; }
@@ -159,8 +173,13 @@
   /// When the bytes of the request would leave the host if they were sent now.
   time_point LeavesAt(time_point aNow) const;
   void ForwardEvents(std::string_view aBytes);
+  /// Sends a part of the body to the client, and stops reading from the server
+  /// while the client is slower.
+  void WriteToClient(std::string_view aBytes);
   /// Stops reading from the server while the client is slower.
   void PauseForClient();
+  /// Reads from the server again if the client has taken enough.
+  void ContinueForClient();
   /// Records the time between events of the server.
   void RecordEvents();
   void RecordFirstByte();
--- a/Source/Core/Gateway/GatewaySessionAdmission.cpp
+++ b/Source/Core/Gateway/GatewaySessionAdmission.cpp
@@ -249,6 +249,15 @@
         : std::optional(RetryAfter(query, aNow, StableHash(mRequest.mId))));
     return;
   }
+  // Until the server has taken the body, it is held twice. A node that holds no
+  // other body sends it all the same.
+  const std::size_t body = mRequest.mBody.size();
+  if (verdict == admission_verdict::Send && mAttempts == 0 &&
+      mContext.mHeld.Of(held_kind::RequestBodies) > body &&
+      !mContext.mHeld.HasRoom(body)) {
+    EndUnsent("memory_full", kRefusalRetryDelay);
+    return;
+  }
   if (verdict == admission_verdict::Send) {
     Send(*chosen, aNow);
   } else if (verdict == admission_verdict::Refuse) {
--- a/Source/Core/Gateway/GatewaySessionResponse.cpp
+++ b/Source/Core/Gateway/GatewaySessionResponse.cpp
@@ -2,6 +2,7 @@
 
 #include "Gateway/GatewaySession.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "Common/Hash.h"
@@ -10,11 +11,6 @@
 
 namespace {
 
-// Limit of unsent bytes to a client; above it the server is no longer read.
-constexpr std::size_t kMaxPendingBytes = 262144;
-// Response bodies up to this size are buffered and sent whole, so that a broken
-// connection does not truncate them.
-constexpr std::size_t kMaxBufferedBytes = 1048576;
 // Longest event of a stream. Events hold a few tokens each.
 constexpr std::size_t kMaxEventBytes = 262144;
 // Events of a stream beyond one for each token that the request allows.
@@ -102,16 +98,18 @@
     return;
   }
   if (mResponseStarted) {
-    mClient->WriteBody(aBytes);
-    PauseForClient();
+    WriteToClient(aBytes);
     return;
   }
   mBuffered.append(aBytes);
-  if (mBuffered.size() > kMaxBufferedBytes) {
+  mContext.mHeld.Add(held_kind::BufferedResponses, aBytes.size());
+  if (mBuffered.size() > mContext.mHeld.BufferLimit()) {
     mResponseStarted = true;
     RecordFirstByte();
     mClient->StartResponse(ClientHead(mResponse.mFraming));
-    mClient->WriteBody(std::exchange(mBuffered, {}));
+    const std::string body = std::exchange(mBuffered, {});
+    mContext.mHeld.Remove(held_kind::BufferedResponses, body.size());
+    WriteToClient(body);
   }
 }
 
@@ -138,18 +136,38 @@
                                         : mResponse.mFraming));
   }
   RecordEvents();
-  mClient->WriteBody(events);
+  WriteToClient(events);
+}
+
+void gateway_session::WriteToClient(std::string_view aBytes)
+{
+  const std::size_t before = mClient->PendingBytes();
+  mClient->WriteBody(aBytes);
+  const std::size_t after = mClient->PendingBytes();
+  // What the client takes is counted with the next tick; growth must be known
+  // to the other streams at once.
+  mContext.mHeld.Add(held_kind::ToClients, after - std::min(before, after));
   PauseForClient();
 }
 
 void gateway_session::PauseForClient()
 {
-  if (mClient->PendingBytes() > kMaxPendingBytes && !mReadingPaused) {
+  if (mClient->PendingBytes() > mContext.mHeld.StreamLimit() &&
+      !mReadingPaused) {
     mReadingPaused = true;
     mConnection->SetReading(false);
   }
 }
 
+void gateway_session::ContinueForClient()
+{
+  if (mReadingPaused && mClient != nullptr && mConnection &&
+      mClient->PendingBytes() <= mContext.mHeld.StreamLimit() / 2) {
+    mReadingPaused = false;
+    mConnection->SetReading(true);
+  }
+}
+
 void gateway_session::RecordEvents()
 {
   const time_point now = mContext.mTime.Now();
--- a/Source/Core/Gateway/GatewaySessionUpstream.cpp
+++ b/Source/Core/Gateway/GatewaySessionUpstream.cpp
@@ -84,6 +84,7 @@
   mEventStream = false;
   mBuffered.clear();
   mRefusalBytes = 0;
+  mReadingPaused = false;
   mFirstEventAt.reset();
   mAnswering = false;
   ++mAttempts;
@@ -125,6 +126,7 @@
                      mRequest.mBody,
                      mRequest.mMethod == "HEAD",
                      *this);
+  mContext.mHeld.Add(held_kind::ToServers, mConnection->PendingBytes());
 }
 
 time_point gateway_session::LeavesAt(time_point aNow) const
@@ -134,6 +136,7 @@
 
 void gateway_session::AdvanceSent(time_point aNow)
 {
+  ContinueForClient();
   if (aNow >= mRouteDeadline || aNow >= mDeadline + kDeadlineGracePeriod) {
     EndWithoutServer("timeout", "server_not_reached");
     return;
--- a/Source/Core/Gateway/HeldBytes.h
+++ b/Source/Core/Gateway/HeldBytes.h
@@ -51,6 +51,8 @@
   double Use() const;
   /// Whether new requests must be refused.
   bool IsFull() const { return mTotal > mLimit; }
+  /// Whether `aBytes` more stay within the bound.
+  bool HasRoom(std::size_t aBytes) const { return mTotal + aBytes <= mLimit; }
   /// Bytes above the bound.
   std::size_t Excess() const { return IsFull() ? mTotal - mLimit : 0; }
   /// Unsent bytes to a client above which its server is no longer read.
--- a/Source/Core/Gateway/RequestRelay.cpp
+++ b/Source/Core/Gateway/RequestRelay.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/RequestRelay.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <fmt/format.h>
@@ -18,8 +19,6 @@
 // Time after the deadline at which the request is ended if the other node has
 // not done so.
 constexpr milliseconds kDeadlineGracePeriod(150);
-// Limit of unsent bytes to a client; above it the other node is no longer read.
-constexpr std::size_t kMaxPendingBytes = 262144;
 constexpr milliseconds kRefusalRetryDelay(200);
 constexpr unsigned kClientClosedRequest = 499;
 
@@ -34,13 +33,14 @@
   , mRequest(std::move(aRequest))
   , mPeers(std::move(aPeers))
 {
-  mContext.mBodyBytes += mRequest.mRequest.mBody.size();
+  mContext.mHeld.Add(held_kind::RequestBodies, mRequest.mRequest.mBody.size());
   TryNextPeer();
 }
 
 request_relay::~request_relay()
 {
-  mContext.mBodyBytes -= mRequest.mRequest.mBody.size();
+  mContext.mHeld.Remove(held_kind::RequestBodies,
+                        mRequest.mRequest.mBody.size());
   if (mConnection) {
     mConnection->Reset();
   }
@@ -90,6 +90,9 @@
     EndWithoutResponse("timeout");
   } else if (!mConnection->Connected() && aNow >= mConnectDeadline) {
     TryNextPeer();
+  } else if (mReadingPaused &&
+             mClient->PendingBytes() <= mContext.mHeld.StreamLimit() / 2) {
+    OnClientDrained();
   }
 }
 
@@ -113,8 +116,12 @@
 
 void request_relay::OnBody(std::string_view aBytes)
 {
+  const std::size_t before = mClient->PendingBytes();
   mClient->WriteBody(aBytes);
-  if (mClient->PendingBytes() > kMaxPendingBytes && !mReadingPaused) {
+  const std::size_t after = mClient->PendingBytes();
+  mContext.mHeld.Add(held_kind::ToClients, after - std::min(before, after));
+  if (mClient->PendingBytes() > mContext.mHeld.StreamLimit() &&
+      !mReadingPaused) {
     mReadingPaused = true;
     mConnection->SetReading(false);
   }
@@ -178,6 +185,13 @@
   Finish(kClientClosedRequest, "client_gone");
 }
 
+void request_relay::EndSlowClient()
+{
+  http_server_connection* client = std::exchange(mClient, nullptr);
+  Finish(kClientClosedRequest, "slow_client");
+  client->Abort();
+}
+
 void request_relay::EndAtStop()
 {
   if (!mFinished) {
--- a/Source/Core/Gateway/RequestRelay.h
+++ b/Source/Core/Gateway/RequestRelay.h
@@ -29,6 +29,17 @@
   /// Ends the request because the node has to end.
   void EndAtStop();
   void OnClientDrained();
+  /// Ends the request because its client does not read.
+  void EndSlowClient();
+
+  const std::string& RequestId() const { return mRequest.mRequest.mId; }
+  /// Bytes of the request that the other node has not taken.
+  std::size_t BytesToNode() const
+  {
+    return mConnection ? mConnection->PendingBytes() : 0;
+  }
+  /// Whether the other node is not read because the client is slower.
+  bool ReadingPaused() const { return mReadingPaused; }
   bool Finished() const { return mFinished; }
 
 private:
--- a/Source/Core/Gateway/SlowReaders.cpp
+++ b/Source/Core/Gateway/SlowReaders.cpp
@@ -12,15 +12,39 @@
 // taken, or the network may be at fault. Kernels probe a closed window after
 // 0.2, 0.6, 1.4 and 3 s.
 constexpr milliseconds kMinHeardTime(1000);
+// Time without a read that is allowed, in units of the client's longest pause.
+constexpr int kPauseFactor = 2;
 
 } // namespace
 
+slow_readers::progress slow_readers::Advance(const progress* aKnown,
+                                             const client_sample& aSample,
+                                             time_point aNow)
+{
+  if (aKnown != nullptr && aKnown->mTakenBytes == aSample.mTakenBytes &&
+      aSample.mWindowClosed) {
+    progress same = *aKnown;
+    same.mWindowClosed = true;
+    return same;
+  }
+  std::chrono::microseconds allowed = kUnreadTime;
+  if (aKnown != nullptr) {
+    allowed = aKnown->mUnreadAt - aKnown->mUnreadSince;
+    // While the window was open, the pause was not the client's.
+    if (aKnown->mWindowClosed) {
+      allowed = std::max(allowed, (aNow - aKnown->mUnreadSince) * kPauseFactor);
+    }
+    allowed = std::min<std::chrono::microseconds>(allowed, kMaxUnreadTime);
+  }
+  return { aSample.mTakenBytes, aNow, aNow + allowed, aSample.mWindowClosed };
+}
+
 bool slow_readers::DoesNotRead(const client_sample& aSample,
-                               time_point aUnreadSince,
+                               const progress& aProgress,
                                time_point aNow)
 {
-  return aSample.mWindowClosed && aNow >= aUnreadSince + kUnreadTime &&
-         aSample.mHeardAt >= aUnreadSince + kMinHeardTime;
+  return aSample.mWindowClosed && aNow >= aProgress.mUnreadAt &&
+         aSample.mHeardAt >= aProgress.mUnreadSince + kMinHeardTime;
 }
 
 std::vector<client_to_end> slow_readers::Update(
@@ -33,18 +57,15 @@
   std::vector<client_to_end> unread;
   for (const client_sample& sample : aSamples) {
     const auto known = mProgress.find(sample.mConnection);
-    const bool taken = known == mProgress.end() ||
-                       known->second.mTakenBytes != sample.mTakenBytes ||
-                       !sample.mWindowClosed;
-    const time_point unreadSince = taken ? aNow : known->second.mUnreadSince;
-    progresses[sample.mConnection] = { sample.mTakenBytes, unreadSince };
-    if (!DoesNotRead(sample, unreadSince, aNow)) {
+    const progress& current = progresses[sample.mConnection] = Advance(
+      known == mProgress.end() ? nullptr : &known->second, sample, aNow);
+    if (!DoesNotRead(sample, current, aNow)) {
       continue;
     }
     (sample.mAtBound ? ended : unread)
       .push_back({ sample.mConnection,
                    sample.mUnsentBytes,
-                   unreadSince,
+                   current.mUnreadSince,
                    !sample.mAtBound });
   }
   mProgress = std::move(progresses);
--- a/Source/Core/Gateway/SlowReaders.h
+++ b/Source/Core/Gateway/SlowReaders.h
@@ -46,14 +46,19 @@
 /// Follows what clients take. A client that takes anything, or that was not
 /// heard of since, is never ended: its bytes may wait for the network.
 ///
-/// A receiver announces space only once a sixteenth of its buffer is free, so a
-/// client that reads less than that in `kUnreadTime` counts as one that does
-/// not read.
+/// A receiver announces space only once a sixteenth of its buffer is free, so
+/// reads of a slow client are seen seconds apart. A client that was seen to
+/// read after a pause is given twice that pause; one that was not, and that
+/// reads less than a sixteenth in `kUnreadTime`, counts as one that does not
+/// read.
 class slow_readers
 {
 public:
   /// Time without a byte taken after which a client counts as not reading.
   static constexpr std::chrono::milliseconds kUnreadTime{ 2000 };
+  /// The same for clients that read with pauses. Kernels give a connection up
+  /// after 10 s.
+  static constexpr std::chrono::milliseconds kMaxUnreadTime{ 10000 };
 
   /// `aSamples` are all clients with unsent bytes; others are forgotten.
   /// `aExcess` are the bytes that the node holds above its bound. Returns the
@@ -62,7 +67,7 @@
   std::vector<client_to_end> Update(const std::vector<client_sample>& aSamples,
                                     std::size_t aExcess,
                                     time_point aNow);
-  /// Clients of the last call that have not read for `kUnreadTime`.
+  /// Clients of the last call that do not read.
   std::size_t UnreadCount() const { return mUnreadCount; }
 
 private:
@@ -70,10 +75,17 @@
   {
     std::uint64_t mTakenBytes = 0;
     time_point mUnreadSince;
+    /// When the client counts as not reading if it takes nothing until then.
+    time_point mUnreadAt;
+    /// Whether the window was closed at the last sample.
+    bool mWindowClosed = false;
   };
 
+  static progress Advance(const progress* aKnown,
+                          const client_sample& aSample,
+                          time_point aNow);
   static bool DoesNotRead(const client_sample& aSample,
-                          time_point aUnreadSince,
+                          const progress& aProgress,
                           time_point aNow);
 
   std::unordered_map<std::uintptr_t, progress> mProgress;
--- a/Source/Core/Net/HttpConnection.h
+++ b/Source/Core/Net/HttpConnection.h
@@ -108,7 +108,14 @@
   /// Whether a request is being received or answered.
   bool HasRequest() const { return mBusy || mRequestStarted; }
   bool Closed() const { return !mStream || mStream->Closed(); }
+  /// Bytes of responses that the kernel has not taken.
   std::size_t PendingBytes() const { return mStream->PendingBytes(); }
+  /// Bytes of requests that are not complete.
+  std::size_t InputBytes() const;
+  std::optional<tcp_send_state> SendState() const
+  {
+    return mStream->SendState();
+  }
   /// Once the deadline has passed, answers an incomplete request with status
   /// 408 and closes an idle connection.
   void CheckDeadline(time_point aNow);
@@ -215,6 +222,11 @@
   bool Closed() const { return !mStream || mStream->Closed(); }
   bool Connected() const { return mStream && mStream->Connected(); }
   bool Idle() const { return mObserver == nullptr; }
+  /// Bytes of the request that the kernel has not taken.
+  std::size_t PendingBytes() const
+  {
+    return mStream ? mStream->PendingBytes() : 0;
+  }
   const tcp_address& Address() const { return mAddress; }
   /// Requests sent on this connection.
   unsigned Uses() const { return mUses; }
--- a/Source/Core/Net/HttpListener.h
+++ b/Source/Core/Net/HttpListener.h
@@ -30,6 +30,12 @@
   /// Every later response announces and closes its connection.
   void SetCloseAfterResponse();
   std::size_t Open() const { return mConnections.size(); }
+  /// The connections, some of which may be closed.
+  const std::vector<std::unique_ptr<http_server_connection>>& Connections()
+    const
+  {
+    return mConnections;
+  }
   /// Whether a connection has a request or response in progress, or response
   /// bytes that the kernel has not taken yet.
   bool HasWork() const;
--- a/Source/Core/Net/HttpServerConnection.cpp
+++ b/Source/Core/Net/HttpServerConnection.cpp
@@ -92,6 +92,11 @@
   mLimits = aLimits;
 }
 
+std::size_t http_server_connection::InputBytes() const
+{
+  return mInput.size() + mParser->mParser.get().body().size();
+}
+
 void http_server_connection::StartRequest()
 {
   mParser = std::make_unique<parser_state>();
--- a/Source/Core/Net/TcpStream.cpp
+++ b/Source/Core/Net/TcpStream.cpp
@@ -303,6 +303,10 @@
     UpdateEvents();
     return;
   }
+  if (mOutput.capacity() > kCompactThresholdBytes) {
+    // An idle connection would keep the memory of its largest message.
+    mOutput = std::string();
+  }
   mOutput.clear();
   mOutputStart = 0;
   if (mCloseAfterDrain) {
@@ -353,6 +357,8 @@
     SetLinger(true);
   }
   CloseDescriptor();
+  mOutput = std::string();
+  mOutputStart = 0;
 }
 
 void tcp_stream::SetResetOnClose()
--- a/Source/Core/Net/TcpStream.h
+++ b/Source/Core/Net/TcpStream.h
@@ -12,6 +12,7 @@
 #include <glib.h>
 
 #include "Net/DescriptorWatch.h"
+#include "Net/TcpSendState.h"
 
 /// IPv4 address and port of a TCP socket. Unlike `socket_address` it holds no
 /// IPv6 address, and its port may be 0.
@@ -84,6 +85,11 @@
   std::size_t PendingBytes() const { return mOutput.size() - mOutputStart; }
   bool Connected() const { return mConnected; }
   bool Closed() const { return mDescriptor < 0; }
+  /// What the kernel knows of the bytes handed to it; nothing once closed.
+  std::optional<tcp_send_state> SendState() const
+  {
+    return ReadTcpSendState(mDescriptor);
+  }
   /// Whether the kernel holds received bytes that were not read yet.
   bool HasUnreadBytes() const;
 
--- a/Source/UnitTests/Gateway/SlowReadersTest.cpp
+++ b/Source/UnitTests/Gateway/SlowReadersTest.cpp
@@ -177,3 +177,21 @@
   Run(milliseconds(1800));
   EXPECT_TRUE(mEnded.empty());
 }
+
+// Guards against the end of a stream whose client reads a KB a second into a
+// receive buffer that announces space every four seconds.
+TEST_F(slow_readers_test, KeepsClientsThatWereSeenToPause)
+{
+  client_sample& client = Add(300'000);
+  unsigned count = 0;
+  const auto readRarely = [&](client_sample& aClient) {
+    aClient.mTakenBytes += ++count % 20 == 0 ? 4096 : 0;
+  };
+  // The stream is not at its bound yet.
+  Run(milliseconds(4200), 0, readRarely);
+  client.mAtBound = true;
+  Run(milliseconds(20000), 100'000'000, readRarely);
+  EXPECT_TRUE(mEnded.empty());
+  Run(milliseconds(8400));
+  EXPECT_EQ(mEnded.size(), 1U) << "it stopped";
+}
