Keep requests of any server under its memory, also the first one

An idle engine got any request, also one larger than its memory. Such a request is now refused at once with larger_than_server; an engine without a stated capacity is used as before.

Checked by tests: the first request, work of all nodes, repeats, resumed streams. Nodes without reports of each other still overfill a server (182,000 of 100,000 tokens with two nodes): server_memory_test.

--- a/Source/Core/Gateway/GatewaySessionAdmission.cpp
+++ b/Source/Core/Gateway/GatewaySessionAdmission.cpp
@@ -102,6 +102,11 @@
 
 void gateway_session::AdvanceTokens(time_point aNow)
 {
+  if (mContext.mUpstreamRegistry.ExceedsMemory(Query())) {
+    // Coming back does not help.
+    EndUnsent("larger_than_server", std::nullopt);
+    return;
+  }
   const std::int64_t need = mRequest.mPromptTokens + mRequest.mMaxOutputTokens;
   if (mAccount == nullptr || !mAccount->mPrepaidTokens || need == 0) {
     mStage = stage::NeedServer;
--- a/Source/Core/Gateway/UpstreamRegistry.cpp
+++ b/Source/Core/Gateway/UpstreamRegistry.cpp
@@ -340,6 +340,24 @@
   return suspect.empty() ? leaving : suspect;
 }
 
+std::int64_t upstream_registry::UsableKvTokens(
+  const engine_limits& aLimits) const
+{
+  return static_cast<std::int64_t>(static_cast<double>(aLimits.mKvTokens) *
+                                   mSettings.mKvShare);
+}
+
+bool upstream_registry::ExceedsMemory(const placement_query& aQuery) const
+{
+  const auto service = mServices.find(aQuery.mService.mName);
+  if (service == mServices.end() || !service->second.mEngine ||
+      service->second.mEngine->mKvTokens <= 0) {
+    return false;
+  }
+  return aQuery.mPromptTokens + aQuery.mOutputTokens >
+         UsableKvTokens(*service->second.mEngine);
+}
+
 std::optional<upstream_registry::rated_placement> upstream_registry::RateEngine(
   const upstream_record& aRecord,
   const upstream_work& aWork,
@@ -358,9 +376,9 @@
   placement& option = rated.mPlacement;
   option.mWork.mPrefillTokens = read;
   option.mWork.mKvTokens = aQuery.mPromptTokens + aQuery.mOutputTokens;
-  const auto most = static_cast<std::int64_t>(
-    static_cast<double>(aLimits.mKvTokens) * mSettings.mKvShare);
-  if (aWork.mRequests > 0 && aWork.mKvTokens + option.mWork.mKvTokens > most) {
+  // Without a stated capacity, an idle server takes any request.
+  if ((aWork.mRequests > 0 || aLimits.mKvTokens > 0) &&
+      aWork.mKvTokens + option.mWork.mKvTokens > UsableKvTokens(aLimits)) {
     return std::nullopt;
   }
   option.mWaitMs = aRecord.mSlowness *
--- a/Source/Core/Gateway/UpstreamRegistry.h
+++ b/Source/Core/Gateway/UpstreamRegistry.h
@@ -178,6 +178,9 @@
   /// Whether any usable server fits the query, busy or not. Servers that were
   /// tried already count.
   bool HasUsable(const placement_query& aQuery, time_point aNow) const;
+  /// Whether the tokens of the query exceed the memory of any server of the
+  /// service.
+  bool ExceedsMemory(const placement_query& aQuery) const;
   /// Whether servers fit the query, and all of them are in evacuated zones.
   bool OnlyEvacuated(const placement_query& aQuery, time_point aNow) const;
   /// Services and software versions of all servers.
@@ -296,6 +299,8 @@
   static bool Fits(const upstream_record& aRecord,
                    const placement_query& aQuery,
                    time_point aNow);
+  /// Tokens that running requests may occupy at an engine.
+  std::int64_t UsableKvTokens(const engine_limits& aLimits) const;
   upstream_work WorkAt(const upstream_record& aRecord) const;
   static shared_prompt SharedPrompt(const std::vector<prompt_segment>* aPrompt);
   /// Servers of the best non-empty group: healthy, suspect, then leaving or
