--- a/Source/Core/Gateway/GatewaySettings.cpp
+++ b/Source/Core/Gateway/GatewaySettings.cpp
@@ -31,20 +31,6 @@
     return value->get<std::string>();
   }
 
-  /// False if the key is absent.
-  bool OptionalFlag(const char* aKey)
-  {
-    const json* value = Find(aKey);
-    if (value == nullptr) {
-      return false;
-    }
-    if (!value->is_boolean()) {
-      Fail(aKey, "must be true or false");
-      return false;
-    }
-    return value->get<bool>();
-  }
-
   double Number(const char* aKey, double aMin, double aMax)
   {
     const json* value = Find(aKey);
--- a/Source/Core/Gateway/UpstreamRegistry.h
+++ b/Source/Core/Gateway/UpstreamRegistry.h
@@ -208,6 +208,9 @@
   /// Whether any usable server fits the query, busy or not. Servers that were
   /// tried already count.
   bool HasUsable(const placement_query& aQuery, time_point aNow) const;
+  /// Whether the tokens of the query exceed the memory of any server of the
+  /// service.
+  bool ExceedsMemory(const placement_query& aQuery) const;
   /// Whether servers fit the query, and all of them are in evacuated zones.
   bool OnlyEvacuated(const placement_query& aQuery, time_point aNow) const;
   /// Use of the servers that get new requests, by service. Suspect servers do
@@ -336,6 +339,8 @@
   static bool Fits(const upstream_record& aRecord,
                    const placement_query& aQuery,
                    time_point aNow);
+  /// Tokens that running requests may occupy at an engine.
+  std::int64_t UsableKvTokens(const engine_limits& aLimits) const;
   upstream_work WorkAt(const upstream_record& aRecord) const;
   /// Limit of the requests of all nodes at the server.
   static std::int64_t MostRequests(const upstream_record& aRecord,
