--- a/Source/Core/Config/SettingsPage.cpp
+++ b/Source/Core/Config/SettingsPage.cpp
@@ -19,6 +19,7 @@
 | `cold_over` | number | 0 to 1000 | `1` | Factor of the requests a second that a cold server states, for the requests of any one second. |
 | `cold_slack` | number | 0 to 1000000 requests | `0` | Requests that a cold server may get in any one second beyond that. |
 | `shed_by_rank` | true or false |  | `false` | Overloaded services shed load by rank and account, see `design/admission.md`. |
+| `learn_server_capacity` | true or false |  | `false` | The speed and the concurrency limit of each engine are estimated and used, see `design/server-capacity.md`. |
 | `zones[].name` | name |  | required | Availability zone. |
 | `zones[].region` | name |  | required | Region of the zone; homes of routes and accounts have an effect if there are at least two. |
 )";
