--- a/Source/Core/Gateway/GatewayMetrics.cpp
+++ b/Source/Core/Gateway/GatewayMetrics.cpp
@@ -52,6 +52,19 @@
                      .Help("Changes of the judgement whether the state of the "
                            "store may be acted on")
                      .Register(*mRegistry))
+  , mShed(prometheus::BuildCounter()
+            .Name("gateway_shed_requests_total")
+            .Help("Requests refused under overload, by rank")
+            .Register(*mRegistry))
+  , mSlowClients(prometheus::BuildCounter()
+                   .Name("gateway_slow_clients_ended_total")
+                   .Help("Clients that were ended because they did not read, "
+                         "by the bound")
+                   .Register(*mRegistry))
+  , mHeldBytes(prometheus::BuildGauge()
+                 .Name("gateway_held_bytes")
+                 .Help("Bytes held for clients and servers, by kind")
+                 .Register(*mRegistry))
   , mFirstByteSeen(prometheus::BuildHistogram()
                      .Name("gateway_first_byte_seconds")
                      .Help("Time to the first byte of the answer")
@@ -71,6 +84,14 @@
                              "Zones whose servers get no requests"))
   , mColdServers(
       AddGauge("gateway_cold_servers", "Servers that are known to be cold"))
+  , mEstimatedServers(AddGauge("gateway_estimated_servers",
+                               "Servers whose capacity is estimated"))
+  , mTurnedAway(AddGauge(
+      "gateway_turned_away_share",
+      "Share of requests refused because the limits of servers are used"))
+  , mIgnoredObservations(
+      AddGauge("gateway_ignored_observations",
+               "Implausible observations of other nodes since the start"))
   , mLinkWait(AddGauge("gateway_link_wait_seconds",
                        "Estimated time that bytes wait for the outgoing link"))
   , mRelaying(AddGauge("gateway_relaying",
@@ -85,6 +106,10 @@
   , mLeftAnswers(AddGauge("gateway_left_answers",
                           "1 while the host asks to be left out of address "
                           "answers"))
+  , mShedding(AddGauge("gateway_shedding_services",
+                       "Services whose load is shed by rank"))
+  , mUnreadClients(AddGauge("gateway_unread_clients",
+                            "Clients with unsent bytes that do not read"))
 {
 }
 
@@ -98,6 +123,16 @@
     .Add({});
 }
 
+void gateway_metrics::OnSlowClient(bool aForNode)
+{
+  mSlowClients.Add({ { "bound", aForNode ? "node" : "stream" } }).Increment();
+}
+
+void gateway_metrics::SetHeldBytes(std::string_view aKind, double aBytes)
+{
+  mHeldBytes.Add({ { "kind", std::string(aKind) } }).Set(aBytes);
+}
+
 void gateway_metrics::OnStateVerdict(std::string_view aVerdict)
 {
   mStateVerdicts.Add({ { "verdict", std::string(aVerdict) } }).Increment();
@@ -159,6 +194,14 @@
   mColdSends.Add({ { "repeated", aRepeated ? "true" : "false" } }).Increment();
 }
 
+void gateway_metrics::OnShed(int aRank, bool aPromised)
+{
+  mShed
+    .Add({ { "rank", fmt::format("{}", aRank) },
+           { "promised", aPromised ? "true" : "false" } })
+    .Increment();
+}
+
 std::string gateway_metrics::Text() const
 {
   return prometheus::TextSerializer().Serialize(mRegistry->Collect());
--- a/Source/Core/Gateway/GatewayMetrics.h
+++ b/Source/Core/Gateway/GatewayMetrics.h
@@ -39,6 +39,12 @@
   void OnLimitedSend(bool aRepeated);
   /// Counts a send to a cold server.
   void OnColdSend(bool aRepeated);
+  /// Counts a client that was ended because it did not read. `aForNode` tells
+  /// whether for the memory of the node.
+  void OnSlowClient(bool aForNode);
+  /// Sets the bytes that are held for clients and servers, by kind.
+  void SetHeldBytes(std::string_view aKind, double aBytes);
+  void SetUnreadClients(double aCount) { mUnreadClients.Set(aCount); }
   /// Counts a change of the judgement on the state that the node has.
   void OnStateVerdict(std::string_view aVerdict);
   void SetLinkWait(double aSeconds) { mLinkWait.Set(aSeconds); }
@@ -49,8 +55,22 @@
   void SetProcessorUse(double aUse) { mProcessorUse.Set(aUse); }
   void SetLeftAnswers(double aLeft) { mLeftAnswers.Set(aLeft); }
   void SetRateLimitedServers(double aCount) { mRateLimited.Set(aCount); }
+  /// Sets the number of servers with estimates, the share of requests that is
+  /// turned away, and the number of ignored observations of other nodes.
+  void SetServerEstimates(std::size_t aServers,
+                          double aTurnedAway,
+                          std::size_t aIgnored)
+  {
+    mEstimatedServers.Set(static_cast<double>(aServers));
+    mTurnedAway.Set(aTurnedAway);
+    mIgnoredObservations.Set(static_cast<double>(aIgnored));
+  }
   void SetColdServers(double aCount) { mColdServers.Set(aCount); }
   void SetEvacuatedZones(double aCount) { mEvacuatedZones.Set(aCount); }
+  void SetSheddingServices(double aCount) { mShedding.Set(aCount); }
+  /// Counts a refusal under overload, by rank. `aPromised` tells whether the
+  /// client was told when it will be admitted.
+  void OnShed(int aRank, bool aPromised);
   void SetOpenRequests(double aCount) { mOpenRequests.Set(aCount); }
   void SetLiveNodes(double aCount) { mLiveNodes.Set(aCount); }
   void SetConfigVersion(double aVersion) { mConfigVersion.Set(aVersion); }
@@ -73,6 +93,9 @@
   prometheus::Family<prometheus::Counter>& mLimitedSends;
   prometheus::Family<prometheus::Counter>& mColdSends;
   prometheus::Family<prometheus::Counter>& mStateVerdicts;
+  prometheus::Family<prometheus::Counter>& mShed;
+  prometheus::Family<prometheus::Counter>& mSlowClients;
+  prometheus::Family<prometheus::Gauge>& mHeldBytes;
   prometheus::Family<prometheus::Histogram>& mFirstByteSeen;
   prometheus::Gauge& mOpenRequests;
   prometheus::Gauge& mLiveNodes;
@@ -82,10 +105,15 @@
   prometheus::Gauge& mRateLimited;
   prometheus::Gauge& mEvacuatedZones;
   prometheus::Gauge& mColdServers;
+  prometheus::Gauge& mEstimatedServers;
+  prometheus::Gauge& mTurnedAway;
+  prometheus::Gauge& mIgnoredObservations;
   prometheus::Gauge& mLinkWait;
   prometheus::Gauge& mRelaying;
   prometheus::Gauge& mNamedHosts;
   prometheus::Gauge& mLinkUse;
   prometheus::Gauge& mProcessorUse;
   prometheus::Gauge& mLeftAnswers;
+  prometheus::Gauge& mShedding;
+  prometheus::Gauge& mUnreadClients;
 };
--- a/Source/Core/Gateway/GatewayNode.h
+++ b/Source/Core/Gateway/GatewayNode.h
@@ -17,6 +17,7 @@
 #include "Gateway/PeerTransport.h"
 #include "Gateway/RequestRelay.h"
 #include "Gateway/ServerProbe.h"
+#include "Gateway/SlowReaders.h"
 #include "Gateway/StallDetector.h"
 #include "Gateway/TableFollower.h"
 #include "Net/HttpListener.h"
@@ -104,6 +105,14 @@
   /// Decides whether the host leaves the address answers, and states its load
   /// in the report.
   void UpdateHostLoad(time_point aNow);
+  /// Sums the bytes that are held for clients and servers.
+  void UpdateHeldBytes();
+  /// Ends streams of clients that do not read.
+  void EndSlowReaders(time_point aNow);
+  std::vector<client_sample> SampleClients(time_point aNow) const;
+  void EndSlowReader(http_server_connection& aConnection,
+                     const client_to_end& aClient,
+                     time_point aNow);
   /// Adapts the hosts that address answers name.
   void UpdateEndpoints(time_point aNow);
   /// Processor time since the last call as a share of what the host may use;
@@ -128,8 +137,14 @@
                         time_point aNow);
   /// Logs the servers that became cold.
   void LogColdServers(time_point aNow);
+  /// Sends this node's load if it changed and the setting is on.
+  void SendLoad(time_point aNow);
+  void UpdateServerEstimates(time_point aNow);
   /// Reports crashes of servers that fell silent, and avoids these servers.
   void ReportSilentServers(time_point aNow);
+  /// Exchanges the costs that clients offer, and adapts what overloaded
+  /// services admit.
+  void UpdateAdmission(time_point aNow);
   void ContinueStop(time_point aNow);
   /// Whether no request is in progress and all prepaid tokens are returned.
   bool IsIdle() const;
@@ -153,6 +168,9 @@
   server_probe mProbe;
   fleet_view mFleet;
   stream_origins mStreamOrigins;
+  admission_control mAdmission;
+  held_bytes mHeld;
+  slow_readers mSlowReaders;
   gateway_metrics mMetrics;
   crash_exchange mCrashExchange;
   home_regions mHomes;
@@ -161,6 +179,9 @@
   fleet_rows mRows;
   gateway_context mContext;
   peer_transport mPeerTransport;
+  load_sender mLoadSender;
+  /// Number of updates of the estimates.
+  std::uint64_t mEstimateRound = 0;
   /// Age up to which state counts as recent.
   std::chrono::milliseconds mMaxStateAge;
   link_overload_detector mLinkOverload;
--- a/Source/Core/Gateway/GatewaySessionAdmission.cpp
+++ b/Source/Core/Gateway/GatewaySessionAdmission.cpp
@@ -102,6 +102,11 @@
 
 void gateway_session::AdvanceTokens(time_point aNow)
 {
+  if (mContext.mUpstreamRegistry.ExceedsMemory(Query())) {
+    // Coming back does not help.
+    EndUnsent("larger_than_server", std::nullopt);
+    return;
+  }
   const std::int64_t need = mRequest.mPromptTokens + mRequest.mMaxOutputTokens;
   if (mAccount == nullptr || !mAccount->mPrepaidTokens || need == 0) {
     mStage = stage::NeedServer;
@@ -115,7 +120,13 @@
   } else if (need > *mAccount->mPrepaidTokens) {
     Answer(http_status::kPaymentRequired, "larger_than_prepaid", std::nullopt);
   } else if (verdict == reserve_verdict::Exhausted ||
-             aNow >= mArrived + kTokenWaitTimeout) {
+             aNow >= mArrived + kTokenWaitTimeout ||
+             !mContext.mTokenAllowance.MayCoverWithin(
+               mAccount->mName,
+               need,
+               std::chrono::ceil<milliseconds>(mArrived + kTokenWaitTimeout -
+                                               aNow),
+               aNow)) {
     if (verdict == reserve_verdict::Awaiting) {
       mContext.mTokenAllowance.OnUnmetDemand(mAccount->mName, need, aNow);
     }
@@ -143,6 +154,11 @@
   query.mPrompt = mRequest.mPrompt.empty() ? nullptr : &mRequest.mPrompt;
   query.mExcluded = mTriedUpstreams;
   query.mAllowedZones = mAllowedZones ? &*mAllowedZones : nullptr;
+  if (mContext.mSettings.mLearnServerCapacity) {
+    query.mRandom = StableHash(mRequest.mId);
+    query.mEventGapObjective =
+      mRoute == nullptr ? milliseconds(0) : mRoute->mEventGapObjective;
+  }
   return query;
 }
 
@@ -228,7 +244,13 @@
     all.mExcluded.clear();
     query.mLimitedUntil = mContext.mUpstreamRegistry.LimitedUntil(all, aNow);
   }
+  if (EndIfShed(query, aNow)) {
+    return;
+  }
   admission_verdict verdict = Admit(query, aNow);
+  if (verdict != admission_verdict::Send) {
+    RecordNoRoom(chosen, query, aNow);
+  }
   if (verdict == admission_verdict::Wait &&
       !mContext.mUpstreamRegistry.HasUsable(Query(), aNow)) {
     verdict = admission_verdict::Refuse;
@@ -249,6 +271,15 @@
         : std::optional(RetryAfter(query, aNow, StableHash(mRequest.mId))));
     return;
   }
+  // Until the server has taken the body, it is held twice. A node that holds no
+  // other body sends it all the same.
+  const std::size_t body = mRequest.mBody.size();
+  if (verdict == admission_verdict::Send && mAttempts == 0 &&
+      mContext.mHeld.Of(held_kind::RequestBodies) > body &&
+      !mContext.mHeld.HasRoom(body)) {
+    EndUnsent("memory_full", kRefusalRetryDelay);
+    return;
+  }
   if (verdict == admission_verdict::Send) {
     Send(*chosen, aNow);
   } else if (verdict == admission_verdict::Refuse) {
--- a/Source/Core/Gateway/GatewaySettings.h
+++ b/Source/Core/Gateway/GatewaySettings.h
@@ -54,10 +54,15 @@
   std::map<zone_id, region_id> mZoneRegions;
   /// What cold servers may get in a second.
   cold_bound mColdBound;
+  /// Whether overloaded services shed load by rank and account.
+  bool mShedByRank = false;
   /// Grace period: time from SIGTERM to SIGKILL.
   std::chrono::milliseconds mGracePeriod{ 8000 };
   allowance_settings mTokenAllowance;
   placement_settings mUpstreamRegistry;
+  /// Whether the speed and the concurrency limit of servers are estimated and
+  /// used, see `server_estimates`.
+  bool mLearnServerCapacity = false;
 };
 
 /// Parses settings from JSON with comments; the error names file, line and key.
--- a/Source/Core/Gateway/PeerDatagram.cpp
+++ b/Source/Core/Gateway/PeerDatagram.cpp
@@ -7,6 +7,7 @@
 #include <capnp/serialize-packed.h>
 #include <kj/exception.h>
 
+#include "Gateway/CapacityDatagram.h"
 #include "Gateway/Fleet.capnp.h"
 
 namespace {
@@ -385,11 +386,77 @@
   return notice;
 }
 
+// The first byte means to a reader of packed messages that the next four bytes
+// are the number of segments, which is then too large.
+constexpr std::string_view kOfferedMark = "\x0fLSO";
+constexpr std::size_t kKeyBytes = 4;
+constexpr unsigned kByteBits = 8;
+
+std::string WriteOffered(const offered_notice& aNotice)
+{
+  std::string bytes(kOfferedMark);
+  for (std::size_t i = 0; i < kKeyBytes; ++i) {
+    bytes.push_back(static_cast<char>(aNotice.mNode >> (kByteBits * i)));
+  }
+  return bytes + WriteOfferedCosts(aNotice.mCosts);
+}
+
+std::optional<peer_datagram> ParseOffered(std::string_view aBytes)
+{
+  aBytes.remove_prefix(kOfferedMark.size());
+  if (aBytes.size() < kKeyBytes) {
+    return std::nullopt;
+  }
+  offered_notice notice;
+  for (std::size_t i = 0; i < kKeyBytes; ++i) {
+    notice.mNode |=
+      static_cast<std::uint32_t>(static_cast<unsigned char>(aBytes[i]))
+      << (kByteBits * i);
+  }
+  auto costs = ParseOfferedCosts(aBytes.substr(kKeyBytes));
+  if (!costs) {
+    return std::nullopt;
+  }
+  notice.mCosts = std::move(*costs);
+  return notice;
+}
+
+/// Reads a datagram that the generated code does not know.
+std::optional<peer_datagram> ReadLayout(capnp::AnyPointer::Reader aRoot)
+{
+  if (auto capacity = ReadCapacity(aRoot)) {
+    return std::move(*capacity);
+  }
+  if (auto load = ReadLoad(aRoot)) {
+    return std::move(*load);
+  }
+  return std::nullopt;
+}
+
+std::string Pack(capnp::MessageBuilder& aMessage)
+{
+  kj::VectorOutputStream packed;
+  capnp::writePackedMessage(packed, aMessage);
+  const auto bytes = packed.getArray();
+  return { reinterpret_cast<const char*>(bytes.begin()), bytes.size() };
+}
+
 } // namespace
 
 std::string WritePeerDatagram(const peer_datagram& aDatagram)
 {
+  if (const auto* offered = std::get_if<offered_notice>(&aDatagram)) {
+    return WriteOffered(*offered);
+  }
   capnp::MallocMessageBuilder message;
+  if (const auto* capacity = std::get_if<capacity_notice>(&aDatagram)) {
+    WriteCapacity(message, *capacity);
+    return Pack(message);
+  }
+  if (const auto* load = std::get_if<load_notice>(&aDatagram)) {
+    WriteLoad(message, *load);
+    return Pack(message);
+  }
   auto root = message.initRoot<fleet_wire::PeerDatagram>();
   if (const auto* report = std::get_if<node_report>(&aDatagram)) {
     Write(root.initReport(), *report);
@@ -408,14 +475,14 @@
   } else {
     Write(root.initTransfer(), std::get<token_transfer>(aDatagram));
   }
-  kj::VectorOutputStream packed;
-  capnp::writePackedMessage(packed, message);
-  const auto bytes = packed.getArray();
-  return { reinterpret_cast<const char*>(bytes.begin()), bytes.size() };
+  return Pack(message);
 }
 
 std::optional<peer_datagram> ParsePeerDatagram(std::string_view aBytes)
 {
+  if (aBytes.starts_with(kOfferedMark)) {
+    return ParseOffered(aBytes);
+  }
   std::optional<peer_datagram> datagram;
   const auto failure = kj::runCatchingExceptions([&] {
     kj::ArrayInputStream bytes(kj::arrayPtr(
@@ -449,6 +516,9 @@
       case fleet_wire::PeerDatagram::STREAM_ANSWER:
         datagram = Read(root.getStreamAnswer());
         break;
+      default:
+        datagram = ReadLayout(reader.getRoot<capnp::AnyPointer>());
+        break;
     }
   });
   return failure == nullptr ? datagram : std::nullopt;
--- a/Source/Core/Gateway/PeerTransport.cpp
+++ b/Source/Core/Gateway/PeerTransport.cpp
@@ -15,6 +15,7 @@
 #include <glib-unix.h>
 #include <kj/exception.h>
 
+#include "Capacity/ObservationTargets.h"
 #include "Common/Log.h"
 #include "Gateway/Fleet.capnp.h"
 #include "Net/HttpStatus.h"
@@ -175,6 +176,7 @@
                                token_allowance& aTokenAllowance,
                                crash_exchange& aCrashes,
                                stream_origins& aStreams,
+                               admission_control& aAdmission,
                                const time_source& aTime,
                                double aLinkBytesPerSecond,
                                snapshot_source aSnapshot)
@@ -182,6 +184,7 @@
   , mTokenAllowance(aTokenAllowance)
   , mCrashes(aCrashes)
   , mStreams(aStreams)
+  , mAdmission(aAdmission)
   , mTime(aTime)
   , mLinkBytesPerSecond(aLinkBytesPerSecond)
   , mSnapshot(std::move(aSnapshot))
@@ -248,6 +251,15 @@
   }
 }
 
+void peer_transport::SendOfferedCosts(const std::vector<offered_cost>& aCosts)
+{
+  const std::string bytes =
+    WritePeerDatagram(offered_notice{ NodeKey(mView.Self().mAddress), aCosts });
+  for (const std::string& target : mView.ReportTargets(mRound)) {
+    Send(target, bytes);
+  }
+}
+
 void peer_transport::SendCrashNews()
 {
   const time_point now = mTime.Now();
@@ -263,6 +275,27 @@
   }
 }
 
+void peer_transport::SendLoad(load_notice aNotice)
+{
+  aNotice.mAddress = mView.Self().mAddress;
+  aNotice.mRun = mView.Self().mRun;
+  SendToAll(aNotice, mTime.Now());
+}
+
+void peer_transport::SendObservations(const capacity_notice& aNotice)
+{
+  if (aNotice.mObservations.empty()) {
+    return;
+  }
+  const std::string bytes = WritePeerDatagram(aNotice);
+  for (const std::string& peer :
+       ObservationTargets(mView.LivePeerAddresses(mTime.Now()),
+                          mView.Self().mAddress,
+                          ++mObservationRound)) {
+    Send(peer, bytes);
+  }
+}
+
 void peer_transport::SendToAll(const peer_datagram& aDatagram, time_point aNow)
 {
   const std::string bytes = WritePeerDatagram(aDatagram);
@@ -317,7 +350,15 @@
 void peer_transport::OnDatagram(const peer_datagram& aDatagram)
 {
   const time_point now = mTime.Now();
-  if (const auto* report = std::get_if<node_report>(&aDatagram)) {
+  if (const auto* load = std::get_if<load_notice>(&aDatagram)) {
+    if (mLearning != nullptr) {
+      mLearning->AddPeerWork(mView.OnLoad(*load, now));
+    }
+  } else if (const auto* capacity = std::get_if<capacity_notice>(&aDatagram)) {
+    if (mLearning != nullptr && mLearning->Estimates() != nullptr) {
+      mIgnoredObservations += mLearning->Estimates()->OnObservations(*capacity);
+    }
+  } else if (const auto* report = std::get_if<node_report>(&aDatagram)) {
     mView.OnReport(*report, now);
   } else if (const auto* request = std::get_if<token_request>(&aDatagram)) {
     const bool repeated = mTokenAllowance.WasAnswered(*request);
@@ -342,6 +383,8 @@
     Send(query->mAddress, WritePeerDatagram(mStreams.OnQuery(*query, now)));
   } else if (const auto* answer = std::get_if<stream_answer>(&aDatagram)) {
     mStreams.OnAnswer(*answer, now);
+  } else if (const auto* offered = std::get_if<offered_notice>(&aDatagram)) {
+    mAdmission.OnReport(offered->mNode, offered->mCosts, now);
   } else {
     mTokenAllowance.OnTransfer(std::get<token_transfer>(aDatagram),
                                mView.Self().mRun);
--- a/Source/Core/Gateway/PeerTransport.h
+++ b/Source/Core/Gateway/PeerTransport.h
@@ -7,6 +7,7 @@
 
 #include <glib.h>
 
+#include "Admission/AdmissionControl.h"
 #include "Common/EventLoop.h"
 #include "Common/Time.h"
 #include "Gateway/CrashExchange.h"
@@ -28,6 +29,7 @@
                  token_allowance& aTokenAllowance,
                  crash_exchange& aCrashes,
                  stream_origins& aStreams,
+                 admission_control& aAdmission,
                  const time_source& aTime,
                  double aLinkBytesPerSecond,
                  snapshot_source aSnapshot);
@@ -38,6 +40,9 @@
   /// Sends the report of this node, and its notices about crashed servers, to
   /// the targets of the next round.
   void SendReports();
+  /// Sends the costs that clients offer at this node to the targets of the last
+  /// report.
+  void SendOfferedCosts(const std::vector<offered_cost>& aCosts);
   /// Sends news about crashed servers to all live nodes.
   void SendCrashNews();
   /// Sends pauses for brittle servers to all live nodes.
@@ -45,6 +50,16 @@
   /// Sends records of streams that began to the nodes that keep copies, and
   /// queries about resumed streams.
   void SendStreamMessages();
+  /// From now on, loads and observations of other nodes are passed to the
+  /// registry. They are ignored otherwise.
+  void LearnCapacity(upstream_registry& aServers) { mLearning = &aServers; }
+  /// Sends the load of this node to all live nodes.
+  void SendLoad(load_notice aNotice);
+  /// Sends observations of servers to all live nodes, or to some of them in
+  /// large fleets.
+  void SendObservations(const capacity_notice& aNotice);
+  /// Number of implausible observations of other nodes so far.
+  std::size_t IgnoredObservations() const { return mIgnoredObservations; }
   /// Requests prepaid tokens from other nodes for accounts that lack them.
   void SendTokenRequests();
   /// Requests the tables of a live peer whose state is newer than that of
@@ -73,7 +88,12 @@
   token_allowance& mTokenAllowance;
   crash_exchange& mCrashes;
   stream_origins& mStreams;
+  admission_control& mAdmission;
   const time_source& mTime;
+  /// Null unless capacity is learned.
+  upstream_registry* mLearning = nullptr;
+  std::uint64_t mObservationRound = 0;
+  std::size_t mIgnoredObservations = 0;
   double mLinkBytesPerSecond;
   snapshot_source mSnapshot;
   /// Snapshots are refused until this time, so that requests have most of the
