Log what a planned stop does with each request

stop_began names the schedule, sent_while_stopping each send with the time left, request_cut_by_stop each request that the end of the node breaks off, also relayed ones, and gateway_stopped what was still open. The schedule becomes a value, computed once at the signal, so that a reload in a stop no longer moves it. What the node takes and when it ends stays as it was.

--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -246,7 +246,7 @@
 
 bool gateway_node::Ready() const
 {
-  return mContext.mRoutes && mUpstreamRegistry.Size() > 0 && !mStopStartedAt &&
+  return mContext.mRoutes && mUpstreamRegistry.Size() > 0 && !mContext.mStop &&
          mContext.mState != state_verdict::Outdated && !mContext.mRelaying;
 }
 
--- a/Source/Core/Gateway/GatewayNode.h
+++ b/Source/Core/Gateway/GatewayNode.h
@@ -145,7 +145,7 @@
   /// Exchanges the costs that clients offer, and adapts what overloaded
   /// services admit.
   void UpdateAdmission(time_point aNow);
-  void ContinueStop(time_point aNow);
+  void ContinueStop(const stop_schedule& aSchedule, time_point aNow);
   /// Whether no request is in progress and all prepaid tokens are returned.
   bool IsIdle() const;
 
@@ -211,7 +211,8 @@
   time_point mNextSnapshotAt;
   /// Until when removals may be an effect of an outage of the store.
   time_point mRemovalsTentativeUntil;
-  std::optional<time_point> mStopStartedAt;
+  /// Whether a stop has reached the time from which on requests are refused.
+  bool mRefusing = false;
   /// Set once the node accepts no more connections in a stop: requests on the
   /// accepted ones are awaited until then.
   std::optional<time_point> mLastRequestsUntil;
--- a/Source/Core/Gateway/GatewayNodeMemory.cpp
+++ b/Source/Core/Gateway/GatewayNodeMemory.cpp
@@ -44,7 +44,7 @@
     const auto relay = mRelays.find(connection.get());
     // A planned stop lets clients read their whole responses.
     const bool paused =
-      !mStopStartedAt &&
+      !mContext.mStop &&
       ((session != mSessions.end() && session->second->ReadingPaused()) ||
        (relay != mRelays.end() && relay->second->ReadingPaused()));
     samples.push_back({ reinterpret_cast<std::uintptr_t>(connection.get()),
--- a/Source/Core/Gateway/GatewayNodeTicks.cpp
+++ b/Source/Core/Gateway/GatewayNodeTicks.cpp
@@ -26,14 +26,6 @@
 // above the 1,420 ms that pass between two reads of a store in contact, and
 // leaves time for three attempts.
 constexpr double kRefreshAgeShare = 0.7;
-// Phases of a graceful stop as shares of the grace period: the node takes new
-// requests while clients still hold its address, then refuses them, and ends
-// before it is killed.
-constexpr double kAcceptShare = 0.5;
-// Time that the process has to end, at most, and as a share of the grace
-// period. On a busy host an end takes a few hundred ms.
-constexpr milliseconds kMaxExitTime(600);
-constexpr double kExitShare = 0.15;
 // Time for the requests of clients whose connections were accepted last.
 constexpr milliseconds kLastRequestTimeout(300);
 
@@ -89,8 +81,8 @@
   std::erase_if(mRelays,
                 [](const auto& aPair) { return aPair.second->Finished(); });
   UpdateHeldBytes();
-  if (mStopStartedAt) {
-    ContinueStop(now);
+  if (mContext.mStop) {
+    ContinueStop(*mContext.mStop, now);
   }
 }
 
@@ -367,33 +359,31 @@
 
 void gateway_node::Stop()
 {
-  if (mStopStartedAt) {
+  if (mContext.mStop) {
     return;
   }
   const time_point now = mTime.Now();
-  mStopStartedAt = now;
+  const stop_schedule schedule = ScheduleStop(now, mSettings.mGracePeriod);
+  mContext.mStop = schedule;
   mFleet.Self().mLeaving = true;
   mFleet.Self().mReady = false;
   mPeerTransport.SendReports();
   mClientListener->SetCloseAfterResponse();
   Log(log_level::Info,
       "stop_began",
-      { Field("open_requests", mSessions.size()) });
+      { Field("open_requests", mSessions.size()),
+        Field("relayed_requests", mRelays.size()),
+        Field("grace_ms", mSettings.mGracePeriod.count()),
+        Field("refuses_after_ms", MsBetween(now, schedule.mRefusesFrom)),
+        Field("ends_after_ms", MsBetween(now, schedule.mEndsAt)) });
 }
 
-void gateway_node::ContinueStop(time_point aNow)
+void gateway_node::ContinueStop(const stop_schedule& aSchedule, time_point aNow)
 {
-  const auto acceptDuration =
-    std::chrono::duration_cast<std::chrono::microseconds>(
-      mSettings.mGracePeriod * kAcceptShare);
-  const auto exitTime = std::min(std::chrono::duration_cast<milliseconds>(
-                                   mSettings.mGracePeriod * kExitShare),
-                                 kMaxExitTime);
-  const auto stopDuration = mSettings.mGracePeriod - exitTime;
-  if (mStopped || aNow < *mStopStartedAt + acceptDuration) {
+  if (mStopped || aNow < aSchedule.mRefusesFrom) {
     return;
   }
-  if (!std::exchange(mContext.mRefusingRequests, true)) {
+  if (!std::exchange(mRefusing, true)) {
     mClientListener->CloseIdle();
     mTokenAllowance.ReturnAll();
   }
@@ -404,13 +394,16 @@
   }
   const bool done = mLastRequestsUntil && aNow >= *mLastRequestsUntil &&
                     IsIdle() && !mClientListener->HasWork();
-  if (!done && aNow < *mStopStartedAt + stopDuration) {
+  if (!done && aNow < aSchedule.mEndsAt) {
     return;
   }
   mStopped = true;
   Log(log_level::Info,
       "gateway_stopped",
-      { Field("open_requests", mSessions.size()) });
+      { Field("open_requests", mSessions.size()),
+        Field("relayed_requests", mRelays.size()),
+        Field("unsent_responses", mClientListener->HasWork()),
+        Field("stop_ms", MsBetween(aSchedule.mBeganAt, aNow)) });
   for (const auto& [connection, session] : mSessions) {
     session->EndAtStop();
   }
--- a/Source/Core/Gateway/GatewaySession.cpp
+++ b/Source/Core/Gateway/GatewaySession.cpp
@@ -64,7 +64,8 @@
 
 void gateway_session::Begin()
 {
-  if (!mRoutes || mContext.mRefusingRequests) {
+  if (!mRoutes ||
+      (mContext.mStop && mArrived >= mContext.mStop->mRefusesFrom)) {
     Refuse(mRoutes ? "node_leaving" : "no_configuration", kRefusalRetryDelay);
     return;
   }
@@ -201,6 +202,7 @@
 void gateway_session::EndAtStop()
 {
   if (!Finished()) {
+    LogCutByStop();
     EndWithoutServer("node_stopped", "node_leaving");
   }
 }
--- a/Source/Core/Gateway/GatewaySession.h
+++ b/Source/Core/Gateway/GatewaySession.h
@@ -19,6 +19,7 @@
 #include "Gateway/RouteTable.h"
 #include "Gateway/ServerReachability.h"
 #include "Gateway/StateFreshness.h"
+#include "Gateway/StopSchedule.h"
 #include "Gateway/StreamOrigins.h"
 #include "Gateway/UnansweredRequests.h"
 #include "Gateway/UpstreamPool.h"
@@ -63,8 +64,8 @@
   /// Whether the node reaches no server and other nodes do, so that it passes
   /// its requests on.
   bool mRelaying = false;
-  /// Whether the node refuses new requests, at the end of a graceful stop.
-  bool mRefusingRequests = false;
+  /// Set while the node stops.
+  std::optional<stop_schedule> mStop{};
   /// Connections that were dropped inside one of their own events and must be
   /// destroyed later.
   std::vector<std::unique_ptr<http_client_connection>> mDiscardedConnections{};
@@ -214,6 +215,10 @@
   void RecordCold(time_point aNow);
   /// Logs and counts a send to a cold server.
   void LogColdSend(time_point aNow) const;
+  /// Logs a send while the node stops.
+  void LogSendInStop(time_point aNow) const;
+  /// Logs that the end of the node breaks the request off.
+  void LogCutByStop() const;
   /// Logs that a stream goes on at a server.
   void LogResumption() const;
   /// Logs and counts a send to a server that named a rate limit.
@@ -282,6 +287,8 @@
   /// When the bytes of the request have left the host, by estimate.
   time_point mLeavesAt;
   time_point mLastEventAt;
+  /// Last byte of the response of the current server; nothing before it.
+  std::optional<time_point> mLastByteAt;
   /// First event of the current server; nothing before it.
   std::optional<time_point> mFirstEventAt;
   /// Whether the current server has answered for long enough to clear the
--- a/Source/Core/Gateway/GatewaySessionResponse.cpp
+++ b/Source/Core/Gateway/GatewaySessionResponse.cpp
@@ -65,6 +65,7 @@
     return true;
   }
   mHasResponse = true;
+  mLastByteAt = now;
   mFraming = aResponse.mFraming;
   mAnswer = std::move(answer);
   RecordRateLimit(now);
@@ -82,8 +83,10 @@
 
 void gateway_session::OnBody(std::string_view aBytes)
 {
-  mContext.mUpstreamRegistry.OnByte(mPlacement.mUpstream, mContext.mTime.Now());
-  mContext.mReachability.OnByte(mContext.mTime.Now());
+  const time_point now = mContext.mTime.Now();
+  mLastByteAt = now;
+  mContext.mUpstreamRegistry.OnByte(mPlacement.mUpstream, now);
+  mContext.mReachability.OnByte(now);
   mContext.mCrashExchange.OnByte(mServerRun, mSentAt);
   if (mAnswer.mNotRun) {
     mRefusalBytes += aBytes.size();
--- a/Source/Core/Gateway/GatewaySessionUpstream.cpp
+++ b/Source/Core/Gateway/GatewaySessionUpstream.cpp
@@ -86,6 +86,7 @@
   mRefusalBytes = 0;
   mReadingPaused = false;
   mFirstEventAt.reset();
+  mLastByteAt.reset();
   mAnswering = false;
   ++mAttempts;
   const std::size_t crashes =
@@ -102,6 +103,7 @@
     Log(log_level::Info, "prompt_trial_sent", { Field("id", mRequest.mId) });
     mContext.mSegmentCrashes.OnTrial(mFingerprint.mSegments, aNow);
   }
+  LogSendInStop(aNow);
   LogLimitedSend(aNow);
   LogColdSend(aNow);
   LogResumption();
@@ -289,6 +291,43 @@
         Field("counted", aCounted) });
 }
 
+void gateway_session::LogSendInStop(time_point aNow) const
+{
+  if (!mContext.mStop) {
+    return;
+  }
+  const auto& [beganAt, refusesFrom, endsAt] = *mContext.mStop;
+  Log(log_level::Info,
+      "sent_while_stopping",
+      { Field("id", mRequest.mId),
+        Field("attempts", mAttempts),
+        Field("arrived_ms", MsBetween(beganAt, mArrived)),
+        Field("sent_ms", MsBetween(beganAt, aNow)),
+        Field("ends_in_ms", MsBetween(aNow, endsAt)),
+        Field("limit_in_ms", MsBetween(aNow, mDeadline)) });
+}
+
+void gateway_session::LogCutByStop() const
+{
+  if (!mContext.mStop) {
+    return;
+  }
+  const time_point now = mContext.mTime.Now();
+  const time_point beganAt = mContext.mStop->mBeganAt;
+  Log(log_level::Warning,
+      "request_cut_by_stop",
+      { Field("id", mRequest.mId),
+        Field("sent", mStage == stage::Sent),
+        Field("attempts", mAttempts),
+        Field("events", mEvents.Events()),
+        Field("arrived_ms", MsBetween(beganAt, mArrived)),
+        Field("sent_ms", MsBetween(beganAt, mSentAt)),
+        Field("cut_ms", MsBetween(beganAt, now)),
+        Field("limit_in_ms", MsBetween(now, mDeadline)),
+        Field("server_silent_ms",
+              MsBetween(mLastByteAt.value_or(mSentAt), now)) });
+}
+
 void gateway_session::LogResumption() const
 {
   if (!mResponseStarted && mRequest.mLastEventId.empty()) {
--- a/Source/Core/Gateway/RequestRelay.cpp
+++ b/Source/Core/Gateway/RequestRelay.cpp
@@ -195,10 +195,27 @@
 void request_relay::EndAtStop()
 {
   if (!mFinished) {
+    LogCutByStop();
     EndWithoutResponse("node_stopped");
   }
 }
 
+void request_relay::LogCutByStop() const
+{
+  if (!mContext.mStop) {
+    return;
+  }
+  const time_point now = mContext.mTime.Now();
+  const time_point beganAt = mContext.mStop->mBeganAt;
+  Log(log_level::Warning,
+      "request_cut_by_stop",
+      { Field("id", mRequest.mRequest.mId),
+        Field("relayed", true),
+        Field("arrived_ms", MsBetween(beganAt, mRequest.mArrived)),
+        Field("cut_ms", MsBetween(beganAt, now)),
+        Field("limit_in_ms", MsBetween(now, mRequest.mDeadline)) });
+}
+
 void request_relay::Finish(unsigned aStatus, const char* aReason)
 {
   mFinished = true;
--- a/Source/Core/Gateway/RequestRelay.h
+++ b/Source/Core/Gateway/RequestRelay.h
@@ -52,6 +52,8 @@
   void TryNextPeer();
   /// Ends the request without a response of the peer.
   void EndWithoutResponse(const char* aReason);
+  /// Logs that the end of the node breaks the request off.
+  void LogCutByStop() const;
   void Finish(unsigned aStatus, const char* aReason);
 
   gateway_context& mContext;
