Refuse requests that don't fit into the time left of a stopping node

Cause: a stopping node took requests for a share of the grace period and ended what was open at another one, and compared no request with the time between.

Change: while it stops, a node takes a request only if it is expected to be answered before the node ends: its limit lies before the end, or the longest recent request of its route fits with a margin, those in progress included. The same is asked before each send, so also of requests that wait, second attempts and resumed streams. Refused clients are told to come back at once if another node is ready, else when this one has ended; a request whose tokens are not here is sent to another node in the same way.

--- a/Source/Core/Gateway/GatewayEndpoints.cpp
+++ b/Source/Core/Gateway/GatewayEndpoints.cpp
@@ -4,15 +4,6 @@
 
 #include "Net/HttpStatus.h"
 
-namespace {
-
-using std::chrono::milliseconds;
-
-// Time to live of an address list at clients; some keep it three times as long.
-constexpr milliseconds kAddressLifetime(1000);
-
-} // namespace
-
 gateway_endpoints::gateway_endpoints(const gateway_codec& aCodec,
                                      const fleet_view& aFleet,
                                      gateway_metrics& aMetrics,
--- a/Source/Core/Gateway/GatewayEndpoints.h
+++ b/Source/Core/Gateway/GatewayEndpoints.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <functional>
 
 #include "Gateway/FleetView.h"
@@ -7,6 +8,13 @@
 #include "Gateway/GatewayMetrics.h"
 #include "Net/HttpConnection.h"
 
+/// Time to live of an address list at clients.
+inline constexpr std::chrono::milliseconds kAddressLifetime{ 1000 };
+/// Longest time for which clients use an address; some keep a list three times
+/// as long as it lives.
+inline constexpr std::chrono::milliseconds kAddressHoldTime =
+  3 * kAddressLifetime;
+
 /// Serves the HTTP endpoints for readiness, node addresses and metrics.
 class gateway_endpoints final : public http_request_handler
 {
--- a/Source/Core/Gateway/GatewayNode.h
+++ b/Source/Core/Gateway/GatewayNode.h
@@ -165,6 +165,7 @@
   unanswered_requests mUnanswered;
   server_reachability mReachability;
   link_queue mLinkQueue;
+  request_durations mDurations;
   server_probe mProbe;
   fleet_view mFleet;
   stream_origins mStreamOrigins;
--- a/Source/Core/Gateway/GatewayNodeTicks.cpp
+++ b/Source/Core/Gateway/GatewayNodeTicks.cpp
@@ -88,6 +88,12 @@
 
 void gateway_node::AdvanceWaiting(time_point aNow)
 {
+  if (mContext.mStop) {
+    // Requests in progress show first that servers have become slow.
+    for (const auto& [connection, session] : mSessions) {
+      session->RecordElapsed(aNow);
+    }
+  }
   std::vector<gateway_session*> waiting;
   std::vector<gateway_session*> others;
   for (const auto& [connection, session] : mSessions) {
@@ -331,6 +337,7 @@
     mStreamOrigins.OnServer(service, software, now);
   }
   mStreamOrigins.OnTick(mUpstreamTable.LastContact(), now);
+  mDurations.Expire(now);
   mPool.Expire(now);
   mClientListener->CheckDeadlines(now);
   mReadiness->CheckDeadlines(now);
@@ -363,7 +370,8 @@
     return;
   }
   const time_point now = mTime.Now();
-  const stop_schedule schedule = ScheduleStop(now, mSettings.mGracePeriod);
+  const stop_schedule schedule =
+    ScheduleStop(now, mSettings.mGracePeriod, kAddressHoldTime);
   mContext.mStop = schedule;
   mFleet.Self().mLeaving = true;
   mFleet.Self().mReady = false;
--- a/Source/Core/Gateway/GatewaySession.cpp
+++ b/Source/Core/Gateway/GatewaySession.cpp
@@ -64,9 +64,12 @@
 
 void gateway_session::Begin()
 {
-  if (!mRoutes ||
-      (mContext.mStop && mArrived >= mContext.mStop->mRefusesFrom)) {
-    Refuse(mRoutes ? "node_leaving" : "no_configuration", kRefusalRetryDelay);
+  if (mContext.mStop && mArrived >= mContext.mStop->mRefusesFrom) {
+    EndUnsentInStop(mArrived);
+    return;
+  }
+  if (!mRoutes) {
+    Refuse("no_configuration", kRefusalRetryDelay);
     return;
   }
   if (mContext.mHeld.IsFull()) {
@@ -104,6 +107,10 @@
     std::min(mRouteDeadline, mRequest.mDeadline.value_or(mRouteDeadline));
   mPriority = mAccount != nullptr && mAccount->mPriority ? *mAccount->mPriority
                                                          : mRoute->mPriority;
+  if (!FitsBeforeStop(mArrived)) {
+    EndUnsentInStop(mArrived);
+    return;
+  }
   if (CanBeRelayed()) {
     mStage = stage::NeedRelay;
     return;
@@ -254,8 +261,9 @@
   }
   const std::int64_t reserved = mReserved;
   const std::int64_t used = FinishReservation();
-  mStage = stage::Finished;
   const time_point now = mContext.mTime.Now();
+  RecordElapsed(now);
+  mStage = stage::Finished;
   mContext.mMetrics.OnAnswer(
     mRoute == nullptr ? "none" : mRoute->mName, aStatus, aReason);
   Log(
@@ -289,6 +297,16 @@
               .count()) });
 }
 
+void gateway_session::RecordElapsed(time_point aNow)
+{
+  if (mRoute != nullptr && mAttempts > 0) {
+    mContext.mDurations.RecordElapsed(
+      mRoute->mName,
+      std::chrono::duration_cast<milliseconds>(aNow - mArrived),
+      aNow);
+  }
+}
+
 std::int64_t gateway_session::FinishReservation()
 {
   if (mReserved == 0) {
--- a/Source/Core/Gateway/GatewaySession.h
+++ b/Source/Core/Gateway/GatewaySession.h
@@ -16,6 +16,7 @@
 #include "Gateway/HeldBytes.h"
 #include "Gateway/HomeRegions.h"
 #include "Gateway/LinkQueue.h"
+#include "Gateway/RequestDurations.h"
 #include "Gateway/RouteTable.h"
 #include "Gateway/ServerReachability.h"
 #include "Gateway/StateFreshness.h"
@@ -40,6 +41,7 @@
   unanswered_requests& mUnanswered;
   server_reachability& mReachability;
   link_queue& mLinkQueue;
+  request_durations& mDurations;
   fleet_view& mFleet;
   const home_regions& mHomes;
   stream_origins& mStreamOrigins;
@@ -91,6 +93,9 @@
   /// Ends the request because its client does not read.
   void EndSlowClient();
 
+  /// Records that the request has taken at least this long, if it was sent.
+  void RecordElapsed(time_point aNow);
+
   const std::string& RequestId() const { return mRequest.mId; }
   /// Bytes of the request that its server has not taken.
   std::size_t BytesToServer() const
@@ -151,6 +156,13 @@
   void PinStream(time_point aNow);
   void AdvanceTokens(time_point aNow);
   void AdvanceServer(time_point aNow);
+  /// Whether the node does not stop, or the request is expected to be answered
+  /// before the node ends.
+  bool FitsBeforeStop(time_point aNow) const;
+  /// Whether another node takes requests and may run this one.
+  bool IsOtherNodeReady(time_point aNow) const;
+  /// Ends the request without a further send because the node stops.
+  void EndUnsentInStop(time_point aNow);
   /// Closes the client's connection after the response, so that the client
   /// reconnects and may find a host that can serve it.
   void SendClientElsewhere();
@@ -180,6 +192,8 @@
   void RecordNoRoom(const std::optional<placement>& aChosen,
                     admission_query aQuery,
                     time_point aNow);
+  /// When the request is ended if its server has not answered.
+  time_point LatestEnd() const;
   void AdvanceSent(time_point aNow);
   placement_query Query() const;
   admission_query AdmissionQuery() const;
--- a/Source/Core/Gateway/GatewaySessionAdmission.cpp
+++ b/Source/Core/Gateway/GatewaySessionAdmission.cpp
@@ -119,6 +119,9 @@
     mStage = stage::NeedServer;
   } else if (need > *mAccount->mPrepaidTokens) {
     Answer(http_status::kPaymentRequired, "larger_than_prepaid", std::nullopt);
+  } else if (mContext.mStop && IsOtherNodeReady(aNow)) {
+    // Tokens that are fetched now would be stranded here for a while.
+    EndUnsentInStop(aNow);
   } else if (verdict == reserve_verdict::Exhausted ||
              aNow >= mArrived + kTokenWaitTimeout ||
              !mContext.mTokenAllowance.MayCoverWithin(
@@ -208,8 +211,33 @@
   return mContext.mUpstreamRegistry.Choose(Query(), aNow);
 }
 
+bool gateway_session::FitsBeforeStop(time_point aNow) const
+{
+  return !mContext.mStop ||
+         FitsBeforeEnd(
+           *mContext.mStop,
+           { LatestEnd(), mContext.mDurations.Longest(mRoute->mName, aNow) },
+           aNow);
+}
+
+bool gateway_session::IsOtherNodeReady(time_point aNow) const
+{
+  return !mContext.mFleet.RelayTargets(StableHash(mRequest.mId), aNow, mRegions)
+            .empty();
+}
+
+void gateway_session::EndUnsentInStop(time_point aNow)
+{
+  EndUnsent("node_leaving",
+            RetryAfterInStop(*mContext.mStop, IsOtherNodeReady(aNow), aNow));
+}
+
 void gateway_session::AdvanceServer(time_point aNow)
 {
+  if (!FitsBeforeStop(aNow)) {
+    EndUnsentInStop(aNow);
+    return;
+  }
   // State may have become old, or crashes known, since the request arrived or
   // was sent.
   if (!HasRecentState(aNow)) {
--- a/Source/Core/Gateway/GatewaySessionResponse.cpp
+++ b/Source/Core/Gateway/GatewaySessionResponse.cpp
@@ -239,6 +239,10 @@
   const bool serverError = mResponse.mStatus >= http_status::kFirstServerError;
   if (!serverError) {
     mContext.mUpstreamRegistry.OnSuccess(mPlacement.mUpstream);
+    mContext.mDurations.RecordComplete(
+      mRoute->mName,
+      std::chrono::duration_cast<std::chrono::milliseconds>(now - mArrived),
+      now);
   }
   mContext.mAdmission.OnCompleted(
     ServiceKey(mService.mName), AdmissionCost(), now - mSentAt, now);
--- a/Source/Core/Gateway/GatewaySessionUpstream.cpp
+++ b/Source/Core/Gateway/GatewaySessionUpstream.cpp
@@ -139,7 +139,7 @@
 void gateway_session::AdvanceSent(time_point aNow)
 {
   ContinueForClient();
-  if (aNow >= mRouteDeadline || aNow >= mDeadline + kDeadlineGracePeriod) {
+  if (aNow >= LatestEnd()) {
     EndWithoutServer("timeout", "server_not_reached");
     return;
   }
@@ -164,6 +164,11 @@
   }
 }
 
+time_point gateway_session::LatestEnd() const
+{
+  return std::min(mRouteDeadline, mDeadline + kDeadlineGracePeriod);
+}
+
 void gateway_session::EndWithoutServer(const char* aReason,
                                        const char* aUnsentReason)
 {
@@ -394,6 +399,7 @@
   const time_point now = mContext.mTime.Now();
   if ((mMayHaveRun && !IsRetryable()) || mAttempts >= mRoute->mMaxAttempts ||
       mDeadline - now < kMinRetryTimeLeft || mClient == nullptr ||
+      !FitsBeforeStop(now) ||
       (mResponseStarted && (!mEventStream || mEvents.LastId().empty()))) {
     return false;
   }
--- a/Source/Core/Gateway/RequestRelay.cpp
+++ b/Source/Core/Gateway/RequestRelay.cpp
@@ -136,6 +136,13 @@
 
 void request_relay::OnComplete(bool)
 {
+  if (mStatus < http_status::kFirstServerError) {
+    const time_point now = mContext.mTime.Now();
+    mContext.mDurations.RecordComplete(
+      mRequest.mRoute,
+      std::chrono::duration_cast<milliseconds>(now - mRequest.mArrived),
+      now);
+  }
   // FinishBody may close the connection of the client.
   http_server_connection* client = std::exchange(mClient, nullptr);
   Finish(mStatus, "relayed");
--- a/Source/UnitTests/Gateway/StopAdmissionTest.cpp
+++ b/Source/UnitTests/Gateway/StopAdmissionTest.cpp
@@ -240,7 +240,7 @@
   mNode->Stop();
   mStore.mUnreachable = true;
   const auto exchange =
-    Call("POST", "/s/x", "Lentilswitch-Token-Counts: 90000,9000\r\n", "b");
+    Call("POST", "/s/x", "Lentilswitch-Token-Counts: 50000,9000\r\n", "b");
   EXPECT_EQ(exchange->mResponse.mStatus, 503U);
   EXPECT_NE(exchange->mBody.find("node_leaving"), std::string::npos)
     << exchange->mBody;
