Judge by more evidence what fits into the time left of a stopping node

A review of the trace found why an estimate can be too short: one sample sufficed, client errors and resumed rests of streams counted, and streams in progress counted only with the time that had passed. It also found that the schedule began when the signal was handled, which a stall of the loop delays.

Change: an estimate needs five successful whole answers in the last 10 to 20 s, has a margin of half, at least 100 ms, and includes streams in progress with the time that they take at the rate of their events. The schedule begins before a stall. Requests that were not sent get the pause of a stopping node at its end, and tokens that only wait for the next claim are waited for.

--- a/Source/Core/Gateway/GatewayNode.h
+++ b/Source/Core/Gateway/GatewayNode.h
@@ -121,6 +121,9 @@
   /// Whether the host has left the address answers of a fleet that chooses
   /// hosts, so that connections are closed after their response.
   bool SendsClientsElsewhere() const;
+  /// Records how long the requests in progress take; they show first that
+  /// servers have become slow.
+  void RecordProgress(time_point aNow);
   void AdvanceWaiting(time_point aNow);
   /// Decides whether the host is cut off from all servers, and probes them
   /// while it is.
--- a/Source/Core/Gateway/GatewayNodeTicks.cpp
+++ b/Source/Core/Gateway/GatewayNodeTicks.cpp
@@ -86,13 +86,21 @@
   }
 }
 
+void gateway_node::RecordProgress(time_point aNow)
+{
+  mDurations.ClearExpected();
+  for (const auto& [connection, session] : mSessions) {
+    session->RecordProgress(aNow);
+  }
+  for (const auto& [connection, relay] : mRelays) {
+    relay->RecordProgress(aNow);
+  }
+}
+
 void gateway_node::AdvanceWaiting(time_point aNow)
 {
   if (mContext.mStop) {
-    // Requests in progress show first that servers have become slow.
-    for (const auto& [connection, session] : mSessions) {
-      session->RecordElapsed(aNow);
-    }
+    RecordProgress(aNow);
   }
   std::vector<gateway_session*> waiting;
   std::vector<gateway_session*> others;
@@ -370,9 +378,12 @@
     return;
   }
   const time_point now = mTime.Now();
-  const stop_schedule schedule =
-    ScheduleStop(now, mSettings.mGracePeriod, kAddressHoldTime);
+  // The process is killed by the time of the signal, which may have come while
+  // the loop did not run.
+  const stop_schedule schedule = ScheduleStop(
+    mStalls.EarliestEventAt(now), mSettings.mGracePeriod, kAddressHoldTime);
   mContext.mStop = schedule;
+  RecordProgress(now);
   mFleet.Self().mLeaving = true;
   mFleet.Self().mReady = false;
   mPeerTransport.SendReports();
@@ -395,7 +406,9 @@
     mClientListener->CloseIdle();
     mTokenAllowance.ReturnAll();
   }
-  if (IsIdle() && !mLastRequestsUntil) {
+  const bool closes =
+    IsIdle() || aNow + kLastRequestTimeout >= aSchedule.mEndsAt;
+  if (closes && !mLastRequestsUntil) {
     std::string error;
     mClientListener->SetAccepting(false, error);
     mLastRequestsUntil = aNow + kLastRequestTimeout;
--- a/Source/Core/Gateway/GatewaySession.cpp
+++ b/Source/Core/Gateway/GatewaySession.cpp
@@ -16,6 +16,9 @@
 
 constexpr unsigned kClientClosedRequest = 499;
 
+// Events of a stream from which on their rate tells when it ends.
+constexpr std::int64_t kMinEventsForRate = 3;
+
 // Segments of a prompt that are watched for crashes. Clients choose their
 // number.
 constexpr std::size_t kMaxWatchedSegments = 32;
@@ -107,8 +110,9 @@
     std::min(mRouteDeadline, mRequest.mDeadline.value_or(mRouteDeadline));
   mPriority = mAccount != nullptr && mAccount->mPriority ? *mAccount->mPriority
                                                          : mRoute->mPriority;
-  if (!FitsBeforeStop(mArrived)) {
-    EndUnsentInStop(mArrived);
+  const time_point now = mContext.mTime.Now();
+  if (!FitsBeforeStop(now)) {
+    EndUnsentInStop(now);
     return;
   }
   if (CanBeRelayed()) {
@@ -209,6 +213,10 @@
 void gateway_session::EndAtStop()
 {
   if (!Finished()) {
+    if (mAttempts == 0) {
+      EndUnsentInStop(mContext.mTime.Now());
+      return;
+    }
     LogCutByStop();
     EndWithoutServer("node_stopped", "node_leaving");
   }
@@ -262,7 +270,10 @@
   const std::int64_t reserved = mReserved;
   const std::int64_t used = FinishReservation();
   const time_point now = mContext.mTime.Now();
-  RecordElapsed(now);
+  if (mRoute != nullptr && mAttempts > 0) {
+    mContext.mDurations.RecordElapsed(
+      mRoute->mName, std::chrono::ceil<milliseconds>(now - mArrived), now);
+  }
   mStage = stage::Finished;
   mContext.mMetrics.OnAnswer(
     mRoute == nullptr ? "none" : mRoute->mName, aStatus, aReason);
@@ -297,14 +308,28 @@
               .count()) });
 }
 
-void gateway_session::RecordElapsed(time_point aNow)
+void gateway_session::RecordProgress(time_point aNow)
 {
-  if (mRoute != nullptr && mAttempts > 0) {
-    mContext.mDurations.RecordElapsed(
-      mRoute->mName,
-      std::chrono::duration_cast<milliseconds>(aNow - mArrived),
-      aNow);
+  if (mRoute != nullptr && mAttempts > 0 && !Finished()) {
+    mContext.mDurations.AddExpected(
+      mRoute->mName, std::chrono::ceil<milliseconds>(ExpectedDuration(aNow)));
+  }
+}
+
+time_point::duration gateway_session::ExpectedDuration(time_point aNow) const
+{
+  const auto elapsed = aNow - mArrived;
+  const auto events = static_cast<std::int64_t>(mEvents.Events());
+  const std::int64_t allEvents =
+    mRequest.mMaxOutputTokens / std::max<std::int64_t>(TokensPerEvent(), 1);
+  // The events of earlier servers say nothing of the current one.
+  if (!mFirstEventAt || mAttempts > 1 || IsResumption() ||
+      events < kMinEventsForRate || events >= allEvents) {
+    return elapsed;
   }
+  const auto rest =
+    (aNow - *mFirstEventAt) * (allEvents - events) / (events - 1);
+  return std::min(elapsed + rest, LatestEnd() - mArrived);
 }
 
 std::int64_t gateway_session::FinishReservation()
--- a/Source/Core/Gateway/GatewaySession.h
+++ b/Source/Core/Gateway/GatewaySession.h
@@ -93,8 +93,8 @@
   /// Ends the request because its client does not read.
   void EndSlowClient();
 
-  /// Records that the request has taken at least this long, if it was sent.
-  void RecordElapsed(time_point aNow);
+  /// Records how long the request, if it was sent, is expected to take.
+  void RecordProgress(time_point aNow);
 
   const std::string& RequestId() const { return mRequest.mId; }
   /// Bytes of the request that its server has not taken.
@@ -192,6 +192,9 @@
   void RecordNoRoom(const std::optional<placement>& aChosen,
                     admission_query aQuery,
                     time_point aNow);
+  /// Time from arrival to the end of a stream if its events go on as they came;
+  /// the time that has passed if their rate is not known.
+  time_point::duration ExpectedDuration(time_point aNow) const;
   /// When the request is ended if its server has not answered.
   time_point LatestEnd() const;
   void AdvanceSent(time_point aNow);
--- a/Source/Core/Gateway/GatewaySessionAdmission.cpp
+++ b/Source/Core/Gateway/GatewaySessionAdmission.cpp
@@ -119,8 +119,10 @@
     mStage = stage::NeedServer;
   } else if (need > *mAccount->mPrepaidTokens) {
     Answer(http_status::kPaymentRequired, "larger_than_prepaid", std::nullopt);
-  } else if (mContext.mStop && IsOtherNodeReady(aNow)) {
-    // Tokens that are fetched now would be stranded here for a while.
+  } else if (mContext.mStop &&
+             mContext.mTokenAllowance.FreeTokens(mAccount->mName) < need &&
+             IsOtherNodeReady(aNow)) {
+    // Tokens that are fetched now would soon have to be returned.
     EndUnsentInStop(aNow);
   } else if (verdict == reserve_verdict::Exhausted ||
              aNow >= mArrived + kTokenWaitTimeout ||
--- a/Source/Core/Gateway/GatewaySessionResponse.cpp
+++ b/Source/Core/Gateway/GatewaySessionResponse.cpp
@@ -227,7 +227,9 @@
       Fail(http_status::kBadGateway, "repeat_refused");
     } else {
       Refuse("server_refused",
-             RetryAfter(AdmissionQuery(), now, StableHash(mRequest.mId)));
+             mContext.mStop && IsOtherNodeReady(now)
+               ? RetryAfterInStop(*mContext.mStop, true, now)
+               : RetryAfter(AdmissionQuery(), now, StableHash(mRequest.mId)));
     }
     return;
   }
@@ -239,9 +241,13 @@
   const bool serverError = mResponse.mStatus >= http_status::kFirstServerError;
   if (!serverError) {
     mContext.mUpstreamRegistry.OnSuccess(mPlacement.mUpstream);
+  }
+  // The rest of a stream and a response without body take less time than most.
+  if (Succeeded(mResponse.mStatus) && !IsResumption() &&
+      mRequest.mMethod != "HEAD") {
     mContext.mDurations.RecordComplete(
       mRoute->mName,
-      std::chrono::duration_cast<std::chrono::milliseconds>(now - mArrived),
+      std::chrono::ceil<std::chrono::milliseconds>(now - mArrived),
       now);
   }
   mContext.mAdmission.OnCompleted(
--- a/Source/Core/Gateway/GatewaySessionUpstream.cpp
+++ b/Source/Core/Gateway/GatewaySessionUpstream.cpp
@@ -309,7 +309,11 @@
         Field("arrived_ms", MsBetween(beganAt, mArrived)),
         Field("sent_ms", MsBetween(beganAt, aNow)),
         Field("ends_in_ms", MsBetween(aNow, endsAt)),
-        Field("limit_in_ms", MsBetween(aNow, mDeadline)) });
+        Field("limit_in_ms", MsBetween(aNow, LatestEnd())),
+        Field("longest_ms",
+              mContext.mDurations.Longest(mRoute->mName, aNow)
+                .value_or(milliseconds(0))
+                .count()) });
 }
 
 void gateway_session::LogCutByStop() const
@@ -322,13 +326,12 @@
   Log(log_level::Warning,
       "request_cut_by_stop",
       { Field("id", mRequest.mId),
-        Field("sent", mStage == stage::Sent),
         Field("attempts", mAttempts),
         Field("events", mEvents.Events()),
         Field("arrived_ms", MsBetween(beganAt, mArrived)),
         Field("sent_ms", MsBetween(beganAt, mSentAt)),
         Field("cut_ms", MsBetween(beganAt, now)),
-        Field("limit_in_ms", MsBetween(now, mDeadline)),
+        Field("limit_in_ms", MsBetween(now, LatestEnd())),
         Field("server_silent_ms",
               MsBetween(mLastByteAt.value_or(mSentAt), now)) });
 }
--- a/Source/Core/Gateway/RequestDurations.cpp
+++ b/Source/Core/Gateway/RequestDurations.cpp
@@ -8,6 +8,8 @@
 
 // Time over which one maximum is kept; the one before it counts as well.
 constexpr milliseconds kPeriod(10000);
+// With fewer durations the next request often takes longer than all of them.
+constexpr unsigned kMinComplete = 5;
 
 } // namespace
 
@@ -34,7 +36,7 @@
                                        time_point aNow)
 {
   RecordElapsed(aRoute, aDuration, aNow);
-  CurrentPeriod(aRoute, aNow).mHasComplete = true;
+  ++CurrentPeriod(aRoute, aNow).mComplete;
 }
 
 void request_durations::RecordElapsed(const std::string& aRoute,
@@ -45,6 +47,13 @@
   current.mLongest = std::max(current.mLongest, aDuration);
 }
 
+void request_durations::AddExpected(const std::string& aRoute,
+                                    milliseconds aDuration)
+{
+  milliseconds& longest = mExpected[aRoute];
+  longest = std::max(longest, aDuration);
+}
+
 std::optional<milliseconds> request_durations::Longest(
   const std::string& aRoute,
   time_point aNow) const
@@ -54,10 +63,14 @@
     return std::nullopt;
   }
   const auto& [current, previous, endsAt] = found->second;
-  if (!current.mHasComplete && !previous.mHasComplete) {
+  if (current.mComplete + previous.mComplete < kMinComplete) {
     return std::nullopt;
   }
-  return std::max(current.mLongest, previous.mLongest);
+  const auto expected = mExpected.find(aRoute);
+  return std::max(
+    { current.mLongest,
+      previous.mLongest,
+      expected == mExpected.end() ? milliseconds(0) : expected->second });
 }
 
 void request_durations::Expire(time_point aNow)
--- a/Source/Core/Gateway/RequestDurations.h
+++ b/Source/Core/Gateway/RequestDurations.h
@@ -16,16 +16,21 @@
 class request_durations
 {
 public:
-  /// A request of the route was answered by its server.
+  /// A request of the route was answered by its server with success.
   void RecordComplete(const std::string& aRoute,
                       std::chrono::milliseconds aDuration,
                       time_point aNow);
-  /// A request of the route has taken at least this long.
+  /// A request of the route ended without success after this long.
   void RecordElapsed(const std::string& aRoute,
                      std::chrono::milliseconds aDuration,
                      time_point aNow);
-  /// Longest duration of the last 10 to 20 s; nothing if no request was
-  /// answered in that time.
+  /// Forgets the expected durations of requests in progress.
+  void ClearExpected() { mExpected.clear(); }
+  /// A request in progress is expected to take this long.
+  void AddExpected(const std::string& aRoute,
+                   std::chrono::milliseconds aDuration);
+  /// Longest duration of the last 10 to 20 s and of the requests in progress;
+  /// nothing if too few requests were answered in that time.
   std::optional<std::chrono::milliseconds> Longest(const std::string& aRoute,
                                                    time_point aNow) const;
   /// Forgets routes without recent requests.
@@ -36,7 +41,7 @@
   struct period
   {
     std::chrono::milliseconds mLongest{ 0 };
-    bool mHasComplete = false;
+    unsigned mComplete = 0;
   };
   struct route_state
   {
@@ -48,4 +53,5 @@
   period& CurrentPeriod(const std::string& aRoute, time_point aNow);
 
   std::unordered_map<std::string, route_state> mRoutes;
+  std::unordered_map<std::string, std::chrono::milliseconds> mExpected;
 };
--- a/Source/Core/Gateway/RequestRelay.cpp
+++ b/Source/Core/Gateway/RequestRelay.cpp
@@ -136,13 +136,6 @@
 
 void request_relay::OnComplete(bool)
 {
-  if (mStatus < http_status::kFirstServerError) {
-    const time_point now = mContext.mTime.Now();
-    mContext.mDurations.RecordComplete(
-      mRequest.mRoute,
-      std::chrono::duration_cast<milliseconds>(now - mRequest.mArrived),
-      now);
-  }
   // FinishBody may close the connection of the client.
   http_server_connection* client = std::exchange(mClient, nullptr);
   Finish(mStatus, "relayed");
@@ -207,6 +200,15 @@
   }
 }
 
+void request_relay::RecordProgress(time_point aNow)
+{
+  if (!mFinished) {
+    mContext.mDurations.AddExpected(
+      mRequest.mRoute,
+      std::chrono::ceil<milliseconds>(aNow - mRequest.mArrived));
+  }
+}
+
 void request_relay::LogCutByStop() const
 {
   if (!mContext.mStop) {
--- a/Source/Core/Gateway/RequestRelay.h
+++ b/Source/Core/Gateway/RequestRelay.h
@@ -28,6 +28,8 @@
   void Cancel();
   /// Ends the request because the node has to end.
   void EndAtStop();
+  /// Records how long the request takes at least.
+  void RecordProgress(time_point aNow);
   void OnClientDrained();
   /// Ends the request because its client does not read.
   void EndSlowClient();
--- a/Source/Core/Gateway/StallDetector.cpp
+++ b/Source/Core/Gateway/StallDetector.cpp
@@ -28,6 +28,8 @@
   if (aNow < last + kMinStall) {
     return;
   }
+  mStallBeganAt = last;
+  mStallEndedAt = aNow;
   mSilenceFrom = aNow + kSilenceTime;
   if (aNow >= mNextReadFrom) {
     mReadUntil = aNow + kReadTime;
@@ -38,3 +40,10 @@
       { Field("stalled_ms",
               std::chrono::duration_cast<milliseconds>(aNow - last).count()) });
 }
+
+time_point stall_detector::EarliestEventAt(time_point aNow) const
+{
+  return mStallEndedAt != time_point() && aNow < mStallEndedAt + kReadTime
+           ? mStallBeganAt
+           : mLastTickAt;
+}
--- a/Source/Core/Gateway/StopSchedule.cpp
+++ b/Source/Core/Gateway/StopSchedule.cpp
@@ -13,8 +13,10 @@
 // period. On a busy host an exit takes a few hundred ms.
 constexpr milliseconds kMaxExitTime(600);
 constexpr double kExitShare = 0.15;
-// Requests may take longer than the longest recent one by this share of it.
-constexpr double kDurationMargin = 0.25;
+// Requests may take longer than the longest recent one by this share of it, and
+// by the time in which the loop notices that they can be sent.
+constexpr double kDurationMargin = 0.5;
+constexpr milliseconds kMinDurationMargin(100);
 // About the time in which a client connects to another node.
 constexpr milliseconds kElsewhereRetryDelay(10);
 
@@ -48,9 +50,9 @@
   if (!aNeeds.mLongestRecent) {
     return false;
   }
-  const milliseconds longest =
-    *aNeeds.mLongestRecent + Share(*aNeeds.mLongestRecent, kDurationMargin);
-  return aNow + longest <= aSchedule.mEndsAt;
+  const milliseconds margin = std::max(
+    Share(*aNeeds.mLongestRecent, kDurationMargin), kMinDurationMargin);
+  return aNow + *aNeeds.mLongestRecent + margin <= aSchedule.mEndsAt;
 }
 
 milliseconds RetryAfterInStop(const stop_schedule& aSchedule,
--- a/Source/UnitTests/Gateway/StopAdmissionTest.cpp
+++ b/Source/UnitTests/Gateway/StopAdmissionTest.cpp
@@ -49,6 +49,14 @@
     return server;
   }
 
+  /// Runs enough streams to show how long they take.
+  void CompleteStreams()
+  {
+    for (unsigned i = 0; i < 5; ++i) {
+      ASSERT_TRUE(Call("POST", "/s/x", kPrompt, "b")->mComplete);
+    }
+  }
+
   std::size_t RequestsAtServers() const
   {
     std::size_t count = 0;
@@ -110,7 +118,7 @@
 {
   AddEngine("i-1", milliseconds(100));
   StartNode();
-  ASSERT_TRUE(Call("POST", "/s/x", kPrompt, "b")->mComplete);
+  CompleteStreams();
   mNode->Stop();
   RunFor(kLateInStop);
   const auto exchange = Call("POST", "/s/x", kPrompt, "b");
@@ -125,7 +133,7 @@
 {
   AddEngine("i-1", milliseconds(10));
   StartNode();
-  ASSERT_TRUE(Call("POST", "/s/x", kPrompt, "b")->mComplete);
+  CompleteStreams();
   AddEngine("i-1", milliseconds(5000));
   mServers.front()->mScript = mServers.back()->mScript;
   const auto first = BeginRequest("POST", "/s/x", kPrompt, "b");
@@ -140,6 +148,56 @@
   RunUntilStopped();
 }
 
+// Guards against the same while the streams in progress are still young: the
+// rate of their events shows how long they will take.
+TEST_F(stop_admission_test, RateOfEventsShowsThatServersAreSlow)
+{
+  AddEngine("i-1", milliseconds(10));
+  StartNode();
+  CompleteStreams();
+  unsigned events = 1;
+  loop_timer nextEvent;
+  mServers.front()->mScript = [&](http_server_connection& aConnection,
+                                  const http_server_request& aRequest) {
+    scripted_server::SendEvents(aConnection, aRequest, "id: 1\ndata: a\n\n");
+    // Ten events are due.
+    nextEvent.Every(milliseconds(200), [&] {
+      aConnection.WriteBody("id: " + std::to_string(++events) +
+                            "\ndata: a\n\n");
+    });
+  };
+  const auto first = BeginRequest("POST", "/s/x", kPrompt, "b");
+  RunFor(milliseconds(500));
+  mNode->Stop();
+  const std::size_t sent = RequestsAtServers();
+  const auto second = BeginRequest("POST", "/s/x", kPrompt, "b");
+  ExpectRefusedUnsent(*second);
+  EXPECT_EQ(RequestsAtServers(), sent);
+  nextEvent.Cancel();
+  RunUntilStopped();
+}
+
+// Guards against an estimate that responses without a stream make too short.
+TEST_F(stop_admission_test, FailedRequestsDoNotShowHowLongStreamsTake)
+{
+  AddServer("i-1", "engine").mScript = [](http_server_connection& aConnection,
+                                          const http_server_request& aRequest) {
+    http_server_response response;
+    scripted_server::Sign(response, aRequest);
+    response.mStatus = 404;
+    aConnection.Respond(response, "none");
+  };
+  StartNode();
+  for (unsigned i = 0; i < 5; ++i) {
+    ASSERT_EQ(Call("POST", "/s/x", kPrompt, "b")->mResponse.mStatus, 404U);
+  }
+  mNode->Stop();
+  RunFor(kLateInStop);
+  const auto exchange = BeginRequest("POST", "/s/x", kPrompt, "b");
+  ExpectRefusedUnsent(*exchange);
+  RunUntilStopped();
+}
+
 // Guards against requests that wait for a place when the stop begins and are
 // sent when they no longer fit.
 TEST_F(stop_admission_test, WaitingRequestsThatNoLongerFitAreRefused)
@@ -149,24 +207,28 @@
   mConfig.replace(mConfig.find(objective),
                   objective.size(),
                   R"("timeoutMs": 2000, "targetLatencyMs": 9000)");
-  mSettings.mGracePeriod = milliseconds(1500);
-  scripted_server& server = AddServer("i-1", "engine");
+  mSettings.mGracePeriod = milliseconds(1000);
+  scripted_server& server = AddEngine("i-1", milliseconds(10));
   StartNode();
+  CompleteStreams();
   // All places are taken until the requests are given up.
   server.mScript = [](http_server_connection&, const http_server_request&) {};
+  const std::size_t before = server.mRequests.size();
   std::vector<std::unique_ptr<client_exchange>> running;
   for (unsigned i = 0; i < 8; ++i) {
     running.push_back(BeginRequest("POST", "/r/x", kPrompt, "b"));
   }
-  ASSERT_TRUE(RunUntil([&] { return server.mRequests.size() == 8; }));
+  ASSERT_TRUE(RunUntil([&] { return server.mRequests.size() == before + 8; }));
   const auto waiting = BeginRequest("POST", "/s/x", kPrompt, "b");
   RunFor(milliseconds(50));
-  ASSERT_FALSE(waiting->Ended());
   mNode->Stop();
   RunFor(milliseconds(100));
+  // It fits as long as the node has some time left.
+  ASSERT_FALSE(waiting->Ended());
+  RunFor(milliseconds(680));
   running.clear();
   ExpectRefusedUnsent(*waiting);
-  EXPECT_EQ(server.mRequests.size(), 8U);
+  EXPECT_EQ(server.mRequests.size(), before + 8);
   RunUntilStopped();
 }
 
@@ -236,7 +298,7 @@
 {
   AddEngine("i-1", milliseconds(10));
   StartTwoNodes(mStore);
-  ASSERT_TRUE(Call("POST", "/s/x", kPrompt, "b")->mComplete);
+  CompleteStreams();
   mNode->Stop();
   mStore.mUnreachable = true;
   const auto exchange =
--- a/Source/UnitTests/Gateway/StopScheduleTest.cpp
+++ b/Source/UnitTests/Gateway/StopScheduleTest.cpp
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include "Gateway/RequestDurations.h"
+#include "Gateway/StallDetector.h"
 #include "Gateway/StopSchedule.h"
 
 namespace {
@@ -51,6 +52,18 @@
     stop, { stop.mEndsAt + milliseconds(1), std::nullopt }, kNow));
 }
 
+// Guards against requests that take a little longer than all before them.
+TEST(stop_schedule_test, LeavesAMarginAboveTheLongestRequest)
+{
+  const stop_schedule stop = Schedule(milliseconds(8000));
+  const time_point limit = kNow + std::chrono::hours(1);
+  const request_needs needs{ limit, milliseconds(1000) };
+  EXPECT_TRUE(FitsBeforeEnd(stop, needs, stop.mEndsAt - milliseconds(1500)));
+  EXPECT_FALSE(FitsBeforeEnd(stop, needs, stop.mEndsAt - milliseconds(1490)));
+  EXPECT_FALSE(FitsBeforeEnd(
+    stop, { limit, milliseconds(5) }, stop.mEndsAt - milliseconds(100)));
+}
+
 // Guards against clients that are refused while they still hold the address, or
 // taken long after.
 TEST(stop_schedule_test, TakesRequestsWhileClientsHoldTheAddress)
@@ -68,15 +81,34 @@
   EXPECT_EQ(durations.Longest("r", kNow), std::nullopt);
   durations.RecordElapsed("r", milliseconds(4000), kNow);
   EXPECT_EQ(durations.Longest("r", kNow), std::nullopt);
-  durations.RecordComplete("r", milliseconds(100), kNow + milliseconds(100));
+  for (unsigned i = 0; i < 5; ++i) {
+    EXPECT_EQ(durations.Longest("r", kNow), std::nullopt) << i;
+    durations.RecordComplete("r", milliseconds(100), kNow + milliseconds(100));
+  }
   EXPECT_EQ(durations.Longest("r", kNow), milliseconds(4000));
   const time_point later = kNow + milliseconds(11000);
   durations.RecordComplete("r", milliseconds(200), later);
   EXPECT_EQ(durations.Longest("r", later), milliseconds(4000));
   const time_point latest = later + milliseconds(11000);
-  durations.RecordComplete("r", milliseconds(50), latest);
+  for (unsigned i = 0; i < 5; ++i) {
+    durations.RecordComplete("r", milliseconds(50), latest);
+  }
   EXPECT_EQ(durations.Longest("r", latest), milliseconds(200));
   EXPECT_EQ(durations.Longest("r", latest + milliseconds(21000)), std::nullopt);
   durations.Expire(latest + milliseconds(21000));
   EXPECT_EQ(durations.Size(), 0U);
 }
+
+// Guards against a stop that is scheduled from a signal which came during a
+// stall of the loop: the process would be killed before the end of the stop.
+TEST(stall_detector_test, EventsAfterAStallCountFromItsBegin)
+{
+  stall_detector stalls(kNow);
+  const time_point last = kNow + milliseconds(10);
+  stalls.OnTick(last);
+  EXPECT_EQ(stalls.EarliestEventAt(last + milliseconds(2)), last);
+  const time_point after = last + milliseconds(2000);
+  stalls.OnTick(after);
+  EXPECT_EQ(stalls.EarliestEventAt(after + milliseconds(1)), last);
+  EXPECT_EQ(stalls.EarliestEventAt(after + milliseconds(10)), after);
+}
