Test resumptions at a node that is out of step during a release

Cause: another operator saw streams that went on at a server of another version at a node that was cut off or stood still while servers of a new version joined. Of this only a stopped node in contact with the store was tried before. Change: out_of_step_test covers a cut from the peers, a cut from peers and store, a node that stands still, resumptions within the gap and right after it, and the word of a peer with old entries, with 3 and 30 nodes.

--- a/Source/UnitTests/Gateway/StreamOriginsTest.cpp
+++ b/Source/UnitTests/Gateway/StreamOriginsTest.cpp
@@ -126,13 +126,20 @@
     return stream;
   }
 
-  /// Looks a stream up until there is a result.
-  stream_lookup Resume(const std::string& aNode, stream_key aStream)
+  /// Looks a stream up until there is a result. `aServersCurrentAt` is the time
+  /// of the server entries; nothing if `mServersAge` tells it.
+  stream_lookup Resume(const std::string& aNode,
+                       stream_key aStream,
+                       std::optional<time_point> aServersCurrentAt = {})
   {
     const time_point since = mNow;
     while (true) {
-      const auto found = mNodes.at(aNode).Lookup(
-        aStream, { kService }, since - mServersAge, since, mNow);
+      const auto found =
+        mNodes.at(aNode).Lookup(aStream,
+                                { kService },
+                                aServersCurrentAt.value_or(since - mServersAge),
+                                since,
+                                mNow);
       if (found.mState != stream_lookup::state::Pending) {
         return found;
       }
@@ -486,3 +493,207 @@
   }
   EXPECT_LE(mBytes, 2000U);
 }
+
+namespace {
+
+/// Fleets of which one node is out of step while servers of a new version join.
+class out_of_step_test
+  : public stream_origins_test
+  , public testing::WithParamInterface<unsigned>
+{
+protected:
+  void SetUp() override
+  {
+    StartNodes(GetParam());
+    Run(seconds(31), { kOld });
+    mReadAt = mNow;
+  }
+
+  /// The new version joins, which all nodes but the given ones see, and streams
+  /// begin at it at another node.
+  void BeginAtNewVersion(const std::set<std::string>& aUnaware)
+  {
+    mNow += milliseconds(1000);
+    for (auto& [address, node] : mNodes) {
+      if (!aUnaware.contains(address)) {
+        node.OnServer(kService, kNew, mNow);
+      }
+    }
+    for (unsigned i = 0; i < kStreams; ++i) {
+      mBegun.push_back(Begin(mOrigin, kNew));
+    }
+    Exchange();
+  }
+
+  /// Lets time pass at the node out of step, which reads no server entries.
+  void RunLate(milliseconds aDuration, bool aInContact)
+  {
+    constexpr milliseconds kTick(250);
+    stream_origins& late = mNodes.at(mLate);
+    for (milliseconds passed(0); passed < aDuration; passed += kTick) {
+      mNow += kTick;
+      late.OnServer(kService, kOld, mNow);
+      late.OnTick(aInContact ? mNow : mReadAt, mNow);
+    }
+  }
+
+  /// Resumes the streams at the node out of step; none may go on at the old
+  /// version. Returns how many go on.
+  unsigned ResumeAll()
+  {
+    unsigned resumed = 0;
+    for (const stream_key stream : mBegun) {
+      const auto found = Resume(mLate, stream, mReadAt);
+      if (found.mState == stream_lookup::state::Known) {
+        EXPECT_EQ(found.mSoftware, SoftwareKey(kService, kNew));
+        ++resumed;
+      }
+    }
+    return resumed;
+  }
+
+  static constexpr unsigned kStreams = 8;
+  const std::string mLate = Address(0);
+  const std::string mOrigin = Address(1);
+  /// Time of the server entries of the node out of step.
+  time_point mReadAt;
+  std::vector<stream_key> mBegun;
+};
+
+} // namespace
+
+// Guards against a node that is cut off from the others, before and after it
+// notices, and takes the version of its old entries for the only one.
+TEST_P(out_of_step_test, CutOffFromPeers)
+{
+  mCutOff = { mLate };
+  BeginAtNewVersion({ mLate });
+  EXPECT_EQ(ResumeAll(), 0U);
+  UpdatePeers();
+  const time_point asked = mNow;
+  EXPECT_EQ(ResumeAll(), 0U);
+  EXPECT_EQ(mNow, asked);
+  // The next read of the entries shows the new version.
+  mReadAt = mNow + milliseconds(400);
+  mNodes.at(mLate).OnServer(kService, kNew, mNow);
+  RunLate(milliseconds(500), true);
+  EXPECT_EQ(ResumeAll(), 0U);
+}
+
+// The same for a node that does not hear the store either, before and after it
+// knows that.
+TEST_P(out_of_step_test, CutOffFromPeersAndStore)
+{
+  mCutOff = { mLate };
+  BeginAtNewVersion({ mLate });
+  UpdatePeers();
+  for (int i = 0; i < 6; ++i) {
+    RunLate(milliseconds(500), false);
+    EXPECT_EQ(ResumeAll(), 0U);
+  }
+}
+
+// Guards against records that a node could not hear: it asks for them as soon
+// as the cut has ended, also for streams that it has just refused.
+TEST_P(out_of_step_test, ResumesRightAfterACut)
+{
+  mCutOff = { mLate };
+  UpdatePeers();
+  BeginAtNewVersion({ mLate });
+  EXPECT_EQ(ResumeAll(), 0U);
+  mCutOff.clear();
+  UpdatePeers();
+  EXPECT_EQ(ResumeAll(), kStreams);
+}
+
+// Guards against a node that hears only one other node right after a cut, which
+// keeps no copy and has old entries as well.
+TEST_P(out_of_step_test, TheFirstPeerAfterACutMayKnowNothing)
+{
+  const std::string first = Address(GetParam() - 1);
+  mCutOff = { mLate };
+  UpdatePeers();
+  BeginAtNewVersion({ mLate, first });
+  mCutOff.clear();
+  mNodes.at(mLate).SetPeers({ first });
+  ResumeAll();
+}
+
+// Guards against a node that stands still between a resumption and its question
+// and takes the time for answers to be over.
+TEST_P(out_of_step_test, StandsStillBeforeItAsks)
+{
+  BeginAtNewVersion({ mLate });
+  const stream_key stream = StreamKey("record is lost");
+  const auto found = mNodes.at(mLate).Lookup(
+    stream, { kService }, mReadAt, mNow, mNow + seconds(4));
+  EXPECT_EQ(found.mState, stream_lookup::state::Unknown);
+}
+
+// Guards against a node that stands still for the whole time for which a
+// version serves and finds that it has always been in contact with the store.
+TEST_P(out_of_step_test, StandsStillWhileAVersionComesAndGoes)
+{
+  mCutOff = { mLate };
+  BeginAtNewVersion({ mLate });
+  mCutOff.clear();
+  mNow += seconds(10);
+  RunLate(milliseconds(250), true);
+  mReadAt = mNow + seconds(10);
+  EXPECT_EQ(ResumeAll(), kStreams);
+}
+
+// Guards against the word of a node with old entries while those that keep the
+// copies do not answer: the asking node knows of another version.
+TEST_P(out_of_step_test, OldCertaintyOfAPeerIsRefuted)
+{
+  BeginAtNewVersion({ mLate });
+  const std::string asking = Address(2);
+  for (auto& [address, node] : mNodes) {
+    if (address != asking && address != mLate) {
+      mCutOff.insert(address);
+    }
+  }
+  for (const bool restarted : { false, true }) {
+    if (restarted) {
+      Start(asking);
+      mNodes.at(asking).SetPeers({ mLate });
+      mNodes.at(asking).OnServer(kService, kNew, mNow);
+    }
+    for (stream_key stream = 1; stream <= 40; ++stream) {
+      EXPECT_EQ(Resume(asking, stream, mReadAt).mState,
+                stream_lookup::state::Unknown);
+    }
+  }
+}
+
+// Guards against streams of a single version that a cut-off node refuses for
+// longer than it takes to read the entries again.
+TEST_P(out_of_step_test, GoesOnOnceTheEntriesAreNewerThanTheFirstTry)
+{
+  const stream_key stream = Begin(mOrigin, kOld);
+  mCutOff = { mLate };
+  UpdatePeers();
+  mNow += milliseconds(1000);
+  EXPECT_EQ(Resume(mLate, stream, mReadAt).mState,
+            stream_lookup::state::Unknown);
+  mReadAt = mNow + milliseconds(400);
+  RunLate(milliseconds(500), true);
+  EXPECT_EQ(Resume(mLate, stream, mReadAt).mSoftware,
+            SoftwareKey(kService, kOld));
+}
+
+// Guards against streams of a single version that a node in step refuses
+// because one of the nodes that it asks was killed.
+TEST_P(out_of_step_test, OneSilentPeerRefusesNothing)
+{
+  mNow += milliseconds(1000);
+  for (unsigned i = 0; i < kStreams; ++i) {
+    const stream_key stream = Begin(mOrigin, kOld);
+    mCutOff = { mOrigin };
+    EXPECT_EQ(Resume(mLate, stream, mReadAt).mSoftware,
+              SoftwareKey(kService, kOld));
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Nodes, out_of_step_test, testing::Values(3U, 30U));
