Refuse resumptions whose version no node can prove

Cause: a node that knew a single version took the silence of its peers for agreement. An asking node also believed a peer with old entries although it knew of another version itself. Change: that no node knows the stream counts only if at least one peer, and all but one of those asked, have answered, the view of the peers has not just grown as after a cut, and neither they nor the asking node know another version; answers say so. Otherwise the resumption is refused, until the server entries are newer than the first attempt. A suspension of 2 s ends the certainty as 2 s without the store do.

--- a/Source/Core/Gateway/Fleet.capnp
+++ b/Source/Core/Gateway/Fleet.capnp
@@ -178,8 +178,8 @@
   stream @0 :UInt64;
   # 0 if the node does not know.
   software @1 :UInt64;
-  # The only software of the services; 0 if there are several or the node is not
-  # certain.
+  # The only software of the services; all bits are set if the node knows of
+  # several, 0 if it is not certain.
   onlySoftware @2 :UInt64;
   # Hash of the address of the node that answers.
   node @3 :UInt32;
--- a/Source/Core/Gateway/GatewayNodeTicks.cpp
+++ b/Source/Core/Gateway/GatewayNodeTicks.cpp
@@ -288,7 +288,7 @@
   mFleet.Self().mPauses = TimesLeft(mUpstreamRegistry.Pauses(now), now);
   mUpstreamRegistry.SetNodes(mFleet.LiveNodeCount(now));
   UpdateEndpoints(now);
-  mStreamOrigins.SetPeers(peers);
+  mStreamOrigins.SetPeers(peers, now);
   mSegmentCrashes.SetNodes(mFleet.Self().mAddress, peers);
   mPeerTransport.SendReports();
   mUpstreamRegistry.SetPeerWork(mFleet.PeerWork(now));
--- a/Source/Core/Gateway/StreamOrigins.cpp
+++ b/Source/Core/Gateway/StreamOrigins.cpp
@@ -32,6 +32,16 @@
 // Without contact to the store for longer, servers of another version may serve
 // unknown to this node. Polls reply within 1.4 s.
 constexpr milliseconds kStoreContactTimeout(2000);
+// Number of nodes that were asked and need not answer. The replicas of a record
+// are among the first four of the nodes that are asked, the node itself aside,
+// so with a single silent node at least one replica has answered.
+constexpr std::size_t kMaxSilentPeers = 1;
+// Time in which a node hears of all others after a cut: three rounds of
+// reports.
+constexpr milliseconds kPeersCompleteTime(600);
+// Time for which the first resumption of a stream is remembered. Server entries
+// of a node in contact with the store are at most 1.4 s old.
+constexpr seconds kFirstResumedTime(5);
 // Limit of the records in a notice, so that it fits an unfragmented datagram.
 constexpr std::size_t kMaxNoticeRecords = 50;
 
@@ -47,7 +57,17 @@
 {
   const software_key key =
     StableHash(aSoftware.mName, StableHash(aService.mName));
-  return std::max<software_key>(key, 1);
+  return std::clamp<software_key>(key, 1, kSeveralSoftware - 1);
+}
+
+void stream_origins::SetPeers(std::vector<std::string> aPeers, time_point aNow)
+{
+  // After a cut, the first peers that are heard need not be those that keep the
+  // copies. Single nodes that start do not matter in a larger fleet.
+  if (aPeers.size() > mPeers.size() && aPeers.size() >= 2 * mPeers.size()) {
+    mPeersCompleteAt = aNow + kPeersCompleteTime;
+  }
+  mPeers = std::move(aPeers);
 }
 
 void stream_origins::OnServer(const service_id& aService,
@@ -59,7 +79,12 @@
 
 void stream_origins::OnTick(time_point aStoreContact, time_point aNow)
 {
-  if (aNow >= aStoreContact + kStoreContactTimeout) {
+  // A process that was suspended has read nothing meanwhile, even if it reads a
+  // reply of the store before the next tick.
+  const bool suspended =
+    mLastTickAt && aNow >= *mLastTickAt + kStoreContactTimeout;
+  mLastTickAt = aNow;
+  if (suspended || aNow >= aStoreContact + kStoreContactTimeout) {
     mWatchingSince.reset();
   } else if (!mWatchingSince) {
     mWatchingSince = aNow;
@@ -92,6 +117,9 @@
   std::erase_if(mLookups, [aNow](const auto& aPair) {
     return aNow >= aPair.second.mExpiresAt;
   });
+  std::erase_if(mFirstResumed, [aNow](const auto& aPair) {
+    return aNow >= aPair.second + kFirstResumedTime;
+  });
 }
 
 software_key stream_origins::OnlySoftware(
@@ -101,20 +129,40 @@
   if (!mWatchingSince || aNow < *mWatchingSince + kStreamLifetime) {
     return 0;
   }
-  software_key only = 0;
+  const std::set<software_key> known = KnownSoftware(aServices);
+  return known.size() == 1 ? *known.begin() : 0;
+}
+
+std::set<software_key> stream_origins::KnownSoftware(
+  const std::vector<service_id>& aServices) const
+{
+  std::set<software_key> all;
   for (const service_id& service : aServices) {
     const auto known = mSoftware.find(service);
     if (known == mSoftware.end()) {
       continue;
     }
     for (const auto& [software, lastKnownAt] : known->second) {
-      if (only != 0 && software != only) {
-        return 0;
-      }
-      only = software;
+      all.insert(software);
     }
   }
-  return only;
+  return all;
+}
+
+time_point stream_origins::BegunBy(stream_key aStream, time_point aSince)
+{
+  // Clients that name no stream all have the same key.
+  if (aStream == StreamKey({})) {
+    return aSince;
+  }
+  if (const auto found = mFirstResumed.find(aStream);
+      found != mFirstResumed.end()) {
+    return found->second;
+  }
+  if (mFirstResumed.size() < kMaxLookups) {
+    mFirstResumed.emplace(aStream, aSince);
+  }
+  return aSince;
 }
 
 void stream_origins::Insert(stream_key aStream,
@@ -183,7 +231,10 @@
     return { stream_lookup::state::Known, known->second.mSoftware, "record" };
   }
   const software_key only = OnlySoftware(aServices, aNow);
-  if (only != 0 && aServersCurrentAt >= aSince) {
+  const time_point begunBy = BegunBy(aStream, aSince);
+  // After a suspension, the tick that ends the certainty may still be due.
+  const bool ticks = mLastTickAt && aNow < *mLastTickAt + kStoreContactTimeout;
+  if (only != 0 && ticks && aServersCurrentAt >= begunBy) {
     return { stream_lookup::state::Known, only, "only_version" };
   }
   return Ask(aStream, aServices, aSince, aNow);
@@ -201,9 +252,6 @@
   open_lookup& lookup = found->second;
   const auto replicas = Replicas(aStream, kMaxAsked);
   if (isNew) {
-    if (const software_key only = OnlySoftware(aServices, aNow)) {
-      lookup.mOnlySoftware.insert(only);
-    }
     lookup.mServices = aServices;
     lookup.mExpiresAt = aNow + kLookupTimeout + kQueryInterval;
     for (const std::string& replica : replicas) {
@@ -211,14 +259,12 @@
     }
   }
   if (lookup.mAwaited.empty() || aNow >= aSince + kLookupTimeout) {
-    const std::set<software_key> only = std::move(lookup.mOnlySoftware);
+    const software_key only = Conclude(lookup, aNow);
     mLookups.erase(found);
-    // No node that was asked knows the stream. One that is certain of a single
-    // version is right: with several, the stream would have been copied.
-    if (only.size() == 1) {
-      return { stream_lookup::state::Known, *only.begin(), "only_version" };
+    if (only == 0) {
+      return {};
     }
-    return {};
+    return { stream_lookup::state::Known, only, "only_version" };
   }
   if (aNow >= lookup.mNextQueryAt) {
     lookup.mNextQueryAt = aNow + kQueryInterval;
@@ -231,6 +277,28 @@
   return { stream_lookup::state::Pending };
 }
 
+software_key stream_origins::Conclude(const open_lookup& aLookup,
+                                      time_point aNow) const
+{
+  // With several versions the stream would have been copied. That the nodes do
+  // not know it proves nothing if those with the copies were not heard.
+  if (aLookup.mAnswers == 0 || aLookup.mAwaited.size() > kMaxSilentPeers ||
+      aNow < mPeersCompleteAt) {
+    return 0;
+  }
+  std::set<software_key> only = aLookup.mOnlySoftware;
+  if (const software_key own = OnlySoftware(aLookup.mServices, aNow)) {
+    only.insert(own);
+  }
+  if (only.size() != 1 || only.contains(kSeveralSoftware)) {
+    return 0;
+  }
+  // A node with old entries may be certain of a version that is not the only
+  // one, by what this node knows.
+  only.merge(KnownSoftware(aLookup.mServices));
+  return only.size() == 1 ? *only.begin() : 0;
+}
+
 std::vector<std::pair<std::string, stream_notice>> stream_origins::TakeNotices(
   time_point aNow)
 {
@@ -288,9 +356,10 @@
                                       time_point aNow) const
 {
   const auto known = mRecords.find(aQuery.mStream);
+  const bool several = KnownSoftware(aQuery.mServices).size() > 1;
   return { aQuery.mStream,
            known == mRecords.end() ? 0 : known->second.mSoftware,
-           OnlySoftware(aQuery.mServices, aNow),
+           several ? kSeveralSoftware : OnlySoftware(aQuery.mServices, aNow),
            NodeKey(mAddress) };
 }
 
@@ -304,7 +373,7 @@
     Insert(aAnswer.mStream, aAnswer.mSoftware, aNow);
     return;
   }
-  lookup->second.mAwaited.erase(aAnswer.mNode);
+  lookup->second.mAnswers += lookup->second.mAwaited.erase(aAnswer.mNode);
   if (aAnswer.mOnlySoftware != 0) {
     lookup->second.mOnlySoftware.insert(aAnswer.mOnlySoftware);
   }
--- a/Source/Core/Gateway/StreamOrigins.h
+++ b/Source/Core/Gateway/StreamOrigins.h
@@ -23,9 +23,13 @@
 /// Hash of the identity of the request that began a stream.
 using stream_key = std::uint64_t;
 
-/// Hash of a service and the version of its servers' software; never 0.
+/// Hash of a service and the version of its servers' software; never 0 and
+/// never `kSeveralSoftware`.
 using software_key = std::uint64_t;
 
+/// Stands for several versions in a `stream_answer`.
+inline constexpr software_key kSeveralSoftware = ~software_key{ 0 };
+
 stream_key StreamKey(std::string_view aRequestId);
 software_key SoftwareKey(const service_id& aService,
                          const software_version& aSoftware);
@@ -61,8 +65,8 @@
   stream_key mStream = 0;
   /// Software at which the stream began; 0 if the node does not know.
   software_key mSoftware = 0;
-  /// The only software at which any stream of the services can have begun; 0 if
-  /// there are several or the node is not certain.
+  /// The only software at which any stream of the services can have begun;
+  /// `kSeveralSoftware` if the node knows of several, 0 if it is not certain.
   software_key mOnlySoftware = 0;
   /// `NodeKey` of the node that answers.
   std::uint32_t mNode = 0;
@@ -94,6 +98,9 @@
 /// node at which a stream is resumed asks these. A node that knows a single
 /// version asks as well if its server entries are older than the resumption,
 /// because the stream may have begun at a version that it does not know yet.
+/// That no node knows the stream counts only if enough nodes have answered and
+/// none of them knows another version; otherwise the resumption is refused
+/// until the entries are newer than the first attempt.
 ///
 /// A node that has just started knows no versions of the time before, so after
 /// the loss of all nodes streams of unknown version are refused for
@@ -109,7 +116,7 @@
   }
 
   /// Sets the datagram addresses of the live peers.
-  void SetPeers(std::vector<std::string> aPeers) { mPeers = std::move(aPeers); }
+  void SetPeers(std::vector<std::string> aPeers, time_point aNow);
 
   /// A server with the software serves, or did so until now.
   void OnServer(const service_id& aService,
@@ -163,6 +170,7 @@
     std::vector<service_id> mServices;
     /// `NodeKey` of each node that was asked and did not answer.
     std::set<std::uint32_t> mAwaited;
+    std::size_t mAnswers = 0;
     /// What nodes that do not know the stream are certain of.
     std::set<software_key> mOnlySoftware;
   };
@@ -171,6 +179,14 @@
   /// there are several or this node is not certain.
   software_key OnlySoftware(const std::vector<service_id>& aServices,
                             time_point aNow) const;
+  /// All software of the services that this node knows, certain or not.
+  std::set<software_key> KnownSoftware(
+    const std::vector<service_id>& aServices) const;
+  /// Time by which the stream had begun: that of its first resumption.
+  time_point BegunBy(stream_key aStream, time_point aSince);
+  /// The only software at which the stream can have begun, by the answers to
+  /// the lookup and what this node knows; 0 if they do not prove it.
+  software_key Conclude(const open_lookup& aLookup, time_point aNow) const;
   void Insert(stream_key aStream, software_key aSoftware, time_point aBeganAt);
   /// The live peers that keep copies of the record, first choice first.
   std::vector<std::string> Replicas(stream_key aStream,
@@ -182,6 +198,8 @@
 
   std::string mAddress;
   std::vector<std::string> mPeers;
+  /// Time from which on the peers that keep copies are among `mPeers`.
+  time_point mPeersCompleteAt;
   std::unordered_map<stream_key, record> mRecords;
   /// Records in the order of their expiry.
   std::deque<std::pair<time_point, stream_key>> mExpiry;
@@ -193,6 +211,9 @@
   std::map<service_id, std::map<software_key, time_point>> mSoftware;
   /// Start of the time for which this node has known all servers.
   std::optional<time_point> mWatchingSince;
+  std::optional<time_point> mLastTickAt;
   std::unordered_map<stream_key, open_lookup> mLookups;
+  /// Times of the first resumptions of streams, and when they are dropped.
+  std::unordered_map<stream_key, time_point> mFirstResumed;
   std::map<std::string, std::vector<stream_key>> mQueries;
 };
--- a/Source/UnitTests/Gateway/StreamOriginsTest.cpp
+++ b/Source/UnitTests/Gateway/StreamOriginsTest.cpp
@@ -55,7 +55,7 @@
           peers.push_back(peer);
         }
       }
-      node.SetPeers(std::move(peers));
+      node.SetPeers(std::move(peers), mNow);
     }
   }
 
@@ -615,7 +615,7 @@
   UpdatePeers();
   BeginAtNewVersion({ mLate, first });
   mCutOff.clear();
-  mNodes.at(mLate).SetPeers({ first });
+  mNodes.at(mLate).SetPeers({ first }, mNow);
   ResumeAll();
 }
 
@@ -638,8 +638,11 @@
   BeginAtNewVersion({ mLate });
   mCutOff.clear();
   mNow += seconds(10);
-  RunLate(milliseconds(250), true);
   mReadAt = mNow + seconds(10);
+  // Before its first tick and after it.
+  EXPECT_EQ(Resume(mLate, mBegun[0], mReadAt).mSoftware,
+            SoftwareKey(kService, kNew));
+  RunLate(milliseconds(250), true);
   EXPECT_EQ(ResumeAll(), kStreams);
 }
 
@@ -657,7 +660,7 @@
   for (const bool restarted : { false, true }) {
     if (restarted) {
       Start(asking);
-      mNodes.at(asking).SetPeers({ mLate });
+      mNodes.at(asking).SetPeers({ mLate }, mNow);
       mNodes.at(asking).OnServer(kService, kNew, mNow);
     }
     for (stream_key stream = 1; stream <= 40; ++stream) {
@@ -696,4 +699,21 @@
   }
 }
 
+// Guards against streams of a single version that are refused at once when the
+// store goes away for all nodes, and against certainty that outlasts 2 s of it.
+TEST_P(out_of_step_test, AStoreAwayForAllEndsCertaintyAfterTwoSeconds)
+{
+  const stream_key stream = StreamKey("not copied");
+  const time_point lost = mNow;
+  for (const milliseconds away : { milliseconds(1750), milliseconds(2000) }) {
+    mNow = lost + away;
+    for (auto& [address, node] : mNodes) {
+      node.OnTick(mReadAt, mNow);
+    }
+    const bool known =
+      Resume(mLate, stream, mReadAt).mState == stream_lookup::state::Known;
+    EXPECT_EQ(known, away < seconds(2));
+  }
+}
+
 INSTANTIATE_TEST_SUITE_P(Nodes, out_of_step_test, testing::Values(3U, 30U));
