Accept streams of a single version while two nodes are silent

Cause: all but one of the asked peers had to answer. Change: one of the first two asked peers must have answered. Whichever node began the stream, each of the two keeps a copy or is that node.

--- a/Source/Core/Gateway/StreamOrigins.cpp
+++ b/Source/Core/Gateway/StreamOrigins.cpp
@@ -32,10 +32,10 @@
 // Without contact to the store for longer, servers of another version may serve
 // unknown to this node. Polls reply within 1.4 s.
 constexpr milliseconds kStoreContactTimeout(2000);
-// Number of nodes that were asked and need not answer. The replicas of a record
-// are among the first four of the nodes that are asked, the node itself aside,
-// so with a single silent node at least one replica has answered.
-constexpr std::size_t kMaxSilentPeers = 1;
+// Number of nodes of which one must answer. Each of the first two that are
+// asked keeps a copy or has begun the stream itself; the third copy may be that
+// of the asking node.
+constexpr std::size_t kSureReplicas = kReplicas - 1;
 // Time in which a node hears of all others after a cut: three rounds of
 // reports.
 constexpr milliseconds kPeersCompleteTime(600);
@@ -256,6 +256,9 @@
     lookup.mExpiresAt = aNow + kLookupTimeout + kQueryInterval;
     for (const std::string& replica : replicas) {
       lookup.mAwaited.insert(NodeKey(replica));
+      if (lookup.mReplicas.size() < kSureReplicas) {
+        lookup.mReplicas.push_back(NodeKey(replica));
+      }
     }
   }
   if (lookup.mAwaited.empty() || aNow >= aSince + kLookupTimeout) {
@@ -282,8 +285,11 @@
 {
   // With several versions the stream would have been copied. That the nodes do
   // not know it proves nothing if those with the copies were not heard.
-  if (aLookup.mAnswers == 0 || aLookup.mAwaited.size() > kMaxSilentPeers ||
-      aNow < mPeersCompleteAt) {
+  const bool replicaAnswered =
+    std::ranges::any_of(aLookup.mReplicas, [&](std::uint32_t aNode) {
+      return !aLookup.mAwaited.contains(aNode);
+    });
+  if (!replicaAnswered || aNow < mPeersCompleteAt) {
     return 0;
   }
   std::set<software_key> only = aLookup.mOnlySoftware;
@@ -373,7 +379,7 @@
     Insert(aAnswer.mStream, aAnswer.mSoftware, aNow);
     return;
   }
-  lookup->second.mAnswers += lookup->second.mAwaited.erase(aAnswer.mNode);
+  lookup->second.mAwaited.erase(aAnswer.mNode);
   if (aAnswer.mOnlySoftware != 0) {
     lookup->second.mOnlySoftware.insert(aAnswer.mOnlySoftware);
   }
--- a/Source/Core/Gateway/StreamOrigins.h
+++ b/Source/Core/Gateway/StreamOrigins.h
@@ -98,8 +98,8 @@
 /// node at which a stream is resumed asks these. A node that knows a single
 /// version asks as well if its server entries are older than the resumption,
 /// because the stream may have begun at a version that it does not know yet.
-/// That no node knows the stream counts only if enough nodes have answered and
-/// none of them knows another version; otherwise the resumption is refused
+/// That no node knows the stream counts only if one that would keep a copy has
+/// answered and none knows another version; otherwise the resumption is refused
 /// until the entries are newer than the first attempt.
 ///
 /// A node that has just started knows no versions of the time before, so after
@@ -170,7 +170,8 @@
     std::vector<service_id> mServices;
     /// `NodeKey` of each node that was asked and did not answer.
     std::set<std::uint32_t> mAwaited;
-    std::size_t mAnswers = 0;
+    /// `NodeKey` of the nodes that keep a copy of the record if there is one.
+    std::vector<std::uint32_t> mReplicas;
     /// What nodes that do not know the stream are certain of.
     std::set<software_key> mOnlySoftware;
   };
--- a/Source/UnitTests/Gateway/StreamOriginsTest.cpp
+++ b/Source/UnitTests/Gateway/StreamOriginsTest.cpp
@@ -358,6 +358,25 @@
   EXPECT_LE(mNow, asked + milliseconds(20));
 }
 
+// Guards against resumptions that are refused for as long as two killed nodes
+// still count as live: of six nodes, they are the two that surely keep a copy
+// for one stream in ten.
+TEST_F(stream_origins_test, TwoKilledNodesRefuseFewStreams)
+{
+  constexpr unsigned kStreams = 100;
+  StartNodes(6);
+  Run(seconds(31), { kOld });
+  mServersAge = milliseconds(1400);
+  mNodes.erase(Address(1));
+  mNodes.erase(Address(2));
+  unsigned refused = 0;
+  for (stream_key stream = 1; stream <= kStreams; ++stream) {
+    const auto found = Resume(Address(0), StreamKey(std::to_string(stream)));
+    refused += found.mState == stream_lookup::state::Unknown ? 1U : 0U;
+  }
+  EXPECT_LE(refused, kStreams * 3 / 20);
+}
+
 // Guards against control traffic for services with one version, which needs
 // none.
 TEST_F(stream_origins_test, ASingleVersionNeedsNoMessages)
