--- a/Source/Core/Gateway/StreamOrigins.h
+++ b/Source/Core/Gateway/StreamOrigins.h
@@ -214,7 +214,7 @@
   std::optional<time_point> mWatchingSince;
   std::optional<time_point> mLastTickAt;
   std::unordered_map<stream_key, open_lookup> mLookups;
-  /// Times of the first resumptions of streams, and when they are dropped.
+  /// Times of the first resumptions of streams here.
   std::unordered_map<stream_key, time_point> mFirstResumed;
   std::map<std::string, std::vector<stream_key>> mQueries;
 };
