Send a request that comes again on a connection that has not carried it

Cause: on a kept connection that carried a request of the same identity, a late copy of the earlier refusal cannot be told from the answer to the request at hand; without an identity every copy passes. Ruled out: a refusal that promises nothing there, since callers then get 502 for the true refusals of a repetition and cannot try again. Change: a connection keeps hashes of the identities of its last 256 requests (2 KiB; a request comes again within its deadline, which is seconds), and the pool takes only a connection that has not carried the identity. A request without one gets a new connection. An answer with the identity is then surely the one to the request, so a refusal stays a refusal. Cost: a new connection for a repetition at the same server.

--- a/Source/Core/Gateway/GatewaySessionUpstream.cpp
+++ b/Source/Core/Gateway/GatewaySessionUpstream.cpp
@@ -117,7 +117,7 @@
   constexpr int kLastUrgency = 9;
   send.mUrgency = std::clamp(mPriority, 0, kLastUrgency);
   send.mResumeAfter = mResponseStarted ? mEvents.LastId() : std::string();
-  mConnection = mContext.mPool.Acquire(aPlacement.mAddress, aNow);
+  mConnection = mContext.mPool.Acquire(aPlacement.mAddress, mRequest.mId, aNow);
   if (mConnection->Closed()) {
     OnExchangeFailed(exchange_failure::NotSent);
     return;
--- a/Source/Core/Gateway/UpstreamPool.cpp
+++ b/Source/Core/Gateway/UpstreamPool.cpp
@@ -5,21 +5,40 @@
 
 std::unique_ptr<http_client_connection> upstream_pool::Acquire(
   const tcp_address& aAddress,
+  std::string_view aRequestId,
+  time_point aNow)
+{
+  auto connection = TakeIdle(aAddress, aRequestId, aNow);
+  if (!connection) {
+    ++mOpened;
+    connection = std::make_unique<http_client_connection>(aAddress, mLiveness);
+  }
+  connection->RecordRequest(aRequestId);
+  return connection;
+}
+
+std::unique_ptr<http_client_connection> upstream_pool::TakeIdle(
+  const tcp_address& aAddress,
+  std::string_view aRequestId,
   time_point aNow)
 {
   const auto found = mIdle.find(aAddress);
-  if (found != mIdle.end()) {
-    // Newest first, because it is the least likely to be closed by the server.
-    while (!found->second.empty()) {
-      idle_connection idle = std::move(found->second.back());
-      found->second.pop_back();
-      if (aNow < idle.mUntil && !idle.mConnection->Closed()) {
-        return std::move(idle.mConnection);
-      }
+  if (found == mIdle.end()) {
+    return nullptr;
+  }
+  // Newest first, because it is the least likely to be closed by the server.
+  auto& idle = found->second;
+  for (auto entry = idle.end(); entry != idle.begin();) {
+    --entry;
+    if (aNow >= entry->mUntil || entry->mConnection->Closed()) {
+      entry = idle.erase(entry);
+    } else if (!entry->mConnection->IsAmbiguousFor(aRequestId)) {
+      auto connection = std::move(entry->mConnection);
+      idle.erase(entry);
+      return connection;
     }
   }
-  ++mOpened;
-  return std::make_unique<http_client_connection>(aAddress, mLiveness);
+  return nullptr;
 }
 
 void upstream_pool::Release(std::unique_ptr<http_client_connection> aConnection,
--- a/Source/Core/Gateway/UpstreamPool.h
+++ b/Source/Core/Gateway/UpstreamPool.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <memory>
+#include <string_view>
 #include <vector>
 
 #include "Common/Time.h"
@@ -18,8 +19,11 @@
   {
   }
 
-  /// Returns an idle connection to the server, or a new one.
+  /// Returns an idle connection to the server for a request, or a new one.
+  /// Connections on which a late copy of an earlier response would pass for the
+  /// response to the request stay idle.
   std::unique_ptr<http_client_connection> Acquire(const tcp_address& aAddress,
+                                                  std::string_view aRequestId,
                                                   time_point aNow);
   /// Returns a connection to the pool, which keeps it until `aUntil`. It is
   /// closed if the pool has `aMaxIdle` idle connections to the server already.
@@ -34,6 +38,10 @@
   std::uint64_t Opened() const { return mOpened; }
 
 private:
+  std::unique_ptr<http_client_connection> TakeIdle(const tcp_address& aAddress,
+                                                   std::string_view aRequestId,
+                                                   time_point aNow);
+
   struct idle_connection
   {
     std::unique_ptr<http_client_connection> mConnection;
--- a/Source/Core/Net/HttpClientConnection.cpp
+++ b/Source/Core/Net/HttpClientConnection.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <array>
 #include <limits>
 #include <utility>
@@ -6,6 +7,7 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 
+#include "Common/Hash.h"
 #include "Net/HttpConnection.h"
 
 namespace {
@@ -22,6 +24,8 @@
 constexpr unsigned kMaxInterimResponses = 16;
 constexpr std::size_t kMaxDiscardedBytes = 262144;
 constexpr unsigned kFirstFinalStatus = 200;
+// Requests of a connection whose identities are kept: 2 KiB.
+constexpr std::size_t kMaxRecordedRequests = 256;
 
 } // namespace
 
@@ -117,6 +121,24 @@
   }
 }
 
+void http_client_connection::RecordRequest(std::string_view aRequestId)
+{
+  const std::uint64_t hash = StableHash(aRequestId);
+  if (mRequests.size() < kMaxRecordedRequests) {
+    mRequests.push_back(hash);
+    return;
+  }
+  mRequests[mNextRecord] = hash;
+  mNextRecord = (mNextRecord + 1) % kMaxRecordedRequests;
+}
+
+bool http_client_connection::IsAmbiguousFor(std::string_view aRequestId) const
+{
+  return mUses > 0 && (aRequestId.empty() ||
+                       std::ranges::find(mRequests, StableHash(aRequestId)) !=
+                         mRequests.end());
+}
+
 void http_client_connection::OnData(std::string_view aBytes)
 {
   if (mObserver == nullptr) {
--- a/Source/Core/Net/HttpConnection.h
+++ b/Source/Core/Net/HttpConnection.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "Common/HttpHeaders.h"
 #include "Common/Time.h"
@@ -218,6 +219,12 @@
   /// that the server gets nothing more of it.
   void Reset();
   void SetReading(bool aReading);
+  /// Records the identity of the request that is sent next.
+  void RecordRequest(std::string_view aRequestId);
+  /// Whether the response to a request could not be told from a late copy of an
+  /// earlier response on this connection: a request with the same identity was
+  /// sent on it, or the request has none and the connection was used.
+  bool IsAmbiguousFor(std::string_view aRequestId) const;
 
   bool Closed() const { return !mStream || mStream->Closed(); }
   bool Connected() const { return mStream && mStream->Connected(); }
@@ -248,6 +255,9 @@
   http_client_exchange_observer* mObserver = nullptr;
   std::string mInput;
   unsigned mUses = 0;
+  /// Hashes of the identities of the latest requests.
+  std::vector<std::uint64_t> mRequests;
+  std::size_t mNextRecord = 0;
   bool mIsHeadRequest = false;
   bool mHeadReceived = false;
   /// The response being read belongs to an earlier request and is discarded.
