Show that a torn refusal goes on with the head of the next answer

Cause: a copy of an earlier refusal that breaks off within its reason phrase or a header value and is followed by the next answer parses as one head: status and promise of the copy, identity and stamp of the answer.

--- a/Source/UnitTests/Gateway/RepeatedRefusalsTest.cpp
+++ b/Source/UnitTests/Gateway/RepeatedRefusalsTest.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <fmt/format.h>
 
 #include "GatewayFixture.h"
@@ -24,6 +26,10 @@
   std::string Address() const { return FormatTcpAddress(mListener->Address()); }
   /// The connection that was accepted first.
   tcp_stream& FirstStream() { return *mPeers.front()->mStream; }
+  std::size_t RequestsOf(const std::string& aId) const
+  {
+    return static_cast<std::size_t>(std::ranges::count(mIds, aId));
+  }
 
   script mScript;
   std::vector<std::string> mIds;
@@ -149,6 +155,110 @@
   , public testing::WithParamInterface<repetition>
 {};
 
+/// Where the copy of the refusal of an earlier request stands.
+enum class copy_place : std::uint8_t
+{
+  /// Its first half is sent before the next request, its second half after.
+  AroundRequest,
+  /// In two parts while the next request runs.
+  WhileRunning,
+  /// In one write with the next answer.
+  JoinedToAnswer,
+  /// Cut off at `mCut` and continued by the next answer, in one write.
+  TornBeforeAnswer,
+  BehindAnswer,
+  /// Within the next answer, which is a stream, between two chunks.
+  WithinStream,
+  BehindStream,
+};
+
+struct refusal_copy
+{
+  const char* mName;
+  copy_place mPlace;
+  const char* mStatus;
+  bool mHasId;
+  const char* mHeaders;
+  const char* mBody;
+  /// Text of the copy behind which it is cut in two.
+  const char* mCut;
+};
+
+void PrintTo(const refusal_copy& aCopy, std::ostream* aStream)
+{
+  *aStream << aCopy.mName;
+}
+
+class refusal_copy_test
+  : public repeated_refusals_test
+  , public testing::WithParamInterface<refusal_copy>
+{
+protected:
+  /// The two parts of the copy.
+  static std::pair<std::string, std::string> Parts()
+  {
+    const refusal_copy& copy = GetParam();
+    const std::string text = Refusal(copy.mStatus,
+                                     copy.mHasId ? "r1" : "",
+                                     std::string(kState) + copy.mHeaders,
+                                     copy.mBody);
+    const std::string cut = copy.mCut;
+    const auto position = text.find(cut) + cut.size();
+    return { text.substr(0, position), text.substr(position) };
+  }
+
+  /// Answers the second request.
+  void Answer(const std::string& aId, tcp_stream& aStream)
+  {
+    const auto [first, second] = Parts();
+    const std::string whole = first + second;
+    const std::string stream = Stream(aId);
+    const auto lastChunk = stream.size() - std::string("0\r\n\r\n").size();
+    switch (GetParam().mPlace) {
+      case copy_place::AroundRequest:
+        mServer.FirstStream().Write(second);
+        AnswerLater(Success(aId), aStream);
+        return;
+      case copy_place::WhileRunning:
+        aStream.Write(first);
+        AnswerLater(second, aStream);
+        mSecondTimer.Once(kPause * 2,
+                          [aId, &aStream] { aStream.Write(Success(aId)); });
+        return;
+      case copy_place::JoinedToAnswer:
+        aStream.Write(whole + Success(aId));
+        return;
+      case copy_place::TornBeforeAnswer:
+        aStream.Write(first + Success(aId));
+        return;
+      case copy_place::BehindAnswer:
+        aStream.Write(Success(aId) + first);
+        AnswerLater(second, aStream);
+        return;
+      case copy_place::WithinStream:
+        aStream.Write(stream.substr(0, lastChunk) + whole +
+                      stream.substr(lastChunk));
+        return;
+      case copy_place::BehindStream:
+        aStream.Write(stream + whole);
+        return;
+    }
+  }
+
+  void AnswerLater(const std::string& aBytes, tcp_stream& aStream)
+  {
+    mTimer.Once(kPause, [aBytes, &aStream] { aStream.Write(aBytes); });
+  }
+
+  /// What a server may say of itself in a refusal. It held at the time of the
+  /// first request.
+  static constexpr const char* kState =
+    "Retry-After: 30\r\nServer-Leaving: 1\r\nServer-Limit: 0\r\n"
+    "Server-Brittle: 1\r\nLentilswitch-Cold-Ms: 30000\r\n";
+  static constexpr milliseconds kPause{ 20 };
+  loop_timer mSecondTimer;
+};
+
 } // namespace
 
 // Guards against a late copy of a server's refusal of the same request that is
@@ -190,3 +300,82 @@
     repetition{ "Idempotent", "/l/x", "503 Service Unavailable", "r1", false },
     repetition{ "Stream", "/r/x", "503 Service Unavailable", "r1", false }),
   [](const auto& aInfo) { return aInfo.param.mName; });
+
+// Guards against the copy of a refusal of an earlier request, whole or in part,
+// that is taken for the answer to the next request, or changes what the node
+// knows of the server.
+TEST_P(refusal_copy_test, IsNotTheNextAnswer)
+{
+  const copy_place place = GetParam().mPlace;
+  const bool streams =
+    place == copy_place::WithinStream || place == copy_place::BehindStream;
+  mServer.mScript =
+    [&](std::size_t aNumber, const std::string& aId, tcp_stream& aStream) {
+      if (aNumber == 1) {
+        aStream.Write(Refusal("503 Service Unavailable", aId));
+      } else if (aNumber == 2) {
+        Answer(aId, aStream);
+      } else {
+        aStream.Write(streams ? Stream(aId) : Success(aId));
+      }
+    };
+  StartWithServer(1, streams ? "engine" : "app");
+  const char* path = streams ? "/s/x" : "/o/x";
+  EXPECT_EQ(CallAs("r1", path)->mResponse.mStatus, 503U);
+  if (place == copy_place::AroundRequest) {
+    mServer.FirstStream().Write(Parts().first);
+  }
+  const auto exchange = CallAs("r2", path);
+  if (place == copy_place::TornBeforeAnswer) {
+    // The answer cannot be told from the copy, so nothing may be promised.
+    EXPECT_GE(exchange->mResponse.mStatus, 502U);
+    EXPECT_NE(exchange->mResponse.mStatus, 503U);
+  } else if (place == copy_place::WithinStream) {
+    EXPECT_EQ(exchange->mFailure, exchange_failure::Truncated);
+  } else {
+    EXPECT_EQ(exchange->mResponse.mStatus, 200U);
+    EXPECT_TRUE(exchange->mComplete);
+  }
+  EXPECT_EQ(mServer.RequestsOf("r2"), 1U);
+  // The server is used as before, also at once.
+  EXPECT_EQ(CallAs("r3", path)->mResponse.mStatus, 200U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Copies,
+  refusal_copy_test,
+  testing::ValuesIn([] {
+    constexpr const char* kFull = "503 Service Unavailable";
+    constexpr const char* kOther = "421 Misdirected Request";
+    constexpr const char* kLength = "Content-Length: 0\r\n";
+    constexpr const char* kLong = "Content-Length: 20\r\n";
+    constexpr const char* kBody = "01234567890123456789";
+    constexpr const char* kChunked = "Transfer-Encoding: chunked\r\n";
+    constexpr const char* kChunks = "4\r\nfull\r\n0\r\n\r\n";
+    using enum copy_place;
+    return std::vector<refusal_copy>{
+      { "AroundHead", AroundRequest, kFull, true, kLength, "", "-Not" },
+      { "AroundBody", AroundRequest, kFull, true, kLong, kBody, "01234" },
+      { "RunningHead", WhileRunning, kFull, true, kLength, "", "-Not" },
+      { "RunningNoId", WhileRunning, kFull, false, kLength, "", "-Not" },
+      { "RunningBody", WhileRunning, kFull, true, kLong, kBody, "01234" },
+      { "RunningOther", WhileRunning, kOther, true, kLength, "", "Retry" },
+      { "RunningChunked", WhileRunning, kFull, true, kChunked, kChunks, "ful" },
+      { "Joined", JoinedToAnswer, kFull, true, kLength, "", "" },
+      { "JoinedNoId", JoinedToAnswer, kOther, false, kLong, kBody, "" },
+      { "JoinedChunked", JoinedToAnswer, kFull, false, kChunked, kChunks, "" },
+      { "JoinedInterim", JoinedToAnswer, "103 Early Hints", true, "", "", "" },
+      { "TornReason", TornBeforeAnswer, kFull, true, kLength, "", "503 Serv" },
+      { "TornOther", TornBeforeAnswer, kOther, true, kLength, "", "421 Mis" },
+      { "TornValue", TornBeforeAnswer, kFull, false, kLength, "", "After: 3" },
+      { "TornName", TornBeforeAnswer, kFull, false, kLength, "", "Retry" },
+      { "TornBody", TornBeforeAnswer, kFull, false, kLong, kBody, "01234" },
+      { "TornChunk", TornBeforeAnswer, kFull, false, kChunked, kChunks, "ful" },
+      { "Unframed", TornBeforeAnswer, kFull, true, "", "", "\r\n\r\n" },
+      { "Behind", BehindAnswer, kFull, true, kLength, "", "-Not" },
+      { "BehindNoId", BehindAnswer, kOther, false, kLong, kBody, "01234" },
+      { "WithinStream", WithinStream, kFull, true, kLength, "", "" },
+      { "BehindStream", BehindStream, kFull, true, kLength, "", "" },
+    };
+  }()),
+  [](const auto& aInfo) { return aInfo.param.mName; });
--- a/Source/UnitTests/Net/HttpConnectionTest.cpp
+++ b/Source/UnitTests/Net/HttpConnectionTest.cpp
@@ -48,6 +48,9 @@
   bool OnResponse(http_client_connection&,
                   http_client_response aResponse) override
   {
+    if (!mId.empty() && FindHeader(aResponse.mHeaders, "Id") != mId) {
+      return false;
+    }
     mResponse = aResponse;
     if (mDiscardNextResponse) {
       mDiscardNextResponse = false;
@@ -72,6 +75,8 @@
   bool mComplete = false;
   bool mReusable = false;
   bool mDiscardNextResponse = false;
+  /// If set, responses with another identity are discarded.
+  std::string mId;
   std::optional<exchange_failure> mFailure;
 };
 
@@ -314,6 +319,34 @@
   EXPECT_EQ(observer.mBody, "b");
 }
 
+// Guards against a response to an earlier request that breaks off within its
+// head and goes on with the next response: it would have the status of the one
+// and the identity of the other.
+TEST_F(http_connection_test, TornHeadDoesNotGoOnWithTheNext)
+{
+  for (const std::string id : { "", "Id: r1\r\n" }) {
+    for (const std::string interim : { "", "HTTP/1.1 100 Continue\r\n\r\n" }) {
+      const std::string torn =
+        "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n" + id +
+        "Content-Length: 4\r\nRetry-After: 3\r\n\r\nfull";
+      for (std::size_t cut = 0; cut <= torn.size(); ++cut) {
+        SCOPED_TRACE(torn.substr(0, cut));
+        raw_server server(interim + torn.substr(0, cut) +
+                          "HTTP/1.1 200 OK\r\nId: r2\r\n"
+                          "Content-Length: 6\r\n\r\nsecond");
+        server.mCloseAfter = true;
+        http_client_connection client(server.Address(), {});
+        response_recorder observer;
+        observer.mId = "r2";
+        ASSERT_TRUE(Get(client, observer));
+        const bool whole = cut == 0 || cut == torn.size();
+        EXPECT_EQ(observer.mResponse.mStatus, whole ? 200U : 0U);
+        EXPECT_EQ(observer.mBody, whole ? "second" : "");
+      }
+    }
+  }
+}
+
 TEST_F(http_connection_test, NonHttpResponseIsMalformed)
 {
   raw_server server("nonsense\r\n\r\n");
