Treat a head that contains another status line as malformed

Cause: the head of a copy that breaks off within its reason phrase or a header value takes in the head of the next answer, and so gets its identity. Breaks elsewhere are no valid head. Change: a response, also an interim one, whose reason or header values contain a status line (HTTP/1.x and a status) is malformed. It promises nothing: a request that is not idempotent gets 502 and is not sent again.

--- a/Source/Core/Net/HttpClientConnection.cpp
+++ b/Source/Core/Net/HttpClientConnection.cpp
@@ -27,6 +27,41 @@
 // Requests of a connection whose identities are kept: 2 KiB.
 constexpr std::size_t kMaxRecordedRequests = 256;
 
+bool IsDigit(char aCharacter)
+{
+  return aCharacter >= '0' && aCharacter <= '9';
+}
+
+/// Whether a text contains the begin of a status line.
+bool ContainsStatusLine(std::string_view aText)
+{
+  constexpr std::string_view kVersion = "HTTP/1.";
+  // Minor version, space and status.
+  constexpr std::size_t kRestLength = 5;
+  for (auto found = aText.find(kVersion); found != std::string_view::npos;
+       found = aText.find(kVersion, found + 1)) {
+    const auto rest = aText.substr(found + kVersion.size(), kRestLength);
+    if (rest.size() == kRestLength && IsDigit(rest[0]) && rest[1] == ' ' &&
+        std::ranges::all_of(rest.substr(2), IsDigit)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+/// Whether the head of a response contains that of another one, because the
+/// server broke off within the first.
+template<typename Message>
+bool IsTorn(const Message& aMessage)
+{
+  return ContainsStatusLine(
+           { aMessage.reason().data(), aMessage.reason().size() }) ||
+         std::ranges::any_of(aMessage, [](const auto& aField) {
+           return ContainsStatusLine(
+             { aField.value().data(), aField.value().size() });
+         });
+}
+
 } // namespace
 
 struct http_client_connection::parser_state
@@ -174,6 +209,10 @@
       return;
     }
     if (parser.is_header_done() && !mHeadReceived) {
+      if (IsTorn(parser.get())) {
+        Fail(exchange_failure::Malformed);
+        return;
+      }
       if (parser.get().result_int() < kFirstFinalStatus) {
         if (++mInterimResponses > kMaxInterimResponses) {
           Fail(exchange_failure::Malformed);
--- a/Source/UnitTests/Net/HttpConnectionTest.cpp
+++ b/Source/UnitTests/Net/HttpConnectionTest.cpp
@@ -347,6 +347,19 @@
   }
 }
 
+// Guards against sound responses that are taken for torn ones.
+TEST_F(http_connection_test, ProtocolNamesInHeadersAreNoTornHead)
+{
+  raw_server server("HTTP/1.1 426 HTTP/1.1 needed\r\nUpgrade: HTTP/2.0\r\n"
+                    "Via: HTTP/1.1 proxy 200, HTTP/1.0 \r\n"
+                    "Content-Length: 1\r\n\r\na");
+  http_client_connection client(server.Address(), {});
+  response_recorder observer;
+  ASSERT_TRUE(Get(client, observer));
+  EXPECT_TRUE(observer.mComplete);
+  EXPECT_EQ(observer.mResponse.mStatus, 426U);
+}
+
 TEST_F(http_connection_test, NonHttpResponseIsMalformed)
 {
   raw_server server("nonsense\r\n\r\n");
