Show that a copied refusal of the store is taken for the next reply

Cause: replies of the store name no call. A 412, 429 or 503 that is written once more on a kept connection is taken for the reply to the next call. The writer then takes an applied transaction for not done; by reading, tokens that it returned count as its own again.

--- a/Source/UnitTests/Gateway/PlatformRowStoreTest.cpp
+++ b/Source/UnitTests/Gateway/PlatformRowStoreTest.cpp
@@ -27,6 +27,11 @@
       return;
     }
     http_server_response response;
+    if (mCopiedStatus != 0 && mLast != nullptr) {
+      response.mStatus = mCopiedStatus;
+      mLast->Respond(response, mBody);
+    }
+    mLast = &aConnection;
     response.mStatus = mStatus;
     if (!mEra.empty()) {
       response.mHeaders.emplace_back("Store-Era", mEra);
@@ -53,10 +58,19 @@
   }
   void OnClientDisconnected(http_server_connection&) override {}
   void OnClientDrained(http_server_connection&) override {}
-  void OnConnectionClosed(http_server_connection&) override {}
+  void OnConnectionClosed(http_server_connection& aConnection) override
+  {
+    if (mLast == &aConnection) {
+      mLast = nullptr;
+    }
+  }
 
   std::unique_ptr<http_listener> mListener;
   std::vector<http_server_request> mRequests;
+  http_server_connection* mLast = nullptr;
+  /// Status of an earlier reply that is sent once more, on the connection of
+  /// the last call, before the next reply; none if 0.
+  unsigned mCopiedStatus = 0;
   unsigned mStatus = 200;
   std::string mBody;
   std::string mEra;
@@ -141,6 +155,25 @@
   EXPECT_EQ(Commit().error(), row_store_error::Unknown);
 }
 
+// Guards against a write that is taken for refused, though the store has
+// applied it: the reply to an earlier call is sent once more on its connection.
+TEST_F(platform_row_store_test, CopyOfARefusalIsNotTheNextReply)
+{
+  mServer.mBody = R"({"ver":412,"nowMs":5})";
+  for (const unsigned status : { 412U, 429U, 503U }) {
+    SCOPED_TRACE(status);
+    mServer.mStatus = status;
+    const auto refused = Commit();
+    EXPECT_FALSE(refused.has_value() && refused.value().mCommitted);
+    mServer.mCopiedStatus = status;
+    mServer.mStatus = 200;
+    const auto commit = Commit();
+    ASSERT_TRUE(commit.has_value());
+    EXPECT_TRUE(commit.value().mCommitted);
+    mServer.mCopiedStatus = 0;
+  }
+}
+
 // Guards against a timeout on the whole call: over a slow link a long reply
 // takes longer, and would be requested again and again.
 TEST_F(platform_row_store_test, WaitsForAnAnswerThatKeepsArriving)
