--- a/Source/UnitTests/Gateway/RepeatedRefusalsTest.cpp
+++ b/Source/UnitTests/Gateway/RepeatedRefusalsTest.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include "Gateway/ServerProbe.h"
 #include "GatewayFixture.h"
 
 namespace {
@@ -23,7 +24,7 @@
     mListener = tcp_listener::Listen({ "127.0.0.1", 0 }, *this, error);
   }
 
-  std::string Address() const { return FormatTcpAddress(mListener->Address()); }
+  const tcp_address& Address() const { return mListener->Address(); }
   /// The connection that was accepted first.
   tcp_stream& FirstStream() { return *mPeers.front()->mStream; }
   std::size_t RequestsOf(const std::string& aId) const
@@ -40,12 +41,15 @@
     void OnData(std::string_view aBytes) override
     {
       mInput.append(aBytes);
-      // All requests of these tests have the body `b`.
-      if (mInput.ends_with("\r\n\r\nb")) {
+      // All requests of these tests but probes have the body `b`.
+      if (mInput.ends_with(mInput.starts_with("GET") ? "\r\n\r\n"
+                                                     : "\r\n\r\nb")) {
         constexpr std::string_view kName = "Lentilswitch-Request-Id: ";
-        const auto begin = mInput.find(kName) + kName.size();
-        const std::string id =
-          mInput.substr(begin, mInput.find('\r', begin) - begin);
+        std::string id;
+        if (const auto line = mInput.find(kName); line != std::string::npos) {
+          id = mInput.substr(line + kName.size());
+          id.resize(id.find('\r'));
+        }
         mInput.clear();
         mServer->mIds.push_back(id);
         mServer->mScript(mServer->mIds.size(), id, *mStream);
@@ -119,7 +123,7 @@
                            R"("slots":8,"version":"v1","state":"ready",)"
                            R"("seq":1,"born":1}})",
                            aService,
-                           mServer.Address()));
+                           FormatTcpAddress(mServer.Address())));
     StartNode();
   }
 
@@ -379,3 +383,39 @@
     };
   }()),
   [](const auto& aInfo) { return aInfo.param.mName; });
+
+// Guards against the copy of a refusal that is taken for the answer to a probe:
+// it would change for how long the server counts as cold.
+TEST_F(repeated_refusals_test, CopyIsNoAnswerToAProbe)
+{
+  const std::string copy =
+    Refusal("503 Service Unavailable",
+            "",
+            "Lentilswitch-Cold-Ms: 30000\r\nContent-Length: 0\r\n");
+  mServer.mScript =
+    [&](std::size_t aNumber, const std::string&, tcp_stream& aStream) {
+      if (aNumber > 1) {
+        mServer.FirstStream().Write(copy);
+      }
+      aStream.Write(Success("") + copy);
+    };
+  gateway_service service;
+  service.mName = service_id{ "app" };
+  service.mHealthPath = "/health";
+  upstream_registry registry{ placement_settings{} };
+  registry.SetService(service);
+  server_entry entry;
+  entry.mId = upstream_id{ "i-1" };
+  entry.mService = service.mName;
+  entry.mAddress = mServer.Address();
+  registry.Apply(entry, mTime.Now());
+  std::vector<unsigned> statuses;
+  server_probe probe(
+    [&](const probe_target&, const http_client_response& aResponse) {
+      statuses.push_back(aResponse.mStatus);
+    });
+  mTimer.Every(milliseconds(10), [&] { probe.OnTick(registry, mTime.Now()); });
+  ASSERT_TRUE(RunUntil([&] { return mServer.mIds.size() == 3; }));
+  RunFor(milliseconds(50));
+  EXPECT_EQ(statuses, (std::vector<unsigned>{ 200, 200, 200 }));
+}
