--- a/Source/Core/Net/HttpClientConnection.cpp
+++ b/Source/Core/Net/HttpClientConnection.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <array>
 #include <limits>
 #include <utility>
@@ -6,6 +7,7 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 
+#include "Common/Hash.h"
 #include "Net/HttpConnection.h"
 
 namespace {
@@ -22,6 +24,43 @@
 constexpr unsigned kMaxInterimResponses = 16;
 constexpr std::size_t kMaxDiscardedBytes = 262144;
 constexpr unsigned kFirstFinalStatus = 200;
+// Requests of a connection whose identities are kept: 2 KiB.
+constexpr std::size_t kMaxRecordedRequests = 256;
+
+bool IsDigit(char aCharacter)
+{
+  return aCharacter >= '0' && aCharacter <= '9';
+}
+
+/// Whether a text contains the begin of a status line.
+bool ContainsStatusLine(std::string_view aText)
+{
+  constexpr std::string_view kVersion = "HTTP/1.";
+  // Minor version, space and status.
+  constexpr std::size_t kRestLength = 5;
+  for (auto found = aText.find(kVersion); found != std::string_view::npos;
+       found = aText.find(kVersion, found + 1)) {
+    const auto rest = aText.substr(found + kVersion.size(), kRestLength);
+    if (rest.size() == kRestLength && IsDigit(rest[0]) && rest[1] == ' ' &&
+        std::ranges::all_of(rest.substr(2), IsDigit)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+/// Whether the head of a response contains that of another one, because the
+/// server broke off within the first.
+template<typename Message>
+bool IsTorn(const Message& aMessage)
+{
+  return ContainsStatusLine(
+           { aMessage.reason().data(), aMessage.reason().size() }) ||
+         std::ranges::any_of(aMessage, [](const auto& aField) {
+           return ContainsStatusLine(
+             { aField.value().data(), aField.value().size() });
+         });
+}
 
 } // namespace
 
@@ -117,6 +156,24 @@
   }
 }
 
+void http_client_connection::RecordRequest(std::string_view aRequestId)
+{
+  const std::uint64_t hash = StableHash(aRequestId);
+  if (mRequests.size() < kMaxRecordedRequests) {
+    mRequests.push_back(hash);
+    return;
+  }
+  mRequests[mNextRecord] = hash;
+  mNextRecord = (mNextRecord + 1) % kMaxRecordedRequests;
+}
+
+bool http_client_connection::IsAmbiguousFor(std::string_view aRequestId) const
+{
+  return mUses > 0 && (aRequestId.empty() ||
+                       std::ranges::find(mRequests, StableHash(aRequestId)) !=
+                         mRequests.end());
+}
+
 void http_client_connection::OnData(std::string_view aBytes)
 {
   if (mObserver == nullptr) {
@@ -152,6 +209,10 @@
       return;
     }
     if (parser.is_header_done() && !mHeadReceived) {
+      if (IsTorn(parser.get())) {
+        Fail(exchange_failure::Malformed);
+        return;
+      }
       if (parser.get().result_int() < kFirstFinalStatus) {
         if (++mInterimResponses > kMaxInterimResponses) {
           Fail(exchange_failure::Malformed);
