Add failing tests of rows that other writers left unusable

A report of another operator: machines ended again and again, or stopped following the list of servers, after one odd entry of another writer.

--- a/Source/UnitTests/Gateway/ClaimTakeoverTest.cpp
+++ b/Source/UnitTests/Gateway/ClaimTakeoverTest.cpp
@@ -131,3 +131,36 @@
   EXPECT_EQ(LimitAt(entry, milliseconds(999), life), 59);
   EXPECT_EQ(LimitAt(entry, life, life), 80);
 }
+
+// Guards against tokens that appear from rows with numbers out of range.
+TEST(claim_row_test, NumbersOutOfRangeAreUnreadable)
+{
+  claim_row row;
+  row.mAccounts["a"] = { 5, 4, 4, 0, 4 };
+  const std::string claim = WriteClaimRow(row);
+  const std::string grant = WriteGrantRow({ 5, "w", 1 });
+  ASSERT_TRUE(ParseClaimRow(claim));
+  ASSERT_TRUE(ParseGrantRow(grant));
+  const std::string nested(30000, '[');
+  for (const std::string& odd : { std::string("-9223372036854775808"),
+                                  std::string("9223372036854775807"),
+                                  std::string("18446744073709551615"),
+                                  std::string("1e300"),
+                                  std::string("1e999"),
+                                  std::string("\"5\""),
+                                  nested }) {
+    SCOPED_TRACE(odd.substr(0, 30));
+    for (const char* name :
+         { "[5", "stated_at_ms\":0", "in_force_ms\":3300" }) {
+      std::string text = claim;
+      const auto digits =
+        text.find(name) + std::string(name).find_first_of("0123456789");
+      text.replace(digits, text.find_first_of(",}", digits) - digits, odd);
+      EXPECT_FALSE(ParseClaimRow(text)) << name;
+    }
+    std::string text = grant;
+    const auto digits = text.find('5');
+    text.replace(digits, 1, odd);
+    EXPECT_FALSE(ParseGrantRow(text));
+  }
+}
--- a/Source/UnitTests/Gateway/CrashExchangeTest.cpp
+++ b/Source/UnitTests/Gateway/CrashExchangeTest.cpp
@@ -344,3 +344,51 @@
   // The request was sent after the end, perhaps to the next run of the server.
   EXPECT_EQ(breakAndSend(milliseconds(200)), 1U);
 }
+
+// Guards against a segment that is refused for years because a row of its
+// crashes holds a clock out of range.
+TEST_F(crash_exchange_test, ClocksOutOfRangeReportNoCrash)
+{
+  const segment_id segment{ 7, 1 };
+  const std::string key =
+    std::string(crash_exchange::kSegmentRowPrefix) + FormatWide(segment);
+  for (const char* clock : { "-9223372036854775808",
+                             "-9000000000000000",
+                             "9223372036854775807",
+                             "1e3",
+                             "NaN",
+                             "" }) {
+    std::string rows;
+    for (int server = 0; server < 8; ++server) {
+      rows += "i-" + std::to_string(server) + ".1@" + clock + "\n";
+    }
+    mExchange.ApplyRow(key, rows);
+    EXPECT_TRUE(mSegments.Crashes(segment).empty()) << clock;
+  }
+  // Rows of other bytes report nothing.
+  for (const char* odd :
+       { "crash/", "crash/x/y", "crash/\xff/i-1.99999999999999999999" }) {
+    mExchange.ApplyRow(odd, std::string(60000, '['));
+  }
+  EXPECT_TRUE(mHistory.RepeatedCrashes(10).empty());
+}
+
+// Guards against reports to peers that do not exist, in the place of reports to
+// those that do.
+TEST_F(crash_exchange_test, RowsOfOtherBytesNameNoPeer)
+{
+  fleet_view fleet({});
+  fleet_rows rows(fleet, mExchange, mStore, mTime, region_id{}, "run-1");
+  for (const std::string& address : { std::string(),
+                                      std::string("x"),
+                                      std::string("127.0.0.1:0"),
+                                      std::string("127.0.0.1:99999"),
+                                      std::string("127.0.0.1\0:80", 13) }) {
+    rows.Apply({ { fleet_rows::kFleetTableName, "", "node/" + address }, {} });
+  }
+  rows.Apply({ { fleet_rows::kFleetTableName, "x", "node/127.0.0.1:80" }, {} });
+  const std::string nested(60000, '[');
+  rows.Apply(
+    { { fleet_rows::kFleetTableName, "", "node/127.0.0.1:81" }, nested });
+  EXPECT_EQ(fleet.KnownAddresses(), std::vector<std::string>{ "127.0.0.1:81" });
+}
--- a/Source/UnitTests/Gateway/PlatformRowStoreTest.cpp
+++ b/Source/UnitTests/Gateway/PlatformRowStoreTest.cpp
@@ -1,3 +1,4 @@
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include "Common/EventLoop.h"
@@ -84,6 +85,15 @@
     return *reply;
   }
 
+  result<row_page, row_store_error> ReadTable()
+  {
+    std::optional<result<row_page, row_store_error>> reply;
+    mStore.Read("t", "", "", [&](auto aResult) { reply = aResult; });
+    EXPECT_TRUE(
+      mLoop.RunUntil([&] { return reply.has_value(); }, kTestTimeout));
+    return *reply;
+  }
+
   event_loop mLoop;
   system_time_source mTime;
   store_server mServer{ mTime };
@@ -218,3 +228,69 @@
   mLoop.RunUntil([] { return false; }, milliseconds(200));
   EXPECT_GE(*mStore.Clock(), milliseconds(1200));
 }
+
+// Guards against a table that is followed no further because one of its rows
+// cannot be read: the others hold, and a row whose value is no base64 has none
+// that can be used.
+TEST_F(platform_row_store_test, OneUnreadableRowLeavesTheOthers)
+{
+  const std::string sound =
+    R"({"table":"t","part":"","key":"k","value":"bm9kZS0x","ver":8})";
+  for (const std::string& odd : std::vector<std::string>{
+         R"({"table":"t","part":"","key":"\ud800","value":"","ver":7})",
+         "{\"table\":\"t\",\"key\":\"\xff\",\"value\":\"\",\"ver\":7}",
+         R"({"table":"t","part":"","key":"o","value":"\u0000=!","ver":7})",
+         R"({"table":"t","part":"","key":"o","value":7,"ver":7})",
+         R"({"table":"t","part":"","key":7,"value":"","ver":7})",
+         R"({"table":"t","part":[],"key":"o","value":"","ver":7})",
+         R"({"table":"t","part":"","key":"o","value":"","ver":-1})",
+         R"({"table":"t","part":"","key":"o","value":"","ver":1e30})",
+         "[]",
+         "7" }) {
+    SCOPED_TRACE(odd);
+    mServer.mBody =
+      fmt::format(R"({{"ver":9,"nowMs":5,"rows":[{},{}]}})", odd, sound);
+    const auto page = ReadTable();
+    ASSERT_TRUE(page.has_value());
+    ASSERT_FALSE(page.value().mRows.empty());
+    EXPECT_EQ(page.value().mRows.back().mValue, "node-1");
+  }
+}
+
+// Guards against a reply that is taken for a table although it is none, and
+// against the end of the process by a nested one.
+TEST_F(platform_row_store_test, UnreadableRepliesCountAsNone)
+{
+  const std::string nested =
+    std::string(200000, '[') + std::string(200000, ']');
+  for (const std::string& body : std::vector<std::string>{
+         "",
+         "[]",
+         nested,
+         R"({"ver":9,"nowMs":5,"rows":)" + nested + "}",
+         R"({"ver":9,"nowMs":5,"rows":[{"table":"t","key":"k")",
+         R"({"ver":9,"nowMs":5,"rows":7})",
+         R"({"ver":"9","nowMs":5,"rows":[]})",
+         R"({"ver":-9,"nowMs":5,"rows":[]})",
+         R"({"ver":1e30,"nowMs":5,"rows":[]})",
+         R"({"ver":1e999,"nowMs":5,"rows":[]})" }) {
+    SCOPED_TRACE(body.substr(0, 40));
+    mServer.mBody = body;
+    const auto page = ReadTable();
+    EXPECT_FALSE(page.has_value());
+    EXPECT_FALSE(Commit().has_value());
+  }
+  mServer.mBody = R"({"ver":9,"nowMs":1e300,"rows":[]})";
+  EXPECT_TRUE(ReadTable().has_value());
+  EXPECT_FALSE(Commit().has_value());
+}
+
+// Guards against a conflict that is taken for a missing row, after which tokens
+// would be granted again.
+TEST_F(platform_row_store_test, UnreadableRowOfAConflictCountsAsNoReply)
+{
+  mServer.mStatus = 412;
+  mServer.mBody =
+    R"({"ver":9,"nowMs":5,"rows":[{"table":"t","part":"p","key":7}]})";
+  EXPECT_FALSE(Commit().has_value());
+}
