Parse all rows with one JSON reader of bounded depth

The parser of the JSON library does not recurse, but writing a value as text does: a deeply nested optional field of a server entry or configuration was written for the log, and the stack overflowed.

--- a/Source/Core/Common/JsonText.cpp
+++ b/Source/Core/Common/JsonText.cpp
@@ -1,6 +1,7 @@
 #include "Common/JsonText.h"
 
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 #include <fmt/format.h>
@@ -176,6 +177,38 @@
   json_error mError;
 };
 
+/// Builds the value from parser events and rejects deep nesting.
+class bounded_builder final : public nlohmann::detail::json_sax_dom_parser<json>
+{
+public:
+  explicit bounded_builder(json& aValue)
+    : json_sax_dom_parser(aValue, false)
+  {
+  }
+
+  bool start_object(std::size_t aSize)
+  {
+    return mDepth++ < kMaxDepth && json_sax_dom_parser::start_object(aSize);
+  }
+  bool end_object()
+  {
+    --mDepth;
+    return json_sax_dom_parser::end_object();
+  }
+  bool start_array(std::size_t aSize)
+  {
+    return mDepth++ < kMaxDepth && json_sax_dom_parser::start_array(aSize);
+  }
+  bool end_array()
+  {
+    --mDepth;
+    return json_sax_dom_parser::end_array();
+  }
+
+private:
+  std::size_t mDepth = 0;
+};
+
 /// Input iterator that counts lines while the parser reads. A line feed is
 /// counted when the next character is consumed: the parser reads one character
 /// beyond a number, so a number at the end of a line would otherwise get the
@@ -264,6 +297,16 @@
   };
 }
 
+std::optional<json> ParseBoundedJson(std::string_view aText)
+{
+  std::optional<json> value(std::in_place);
+  bounded_builder builder(*value);
+  if (!json::sax_parse(aText.begin(), aText.end(), &builder)) {
+    value.reset();
+  }
+  return value;
+}
+
 result<json_text, json_error> ParseJsonText(
   std::string_view aText,
   std::string_view aSource,
--- a/Source/Core/Common/JsonText.h
+++ b/Source/Core/Common/JsonText.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -42,6 +43,11 @@
   json_error ErrorAt(std::string_view aPointer, std::string aMessage) const;
 };
 
+/// Parses JSON that another process wrote. Returns nothing if the text is
+/// malformed or nested deeper than 64 levels, so that recursion over the value
+/// is bounded.
+std::optional<nlohmann::json> ParseBoundedJson(std::string_view aText);
+
 /// Parses JSON with `//` and `/* */` comments. Duplicate keys, trailing text
 /// and nesting deeper than 64 levels are errors. With `aDuplicates`, errors for
 /// duplicate keys are appended there instead, and parsing continues with the
--- a/Source/Core/Gateway/ClaimRow.cpp
+++ b/Source/Core/Gateway/ClaimRow.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "Common/JsonText.h"
+
 using nlohmann::json;
 
 namespace {
@@ -79,10 +81,11 @@
 
 std::optional<claim_row> ParseClaimRow(std::string_view aText)
 {
-  const json body = json::parse(aText, nullptr, false);
-  if (!body.is_object()) {
+  const auto parsed = ParseBoundedJson(aText);
+  if (!parsed || !parsed->is_object()) {
     return std::nullopt;
   }
+  const json& body = *parsed;
   try {
     claim_row row;
     row.mRun = body.at("run").get<std::string>();
--- a/Source/Core/Gateway/FleetRows.cpp
+++ b/Source/Core/Gateway/FleetRows.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "Common/JsonText.h"
+
 namespace {
 
 using std::chrono::milliseconds;
@@ -17,12 +19,12 @@
 /// their run alone.
 std::optional<region_id> ReadRegion(std::string_view aValue)
 {
-  const auto value = nlohmann::json::parse(aValue, nullptr, false);
-  if (!value.is_object()) {
+  const auto value = ParseBoundedJson(aValue);
+  if (!value || !value->is_object()) {
     return std::nullopt;
   }
-  const auto region = value.find("region");
-  if (region == value.end() || !region->is_string()) {
+  const auto region = value->find("region");
+  if (region == value->end() || !region->is_string()) {
     return std::nullopt;
   }
   return region_id{ region->get<std::string>() };
--- a/Source/Core/Gateway/GrantRow.cpp
+++ b/Source/Core/Gateway/GrantRow.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "Common/JsonText.h"
+
 std::string WriteGrantRow(const grant_row& aRow)
 {
   const nlohmann::json json = { { "granted", aRow.mGranted },
@@ -12,16 +14,16 @@
 
 std::optional<grant_row> ParseGrantRow(std::string_view aText)
 {
-  const auto json = nlohmann::json::parse(aText, nullptr, false);
-  if (!json.is_object()) {
+  const auto body = ParseBoundedJson(aText);
+  if (!body || !body->is_object()) {
     return std::nullopt;
   }
-  const auto granted = json.find("granted");
-  const auto writer = json.find("writer");
-  const auto sequence = json.find("sequence");
-  if (granted == json.end() || !granted->is_number_integer() ||
-      writer == json.end() || !writer->is_string() || sequence == json.end() ||
-      !sequence->is_number_unsigned()) {
+  const auto granted = body->find("granted");
+  const auto writer = body->find("writer");
+  const auto sequence = body->find("sequence");
+  if (granted == body->end() || !granted->is_number_integer() ||
+      writer == body->end() || !writer->is_string() ||
+      sequence == body->end() || !sequence->is_number_unsigned()) {
     return std::nullopt;
   }
   return grant_row{ granted->get<std::int64_t>(),
