--- a/Source/Core/Common/JsonText.cpp
+++ b/Source/Core/Common/JsonText.cpp
@@ -307,6 +307,20 @@
   return value;
 }
 
+std::optional<std::int64_t> ReadWholeNumber(const json& aValue,
+                                            std::int64_t aMin,
+                                            std::int64_t aMax)
+{
+  if (!aValue.is_number_integer() ||
+      (aValue.is_number_unsigned() &&
+       std::cmp_greater(aValue.get<std::uint64_t>(), aMax))) {
+    return std::nullopt;
+  }
+  const auto number = aValue.get<std::int64_t>();
+  return number >= aMin && number <= aMax ? std::optional(number)
+                                          : std::nullopt;
+}
+
 result<json_text, json_error> ParseJsonText(
   std::string_view aText,
   std::string_view aSource,
--- a/Source/Core/Common/JsonText.h
+++ b/Source/Core/Common/JsonText.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -48,6 +49,15 @@
 /// is bounded.
 std::optional<nlohmann::json> ParseBoundedJson(std::string_view aText);
 
+/// Largest whole number that all writers of JSON represent exactly.
+inline constexpr std::int64_t kMaxWholeNumber = std::int64_t{ 1 } << 53U;
+
+/// A whole number within the limits; nothing for other values.
+std::optional<std::int64_t> ReadWholeNumber(
+  const nlohmann::json& aValue,
+  std::int64_t aMin = 0,
+  std::int64_t aMax = kMaxWholeNumber);
+
 /// Parses JSON with `//` and `/* */` comments. Duplicate keys, trailing text
 /// and nesting deeper than 64 levels are errors. With `aDuplicates`, errors for
 /// duplicate keys are appended there instead, and parsing continues with the
--- a/Source/Core/Net/TcpStream.cpp
+++ b/Source/Core/Net/TcpStream.cpp
@@ -81,7 +81,8 @@
   tcp_address address;
   address.mIp = std::string(aText.substr(0, colon));
   in_addr parsed{};
-  if (inet_pton(AF_INET, address.mIp.c_str(), &parsed) != 1) {
+  if (address.mIp.find('\0') != std::string::npos ||
+      inet_pton(AF_INET, address.mIp.c_str(), &parsed) != 1) {
     return std::nullopt;
   }
   const auto port = ParseDecimal<std::uint16_t>(aText.substr(colon + 1));
