--- a/Source/LentilSwitch/ConfigLintCommand.cpp
+++ b/Source/LentilSwitch/ConfigLintCommand.cpp
@@ -60,7 +60,7 @@
 {
   try {
     return ReadConfigDocument(aDocument);
-  } catch (const json::exception& error) {
+  } catch (const std::exception& error) {
     aLines.push_back(
       { finding_severity::Problem,
         "",
