--- a/Source/Core/Gateway/TableFollower.cpp
+++ b/Source/Core/Gateway/TableFollower.cpp
@@ -177,6 +177,10 @@
   RecordContact();
   for (const stored_row& row : aPage.value().mRows) {
     if (row.mRemoved) {
+    // The store reports the changes of all parts of the table.
+    if (!row.mKey.mPartition.empty()) {
+      continue;
+    }
       RemoveRow(row.mKey);
     } else {
       ApplyRow(row);
--- a/Source/Core/Gateway/TableFollower.h
+++ b/Source/Core/Gateway/TableFollower.h
@@ -23,8 +23,9 @@
 /// Copies of tables by their names.
 using state_snapshot = std::map<std::string, table_copy>;
 
-/// Keeps a copy of one table of the store: reads it whole once, then polls its
-/// changes, and reads it again if the store has dropped its change history.
+/// Keeps a copy of the rows with an empty part of one table of the store: reads
+/// it whole once, then polls its changes, and reads it again if the store has
+/// dropped its change history.
 class table_follower
 {
 public:
