Check the range of numbers and addresses in the system's own rows

Claim and grant rows were read with any number, so that sums of tokens overflowed and 2^64-1 counted as -1; they are unreadable now beyond 2^53. Keys of node rows that are no address counted as peers and took reports from real ones; they are skipped with the line fleet_row_unusable.

--- a/Source/Core/Gateway/ClaimRow.cpp
+++ b/Source/Core/Gateway/ClaimRow.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/ClaimRow.h"
 
 #include <algorithm>
+#include <stdexcept>
 
 #include <nlohmann/json.hpp>
 
@@ -18,23 +19,38 @@
 constexpr std::size_t kTakenPlace = 3;
 constexpr std::size_t kStartLimitPlace = 4;
 
+/// Throws if the value is no whole number within the limits.
+std::int64_t ReadNumber(const json& aValue, std::int64_t aMin = 0)
+{
+  const auto number = ReadWholeNumber(aValue, aMin);
+  if (!number) {
+    throw std::out_of_range("number out of range");
+  }
+  return *number;
+}
+
+std::int64_t ReadTokens(const json& aValue)
+{
+  return ReadNumber(aValue, -kMaxWholeNumber);
+}
+
 claim_entry ParseEntry(const json& aEntry)
 {
   claim_entry entry;
-  entry.mReceived = aEntry.at(kReceivedPlace).get<std::int64_t>();
-  entry.mSpendLimit = aEntry.at(kSpendLimitPlace).get<std::int64_t>();
+  entry.mReceived = ReadTokens(aEntry.at(kReceivedPlace));
+  entry.mSpendLimit = ReadTokens(aEntry.at(kSpendLimitPlace));
   entry.mHardLimit = entry.mReceived;
   if (aEntry.size() > kHardLimitPlace) {
-    entry.mHardLimit = std::max(entry.mSpendLimit,
-                                aEntry.at(kHardLimitPlace).get<std::int64_t>());
+    entry.mHardLimit =
+      std::max(entry.mSpendLimit, ReadTokens(aEntry.at(kHardLimitPlace)));
   }
   if (aEntry.size() > kTakenPlace) {
-    entry.mTaken = aEntry.at(kTakenPlace).get<std::int64_t>();
+    entry.mTaken = ReadTokens(aEntry.at(kTakenPlace));
   }
   entry.mStartLimit = entry.mSpendLimit;
   if (aEntry.size() > kStartLimitPlace) {
-    entry.mStartLimit = std::min(
-      entry.mSpendLimit, aEntry.at(kStartLimitPlace).get<std::int64_t>());
+    entry.mStartLimit =
+      std::min(entry.mSpendLimit, ReadTokens(aEntry.at(kStartLimitPlace)));
   }
   return entry;
 }
@@ -89,18 +105,23 @@
   try {
     claim_row row;
     row.mRun = body.at("run").get<std::string>();
-    row.mSequence = body.at("sequence").get<std::uint64_t>();
+    row.mSequence = static_cast<std::uint64_t>(ReadNumber(body.at("sequence")));
     row.mStartsAt =
-      std::chrono::milliseconds(body.at("stated_at_ms").get<std::int64_t>());
-    row.mTimeToLive = std::chrono::milliseconds(
-      body.value("in_force_ms", kDefaultClaimTimeToLive.count()));
+      std::chrono::milliseconds(ReadNumber(body.at("stated_at_ms")));
+    if (body.contains("in_force_ms")) {
+      row.mTimeToLive =
+        std::chrono::milliseconds(ReadNumber(body.at("in_force_ms")));
+    }
     for (const auto& [account, entry] : body.at("accounts").items()) {
       row.mAccounts[account] = ParseEntry(entry);
     }
     row.mTaker = body.value("taker", std::string());
-    row.mTakenFrom = body.value("taken_from", std::uint64_t{ 0 });
+    if (body.contains("taken_from")) {
+      row.mTakenFrom =
+        static_cast<std::uint64_t>(ReadNumber(body.at("taken_from")));
+    }
     return row;
-  } catch (const json::exception&) {
+  } catch (const std::exception&) {
     return std::nullopt;
   }
 }
--- a/Source/Core/Gateway/CrashExchangeRows.cpp
+++ b/Source/Core/Gateway/CrashExchangeRows.cpp
@@ -29,6 +29,10 @@
 // Limit of the crashes in a row; those that a reader lacks beyond it change
 // nothing.
 constexpr std::size_t kMaxRowCrashes = 16;
+// Times of crashes in a row beyond these bounds, by the clock of the store, are
+// implausible. The clock of a restored store may be behind.
+constexpr std::chrono::hours kMaxClockLead(1);
+constexpr std::chrono::hours kMaxCrashAge(24);
 
 std::string RowKey(const crash_report& aReport)
 {
@@ -101,8 +105,12 @@
     }
     const auto server = ParseServerRun(line.substr(0, at));
     const auto clock = ParseDecimal<std::int64_t>(line.substr(at + 1));
-    if (server && clock) {
+    if (server && clock && *clock >= 0 &&
+        *clock <= (aStoreClock + kMaxClockLead).count()) {
       const milliseconds age = aStoreClock - milliseconds(*clock);
+      if (age > kMaxCrashAge) {
+        continue;
+      }
       crashes.push_back(
         { aSegment, *server, aNow - std::max(age, milliseconds(0)) });
     }
--- a/Source/Core/Gateway/FleetRows.cpp
+++ b/Source/Core/Gateway/FleetRows.cpp
@@ -5,6 +5,8 @@
 #include <nlohmann/json.hpp>
 
 #include "Common/JsonText.h"
+#include "Common/Log.h"
+#include "Net/TcpStream.h"
 
 namespace {
 
@@ -54,9 +56,17 @@
 
 void fleet_rows::Apply(const stored_row& aRow)
 {
+  if (!aRow.mKey.mPartition.empty()) {
+    return;
+  }
   const std::string_view key = aRow.mKey.mKey;
   if (key.starts_with(kNodePrefix)) {
     const std::string address(key.substr(kNodePrefix.size()));
+    const auto peer = ParseTcpAddress(address);
+    if (!peer || peer->mPort == 0) {
+      Log(log_level::Info, "fleet_row_unusable", { Field("key", key) });
+      return;
+    }
     mFleet.AddCandidate(address);
     if (auto region = ReadRegion(aRow.mValue)) {
       mFleet.SetRegion(address, *region);
--- a/Source/Core/Gateway/GrantRow.cpp
+++ b/Source/Core/Gateway/GrantRow.cpp
@@ -18,12 +18,13 @@
   if (!body || !body->is_object()) {
     return std::nullopt;
   }
+  constexpr std::int64_t kMin = -kMaxWholeNumber;
   const auto granted = body->find("granted");
   const auto writer = body->find("writer");
   const auto sequence = body->find("sequence");
-  if (granted == body->end() || !granted->is_number_integer() ||
+  if (granted == body->end() || !ReadWholeNumber(*granted, kMin) ||
       writer == body->end() || !writer->is_string() ||
-      sequence == body->end() || !sequence->is_number_unsigned()) {
+      sequence == body->end() || !ReadWholeNumber(*sequence)) {
     return std::nullopt;
   }
   return grant_row{ granted->get<std::int64_t>(),
