Send from the first sound server in the test of unusable entries

FollowsTheServersBesideUnusableEntries waited for a request at a second idle server beside the first, which placement need not choose.

--- a/Source/UnitTests/Gateway/UnusableRowsTest.cpp
+++ b/Source/UnitTests/Gateway/UnusableRowsTest.cpp
@@ -105,14 +105,16 @@
   {
     mStore.Put({ "servers", aPart, aKey }, Entry(mUnused.Address(), aReplaced));
   }
-  /// Changes the state of the only server and waits until the node knows.
-  bool FollowsServer()
+  /// Replaces a server by another and waits until the node sends to that one.
+  bool FollowsServer(const std::string& aOld, const std::string& aNew)
   {
-    scripted_server& server = AddServer("marker", "app");
-    return RunUntil([&] {
+    scripted_server& server = AddServer(aNew, "app");
+    mStore.Remove({ "servers", "", aOld });
+    for (int i = 0; i < 40 && server.mRequests.empty(); ++i) {
       ExpectServed();
-      return !server.mRequests.empty();
-    });
+      RunFor(milliseconds(50));
+    }
+    return !server.mRequests.empty();
   }
 
   /// Server to which no request may be sent.
@@ -211,14 +213,12 @@
   StartNode();
   ExpectServed();
   putAll("feed");
-  EXPECT_TRUE(FollowsServer());
+  EXPECT_TRUE(FollowsServer("i-1", "i-2"));
   mStore.mHistoryFrom = ~std::uint64_t{ 0 };
   putAll("read");
   RunFor(2 * kFollowTime);
   mStore.mHistoryFrom = 0;
-  mStore.Remove({ "servers", "", "i-1" });
-  mStore.Remove({ "servers", "", "marker" });
-  EXPECT_TRUE(FollowsServer());
+  EXPECT_TRUE(FollowsServer("i-2", "i-3"));
   EXPECT_TRUE(mUnused.mRequests.empty());
 }
 
