Bound the memory and log lines of entries that name no server

A node kept the values of all rows of the servers' table, as large as the store allows, and logged each unusable one: 1,000 entries of 30 KB took 30 MB, also in each copy for a peer, and 1,000 lines, which used up the log's 400 lines a second. Followers of the servers' and the nodes' tables now keep rows above 8 KB without their value. Unusable entries get five lines a second, a line server_entries_not_logged counts the others, and gateway_unusable_server_entries_total counts all. The removal of an entry that named no server is no longer logged.

unusable_rows_test.ManyLargeEntriesTakeLittleMemoryAndFewLines failed before (1,000 lines, a copy of 30,074,048 bytes) and passes now (at most 20 lines, less than 3,000,000 bytes; no new lines at a full read after a lost history).

--- a/Source/Core/Gateway/GatewayMetrics.h
+++ b/Source/Core/Gateway/GatewayMetrics.h
@@ -65,6 +65,8 @@
     mTurnedAway.Set(aTurnedAway);
     mIgnoredObservations.Set(static_cast<double>(aIgnored));
   }
+  /// Counts an entry that names no server to use.
+  void OnUnusableEntry() { mUnusableEntries.Increment(); }
   void SetColdServers(double aCount) { mColdServers.Set(aCount); }
   void SetEvacuatedZones(double aCount) { mEvacuatedZones.Set(aCount); }
   void SetSheddingServices(double aCount) { mShedding.Set(aCount); }
@@ -97,6 +99,7 @@
   prometheus::Family<prometheus::Counter>& mSlowClients;
   prometheus::Family<prometheus::Gauge>& mHeldBytes;
   prometheus::Family<prometheus::Histogram>& mFirstByteSeen;
+  prometheus::Counter& mUnusableEntries;
   prometheus::Gauge& mOpenRequests;
   prometheus::Gauge& mLiveNodes;
   prometheus::Gauge& mConfigVersion;
--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -29,6 +29,10 @@
 constexpr milliseconds kUpstreamPollInterval(400);
 constexpr milliseconds kFleetTableLongPollTime(1000);
 constexpr milliseconds kFleetTablePollInterval(500);
+// Limit of the values of entries of servers and nodes, which have a few hundred
+// bytes; those of other writers may have the largest size of the store, and
+// thousands of them exceed the memory of a node.
+constexpr std::size_t kMaxEntryBytes = 8192;
 // A server whose row was removed serves only if no other is usable, for at most
 // this time and this share of the limit for leaving servers. The second pair
 // holds for removals that may be an effect of a store outage.
@@ -153,13 +157,15 @@
                    mCodec.UpstreamTable(),
                    kUpstreamLongPollTime,
                    kUpstreamPollInterval,
-                   *this)
+                   *this,
+                   kMaxEntryBytes)
   , mFleetTable(mStore,
                 mTime,
                 fleet_rows::kFleetTableName,
                 kFleetTableLongPollTime,
                 kFleetTablePollInterval,
-                *this)
+                *this,
+                kMaxEntryBytes)
   , mEndpoints(
       mCodec,
       mFleet,
@@ -314,9 +320,7 @@
   }
   const auto entry = mCodec.ReadUpstream(aRow);
   if (!entry) {
-    Log(log_level::Info,
-        "server_entry_unusable",
-        { Field("server", aRow.mKey.mKey), Field("version", aRow.mVersion) });
+    mUnusableEntries.OnEntry(aRow, now);
     mUpstreamRegistry.Remove(upstream_id{ aRow.mKey.mKey },
                              RemovedUsableUntil(false, now));
     return;
@@ -365,6 +369,10 @@
     return;
   }
   const time_point now = mTime.Now();
+  if (mUpstreamRegistry.Find(upstream_id{ aKey.mKey }) == nullptr) {
+    // The entry was unusable.
+    return;
+  }
   const bool tentative = now < mRemovalsTentativeUntil;
   Log(log_level::Info,
       "server_removed",
--- a/Source/Core/Gateway/GatewayNode.h
+++ b/Source/Core/Gateway/GatewayNode.h
@@ -20,6 +20,7 @@
 #include "Gateway/SlowReaders.h"
 #include "Gateway/StallDetector.h"
 #include "Gateway/TableFollower.h"
+#include "Gateway/UnusableEntries.h"
 #include "Net/HttpListener.h"
 
 /// One gateway process: its listeners, store tables, peers and the requests in
@@ -177,6 +178,7 @@
   evacuation_rows mEvacuationRows;
   allowance_writer mAllowanceWriter;
   fleet_rows mRows;
+  unusable_entries mUnusableEntries{ mMetrics };
   gateway_context mContext;
   peer_transport mPeerTransport;
   load_sender mLoadSender;
--- a/Source/Core/Gateway/GatewayNodeTicks.cpp
+++ b/Source/Core/Gateway/GatewayNodeTicks.cpp
@@ -332,6 +332,7 @@
   mRows.OnMaintenanceTick(now);
   mCrashExchange.OnMaintenanceTick(now);
   mUpstreamRegistry.Expire(now);
+  mUnusableEntries.OnTick(now);
   if (mUpstreamTable.IsLoaded() || mUpstreamRegistry.Size() > 0) {
     mEvacuationRows.LogUnknownZones(mSettings.mZone);
   }
--- a/Source/Core/Gateway/TableFollower.cpp
+++ b/Source/Core/Gateway/TableFollower.cpp
@@ -24,13 +24,15 @@
                                std::string aTable,
                                milliseconds aLongPollTime,
                                milliseconds aPollInterval,
-                               listener& aListener)
+                               listener& aListener,
+                               std::size_t aMaxValueBytes)
   : mStore(aStore)
   , mTime(aTime)
   , mTable(std::move(aTable))
   , mLongPollTime(aLongPollTime)
   , mPollInterval(aPollInterval)
   , mListener(aListener)
+  , mMaxValueBytes(aMaxValueBytes)
 {
 }
 
@@ -49,8 +51,7 @@
   const auto existing = mRows.find(aRow.mKey);
   if ((!mLoaded || mStoreUnreachable) &&
       (existing == mRows.end() || existing->second.mVersion < aRow.mVersion)) {
-    mRows[aRow.mKey] = aRow;
-    mListener.OnRow(aRow);
+    mListener.OnRow(mRows[aRow.mKey] = LimitValue(aRow));
   }
 }
 
@@ -116,7 +117,7 @@
     mReadStartedAt = page.mReadAt.value_or(mCallStartedAt);
   }
   for (const stored_row& row : page.mRows) {
-    mIncomingRows[row.mKey] = row;
+    mIncomingRows[row.mKey] = LimitValue(row);
   }
   if (page.mHasMore && !page.mRows.empty()) {
     // The smallest key after the last one of the page.
@@ -176,11 +177,11 @@
   }
   RecordContact();
   for (const stored_row& row : aPage.value().mRows) {
-    if (row.mRemoved) {
     // The store reports the changes of all parts of the table.
     if (!row.mKey.mPartition.empty()) {
       continue;
     }
+    if (row.mRemoved) {
       RemoveRow(row.mKey);
     } else {
       ApplyRow(row);
@@ -192,6 +193,13 @@
   ScheduleNextCall(mPollInterval);
 }
 
+stored_row table_follower::LimitValue(const stored_row& aRow) const
+{
+  return aRow.mValue.size() <= mMaxValueBytes
+           ? aRow
+           : stored_row{ aRow.mKey, {}, aRow.mVersion, aRow.mRemoved };
+}
+
 void table_follower::ApplyRow(const stored_row& aRow)
 {
   const auto existing = mRows.find(aRow.mKey);
@@ -200,8 +208,7 @@
   if (known >= aRow.mVersion) {
     return;
   }
-  mRows[aRow.mKey] = aRow;
-  mListener.OnRow(aRow);
+  mListener.OnRow(mRows[aRow.mKey] = LimitValue(aRow));
 }
 
 void table_follower::RemoveRow(const row_key& aKey)
--- a/Source/Core/Gateway/TableFollower.h
+++ b/Source/Core/Gateway/TableFollower.h
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <limits>
 #include <map>
 #include <string>
 #include <vector>
@@ -40,14 +41,17 @@
     virtual void OnTableLoaded() {}
   };
 
+  /// Rows with a larger value than `aMaxValueBytes` are kept without it.
   /// `aLongPollTime` is the time for which the store may hold a call for
   /// changes (long poll), `aPollInterval` the delay between calls.
-  table_follower(row_store& aStore,
-                 const time_source& aTime,
-                 std::string aTable,
-                 std::chrono::milliseconds aLongPollTime,
-                 std::chrono::milliseconds aPollInterval,
-                 listener& aListener);
+  table_follower(
+    row_store& aStore,
+    const time_source& aTime,
+    std::string aTable,
+    std::chrono::milliseconds aLongPollTime,
+    std::chrono::milliseconds aPollInterval,
+    listener& aListener,
+    std::size_t aMaxValueBytes = std::numeric_limits<std::size_t>::max());
   ~table_follower();
   table_follower(const table_follower&) = delete;
   table_follower& operator=(const table_follower&) = delete;
@@ -80,6 +84,7 @@
   void FollowChanges();
   void OnChanges(result<row_page, row_store_error> aPage);
   void ScheduleRetry(row_store_error aError);
+  stored_row LimitValue(const stored_row& aRow) const;
   void ApplyRow(const stored_row& aRow);
   void RemoveRow(const row_key& aKey);
   void ScheduleNextCall(std::chrono::milliseconds aDelay);
@@ -91,6 +96,7 @@
   std::chrono::milliseconds mLongPollTime;
   std::chrono::milliseconds mPollInterval;
   listener& mListener;
+  std::size_t mMaxValueBytes;
   loop_timer mTimer;
   std::map<row_key, stored_row> mRows;
   std::map<row_key, stored_row> mIncomingRows;
