Add a failing test of unusable entries in the copy of a peer

A key with a NUL byte in the copy is cut there, so that its entry replaces that of a live server: requests go to its address.

--- a/Source/UnitTests/Gateway/UnusableRowsTest.cpp
+++ b/Source/UnitTests/Gateway/UnusableRowsTest.cpp
@@ -359,3 +359,26 @@
   EXPECT_EQ(copy.mResponse.mStatus, 200U);
   EXPECT_LT(copy.mBody.size(), kEntries * kEntryBytes / 10);
 }
+
+// Guards against a node without the store that loses the sound entries in the
+// copy of a peer because of unusable ones.
+TEST_F(unusable_rows_test, CopiesOfPeersMayHoldUnusableEntries)
+{
+  fake_row_store away;
+  away.mUnreachable = true;
+  loop_timer replies;
+  replies.Every(milliseconds(2), [&away] { away.DeliverReplies(); });
+  AddServer("i-1", "app");
+  unsigned count = 0;
+  for (const auto& field : UnusableFields()) {
+    PutEntry(fmt::format("odd-{}", ++count), { field });
+  }
+  PutEntry(std::string("i-1\0x", 5), {});
+  StartTwoNodes(away);
+  for (int i = 0; i < 4; ++i) {
+    const auto exchange = BeginAtSecondNode("/l/x");
+    ASSERT_TRUE(RunUntil([&] { return exchange->Ended(); }));
+    EXPECT_EQ(exchange->mResponse.mStatus, 200U) << exchange->mBody;
+  }
+  EXPECT_TRUE(mUnused.mRequests.empty());
+}
