Keep NUL bytes in the keys of state copies

Writing and reading a copy of the state went through NUL-terminated text, so a key i-1 NUL x became i-1, and its entry replaced that of the live server i-1 on the node that read the copy. Both now use the size of the text.

unusable_rows_test.CopiesOfPeersMayHoldUnusableEntries failed before (requests went to the other entry's address) and passes now.

--- a/Source/Core/Gateway/PeerTransport.cpp
+++ b/Source/Core/Gateway/PeerTransport.cpp
@@ -37,6 +37,12 @@
 // Limit of a snapshot in 8-byte words: 64 MB.
 constexpr std::uint64_t kMaxSnapshotWords = 8'000'000;
 
+/// The conversion of the library ends at a NUL byte.
+kj::StringPtr WriteText(const std::string& aText)
+{
+  return { aText.data(), aText.size() };
+}
+
 std::string WriteSnapshot(const state_snapshot& aSnapshot, time_point aNow)
 {
   capnp::MallocMessageBuilder message;
@@ -59,8 +65,8 @@
       age, 0, std::numeric_limits<std::uint32_t>::max())));
     for (const stored_row& row : copy.mRows) {
       auto entry = rows[nextRow++];
-      entry.setTable(row.mKey.mTable);
-      entry.setKey(row.mKey.mKey);
+      entry.setTable(WriteText(row.mKey.mTable));
+      entry.setKey(WriteText(row.mKey.mKey));
       entry.setValue({ reinterpret_cast<const kj::byte*>(row.mValue.data()),
                        row.mValue.size() });
       entry.setVersion(row.mVersion);
@@ -71,6 +77,12 @@
   return { reinterpret_cast<const char*>(bytes.begin()), bytes.size() };
 }
 
+/// The whole text; it may hold NUL bytes.
+std::string ReadText(capnp::Text::Reader aText)
+{
+  return { aText.begin(), aText.size() };
+}
+
 /// `aRequestedAt` is the local time before which the peer did not write it.
 state_snapshot ParseSnapshot(const std::string& aBytes, time_point aRequestedAt)
 {
@@ -84,14 +96,14 @@
     capnp::FlatArrayMessageReader reader(aligned, options);
     const auto root = reader.getRoot<fleet_wire::StateSnapshot>();
     for (const auto table : root.getTables()) {
-      table_copy& copy = snapshot[table.getTable().cStr()];
+      table_copy& copy = snapshot[ReadText(table.getTable())];
       copy.mVersion = table.getVersion();
       copy.mCurrentAt = aRequestedAt - milliseconds(table.getAgeMs());
     }
     for (const auto entry : root.getRows()) {
       stored_row row;
-      row.mKey.mTable = entry.getTable().cStr();
-      row.mKey.mKey = entry.getKey().cStr();
+      row.mKey.mTable = ReadText(entry.getTable());
+      row.mKey.mKey = ReadText(entry.getKey());
       const auto value = entry.getValue();
       row.mValue.assign(reinterpret_cast<const char*>(value.begin()),
                         value.size());
