--- a/Source/Core/Common/JsonText.h
+++ b/Source/Core/Common/JsonText.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -42,6 +44,20 @@
   json_error ErrorAt(std::string_view aPointer, std::string aMessage) const;
 };
 
+/// Parses JSON that another process wrote. Returns nothing if the text is
+/// malformed or nested deeper than 64 levels, so that recursion over the value
+/// is bounded.
+std::optional<nlohmann::json> ParseBoundedJson(std::string_view aText);
+
+/// Largest whole number that all writers of JSON represent exactly.
+inline constexpr std::int64_t kMaxWholeNumber = std::int64_t{ 1 } << 53U;
+
+/// A whole number within the limits; nothing for other values.
+std::optional<std::int64_t> ReadWholeNumber(
+  const nlohmann::json& aValue,
+  std::int64_t aMin = 0,
+  std::int64_t aMax = kMaxWholeNumber);
+
 /// Parses JSON with `//` and `/* */` comments. Duplicate keys, trailing text
 /// and nesting deeper than 64 levels are errors. With `aDuplicates`, errors for
 /// duplicate keys are appended there instead, and parsing continues with the
--- a/Source/Core/Gateway/FleetRows.cpp
+++ b/Source/Core/Gateway/FleetRows.cpp
@@ -4,6 +4,10 @@
 
 #include <nlohmann/json.hpp>
 
+#include "Common/JsonText.h"
+#include "Common/Log.h"
+#include "Net/TcpStream.h"
+
 namespace {
 
 using std::chrono::milliseconds;
@@ -17,12 +21,12 @@
 /// their run alone.
 std::optional<region_id> ReadRegion(std::string_view aValue)
 {
-  const auto value = nlohmann::json::parse(aValue, nullptr, false);
-  if (!value.is_object()) {
+  const auto value = ParseBoundedJson(aValue);
+  if (!value || !value->is_object()) {
     return std::nullopt;
   }
-  const auto region = value.find("region");
-  if (region == value.end() || !region->is_string()) {
+  const auto region = value->find("region");
+  if (region == value->end() || !region->is_string()) {
     return std::nullopt;
   }
   return region_id{ region->get<std::string>() };
@@ -52,9 +56,17 @@
 
 void fleet_rows::Apply(const stored_row& aRow)
 {
+  if (!aRow.mKey.mPartition.empty()) {
+    return;
+  }
   const std::string_view key = aRow.mKey.mKey;
   if (key.starts_with(kNodePrefix)) {
     const std::string address(key.substr(kNodePrefix.size()));
+    const auto peer = ParseTcpAddress(address);
+    if (!peer || peer->mPort == 0) {
+      Log(log_level::Info, "fleet_row_unusable", { Field("key", key) });
+      return;
+    }
     mFleet.AddCandidate(address);
     if (auto region = ReadRegion(aRow.mValue)) {
       mFleet.SetRegion(address, *region);
