Let the admitted capacity follow a loss of places while it lasts

Cause: the capacity followed from the places of the last load.

Change: * The trend of the places is averaged over the loads. While places are lost, the cost of as many requests is taken off the capacity, less what still ends of requests that began with more places. * The width that is kept for clients that come back is bounded by the completed cost, which falls as late as the promises do. * The floors follow the short-term corrections of the capacity. * Demands count with a headroom of 1.15. * Without reports the completed cost is scaled to the live nodes, as the demand is.

--- a/Source/Core/Admission/AdmissionControl.cpp
+++ b/Source/Core/Admission/AdmissionControl.cpp
@@ -61,6 +61,12 @@
 constexpr double kMaxIntegral = 0.4;
 constexpr double kMinCorrection = 0.2;
 constexpr double kMaxCorrection = 1.4;
+// Time in which the average of the places' trend follows a change to 1 - 1/e.
+constexpr double kTrendTimeS = 0.1;
+// Demand counts as this much larger when capacity is divided. Its estimate
+// varies by about a tenth, and less urgent ranks do not get what a low estimate
+// leaves.
+constexpr double kDemandHeadroom = 1.15;
 constexpr double kMaxUint8 = 255.0;
 // Change of a rank's share that is worth a log line.
 constexpr double kStatedChange = 0.05;
@@ -185,6 +191,7 @@
   const auto found = mServices.find(aService);
   if (found != mServices.end()) {
     found->second.mCompletedCost.Add(aCost, aNow);
+    found->second.mCompleted.Add(1.0, aNow);
     found->second.mSlotSeconds.Add(seconds_d(aTook).count(), aNow);
   }
 }
@@ -197,6 +204,26 @@
   }
 }
 
+void admission_control::UpdateTrend(service_record& aRecord,
+                                    double aPlaces,
+                                    time_point aNow)
+{
+  if (aRecord.mLoadUntil < aNow) {
+    // The former load is unknown or too old.
+    aRecord.mPlacesTrend = 0.0;
+    aRecord.mLoadAt = aNow;
+    return;
+  }
+  const double age = seconds_d(aNow - aRecord.mLoadAt).count();
+  if (age <= 0.0) {
+    return;
+  }
+  const double slope = (aPlaces - aRecord.mLoad.mPlaces) / age;
+  aRecord.mPlacesTrend +=
+    (1.0 - std::exp(-age / kTrendTimeS)) * (slope - aRecord.mPlacesTrend);
+  aRecord.mLoadAt = aNow;
+}
+
 void admission_control::SetLoad(std::uint16_t aService,
                                 const service_load& aLoad,
                                 time_point aNow)
@@ -206,6 +233,7 @@
     return;
   }
   service_record& record = found->second;
+  UpdateTrend(record, aLoad.mPlaces, aNow);
   record.mLoad = aLoad;
   record.mLoadUntil = aNow + kMaxLoadAge;
   record.mLoad.mWaiting = aLoad.mWaiting || aNow < record.mNoRoomUntil;
@@ -341,6 +369,8 @@
       demand.mOffered *= 1.0 + others;
       demand.mPromised *= 1.0 + others;
     }
+    own.mCompletedCost *= 1.0 + others;
+    own.mSlotSeconds *= 1.0 + others;
     return own;
   }
   // Only some nodes report here in each round.
@@ -369,6 +399,22 @@
   return own;
 }
 
+double admission_control::CostOfLostPlaces(const service_record& aRecord,
+                                           const fleet_demand& aDemand,
+                                           time_point aNow)
+{
+  const double lost = std::max(-aRecord.mPlacesTrend, 0.0);
+  const double completed = aRecord.mCompleted.Rate(aNow);
+  if (lost <= 0.0 || completed <= 0.0) {
+    return 0.0;
+  }
+  const double meanCost = aRecord.mCompletedCost.Rate(aNow) / completed;
+  // Requests that began with more places still end and make room for others.
+  const double ending = std::max(
+    aDemand.mCompletedCost - Use(aRecord.mLoad) * aRecord.mFullCapacity, 0.0);
+  return std::max(lost * meanCost - ending, 0.0);
+}
+
 void admission_control::UpdateCapacity(service_record& aRecord,
                                        const fleet_demand& aDemand,
                                        time_point aNow)
@@ -392,7 +438,9 @@
                kMaxCorrection);
   aRecord.mFullCapacity =
     aRecord.mLoad.mPlaces * aDemand.mCompletedCost / aDemand.mSlotSeconds;
-  aRecord.mCapacity = correction * aRecord.mFullCapacity;
+  aRecord.mCapacity = std::max(correction * aRecord.mFullCapacity -
+                                 CostOfLostPlaces(aRecord, aDemand, aNow),
+                               kMinCorrection * aRecord.mFullCapacity);
 }
 
 void admission_control::UpdateShares(service_record& aRecord,
@@ -406,23 +454,31 @@
   double total = 0.0;
   for (const auto& [key, demand] : aDemand.mDemand) {
     // Clients that come back count as offered twice.
-    const double cost = demand.mOffered - demand.mPromised;
-    demands.push_back({ key.first,
-                        std::max(cost, kForgottenCost),
-                        std::max(demand.mAccounts, 1.0) });
-    total += demands.back().mCost;
+    const double cost =
+      std::max(demand.mOffered - demand.mPromised, kForgottenCost);
+    demands.push_back(
+      { key.first, kDemandHeadroom * cost, std::max(demand.mAccounts, 1.0) });
+    total += cost;
   }
+  // The floors shrink with the capacity while the servers are too full, so that
+  // the most urgent rank does not bear the whole correction.
   const std::vector<double> granted = DivideCapacity(
-    demands, aRecord.mCapacity, kFloorPart * aRecord.mFullCapacity);
+    demands,
+    aRecord.mCapacity,
+    kFloorPart * aRecord.mCapacity / (kTargetUse + aRecord.mIntegral));
+  // The completed cost follows a loss of places late, as the promises do. It is
+  // small while long requests begin.
   const double reserved =
-    std::min(kReservedWidth, kReservedPart * aRecord.mCapacity / total);
+    std::min(kReservedWidth,
+             kReservedPart *
+               std::max(aRecord.mCapacity, aDemand.mCompletedCost) / total);
   std::size_t i = 0;
   for (const auto& [key, demand] : aDemand.mDemand) {
     share& share = aRecord.mShares[key];
-    const double part = granted[i] / demands[i].mCost;
+    const double cost = demands[i].mCost / kDemandHeadroom;
+    const double part = granted[i] / cost;
     if (part < 1.0) {
-      share.mWidth =
-        std::clamp(part - demand.mPromised / demands[i].mCost, 0.0, 1.0);
+      share.mWidth = std::clamp(part - demand.mPromised / cost, 0.0, 1.0);
       if (share.mWidth >= kMinPromisingWidth) {
         share.mPromiseWidth = kPromisedPart * part;
       }
--- a/Source/Core/Admission/AdmissionControl.h
+++ b/Source/Core/Admission/AdmissionControl.h
@@ -136,8 +136,14 @@
   {
     std::map<demand_key, demand_record> mDemand;
     faded_sum mCompletedCost;
+    /// Number of requests that `mCompletedCost` adds up.
+    faded_sum mCompleted;
     faded_sum mSlotSeconds;
     service_load mLoad;
+    time_point mLoadAt;
+    /// Places that are gained a second, averaged over the last loads. Negative
+    /// while places are lost.
+    double mPlacesTrend = 0.0;
     /// Until when the load counts as known.
     time_point mLoadUntil;
     /// Until when requests count as waiting.
@@ -185,6 +191,14 @@
                      service_record& aRecord,
                      std::size_t aLiveNodes,
                      time_point aNow);
+  /// Updates the trend of the places. Called before the load is replaced.
+  static void UpdateTrend(service_record& aRecord,
+                          double aPlaces,
+                          time_point aNow);
+  /// Cost a second that must not be admitted because places are being lost.
+  static double CostOfLostPlaces(const service_record& aRecord,
+                                 const fleet_demand& aDemand,
+                                 time_point aNow);
   static void UpdateCapacity(service_record& aRecord,
                              const fleet_demand& aDemand,
                              time_point aNow);
--- a/Source/UnitTests/Admission/AdmissionControlTest.cpp
+++ b/Source/UnitTests/Admission/AdmissionControlTest.cpp
@@ -145,6 +145,29 @@
   EXPECT_GT(promised, 3);
 }
 
+// Guards against requests that are admitted, or promised, to places that are
+// about to be lost.
+TEST(admission_control_test, AdmitsLessWhilePlacesAreLost)
+{
+  admission_control control;
+  std::map<int, double> shares;
+  for (milliseconds now(0); now <= milliseconds(3300);
+       now += milliseconds(100)) {
+    const shed_query query{ kService, 1, 0, 2.0, 0, milliseconds(0) };
+    shares[static_cast<int>(now.count())] =
+      control.Decide(query, now, At(now)).mShare;
+    control.OnCompleted(kService, 1.0, milliseconds(1000), At(now));
+    // Two of ten places are lost between the last two loads.
+    if (now.count() % 200 == 0) {
+      const double places = now > milliseconds(3000) ? 8.0 : 10.0;
+      control.SetLoad(kService, { places, places, false }, At(now));
+      control.Update(1, At(now));
+    }
+  }
+  EXPECT_GT(shares.at(3100), 0.3);
+  EXPECT_LT(shares.at(3300), 0.5 * shares.at(3100));
+}
+
 // Guards against a promise that exceeds the time of the client.
 TEST(admission_control_test, PromisesOnlyWhatIsInTime)
 {
