Stop nodes under long streams in the fault soak

The soak could not find this class of fault: its longest streams take 1 s, and with its grace period of 4 s the last requests are accepted 2 s and cut 3.4 s after the signal.

A new check finds requests sent later than 3 s after SIGTERM that the node breaks off, and others broken off before the last sixth of the grace period or after their server had finished. The check of cut off requests allows the same and no more; the random faults record no such stops, so it is as strict as before with them. At the end of a run the nodes are stopped at the same time instead of one after the other.

--- a/Scripts/fault_soak/__main__.py
+++ b/Scripts/fault_soak/__main__.py
@@ -25,6 +25,7 @@
 import operator_desk
 import partitions
 import promises
+import stops
 from callers import Callers
 from faults import Faults
 from history import History, now
@@ -70,6 +71,10 @@
     def __init__(self, options, folder):
         self.options = options
         self.folder = folder
+        # Planned stops leave less to recover from than random faults.
+        self.recovery_timeout = (
+            stops.RECOVERY_TIMEOUT if options.stops else RECOVERY_TIMEOUT
+        )
         self.random = random.Random(options.seed)
         self.history = History()
         self.store = Store()
@@ -111,7 +116,12 @@
         for i in range(count):
             address = f"{network}.{i + 1}"
             node = gateway_nodes.Node(
-                self.history, self.options.binary, self.folder, address, f"n-{i}"
+                self.history,
+                self.options.binary,
+                self.folder,
+                address,
+                f"n-{i}",
+                self.options.grace,
             )
             _, port = await self.store.listen(server_address, node.name)
             proxy = Proxy()
@@ -139,7 +149,10 @@
             random.Random(self.options.seed),
             prompts_in_payloads=self.options.segments > 0,
         )
-        traffic_task = asyncio.create_task(caller_pool.run(self.options.rate))
+        rate = self.options.rate
+        if self.options.stops:
+            rate *= stops.USUAL_CALLERS_SHARE
+        traffic_task = asyncio.create_task(caller_pool.run(rate))
         await asyncio.sleep(1)
         probe_task = asyncio.create_task(self.operator.probe(caller_pool, self.nodes))
         faults = Faults(
@@ -181,7 +194,10 @@
         )
         for server in self.servers:
             server.broken_share = self.options.broken
-        fault_count = await faults.run(self.options.seconds)
+        if self.options.stops:
+            fault_count = await self.run_stops(caller_pool)
+        else:
+            fault_count = await faults.run(self.options.seconds)
         for server in self.servers:
             server.broken_share = 0.0
         await crash_task
@@ -189,16 +205,34 @@
         await partition_task
         await brittle_task
         faults_ended_at = now()
-        await asyncio.sleep(RECOVERY_TIMEOUT + EVALUATION_PERIOD)
+        await asyncio.sleep(self.recovery_timeout + EVALUATION_PERIOD)
         caller_pool.stopping = True
         await traffic_task
         probe_task.cancel()
-        # Waits for delayed store writes (up to 4 s) and for late runs on servers.
-        await asyncio.sleep(5)
+        # Waits for delayed store writes (up to 4 s, none without random faults) and
+        # for late runs on servers.
+        await asyncio.sleep(1 if self.options.stops else 5)
         await self.close()
         lag_task.cancel()
         return fault_count, faults_ended_at
 
+    async def run_stops(self, caller_pool):
+        """Stops nodes under long streams, without other faults, and returns the
+        number of stops."""
+        kind = self.options.stops
+        seed = self.options.seed
+        stream_callers = stops.StreamCallers(
+            caller_pool, self.nodes, random.Random(seed + 7), kind == "slow"
+        )
+        stream_task = asyncio.create_task(stream_callers.run(self.options.rate))
+        planned_stops = stops.PlannedStops(
+            self.history, self.store, self.nodes, random.Random(seed + 8)
+        )
+        await planned_stops.run(kind, self.options.seconds)
+        stream_callers.stopping = True
+        await stream_task
+        return len(self.history.stops)
+
     async def watch_lag(self):
         """Records a fault of everything whenever this process was not scheduled.
 
@@ -213,9 +247,9 @@
                 self.history.faults[-1].started_at = before
 
     async def close(self):
-        for node in self.nodes:
-            if node.process.returncode is None:
-                await node.stop()
+        await asyncio.gather(
+            *(n.stop() for n in self.nodes if n.process.returncode is None)
+        )
 
     async def kill(self):
         """Kills the node processes that still run; also called after an error."""
@@ -225,7 +259,7 @@
                 await node.kill()
 
 
-def find_violations(history, faults_ended_at):
+def find_violations(history, faults_ended_at, recovery_timeout):
     """Returns a text for each violated invariant, with the name of its check."""
     checks = {
         "at most once": promises.non_idempotent_requests_run_once(history),
@@ -259,9 +293,10 @@
             history, promises.NODE_FAULTS
         ),
         "brittle servers": brittleness.brittle_servers_stand(history),
+        "planned stops": stops.stops_break_nothing_off(history),
         "stops": promises.nodes_exit_cleanly(history),
         "recovery": promises.service_recovers(
-            history, faults_ended_at, RECOVERY_TIMEOUT
+            history, faults_ended_at, recovery_timeout
         ),
     }
     return [f"{name}: {text}" for name, found in checks.items() for text in found]
@@ -274,7 +309,7 @@
         fault_count, faults_ended_at = await soak.run()
     finally:
         await soak.kill()
-    found = find_violations(soak.history, faults_ended_at)
+    found = find_violations(soak.history, faults_ended_at, soak.recovery_timeout)
     crashing_causes = [
         *soak.history.crashing.values(),
         *soak.history.crashing_segments.values(),
@@ -291,6 +326,8 @@
             f"seed {options.seed}: {time.servers} brittle servers of {time.service}, "
             f"{len(time.falls)} falls"
         )
+    for line in stops.report(soak.history) if options.stops else ():
+        print(f"seed {options.seed}: {line}")
     requests = soak.history.requests.values()
     resumed = [r for r in requests if r.resumes]
     if resumed:
@@ -348,8 +385,22 @@
     parser.add_argument(
         "--brittle", type=int, default=0, help="times of brittle servers"
     )
+    parser.add_argument(
+        "--stops",
+        choices=stops.KINDS,
+        help="kind of planned stops under long streams, instead of random faults",
+    )
+    parser.add_argument(
+        "--grace", type=float, help="grace period of the nodes in seconds"
+    )
     parser.add_argument("--logs", help="folder for the logs of failed seeds")
     options = parser.parse_args()
+    if options.grace is None:
+        options.grace = (
+            stops.DEFAULT_GRACE_PERIOD
+            if options.stops
+            else gateway_nodes.STOP_GRACE_PERIOD
+        )
     failed_seeds = []
     for seed in range(options.seed, options.seed + options.seeds):
         options.seed = seed
--- a/Scripts/fault_soak/callers.py
+++ b/Scripts/fault_soak/callers.py
@@ -2,6 +2,7 @@
 streams that break."""
 
 import asyncio
+import socket
 
 import aiohttp
 
@@ -16,11 +17,15 @@
 # Times that a caller takes a broken stream up.
 MAX_RESUMPTIONS = 2
 
+# Streams of planned stops; see stops.py.
+LONG_PATH = "/long/"
+
 # (kind, service, path prefix, time limit in seconds, weight in the random choice)
 KINDS = [
     ("streaming", "engines", "/chat/", 6.0, 5),
     ("non_idempotent", "orders", "/order/", 2.0, 3),
     ("idempotent", "orders", "/lookup/", 2.0, 3),
+    ("streaming", "engines", LONG_PATH, 6.5, 0),
 ]
 
 
@@ -241,9 +246,15 @@
             retry_delay = response.headers.get("Retry-After")
             request.retry_after = float(retry_delay) if retry_delay else None
             received = bytearray()
+            if request.receive_buffer and response.connection:
+                response.connection.transport.get_extra_info("socket").setsockopt(
+                    socket.SOL_SOCKET, socket.SO_RCVBUF, request.receive_buffer
+                )
             try:
                 async for chunk in response.content.iter_any():
                     received += chunk
+                    if request.read_pause:
+                        await asyncio.sleep(request.read_pause)
                 request.complete = True
             finally:
                 request.body = bytes(received)
--- a/Scripts/fault_soak/history.py
+++ b/Scripts/fault_soak/history.py
@@ -50,6 +50,13 @@
     # the number of the last event that the caller has.
     resumes: str = ""
     resumed_after: int = 0
+    # Length of the stream in seconds; 0 if each event takes a random time.
+    duration: float = 0.0
+    # Slow readers: pause before each read in seconds, size of the events and of the
+    # receive buffer; 0 for others.
+    read_pause: float = 0.0
+    event_bytes: int = 0
+    receive_buffer: int = 0
 
     def events_received(self):
         """Number of whole events in the response."""
@@ -109,6 +116,19 @@
     ends_at: float
 
 
+@dataclasses.dataclass
+class Stop:
+    """A planned stop of a node by SIGTERM."""
+
+    node: str
+    node_incarnation: int
+    signalled_at: float
+    # Grace period in seconds.
+    grace: float
+    # Time at which the process was gone; 0 before.
+    ended_at: float = 0.0
+
+
 class History:
     """All requests, runs, faults and observations of one soak run."""
 
@@ -136,6 +156,7 @@
         self.partitions = []
         # `Brittleness` of the servers of a service
         self.brittle_times = []
+        self.stops = []
         # (server, request, time) of each response that named a limit
         self.limit_responses = []
         # route version -> (time written, time removed or None)
@@ -156,3 +177,14 @@
             if (f.target == "all" or f.target in targets)
             and (kinds is None or f.kind in kinds)
         )
+
+    def stop_under(self, request):
+        """The planned stop during which the request ended, or None."""
+        for stop in self.stops:
+            if (
+                stop.node == request.node
+                and request.sent_at < (stop.ended_at or request.ended_at + 1)
+                and request.ended_at >= stop.signalled_at
+            ):
+                return stop
+        return None
--- a/Scripts/fault_soak/nodes.py
+++ b/Scripts/fault_soak/nodes.py
@@ -7,7 +7,7 @@
 
 import aiohttp
 
-# Grace period from SIGTERM to SIGKILL, in seconds.
+# Usual grace period from SIGTERM to SIGKILL, in seconds.
 STOP_GRACE_PERIOD = 4.0
 LISTENERS = ["clients", "readiness", "directory"]
 RETRY = {"ratio": 0.2, "allowance": 40, "window_s": 10}
@@ -19,12 +19,14 @@
 class Node:
     """A node; each start of its process is a new incarnation."""
 
-    def __init__(self, history, binary, folder, address, name):
+    def __init__(self, history, binary, folder, address, name, grace):
         self.history = history
         self.binary = binary
         self.folder = folder
         self.address = address
         self.name = name
+        # Grace period from SIGTERM to SIGKILL, in seconds.
+        self.grace = grace
         self.ports = {}
         self.incarnation = 0
         self.process = None
@@ -49,7 +51,7 @@
             "memory_mb": 256,
             "leave_limit_ms": int(DRAIN_LIMIT * 1000),
             "config_limit_ms": int(DRAIN_LIMIT * 1000),
-            "grace_s": STOP_GRACE_PERIOD,
+            "grace_s": self.grace,
             "retry": RETRY,
         }
         self.settings = os.path.join(self.folder, f"{self.name}.json")
@@ -89,7 +91,7 @@
         self._stop_requested = True
         self.signal(signal.SIGTERM)
         try:
-            await asyncio.wait_for(self.process.wait(), STOP_GRACE_PERIOD)
+            await asyncio.wait_for(self.process.wait(), self.grace)
         except asyncio.TimeoutError:
             self.history.exits.append((self.name, self.incarnation, "a kill", True))
             await self.kill()
--- a/Scripts/fault_soak/promises.py
+++ b/Scripts/fault_soak/promises.py
@@ -32,6 +32,10 @@
 NODE_FAULTS = ("kill", "kill_all", "stop", "pause", "observer")
 # Faults of a node under which it may cut off requests.
 UNPLANNED_NODE_FAULTS = ("kill", "kill_all", "pause", "observer")
+# A stopping node may break off requests sent up to this many seconds after the
+# signal, but only from this share of the grace period on.
+LAST_CUT_SEND = 3.0
+CUT_SHARE = 5 / 6
 # Faults of a server that end its responses early.
 SERVER_FAULTS = ("crash", "leave", "connections", "torn", "observer")
 # Seconds after the start of a partition in which its nodes may not have noticed it.
@@ -61,15 +65,16 @@
 LIMIT_TOLD_TIME = 0.5
 
 
-def stream_event(request_id, number):
+def stream_event(request_id, number, padding=0):
     """Returns the bytes of one event of a response stream."""
-    return f"id: {number}\ndata: {request_id}:{number}\n\n".encode()
+    return f"id: {number}\ndata: {request_id}:{number}{'.' * padding}\n\n".encode()
 
 
 def stream_body(request):
     first = request.resumed_after + 1
     return b"".join(
-        stream_event(request.id, n) for n in range(first, request.events + 1)
+        stream_event(request.id, n, request.event_bytes)
+        for n in range(first, request.events + 1)
     )
 
 
@@ -371,10 +376,23 @@
                 break
 
 
+def may_end_at_stop(history, request):
+    """Whether a stopping node may break the request off: it was sent early, and the
+    server was still at work in the last sixth of the grace period."""
+    stop = history.stop_under(request)
+    if stop is None or request.sent_at > stop.signalled_at + LAST_CUT_SEND:
+        return False
+    begin = stop.signalled_at + CUT_SHARE * stop.grace
+    return request.ended_at >= begin and any(
+        run.id == request.id and (not run.ended_at or run.ended_at >= begin)
+        for run in history.runs
+    )
+
+
 def requests_are_not_cut_off(history):
     """Callers whose requests reached a sound server get a complete response.
 
-    Planned stops and faults of the store excuse nothing.
+    Faults of the store excuse nothing, and planned stops only what they may end.
     """
     servers = collections.defaultdict(set)
     for arrival in history.arrivals:
@@ -383,7 +401,7 @@
     for request in history.requests.values():
         if not request.cut_off or request.id not in servers or request.crashing:
             continue
-        if request.id in broken_off or any(
+        if request.id in broken_off or may_end_at_stop(history, request) or any(
             request.node in partition.nodes
             and request.sent_at < partition.started_at + PARTITION_NOTICE_TIME
             and request.ended_at > partition.started_at
--- a/Scripts/fault_soak/promises_test.py
+++ b/Scripts/fault_soak/promises_test.py
@@ -4,8 +4,9 @@
 
 import brittleness
 import promises
+import stops
 from crashing import CrashingSegment
-from history import Arrival, Fault, History, RateLimit, Request, Run
+from history import Arrival, Fault, History, RateLimit, Request, Run, Stop
 
 # Time at which the default request is sent, in seconds.
 SENT = 100.0
@@ -290,6 +291,62 @@
         recorded.requests = {"r1": request()}
         self.assert_valid(check(recorded))
 
+    def test_request_that_a_stopping_node_breaks_off(self):
+        check = stops.stops_break_nothing_off
+        cut = request(status=0, complete=False, cut_off=True, ended_at=SENT + 4)
+        recorded = history([cut], [run(ended_at=SENT + 4)])
+        recorded.arrivals = [Arrival("r1", "engines", "e-0", SENT)]
+
+        def signalled_at(seconds, grace=8.0):
+            recorded.stops = [Stop("n-0", 1, SENT + seconds, grace, SENT + 5)]
+
+        # Sent 2.9 s after the signal, broken off in the last sixth and before it.
+        signalled_at(-2.9)
+        self.assert_valid(check(recorded))
+        self.assert_valid(promises.requests_are_not_cut_off(recorded))
+        signalled_at(-2.5)
+        self.assert_violation(check(recorded))
+        self.assert_violation(promises.requests_are_not_cut_off(recorded))
+        signalled_at(-2.5, grace=4.0)
+        self.assert_valid(check(recorded))
+        # The server was no longer at work.
+        signalled_at(-2.9)
+        recorded.runs = [run(ended_at=SENT + 3)]
+        self.assert_violation(check(recorded))
+        self.assert_violation(promises.requests_are_not_cut_off(recorded))
+        recorded.runs = [run(ended_at=SENT + 4)]
+        # Sent 3.5 s after the signal.
+        signalled_at(-3.5)
+        self.assert_violation(check(recorded))
+        self.assert_violation(promises.requests_are_not_cut_off(recorded))
+        recorded.faults = [Fault("store silent", "all", SENT, SENT + 4)]
+        self.assert_violation(check(recorded))
+        recorded.faults = [Fault("crash", "e-0", SENT, SENT + 4)]
+        self.assert_valid(check(recorded))
+        recorded.faults = []
+        # Sent before the signal and broken off soon after it.
+        signalled_at(1)
+        self.assert_violation(check(recorded))
+        # The same for a request that ends with an error instead of a broken response.
+        signalled_at(-3.5)
+        for status, reason, violated in (
+            (504, "node_stopped", True),
+            (502, "node_stopped", True),
+            (504, "timeout", False),
+            (503, "node_leaving", False),
+        ):
+            body = b'{"error":"%s"}' % reason.encode()
+            ended = request(status=status, body=body, ended_at=SENT + 4)
+            recorded.requests = {"r1": ended}
+            (self.assert_violation if violated else self.assert_valid)(check(recorded))
+        # Requests that no server got, or to which another node answered.
+        recorded.requests = {"r1": cut}
+        recorded.arrivals = []
+        self.assert_valid(check(recorded))
+        recorded.arrivals = [Arrival("r1", "engines", "e-0", SENT)]
+        recorded.stops[0].node = "n-1"
+        self.assert_valid(check(recorded))
+
     def test_brittle_servers_that_fall(self):
         check = brittleness.brittle_servers_stand
         recorded = history([request(), request(id="r2", node="n-1")])
--- a/Scripts/fault_soak/servers.py
+++ b/Scripts/fault_soak/servers.py
@@ -281,6 +281,8 @@
     async def _send_stream(self, request, run):
         sent = self.history.requests.get(run.id)
         events = sent.events if sent else 1
+        event_bytes = sent.event_bytes if sent else 0
+        interval = sent.duration / events if sent else 0.0
         await asyncio.sleep(0.02 + 0.004 * self.running)
         response = web.StreamResponse(headers=self._headers(run))
         response.content_type = "text/event-stream"
@@ -292,7 +294,7 @@
         for number in range(run.resumed_after + 1, events + 1):
             if request.transport is None or request.transport.is_closing():
                 raise ConnectionError("the caller disconnected")
-            event = promises.stream_event(run.id, number)
+            event = promises.stream_event(run.id, number, event_bytes)
             if number == truncated_at:
                 # Sends half an event, then closes the connection.
                 run.broken_off = True
@@ -302,6 +304,6 @@
                 raise ConnectionError("response cut off by fault injection")
             await response.write(event)
             run.events_sent += 1
-            await asyncio.sleep(self.random.uniform(0.01, 0.04))
+            await asyncio.sleep(interval or self.random.uniform(0.01, 0.04))
         await response.write_eof()
         return response
