--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -123,6 +123,7 @@
               .mUnanswered = mUnanswered,
               .mReachability = mReachability,
               .mLinkQueue = mLinkQueue,
+              .mDurations = mDurations,
               .mFleet = mFleet,
               .mHomes = mHomes,
               .mStreamOrigins = mStreamOrigins,
@@ -246,7 +247,7 @@
 
 bool gateway_node::Ready() const
 {
-  return mContext.mRoutes && mUpstreamRegistry.Size() > 0 && !mStopStartedAt &&
+  return mContext.mRoutes && mUpstreamRegistry.Size() > 0 && !mContext.mStop &&
          mContext.mState != state_verdict::Outdated && !mContext.mRelaying;
 }
 
--- a/Source/Core/Gateway/GatewaySession.h
+++ b/Source/Core/Gateway/GatewaySession.h
@@ -16,9 +16,11 @@
 #include "Gateway/HeldBytes.h"
 #include "Gateway/HomeRegions.h"
 #include "Gateway/LinkQueue.h"
+#include "Gateway/RequestDurations.h"
 #include "Gateway/RouteTable.h"
 #include "Gateway/ServerReachability.h"
 #include "Gateway/StateFreshness.h"
+#include "Gateway/StopSchedule.h"
 #include "Gateway/StreamOrigins.h"
 #include "Gateway/UnansweredRequests.h"
 #include "Gateway/UpstreamPool.h"
@@ -39,6 +41,7 @@
   unanswered_requests& mUnanswered;
   server_reachability& mReachability;
   link_queue& mLinkQueue;
+  request_durations& mDurations;
   fleet_view& mFleet;
   const home_regions& mHomes;
   stream_origins& mStreamOrigins;
@@ -63,8 +66,8 @@
   /// Whether the node reaches no server and other nodes do, so that it passes
   /// its requests on.
   bool mRelaying = false;
-  /// Whether the node refuses new requests, at the end of a graceful stop.
-  bool mRefusingRequests = false;
+  /// Set while the node stops.
+  std::optional<stop_schedule> mStop{};
   /// Connections that were dropped inside one of their own events and must be
   /// destroyed later.
   std::vector<std::unique_ptr<http_client_connection>> mDiscardedConnections{};
@@ -90,6 +93,9 @@
   /// Ends the request because its client does not read.
   void EndSlowClient();
 
+  /// Records that the request has taken at least this long, if it was sent.
+  void RecordElapsed(time_point aNow);
+
   const std::string& RequestId() const { return mRequest.mId; }
   /// Bytes of the request that its server has not taken.
   std::size_t BytesToServer() const
@@ -150,6 +156,13 @@
   void PinStream(time_point aNow);
   void AdvanceTokens(time_point aNow);
   void AdvanceServer(time_point aNow);
+  /// Whether the node does not stop, or the request is expected to be answered
+  /// before the node ends.
+  bool FitsBeforeStop(time_point aNow) const;
+  /// Whether another node takes requests and may run this one.
+  bool IsOtherNodeReady(time_point aNow) const;
+  /// Ends the request without a further send because the node stops.
+  void EndUnsentInStop(time_point aNow);
   /// Closes the client's connection after the response, so that the client
   /// reconnects and may find a host that can serve it.
   void SendClientElsewhere();
@@ -179,6 +192,8 @@
   void RecordNoRoom(const std::optional<placement>& aChosen,
                     admission_query aQuery,
                     time_point aNow);
+  /// When the request is ended if its server has not answered.
+  time_point LatestEnd() const;
   void AdvanceSent(time_point aNow);
   placement_query Query() const;
   admission_query AdmissionQuery() const;
@@ -214,6 +229,10 @@
   void RecordCold(time_point aNow);
   /// Logs and counts a send to a cold server.
   void LogColdSend(time_point aNow) const;
+  /// Logs a send while the node stops.
+  void LogSendInStop(time_point aNow) const;
+  /// Logs that the end of the node breaks the request off.
+  void LogCutByStop() const;
   /// Logs that a stream goes on at a server.
   void LogResumption() const;
   /// Logs and counts a send to a server that named a rate limit.
@@ -282,6 +301,8 @@
   /// When the bytes of the request have left the host, by estimate.
   time_point mLeavesAt;
   time_point mLastEventAt;
+  /// Last byte of the response of the current server; nothing before it.
+  std::optional<time_point> mLastByteAt;
   /// First event of the current server; nothing before it.
   std::optional<time_point> mFirstEventAt;
   /// Whether the current server has answered for long enough to clear the
