Count the body of a request once when it is complete

Callers whose bodies arrive over more than 10 ms could get 503 memory_full at a node with room: the part that had arrived at the last tick counted as arriving, and the whole body counted again with the request, until the next tick.

BodiesThatArriveInPartsAreCountedOnce shows the cause without timing: it failed before and passes now. The body leaves the sum of arriving bytes when its request begins.

--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -268,6 +268,11 @@
     // The client reconnects and finds a host with free capacity.
     aConnection.SetCloseAfterResponse();
   }
+  // The body is counted with the request from now on, not as arriving until the
+  // next sum of the held bytes.
+  mHeld.Remove(
+    held_kind::ArrivingRequests,
+    std::min(aRequest.mBody.size(), mHeld.Of(held_kind::ArrivingRequests)));
   auto session = std::make_unique<gateway_session>(
     mContext,
     aConnection,
--- a/Source/UnitTests/Gateway/GatewayPathTest.cpp
+++ b/Source/UnitTests/Gateway/GatewayPathTest.cpp
@@ -384,6 +384,28 @@
   EXPECT_EQ(server.mRequests.size(), 1U);
 }
 
+// Guards against a body that is counted twice when it is complete, because its
+// first part was counted while it arrived.
+TEST_F(gateway_path_test, BodiesThatArriveInPartsAreCountedOnce)
+{
+  struct silent_observer final : public tcp_observer
+  {
+    void OnData(std::string_view) override {}
+    void OnEnd(tcp_end_reason) override {}
+  } observer;
+  scripted_server& server = AddServer("i-1", "app");
+  StartNode();
+  const auto client = tcp_stream::Connect(mNode->ClientAddress(), {}, observer);
+  client->Write("POST /o/x HTTP/1.1\r\nHost: a.example\r\n"
+                "Lentilswitch-Request-Id: r1\r\n"
+                "Authorization: Bearer key-1\r\n"
+                "Content-Length: 200000\r\n\r\n");
+  client->Write(std::string(150000, 'x'));
+  RunFor(milliseconds(50));
+  client->Write(std::string(50000, 'x'));
+  EXPECT_TRUE(RunUntil([&] { return server.mRequests.size() == 1; }));
+}
+
 // Guards against a late second copy of an earlier response that the next caller
 // on the same connection gets as its own.
 TEST_F(gateway_path_test, LateSecondCopyIsNotTheNextResponse)
