Count the use of removed servers from the last read that had them

A node whose last read is recent counts from that read. After an outage the read is too old to tell, and the limit begins as before. RemovalsSeenSoonAfterAnOutageCountFromTheLastRead failed before and passes now, with the other tests of old_state_test.

--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -363,9 +363,13 @@
     std::min(aTentative ? kTentativeRemovalGracePeriod : kRemovalGracePeriod,
              share);
   // The entry may have been removed right after the last read that had it.
-  return aTentative
-           ? until
-           : std::min(until, mUpstreamTable.CurrentAt() + mMaxStateAge);
+  // After an outage, that read is too old to tell.
+  const time_point lastReadAt = mUpstreamTable.CurrentAt();
+  if (!aTentative) {
+    return std::min(until, lastReadAt + mMaxStateAge);
+  }
+  return aNow <= lastReadAt + mMaxStateAge ? std::min(until, lastReadAt + share)
+                                           : until;
 }
 
 void gateway_node::OnRowRemoved(const row_key& aKey)
--- a/Source/UnitTests/Gateway/OldStateTest.cpp
+++ b/Source/UnitTests/Gateway/OldStateTest.cpp
@@ -133,6 +133,27 @@
   EXPECT_EQ(server.mRequests.size(), kRequests);
 }
 
+// Guards against requests to a server longer than the leave limit after its
+// entry was removed, because the removal counts as an effect of an outage that
+// ended before and the limit begins when the node learns of it.
+TEST_F(old_state_test, RemovalsSeenSoonAfterAnOutageCountFromTheLastRead)
+{
+  scripted_server& removed = AddServer("i-1", "app");
+  StartTwoNodes(mHeldStore);
+  mStore.mUnreachable = true;
+  RunFor(mSettings.mLeaveTimeout);
+  mStore.mUnreachable = false;
+  RunFor(milliseconds(1000));
+  mHeldStore.mHeld = true;
+  mStore.Remove({ "servers", "", "i-1" });
+  RunFor(milliseconds(700));
+  mHeldStore.mHeld = false;
+  RunFor(mSettings.mLeaveTimeout - milliseconds(700));
+  EXPECT_EQ(CallLateNode("/l/x", kRequests),
+            std::vector<unsigned>(kRequests, 503));
+  EXPECT_EQ(removed.mRequests.size(), 0U);
+}
+
 // Guards against requests that are handled as a configuration says that was
 // replaced longer ago than a change may take to be in force.
 TEST_F(old_state_test, RoutesThatMovedAreInForce)
