Ask the fleet view whether a relay target exists, and reuse MsBetween

Refusals of a stopping node, and each tick of a node that is cut off, built and sorted the list of relay targets only to see whether it is empty. HasRelayTarget shares the condition and stops at the first node. AgeMs of the node was a copy of MsBetween.

--- a/Source/Core/Gateway/FleetView.cpp
+++ b/Source/Core/Gateway/FleetView.cpp
@@ -286,6 +286,24 @@
   return regions;
 }
 
+bool fleet_view::IsRelayTarget(const peer_state& aPeer,
+                               const allowed_regions& aRegions,
+                               time_point aNow) const
+{
+  return IsAlive(aPeer, aNow) && aPeer.mReport && aPeer.mReport->mReady &&
+         !aPeer.mReport->mLeaving && !aPeer.mReport->mCutOff &&
+         (!aRegions || (aPeer.mRegion && aRegions->contains(*aPeer.mRegion))) &&
+         !aPeer.mReport->mClientAddress.empty();
+}
+
+bool fleet_view::HasRelayTarget(time_point aNow,
+                                const allowed_regions& aRegions) const
+{
+  return std::ranges::any_of(mPeers, [&](const auto& aPair) {
+    return IsRelayTarget(aPair.second, aRegions, aNow);
+  });
+}
+
 std::vector<std::string> fleet_view::RelayTargets(
   std::uint64_t aRequest,
   time_point aNow,
@@ -293,10 +311,7 @@
 {
   std::vector<std::pair<double, std::string>> order;
   for (const auto& [address, peer] : mPeers) {
-    if (!IsAlive(peer, aNow) || !peer.mReport || !peer.mReport->mReady ||
-        peer.mReport->mLeaving || peer.mReport->mCutOff ||
-        (aRegions && (!peer.mRegion || !aRegions->contains(*peer.mRegion))) ||
-        peer.mReport->mClientAddress.empty()) {
+    if (!IsRelayTarget(peer, aRegions, aNow)) {
       continue;
     }
     const double point =
--- a/Source/Core/Gateway/FleetView.h
+++ b/Source/Core/Gateway/FleetView.h
@@ -164,6 +164,9 @@
     std::uint64_t aRequest,
     time_point aNow,
     const allowed_regions& aRegions = {}) const;
+  /// Whether `RelayTargets` names a node.
+  bool HasRelayTarget(time_point aNow,
+                      const allowed_regions& aRegions = {}) const;
   /// Sets the region of a node, this one or another, by its datagram address.
   void SetRegion(const std::string& aAddress, const region_id& aRegion);
   /// Regions of the nodes, as far as known, by their client addresses.
@@ -204,6 +207,9 @@
   };
 
   bool IsAlive(const peer_state& aPeer, time_point aNow) const;
+  bool IsRelayTarget(const peer_state& aPeer,
+                     const allowed_regions& aRegions,
+                     time_point aNow) const;
   /// Whether the node's work is known well enough to be counted.
   static bool IsWorkKnown(const peer_state& aPeer, time_point aNow);
   /// What is known of the nodes that were ready when they last reported.
--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -58,11 +58,6 @@
            aSettings.mEvacuationTimeout };
 }
 
-std::int64_t AgeMs(time_point aThen, time_point aNow)
-{
-  return std::chrono::duration_cast<milliseconds>(aNow - aThen).count();
-}
-
 std::uint64_t RandomRun()
 {
   std::random_device device;
@@ -388,7 +383,7 @@
       "server_removed",
       { Field("server", aKey.mKey),
         Field("doubtful", tentative),
-        Field("known_age_ms", AgeMs(mUpstreamTable.CurrentAt(), now)) });
+        Field("known_age_ms", MsBetween(mUpstreamTable.CurrentAt(), now)) });
   mUpstreamRegistry.Remove(upstream_id{ aKey.mKey },
                            RemovedUsableUntil(tentative, now));
 }
@@ -431,8 +426,8 @@
   Log(log_level::Info,
       "snapshot_read",
       { Field("rows", rows),
-        Field("config_age_ms", AgeMs(mConfigTable.CurrentAt(), now)),
-        Field("servers_age_ms", AgeMs(mUpstreamTable.CurrentAt(), now)) });
+        Field("config_age_ms", MsBetween(mConfigTable.CurrentAt(), now)),
+        Field("servers_age_ms", MsBetween(mUpstreamTable.CurrentAt(), now)) });
 }
 
 void gateway_node::JudgeState(time_point aNow)
@@ -469,12 +464,12 @@
   Log(log_level::Info,
       "state_judged",
       { Field("verdict", StateVerdictName(verdict)),
-        Field("config_age_ms", AgeMs(mConfigTable.CurrentAt(), aNow)),
-        Field("servers_age_ms", AgeMs(mUpstreamTable.CurrentAt(), aNow)),
+        Field("config_age_ms", MsBetween(mConfigTable.CurrentAt(), aNow)),
+        Field("servers_age_ms", MsBetween(mUpstreamTable.CurrentAt(), aNow)),
         Field("peer_config_age_ms",
-              AgeMs(evidence.mConfig.mPeerCurrentAt.value_or(aNow), aNow)),
+              MsBetween(evidence.mConfig.mPeerCurrentAt.value_or(aNow), aNow)),
         Field("peer_servers_age_ms",
-              AgeMs(evidence.mServers.mPeerCurrentAt.value_or(aNow), aNow)),
+              MsBetween(evidence.mServers.mPeerCurrentAt.value_or(aNow), aNow)),
         Field("peers_report", evidence.mConfig.mPeerCurrentAt.has_value()),
         Field("link_use", fmt::format("{:.2f}", mLinkOverload.Utilization())),
         Field("open_requests", mSessions.size()) });
--- a/Source/Core/Gateway/GatewayNodeTicks.cpp
+++ b/Source/Core/Gateway/GatewayNodeTicks.cpp
@@ -145,7 +145,7 @@
     mProbe.Stop();
   }
   // If no node reaches servers, the fault is with the servers.
-  const bool relaying = cutOff && !mFleet.RelayTargets(0, aNow).empty();
+  const bool relaying = cutOff && mFleet.HasRelayTarget(aNow);
   if (std::exchange(mContext.mRelaying, relaying) != relaying) {
     mMetrics.SetRelaying(relaying ? 1.0 : 0.0);
     Log(log_level::Info, "relaying_changed", { Field("relaying", relaying) });
--- a/Source/Core/Gateway/GatewaySessionAdmission.cpp
+++ b/Source/Core/Gateway/GatewaySessionAdmission.cpp
@@ -224,8 +224,7 @@
 
 bool gateway_session::IsOtherNodeReady(time_point aNow) const
 {
-  return !mContext.mFleet.RelayTargets(StableHash(mRequest.mId), aNow, mRegions)
-            .empty();
+  return mContext.mFleet.HasRelayTarget(aNow, mRegions);
 }
 
 void gateway_session::EndUnsentInStop(time_point aNow)
