Never pass on an end of a response that its server did not prove

Cause: three kinds of broken responses reached clients as whole ones. A success without length whose connection ends behind the head was a complete empty body. A stream that was resumed at a server which answers an empty event stream, or events without identity, ended as complete. A client that resumes a stream got whatever the server sent as a success, also text, 204 and events that it had.

Ruled out by the new tests on the code before: errors, redirects, garbage and heads that stop at any byte reach no stream and give no whole response; these cases passed.

Change: such ends count as broken (decision record 10): repeated where that is allowed, else 502, or a reset within a stream. event_joiner starts after the identity that the client has, and events that continue a stream need one.

--- a/Source/Core/Gateway/EventJoiner.cpp
+++ b/Source/Core/Gateway/EventJoiner.cpp
@@ -43,6 +43,20 @@
 
 } // namespace
 
+void event_joiner::StartAfter(const std::string& aEventId)
+{
+  mLastId = aEventId;
+  mLastNumber = ParseDecimal<std::uint64_t>(aEventId);
+  mContinues = !aEventId.empty();
+}
+
+void event_joiner::BeginRun()
+{
+  mPartial.clear();
+  mRunEvents = 0;
+  mContinues = !mLastId.empty();
+}
+
 std::string event_joiner::Feed(std::string_view aBytes)
 {
   mPartial.append(aBytes);
@@ -68,6 +82,10 @@
 {
   const std::string_view id = EventId(aEvent);
   const auto number = ParseDecimal<std::uint64_t>(id);
+  if (mContinues && (id.empty() || (mLastNumber && !number))) {
+    mOutOfOrder = true;
+    return false;
+  }
   if (number && mLastNumber) {
     if (*number <= *mLastNumber) {
       return false;
@@ -82,5 +100,6 @@
     mLastNumber = number;
   }
   ++mEvents;
+  ++mRunEvents;
   return true;
 }
--- a/Source/Core/Gateway/GatewaySession.cpp
+++ b/Source/Core/Gateway/GatewaySession.cpp
@@ -103,6 +103,9 @@
       return;
     }
   }
+  if (IsResumption()) {
+    mEvents.StartAfter(mRequest.mLastEventId);
+  }
   mRegions = mContext.mHomes.Allowed(*mRoute, mAccount);
   mAllowedZones = mContext.mHomes.ZonesOf(mRegions);
   mRouteDeadline = mArrived + mRoute->mTimeout;
--- a/Source/Core/Gateway/GatewaySession.h
+++ b/Source/Core/Gateway/GatewaySession.h
@@ -249,6 +249,9 @@
   /// Whether the server ended the stream on purpose, as far as its framing and
   /// the number of events show.
   bool StreamComplete() const;
+  /// Whether a success without length ended behind its head, which does not
+  /// show that its body is empty.
+  bool IsUnprovedEmptyBody() const;
   std::int64_t TokensPerEvent() const;
   http_server_response ClientHead(body_framing aFraming) const;
 
--- a/Source/Core/Gateway/GatewaySessionResponse.cpp
+++ b/Source/Core/Gateway/GatewaySessionResponse.cpp
@@ -58,8 +58,11 @@
                            Succeeded(aResponse.mStatus) &&
                            FindHeader(aResponse.mHeaders, "Content-Type")
                              .starts_with("text/event-stream");
-  if (mResponseStarted && !answer.mNotRun && !eventStream) {
-    // The failure of the run that resumes a stream is no part of the stream.
+  const bool resumes =
+    mResponseStarted || (IsResumption() && Succeeded(aResponse.mStatus));
+  if (resumes && !answer.mNotRun && !eventStream) {
+    // What is no event stream is no part of the stream that is resumed. The
+    // client that resumes one gets failures of its server as they are.
     mConnection->Cancel();
     FailAttempt(exchange_failure::Malformed);
     return true;
@@ -234,7 +237,7 @@
     return;
   }
   mMayHaveRun = true;
-  if (mEventStream && !StreamComplete()) {
+  if (mEventStream ? !StreamComplete() : IsUnprovedEmptyBody()) {
     FailAttempt(exchange_failure::Truncated);
     return;
   }
@@ -316,16 +319,27 @@
   if (mEvents.Partial() || mEvents.Events() == 0) {
     return false;
   }
-  if (mFraming != body_framing::UntilClose ||
-      mResponse.mFraming == body_framing::UntilClose) {
+  const bool framed = mFraming != body_framing::UntilClose ||
+                      mResponse.mFraming == body_framing::UntilClose;
+  if (framed && mEvents.RunEvents() > 0) {
     return true;
   }
   // A resumed stream keeps the framing of its first response. An end that is
-  // marked only by the closed connection may not be the end of the stream.
+  // marked only by the closed connection may not be the end of the stream, nor
+  // may that of a response without any event.
   return static_cast<std::int64_t>(mEvents.Events()) * TokensPerEvent() >=
          mRequest.mMaxOutputTokens;
 }
 
+bool gateway_session::IsUnprovedEmptyBody() const
+{
+  // The connection of a server that breaks off behind the head ends in the same
+  // way. Servers mark an empty body by its length.
+  return mFraming == body_framing::UntilClose && !mResponseStarted &&
+         mBuffered.empty() && Succeeded(mResponse.mStatus) &&
+         mRequest.mMethod != "HEAD";
+}
+
 std::int64_t gateway_session::TokensPerEvent() const
 {
   const gateway_service* service = mRoutes->FindService(mService);
--- a/Source/Core/Gateway/GatewaySessionUpstream.cpp
+++ b/Source/Core/Gateway/GatewaySessionUpstream.cpp
@@ -83,6 +83,7 @@
   mHasResponse = false;
   mEventStream = false;
   mBuffered.clear();
+  mEvents.BeginRun();
   mRefusalBytes = 0;
   mReadingPaused = false;
   mFirstEventAt.reset();
--- a/Source/UnitTests/Net/HttpConnectionTest.cpp
+++ b/Source/UnitTests/Net/HttpConnectionTest.cpp
@@ -347,6 +347,59 @@
   }
 }
 
+// Guards against a response that is taken for complete although its server
+// stopped within it, at whichever byte and by whichever end of the connection.
+TEST_F(http_connection_test, ResponseIsCompleteOnlyWithItsLastByte)
+{
+  struct framed_response
+  {
+    std::string mHead;
+    std::string mBody;
+    bool mEndsWithConnection = false;
+  };
+  const std::vector<framed_response> responses = {
+    { "HTTP/1.1 200 OK\r\nContent-Length: 12\r\nId: r1\r\n\r\n",
+      "twelve bytes" },
+    { "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 12\r\n\r\n",
+      "twelve bytes" },
+    { "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nId: r1\r\n\r\n", "" },
+    { "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"
+      "Content-Length: 1\r\n\r\n",
+      "a" },
+    { "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n"
+      "Content-Length: 4\r\nRetry-After: 3\r\n\r\n",
+      "full" },
+    { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+      "1a\r\nabcdefghijklmnopqrstuvwxyz\r\n2;x=y\r\nde\r\n0\r\nT: 1\r\n\r\n" },
+    { "HTTP/1.0 200 OK\r\nId: r1\r\n\r\n", "abc", true },
+    { "HTTP/1.1 200 OK\r\nId: r1\r\n\r\n", "abc", true },
+  };
+  for (const framed_response& response : responses) {
+    const std::string bytes = response.mHead + response.mBody;
+    for (std::size_t cut = 0; cut <= bytes.size(); ++cut) {
+      SCOPED_TRACE(bytes.substr(0, cut));
+      raw_server server(bytes.substr(0, cut));
+      server.mCloseAfter = true;
+      http_client_connection client(server.Address(), {});
+      response_recorder observer;
+      ASSERT_TRUE(Get(client, observer));
+      // Without length, the end of the connection is all that is known.
+      const bool whole = response.mEndsWithConnection
+                           ? cut >= response.mHead.size()
+                           : cut == bytes.size();
+      EXPECT_EQ(observer.mComplete, whole);
+      EXPECT_EQ(observer.mFailure.has_value(), !whole);
+      if (cut < response.mHead.size()) {
+        EXPECT_EQ(observer.mFailure, exchange_failure::NoResponse);
+      }
+      if (whole) {
+        EXPECT_EQ(observer.mResponse.mFraming == body_framing::UntilClose,
+                  response.mEndsWithConnection);
+      }
+    }
+  }
+}
+
 // Guards against sound responses that are taken for torn ones.
 TEST_F(http_connection_test, ProtocolNamesInHeadersAreNoTornHead)
 {
