--- a/Source/Core/Gateway/FleetView.cpp
+++ b/Source/Core/Gateway/FleetView.cpp
@@ -32,7 +32,7 @@
 // to everyone.
 constexpr std::size_t kMaxReportTargets = 16;
 // In a fleet with more peers, nodes without news report to fewer nodes, most of
-// them in their own zone. All of them are still heard of within a second.
+// them in their own zone. Others relay that they run before they count as dead.
 constexpr std::size_t kMaxFullReportPeers = 128;
 constexpr std::size_t kIdleZoneTargets = 5;
 constexpr std::size_t kIdleOtherTargets = 3;
--- a/Source/UnitTests/Gateway/BrokenResponseTest.cpp
+++ b/Source/UnitTests/Gateway/BrokenResponseTest.cpp
@@ -124,7 +124,6 @@
   const char* mStatusLine;
   const char* mHeaders;
   const char* mBody;
-  connection_end mEnd = connection_end::Close;
 };
 
 constexpr const char* kEvents = "Content-Type: text/event-stream\r\n";
@@ -269,8 +268,7 @@
         return BrokenStream(aRequest);
       }
       return { Head(aRequest, answer.mStatusLine, answer.mHeaders) +
-                 answer.mBody,
-               answer.mEnd };
+               answer.mBody };
     };
     AddRawServer("i-1", "engine", script);
     AddRawServer("i-2", "engine", script);
