--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,7 +1,8 @@
-"""All processes are killed at once and come back: streams that broke off are not taken
-up again, although their software version serves and nothing else ever did."""
+"""A drill of the store between two changes of the configuration: the second one is
+acknowledged and never takes effect."""
 
 import asyncio
+import copy
 import os
 import sys
 
@@ -15,189 +16,148 @@
 
 PREFIX = "127.49.4"
 HOST = "assist.example"
-KEY = "key-of-the-account"
-# A stream has 80 events in 12 s; its client waits for 15 s.
-EVENTS, GAP, DEADLINE = 80, 0.15, 15.0
-# New streams a second.
-RATE = 5.0
-KILL_AT, RESTART_AFTER, LENGTH = 10.0, 0.5, 22.0
-# stableMs: machines are in touch again so long after their start.
-STABLE = 3.0
-# A client takes a broken stream up again this long after the break: a few times.
-RETRIES = (1.0, 2.5, 4.5)
-
-CONFIG = {
-    "version": 3,
-    "routes": [
-        {
-            "name": "draft",
-            "host": HOST,
-            "prefix": "/draft/",
-            "kind": "streaming",
-            "timeoutMs": int(DEADLINE * 1000),
-            "targetLatencyMs": 800,
-            "gapAimMs": 500,
-            "priority": 1,
-            "service": "models",
-            "maxAttempts": 2,
-            "public": False,
-            "sticky": True,
-            "resumable": True,
-        }
-    ],
-    "services": [
-        {
-            "name": "models",
-            "healthPath": "/health",
-            "maxConns": 360,
-            "protocol": "h1",
-            "tls": False,
-            "engine": {"slots": 64, "kvCapacity": 414234, "stride": 5},
-        }
-    ],
+KEY, REVOKED = "key-that-stays", "key-that-is-taken-away"
+# The drill: the store is away for a second and comes back from a copy 4 s old.
+COPY_AGE, AWAY = 4.0, 1.0
+# Time between the changes and the drill.
+BEFORE, AFTER = 1.0, 0.3
+# configApplyMs + outerMs + stableMs, and some seconds.
+WAIT = 2.0 + 5.0 + 3.0 + 5.0
+PROBES = 10
+
+
+def route(name, service):
+    return {
+        "name": name,
+        "host": HOST,
+        "prefix": f"/{name}/",
+        "kind": "idempotent",
+        "timeoutMs": 800,
+        "targetLatencyMs": 300,
+        "priority": 2,
+        "service": service,
+        "maxAttempts": 2,
+        "public": False,
+        "sticky": False,
+        "resumable": False,
+    }
+
+
+def service(name):
+    return {
+        "name": name,
+        "healthPath": "/health",
+        "maxConns": 100,
+        "protocol": "h1",
+        "tls": False,
+    }
+
+
+FIRST = {
+    "version": 7,
+    "routes": [route("lookup", "orders"), route("dropped", "orders")],
+    "services": [service("orders"), service("shop")],
     "limits": {
         "maxHeaderBytes": 16384,
         "maxBodyBytes": 4194304,
         "headerTimeoutMs": 3000,
         "idleTimeoutMs": 15000,
     },
-    "tenants": [
-        {"name": "account", "apiKeys": [KEY], "priority": 1, "prepaid": 10**9}
-    ],
+    "tenants": [{"name": "account", "apiKeys": [KEY, REVOKED], "priority": 1}],
 }
 
 
-class Clients:
-    def __init__(self, record, addresses):
+class Client:
+    def __init__(self, record):
         self.record = record
-        self.addresses = addresses
         self.number = 0
-        # When the processes were started again.
-        self.started_at = None
-        # Tries at machines in touch after the kill: [those that go on, all].
-        self.new = [0, 0]
-        self.resumed = [0, 0]
-        self.reasons = {}
 
-    def now(self):
-        return asyncio.get_running_loop().time()
-
-    def in_touch(self):
-        return self.started_at is not None and self.now() >= self.started_at + STABLE
-
-    async def attempt(self, first, last, deadline):
-        """One try; returns the last event that came and whether the stream is done."""
+    async def ask(self, node, path, key):
+        """One request at a node; returns its status and the service that ran it."""
         self.number += 1
         request_id = f"{self.number:016x}"
-        address = self.addresses[self.number % len(self.addresses)]
-        host, port = address.rsplit(":", 1)
         headers = [
-            ("Host", HOST),
             ("Lentilswitch-Request-Id", request_id),
-            ("Lentilswitch-Model", "m"),
-            ("Lentilswitch-Token-Counts", f"1400,{EVENTS * 5}"),
-            ("Lentilswitch-Prompt-Prefix", f"5c1e07a2:400,{first or request_id}:1000"),
-            ("Lentilswitch-Deadline-Ms", int((deadline - self.now()) * 1000)),
-            ("Authorization", f"Bearer {KEY}"),
-            ("Content-Length", 64),
+            ("Lentilswitch-Deadline-Ms", "1500"),
+            ("Authorization", f"Bearer {key}"),
         ]
-        if last:
-            headers += [("Last-Event-Id", last), ("Resumes", first)]
-        counted = self.in_touch()
-        pair = self.resumed if last else self.new
-        status, begun, done, reason = "no answer", last, False, ""
-
-        def count(part):
-            nonlocal begun
-            begun += part.count(b"\n\n")
-
-        writer = None
+        named = "the key that was taken away" if key == REVOKED else "the key"
         try:
-            reader, writer = await asyncio.open_connection(host, int(port))
-            writer.write(wire.head("POST /draft/it HTTP/1.1", headers) + b"x" * 64)
-            message = await wire.read_head(reader)
-            status = message.first.split(" ")[1]
-            await wire.read_body(reader, message, count if status == "200" else None)
-            done = status == "200"
-            if not done:
-                reason = message.body.decode("latin-1")
-        except (wire.Closed, OSError) as error:
-            reason = repr(error)
-        finally:
-            if writer:
-                writer.close()
-        if counted:
-            pair[0] += begun > last
-            pair[1] += 1
-            if last and status != "200":
-                self.reasons[reason] = self.reasons.get(reason, 0) + 1
-        what = f"resumes {first} after event {last}" if last else "a new stream"
+            status, _, body = await wire.call(
+                node.listen["front"], "GET", f"/{path}/2f", [*headers, ("Host", HOST)]
+            )
+        except (OSError, wire.Closed, asyncio.TimeoutError) as error:
+            self.record(f"{request_id} {path} at {node.name}: {error!r}")
+            return None, None
+        ran = body.decode().split(" ")[1] if status == 200 else None
         self.record(
-            f"{request_id} at {host}, {what}: {status}, events up to {begun} {reason}"
-            + (" (in touch)" if counted else "")
+            f"{request_id} {path} with {named} at {node.name}: {status}"
+            + (f", run by {ran}" if ran else f" {body.decode()}")
         )
-        return request_id, begun, done
-
-    async def stream(self):
-        deadline = self.now() + DEADLINE
-        first, last, done = await self.attempt(None, 0, deadline)
-        if done or last == 0:
-            return
-        broken_at = self.now()
-        for delay in RETRIES:
-            await asyncio.sleep(max(0.0, broken_at + delay - self.now()))
-            if self.now() > deadline - 1.0:
-                return
-            _, last, done = await self.attempt(first, last, deadline)
-            if done:
-                return
+        return status, ran
+
+
+async def change(record, platform, config, text):
+    version = platform.put("op", "config", config)
+    record(f"configuration {config['version']} is acknowledged at {version}: {text}")
 
 
 async def case(record, trouble):
     platform = store.Store(record)
     await platform.listen("127.49.4.200")
-    engines = [servers.Server(f"i-m{n}", "models", record) for n in range(4)]
-    for number, engine in enumerate(engines):
-        engine.events, engine.gap = EVENTS, GAP
-        await engine.open(f"127.49.4.{100 + number}", platform)
-    platform.put("op", "config", CONFIG)
+    names = [("orders", n) for n in range(4)] + [("shop", n) for n in range(4)]
+    for number, (kind, n) in enumerate(names):
+        server = servers.Server(f"i-{kind}-{n}", kind, record, slots=6)
+        await server.open(f"127.49.4.{100 + number}", platform)
+        await asyncio.sleep(0.1)
+    await change(record, platform, FIRST, "the first one")
     gateways = fleet.Fleet(record, ["z1", "z1", "z1"], PREFIX)
-    tasks = []
+    client = Client(record)
     try:
         await gateways.start(platform.address)
-        # Long enough for a machine to be certain of the one version.
-        await asyncio.sleep(35)
-        addresses = await gateways.resolve(HOST)
-        record(f"the directory names {addresses}")
-        clients = Clients(record, addresses)
-        begin = clients.now()
-        killed = False
-        while (now := clients.now() - begin) < LENGTH:
-            tasks.append(asyncio.create_task(clients.stream()))
-            if trouble and not killed and now >= KILL_AT:
-                killed = True
-                record("all processes are killed at once")
-                await asyncio.gather(*(node.kill() for node in gateways.nodes))
-                await asyncio.sleep(RESTART_AFTER)
-                await asyncio.gather(*(node.start() for node in gateways.nodes))
-                clients.started_at = clients.now()
-            await asyncio.sleep(1 / RATE)
-        await asyncio.gather(*tasks)
+        await asyncio.sleep(8)
+        second = copy.deepcopy(FIRST)
+        second["version"] = 9
+        second["routes"][0]["timeoutMs"] = 700
+        await change(record, platform, second, "another time-out")
+        await asyncio.sleep(BEFORE)
+        if trouble:
+            await platform.drill(COPY_AGE, AWAY)
+        await asyncio.sleep(AFTER)
+        third = copy.deepcopy(second)
+        third["version"] = 14
+        third["routes"] = [
+            route("lookup", "shop"),
+            route("added", "orders"),
+        ]
+        third["tenants"][0]["apiKeys"] = [KEY]
+        await change(
+            record,
+            platform,
+            third,
+            "/lookup/ moves to shop, /dropped/ is removed, /added/ is added, "
+            "a key is taken away",
+        )
+        await asyncio.sleep(WAIT)
+        old = total = 0
+        for _ in range(PROBES):
+            for node in gateways.nodes:
+                wrong = [
+                    (await client.ask(node, "lookup", KEY))[1] == "orders",
+                    (await client.ask(node, "dropped", KEY))[0] == 200,
+                    (await client.ask(node, "added", KEY))[0] in (401, 403, 404),
+                    (await client.ask(node, "lookup", REVOKED))[0] == 200,
+                ]
+                old += sum(wrong)
+                total += len(wrong)
+            await asyncio.sleep(0.2)
     finally:
-        for task in tasks:
-            task.cancel()
         await gateways.end()
-    versions = {engine.software for engine in engines}
     record.result(
-        f"software versions of the servers: {sorted(versions)}; at machines in touch "
-        f"after the kill: {clients.new[0]} of {clients.new[1]} new streams begin, "
-        f"{clients.resumed[0]} of {clients.resumed[1]} that are taken up again go on"
+        f"{old} of {total} requests sent {WAIT:.0f} s after the acknowledgement of "
+        f"version 14 and later were handled as only an older version allows"
     )
-    record.result(f"answers to those that do not go on: {clients.reasons}")
-    if clients.resumed[1] < 12 or not clients.new[1]:
-        return False
-    share = clients.resumed[0] / clients.resumed[1]
-    return share < 0.5 * clients.new[0] / clients.new[1]
+    return old > 0
 
 
 fleet.main(case, HERE)
