--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import re
+import shutil
 import signal
 import socket
 import sys
@@ -192,6 +193,7 @@
 
     async def end(self):
         await asyncio.gather(*(node.kill() for node in self.nodes))
+        shutil.rmtree(self.folder, ignore_errors=True)
 
     async def resolve(self, host):
         """The addresses that the first node names that answers."""
@@ -219,11 +221,15 @@
     record(f"trouble: {'yes' if trouble else 'no'}")
 
     async def run():
+        # A case that is stopped from outside ends its processes as well.
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
         return await asyncio.wait_for(case(record, trouble), 110)
 
     try:
         broken = asyncio.run(run())
-    except Exception as error:  # The case could not run.
+    except (Exception, asyncio.CancelledError) as error:  # The case could not run.
         record.result(f"could not run: {error!r}")
         sys.exit(2)
     record.result("the rule was broken" if broken else "the rule held")
