Limit every input, and keep exceptions in their connection

Cause: Boost.Beast limits the head of a message alone. A field of 80,000 bytes behind the last chunk threw std::length_error through the C code of the event loop and ended the process; trailers, chunk extensions and sizes without end were kept whole; requests behind one another grew the stack and used a session after its end; bodies were counted late; negative token counts added tokens. Change: parser_feed bounds each part that the parser takes as a whole; RunGuarded stands where the loop calls; the next request of a connection is parsed from the loop; bytes count as they arrive and bodies are refused by their length, with a response that reaches a client that still sends; values out of range get 400. Requests on closed connections fail from the loop.

--- a/Source/Core/Common/EventLoop.cpp
+++ b/Source/Core/Common/EventLoop.cpp
@@ -3,6 +3,8 @@
 #include <thread>
 #include <utility>
 
+#include "Common/CallbackGuard.h"
+
 namespace {
 
 using poll_clock = std::chrono::steady_clock;
@@ -47,7 +49,7 @@
   Start(aPeriod, [](gpointer aSelf) -> gboolean {
     // The callback may cancel the timer, so it runs from a copy.
     const callback function = static_cast<loop_timer*>(aSelf)->mCallback;
-    function();
+    RunGuarded("timer", function);
     return G_SOURCE_CONTINUE;
   });
 }
@@ -60,7 +62,7 @@
     auto* timer = static_cast<loop_timer*>(aSelf);
     timer->mSource = 0;
     const callback function = std::move(timer->mCallback);
-    function();
+    RunGuarded("timer", function);
     return G_SOURCE_REMOVE;
   });
 }
--- a/Source/Core/Gateway/GatewayNodeMemory.cpp
+++ b/Source/Core/Gateway/GatewayNodeMemory.cpp
@@ -4,7 +4,43 @@
 
 #include <algorithm>
 
+#include <fmt/format.h>
+
 #include "Common/Log.h"
+#include "Net/HttpStatus.h"
+
+namespace {
+
+// Retry-After of requests that the memory has no room for.
+constexpr double kMemoryRetrySeconds = 0.2;
+
+} // namespace
+
+bool gateway_node::MayHold(std::size_t aHeld, std::size_t aMore)
+{
+  return mHeld.MayHold(aHeld, aMore);
+}
+
+void gateway_node::OnHeld(std::size_t aBytes)
+{
+  mHeld.Add(held_kind::ArrivingRequests, aBytes);
+}
+
+std::pair<http_server_response, std::string> gateway_node::RefuseInput()
+{
+  mMetrics.OnAnswer("none", http_status::kServiceUnavailable, "memory_full");
+  Log(log_level::Info,
+      "request_not_read",
+      { Field("reason", "memory_full"),
+        Field("held_bytes", mHeld.Total()),
+        Field("held_limit", mHeld.Limit()) });
+  http_server_response response;
+  response.mStatus = http_status::kServiceUnavailable;
+  response.mHeaders.emplace_back("Content-Type", "application/json");
+  response.mHeaders.emplace_back("Retry-After",
+                                 fmt::format("{:.3f}", kMemoryRetrySeconds));
+  return { response, R"({"error":"memory_full"})" };
+}
 
 void gateway_node::UpdateHeldBytes()
 {
--- a/Source/Core/Gateway/GatewaySession.cpp
+++ b/Source/Core/Gateway/GatewaySession.cpp
@@ -79,6 +79,14 @@
     Refuse("memory_full", kRefusalRetryDelay);
     return;
   }
+  if (!mRequest.mInvalidHeader.empty()) {
+    Log(
+      log_level::Info,
+      "request_invalid",
+      { Field("id", mRequest.mId), Field("header", mRequest.mInvalidHeader) });
+    Answer(http_status::kBadRequest, "invalid_header", std::nullopt);
+    return;
+  }
   if (mContext.mState == state_verdict::Outdated) {
     mStage = stage::NeedState;
     return;
--- a/Source/Core/Gateway/GatewaySession.h
+++ b/Source/Core/Gateway/GatewaySession.h
@@ -97,15 +97,18 @@
   void RecordProgress(time_point aNow);
 
   const std::string& RequestId() const { return mRequest.mId; }
+  std::string DescribeExchange() const override { return mRequest.mId; }
   /// Bytes of the request that its server has not taken.
   std::size_t BytesToServer() const
   {
     return mConnection ? mConnection->PendingBytes() : 0;
   }
-  /// Bytes of the response that are held until it is complete.
+  /// Bytes of the response that are held until it, or a part of it, is
+  /// complete.
   std::size_t BufferedBytes() const
   {
-    return mBuffered.size() + mEvents.PartialBytes();
+    return mBuffered.size() + mEvents.PartialBytes() +
+           (mConnection ? mConnection->InputBytes() : 0);
   }
   /// Whether the server is not read because the client is slower.
   bool ReadingPaused() const { return mReadingPaused; }
--- a/Source/Core/Gateway/GatewaySessionUpstream.cpp
+++ b/Source/Core/Gateway/GatewaySessionUpstream.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 
 #include "Common/Log.h"
+#include "Common/TextCodec.h"
 #include "Net/HttpStatus.h"
 
 namespace {
@@ -22,6 +23,7 @@
 // by which connections are dropped before the announced limit.
 constexpr milliseconds kDefaultKeepAlive(4000);
 constexpr milliseconds kKeepAliveMargin(700);
+constexpr milliseconds kMaxKeepAlive(3'600'000);
 // Limit of idle connections to one server; lower where this node's share of the
 // server's connection limit is smaller.
 constexpr std::size_t kMaxIdleConnections = 16;
@@ -44,10 +46,15 @@
   if (found == std::string_view::npos) {
     return kDefaultKeepAlive;
   }
-  const long seconds =
-    std::strtol(keepAlive.data() + found + kTimeout.size(), nullptr, 10);
-  return std::max(milliseconds(seconds * 1000) - kKeepAliveMargin,
-                  milliseconds(0));
+  const std::string_view rest = keepAlive.substr(found + kTimeout.size());
+  const auto digits =
+    std::min(rest.find_first_not_of("0123456789"), rest.size());
+  const auto seconds = ParseDecimal<std::uint32_t>(rest.substr(0, digits));
+  const milliseconds time =
+    seconds
+      ? std::min(milliseconds(std::int64_t{ *seconds } * 1000), kMaxKeepAlive)
+      : kDefaultKeepAlive;
+  return std::max(time - kKeepAliveMargin, milliseconds(0));
 }
 
 /// Identities of the shared segments of a prompt, for logs.
--- a/Source/Core/Gateway/GatewayTypes.h
+++ b/Source/Core/Gateway/GatewayTypes.h
@@ -185,6 +185,9 @@
   bool mRelayed = false;
   /// Deadline that the client sent; absent if it sent none.
   std::optional<time_point> mDeadline;
+  /// Name of a header whose value is out of range; empty if there is none. The
+  /// request is answered 400.
+  std::string mInvalidHeader;
   /// Headers that are forwarded to the server unchanged.
   http_headers mForwarded;
   std::string mBody;
--- a/Source/Core/Gateway/HeldBytes.cpp
+++ b/Source/Core/Gateway/HeldBytes.cpp
@@ -21,6 +21,13 @@
 // The same at the bound of the node: most responses are smaller.
 constexpr std::size_t kMinBufferedBytes = 16384;
 
+// Requests up to this size may use the whole bound, larger ones while they
+// arrive only this share of it.
+constexpr std::size_t kSmallInputBytes = 65536;
+constexpr double kLargeInputShare = 0.75;
+// A larger request may hold this many times the bytes that are free.
+constexpr std::size_t kFreeBytesFactor = 16;
+
 std::size_t IndexOf(held_kind aKind)
 {
   return static_cast<std::size_t>(aKind);
@@ -94,6 +101,16 @@
   return std::clamp((1.0 - Use()) / (1.0 - kPressureUse), 0.0, 1.0);
 }
 
+bool held_bytes::MayHold(std::size_t aHeld, std::size_t aMore) const
+{
+  if (aHeld + aMore <= kSmallInputBytes) {
+    return HasRoom(aMore);
+  }
+  const std::size_t limit = Scale(mLimit, kLargeInputShare);
+  const std::size_t free = limit - std::min(limit, mTotal);
+  return aMore <= free && aHeld + aMore <= kFreeBytesFactor * free;
+}
+
 std::size_t held_bytes::StreamLimit() const
 {
   return Scale(kMaxStreamBytes, Headroom());
--- a/Source/Core/Gateway/HeldBytes.h
+++ b/Source/Core/Gateway/HeldBytes.h
@@ -53,6 +53,10 @@
   bool IsFull() const { return mTotal > mLimit; }
   /// Whether `aBytes` more stay within the bound.
   bool HasRoom(std::size_t aBytes) const { return mTotal + aBytes <= mLimit; }
+  /// Whether a connection that holds `aHeld` bytes of requests may hold `aMore`
+  /// further ones. Under pressure the connections that hold most are refused
+  /// first (dynamic thresholds, Choudhury and Hahne 1998).
+  bool MayHold(std::size_t aHeld, std::size_t aMore) const;
   /// Bytes above the bound.
   std::size_t Excess() const { return IsFull() ? mTotal - mLimit : 0; }
   /// Unsent bytes to a client above which its server is no longer read.
--- a/Source/Core/Gateway/PeerDatagram.cpp
+++ b/Source/Core/Gateway/PeerDatagram.cpp
@@ -7,6 +7,7 @@
 #include <capnp/serialize-packed.h>
 #include <kj/exception.h>
 
+#include "Common/JsonText.h"
 #include "Gateway/CapacityDatagram.h"
 #include "Gateway/Fleet.capnp.h"
 
@@ -498,9 +499,13 @@
       case fleet_wire::PeerDatagram::REQUEST:
         datagram = Read(root.getRequest());
         break;
-      case fleet_wire::PeerDatagram::TRANSFER:
-        datagram = Read(root.getTransfer());
+      case fleet_wire::PeerDatagram::TRANSFER: {
+        const token_transfer transfer = Read(root.getTransfer());
+        if (transfer.mTokens > 0 && transfer.mTokens <= kMaxWholeNumber) {
+          datagram = transfer;
+        }
         break;
+      }
       case fleet_wire::PeerDatagram::CRASHES:
         datagram = Read(root.getCrashes());
         break;
--- a/Source/Core/Net/HttpClientConnection.cpp
+++ b/Source/Core/Net/HttpClientConnection.cpp
@@ -9,15 +9,15 @@
 
 #include "Common/Hash.h"
 #include "Net/HttpConnection.h"
+#include "Net/ParserFeed.h"
 
 namespace {
 
 namespace http = boost::beast::http;
 
-// Longest response header; model servers send a few hundred bytes.
-constexpr std::uint32_t kMaxHeaderBytes = 65536;
-// Most buffered bytes of an incomplete response header.
-constexpr std::size_t kMaxIncompleteHeaderBytes = 131072;
+// Longest response header, trailer or line of a chunk size; model servers send
+// a few hundred bytes.
+constexpr std::uint32_t kMaxPartBytes = 32768;
 constexpr std::size_t kBodyBlockBytes = 16384;
 // Limits of what a server may send that is no response: interim responses, and
 // bytes of the body of a response to another request.
@@ -67,6 +67,7 @@
 struct http_client_connection::parser_state
 {
   http::response_parser<http::buffer_body> mParser;
+  parser_feed mFeed{ kMaxPartBytes };
   std::array<char, kBodyBlockBytes> mBlock;
 };
 
@@ -103,6 +104,12 @@
                                    http_client_exchange_observer& aObserver)
 {
   mObserver = &aObserver;
+  if (Closed()) {
+    // The connection could not be opened, or has ended since.
+    mNotSent.Once(std::chrono::milliseconds(0),
+                  [this] { Fail(exchange_failure::NotSent); });
+    return;
+  }
   mIsHeadRequest = aIsHeadRequest;
   mDiscardingResponse = false;
   mDiscardedBytes = 0;
@@ -120,7 +127,7 @@
 void http_client_connection::StartParser()
 {
   mParser = std::make_unique<parser_state>();
-  mParser->mParser.header_limit(kMaxHeaderBytes);
+  mParser->mParser.header_limit(kMaxPartBytes);
   // Without a limit Beast 1.74 rejects every response with a known length.
   mParser->mParser.body_limit(std::numeric_limits<std::uint64_t>::max());
   mParser->mParser.skip(mIsHeadRequest);
@@ -129,6 +136,7 @@
 
 void http_client_connection::Cancel()
 {
+  mNotSent.Cancel();
   mObserver = nullptr;
   if (mStream) {
     mStream->Close();
@@ -137,6 +145,7 @@
 
 void http_client_connection::Reset()
 {
+  mNotSent.Cancel();
   const bool inProgress = std::exchange(mObserver, nullptr) != nullptr;
   if (!mStream) {
     return;
@@ -199,8 +208,7 @@
     body.size = mParser->mBlock.size();
     body.more = true;
     boost::system::error_code error;
-    const std::size_t consumed =
-      parser.put(boost::asio::buffer(aBytes.data(), aBytes.size()), error);
+    const std::size_t consumed = mParser->mFeed.Feed(parser, aBytes, error);
     aBytes.remove_prefix(consumed);
     const bool needMore = error == http::error::need_more;
     const bool blockFull = error == http::error::need_buffer;
@@ -258,10 +266,6 @@
     }
   }
   if (mObserver != nullptr && !aBytes.empty()) {
-    if (aBytes.size() > kMaxIncompleteHeaderBytes) {
-      Fail(exchange_failure::Malformed);
-      return;
-    }
     mInput.assign(aBytes);
   }
 }
--- a/Source/Core/Net/HttpConnection.h
+++ b/Source/Core/Net/HttpConnection.h
@@ -5,8 +5,10 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
+#include "Common/EventLoop.h"
 #include "Common/HttpHeaders.h"
 #include "Common/Time.h"
 #include "Net/TcpStream.h"
@@ -41,7 +43,9 @@
 /// Limits on what a client may send and on how long it may take.
 struct http_server_limits
 {
-  /// Longest request header; a longer one gets status 431.
+  /// Longest request header; a longer one gets status 431. At most
+  /// `parser_feed::kMaxPartBytes` are accepted. The lines of chunk sizes and
+  /// the trailer have the same limit.
   std::uint32_t mHeaderBytes = 16384;
   /// Longest request body; a longer one gets status 413.
   std::uint64_t mBodyBytes = 4194304;
@@ -52,6 +56,14 @@
   std::chrono::milliseconds mIdleTimeout{ 60000 };
 };
 
+/// Head of a response to a client.
+struct http_server_response
+{
+  unsigned mStatus = 200;
+  http_headers mHeaders;
+  body_framing mFraming = body_framing::Length;
+};
+
 class http_server_connection;
 
 /// Serves the requests of a set of connections.
@@ -69,14 +81,19 @@
   virtual void OnClientDrained(http_server_connection& aConnection) = 0;
   /// The connection is closed. Last event of the connection.
   virtual void OnConnectionClosed(http_server_connection& aConnection) = 0;
-};
 
-/// Head of a response to a client.
-struct http_server_response
-{
-  unsigned mStatus = 200;
-  http_headers mHeaders;
-  body_framing mFraming = body_framing::Length;
+  /// Whether a connection that holds `aHeld` bytes of requests may hold `aMore`
+  /// bytes more. Asked before the body of a request is read, and with all bytes
+  /// that arrive.
+  virtual bool MayHold(std::size_t /* aHeld */, std::size_t /* aMore */)
+  {
+    return true;
+  }
+  /// The bytes of requests that connections hold grew.
+  virtual void OnHeld(std::size_t /* aBytes */) {}
+  /// Response to a request that may not be held; the connection closes after
+  /// it. The body comes with it.
+  virtual std::pair<http_server_response, std::string> RefuseInput();
 };
 
 /// One connection of a client.
@@ -107,11 +124,14 @@
 
   bool Busy() const { return mBusy; }
   /// Whether a request is being received or answered.
-  bool HasRequest() const { return mBusy || mRequestStarted; }
+  bool HasRequest() const
+  {
+    return mBusy || mRequestStarted || !mInput.empty();
+  }
   bool Closed() const { return !mStream || mStream->Closed(); }
   /// Bytes of responses that the kernel has not taken.
   std::size_t PendingBytes() const { return mStream->PendingBytes(); }
-  /// Bytes of requests that are not complete.
+  /// Bytes of requests that are not complete, or not taken up yet.
   std::size_t InputBytes() const;
   std::optional<tcp_send_state> SendState() const
   {
@@ -131,11 +151,22 @@
   void OnData(std::string_view aBytes) override;
   void OnDrained() override;
   void OnEnd(tcp_end_reason aReason) override;
+  std::string DescribeRequest() const override;
   void ParseInput();
+  /// Keeps the head of the request, and refuses a body that may not be held.
+  /// Fields behind the body are ignored.
+  /// `aBuffered` bytes of the body have arrived.
+  void TakeHead(std::size_t aBuffered);
   void DeliverRequest();
   /// Sends `100 Continue` if the client expects it before it sends the body.
   void SendContinue();
   void RejectInput(unsigned aStatus);
+  /// Ends the request in progress with `RefuseInput` of the handler.
+  void RefuseInput();
+  /// Sends the last response. What the client still sends is read and dropped,
+  /// so that it reads the response.
+  void RespondAndDiscard(const http_server_response& aResponse,
+                         std::string_view aBody);
   void EndResponse();
   void Finish();
   void StartRequest();
@@ -145,11 +176,21 @@
   std::unique_ptr<parser_state> mParser;
   std::shared_ptr<tcp_stream> mStream;
   std::string mInput;
-  /// Deadline for the header, the body or the next request.
+  /// Head of the request whose body arrives.
+  http_server_request mRequest;
+  /// Takes up the next request on the connection, outside of the handling of
+  /// the previous one.
+  loop_timer mNextRequest;
+  /// Deadline for the header, the body, the next request or the end of the
+  /// client.
   time_point mDeadline;
   time_point mNow;
   body_framing mFraming = body_framing::Length;
   bool mRequestStarted = false;
+  bool mParsing = false;
+  /// The last response was sent and further input is dropped.
+  bool mDiscarding = false;
+  std::size_t mDiscardedBytes = 0;
   bool mHadRequest = false;
   bool mBusy = false;
   bool mKeepAlive = true;
@@ -198,6 +239,8 @@
   /// follow on the connection.
   virtual void OnComplete(bool aReusable) = 0;
   virtual void OnExchangeFailed(exchange_failure aFailure) = 0;
+  /// Names the request, for logs.
+  virtual std::string DescribeExchange() const { return {}; }
 };
 
 /// One connection to a server, for one request at a time.
@@ -207,7 +250,8 @@
   http_client_connection(const tcp_address& aAddress, tcp_liveness aLiveness);
   ~http_client_connection() override;
 
-  /// Sends a request. Its head is complete with framing headers.
+  /// Sends a request. Its head is complete with framing headers. On a closed
+  /// connection it fails with `NotSent`, later from the loop.
   void Start(std::string_view aHead,
              std::string_view aBody,
              bool aIsHeadRequest,
@@ -234,6 +278,8 @@
   {
     return mStream ? mStream->PendingBytes() : 0;
   }
+  /// Received bytes of a part of the response that is not complete.
+  std::size_t InputBytes() const { return mInput.size(); }
   const tcp_address& Address() const { return mAddress; }
   /// Requests sent on this connection.
   unsigned Uses() const { return mUses; }
@@ -243,6 +289,10 @@
 
   void OnData(std::string_view aBytes) override;
   void OnEnd(tcp_end_reason aReason) override;
+  std::string DescribeRequest() const override
+  {
+    return mObserver == nullptr ? std::string() : mObserver->DescribeExchange();
+  }
   void Parse(std::string_view aBytes);
   bool DeliverHead();
   void CompleteResponse();
@@ -253,6 +303,8 @@
   std::shared_ptr<tcp_stream> mStream;
   std::unique_ptr<parser_state> mParser;
   http_client_exchange_observer* mObserver = nullptr;
+  /// Reports a request that was started on a closed connection.
+  loop_timer mNotSent;
   std::string mInput;
   unsigned mUses = 0;
   /// Hashes of the identities of the latest requests.
--- a/Source/Core/Net/HttpServerConnection.cpp
+++ b/Source/Core/Net/HttpServerConnection.cpp
@@ -7,9 +7,9 @@
 #include <boost/beast/http/string_body.hpp>
 #include <fmt/format.h>
 
-#include "Net/HttpStatus.h"
-
 #include "Net/HttpConnection.h"
+#include "Net/HttpStatus.h"
+#include "Net/ParserFeed.h"
 
 namespace {
 
@@ -21,6 +21,10 @@
 // Most input buffered while a request is in progress; beyond it reading stops
 // until the response is complete.
 constexpr std::size_t kMaxPipelinedBytes = 65536;
+// Time and input after a response that ends the connection early, in which the
+// client may read it.
+constexpr std::chrono::milliseconds kDiscardTimeout(2000);
+constexpr std::size_t kMaxDiscardedBytes = 1048576;
 
 unsigned RejectionStatus(const boost::system::error_code& aError)
 {
@@ -61,10 +65,21 @@
 
 struct http_server_connection::parser_state
 {
+  explicit parser_state(std::size_t aMaxPartBytes)
+    : mFeed(aMaxPartBytes)
+  {
+  }
+
   http::request_parser<http::string_body> mParser;
-  bool mContinueSent = false;
+  parser_feed mFeed;
+  bool mHeadTaken = false;
 };
 
+std::pair<http_server_response, std::string> http_request_handler::RefuseInput()
+{
+  return { { http_status::kServiceUnavailable, {} }, {} };
+}
+
 http_server_connection::http_server_connection(
   int aDescriptor,
   const http_server_limits& aLimits,
@@ -97,10 +112,16 @@
   return mInput.size() + mParser->mParser.get().body().size();
 }
 
+std::string http_server_connection::DescribeRequest() const
+{
+  return mRequest.mMethod.empty()
+           ? std::string()
+           : fmt::format("{} {}", mRequest.mMethod, mRequest.mTarget);
+}
+
 void http_server_connection::StartRequest()
 {
-  mParser = std::make_unique<parser_state>();
-  mParser->mParser.eager(true);
+  mParser = std::make_unique<parser_state>(mLimits.mHeaderBytes);
   mParser->mParser.header_limit(mLimits.mHeaderBytes);
   mParser->mParser.body_limit(mLimits.mBodyBytes);
   mRequestStarted = false;
@@ -108,11 +129,25 @@
 
 void http_server_connection::OnData(std::string_view aBytes)
 {
+  if (mDiscarding) {
+    mDiscardedBytes += aBytes.size();
+    if (mDiscardedBytes > kMaxDiscardedBytes) {
+      mStream->Close();
+    }
+    return;
+  }
+  const bool mayHold = mHandler.MayHold(InputBytes(), aBytes.size());
+  if (!mayHold && !mBusy) {
+    RefuseInput();
+    return;
+  }
+  mHandler.OnHeld(aBytes.size());
   mInput.append(aBytes);
   if (mBusy) {
     // The client's close is not seen while reading is stopped, so reading only
-    // stops for a client that exceeds the buffer limit.
-    if (mInput.size() > kMaxPipelinedBytes) {
+    // stops for a client that exceeds the buffer limit, or while memory is
+    // short.
+    if (mInput.size() > kMaxPipelinedBytes || !mayHold) {
       mStream->SetReading(false);
     }
     return;
@@ -122,70 +157,104 @@
 
 void http_server_connection::ParseInput()
 {
-  while (!mBusy && !mInput.empty() && !Closed()) {
+  mParsing = true;
+  std::size_t start = 0;
+  while (!mBusy && !mDiscarding && start < mInput.size() && !Closed()) {
     if (!mRequestStarted) {
       mRequestStarted = true;
       mDeadline = mNow + mLimits.mHeaderTimeout;
     }
     auto& parser = mParser->mParser;
     boost::system::error_code error;
-    const std::size_t consumed =
-      parser.put(boost::asio::buffer(mInput.data(), mInput.size()), error);
-    mInput.erase(0, consumed);
-    const bool incomplete = error == http::error::need_more;
-    if (error && !incomplete) {
+    const std::size_t consumed = mParser->mFeed.Feed(
+      parser, std::string_view(mInput).substr(start), error);
+    start += consumed;
+    if (error && error != http::error::need_more) {
       RejectInput(RejectionStatus(error));
-      return;
+      break;
     }
-    if (parser.is_done()) {
-      DeliverRequest();
+    if (parser.is_header_done() && !std::exchange(mParser->mHeadTaken, true)) {
+      TakeHead(mInput.size() - start);
       continue;
     }
-    SendContinue();
-    if (consumed == 0) {
-      return;
+    if (parser.is_done()) {
+      DeliverRequest();
+    } else if (consumed == 0) {
+      break;
     }
   }
+  mInput.erase(0, mDiscarding ? mInput.size() : start);
+  mParsing = false;
+}
+
+void http_server_connection::TakeHead(std::size_t aBuffered)
+{
+  auto& parser = mParser->mParser;
+  const auto& message = parser.get();
+  mRequest = {};
+  mRequest.mMethod = std::string(message.method_string());
+  mRequest.mTarget = std::string(message.target());
+  for (const auto& field : message) {
+    mRequest.mHeaders.emplace_back(std::string(field.name_string()),
+                                   std::string(field.value()));
+  }
+  mRequest.mKeepAlive = message.keep_alive();
+  const std::size_t length = parser.content_length().value_or(0);
+  if (length > aBuffered && length <= mLimits.mBodyBytes &&
+      !mHandler.MayHold(InputBytes(), length - aBuffered)) {
+    RefuseInput();
+    return;
+  }
+  if (parser.is_done()) {
+    DeliverRequest();
+    return;
+  }
+  SendContinue();
 }
 
 void http_server_connection::SendContinue()
 {
-  const auto& parser = mParser->mParser;
-  if (parser.is_header_done() && !mParser->mContinueSent &&
-      boost::beast::iequals(parser.get()[http::field::expect],
+  if (boost::beast::iequals(mParser->mParser.get()[http::field::expect],
                             "100-continue")) {
-    mParser->mContinueSent = true;
     mStream->Write("HTTP/1.1 100 Continue\r\n\r\n");
   }
 }
 
 void http_server_connection::DeliverRequest()
 {
-  auto message = mParser->mParser.release();
-  http_server_request request;
-  request.mMethod = std::string(message.method_string());
-  request.mTarget = std::string(message.target());
-  for (const auto& field : message) {
-    request.mHeaders.emplace_back(std::string(field.name_string()),
-                                  std::string(field.value()));
-  }
-  request.mBody = std::move(message.body());
-  request.mKeepAlive = message.keep_alive();
+  http_server_request request = std::exchange(mRequest, {});
+  request.mBody = std::move(mParser->mParser.get().body());
   mKeepAlive = request.mKeepAlive;
-  mIsHeadRequest = message.method() == http::verb::head;
+  mIsHeadRequest = request.mMethod == "HEAD";
   mBusy = true;
   mHadRequest = true;
+  mRequest.mMethod = request.mMethod;
+  mRequest.mTarget = request.mTarget;
   StartRequest();
   mHandler.OnRequest(*this, std::move(request));
 }
 
 void http_server_connection::RejectInput(unsigned aStatus)
 {
-  mKeepAlive = false;
-  mBusy = true;
   http_server_response response;
   response.mStatus = aStatus;
-  Respond(response, {});
+  RespondAndDiscard(response, {});
+}
+
+void http_server_connection::RefuseInput()
+{
+  const auto [response, body] = mHandler.RefuseInput();
+  RespondAndDiscard(response, body);
+}
+
+void http_server_connection::RespondAndDiscard(
+  const http_server_response& aResponse,
+  std::string_view aBody)
+{
+  mKeepAlive = false;
+  mIsHeadRequest = mRequest.mMethod == "HEAD";
+  mDiscarding = true;
+  Respond(aResponse, aBody);
 }
 
 void http_server_connection::Respond(const http_server_response& aResponse,
@@ -243,13 +312,25 @@
 void http_server_connection::EndResponse()
 {
   mBusy = false;
+  mRequest = {};
+  if (mDiscarding) {
+    mDeadline = mNow + kDiscardTimeout;
+    mRequestStarted = false;
+    StartRequest();
+    mStream->SetReading(true);
+    mStream->FinishWriting();
+    return;
+  }
   mDeadline = mNow + mLimits.mIdleTimeout;
   if (!mKeepAlive || mClosing) {
     Finish();
     return;
   }
   mStream->SetReading(true);
-  ParseInput();
+  // The handler may still be at work on the request that ended here.
+  if (!mParsing && !mInput.empty()) {
+    mNextRequest.Once(std::chrono::milliseconds(0), [this] { ParseInput(); });
+  }
 }
 
 void http_server_connection::Finish()
@@ -292,6 +373,10 @@
   if (aNow < mDeadline) {
     return;
   }
+  if (mDiscarding) {
+    mStream->Close();
+    return;
+  }
   if (mRequestStarted && !mParser->mParser.is_header_done()) {
     RejectInput(http_status::kRequestTimeout);
   } else if (!mRequestStarted) {
--- a/Source/Core/Net/TcpStream.cpp
+++ b/Source/Core/Net/TcpStream.cpp
@@ -13,6 +13,7 @@
 #include <fmt/format.h>
 #include <glib-unix.h>
 
+#include "Common/CallbackGuard.h"
 #include "Common/Log.h"
 #include "Common/TextCodec.h"
 #include "Net/LinkTraffic.h"
@@ -183,6 +184,37 @@
 {
   // The observer may drop its reference during the callbacks.
   const auto self = shared_from_this();
+  const auto describe = [this] { return Describe(); };
+  if (!RunGuarded(
+        "connection", [&] { HandleEvents(aEvents); }, describe) &&
+      !Closed()) {
+    // The observer ends the exchange like one whose connection broke.
+    Reset();
+    RunGuarded(
+      "connection_end",
+      [this] { mObserver->OnEnd(tcp_end_reason::Broken); },
+      describe);
+  }
+}
+
+std::string tcp_stream::Describe() const
+{
+  sockaddr_in native{};
+  socklen_t size = sizeof native;
+  std::string peer = "unknown peer";
+  if (!Closed() &&
+      getpeername(mDescriptor, reinterpret_cast<sockaddr*>(&native), &size) ==
+        0) {
+    std::array<char, INET_ADDRSTRLEN> text{};
+    inet_ntop(AF_INET, &native.sin_addr, text.data(), text.size());
+    peer = FormatTcpAddress({ text.data(), ntohs(native.sin_port) });
+  }
+  const std::string request = mObserver->DescribeRequest();
+  return request.empty() ? peer : fmt::format("{} {}", peer, request);
+}
+
+void tcp_stream::HandleEvents(std::uint32_t aEvents)
+{
   if (!mConnected) {
     FinishConnect();
     return;
@@ -314,6 +346,9 @@
     CloseDrained();
     return;
   }
+  if (mFinishWriting) {
+    shutdown(mDescriptor, SHUT_WR);
+  }
   const bool notify = std::exchange(mNotifyDrained, false);
   UpdateEvents();
   if (notify) {
@@ -339,6 +374,14 @@
   UpdateEvents();
 }
 
+void tcp_stream::FinishWriting()
+{
+  mFinishWriting = true;
+  if (!Closed() && PendingBytes() == 0) {
+    shutdown(mDescriptor, SHUT_WR);
+  }
+}
+
 void tcp_stream::CloseDrained()
 {
   if (mResetOnClose) {
@@ -473,7 +516,7 @@
       }
       return;
     }
-    mAcceptor.OnAccept(descriptor);
+    RunGuarded("accept", [&] { mAcceptor.OnAccept(descriptor); });
   }
 }
 
--- a/Source/Core/Net/TcpStream.h
+++ b/Source/Core/Net/TcpStream.h
@@ -51,6 +51,8 @@
   virtual void OnDrained() {}
   /// The stream ended. Last event of the stream.
   virtual void OnEnd(tcp_end_reason aReason) = 0;
+  /// Names the request in progress, for logs; empty if there is none.
+  virtual std::string DescribeRequest() const { return {}; }
 };
 
 /// Detection of an unresponsive peer at the TCP level.
@@ -99,6 +101,10 @@
 
   /// Closes once the queued bytes are sent.
   void CloseAfterDrain();
+  /// Sends the end of the stream once the queued bytes are sent. Reading goes
+  /// on, because a close with unread bytes would reset the connection before
+  /// the peer has read what was sent.
+  void FinishWriting();
   void Close();
   /// Closes with a reset, so that the peer cannot take it for an orderly close.
   void Reset();
@@ -112,6 +118,9 @@
   bool Attach();
   void UpdateEvents();
   void OnReady(std::uint32_t aEvents) override;
+  void HandleEvents(std::uint32_t aEvents);
+  /// The peer and the request in progress, for logs.
+  std::string Describe() const;
   void FinishConnect();
   void ReadAvailable();
   void Flush();
@@ -128,6 +137,7 @@
   bool mConnected;
   bool mReading = true;
   bool mCloseAfterDrain = false;
+  bool mFinishWriting = false;
   bool mNotifyDrained = false;
   bool mResetOnClose = false;
   std::string mOutput;
--- a/Source/LentilSwitch/GatewayCommand.cpp
+++ b/Source/LentilSwitch/GatewayCommand.cpp
@@ -13,8 +13,25 @@
 
 namespace {
 
+void Reload(gateway_node& aNode, const std::string& aPath)
+{
+  const auto changed = ReadGatewaySettings(aPath);
+  if (changed.has_value()) {
+    aNode.Reload(changed.value());
+  } else {
+    Log(log_level::Error,
+        "settings_unusable",
+        { Field("error", changed.error()) });
+  }
+}
+
 exit_code RunGateway(const std::string& aPath, bool aCheckOnly)
 {
+  gateway_node* running = nullptr;
+  // The handlers come first: a signal during the start is handled once the loop
+  // runs.
+  const signal_watch signals([&running] { running->Stop(); },
+                             [&running, &aPath] { Reload(*running, aPath); });
   const auto settings = ReadGatewaySettings(aPath);
   if (!settings.has_value()) {
     fmt::print(stderr, "{}\n", settings.error());
@@ -36,17 +53,7 @@
     fmt::print(stderr, "{}: {}\n", aPath, error);
     return exit_code::Unavailable;
   }
-  const auto reload = [&node, &aPath] {
-    const auto changed = ReadGatewaySettings(aPath);
-    if (changed.has_value()) {
-      node->Reload(changed.value());
-    } else {
-      Log(log_level::Error,
-          "settings_unusable",
-          { Field("error", changed.error()) });
-    }
-  };
-  const signal_watch signals([&node] { node->Stop(); }, reload);
+  running = node.get();
   loop.Run();
   return exit_code::Ok;
 }
--- a/Source/LentilSwitch/SignalWatch.cpp
+++ b/Source/LentilSwitch/SignalWatch.cpp
@@ -5,6 +5,8 @@
 
 #include <glib-unix.h>
 
+#include "Common/CallbackGuard.h"
+
 signal_watch::signal_watch(std::function<void()> aStop,
                            std::function<void()> aReload)
   : mStop(std::move(aStop))
@@ -28,12 +30,12 @@
 
 gboolean signal_watch::OnStop(gpointer aSelf)
 {
-  static_cast<signal_watch*>(aSelf)->mStop();
+  RunGuarded("signal", static_cast<signal_watch*>(aSelf)->mStop);
   return G_SOURCE_CONTINUE;
 }
 
 gboolean signal_watch::OnReload(gpointer aSelf)
 {
-  static_cast<signal_watch*>(aSelf)->mReload();
+  RunGuarded("signal", static_cast<signal_watch*>(aSelf)->mReload);
   return G_SOURCE_CONTINUE;
 }
