--- a/Source/Core/Gateway/AllowanceWriter.cpp
+++ b/Source/Core/Gateway/AllowanceWriter.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/AllowanceWriter.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "Common/Log.h"
@@ -30,6 +31,7 @@
 
 void allowance_writer::WriteChanges(time_point aNow)
 {
+  mTokenAllowance.OnStoreEra(mStore.Era(), aNow);
   ReadGrants(aNow);
   for (const grant_change& change : mTokenAllowance.TakeGrantChanges(aNow)) {
     const row_key key{ kGrantTableName, change.mAccount.mName, kGrantKey };
@@ -43,6 +45,7 @@
           return;
         }
         const time_point now = mTime.Now();
+        mTokenAllowance.OnStoreEra(mStore.Era(), now);
         if (!aResult.has_value()) {
           if (aResult.error() == row_store_error::Refused) {
             mTokenAllowance.OnRefused(account, now);
@@ -83,21 +86,26 @@
 void allowance_writer::ReadGrants(time_point aNow)
 {
   for (const account_id& account : mTokenAllowance.TakeGrantReads(aNow)) {
-    mStore.Read(kGrantTableName,
-                account.mName,
-                kGrantKey,
-                [this, alive = mAlive, account](auto aResult) {
-                  if (!*alive || !aResult.has_value()) {
-                    return;
-                  }
-                  for (const stored_row& row : aResult.value().mRows) {
-                    const auto grant = ParseGrantRow(row.mValue);
-                    if (row.mKey.mKey == kGrantKey && !row.mRemoved && grant) {
-                      mTokenAllowance.OnGrantRead(
-                        account, *grant, row.mVersion, mTime.Now());
-                    }
-                  }
-                });
+    mStore.Read(
+      kGrantTableName,
+      account.mName,
+      kGrantKey,
+      [this, alive = mAlive, account](auto aResult) {
+        if (!*alive || !aResult.has_value()) {
+          return;
+        }
+        mTokenAllowance.OnStoreEra(mStore.Era(), mTime.Now());
+        const auto& rows = aResult.value().mRows;
+        const auto row = std::ranges::find_if(rows, [](const stored_row& aRow) {
+          return aRow.mKey.mKey == kGrantKey && !aRow.mRemoved;
+        });
+        if (row == rows.end()) {
+          mTokenAllowance.OnGrantRead(account, std::nullopt, 0, mTime.Now());
+        } else if (const auto grant = ParseGrantRow(row->mValue)) {
+          mTokenAllowance.OnGrantRead(
+            account, *grant, row->mVersion, mTime.Now());
+        }
+      });
   }
 }
 
@@ -117,6 +125,7 @@
     if (!*alive) {
       return;
     }
+    mTokenAllowance.OnStoreEra(mStore.Era(), mTime.Now());
     if (!aResult.has_value()) {
       mTokenAllowance.OnClaimFailed(aResult.error() !=
                                     row_store_error::Refused);
--- a/Source/Core/Gateway/ClaimRecovery.cpp
+++ b/Source/Core/Gateway/ClaimRecovery.cpp
@@ -101,7 +101,9 @@
       return;
     }
   }
-  if (claim->mRun == mRun || TakeableTokens(*claim).empty()) {
+  // The owner may have spent more under a claim that a restored store lost.
+  const bool outdated = mTokenAllowance.IsOfCopy(claim->mEra);
+  if (claim->mRun == mRun || outdated || TakeableTokens(*claim).empty()) {
     Finish();
     return;
   }
@@ -146,7 +148,7 @@
   for (const auto& [account, tokens] : aTokens) {
     sum += tokens;
   }
-  mTokenAllowance.OnTakenOver(aTokens);
+  mTokenAllowance.OnTakenOver(aTokens, mTime.Now());
   mTakenOver += sum;
   Log(log_level::Info,
       "claim_taken_over",
--- a/Source/Core/Gateway/ClaimRow.cpp
+++ b/Source/Core/Gateway/ClaimRow.cpp
@@ -87,6 +87,7 @@
                 { "sequence", aRow.mSequence },
                 { "stated_at_ms", aRow.mStartsAt.count() },
                 { "in_force_ms", aRow.mTimeToLive.count() },
+                { "era", aRow.mEra },
                 { "accounts", std::move(accounts) } };
   if (!aRow.mTaker.empty()) {
     body["taker"] = aRow.mTaker;
@@ -112,6 +113,9 @@
       row.mTimeToLive =
         std::chrono::milliseconds(ReadNumber(body.at("in_force_ms")));
     }
+    if (body.contains("era")) {
+      row.mEra = static_cast<std::uint64_t>(ReadNumber(body.at("era")));
+    }
     for (const auto& [account, entry] : body.at("accounts").items()) {
       row.mAccounts[account] = ParseEntry(entry);
     }
--- a/Source/Core/Gateway/ClaimRow.h
+++ b/Source/Core/Gateway/ClaimRow.h
@@ -51,6 +51,10 @@
   /// Time for which the spend limits are in force.
   std::chrono::milliseconds mTimeToLive = kDefaultClaimTimeToLive;
   std::map<std::string, claim_entry> mAccounts;
+  /// Era of the store in which the row was written; 0 if not known. Nothing is
+  /// taken over by a claim of an earlier era, because its owner may have spent
+  /// more under one that the store has lost.
+  std::uint64_t mEra = 0;
   /// Run that took tokens over last, and the version of the row that it
   /// replaced; empty and 0 if none did since the owner wrote the row.
   std::string mTaker;
--- a/Source/Core/Gateway/Fleet.capnp
+++ b/Source/Core/Gateway/Fleet.capnp
@@ -242,6 +242,8 @@
   version @1 :UInt64;
   # Time since the copy was current, in milliseconds.
   ageMs @2 :UInt32;
+  # Era of the store that gave the version; 0 if not known.
+  era @3 :UInt64;
 }
 
 struct StateSnapshot {
--- a/Source/Core/Gateway/Fleet.capnp.h
+++ b/Source/Core/Gateway/Fleet.capnp.h
@@ -362,7 +362,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b7b4e69974ec43ad, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(b7b4e69974ec43ad, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2490,6 +2490,8 @@
 
   inline  ::uint32_t getAgeMs() const;
 
+  inline  ::uint64_t getEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2531,6 +2533,9 @@
   inline  ::uint32_t getAgeMs();
   inline void setAgeMs( ::uint32_t value);
 
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4891,6 +4896,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t TableState::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TableState::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void TableState::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool StateSnapshot::Reader::hasRows() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Source/Core/Gateway/FleetRows.cpp
+++ b/Source/Core/Gateway/FleetRows.cpp
@@ -79,6 +79,10 @@
 
 void fleet_rows::OnMaintenanceTick(time_point aNow)
 {
+  if (mStore.Era() > mRegisteredInEra && mRegistered) {
+    // The store came back from a copy, which may lack the row.
+    mRegistered = false;
+  }
   if (mRegistered || mRegistering || aNow < mNextRegistrationAt) {
     return;
   }
@@ -94,6 +98,7 @@
       return;
     }
     mRegistering = false;
+    mRegisteredInEra = mStore.Era();
     mRegistered = aResult.has_value() && aResult.value().mCommitted;
     mNextRegistrationAt = mTime.Now() + kRegistrationRetryDelay;
   });
--- a/Source/Core/Gateway/FleetRows.h
+++ b/Source/Core/Gateway/FleetRows.h
@@ -40,6 +40,8 @@
   region_id mRegion;
   std::string mRun;
   bool mRegistered = false;
+  /// Era of the store in which the row was written last.
+  std::uint64_t mRegisteredInEra = 0;
   bool mRegistering = false;
   time_point mNextRegistrationAt;
   /// Set to false by the destructor; replies that arrive later are ignored.
--- a/Source/Core/Gateway/FleetView.cpp
+++ b/Source/Core/Gateway/FleetView.cpp
@@ -231,6 +231,17 @@
   return static_cast<std::size_t>(live) + 1;
 }
 
+std::map<std::string, std::uint64_t> fleet_view::LiveRuns(time_point aNow) const
+{
+  std::map<std::string, std::uint64_t> runs;
+  for (const auto& [address, peer] : mPeers) {
+    if (IsAlive(peer, aNow)) {
+      runs[address] = peer.mReport ? peer.mReport->mRun : 0;
+    }
+  }
+  return runs;
+}
+
 std::vector<std::string> fleet_view::LivePeerAddresses(time_point aNow) const
 {
   std::vector<std::string> peers;
--- a/Source/Core/Gateway/FleetView.h
+++ b/Source/Core/Gateway/FleetView.h
@@ -148,6 +148,9 @@
   std::size_t LiveNodeCount(time_point aNow) const;
   /// Datagram addresses at which other nodes may run, alive or not.
   std::vector<std::string> KnownAddresses() const;
+  /// Runs of the live peers by their datagram addresses; 0 for peers that have
+  /// not reported here.
+  std::map<std::string, std::uint64_t> LiveRuns(time_point aNow) const;
   /// Datagram addresses of live peers.
   std::vector<std::string> LivePeerAddresses(time_point aNow) const;
   /// Work of the other nodes by server. If only some nodes report here, the sum
--- a/Source/Core/Gateway/GatewayMetrics.cpp
+++ b/Source/Core/Gateway/GatewayMetrics.cpp
@@ -74,6 +74,14 @@
                        .Help("Entries read that name no server to use")
                        .Register(*mRegistry)
                        .Add({}))
+  , mStoreRestored(prometheus::BuildCounter()
+                     .Name("gateway_store_restored_total")
+                     .Help("Times that the store came back from an older copy")
+                     .Register(*mRegistry)
+                     .Add({}))
+  , mCallbackFailures(
+      AddGauge("gateway_callback_failures",
+               "Callbacks of the event loop that ended with an exception"))
   , mOpenRequests(
       AddGauge("gateway_open_requests", "Requests without a final answer"))
   , mLiveNodes(AddGauge("gateway_live_nodes", "Nodes taken for alive"))
--- a/Source/Core/Gateway/GatewayMetrics.h
+++ b/Source/Core/Gateway/GatewayMetrics.h
@@ -67,6 +67,10 @@
   }
   /// Counts an entry that names no server to use.
   void OnUnusableEntry() { mUnusableEntries.Increment(); }
+  /// Counts a store that came back from an older copy of its rows.
+  void OnStoreRestored() { mStoreRestored.Increment(); }
+  /// Sets the callbacks of the event loop that ended with an exception.
+  void SetCallbackFailures(double aCount) { mCallbackFailures.Set(aCount); }
   void SetColdServers(double aCount) { mColdServers.Set(aCount); }
   void SetEvacuatedZones(double aCount) { mEvacuatedZones.Set(aCount); }
   void SetSheddingServices(double aCount) { mShedding.Set(aCount); }
@@ -100,6 +104,8 @@
   prometheus::Family<prometheus::Gauge>& mHeldBytes;
   prometheus::Family<prometheus::Histogram>& mFirstByteSeen;
   prometheus::Counter& mUnusableEntries;
+  prometheus::Counter& mStoreRestored;
+  prometheus::Gauge& mCallbackFailures;
   prometheus::Gauge& mOpenRequests;
   prometheus::Gauge& mLiveNodes;
   prometheus::Gauge& mConfigVersion;
--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -43,6 +43,8 @@
 // Time after an outage of the store in which removals may be its effect: the
 // platform restores the entries of live servers within two seconds.
 constexpr milliseconds kTentativeRemovalWindow(3500);
+// Readiness, addresses and metrics are asked for without a body.
+constexpr std::uint64_t kMaxEndpointBodyBytes = 1024;
 // Connections to a server break after this long without TCP acknowledgements.
 constexpr tcp_liveness kUpstreamLiveness{ milliseconds(3000) };
 
@@ -233,6 +235,10 @@
   if (!mClientListener || !mReadiness || !mDirectory) {
     return false;
   }
+  http_server_limits limits;
+  limits.mBodyBytes = kMaxEndpointBodyBytes;
+  mReadiness->SetLimits(limits);
+  mDirectory->SetLimits(limits);
   if (mSettings.mMetrics.mPort != 0) {
     std::string reason;
     mMetricsListener =
@@ -242,6 +248,8 @@
           "metrics_unavailable",
           { Field("address", FormatTcpAddress(mSettings.mMetrics)),
             Field("error", reason) });
+    } else {
+      mMetricsListener->SetLimits(limits);
     }
   }
   return mPeerTransport.Start(mSettings.mPeer, aError);
--- a/Source/Core/Gateway/GatewayNode.h
+++ b/Source/Core/Gateway/GatewayNode.h
@@ -66,6 +66,9 @@
   void OnClientDisconnected(http_server_connection& aConnection) override;
   void OnClientDrained(http_server_connection& aConnection) override;
   void OnConnectionClosed(http_server_connection& aConnection) override;
+  bool MayHold(std::size_t aHeld, std::size_t aMore) override;
+  void OnHeld(std::size_t aBytes) override;
+  std::pair<http_server_response, std::string> RefuseInput() override;
 
   void OnRow(const stored_row& aRow) override;
   void OnRowRemoved(const row_key& aKey) override;
@@ -127,6 +130,9 @@
   /// Decides whether the host is cut off from all servers, and probes them
   /// while it is.
   void UpdateReachability(time_point aNow);
+  /// Decides whether all nodes that ran before the store was restored still
+  /// run.
+  void ReviewFleetOfEra(time_point aNow);
   /// Whether a connection shows that the server run goes on.
   bool RunsOn(const server_run& aRun) const;
   /// Passes on the requests that wait for it.
@@ -210,6 +216,11 @@
   loop_timer mFleetTimer;
   loop_timer mMaintenanceTimer;
 
+  std::uint64_t mStoreEra = 0;
+  /// Address and run of the nodes that were alive lately, with the last time.
+  std::map<std::pair<std::string, std::uint64_t>, time_point> mRecentRuns;
+  /// Those that were alive in the time that the restored store lacks.
+  std::vector<std::pair<std::string, std::uint64_t>> mRunsBeforeEra;
   time_point mNextSnapshotAt;
   /// Until when removals may be an effect of an outage of the store.
   time_point mRemovalsTentativeUntil;
--- a/Source/Core/Gateway/GatewayNodeTicks.cpp
+++ b/Source/Core/Gateway/GatewayNodeTicks.cpp
@@ -9,6 +9,7 @@
 
 #include <fmt/format.h>
 
+#include "Common/CallbackGuard.h"
 #include "Common/Hash.h"
 #include "Common/Log.h"
 
@@ -26,6 +27,8 @@
 // above the 1,420 ms that pass between two reads of a store in contact, and
 // leaves time for three attempts.
 constexpr double kRefreshAgeShare = 0.7;
+// Age of the oldest copy from which the store may come back.
+constexpr milliseconds kMaxCopyAge(20'000);
 // Time for the requests of clients whose connections were accepted last.
 constexpr milliseconds kLastRequestTimeout(300);
 
@@ -287,6 +290,7 @@
   mFleet.Self().mWork = mUpstreamRegistry.LocalWork();
   mFleet.Self().mFreeTokens = mTokenAllowance.AllFreeTokens(now);
   mTokenAllowance.SetHolders(mFleet.TokenHolders(now));
+  ReviewFleetOfEra(now);
   mAllowanceWriter.RecoverClaims(mFleet.LostPeers(now), now);
   const auto peers = mFleet.LivePeerAddresses(now);
   UpdateRateLimits(peers, now);
@@ -306,6 +310,33 @@
   RefreshStateFromPeers(now);
 }
 
+void gateway_node::ReviewFleetOfEra(time_point aNow)
+{
+  const auto live = mFleet.LiveRuns(aNow);
+  for (const auto& [address, run] : live) {
+    mRecentRuns[{ address, run }] = aNow;
+  }
+  std::erase_if(mRecentRuns, [aNow](const auto& aPair) {
+    return aNow > aPair.second + kMaxCopyAge;
+  });
+  const std::uint64_t era = mStore.Era();
+  const std::uint64_t previous = std::exchange(mStoreEra, era);
+  if (era != previous && previous != 0) {
+    mMetrics.OnStoreRestored();
+    mRunsBeforeEra.clear();
+    for (const auto& [run, lastSeenAt] : mRecentRuns) {
+      mRunsBeforeEra.push_back(run);
+    }
+  }
+  // A run that has not reported here is known by its address alone.
+  mTokenAllowance.SetFleetWhole(
+    std::ranges::all_of(mRunsBeforeEra, [&live](const auto& aRun) {
+      const auto found = live.find(aRun.first);
+      return found != live.end() &&
+             (aRun.second == 0 || found->second == aRun.second);
+    }));
+}
+
 void gateway_node::RefreshStateFromPeers(time_point aNow)
 {
   const bool stateMissing =
@@ -357,6 +388,7 @@
   mPeerTransport.CheckDeadlines(now);
   mMetrics.SetLinkWait(
     std::chrono::duration<double>(mLinkQueue.LeavesAt(0, now) - now).count());
+  mMetrics.SetCallbackFailures(static_cast<double>(CallbackFailures()));
   for (const held_kind kind : kHeldKinds) {
     mMetrics.SetHeldBytes(HeldKindName(kind),
                           static_cast<double>(mHeld.Of(kind)));
--- a/Source/Core/Gateway/GrantRow.cpp
+++ b/Source/Core/Gateway/GrantRow.cpp
@@ -1,5 +1,7 @@
 #include "Gateway/GrantRow.h"
 
+#include <algorithm>
+
 #include <nlohmann/json.hpp>
 
 #include "Common/JsonText.h"
@@ -8,7 +10,15 @@
 {
   const nlohmann::json json = { { "granted", aRow.mGranted },
                                 { "writer", aRow.mWriter },
-                                { "sequence", aRow.mSequence } };
+                                { "sequence", aRow.mSequence },
+                                { "era", aRow.mEra },
+                                { "copy_era", aRow.mCopy.mEra },
+                                { "copy_version", aRow.mCopy.mVersion },
+                                { "copy_granted", aRow.mCopyGranted },
+                                { "reserved", aRow.mReserved },
+                                { "settles_at_ms", aRow.mSettlesAt.count() },
+                                { "recent", aRow.mRecent },
+                                { "recent_at_ms", aRow.mRateAt.count() } };
   return json.dump();
 }
 
@@ -27,7 +37,26 @@
       sequence == body->end() || !ReadWholeNumber(*sequence)) {
     return std::nullopt;
   }
-  return grant_row{ granted->get<std::int64_t>(),
-                    writer->get<std::string>(),
-                    sequence->get<std::uint64_t>() };
+  // Rows of versions that know no eras lack the other fields.
+  const auto optional = [&body](const char* aName) {
+    const auto found = body->find(aName);
+    return found == body->end() ? std::int64_t{ 0 }
+                                : ReadWholeNumber(*found, kMin).value_or(0);
+  };
+  grant_row row;
+  row.mGranted = granted->get<std::int64_t>();
+  row.mWriter = writer->get<std::string>();
+  row.mSequence = sequence->get<std::uint64_t>();
+  const auto count = [&optional](const char* aName) {
+    return static_cast<std::uint64_t>(
+      std::max<std::int64_t>(optional(aName), 0));
+  };
+  row.mEra = count("era");
+  row.mCopy = { count("copy_era"), count("copy_version") };
+  row.mCopyGranted = optional("copy_granted");
+  row.mReserved = std::max<std::int64_t>(optional("reserved"), 0);
+  row.mSettlesAt = std::chrono::milliseconds(optional("settles_at_ms"));
+  row.mRecent = std::max<std::int64_t>(optional("recent"), 0);
+  row.mRateAt = std::chrono::milliseconds(optional("recent_at_ms"));
+  return row;
 }
--- a/Source/Core/Gateway/GrantRow.h
+++ b/Source/Core/Gateway/GrantRow.h
@@ -1,11 +1,22 @@
 #pragma once
 
+#include <chrono>
 #include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
 
+/// Identifies a state of a row over all eras of the store: versions are given
+/// out again when the store comes back from an older copy.
+struct row_state
+{
+  /// Era in which the row was written; 0 if not known.
+  std::uint64_t mEra = 0;
+  std::uint64_t mVersion = 0;
+  auto operator<=>(const row_state&) const = default;
+};
+
 /// Stored row of an account: the tokens granted to all nodes so far. Writer and
 /// sequence let a node whose reply was lost see whether its own change is the
 /// current one.
@@ -14,6 +25,22 @@
   std::int64_t mGranted = 0;
   std::string mWriter;
   std::uint64_t mSequence = 0;
+  /// Era of the store in which the row was written; 0 if not known. A row of an
+  /// earlier era is as it was in the copy from which the store came back.
+  std::uint64_t mEra = 0;
+  /// Newest state of the row in earlier eras that `mGranted` accounts for, and
+  /// the tokens granted by then.
+  row_state mCopy{};
+  std::int64_t mCopyGranted = 0;
+  /// Tokens that may have been granted after the copy was taken and that no
+  /// node has stated; they are not granted again.
+  std::int64_t mReserved = 0;
+  /// Clock of the store from which on tokens are granted in this era.
+  std::chrono::milliseconds mSettlesAt{ 0 };
+  /// Tokens granted lately, those of 20 s ago with a weight of 1 / e, at the
+  /// time `mRateAt` of the store.
+  std::int64_t mRecent = 0;
+  std::chrono::milliseconds mRateAt{ 0 };
   auto operator<=>(const grant_row&) const = default;
 };
 
--- a/Source/Core/Gateway/PeerTransport.cpp
+++ b/Source/Core/Gateway/PeerTransport.cpp
@@ -16,6 +16,7 @@
 #include <kj/exception.h>
 
 #include "Capacity/ObservationTargets.h"
+#include "Common/CallbackGuard.h"
 #include "Common/Log.h"
 #include "Gateway/Fleet.capnp.h"
 #include "Net/HttpStatus.h"
@@ -34,8 +35,13 @@
 // Share of the link of the host that snapshots may take.
 constexpr double kSnapshotLinkShare = 0.25;
 constexpr const char* kSnapshotPath = "/snapshot";
-// Limit of a snapshot in 8-byte words: 64 MB.
-constexpr std::uint64_t kMaxSnapshotWords = 8'000'000;
+// Limit of a snapshot: a configuration of 1 MB and the entries of thousands of
+// servers.
+constexpr std::size_t kMaxSnapshotBytes = 8'000'000;
+constexpr std::uint64_t kMaxSnapshotWords =
+  kMaxSnapshotBytes / sizeof(capnp::word);
+// A peer asks for snapshots without a body.
+constexpr std::uint64_t kMaxPeerBodyBytes = 1024;
 
 /// The conversion of the library ends at a NUL byte.
 kj::StringPtr WriteText(const std::string& aText)
@@ -59,6 +65,7 @@
     auto table = tables[nextTable++];
     table.setTable(name);
     table.setVersion(copy.mVersion);
+    table.setEra(copy.mEra);
     const auto age =
       std::chrono::duration_cast<milliseconds>(aNow - copy.mCurrentAt).count();
     table.setAgeMs(static_cast<std::uint32_t>(std::clamp<std::int64_t>(
@@ -98,6 +105,7 @@
     for (const auto table : root.getTables()) {
       table_copy& copy = snapshot[ReadText(table.getTable())];
       copy.mVersion = table.getVersion();
+      copy.mEra = table.getEra();
       copy.mCurrentAt = aRequestedAt - milliseconds(table.getAgeMs());
     }
     for (const auto entry : root.getRows()) {
@@ -152,7 +160,21 @@
     mStatus = aResponse.mStatus;
     return true;
   }
-  void OnBody(std::string_view aBytes) override { mBody.append(aBytes); }
+  void OnBody(std::string_view aBytes) override
+  {
+    if (mBody.size() + aBytes.size() <= kMaxSnapshotBytes) {
+      mBody.append(aBytes);
+      return;
+    }
+    mFinished = true;
+    mBody = {};
+    Log(log_level::Warning,
+        "snapshot_failed",
+        { Field("peer", FormatTcpAddress(mConnection.Address())),
+          Field("reason", "too_long"),
+          Field("limit_bytes", kMaxSnapshotBytes) });
+    mConnection.Cancel();
+  }
   void OnComplete(bool) override
   {
     mFinished = true;
@@ -225,6 +247,11 @@
   }
   mWatch = g_unix_fd_add(mSocket, G_IO_IN, OnReadable, this);
   mListener = http_listener::Listen(aAddress, *this, mTime, aError);
+  if (mListener) {
+    http_server_limits limits;
+    limits.mBodyBytes = kMaxPeerBodyBytes;
+    mListener->SetLimits(limits);
+  }
   return mListener != nullptr;
 }
 
@@ -351,11 +378,13 @@
       return;
     }
     ProcessTraffic().mReceived += static_cast<std::uint64_t>(size);
-    const auto datagram =
-      ParsePeerDatagram({ sBuffer.data(), static_cast<std::size_t>(size) });
-    if (datagram) {
-      OnDatagram(*datagram);
-    }
+    RunGuarded("datagram", [&] {
+      const auto datagram =
+        ParsePeerDatagram({ sBuffer.data(), static_cast<std::size_t>(size) });
+      if (datagram) {
+        OnDatagram(*datagram);
+      }
+    });
   }
 }
 
--- a/Source/Core/Gateway/TableFollower.cpp
+++ b/Source/Core/Gateway/TableFollower.cpp
@@ -16,6 +16,13 @@
 // within two seconds after it.
 constexpr milliseconds kInitialRetryDelay(100);
 constexpr unsigned kMaxDoublings = 2;
+// Time in which the owners of rows write again what a restored store lacks.
+// Servers write their entries every 1.2 s.
+constexpr milliseconds kRewriteTime(4000);
+// Age of the oldest copy from which the store may come back, and limit of the
+// rows that are remembered as removed since.
+constexpr milliseconds kMaxCopyAge(20'000);
+constexpr std::size_t kMaxRemovedRows = 4096;
 
 } // namespace
 
@@ -57,7 +64,7 @@
 
 table_copy table_follower::Copy() const
 {
-  table_copy copy{ Version(), mCurrentAt, {} };
+  table_copy copy{ mEra, Version(), mCurrentAt, {} };
   copy.mRows.reserve(mRows.size());
   for (const auto& [key, row] : mRows) {
     copy.mRows.push_back(row);
@@ -67,9 +74,20 @@
 
 void table_follower::ApplyPeerCopy(const table_copy& aCopy)
 {
-  if (aCopy.mVersion < Version() || aCopy.mCurrentAt <= mCurrentAt) {
+  if (std::pair(aCopy.mEra, aCopy.mVersion) < std::pair(mEra, Version()) ||
+      aCopy.mCurrentAt <= mCurrentAt) {
     return;
   }
+  const bool restored = aCopy.mEra > mEra && mEra != 0;
+  if (aCopy.mEra > mEra) {
+    mEra = aCopy.mEra;
+  }
+  if (restored) {
+    mVersion = 0;
+    mPeerVersion = 0;
+    mFullReadNeeded = true;
+    mRestored = true;
+  }
   std::set<row_key> present;
   for (const stored_row& row : aCopy.mRows) {
     present.insert(row.mKey);
@@ -77,7 +95,8 @@
   }
   std::vector<row_key> removedKeys;
   for (const auto& [key, row] : mRows) {
-    if (row.mVersion <= aCopy.mVersion && !present.contains(key)) {
+    if ((restored || row.mVersion <= aCopy.mVersion) &&
+        !present.contains(key)) {
       removedKeys.push_back(key);
     }
   }
@@ -102,8 +121,35 @@
   });
 }
 
+bool table_follower::StartsOver()
+{
+  const std::uint64_t era = mStore.Era();
+  if (era <= mEra) {
+    return false;
+  }
+  const bool known = std::exchange(mEra, era) != 0 || mLoaded;
+  if (!known) {
+    return false;
+  }
+  Log(log_level::Warning,
+      "table_read_again",
+      { Field("table", mTable),
+        Field("era", era),
+        Field("version", mVersion),
+        Field("rows", mRows.size()) });
+  mVersion = 0;
+  mPeerVersion = 0;
+  mFullReadNeeded = true;
+  mRestored = true;
+  ScheduleNextCall(milliseconds(0));
+  return true;
+}
+
 void table_follower::OnPage(result<row_page, row_store_error> aPage)
 {
+  if (StartsOver()) {
+    return;
+  }
   if (!aPage.has_value()) {
     ScheduleRetry(aPage.error());
     return;
@@ -130,8 +176,15 @@
 void table_follower::FinishRead()
 {
   std::vector<row_key> removedKeys;
-  for (const auto& [key, row] : mRows) {
-    if (!mIncomingRows.contains(key)) {
+  for (auto& [key, row] : mRows) {
+    if (mIncomingRows.contains(key)) {
+      continue;
+    }
+    if (mRestored) {
+      mMissingRows.insert(key);
+      // It may be written again under any version of the new era.
+      row.mVersion = 0;
+    } else if (!mMissingRows.contains(key)) {
       removedKeys.push_back(key);
     }
   }
@@ -139,9 +192,13 @@
     RemoveRow(key);
   }
   mPeerVersion = 0;
+  if (mRestored) {
+    mMissingKeptUntil = mTime.Now() + kRewriteTime;
+  }
   for (const auto& [key, row] : mIncomingRows) {
     ApplyRow(row);
   }
+  mRestored = false;
   mIncomingRows.clear();
   mVersion = std::max(mVersion, mReadStartVersion);
   mCurrentAt = std::max(mCurrentAt, mReadStartedAt);
@@ -165,6 +222,9 @@
 
 void table_follower::OnChanges(result<row_page, row_store_error> aPage)
 {
+  if (StartsOver()) {
+    return;
+  }
   if (!aPage.has_value()) {
     if (aPage.error() == row_store_error::HistoryLost) {
       mFullReadNeeded = true;
@@ -190,9 +250,45 @@
   mVersion = std::max(mVersion, aPage.value().mVersion);
   mCurrentAt =
     std::max(mCurrentAt, aPage.value().mReadAt.value_or(mCallStartedAt));
+  RemoveMissing();
   ScheduleNextCall(mPollInterval);
 }
 
+void table_follower::RemoveMissing()
+{
+  if (mMissingRows.empty() || mTime.Now() < mMissingKeptUntil) {
+    return;
+  }
+  Log(log_level::Info,
+      "rows_not_written_again",
+      { Field("table", mTable), Field("rows", mMissingRows.size()) });
+  for (const row_key& key : std::exchange(mMissingRows, {})) {
+    RemoveRow(key);
+  }
+}
+
+bool table_follower::WasRemoved(const stored_row& aRow) const
+{
+  const auto found = mRemovedRows.find(aRow.mKey);
+  return found != mRemovedRows.end() &&
+         found->second.mRow.mVersion == aRow.mVersion &&
+         found->second.mRow.mValue == aRow.mValue &&
+         mTime.Now() <= found->second.mRemovedAt + kMaxCopyAge;
+}
+
+void table_follower::RecordRemoval(const stored_row& aRow)
+{
+  const time_point now = mTime.Now();
+  if (mRemovedRows.size() >= kMaxRemovedRows) {
+    std::erase_if(mRemovedRows, [now](const auto& aPair) {
+      return now > aPair.second.mRemovedAt + kMaxCopyAge;
+    });
+  }
+  if (mRemovedRows.size() < kMaxRemovedRows) {
+    mRemovedRows[aRow.mKey] = { aRow, now };
+  }
+}
+
 stored_row table_follower::LimitValue(const stored_row& aRow) const
 {
   return aRow.mValue.size() <= mMaxValueBytes
@@ -202,18 +298,28 @@
 
 void table_follower::ApplyRow(const stored_row& aRow)
 {
+  mMissingRows.erase(aRow.mKey);
   const auto existing = mRows.find(aRow.mKey);
-  const std::uint64_t known =
-    existing == mRows.end() ? mPeerVersion : existing->second.mVersion;
-  if (known >= aRow.mVersion) {
-    return;
+  if (mRestored) {
+    if (existing == mRows.end() && WasRemoved(aRow)) {
+      return;
+    }
+  } else {
+    const std::uint64_t known =
+      existing == mRows.end() ? mPeerVersion : existing->second.mVersion;
+    if (known >= aRow.mVersion) {
+      return;
+    }
   }
   mListener.OnRow(mRows[aRow.mKey] = LimitValue(aRow));
 }
 
 void table_follower::RemoveRow(const row_key& aKey)
 {
-  if (mRows.erase(aKey) > 0) {
+  const auto found = mRows.find(aKey);
+  if (found != mRows.end()) {
+    RecordRemoval(found->second);
+    mRows.erase(found);
     mListener.OnRowRemoved(aKey);
   }
 }
--- a/Source/Core/Gateway/TableFollower.h
+++ b/Source/Core/Gateway/TableFollower.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <limits>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -14,6 +15,8 @@
 /// Copy of a table that another node holds.
 struct table_copy
 {
+  /// Era of the store that gave the version; 0 if not known.
+  std::uint64_t mEra = 0;
   /// Version of the store up to which the copy holds all changes.
   std::uint64_t mVersion = 0;
   /// Local time at which the copy was current, at the earliest.
@@ -26,7 +29,12 @@
 
 /// Keeps a copy of the rows with an empty part of one table of the store: reads
 /// it whole once, then polls its changes, and reads it again if the store has
-/// dropped its change history.
+/// dropped its change history, or came back from an older copy of its rows.
+///
+/// The owners of rows write again what such a copy lacks. Until then known rows
+/// that are missing are kept, and rows that had been removed stay so. The
+/// listener is told of rows as the copy has them, which may be older than what
+/// it was told before; it goes by what the rows themselves say of their order.
 class table_follower
 {
 public:
@@ -78,6 +86,20 @@
   void AddPeerRow(const stored_row& aRow);
 
 private:
+  /// A row that was removed, as it was.
+  struct removed_row
+  {
+    stored_row mRow;
+    time_point mRemovedAt;
+  };
+
+  /// Reads the table again and returns true if the store has entered a new era.
+  bool StartsOver();
+  /// Whether a row of the copy was removed after the copy was taken.
+  bool WasRemoved(const stored_row& aRow) const;
+  void RecordRemoval(const stored_row& aRow);
+  /// Removes the rows that their owners did not write again.
+  void RemoveMissing();
   void RequestPage(const std::string& aFrom);
   void OnPage(result<row_page, row_store_error> aPage);
   void FinishRead();
@@ -100,6 +122,15 @@
   loop_timer mTimer;
   std::map<row_key, stored_row> mRows;
   std::map<row_key, stored_row> mIncomingRows;
+  /// Rows that the copy of a restored store lacks, and until when they are
+  /// kept.
+  std::set<row_key> mMissingRows;
+  time_point mMissingKeptUntil;
+  std::map<row_key, removed_row> mRemovedRows;
+  /// Era of the store to which the versions belong.
+  std::uint64_t mEra = 0;
+  /// The rows of the next full read replace newer ones of an earlier era.
+  bool mRestored = false;
   std::uint64_t mReadStartVersion = 0;
   std::uint64_t mVersion = 0;
   /// Version of the newest copy of another node; rows up to it that are not in
--- a/Source/Core/Gateway/TokenAllowance.cpp
+++ b/Source/Core/Gateway/TokenAllowance.cpp
@@ -108,6 +108,11 @@
 {
   std::vector<account_id> reads;
   for (auto& [account, state] : mAccounts) {
+    const bool unmerged = state.mLostState || state.mReissued > 0;
+    if (!state.mRowKnown && unmerged && aNow >= state.mNextReadAt) {
+      state.mNextReadAt = aNow + kNeededReadInterval;
+      reads.push_back(account);
+    }
     if (!state.mRowKnown || state.mPending || aNow < state.mNextReadAt) {
       continue;
     }
@@ -125,16 +130,16 @@
 }
 
 void token_allowance::OnGrantRead(const account_id& aAccount,
-                                  const grant_row& aCurrent,
+                                  const std::optional<grant_row>& aCurrent,
                                   std::uint64_t aVersion,
                                   time_point aNow)
 {
   account_state& state = mAccounts[aAccount];
-  if (state.mPending || aVersion < state.mVersion) {
+  if (state.mPending || (state.mRowKnown && aVersion < state.mVersion)) {
     return;
   }
   state.mRowReadAt = aNow;
-  if (aVersion > state.mVersion) {
+  if (!state.mRowKnown || aVersion > state.mVersion) {
     LearnRow(state, aCurrent, aVersion, aNow);
   }
 }
@@ -150,18 +155,35 @@
     aState.mMovedAt = aNow;
   }
   aState.mGranted = granted;
+  aState.mRow = aCurrent.value_or(grant_row{});
   aState.mRowKnown = true;
   const auto unanswered = std::exchange(aState.mUnanswered, std::nullopt);
   if (!unanswered || !aCurrent || aCurrent->mWriter != mRun ||
       aCurrent->mSequence != unanswered->mSequence) {
+    DropMergedState(aState);
     return false;
   }
+  CountWritten(aState, *unanswered);
   // The unanswered change was applied after all. If it was a return, nothing is
   // left to do, because its tokens were deducted when it was sent.
   aState.mReceived += std::max<std::int64_t>(unanswered->mAmount, 0);
+  RecordGrant(aState, unanswered->mAmount, false, aNow);
   return true;
 }
 
+void token_allowance::CountWritten(account_state& aState,
+                                   const pending_change& aChange) const
+{
+  if (aChange.mRow.mEra == mEra) {
+    aState.mReissued = 0;
+  } else {
+    // Written without knowledge of the era, so that others may take its tokens
+    // for a part of what they add.
+    aState.mReissued += std::max<std::int64_t>(aChange.mAmount, 0);
+  }
+  DropMergedState(aState);
+}
+
 std::int64_t token_allowance::FreeTokensOnPeers(
   const account_id& aAccount) const
 {
@@ -214,24 +236,37 @@
     if (aNow >= state.mNeedExpiresAt) {
       state.mUnmetNeed = 0;
     }
-    std::int64_t amount = mReturning ? 0 : DrawAmount(account, state, aNow);
-    if (amount == 0 && state.mRowKnown) {
+    const bool merges = NeedsMerge(state);
+    const bool unmerged = state.mLostState || state.mReissued > 0;
+    if (unmerged && !merges) {
+      // The row is read first.
+      continue;
+    }
+    std::int64_t amount =
+      mReturning || merges ? 0 : DrawAmount(account, state, aNow);
+    // A run that began in this era announces to the others that it will draw.
+    const bool opens = amount > 0 && !mEraBeganAt && state.mRowKnown &&
+                       state.mVersion > 0 && IsOfCopy(state.mRow.mEra);
+    if (opens || (amount > 0 && IsSettling(state, aNow))) {
+      amount = 0;
+    }
+    if (amount == 0 && state.mRowKnown && !merges && !opens) {
       const std::int64_t returned = ReturnAmount(account, state, aNow);
       // Tokens that are being returned can no longer be spent here.
       state.mSpent += returned;
       amount = -returned;
     }
     // The row of an account is first read when a write to it conflicts.
-    if (amount == 0) {
+    if (amount == 0 && !merges && !opens) {
       continue;
     }
-    const pending_change pending{ ++mSequence,
+    const std::uint64_t sequence = ++mSequence;
+    const pending_change pending{ sequence,
                                   amount,
+                                  NextRow(state, amount, sequence, aNow),
                                   aNow + kStoreReplyTimeout };
     state.mPending = pending;
-    changes.push_back({ account,
-                        state.mVersion,
-                        { state.mGranted + amount, mRun, pending.mSequence } });
+    changes.push_back({ account, state.mVersion, pending.mRow });
   }
   return changes;
 }
@@ -253,8 +288,10 @@
     return;
   }
   state.mVersion = aVersion;
-  state.mGranted += state.mPending->mAmount;
+  state.mGranted = state.mPending->mRow.mGranted;
+  state.mRow = state.mPending->mRow;
   state.mRowKnown = true;
+  CountWritten(state, *state.mPending);
   state.mRowReadAt = aNow;
   state.mNextReturnAt = std::max(state.mNextReturnAt, aNow + kReturnInterval);
   state.mConflicts = 0;
@@ -262,6 +299,7 @@
     state.mReceived += state.mPending->mAmount;
     state.mUnmetNeed = 0;
   }
+  RecordGrant(state, state.mPending->mAmount, false, aNow);
   state.mPending.reset();
   // A committed write of another sequence proves that the unanswered one, with
   // the same condition, can no longer be applied.
@@ -333,7 +371,5 @@
 std::int64_t token_allowance::UngrantedTokens(const account_id& aAccount) const
 {
   const auto found = mAccounts.find(aAccount);
-  return found == mAccounts.end()
-           ? 0
-           : found->second.mTotal - found->second.mGranted;
+  return found == mAccounts.end() ? 0 : Drawable(found->second);
 }
--- a/Source/Core/Gateway/TokenAllowance.h
+++ b/Source/Core/Gateway/TokenAllowance.h
@@ -183,8 +183,9 @@
   /// Returns the accounts whose rows are to be read now; answered by
   /// `OnGrantRead` if the row exists and is readable.
   std::vector<account_id> TakeGrantReads(time_point aNow);
+  /// `aCurrent` is empty, with version 0, if the row does not exist.
   void OnGrantRead(const account_id& aAccount,
-                   const grant_row& aCurrent,
+                   const std::optional<grant_row>& aCurrent,
                    std::uint64_t aVersion,
                    time_point aNow);
   /// From now on returns all unreserved tokens to the store; used at the end of
@@ -205,6 +206,21 @@
   /// No reply: the change may be applied now, later or never.
   void OnUnknown(const account_id& aAccount, time_point aNow);
 
+  /// Sets the era of the store. If it rises, the store came back from an older
+  /// copy of its rows: what this node knows of the rows is read again, and what
+  /// the copy lacks is written again.
+  void OnStoreEra(std::uint64_t aEra, time_point aNow);
+  /// Whether a row that states this era is as it was in the copy from which the
+  /// store came back. Rows without an era, 0, come from versions that state
+  /// none, or from a copy if this run saw the store come back.
+  bool IsOfCopy(std::uint64_t aRowEra) const
+  {
+    return aRowEra < mEra && (aRowEra != 0 || mEraBeganAt.has_value());
+  }
+  /// Sets whether all nodes that ran when the era began still run, so that no
+  /// grant is unknown once they have had the time to state theirs.
+  void SetFleetWhole(bool aWhole) { mFleetWhole = aWhole; }
+
   /// Updates the estimate of the store's clock from any reply.
   void OnStoreTime(std::chrono::milliseconds aStoreTime, time_point aNow);
   /// Returns the claim to write now, if one is due.
@@ -220,7 +236,7 @@
                                std::chrono::milliseconds aStoreTime,
                                time_point aSentAt);
   /// Counts tokens that this node took over from the claim of another one.
-  void OnTakenOver(const claimed_tokens& aTokens);
+  void OnTakenOver(const claimed_tokens& aTokens, time_point aNow);
   /// `aUnknown` is true if the write may still be applied.
   void OnClaimFailed(bool aUnknown);
 
@@ -260,9 +276,25 @@
   {
     std::uint64_t mSequence = 0;
     std::int64_t mAmount = 0;
+    /// The row that is written.
+    grant_row mRow;
     /// When the store counts as unreachable if the change has no reply.
     time_point mReplyDueAt;
   };
+  /// What was known of an account's row before the store came back from a copy.
+  struct lost_state
+  {
+    row_state mState;
+    std::int64_t mGranted = 0;
+  };
+  /// Tokens that the store granted to this node, or negative if returned, or
+  /// that it took over from another one.
+  struct recent_grant
+  {
+    time_point mAt;
+    std::int64_t mTokens = 0;
+    bool mTakenOver = false;
+  };
   struct account_state
   {
     std::int64_t Free() const { return mReceived - mSpent; }
@@ -283,6 +315,13 @@
     std::uint64_t mVersion = 0;
     std::int64_t mGranted = 0;
     bool mRowKnown = false;
+    /// The row as last seen.
+    grant_row mRow;
+    /// State of an earlier era that the row may not account for.
+    std::optional<lost_state> mLostState;
+    /// Tokens that count as granted once more, because the row may lack them.
+    std::int64_t mReissued = 0;
+    std::deque<recent_grant> mRecentGrants;
     /// When the row was read, or written by this run, last.
     time_point mRowReadAt;
     time_point mNextReadAt;
@@ -338,6 +377,40 @@
     time_point mForgetAt;
   };
 
+  /// Tokens that this node was granted, or took over, since the oldest copy
+  /// from which the store may come back.
+  static std::int64_t RecentTokens(const account_state& aState,
+                                   bool aTakenOver,
+                                   time_point aNow);
+  static row_state RowState(const account_state& aState);
+  static void RecordGrant(account_state& aState,
+                          std::int64_t aTokens,
+                          bool aTakenOver,
+                          time_point aNow);
+  /// Counts what a change of this node that the store took accounts for.
+  void CountWritten(account_state& aState, const pending_change& aChange) const;
+  /// Forgets the state of an earlier era that the row accounts for.
+  void DropMergedState(account_state& aState) const;
+  /// Whether the row may lack grants that this node knows of.
+  bool NeedsMerge(const account_state& aState) const;
+  /// The row that grants `aAmount` more tokens, with what this node knows of
+  /// the era before.
+  grant_row NextRow(const account_state& aState,
+                    std::int64_t aAmount,
+                    std::uint64_t aSequence,
+                    time_point aNow) const;
+  /// Whether all that was granted in the era before is stated by now.
+  bool IsReserveKnown(time_point aNow) const;
+  /// Tokens that the row may still grant.
+  std::int64_t Drawable(const account_state& aState) const;
+  /// Until when nodes state what was granted in the era before; nothing if that
+  /// is over.
+  std::optional<time_point> SettlesAt(const account_state& aState,
+                                      time_point aNow) const;
+  bool IsSettling(const account_state& aState, time_point aNow) const;
+  /// The store's clock, by estimate; 0 before the first reply.
+  std::chrono::milliseconds StoreTimeAt(time_point aNow) const;
+
   void RotateUsagePeriod(account_state& aState, time_point aNow) const;
   /// Tokens used per second, the higher of the rates of the current and the
   /// previous usage period.
@@ -467,6 +540,12 @@
   /// Tokens of the earlier run of this host. They count once that run's claim
   /// is replaced, so that no third run can take them as well.
   std::unordered_map<account_id, std::int64_t> mTakenOver;
+  std::uint64_t mEra = 0;
+  /// When this run saw the era begin; nothing if it began before.
+  std::optional<time_point> mEraBeganAt;
+  bool mFleetWhole = false;
+  /// Sequence of the newest claim that the store took.
+  std::uint64_t mCommittedClaim = 0;
   std::optional<std::chrono::milliseconds> mStoreTime;
   time_point mStoreTimeAt;
 
--- a/Source/Core/Gateway/TokenAllowanceClaims.cpp
+++ b/Source/Core/Gateway/TokenAllowanceClaims.cpp
@@ -178,6 +178,7 @@
   change.mRow.mRun = mRun;
   change.mRow.mSequence = ++mSequence;
   change.mRow.mTimeToLive = mSettings.mClaimTimeToLive;
+  change.mRow.mEra = mEra;
   if (mStoreTime) {
     // The reply that carried the time was under way for a while, so this is not
     // later than the store's clock.
@@ -242,6 +243,9 @@
   mClaimPending = false;
   mClaimFailed = false;
   mClaimVersion = aVersion;
+  if (!mClaims.empty()) {
+    mCommittedClaim = mClaims.back().mSequence;
+  }
   mStoredClaimEmpty = !mClaims.empty() && mClaims.back().mAccounts.empty();
   ConfirmClaim(aNow);
   // Older claims, and unanswered ones that expected the same version, can no
@@ -285,7 +289,7 @@
   mClaims.clear();
   mExpiredTakeable.clear();
   mTakenOver.clear();
-  if (!aCurrent || mClaimConfirmed) {
+  if (!aCurrent || mClaimConfirmed || IsOfCopy(aCurrent->mEra)) {
     return 0;
   }
   const milliseconds age =
@@ -314,8 +318,14 @@
     return aEntry.mSequence != aRow.mSequence;
   });
   mExpiredTakeable.clear();
+  // The store came back with a claim that a later one had replaced. What was
+  // taken by it was known then.
+  const bool replaced = aRow.mSequence < mCommittedClaim;
   for (const auto& [account, entry] : aRow.mAccounts) {
     std::int64_t& known = mKnownTaken[account];
+    if (replaced) {
+      known = entry.mTaken;
+    }
     account_state& state = mAccounts[account_id{ account }];
     if (IsLargeFleet() && state.mUnmetNeed <= state.Free()) {
       // Only the limits did not cover it while the store was lost. A request
@@ -333,10 +343,13 @@
   }
 }
 
-void token_allowance::OnTakenOver(const claimed_tokens& aTokens)
+void token_allowance::OnTakenOver(const claimed_tokens& aTokens,
+                                  time_point aNow)
 {
   for (const auto& [account, tokens] : aTokens) {
-    mAccounts[account_id{ account }].mReceived += tokens;
+    account_state& state = mAccounts[account_id{ account }];
+    state.mReceived += tokens;
+    RecordGrant(state, tokens, true, aNow);
   }
 }
 
--- a/Source/Core/Gateway/TokenAllowanceDemand.cpp
+++ b/Source/Core/Gateway/TokenAllowanceDemand.cpp
@@ -61,8 +61,8 @@
 std::int64_t token_allowance::UnspentTokens(const account_id& aAccount,
                                             const account_state& aState) const
 {
-  return std::max<std::int64_t>(aState.mTotal - aState.mGranted, 0) +
-         aState.Free() + FreeTokensOnPeers(aAccount);
+  return std::max<std::int64_t>(Drawable(aState), 0) + aState.Free() +
+         FreeTokensOnPeers(aAccount);
 }
 
 bool token_allowance::IsScarce(const account_id& aAccount,
@@ -189,7 +189,7 @@
                                          const account_state& aState,
                                          time_point aNow) const
 {
-  const std::int64_t remaining = aState.mTotal - aState.mGranted;
+  const std::int64_t remaining = Drawable(aState);
   const std::int64_t target = TargetTokens(aAccount, aState, aNow);
   const std::int64_t peerNeed =
     aNow < aState.mPeerNeedExpiresAt ? aState.mPeerNeed : 0;
@@ -264,6 +264,9 @@
   }
   const account_state& state = found->second;
   const std::int64_t unspent = UnspentTokens(aAccount, state);
+  if (const auto settles = SettlesAt(state, aNow); settles && aNow < *settles) {
+    return *settles + kMoveTime;
+  }
   if (unspent >= aTokens || !state.mRowKnown) {
     if (!AreLimitsFixed(aNow)) {
       return std::max(aNow, state.mNextChangeAt) + kMoveTime;
--- a/Source/Core/Gateway/TokenAllowancePeers.cpp
+++ b/Source/Core/Gateway/TokenAllowancePeers.cpp
@@ -62,9 +62,10 @@
     }
     // The store is tried first; it replies within a few ms unless it is
     // unreachable or has nothing left.
-    const bool storeMayHelp =
-      aNow >= state.mNextChangeAt && !state.mUnanswered &&
-      state.mTotal - state.mGranted >= state.mUnmetNeed && !state.mPending;
+    const bool storeMayHelp = aNow >= state.mNextChangeAt &&
+                              !state.mUnanswered &&
+                              Drawable(state) >= state.mUnmetNeed &&
+                              !state.mPending && !IsSettling(state, aNow);
     const std::int64_t spendable = SpendableTokens(account, state, aNow);
     const bool needed = state.mUnmetNeed > spendable &&
                         UnspentTokens(account, state) >= state.mUnmetNeed;
@@ -124,10 +125,20 @@
                                      time_point aNow) const
 {
   const auto found = mAccounts.find(aAccount);
-  if (found == mAccounts.end() || !IsLargeFleet()) {
+  if (found == mAccounts.end()) {
     return true;
   }
   const account_state& state = found->second;
+  const auto settles = SettlesAt(state, aNow);
+  if (settles && aNow + aWait < *settles && state.Free() < aTokens &&
+      !state.mOpenRequest) {
+    // Until then only other nodes can help.
+    return aNow + aWait >= state.mNextRequestAt &&
+           NextHolder(aAccount, state) != nullptr;
+  }
+  if (!IsLargeFleet()) {
+    return true;
+  }
   const bool drawOverdue =
     state.mPending && aNow >= state.mPending->mReplyDueAt;
   if (!IsStoreLost(aNow) && !drawOverdue) {
@@ -188,7 +199,7 @@
       state.Free() < aRequest.mNeeded) {
     // The tokens are drawn before the request is repeated.
     const std::int64_t share =
-      (state.mTotal - state.mGranted) / (SharingNodes(aRequest.mAccount) + 1);
+      Drawable(state) / (SharingNodes(aRequest.mAccount) + 1);
     const std::int64_t earlier =
       aNow < state.mPeerNeedExpiresAt ? state.mPeerNeed : 0;
     state.mPeerNeed = std::max(
--- a/Source/Core/Remote/RowStore.h
+++ b/Source/Core/Remote/RowStore.h
@@ -106,7 +106,8 @@
 
 std::string_view RowStoreErrorName(row_store_error aError);
 
-/// Abstract store. Replies come on the loop, never from inside the call.
+/// Abstract store. Replies come on the loop, never from inside the call. A
+/// reply belongs to the era that `Era` tells when it is delivered.
 class row_store
 {
 public:
--- a/Source/UnitTests/Gateway/AllowanceFixture.h
+++ b/Source/UnitTests/Gateway/AllowanceFixture.h
@@ -52,6 +52,7 @@
 
   void Step()
   {
+    mTokenAllowance->OnStoreEra(mStore.Era(), mNow);
     for (const account_id& account : mTokenAllowance->TakeGrantReads(mNow)) {
       Read(account);
     }
@@ -82,15 +83,23 @@
     mStore.Read("prepaid",
                 aAccount.mName,
                 "granted",
-                [weak = std::weak_ptr(mTokenAllowance), aAccount, &now = mNow](
-                  auto aResult) {
+                [weak = std::weak_ptr(mTokenAllowance),
+                 aAccount,
+                 &store = mStore,
+                 &now = mNow](auto aResult) {
                   const auto allowance = weak.lock();
                   if (!allowance || !aResult.has_value()) {
                     return;
                   }
-                  for (const stored_row& row : aResult.value().mRows) {
-                    allowance->OnGrantRead(
-                      aAccount, *ParseGrantRow(row.mValue), row.mVersion, now);
+                  allowance->OnStoreEra(store.Era(), now);
+                  const auto& rows = aResult.value().mRows;
+                  if (rows.empty()) {
+                    allowance->OnGrantRead(aAccount, std::nullopt, 0, now);
+                  } else {
+                    allowance->OnGrantRead(aAccount,
+                                           ParseGrantRow(rows[0].mValue),
+                                           rows[0].mVersion,
+                                           now);
                   }
                 });
   }
@@ -102,11 +111,13 @@
     mStore.Commit(transaction,
                   [weak = std::weak_ptr(mTokenAllowance),
                    account = aChange.mAccount,
+                   &store = mStore,
                    &now = mNow](auto aResult) {
                     const auto allowance = weak.lock();
                     if (!allowance) {
                       return;
                     }
+                    allowance->OnStoreEra(store.Era(), now);
                     if (!aResult.has_value()) {
                       if (aResult.error() == row_store_error::Refused) {
                         allowance->OnRefused(account, now);
@@ -139,12 +150,15 @@
     transaction.mWrites.push_back({ key, WriteClaimRow(aChange.mRow) });
     mStore.Commit(
       transaction,
-      [weak = std::weak_ptr(mTokenAllowance), &now = mNow, sentAt = mNow](
-        auto aResult) {
+      [weak = std::weak_ptr(mTokenAllowance),
+       &store = mStore,
+       &now = mNow,
+       sentAt = mNow](auto aResult) {
         const auto allowance = weak.lock();
         if (!allowance) {
           return;
         }
+        allowance->OnStoreEra(store.Era(), now);
         if (!aResult.has_value()) {
           allowance->OnClaimFailed(aResult.error() != row_store_error::Refused);
           return;
--- a/Source/UnitTests/Gateway/ClaimTakeoverTest.cpp
+++ b/Source/UnitTests/Gateway/ClaimTakeoverTest.cpp
@@ -18,7 +18,7 @@
     allowance_node first = MakeNode("a");
     Run(first, milliseconds(500));
     first.mTokenAllowance->SetNodes(kLargeFleet);
-    first.mTokenAllowance->OnTakenOver({ { "clinic", kExtra } });
+    first.mTokenAllowance->OnTakenOver({ { "clinic", kExtra } }, mNow);
     Advance(milliseconds(400));
     first.WriteClaim();
     mStore.DeliverReplies();
@@ -44,7 +44,7 @@
   allowance_node owner = MakeNode("a");
   Run(owner, milliseconds(500));
   owner.mTokenAllowance->SetNodes(kLargeFleet);
-  owner.mTokenAllowance->OnTakenOver({ { "clinic", kExtra } });
+  owner.mTokenAllowance->OnTakenOver({ { "clinic", kExtra } }, mNow);
   Advance(milliseconds(400));
   owner.WriteClaim();
   mStore.DeliverReplies();
--- a/Source/UnitTests/Gateway/FakeRowStore.cpp
+++ b/Source/UnitTests/Gateway/FakeRowStore.cpp
@@ -37,20 +37,20 @@
 {
   ++mCommits;
   if (mUnreachable || mFault == fault::Refuse) {
-    mReplies.emplace_back([aReply] { aReply(row_store_error::Refused); });
+    Queue(aReply, row_store_error::Refused);
     return;
   }
   if (mFault == fault::Delay) {
     mDelayedWrites.push_back(aTransaction);
-    mReplies.emplace_back([aReply] { aReply(row_store_error::Unknown); });
+    Queue(aReply, row_store_error::Unknown);
     return;
   }
   const row_commit_reply commit = Apply(aTransaction);
   if (mFault == fault::LoseReply) {
-    mReplies.emplace_back([aReply] { aReply(row_store_error::Unknown); });
+    Queue(aReply, row_store_error::Unknown);
     return;
   }
-  mReplies.emplace_back([aReply, commit] { aReply(commit); });
+  Queue(aReply, commit);
 }
 
 void fake_row_store::Read(const std::string& aTable,
@@ -59,7 +59,7 @@
                           page_callback aReply)
 {
   if (mUnreachable) {
-    mReplies.emplace_back([aReply] { aReply(row_store_error::Refused); });
+    Queue(aReply, row_store_error::Refused);
     return;
   }
   row_page page;
@@ -69,7 +69,7 @@
       page.mRows.push_back(row);
     }
   }
-  mReplies.emplace_back([aReply, page] { aReply(page); });
+  Queue(aReply, page);
 }
 
 void fake_row_store::ReadChanges(const std::string& aTable,
@@ -78,11 +78,11 @@
                                  page_callback aReply)
 {
   if (mUnreachable) {
-    mReplies.emplace_back([aReply] { aReply(row_store_error::Refused); });
+    Queue(aReply, row_store_error::Refused);
     return;
   }
-  if (aAfter < mHistoryFrom) {
-    mReplies.emplace_back([aReply] { aReply(row_store_error::HistoryLost); });
+  if (aAfter < mHistoryFrom || aAfter > mVersion) {
+    Queue(aReply, row_store_error::HistoryLost);
     return;
   }
   row_page page;
@@ -92,7 +92,7 @@
       page.mRows.push_back(change);
     }
   }
-  mReplies.emplace_back([aReply, page] { aReply(page); });
+  Queue(aReply, page);
 }
 
 void fake_row_store::Put(const row_key& aKey, const std::string& aValue)
@@ -119,11 +119,23 @@
 void fake_row_store::DeliverReplies()
 {
   const auto replies = std::exchange(mReplies, {});
-  for (const auto& reply : replies) {
-    reply();
+  for (const queued_reply& reply : replies) {
+    if (reply.mEra == mEra) {
+      reply.mDeliver();
+    } else {
+      reply.mFail();
+    }
   }
 }
 
+void fake_row_store::Restore(const copy& aCopy)
+{
+  mVersion = aCopy.mVersion;
+  mRows = aCopy.mRows;
+  mChanges = aCopy.mChanges;
+  ++mEra;
+}
+
 std::optional<std::string> fake_row_store::Value(const row_key& aKey) const
 {
   const auto found = mRows.find(aKey);
--- a/Source/UnitTests/Gateway/FakeRowStore.h
+++ b/Source/UnitTests/Gateway/FakeRowStore.h
@@ -43,6 +43,16 @@
   void Put(const row_key& aKey, const std::string& aValue);
   void Remove(const row_key& aKey);
   void ApplyDelayedWrites();
+  /// Rows and history of the store at one time.
+  struct copy
+  {
+    std::uint64_t mVersion = 0;
+    std::map<row_key, stored_row> mRows;
+    std::deque<stored_row> mChanges;
+  };
+  copy TakeCopy() const { return { mVersion, mRows, mChanges }; }
+  /// Comes back from a copy, in a new era.
+  void Restore(const copy& aCopy);
   /// Delivers the replies to the calls made so far.
   void DeliverReplies();
   std::optional<std::string> Value(const row_key& aKey) const;
@@ -62,5 +72,20 @@
   std::map<row_key, stored_row> mRows;
   std::deque<stored_row> mChanges;
   std::deque<row_transaction> mDelayedWrites;
-  std::deque<std::function<void()>> mReplies;
+  /// A reply of an era; it says `Unknown` when delivered in a later one.
+  struct queued_reply
+  {
+    std::uint64_t mEra = 0;
+    std::function<void()> mDeliver;
+    std::function<void()> mFail;
+  };
+  template<typename callback, typename reply>
+  void Queue(callback aCallback, reply aReply)
+  {
+    mReplies.push_back(
+      { mEra,
+        [aCallback, aReply] { aCallback(aReply); },
+        [aCallback] { aCallback(row_store_error::Unknown); } });
+  }
+  std::deque<queued_reply> mReplies;
 };
--- a/Source/UnitTests/Gateway/TokenAllowanceExplorationTest.cpp
+++ b/Source/UnitTests/Gateway/TokenAllowanceExplorationTest.cpp
@@ -135,7 +135,7 @@
               WriteClaimRow(WithoutTakeableTokens(*claim, "t", row.mVersion)) },
             aOutcome);
     if (reply && *reply) {
-      mNodes[aTaker].OnTakenOver(TakeableTokens(*claim));
+      mNodes[aTaker].OnTakenOver(TakeableTokens(*claim), mNow);
     } else {
       mLossy = true;
     }
--- a/Source/UnitTests/Gateway/TokenDemandTest.cpp
+++ b/Source/UnitTests/Gateway/TokenDemandTest.cpp
@@ -67,7 +67,8 @@
   ASSERT_EQ(holder.mTokenAllowance->FreeTokens(kAccount), kLast);
   allowance_node user = MakeNode("b");
   user.mTokenAllowance->SetNodes(71);
-  user.mTokenAllowance->OnGrantRead(kAccount, { kTotal, "x", 2 }, 99, mNow);
+  user.mTokenAllowance->OnGrantRead(
+    kAccount, grant_row{ kTotal, "x", 2 }, 99, mNow);
   user.mTokenAllowance->SetHolders(
     { { AccountKey(kAccount), { { "a", kLast } } } });
   Advance(std::chrono::seconds(9));
@@ -97,8 +98,9 @@
   allowance_node first = MakeNode("a");
   allowance_node second = MakeNode("b");
   for (allowance_node* node : { &first, &second }) {
-    node->mTokenAllowance->OnGrantRead(kAccount, { kTotal, "x", 2 }, 99, mNow);
-    node->mTokenAllowance->OnTakenOver({ { "clinic", 600 } });
+    node->mTokenAllowance->OnGrantRead(
+      kAccount, grant_row{ kTotal, "x", 2 }, 99, mNow);
+    node->mTokenAllowance->OnTakenOver({ { "clinic", 600 } }, mNow);
     node->mTokenAllowance->SetHolders(
       { { AccountKey(kAccount), { { "other", 600 } } } });
     node->mTokenAllowance->Reserve(kAccount, 1000, mNow);
