Draw tokens by the demand of a host, and count the hosts that draw

Cause: in fleets of more than 16 hosts one waiting request counted as a rate, so each host drew the tokens of 18 s at half a request a second for it, before any report told how many hosts share the account. Change: a single request is no rate. The row of an account holds a set of the nodes that drew lately, one bit of a hash each; its size is known with the first read (linear counting).

--- a/Source/Core/Gateway/GrantRow.cpp
+++ b/Source/Core/Gateway/GrantRow.cpp
@@ -1,11 +1,45 @@
 #include "Gateway/GrantRow.h"
 
 #include <algorithm>
+#include <bit>
+#include <cmath>
 
 #include <nlohmann/json.hpp>
 
+#include "Common/Hash.h"
 #include "Common/JsonText.h"
 
+namespace {
+
+// Bits of a set of nodes; numbers in rows have at most 53.
+constexpr int kDrawerBits = 48;
+// Period in which a node with demand draws at least once.
+constexpr std::chrono::milliseconds kDrawerPeriod(8000);
+
+} // namespace
+
+void RecordDrawer(grant_row& aRow,
+                  const std::string& aRun,
+                  std::chrono::milliseconds aStoreTime)
+{
+  if (aStoreTime >= aRow.mDrawersUntil) {
+    const bool adjacent = aStoreTime < aRow.mDrawersUntil + kDrawerPeriod;
+    aRow.mEarlierDrawers = adjacent ? aRow.mDrawers : 0;
+    aRow.mDrawers = 0;
+    aRow.mDrawersUntil = aStoreTime + kDrawerPeriod;
+  }
+  aRow.mDrawers |= std::uint64_t{ 1 } << (StableHash(aRun) % kDrawerBits);
+}
+
+std::size_t CountDrawers(const grant_row& aRow)
+{
+  const int used = std::popcount(aRow.mDrawers | aRow.mEarlierDrawers);
+  const int unused = std::max(kDrawerBits - used, 1);
+  return static_cast<std::size_t>(
+    std::lround(kDrawerBits * std::log(static_cast<double>(kDrawerBits) /
+                                       static_cast<double>(unused))));
+}
+
 std::string WriteGrantRow(const grant_row& aRow)
 {
   const nlohmann::json json = { { "granted", aRow.mGranted },
@@ -18,7 +52,11 @@
                                 { "reserved", aRow.mReserved },
                                 { "settles_at_ms", aRow.mSettlesAt.count() },
                                 { "recent", aRow.mRecent },
-                                { "recent_at_ms", aRow.mRateAt.count() } };
+                                { "recent_at_ms", aRow.mRateAt.count() },
+                                { "drawers", aRow.mDrawers },
+                                { "earlier_drawers", aRow.mEarlierDrawers },
+                                { "drawers_until_ms",
+                                  aRow.mDrawersUntil.count() } };
   return json.dump();
 }
 
@@ -58,5 +96,8 @@
   row.mSettlesAt = std::chrono::milliseconds(optional("settles_at_ms"));
   row.mRecent = std::max<std::int64_t>(optional("recent"), 0);
   row.mRateAt = std::chrono::milliseconds(optional("recent_at_ms"));
+  row.mDrawers = count("drawers");
+  row.mEarlierDrawers = count("earlier_drawers");
+  row.mDrawersUntil = std::chrono::milliseconds(optional("drawers_until_ms"));
   return row;
 }
--- a/Source/Core/Gateway/GrantRow.h
+++ b/Source/Core/Gateway/GrantRow.h
@@ -41,8 +41,21 @@
   /// time `mRateAt` of the store.
   std::int64_t mRecent = 0;
   std::chrono::milliseconds mRateAt{ 0 };
+  /// Nodes that drew tokens in the current and in the previous period, one bit
+  /// of the hash of each, and when the current one ends by the store's clock.
+  std::uint64_t mDrawers = 0;
+  std::uint64_t mEarlierDrawers = 0;
+  std::chrono::milliseconds mDrawersUntil{ 0 };
   auto operator<=>(const grant_row&) const = default;
 };
 
+/// Records that a node draws tokens at this time of the store.
+void RecordDrawer(grant_row& aRow,
+                  const std::string& aRun,
+                  std::chrono::milliseconds aStoreTime);
+/// Estimates how many nodes draw tokens of the account (linear counting, Whang
+/// et al. 1990). With more than about 180 nodes it is too low.
+std::size_t CountDrawers(const grant_row& aRow);
+
 std::string WriteGrantRow(const grant_row& aRow);
 std::optional<grant_row> ParseGrantRow(std::string_view aText);
--- a/Source/Core/Gateway/TokenAllowanceDemand.cpp
+++ b/Source/Core/Gateway/TokenAllowanceDemand.cpp
@@ -145,11 +145,13 @@
 {
   double use = UsedPerSecond(aState, aNow) * mSettings.mHorizonSeconds;
   if (HoldsForOutage(aState)) {
-    // The request that waits has not been counted yet.
-    const double waiting =
-      static_cast<double>(aState.mUnmetNeed) / kMinUsagePeriod.count();
+    // A single request tells nothing of a rate. With hundreds of hosts, the
+    // tokens that each would draw for one are those of the whole account.
+    const double one = aState.mMeanRequestTokens * aState.mUsedShare;
     use =
-      std::max(DemandPerSecond(aState, aNow), waiting) * kOutageHorizonSeconds;
+      std::max(DemandPerSecond(aState, aNow) - one / kMinUsagePeriod.count(),
+               0.0) *
+      kOutageHorizonSeconds;
   }
   // In a large fleet the initial share of a node would be smaller than a
   // request.
@@ -180,9 +182,14 @@
 std::int64_t token_allowance::SharingNodes(const account_id& aAccount) const
 {
   const auto found = mHolders.find(AccountKey(aAccount));
-  const std::size_t others = found == mHolders.end() ? 0 : found->second.size();
-  return static_cast<std::int64_t>(mNodes == 0 ? others + 1
-                                               : std::min(others + 1, mNodes));
+  std::size_t nodes = found == mHolders.end() ? 1 : found->second.size() + 1;
+  const auto state = mAccounts.find(aAccount);
+  if (!IsSmallFleet() && state != mAccounts.end() && state->second.mRowKnown) {
+    // Reports of the other nodes come too late for the first draws.
+    nodes = std::max(nodes, CountDrawers(state->second.mRow));
+  }
+  return static_cast<std::int64_t>(mNodes == 0 ? nodes
+                                               : std::min(nodes, mNodes));
 }
 
 std::int64_t token_allowance::DrawAmount(const account_id& aAccount,
--- a/Source/Core/Gateway/TokenAllowanceEras.cpp
+++ b/Source/Core/Gateway/TokenAllowanceEras.cpp
@@ -154,6 +154,9 @@
                                           std::exp(-elapsed));
   row.mRecent += std::max<std::int64_t>(aAmount, 0);
   row.mRateAt = now;
+  if (aAmount > 0) {
+    RecordDrawer(row, mRun, now);
+  }
   return row;
 }
 
--- a/Source/UnitTests/Gateway/TokenAllowanceExplorationTest.cpp
+++ b/Source/UnitTests/Gateway/TokenAllowanceExplorationTest.cpp
@@ -119,6 +119,7 @@
     mAllowedLoss += UnprovedTokens(aHost);
     mNodes[aHost] = MakeNode();
     mRuns[aHost] = mNextRun;
+    mStartedAt[aHost] = mNow;
   }
 
   void TakeOver(unsigned aTaker, unsigned aHost, outcome aOutcome)
@@ -163,6 +164,9 @@
 
   void Wait(milliseconds aTime)
   {
+    for (const auto& [host, startedAt] : mStartedAt) {
+      mAllowedLoss += DriftLoss(host, mNow - startedAt, aTime);
+    }
     mNow += aTime;
     mStoreTime += aTime;
   }
@@ -267,6 +271,32 @@
     return tokens;
   }
 
+  /// Tokens by which the limit of the earlier run's claim rises while the next
+  /// run waits: it allows for a drift of a thousandth between its clock and the
+  /// store's since its start.
+  std::int64_t DriftLoss(unsigned aHost,
+                         time_point::duration aSinceStart,
+                         milliseconds aTime)
+  {
+    constexpr int kDriftDivisor = 1000;
+    const auto claim =
+      ParseClaimRow(mRows[ClaimRowKey(std::to_string(aHost))].mValue);
+    if (!claim || claim->mRun == std::to_string(mRuns[aHost])) {
+      return 0;
+    }
+    const auto since = std::chrono::duration_cast<milliseconds>(aSinceStart);
+    const milliseconds age =
+      mStoreTime - since + milliseconds(200) - claim->mStartsAt;
+    std::int64_t tokens = 0;
+    for (const auto& [account, entry] : claim->mAccounts) {
+      tokens += LimitAt(entry,
+                        age + (since + aTime) / kDriftDivisor,
+                        claim->mTimeToLive) -
+                LimitAt(entry, age + since / kDriftDivisor, claim->mTimeToLive);
+    }
+    return tokens;
+  }
+
   std::map<row_key, stored_row> mRows;
   std::vector<pending_write> mLate;
   std::uint64_t mVersion = 0;
@@ -276,6 +306,8 @@
   time_point mNow{ std::chrono::seconds(100) };
   std::vector<token_allowance> mNodes;
   std::vector<std::uint64_t> mRuns;
+  /// When the runs that replaced an earlier one started, by host.
+  std::map<unsigned, time_point> mStartedAt;
   std::map<std::string, std::int64_t> mConsumed;
   std::int64_t mAllowedLoss = 0;
   bool mLossy = false;
