Repeat a conflicting draw for a waiting request without delay

Cause: a draw is a conditional write of the row of the account. After a conflict a node waited up to 512 ms, while the others changed the row, so that the next write failed as well; front-scl-f-1 got no token of an account in 2.5 s while 0.9 of it was in the row. Change: up to six repeats follow at once, with the version that the reply names; later ones wait up to 32 ms. Draws that no request waits for back off as before.

--- a/Source/Core/Gateway/TokenAllowance.cpp
+++ b/Source/Core/Gateway/TokenAllowance.cpp
@@ -12,6 +12,11 @@
 // Delay after a conflict, doubled up to the limit; spread by node.
 constexpr milliseconds kInitialBackoff(8);
 constexpr unsigned kMaxBackoffDoublings = 6;
+// Conflicts in a row after which a draw for a waiting request is still repeated
+// without delay. The reply names the version that the next write expects, and
+// each write of another node in between makes it fail as well.
+constexpr unsigned kImmediateRepeats = 6;
+constexpr unsigned kMaxWaitingDoublings = 2;
 // Delay after the store refused a write or did not answer.
 constexpr milliseconds kStoreRetryDelay(300);
 // Weight of the newest request in the moving average of the size.
@@ -333,7 +338,12 @@
   const account_id& aAccount,
   const account_state& aState) const
 {
-  const unsigned doublings = std::min(aState.mConflicts, kMaxBackoffDoublings);
+  const bool waiting = aState.mUnmetNeed > aState.Free();
+  if (waiting && aState.mConflicts <= kImmediateRepeats) {
+    return milliseconds(0);
+  }
+  const unsigned doublings = std::min(
+    aState.mConflicts, waiting ? kMaxWaitingDoublings : kMaxBackoffDoublings);
   const auto longest = kInitialBackoff * (1U << doublings);
   const auto spread =
     StableHash(mRun + aAccount.mName, mSequence) % longest.count();
--- a/Source/UnitTests/Gateway/TokenPlacementTest.cpp
+++ b/Source/UnitTests/Gateway/TokenPlacementTest.cpp
@@ -239,6 +239,53 @@
   EXPECT_LE(fleet.RefusedShare(), 0.01);
 }
 
+// Guards against hosts that get no tokens, because each waits after a conflict
+// while the others change the row.
+TEST(token_placement_test, DrawsOfManyHostsAtOnce)
+{
+  constexpr milliseconds kTransactionTime(4);
+  fake_row_store store;
+  time_point now{ std::chrono::seconds(100) };
+  std::vector<std::unique_ptr<allowance_node>> hosts;
+  std::vector<std::pair<std::size_t, time_point>> waiting;
+  for (std::size_t i = 0; i < kHosts; ++i) {
+    hosts.push_back(std::make_unique<allowance_node>(
+      "host-" + std::to_string(i), i + 1, store, now));
+    hosts[i]->mTokenAllowance->SetTotal(kAccount, 10 * kAccountTokens);
+    hosts[i]->mTokenAllowance->SetNodes(300);
+  }
+  int tries = 0;
+  int refused = 0;
+  const time_point begin = now;
+  for (; now < begin + milliseconds(2000); now += kTransactionTime) {
+    store.mTime += kTransactionTime;
+    // Each host gets a request every 400 ms, one host after the other.
+    for (std::size_t i = 0; i < kHosts; ++i) {
+      const auto since = now - begin - milliseconds(static_cast<int>(i) * 11);
+      if (since >= milliseconds(0) &&
+          since % milliseconds(400) < kTransactionTime) {
+        waiting.emplace_back(i, now + kWaitTime);
+        ++tries;
+      }
+    }
+    std::erase_if(waiting, [&](const auto& aRequest) {
+      const auto& [host, until] = aRequest;
+      if (hosts[host]->mTokenAllowance->Reserve(
+            kAccount, kRequestTokens, now) == reserve_verdict::Granted) {
+        return true;
+      }
+      refused += now >= until ? 1 : 0;
+      return now >= until;
+    });
+    for (const auto& host : hosts) {
+      host->Step();
+    }
+    store.DeliverReplies();
+  }
+  EXPECT_GT(tries, 100);
+  EXPECT_LE(refused, tries / 100);
+}
+
 // The number of nodes that share an account, from its row.
 TEST(grant_row_test, CountsTheNodesThatDraw)
 {
