--- a/Source/UnitTests/Gateway/InputFuzzTest.cpp
+++ b/Source/UnitTests/Gateway/InputFuzzTest.cpp
@@ -142,11 +142,13 @@
 };
 const std::vector<std::string> kResponses = {
   "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nKeep-Alive: timeout=5\r\n\r\nhello",
-  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-  "4;a=b\r\nbody\r\n0\r\nX: y\r\n\r\n",
-  "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\nuntil close",
-  "HTTP/1.1 503 Full\r\nRetry-After: 1.5\r\nLentilswitch-Not-Executed: 1\r\n"
-  "Lentilswitch-Server-Limit: 10\r\nContent-Length: 0\r\n\r\n",
+  std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n") +
+    "4;a=b\r\nbody\r\n0\r\nX: y\r\n\r\n",
+  std::string("HTTP/1.1 100 Continue\r\n\r\n") +
+    "HTTP/1.1 200 OK\r\n\r\nuntil close",
+  std::string("HTTP/1.1 503 Full\r\nRetry-After: 1.5\r\n") +
+    "Lentilswitch-Not-Executed: 1\r\nLentilswitch-Server-Limit: 10\r\n" +
+    "Content-Length: 0\r\n\r\n",
   "HTTP/1.0 204 None\r\nConnection: close\r\n\r\n"
 };
 
