--- a/Source/Core/Gateway/TokenAllowance.cpp
+++ b/Source/Core/Gateway/TokenAllowance.cpp
@@ -113,8 +113,8 @@
 {
   std::vector<account_id> reads;
   for (auto& [account, state] : mAccounts) {
-    const bool unmerged = state.mLostState || state.mReissued > 0;
-    if (!state.mRowKnown && unmerged && aNow >= state.mNextReadAt) {
+    if (!state.mRowKnown && HasUnmergedState(state) &&
+        aNow >= state.mNextReadAt) {
       state.mNextReadAt = aNow + kNeededReadInterval;
       reads.push_back(account);
     }
@@ -241,9 +241,8 @@
     if (aNow >= state.mNeedExpiresAt) {
       state.mUnmetNeed = 0;
     }
-    const bool merges = NeedsMerge(state);
-    const bool unmerged = state.mLostState || state.mReissued > 0;
-    if (unmerged && !merges) {
+    const bool merges = HasUnmergedState(state);
+    if (merges && !state.mRowKnown) {
       // The row is read first.
       continue;
     }
--- a/Source/Core/Gateway/TokenAllowance.h
+++ b/Source/Core/Gateway/TokenAllowance.h
@@ -392,7 +392,7 @@
   /// Forgets the state of an earlier era that the row accounts for.
   void DropMergedState(account_state& aState) const;
   /// Whether the row may lack grants that this node knows of.
-  bool NeedsMerge(const account_state& aState) const;
+  static bool HasUnmergedState(const account_state& aState);
   /// The row that grants `aAmount` more tokens, with what this node knows of
   /// the era before.
   grant_row NextRow(const account_state& aState,
--- a/Source/Core/Gateway/TokenAllowanceEras.cpp
+++ b/Source/Core/Gateway/TokenAllowanceEras.cpp
@@ -113,9 +113,9 @@
   }
 }
 
-bool token_allowance::NeedsMerge(const account_state& aState) const
+bool token_allowance::HasUnmergedState(const account_state& aState)
 {
-  return aState.mRowKnown && (aState.mLostState || aState.mReissued > 0);
+  return aState.mLostState || aState.mReissued > 0;
 }
 
 grant_row token_allowance::NextRow(const account_state& aState,
