Answer refusals, reset followers and bound copies in one place each

Cause: found in the last read of the change. The JSON answer with Retry-After stood in the session and in the relay and was written a third time for requests that are not read; the age of the oldest copy of the store was a constant in three files; two places of the table follower reset the same four members; two tests built the same fields. Change: RefusalHead and RefusalBody, kMaxStoreCopyAge, table_follower::ForgetVersions and LongFields of the test. Behaviour, headers and assertions are unchanged.

--- a/Source/Core/Common/CallbackGuard.h
+++ b/Source/Core/Common/CallbackGuard.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 /// Callbacks of the event loop run under C code, which an exception must not
 /// pass through: it would end the process. The functions here are the boundary.
--- a/Source/Core/Gateway/GatewayNodeMemory.cpp
+++ b/Source/Core/Gateway/GatewayNodeMemory.cpp
@@ -4,15 +4,14 @@
 
 #include <algorithm>
 
-#include <fmt/format.h>
-
 #include "Common/Log.h"
+#include "Gateway/Refusal.h"
 #include "Net/HttpStatus.h"
 
 namespace {
 
 // Retry-After of requests that the memory has no room for.
-constexpr double kMemoryRetrySeconds = 0.2;
+constexpr std::chrono::milliseconds kMemoryRetryDelay(200);
 
 } // namespace
 
@@ -34,12 +33,8 @@
       { Field("reason", "memory_full"),
         Field("held_bytes", mHeld.Total()),
         Field("held_limit", mHeld.Limit()) });
-  http_server_response response;
-  response.mStatus = http_status::kServiceUnavailable;
-  response.mHeaders.emplace_back("Content-Type", "application/json");
-  response.mHeaders.emplace_back("Retry-After",
-                                 fmt::format("{:.3f}", kMemoryRetrySeconds));
-  return { response, R"({"error":"memory_full"})" };
+  return { RefusalHead(http_status::kServiceUnavailable, kMemoryRetryDelay),
+           RefusalBody("memory_full") };
 }
 
 void gateway_node::UpdateHeldBytes()
--- a/Source/Core/Gateway/GatewayNodeTicks.cpp
+++ b/Source/Core/Gateway/GatewayNodeTicks.cpp
@@ -12,6 +12,7 @@
 #include "Common/CallbackGuard.h"
 #include "Common/Hash.h"
 #include "Common/Log.h"
+#include "Gateway/StoreEra.h"
 
 namespace {
 
@@ -27,8 +28,6 @@
 // above the 1,420 ms that pass between two reads of a store in contact, and
 // leaves time for three attempts.
 constexpr double kRefreshAgeShare = 0.7;
-// Age of the oldest copy from which the store may come back.
-constexpr milliseconds kMaxCopyAge(20'000);
 // Time for the requests of clients whose connections were accepted last.
 constexpr milliseconds kLastRequestTimeout(300);
 
@@ -317,7 +316,7 @@
     mRecentRuns[{ address, run }] = aNow;
   }
   std::erase_if(mRecentRuns, [aNow](const auto& aPair) {
-    return aNow > aPair.second + kMaxCopyAge;
+    return aNow > aPair.second + kMaxStoreCopyAge;
   });
   const std::uint64_t era = mStore.Era();
   const std::uint64_t previous = std::exchange(mStoreEra, era);
--- a/Source/Core/Gateway/GatewaySession.cpp
+++ b/Source/Core/Gateway/GatewaySession.cpp
@@ -4,10 +4,9 @@
 #include <iterator>
 #include <utility>
 
-#include <fmt/format.h>
-
 #include "Common/Hash.h"
 #include "Common/Log.h"
+#include "Gateway/Refusal.h"
 #include "Net/HttpStatus.h"
 
 namespace {
@@ -253,17 +252,8 @@
     return;
   }
   http_server_connection* client = std::exchange(mClient, nullptr);
-  http_server_response response;
-  response.mStatus = aStatus;
-  response.mHeaders.emplace_back("Content-Type", "application/json");
-  if (aRetryAfter) {
-    response.mHeaders.emplace_back(
-      "Retry-After",
-      fmt::format("{:.3f}",
-                  std::chrono::duration<double>(*aRetryAfter).count()));
-  }
   Finish(aStatus, aReason);
-  client->Respond(response, fmt::format("{{\"error\":\"{}\"}}", aReason));
+  client->Respond(RefusalHead(aStatus, aRetryAfter), RefusalBody(aReason));
 }
 
 void gateway_session::AbortClient(const char* aReason)
--- a/Source/Core/Gateway/RequestRelay.cpp
+++ b/Source/Core/Gateway/RequestRelay.cpp
@@ -3,9 +3,8 @@
 #include <algorithm>
 #include <utility>
 
-#include <fmt/format.h>
-
 #include "Common/Log.h"
+#include "Gateway/Refusal.h"
 #include "Net/HttpStatus.h"
 
 namespace {
@@ -161,19 +160,12 @@
     client->Abort();
     return;
   }
-  http_server_response response;
-  response.mStatus =
-    sent ? http_status::kGatewayTimeout : http_status::kServiceUnavailable;
-  response.mHeaders.emplace_back("Content-Type", "application/json");
-  if (!sent) {
-    response.mHeaders.emplace_back(
-      "Retry-After",
-      fmt::format("{:.3f}",
-                  std::chrono::duration<double>(kRefusalRetryDelay).count()));
-  }
+  const auto response =
+    sent ? RefusalHead(http_status::kGatewayTimeout, std::nullopt)
+         : RefusalHead(http_status::kServiceUnavailable, kRefusalRetryDelay);
   Finish(response.mStatus, aReason);
   client->SetCloseAfterResponse();
-  client->Respond(response, fmt::format("{{\"error\":\"{}\"}}", aReason));
+  client->Respond(response, RefusalBody(aReason));
 }
 
 void request_relay::Cancel()
--- a/Source/Core/Gateway/TableFollower.cpp
+++ b/Source/Core/Gateway/TableFollower.cpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "Common/Log.h"
+#include "Gateway/StoreEra.h"
 
 namespace {
 
@@ -19,9 +20,7 @@
 // Time in which the owners of rows write again what a restored store lacks.
 // Servers write their entries every 1.2 s.
 constexpr milliseconds kRewriteTime(4000);
-// Age of the oldest copy from which the store may come back, and limit of the
-// rows that are remembered as removed since.
-constexpr milliseconds kMaxCopyAge(20'000);
+// Limit of the rows that are remembered as removed.
 constexpr std::size_t kMaxRemovedRows = 4096;
 
 } // namespace
@@ -83,10 +82,7 @@
     mEra = aCopy.mEra;
   }
   if (restored) {
-    mVersion = 0;
-    mPeerVersion = 0;
-    mFullReadNeeded = true;
-    mRestored = true;
+    ForgetVersions();
   }
   std::set<row_key> present;
   for (const stored_row& row : aCopy.mRows) {
@@ -121,6 +117,14 @@
   });
 }
 
+void table_follower::ForgetVersions()
+{
+  mVersion = 0;
+  mPeerVersion = 0;
+  mFullReadNeeded = true;
+  mRestored = true;
+}
+
 bool table_follower::StartsOver()
 {
   const std::uint64_t era = mStore.Era();
@@ -137,10 +141,7 @@
         Field("era", era),
         Field("version", mVersion),
         Field("rows", mRows.size()) });
-  mVersion = 0;
-  mPeerVersion = 0;
-  mFullReadNeeded = true;
-  mRestored = true;
+  ForgetVersions();
   ScheduleNextCall(milliseconds(0));
   return true;
 }
@@ -273,7 +274,7 @@
   return found != mRemovedRows.end() &&
          found->second.mRow.mVersion == aRow.mVersion &&
          found->second.mRow.mValue == aRow.mValue &&
-         mTime.Now() <= found->second.mRemovedAt + kMaxCopyAge;
+         mTime.Now() <= found->second.mRemovedAt + kMaxStoreCopyAge;
 }
 
 void table_follower::RecordRemoval(const stored_row& aRow)
@@ -281,7 +282,7 @@
   const time_point now = mTime.Now();
   if (mRemovedRows.size() >= kMaxRemovedRows) {
     std::erase_if(mRemovedRows, [now](const auto& aPair) {
-      return now > aPair.second.mRemovedAt + kMaxCopyAge;
+      return now > aPair.second.mRemovedAt + kMaxStoreCopyAge;
     });
   }
   if (mRemovedRows.size() < kMaxRemovedRows) {
--- a/Source/Core/Gateway/TableFollower.h
+++ b/Source/Core/Gateway/TableFollower.h
@@ -93,6 +93,9 @@
     time_point mRemovedAt;
   };
 
+  /// Drops what the versions of an earlier era tell; the next call reads the
+  /// table again.
+  void ForgetVersions();
   /// Reads the table again and returns true if the store has entered a new era.
   bool StartsOver();
   /// Whether a row of the copy was removed after the copy was taken.
--- a/Source/Core/Gateway/TokenAllowanceEras.cpp
+++ b/Source/Core/Gateway/TokenAllowanceEras.cpp
@@ -14,6 +14,7 @@
 #include <utility>
 
 #include "Common/Log.h"
+#include "Gateway/StoreEra.h"
 
 namespace {
 
@@ -22,8 +23,6 @@
 // Time after the begin of an era in which the nodes in contact with the store
 // add what they know. Each calls the store at least once a second.
 constexpr milliseconds kSettleTime(2000);
-// Age of the oldest copy from which the store may come back.
-constexpr milliseconds kMaxCopyAge(20'000);
 // Limit of the own grants and takeovers that are remembered for an account.
 constexpr std::size_t kMaxRecentGrants = 64;
 
@@ -68,7 +67,8 @@
 {
   std::int64_t sum = 0;
   for (const recent_grant& grant : aState.mRecentGrants) {
-    if (grant.mTakenOver == aTakenOver && aNow <= grant.mAt + kMaxCopyAge) {
+    if (grant.mTakenOver == aTakenOver &&
+        aNow <= grant.mAt + kMaxStoreCopyAge) {
       sum += grant.mTokens;
     }
   }
@@ -84,7 +84,7 @@
     return;
   }
   std::erase_if(aState.mRecentGrants, [aNow](const recent_grant& aGrant) {
-    return aNow > aGrant.mAt + kMaxCopyAge;
+    return aNow > aGrant.mAt + kMaxStoreCopyAge;
   });
   if (aState.mRecentGrants.size() >= kMaxRecentGrants) {
     // The oldest counts as taken with the next one of its kind.
@@ -149,7 +149,7 @@
   }
   row.mGranted += merged + aAmount;
   const double elapsed = Seconds(std::max(now - row.mRateAt, milliseconds(0))) /
-                         Seconds(kMaxCopyAge);
+                         Seconds(kMaxStoreCopyAge);
   row.mRecent = static_cast<std::int64_t>(static_cast<double>(row.mRecent) *
                                           std::exp(-elapsed));
   row.mRecent += std::max<std::int64_t>(aAmount, 0);
--- a/Source/UnitTests/Net/HostileInputTest.cpp
+++ b/Source/UnitTests/Net/HostileInputTest.cpp
@@ -222,6 +222,13 @@
   std::unique_ptr<http_listener> mListener;
 };
 
+/// A field with a long value and one with a long name.
+std::vector<std::string> LongFields()
+{
+  const std::string text(kLongField, 'a');
+  return { "a:" + text, text + ":a" };
+}
+
 std::string StatusOf(const std::string& aResponse)
 {
   return aResponse.substr(0, std::string("HTTP/1.1 200").size());
@@ -233,8 +240,7 @@
 // the parser throws for fields of more than 65,533 bytes.
 TEST_F(hostile_input_test, LongTrailerOfAServerIsMalformed)
 {
-  for (const std::string& field : { "a:" + std::string(kLongField, 'a'),
-                                    std::string(kLongField, 'a') + ":a" }) {
+  for (const std::string& field : LongFields()) {
     piece_server server(
       { fmt::format("{}0\r\n{}\r\n\r\n", kChunkedResponse, field) });
     exchange_recorder exchange;
@@ -247,8 +253,7 @@
 // The same from a client, which needs no credential for it.
 TEST_F(hostile_input_test, LongTrailerOfAClientIsRefused)
 {
-  for (const std::string& field : { "a:" + std::string(kLongField, 'a'),
-                                    std::string(kLongField, 'a') + ":a" }) {
+  for (const std::string& field : LongFields()) {
     const std::string response =
       Send(fmt::format("{}4\r\nbody\r\n0\r\n{}\r\n\r\n", kChunkedPost, field));
     EXPECT_EQ(StatusOf(response), "HTTP/1.1 431");
