Begin the next request of a connection when its client has read

Cause: reading stops while a request is in progress, but a request that is answered at once ends in the same call, so the next one began whatever waited to be written. Clients that do not read are ended only if a stream is at its bound or the node above its own.

Change: the next request waits while more than 64 KB of responses, less under pressure, have not been taken by the kernel. A connection that waits so is ended like other slow readers.

With the bound taken out hostile_input_test.UnreadResponsesDelayTheNextRequest and hostile_client_test.UnreadResponsesStayWithinTheMemory fail.

--- a/Source/Core/Gateway/GatewayNode.h
+++ b/Source/Core/Gateway/GatewayNode.h
@@ -68,6 +68,7 @@
   void OnConnectionClosed(http_server_connection& aConnection) override;
   bool MayHold(std::size_t aHeld, std::size_t aMore) override;
   void OnHeld(std::size_t aBytes) override;
+  std::size_t UnsentLimit() override;
   std::pair<http_server_response, std::string> RefuseInput() override;
 
   void OnRow(const stored_row& aRow) override;
--- a/Source/Core/Gateway/GatewayNodeMemory.cpp
+++ b/Source/Core/Gateway/GatewayNodeMemory.cpp
@@ -25,6 +25,11 @@
   mHeld.Add(held_kind::ArrivingRequests, aBytes);
 }
 
+std::size_t gateway_node::UnsentLimit()
+{
+  return std::min(kDefaultUnsentLimit, mHeld.StreamLimit());
+}
+
 std::pair<http_server_response, std::string> gateway_node::RefuseInput()
 {
   mMetrics.OnAnswer("none", http_status::kServiceUnavailable, "memory_full");
@@ -76,7 +81,8 @@
     // A planned stop lets clients read their whole responses.
     const bool paused =
       !mContext.mStop &&
-      ((session != mSessions.end() && session->second->ReadingPaused()) ||
+      (connection->AwaitsReads() ||
+       (session != mSessions.end() && session->second->ReadingPaused()) ||
        (relay != mRelays.end() && relay->second->ReadingPaused()));
     samples.push_back({ reinterpret_cast<std::uintptr_t>(connection.get()),
                         connection->PendingBytes(),
--- a/Source/Core/Net/HttpConnection.h
+++ b/Source/Core/Net/HttpConnection.h
@@ -70,6 +70,8 @@
 class http_request_handler
 {
 public:
+  static constexpr std::size_t kDefaultUnsentLimit = 65536;
+
   virtual ~http_request_handler() = default;
   /// A complete request was received. The handler answers it through the
   /// connection, now or later.
@@ -91,6 +93,9 @@
   }
   /// The bytes of requests that connections hold grew.
   virtual void OnHeld(std::size_t /* aBytes */) {}
+  /// Bytes of responses that the kernel has not taken above which the next
+  /// request of a connection waits. Constant unless a handler overrides it.
+  virtual std::size_t UnsentLimit() { return kDefaultUnsentLimit; }
   /// Response to a request that may not be held; the connection closes after
   /// it. The body comes with it.
   virtual std::pair<http_server_response, std::string> RefuseInput();
@@ -131,6 +136,9 @@
   bool Closed() const { return !mStream || mStream->Closed(); }
   /// Bytes of responses that the kernel has not taken.
   std::size_t PendingBytes() const { return mStream->PendingBytes(); }
+  /// Whether the next request waits until the client has read the responses
+  /// before it.
+  bool AwaitsReads() const { return mAwaitsReads; }
   /// Bytes of requests that are not complete, or not taken up yet.
   std::size_t InputBytes() const;
   std::optional<tcp_send_state> SendState() const
@@ -153,6 +161,8 @@
   void OnEnd(tcp_end_reason aReason) override;
   std::string DescribeRequest() const override;
   void ParseInput();
+  /// Whether the next request may begin, as far as the client reads.
+  bool MayBeginRequest();
   /// Keeps the head of the request, and refuses a body that may not be held.
   /// Fields behind the body are ignored.
   /// `aBuffered` bytes of the body have arrived.
@@ -188,6 +198,7 @@
   body_framing mFraming = body_framing::Length;
   bool mRequestStarted = false;
   bool mParsing = false;
+  bool mAwaitsReads = false;
   /// The last response was sent and further input is dropped.
   bool mDiscarding = false;
   std::size_t mDiscardedBytes = 0;
--- a/Source/Core/Net/HttpServerConnection.cpp
+++ b/Source/Core/Net/HttpServerConnection.cpp
@@ -136,14 +136,15 @@
     }
     return;
   }
+  const bool waits = mBusy || mAwaitsReads;
   const bool mayHold = mHandler.MayHold(InputBytes(), aBytes.size());
-  if (!mayHold && !mBusy) {
+  if (!mayHold && !waits) {
     RefuseInput();
     return;
   }
   mHandler.OnHeld(aBytes.size());
   mInput.append(aBytes);
-  if (mBusy) {
+  if (waits) {
     // The client's close is not seen while reading is stopped, so reading only
     // stops for a client that exceeds the buffer limit, or while memory is
     // short.
@@ -160,6 +161,9 @@
   mParsing = true;
   std::size_t start = 0;
   while (!mBusy && !mDiscarding && start < mInput.size() && !Closed()) {
+    if (!mRequestStarted && !MayBeginRequest()) {
+      break;
+    }
     if (!mRequestStarted) {
       mRequestStarted = true;
       mDeadline = mNow + mLimits.mHeaderTimeout;
@@ -185,6 +189,15 @@
   }
   mInput.erase(0, mDiscarding ? mInput.size() : start);
   mParsing = false;
+  if (!mBusy && !mAwaitsReads) {
+    mStream->SetReading(true);
+  }
+}
+
+bool http_server_connection::MayBeginRequest()
+{
+  mAwaitsReads = mStream->PendingBytes() > mHandler.UnsentLimit();
+  return !mAwaitsReads;
 }
 
 void http_server_connection::TakeHead(std::size_t aBuffered)
@@ -326,9 +339,13 @@
     Finish();
     return;
   }
-  mStream->SetReading(true);
-  // The handler may still be at work on the request that ended here.
-  if (!mParsing && !mInput.empty()) {
+  if (mParsing) {
+    return;
+  }
+  if (mInput.empty()) {
+    mStream->SetReading(true);
+  } else {
+    // The handler may still be at work on the request that ended here.
     mNextRequest.Once(std::chrono::milliseconds(0), [this] { ParseInput(); });
   }
 }
@@ -364,7 +381,8 @@
 void http_server_connection::CheckDeadline(time_point aNow)
 {
   mNow = aNow;
-  if (mBusy || Closed()) {
+  // A client that does not read is ended by the handler, or by TCP.
+  if (mBusy || mAwaitsReads || Closed()) {
     if (Closed() && !std::exchange(mCloseReported, true)) {
       mHandler.OnConnectionClosed(*this);
     }
@@ -395,6 +413,9 @@
 {
   if (mBusy) {
     mHandler.OnClientDrained(*this);
+  } else if (std::exchange(mAwaitsReads, false)) {
+    mDeadline = mNow + mLimits.mIdleTimeout;
+    ParseInput();
   }
 }
 
--- a/Source/UnitTests/Gateway/HostileClientTest.cpp
+++ b/Source/UnitTests/Gateway/HostileClientTest.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <limits>
 
 #include <fmt/format.h>
@@ -171,6 +172,46 @@
   EXPECT_EQ(Call("POST", "/o/x", {}, "b")->mResponse.mStatus, 200U);
 }
 
+// Guards against responses that fill the memory of the smallest host because
+// clients send requests on a connection and never read. Other clients are
+// served meanwhile, and the connections are ended like those of slow readers.
+TEST_F(hostile_client_test, UnreadResponsesStayWithinTheMemory)
+{
+  constexpr unsigned kClients = 24;
+  constexpr unsigned kRequests = 60;
+  mSettings.mMemoryBytes = kSmallHost;
+  scripted_server& server = AddServer("i-1", "app");
+  server.mScript = [](auto& aConnection, const auto& aRequest) {
+    http_server_response response;
+    scripted_server::Sign(response, aRequest);
+    aConnection.Respond(response, std::string(100'000, 'a'));
+  };
+  StartNode();
+  std::vector<std::unique_ptr<raw_client>> clients;
+  for (unsigned i = 0; i < kClients; ++i) {
+    std::string requests;
+    for (unsigned k = 0; k < kRequests; ++k) {
+      requests +=
+        Head(fmt::format("u{}-{}", i, k), "Content-Length: 1\r\n") + "b";
+    }
+    clients.push_back(std::make_unique<raw_client>(mNode->ClientAddress()));
+    clients.back()->mStream->SetReading(false);
+    clients.back()->mStream->Write(requests);
+  }
+  RunFor(milliseconds(1500));
+  EXPECT_EQ(Call("POST", "/o/x", {}, "b")->mResponse.mStatus, 200U);
+  EXPECT_LT(server.mRequests.size(), kClients * kRequests);
+  // The kernel holds what was written before a connection ended.
+  RunFor(milliseconds(3000));
+  for (const auto& client : clients) {
+    client->mStream->SetReading(true);
+  }
+  EXPECT_TRUE(RunUntil([&] {
+    return std::ranges::all_of(
+      clients, [](const auto& aClient) { return aClient->mEnded; });
+  }));
+}
+
 // The connections that hold most are refused first.
 TEST(held_bytes_test, LargeInputsAreRefusedFirst)
 {
--- a/Source/UnitTests/Net/HostileInputTest.cpp
+++ b/Source/UnitTests/Net/HostileInputTest.cpp
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -16,6 +18,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kWaitTimeout(3000);
+constexpr milliseconds kLongWaitTimeout(20'000);
 // Bytes that a connection may hold of a part of a message.
 constexpr std::size_t kMaxHeldBytes = parser_feed::kMaxPartBytes;
 // Longer than a parser may take a field.
@@ -39,7 +42,7 @@
       throw std::runtime_error("handler failed");
     }
     if (mResponds) {
-      aConnection.Respond({}, aRequest.mBody);
+      aConnection.Respond({}, mBody.value_or(aRequest.mBody));
     }
   }
   void OnClientDisconnected(http_server_connection&) override {}
@@ -53,6 +56,8 @@
   std::vector<http_server_request> mRequests;
   http_server_connection* mConnection = nullptr;
   bool mResponds = true;
+  /// Body of all responses; nothing for that of the request.
+  std::optional<std::string> mBody;
   std::size_t mMaxHeld = 100'000'000;
 };
 
@@ -369,6 +374,49 @@
   }
 }
 
+// Guards against responses that grow without a bound because their client sends
+// requests and never reads. No response is lost once it reads.
+TEST_F(hostile_input_test, UnreadResponsesDelayTheNextRequest)
+{
+  // More than the kernel takes for a connection.
+  constexpr unsigned kCount = 1000;
+  constexpr std::size_t kBodyBytes = 8192;
+  constexpr unsigned kClients = 4;
+  mHandler.mBody = std::string(kBodyBytes, 'a');
+  std::string requests;
+  for (unsigned i = 0; i < kCount; ++i) {
+    requests += "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+  }
+  std::vector<std::unique_ptr<raw_peer>> peers;
+  for (unsigned i = 0; i < kClients; ++i) {
+    peers.push_back(Connect());
+    peers.back()->mStream->SetReading(false);
+    peers.back()->mStream->Write(requests);
+  }
+  const auto waits = [](const auto& aConnection) {
+    return aConnection->AwaitsReads();
+  };
+  EXPECT_TRUE(mLoop.RunUntil(
+    [&] {
+      return mListener->Connections().size() == kClients &&
+             std::ranges::all_of(mListener->Connections(), waits);
+    },
+    kLongWaitTimeout));
+  mLoop.RunUntil([] { return false; }, milliseconds(100));
+  for (const auto& connection : mListener->Connections()) {
+    EXPECT_LE(connection->PendingBytes(),
+              http_request_handler::kDefaultUnsentLimit + 2 * kBodyBytes);
+    EXPECT_LE(connection->InputBytes(), requests.size());
+  }
+  peers[0]->mStream->SetReading(true);
+  EXPECT_TRUE(mLoop.RunUntil(
+    [&] {
+      return peers[0]->mReceived.size() > kCount * kBodyBytes &&
+             peers[0]->Count("HTTP/1.1 200") == kCount;
+    },
+    kLongWaitTimeout));
+}
+
 // Guards against a handler that is called for the next request while it still
 // ends the previous one.
 TEST_F(hostile_input_test, NextRequestFollowsOutsideOfTheResponse)
