Ignore rows of peers that were read in another era

Found by reading; not seen with real processes.

Cause: a node that has seen the new era and not read the table again passed rows of the earlier era on under the new one. Their versions are higher than those that were given out since, so a node without contact to the store kept them and dropped later changes.

Change: a copy states the era in which its rows were read, and single rows are applied only if they are of the era of the own rows.

Evidence: restored_table_test.RowsOfPeersAreOfOneEra fails without the check. The calls of AddPeerRow in follower tests name the era of their store.

--- a/Source/Core/Gateway/GatewayNode.cpp
+++ b/Source/Core/Gateway/GatewayNode.cpp
@@ -427,7 +427,7 @@
       table.ApplyPeerCopy(copy);
     } else {
       for (const stored_row& row : copy.mRows) {
-        table.AddPeerRow(row);
+        table.AddPeerRow(row, copy.mEra);
       }
     }
   }
--- a/Source/Core/Gateway/TableFollower.cpp
+++ b/Source/Core/Gateway/TableFollower.cpp
@@ -52,8 +52,14 @@
   RequestPage({});
 }
 
-void table_follower::AddPeerRow(const stored_row& aRow)
+void table_follower::AddPeerRow(const stored_row& aRow, std::uint64_t aEra)
 {
+  if (mEra == 0 && !mLoaded) {
+    mEra = aEra;
+  }
+  if (aEra != RowEra()) {
+    return;
+  }
   const auto existing = mRows.find(aRow.mKey);
   if ((!mLoaded || mStoreUnreachable) &&
       (existing == mRows.end() || existing->second.mVersion < aRow.mVersion)) {
@@ -63,7 +69,7 @@
 
 table_copy table_follower::Copy() const
 {
-  table_copy copy{ mEra, Version(), mCurrentAt, {} };
+  table_copy copy{ RowEra(), Version(), mCurrentAt, {} };
   copy.mRows.reserve(mRows.size());
   for (const auto& [key, row] : mRows) {
     copy.mRows.push_back(row);
@@ -78,12 +84,10 @@
     return;
   }
   const bool restored = aCopy.mEra > mEra && mEra != 0;
-  if (aCopy.mEra > mEra) {
-    mEra = aCopy.mEra;
-  }
   if (restored) {
     ForgetVersions();
   }
+  mEra = std::max(mEra, aCopy.mEra);
   std::set<row_key> present;
   for (const stored_row& row : aCopy.mRows) {
     present.insert(row.mKey);
@@ -119,6 +123,7 @@
 
 void table_follower::ForgetVersions()
 {
+  mEraOfRows = RowEra();
   mVersion = 0;
   mPeerVersion = 0;
   mFullReadNeeded = true;
@@ -131,8 +136,8 @@
   if (era <= mEra) {
     return false;
   }
-  const bool known = std::exchange(mEra, era) != 0 || mLoaded;
-  if (!known) {
+  if (mEra == 0 && !mLoaded) {
+    mEra = era;
     return false;
   }
   Log(log_level::Warning,
@@ -142,6 +147,7 @@
         Field("version", mVersion),
         Field("rows", mRows.size()) });
   ForgetVersions();
+  mEra = era;
   ScheduleNextCall(milliseconds(0));
   return true;
 }
--- a/Source/Core/Gateway/TableFollower.h
+++ b/Source/Core/Gateway/TableFollower.h
@@ -82,8 +82,8 @@
   /// The copy, for another node.
   table_copy Copy() const;
   /// Applies a newer row from another node; ignored while the store can be
-  /// read.
-  void AddPeerRow(const stored_row& aRow);
+  /// read, and if the other node read it in another era than the own rows.
+  void AddPeerRow(const stored_row& aRow, std::uint64_t aEra);
 
 private:
   /// A row that was removed, as it was.
@@ -96,6 +96,9 @@
   /// Drops what the versions of an earlier era tell; the next call reads the
   /// table again.
   void ForgetVersions();
+  /// Era in which the rows were read: an earlier one than that of the store
+  /// until the table has been read again.
+  std::uint64_t RowEra() const { return mRestored ? mEraOfRows : mEra; }
   /// Reads the table again and returns true if the store has entered a new era.
   bool StartsOver();
   /// Whether a row of the copy was removed after the copy was taken.
@@ -132,6 +135,8 @@
   std::map<row_key, removed_row> mRemovedRows;
   /// Era of the store to which the versions belong.
   std::uint64_t mEra = 0;
+  /// See `RowEra`; valid while `mRestored`.
+  std::uint64_t mEraOfRows = 0;
   /// The rows of the next full read replace newer ones of an earlier era.
   bool mRestored = false;
   std::uint64_t mReadStartVersion = 0;
--- a/Source/UnitTests/Gateway/FleetTest.cpp
+++ b/Source/UnitTests/Gateway/FleetTest.cpp
@@ -382,7 +382,7 @@
   mStore.Put({ "t", "", "a" }, "1");
   mFollower.Start();
   ASSERT_TRUE(RunUntil([&] { return mListener.mRows["a"] == "1"; }));
-  mFollower.AddPeerRow({ { "t", "", "a" }, "2", 900, false });
+  mFollower.AddPeerRow({ { "t", "", "a" }, "2", 900, false }, mStore.Era());
   EXPECT_EQ(mListener.mRows["a"], "1");
   mStore.mUnreachable = true;
   mLoop.RunUntil(
@@ -391,9 +391,9 @@
       return false;
     },
     milliseconds(300));
-  mFollower.AddPeerRow({ { "t", "", "a" }, "2", 900, false });
+  mFollower.AddPeerRow({ { "t", "", "a" }, "2", 900, false }, mStore.Era());
   EXPECT_EQ(mListener.mRows["a"], "2");
-  mFollower.AddPeerRow({ { "t", "", "a" }, "0", 800, false });
+  mFollower.AddPeerRow({ { "t", "", "a" }, "0", 800, false }, mStore.Era());
   EXPECT_EQ(mListener.mRows["a"], "2");
 }
 
--- a/Source/UnitTests/Gateway/RestoredStoreTest.cpp
+++ b/Source/UnitTests/Gateway/RestoredStoreTest.cpp
@@ -23,6 +23,30 @@
   std::map<std::string, std::string> mValues;
 };
 
+/// Answers no call after the first reply of an era later than `mLastEra`, like
+/// a store that refuses one node.
+class cut_off_store final : public forwarding_row_store
+{
+public:
+  using forwarding_row_store::forwarding_row_store;
+  std::optional<std::uint64_t> mLastEra;
+
+private:
+  page_callback WrapPage(page_callback aReply) override
+  {
+    return [this, reply = std::move(aReply)](auto aPage) {
+      if (mCut) {
+        reply(row_store_error::Unknown);
+        return;
+      }
+      mCut = mLastEra && Era() > *mLastEra;
+      reply(std::move(aPage));
+    };
+  }
+
+  bool mCut = false;
+};
+
 class restored_table_test : public testing::Test
 {
 protected:
@@ -124,6 +148,42 @@
   EXPECT_EQ(mListener.mValues["a"], "2");
 }
 
+// Guards against a row whose version, of an earlier era, hides the later ones:
+// a node that had not read the table again passed it on.
+TEST_F(restored_table_test, RowsOfPeersAreOfOneEra)
+{
+  mStore.Put(Key("a"), "1");
+  RunFor(milliseconds(50));
+  const auto copy = mStore.TakeCopy();
+  for (int i = 0; i < 20; ++i) {
+    mStore.Put(Key("a"), "lost");
+  }
+  // This node is refused by the store when it has seen the new era.
+  recording_listener listener;
+  cut_off_store cutOff(mStore);
+  table_follower peer{ cutOff,          mTime,           "t",
+                       milliseconds(5), milliseconds(5), listener };
+  peer.Start();
+  RunFor(milliseconds(50));
+  cutOff.mLastEra = mStore.Era();
+  mStore.Restore(copy);
+  mStore.Put(Key("a"), "2");
+  RunFor(milliseconds(100));
+  ASSERT_EQ(mListener.mValues["a"], "2");
+  const table_copy stale = peer.Copy();
+  ASSERT_EQ(stale.mVersion, 0U);
+  mStore.mUnreachable = true;
+  RunFor(milliseconds(50));
+  for (const stored_row& row : stale.mRows) {
+    mFollower.AddPeerRow(row, stale.mEra);
+  }
+  EXPECT_EQ(mListener.mValues["a"], "2");
+  mStore.mUnreachable = false;
+  mStore.Put(Key("a"), "3");
+  RunFor(milliseconds(600));
+  EXPECT_EQ(mListener.mValues["a"], "3");
+}
+
 // Two drills shortly after one another, and an outage of the store between.
 TEST_F(restored_table_test, SurvivesDrillsInARow)
 {
