Let witnesses prove that the limits of a lost run had stopped

Cause: a claim allowed for 3.6 s of usage at its start and for all that the node held once it had expired, and nothing told a node that was dark from one that served through an outage of the store.

Change, in fleets of up to 16 nodes: the limit of a claim rises with the usage and stops after 400 ms, unless a quorum of other nodes that the claim names states that the store is lost. The reports tell since when each node has not stated so; the next run on the host takes over by them. A claim without a reply is repeated as it is. Nodes of small fleets notice a lost store like those of large ones, ask others for tokens then, and reject requests that cannot be covered. holdings_conflict tells what is lost.

Without mSince in the proof, or without the time of the statement, one case each of claim_witness_test fails. Two tests of token_allowance stated that in small fleets the hard limit applies at once after the time to live. It does so for rows of versions without terms, which the first one now uses; for the new ones the takeover is compared with what the lost run spent, and the limit with its rate.

--- a/Source/Core/Gateway/AllowanceWriter.cpp
+++ b/Source/Core/Gateway/AllowanceWriter.cpp
@@ -143,14 +143,22 @@
       version = commit.mCurrent[0].mVersion;
       current = ParseClaimRow(commit.mCurrent[0].mValue);
     }
-    const std::int64_t takenOver = mTokenAllowance.OnClaimConflict(
+    const claim_takeover takeover = mTokenAllowance.OnClaimConflict(
       current, version, commit.mStoreTime, aNow);
+    if (takeover.mWaits) {
+      return;
+    }
+    mEarlierRun.mTakenOver += takeover.mTakenOver;
+    mEarlierRun.mLost += takeover.mLost;
     Log(log_level::Info,
         "holdings_conflict",
         { Field("run", current ? current->mRun : "none"),
           Field("age_ms",
                 current ? (commit.mStoreTime - current->mStartsAt).count() : 0),
-          Field("taken_over", takenOver) });
+          Field("taken_over", takeover.mTakenOver),
+          Field("lost", takeover.mLost),
+          Field("proofs", takeover.mProofs),
+          Field("proofs_needed", takeover.mProofsNeeded) });
   });
 }
 
--- a/Source/Core/Gateway/AllowanceWriter.h
+++ b/Source/Core/Gateway/AllowanceWriter.h
@@ -33,6 +33,8 @@
   /// hosts that hold tokens and do not give what is needed.
   void RecoverClaims(const std::vector<std::string>& aLostHosts,
                      time_point aNow);
+  /// What became of the tokens of the earlier run on this host.
+  const claim_takeover& EarlierRun() const { return mEarlierRun; }
 
 private:
   /// Reads the rows of accounts that other nodes may have changed.
@@ -43,6 +45,7 @@
   const time_source& mTime;
   std::string mHost;
   claim_recovery mRecovery;
+  claim_takeover mEarlierRun;
   /// Set to false by the destructor; replies that arrive later are ignored.
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
 };
--- a/Source/Core/Gateway/ClaimRow.cpp
+++ b/Source/Core/Gateway/ClaimRow.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "Common/JsonText.h"
+#include "Common/TextCodec.h"
 
 using nlohmann::json;
 
@@ -18,6 +19,7 @@
 constexpr std::size_t kHardLimitPlace = 2;
 constexpr std::size_t kTakenPlace = 3;
 constexpr std::size_t kStartLimitPlace = 4;
+constexpr std::size_t kMaxWitnesses = 16;
 
 /// Throws if the value is no whole number within the limits.
 std::int64_t ReadNumber(const json& aValue, std::int64_t aMin = 0)
@@ -55,22 +57,41 @@
   return entry;
 }
 
+/// Runs, as text because JSON numbers are exact up to 2^53 only.
+std::vector<std::uint64_t> ParseWitnesses(const json& aList)
+{
+  if (aList.size() > kMaxWitnesses) {
+    throw std::out_of_range("too many witnesses");
+  }
+  std::vector<std::uint64_t> witnesses;
+  for (const json& entry : aList) {
+    const auto run =
+      ParseDecimal<std::uint64_t>(entry.get_ref<const std::string&>());
+    if (!run) {
+      throw std::invalid_argument("a witness is no number");
+    }
+    witnesses.push_back(*run);
+  }
+  return witnesses;
+}
+
 } // namespace
 
 std::int64_t LimitAt(const claim_entry& aEntry,
                      std::chrono::milliseconds aAge,
-                     std::chrono::milliseconds aTimeToLive)
+                     const claim_terms& aTerms)
 {
-  if (aAge >= aTimeToLive) {
+  if (aAge >= aTerms.mTimeToLive && !aTerms.mKeepsRising) {
     return aEntry.mHardLimit;
   }
-  const double share = std::max(0.0,
-                                static_cast<double>(aAge.count()) /
-                                  static_cast<double>(aTimeToLive.count()));
-  return aEntry.mStartLimit +
-         static_cast<std::int64_t>(
-           share *
-           static_cast<double>(aEntry.mSpendLimit - aEntry.mStartLimit));
+  const double share =
+    std::max(0.0,
+             static_cast<double>(aAge.count()) /
+               static_cast<double>(aTerms.mTimeToLive.count()));
+  const double risen =
+    share * static_cast<double>(aEntry.mSpendLimit - aEntry.mStartLimit);
+  const auto room = static_cast<double>(aEntry.mHardLimit - aEntry.mStartLimit);
+  return aEntry.mStartLimit + static_cast<std::int64_t>(std::min(risen, room));
 }
 
 std::string WriteClaimRow(const claim_row& aRow)
@@ -86,9 +107,16 @@
   json body = { { "run", aRow.mRun },
                 { "sequence", aRow.mSequence },
                 { "stated_at_ms", aRow.mStartsAt.count() },
-                { "in_force_ms", aRow.mTimeToLive.count() },
+                { "in_force_ms", aRow.mTerms.mTimeToLive.count() },
                 { "era", aRow.mEra },
                 { "accounts", std::move(accounts) } };
+  if (aRow.mTerms.mKeepsRising) {
+    body["rises_alone_ms"] = aRow.mTerms.mRisesAloneFor.count();
+    json& witnesses = body["witnesses"] = json::array();
+    for (const std::uint64_t run : aRow.mTerms.mWitnesses) {
+      witnesses.push_back(std::to_string(run));
+    }
+  }
   if (!aRow.mTaker.empty()) {
     body["taker"] = aRow.mTaker;
     body["taken_from"] = aRow.mTakenFrom;
@@ -110,8 +138,14 @@
     row.mStartsAt =
       std::chrono::milliseconds(ReadNumber(body.at("stated_at_ms")));
     if (body.contains("in_force_ms")) {
-      row.mTimeToLive =
-        std::chrono::milliseconds(ReadNumber(body.at("in_force_ms")));
+      row.mTerms.mTimeToLive =
+        std::chrono::milliseconds(ReadNumber(body.at("in_force_ms"), 1));
+    }
+    if (body.contains("rises_alone_ms")) {
+      row.mTerms.mKeepsRising = true;
+      row.mTerms.mRisesAloneFor =
+        std::chrono::milliseconds(ReadNumber(body.at("rises_alone_ms")));
+      row.mTerms.mWitnesses = ParseWitnesses(body.at("witnesses"));
     }
     if (body.contains("era")) {
       row.mEra = static_cast<std::uint64_t>(ReadNumber(body.at("era")));
--- a/Source/Core/Gateway/ClaimRow.h
+++ b/Source/Core/Gateway/ClaimRow.h
@@ -1,12 +1,15 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 /// A claim: stored row in which a node records the tokens that it received, so
 /// that the next run on the same host, or another node, can take over what the
@@ -36,11 +39,40 @@
   auto operator<=>(const claim_entry&) const = default;
 };
 
-/// Tokens that the run may have passed out when a claim with this time to live
-/// has this age.
+/// How the limits of a claim rise with its age.
+struct claim_terms
+{
+  /// Age at which the spend limits are reached.
+  std::chrono::milliseconds mTimeToLive = kDefaultClaimTimeToLive;
+  /// Whether the limits go on rising at the same rate after the time to live,
+  /// up to the hard limits. If not, the hard limits apply from then on.
+  bool mKeepsRising = false;
+  /// Age at which the limits stop rising, unless a quorum of the witnesses
+  /// states that the store is lost.
+  std::chrono::milliseconds mRisesAloneFor{ 0 };
+  /// Other runs that state their contact to the store, see `store_contact`.
+  /// Without witnesses nothing stops the limits.
+  std::vector<std::uint64_t> mWitnesses{};
+  auto operator<=>(const claim_terms&) const = default;
+
+  /// Witnesses that must have lost the store for the limits to rise further.
+  std::size_t Quorum() const { return mWitnesses.size() / 2 + 1; }
+  /// Witnesses in contact with the store that prove that there was no quorum.
+  std::size_t ProofCount() const { return mWitnesses.size() - Quorum() + 1; }
+  /// Age up to which the limits have risen at this age.
+  std::chrono::milliseconds EffectiveAge(std::chrono::milliseconds aAge,
+                                         bool aQuorum) const
+  {
+    return mWitnesses.empty() || aQuorum ? aAge
+                                         : std::min(aAge, mRisesAloneFor);
+  }
+};
+
+/// Tokens that the run may have passed out when the limits of the claim have
+/// risen up to this age.
 std::int64_t LimitAt(const claim_entry& aEntry,
                      std::chrono::milliseconds aAge,
-                     std::chrono::milliseconds aTimeToLive);
+                     const claim_terms& aTerms);
 
 struct claim_row
 {
@@ -48,8 +80,7 @@
   std::uint64_t mSequence = 0;
   /// Start of the claim by the store's clock.
   std::chrono::milliseconds mStartsAt{ 0 };
-  /// Time for which the spend limits are in force.
-  std::chrono::milliseconds mTimeToLive = kDefaultClaimTimeToLive;
+  claim_terms mTerms;
   std::map<std::string, claim_entry> mAccounts;
   /// Era of the store in which the row was written; 0 if not known. Nothing is
   /// taken over by a claim of an earlier era, because its owner may have spent
--- a/Source/Core/Gateway/Fleet.capnp
+++ b/Source/Core/Gateway/Fleet.capnp
@@ -58,6 +58,9 @@
   # 0 not stated, 1 accepts clients, 2 close to its limit and to be left out of
   # address answers, 3 refuses connections as well.
   clientState @22 :UInt8;
+  # Contact of the sender to the store, by the store's clock, see `StoreContact.h`.
+  contactStatedAtMs @23 :UInt64;
+  contactSinceMs @24 :UInt64;
 }
 
 # A brittle server had no room for a request of the sender.
--- a/Source/Core/Gateway/Fleet.capnp.h
+++ b/Source/Core/Gateway/Fleet.capnp.h
@@ -82,7 +82,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(baf5b9cbfe87216a, 5, 11)
+    CAPNP_DECLARE_STRUCT_HEADER(baf5b9cbfe87216a, 7, 11)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -632,6 +632,10 @@
 
   inline  ::uint8_t getClientState() const;
 
+  inline  ::uint64_t getContactStatedAtMs() const;
+
+  inline  ::uint64_t getContactSinceMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -774,6 +778,12 @@
   inline  ::uint8_t getClientState();
   inline void setClientState( ::uint8_t value);
 
+  inline  ::uint64_t getContactStatedAtMs();
+  inline void setContactStatedAtMs( ::uint64_t value);
+
+  inline  ::uint64_t getContactSinceMs();
+  inline void setContactSinceMs( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3285,6 +3295,34 @@
       ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t NodeReport::Reader::getContactStatedAtMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t NodeReport::Builder::getContactStatedAtMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void NodeReport::Builder::setContactStatedAtMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t NodeReport::Reader::getContactSinceMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t NodeReport::Builder::getContactSinceMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void NodeReport::Builder::setContactSinceMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t ServerPause::Reader::getServer() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Source/Core/Gateway/FleetView.cpp
+++ b/Source/Core/Gateway/FleetView.cpp
@@ -280,6 +280,18 @@
   return holders;
 }
 
+store_contacts fleet_view::StoreContacts(time_point aNow) const
+{
+  store_contacts contacts;
+  for (const auto& [address, peer] : mPeers) {
+    if (peer.mReport && peer.mReport->mStoreContact.IsStated() &&
+        IsAlive(peer, aNow)) {
+      contacts[peer.mReport->mRun] = peer.mReport->mStoreContact;
+    }
+  }
+  return contacts;
+}
+
 std::vector<std::string> fleet_view::LostPeers(time_point aNow)
 {
   mWatchedSince = mWatchedSince.value_or(aNow);
--- a/Source/Core/Gateway/FleetView.h
+++ b/Source/Core/Gateway/FleetView.h
@@ -13,6 +13,7 @@
 #include "Endpoints/EndpointChoice.h"
 #include "Gateway/HomeRegions.h"
 #include "Gateway/LoadNotices.h"
+#include "Gateway/StoreContact.h"
 #include "Gateway/TokenAllowance.h"
 #include "Gateway/UpstreamRegistry.h"
 
@@ -90,6 +91,7 @@
   /// Open connections of clients; nothing if not stated.
   std::optional<std::uint32_t> mClientConnections;
   client_state mClientState = client_state::Unknown;
+  store_contact mStoreContact;
 };
 
 /// Hash of a node's datagram address, its key in the reports of others.
@@ -159,6 +161,9 @@
   std::unordered_map<std::uint32_t, upstream_work> PeerWork(
     time_point aNow) const;
   token_holders TokenHolders(time_point aNow) const;
+  /// What the live peers that reported here state of their contact to the
+  /// store.
+  store_contacts StoreContacts(time_point aNow) const;
   /// Datagram addresses of nodes that were not heard of for 5 s, or since the
   /// first call, and whose prepaid tokens this node is to take over. One live
   /// node is responsible for each.
--- a/Source/Core/Gateway/GatewayMetrics.cpp
+++ b/Source/Core/Gateway/GatewayMetrics.cpp
@@ -79,6 +79,12 @@
                      .Help("Times that the store came back from an older copy")
                      .Register(*mRegistry)
                      .Add({}))
+  , mTokensTakenOver(
+      AddGauge("gateway_prepaid_tokens_taken_over",
+               "Prepaid tokens taken over from the earlier run on the host"))
+  , mTokensLost(
+      AddGauge("gateway_prepaid_tokens_lost",
+               "Prepaid tokens that the earlier run on the host may have used"))
   , mCallbackFailures(
       AddGauge("gateway_callback_failures",
                "Callbacks of the event loop that ended with an exception"))
--- a/Source/Core/Gateway/GatewayMetrics.h
+++ b/Source/Core/Gateway/GatewayMetrics.h
@@ -69,6 +69,12 @@
   void OnUnusableEntry() { mUnusableEntries.Increment(); }
   /// Counts a store that came back from an older copy of its rows.
   void OnStoreRestored() { mStoreRestored.Increment(); }
+  /// Prepaid tokens of earlier runs on this host.
+  void SetEarlierTokens(std::int64_t aTakenOver, std::int64_t aLost)
+  {
+    mTokensTakenOver.Set(static_cast<double>(aTakenOver));
+    mTokensLost.Set(static_cast<double>(aLost));
+  }
   /// Sets the callbacks of the event loop that ended with an exception.
   void SetCallbackFailures(double aCount) { mCallbackFailures.Set(aCount); }
   void SetColdServers(double aCount) { mColdServers.Set(aCount); }
@@ -105,6 +111,8 @@
   prometheus::Family<prometheus::Histogram>& mFirstByteSeen;
   prometheus::Counter& mUnusableEntries;
   prometheus::Counter& mStoreRestored;
+  prometheus::Gauge& mTokensTakenOver;
+  prometheus::Gauge& mTokensLost;
   prometheus::Gauge& mCallbackFailures;
   prometheus::Gauge& mOpenRequests;
   prometheus::Gauge& mLiveNodes;
--- a/Source/Core/Gateway/GatewayNode.h
+++ b/Source/Core/Gateway/GatewayNode.h
@@ -134,6 +134,8 @@
   /// Decides whether all nodes that ran before the store was restored still
   /// run.
   void ReviewFleetOfEra(time_point aNow);
+  /// States to the other nodes whether this one reaches the store.
+  void StateStoreContact(time_point aNow);
   /// Whether a connection shows that the server run goes on.
   bool RunsOn(const server_run& aRun) const;
   /// Passes on the requests that wait for it.
@@ -168,6 +170,7 @@
   upstream_registry mUpstreamRegistry;
   upstream_pool mPool;
   token_allowance mTokenAllowance;
+  store_contact_record mContactRecord;
   retry_window mRetries;
   crash_history mCrashes;
   segment_crash_history mSegmentCrashes{ mCrashes.Liveness() };
--- a/Source/Core/Gateway/GatewayNodeTicks.cpp
+++ b/Source/Core/Gateway/GatewayNodeTicks.cpp
@@ -65,6 +65,9 @@
   if (mStalls.MustReadFirst(now)) {
     return;
   }
+  if (mTokenAllowance.NeedsContacts(now)) {
+    mTokenAllowance.SetPeerContacts(mFleet.StoreContacts(now));
+  }
   AdvanceWaiting(now);
   if (mContext.mRoutes) {
     mAllowanceWriter.WriteChanges(now);
@@ -288,9 +291,13 @@
   mFleet.Self().mServersAge = AgeOf(mUpstreamTable, now);
   mFleet.Self().mWork = mUpstreamRegistry.LocalWork();
   mFleet.Self().mFreeTokens = mTokenAllowance.AllFreeTokens(now);
+  StateStoreContact(now);
   mTokenAllowance.SetHolders(mFleet.TokenHolders(now));
+  mTokenAllowance.SetPeerContacts(mFleet.StoreContacts(now));
   ReviewFleetOfEra(now);
   mAllowanceWriter.RecoverClaims(mFleet.LostPeers(now), now);
+  mMetrics.SetEarlierTokens(mAllowanceWriter.EarlierRun().mTakenOver,
+                            mAllowanceWriter.EarlierRun().mLost);
   const auto peers = mFleet.LivePeerAddresses(now);
   UpdateRateLimits(peers, now);
   LogColdServers(now);
@@ -309,6 +316,23 @@
   RefreshStateFromPeers(now);
 }
 
+void gateway_node::StateStoreContact(time_point aNow)
+{
+  const bool claimLost = mTokenAllowance.IsStoreLost(aNow);
+  const bool tableLost = mConfigTable.StoreUnreachable();
+  const store_contact contact =
+    mContactRecord.State(claimLost || tableLost, mStore.Clock());
+  const store_contact before =
+    std::exchange(mFleet.Self().mStoreContact, contact);
+  if (before.IsLost() != contact.IsLost()) {
+    Log(log_level::Info,
+        "store_contact_changed",
+        { Field("lost", contact.IsLost()),
+          Field("claim", claimLost),
+          Field("config_table", tableLost) });
+  }
+}
+
 void gateway_node::ReviewFleetOfEra(time_point aNow)
 {
   const auto live = mFleet.LiveRuns(aNow);
--- a/Source/Core/Gateway/PeerDatagram.cpp
+++ b/Source/Core/Gateway/PeerDatagram.cpp
@@ -19,6 +19,7 @@
 // Limit of 8-byte words read from an unpacked message: 512 KB, several times
 // the report of a fleet of 2,000 nodes.
 constexpr std::uint64_t kMaxMessageWords = 65536;
+constexpr std::uint64_t kMaxStoreTimeMs = 4'000'000'000'000;
 
 std::uint32_t ClampToUint32(std::int64_t aValue)
 {
@@ -61,6 +62,13 @@
 }
 
 /// A state of a later version means that the node is not to be named.
+/// A time of the store's clock that does not overflow in ns.
+milliseconds ReadStoreTime(std::uint64_t aMs)
+{
+  return milliseconds(
+    static_cast<std::int64_t>(std::min(aMs, kMaxStoreTimeMs)));
+}
+
 client_state ReadClientState(std::uint8_t aState)
 {
   return static_cast<client_state>(
@@ -140,6 +148,10 @@
   WritePauses(aRoot, aReport.mPauses);
   aRoot.setConfigAgeMs(WriteAge(aReport.mConfigAge));
   aRoot.setServersAgeMs(WriteAge(aReport.mServersAge));
+  aRoot.setContactStatedAtMs(
+    static_cast<std::uint64_t>(aReport.mStoreContact.mStatedAt.count()));
+  aRoot.setContactSinceMs(
+    static_cast<std::uint64_t>(aReport.mStoreContact.mSince.count()));
   WriteClientFields(aRoot, aReport);
   auto peers = aRoot.initPeers(static_cast<unsigned>(aReport.mPeers.size()));
   for (unsigned i = 0; i < peers.size(); ++i) {
@@ -192,6 +204,8 @@
   report.mPauses = ReadPauses(aRoot);
   report.mConfigAge = ReadAge(aRoot.getConfigAgeMs());
   report.mServersAge = ReadAge(aRoot.getServersAgeMs());
+  report.mStoreContact = { ReadStoreTime(aRoot.getContactStatedAtMs()),
+                           ReadStoreTime(aRoot.getContactSinceMs()) };
   ReadClientFields(aRoot, report);
   for (const auto peer : aRoot.getPeers()) {
     report.mPeers.emplace_back(peer.getKey(), milliseconds(peer.getAgeMs()));
--- a/Source/Core/Gateway/TableFollower.h
+++ b/Source/Core/Gateway/TableFollower.h
@@ -67,6 +67,8 @@
   void Start();
   /// Whether the whole table was read from the store.
   bool IsLoaded() const { return mLoaded; }
+  /// Whether the last call failed.
+  bool StoreUnreachable() const { return mStoreUnreachable; }
   /// Time of the last successful call.
   time_point LastContact() const { return mLastContact; }
   /// Known rows, including those from the snapshot of another node.
--- a/Source/Core/Gateway/TokenAllowance.h
+++ b/Source/Core/Gateway/TokenAllowance.h
@@ -16,6 +16,7 @@
 #include "Common/Time.h"
 #include "Gateway/ClaimRow.h"
 #include "Gateway/GrantRow.h"
+#include "Gateway/StoreContact.h"
 
 /// Shares the prepaid tokens of accounts between nodes.
 ///
@@ -31,6 +32,11 @@
 /// ended, those above the hard limit otherwise. Any node takes over the tokens
 /// above the hard limit by replacing the row under its version, because the
 /// owner can then commit no further claim before it has read what was taken.
+///
+/// In small fleets the limits of a claim rise at the rate of the usage, and
+/// without a later claim they stop soon, unless a quorum of other nodes states
+/// that it lost the store as well. If the owner was lost alone, those nodes
+/// prove to the next run on its host that the limits had stopped.
 
 enum class reserve_verdict : std::uint8_t
 {
@@ -110,6 +116,20 @@
   token_request mRequest;
 };
 
+/// What became of the tokens in the claim of an earlier run on the host.
+struct claim_takeover
+{
+  std::int64_t mTakenOver = 0;
+  /// Tokens that the earlier run may have passed out after its claim.
+  std::int64_t mLost = 0;
+  /// Witnesses that prove that the limits had stopped, and how many must do so.
+  std::size_t mProofs = 0;
+  std::size_t mProofsNeeded = 0;
+  /// The takeover waits for more witnesses.
+  bool mWaits = false;
+  auto operator<=>(const claim_takeover&) const = default;
+};
+
 struct allowance_settings
 {
   /// Time in seconds of the observed usage that a node holds in advance. It
@@ -221,20 +241,31 @@
   /// grant is unknown once they have had the time to state theirs.
   void SetFleetWhole(bool aWhole) { mFleetWhole = aWhole; }
 
+  /// Sets what other nodes state of their contact to the store.
+  void SetPeerContacts(store_contacts aContacts)
+  {
+    mPeerContacts = std::move(aContacts);
+  }
+  /// Whether newer statements may change what can be spent or taken over now.
+  bool NeedsContacts(time_point aNow) const;
+  /// Whether the store did not take the newest claim.
+  bool IsStoreLost(time_point aNow) const;
+
   /// Updates the estimate of the store's clock from any reply.
   void OnStoreTime(std::chrono::milliseconds aStoreTime, time_point aNow);
   /// Returns the claim to write now, if one is due.
   std::optional<claim_change> TakeClaim(time_point aNow);
   void OnClaimCommitted(std::uint64_t aVersion, time_point aNow);
   /// The row had another version. It belongs to an earlier run of this host,
-  /// whose tokens are taken over if its claim was in force when it ended, or to
-  /// a write of this run whose reply was lost. `aStoreTime` is the store's
-  /// clock in the reply to the write that was sent at `aSentAt`. Returns the
-  /// number of tokens taken over.
-  std::int64_t OnClaimConflict(const std::optional<claim_row>& aCurrent,
-                               std::uint64_t aVersion,
-                               std::chrono::milliseconds aStoreTime,
-                               time_point aSentAt);
+  /// whose tokens above the limit at its end are taken over, or to a write of
+  /// this run whose reply was lost. The takeover waits for statements of the
+  /// witnesses, up to 1.5 s after the start. `aStoreTime` is the store's
+  /// clock in the reply to the write that was sent at `aSentAt`. Returns what
+  /// became of the tokens of the earlier run.
+  claim_takeover OnClaimConflict(const std::optional<claim_row>& aCurrent,
+                                 std::uint64_t aVersion,
+                                 std::chrono::milliseconds aStoreTime,
+                                 time_point aSentAt);
   /// Counts tokens that this node took over from the claim of another one.
   void OnTakenOver(const claimed_tokens& aTokens, time_point aNow);
   /// `aUnknown` is true if the write may still be applied.
@@ -369,7 +400,15 @@
   {
     std::uint64_t mSequence = 0;
     std::map<std::string, claim_entry> mAccounts;
-    time_point mExpires;
+    claim_terms mTerms;
+    /// Start by the store's clock, and by that of this node.
+    std::chrono::milliseconds mStartsAt{ 0 };
+    time_point mStartedAt;
+
+    bool IsExpired(time_point aNow) const
+    {
+      return aNow >= mStartedAt + mTerms.mTimeToLive;
+    }
   };
   struct sent_transfer
   {
@@ -468,6 +507,17 @@
                              const account_state& aState,
                              double aRequests) const;
   void ForgetExpiredClaims(time_point aNow);
+  /// Terms of the next claim.
+  claim_terms NextTerms() const;
+  /// Whether a quorum of the claim's witnesses states that the store is lost.
+  bool HasQuorum(const active_claim& aClaim) const;
+  /// Age up to which the limits of a claim have risen.
+  std::chrono::milliseconds LimitAge(const active_claim& aClaim,
+                                     time_point aNow) const;
+  /// Witnesses that were in contact with the store from the start of the claim
+  /// until after `aEnd`, by the store's clock.
+  std::size_t CountProofs(const claim_row& aRow,
+                          std::chrono::milliseconds aEnd) const;
   /// Replaces what is known of this run's claims by the row in the store.
   void AdoptStoredClaim(const claim_row& aRow);
   bool ClaimsExpired(time_point aNow) const;
@@ -492,8 +542,6 @@
   std::chrono::milliseconds ReportTime() const;
   /// Whether the claim in the store is empty and there is nothing to add to it.
   bool IsStoredClaimEmpty() const;
-  /// Whether, in a large fleet, the store did not take the newest claim.
-  bool IsStoreLost(time_point aNow) const;
   /// Whether the limits cannot be raised because the store does not reply.
   bool AreLimitsFixed(time_point aNow) const;
   std::int64_t TransferAmount(const token_request& aRequest,
@@ -521,6 +569,11 @@
 
   /// Claims that bind this node, oldest first.
   std::deque<active_claim> mClaims;
+  /// The write without a reply, which is repeated as it is: a later claim could
+  /// not raise the limits, because both may be in the store.
+  std::optional<claim_change> mUnansweredClaim;
+  std::optional<claim_change> mSentClaim;
+  store_contacts mPeerContacts;
   /// Tokens above the hard limits of expired claims that may be in the store.
   claimed_tokens mExpiredTakeable;
   /// Tokens that others took over from the claim of this sequence.
--- a/Source/Core/Gateway/TokenAllowanceClaims.cpp
+++ b/Source/Core/Gateway/TokenAllowanceClaims.cpp
@@ -15,14 +15,19 @@
 // observed usage. Tokens below the limit are lost when the host loses power, at
 // each node and for each account; a request above it waits a few ms for a new
 // claim.
-constexpr double kSpendLimitRequests = 0.5;
+constexpr double kSpendLimitRequests = 0.75;
+// Outages in which an account that was not used at a node can use all that the
+// node holds of it.
+constexpr double kIdleHorizons = 2.0;
 // Largest difference between the clocks of the store and of a node.
 constexpr milliseconds kMaxClockSkew(200);
 // Time in seconds of the observed usage that a claim's limit allows for at its
-// start. In a small fleet an outage of the store is served with it until the
-// claim expires.
-constexpr double kSmallFleetStartSeconds = 3.6;
+// start in a large fleet.
 constexpr double kStartSeconds = 1.0;
+// Time after the start in which a takeover waits for the reports of witnesses,
+// and the interval in which the claim is read again meanwhile.
+constexpr milliseconds kProofTimeout(1500);
+constexpr milliseconds kProofInterval(100);
 // Requests of mean size of the target that the hard limit does not allow for.
 constexpr std::int64_t kSparedRequests = 2;
 // Time in seconds of the demand that the hard limit allows for in a large fleet
@@ -49,8 +54,8 @@
 
 bool token_allowance::ClaimsExpired(time_point aNow) const
 {
-  return std::ranges::none_of(mClaims, [aNow](const active_claim& aEntry) {
-    return aNow < aEntry.mExpires;
+  return std::ranges::all_of(mClaims, [aNow](const active_claim& aEntry) {
+    return aEntry.IsExpired(aNow);
   });
 }
 
@@ -68,12 +73,8 @@
   for (const active_claim& claim : mClaims) {
     const auto found = claim.mAccounts.find(aAccount.mName);
     if (found != claim.mAccounts.end()) {
-      // A run that takes over sees an age that is not lower, because the start
-      // in the row is not later than this one.
-      const auto age = std::chrono::duration_cast<milliseconds>(
-        aNow - claim.mExpires + mSettings.mClaimTimeToLive);
       const std::int64_t limit =
-        LimitAt(found->second, age, mSettings.mClaimTimeToLive);
+        LimitAt(found->second, LimitAge(claim, aNow), claim.mTerms);
       takeable = std::max(takeable, found->second.mReceived - limit);
     }
   }
@@ -91,12 +92,16 @@
   const std::int64_t needed =
     std::max(aState.mUnmetNeed, aState.mSpendLimitNeed);
   const std::int64_t base = aState.mSpent + needed;
-  const double life =
-    std::chrono::duration<double>(mSettings.mClaimTimeToLive).count() +
-    std::chrono::duration<double>(ClaimInterval()).count();
   const bool holdsForOutage = HoldsForOutage(aState);
-  const double usage = holdsForOutage ? DemandPerSecond(aState, aNow)
-                                      : UsedPerSecond(aState, aNow);
+  double usage = holdsForOutage ? DemandPerSecond(aState, aNow)
+                                : UsedPerSecond(aState, aNow);
+  if (IsSmallFleet()) {
+    // Clients of an account that was idle here may come to this node in an
+    // outage.
+    usage = std::max(usage,
+                     static_cast<double>(aState.mReceived - base) /
+                       (kIdleHorizons * mSettings.mHorizonSeconds));
+  }
   // In a large fleet a node gets few requests of an account, and most of them
   // have to wait a few ms for a new claim in any case. In an outage no new
   // claim comes, so the next requests are allowed for while tokens are not
@@ -106,8 +111,11 @@
                    : 0.0;
   const double more =
     IsSmallFleet() ? aState.mMeanRequestTokens * kSpendLimitRequests : reserved;
-  const double startSeconds =
-    IsSmallFleet() ? kSmallFleetStartSeconds : kStartSeconds;
+  const double startSeconds = IsSmallFleet() ? 0.0 : kStartSeconds;
+  const auto interval = IsSmallFleet() ? milliseconds(0) : ClaimInterval();
+  const double life =
+    std::chrono::duration<double>(mSettings.mClaimTimeToLive + interval)
+      .count();
   const std::int64_t spendLimit =
     base + static_cast<std::int64_t>(usage * life + more);
   const std::int64_t startLimit =
@@ -118,12 +126,12 @@
   // Without a claim in force the store was unreachable. The next outage may be
   // near, so only the hard limit applies until the first reply.
   // An empty claim is not renewed, so it may expire while the store replies.
-  entry.mSpendLimit = ClaimsExpired(aNow) && !mStoredClaimEmpty
-                        ? entry.mHardLimit
-                        : std::min(entry.mHardLimit, spendLimit);
-  entry.mStartLimit = ClaimsExpired(aNow) && !mStoredClaimEmpty
-                        ? entry.mSpendLimit
-                        : std::min(entry.mSpendLimit, startLimit);
+  const bool wasLost =
+    !IsSmallFleet() && ClaimsExpired(aNow) && !mStoredClaimEmpty;
+  entry.mSpendLimit =
+    wasLost ? entry.mHardLimit : std::min(entry.mHardLimit, spendLimit);
+  entry.mStartLimit =
+    wasLost ? entry.mSpendLimit : std::min(entry.mSpendLimit, startLimit);
   return entry;
 }
 
@@ -168,24 +176,30 @@
 
 std::optional<claim_change> token_allowance::TakeClaim(time_point aNow)
 {
-  const bool due = aNow >= mNextClaimAt || mSpendLimitTooLow;
+  const bool repeats = IsSmallFleet() && mClaimFailed;
+  const bool due = aNow >= mNextClaimAt || (mSpendLimitTooLow && !repeats);
   if (mClaimPending || !due || mAccounts.empty() || IsStoredClaimEmpty()) {
     return std::nullopt;
   }
   ForgetExpiredClaims(aNow);
+  mClaimPending = true;
+  if (!mClaimFailed) {
+    mClaimReplyDueAt = aNow + kStoreReplyTimeout;
+  }
+  mSpendLimitTooLow = false;
+  mNextClaimAt = aNow + ClaimInterval();
+  if (mUnansweredClaim) {
+    return mUnansweredClaim;
+  }
   claim_change change;
   change.mExpectedVersion = mClaimVersion;
   change.mRow.mRun = mRun;
   change.mRow.mSequence = ++mSequence;
-  change.mRow.mTimeToLive = mSettings.mClaimTimeToLive;
+  change.mRow.mTerms = NextTerms();
   change.mRow.mEra = mEra;
-  if (mStoreTime) {
-    // The reply that carried the time was under way for a while, so this is not
-    // later than the store's clock.
-    change.mRow.mStartsAt =
-      *mStoreTime +
-      std::chrono::duration_cast<milliseconds>(aNow - mStoreTimeAt);
-  }
+  // The reply that carried the time was under way for a while, so this is not
+  // later than the store's clock.
+  change.mRow.mStartsAt = StoreTimeAt(aNow);
   for (auto& [account, state] : mAccounts) {
     // Without free tokens there is nothing to take over.
     if (state.Free() > 0) {
@@ -198,13 +212,10 @@
   // reply.
   mClaims.push_back({ change.mRow.mSequence,
                       change.mRow.mAccounts,
-                      aNow + mSettings.mClaimTimeToLive });
-  mClaimPending = true;
-  if (!mClaimFailed) {
-    mClaimReplyDueAt = aNow + kStoreReplyTimeout;
-  }
-  mSpendLimitTooLow = false;
-  mNextClaimAt = aNow + ClaimInterval();
+                      change.mRow.mTerms,
+                      change.mRow.mStartsAt,
+                      aNow });
+  mSentClaim = change;
   return change;
 }
 
@@ -224,17 +235,18 @@
 void token_allowance::ForgetExpiredClaims(time_point aNow)
 {
   // Their hard limits stay, because each of them may still be in the store.
+  const auto expired = [aNow](const active_claim& aEntry) {
+    return aEntry.IsExpired(aNow) && !aEntry.mTerms.mKeepsRising;
+  };
   for (const active_claim& claim : mClaims) {
-    if (aNow >= claim.mExpires) {
+    if (expired(claim)) {
       for (const auto& [account, entry] : claim.mAccounts) {
         std::int64_t& takeable = mExpiredTakeable[account];
         takeable = std::max(takeable, entry.mReceived - entry.mHardLimit);
       }
     }
   }
-  std::erase_if(mClaims, [aNow](const active_claim& aEntry) {
-    return aNow >= aEntry.mExpires;
-  });
+  std::erase_if(mClaims, expired);
 }
 
 void token_allowance::OnClaimCommitted(std::uint64_t aVersion, time_point aNow)
@@ -242,6 +254,7 @@
   mLastClaimAt = aNow;
   mClaimPending = false;
   mClaimFailed = false;
+  mUnansweredClaim.reset();
   mClaimVersion = aVersion;
   if (!mClaims.empty()) {
     mCommittedClaim = mClaims.back().mSequence;
@@ -270,7 +283,7 @@
   mTakenOver.clear();
 }
 
-std::int64_t token_allowance::OnClaimConflict(
+claim_takeover token_allowance::OnClaimConflict(
   const std::optional<claim_row>& aCurrent,
   std::uint64_t aVersion,
   milliseconds aStoreTime,
@@ -278,32 +291,48 @@
 {
   mClaimPending = false;
   mClaimFailed = false;
+  mUnansweredClaim.reset();
   mNextClaimAt = {};
   mClaimVersion = aVersion;
   mStoredClaimEmpty = false;
   if (aCurrent && aCurrent->mRun == mRun) {
     AdoptStoredClaim(*aCurrent);
     ConfirmClaim(aSentAt);
-    return 0;
+    return {};
   }
   mClaims.clear();
   mExpiredTakeable.clear();
   mTakenOver.clear();
   if (!aCurrent || mClaimConfirmed || IsOfCopy(aCurrent->mEra)) {
-    return 0;
+    return {};
+  }
+  const claim_terms& terms = aCurrent->mTerms;
+  const milliseconds end = LatestEndOfEarlierRun(aStoreTime, aSentAt);
+  const milliseconds age = end - aCurrent->mStartsAt;
+  claim_takeover takeover;
+  takeover.mProofs = CountProofs(*aCurrent, end);
+  takeover.mProofsNeeded = terms.mWitnesses.empty() ? 0 : terms.ProofCount();
+  const bool proven = takeover.mProofs >= takeover.mProofsNeeded;
+  if (!proven && age > terms.mRisesAloneFor && mStartedAt &&
+      aSentAt < *mStartedAt + kProofTimeout) {
+    takeover.mWaits = true;
+    // The next write conflicts again and brings the row.
+    mClaimVersion = 0;
+    mNextClaimAt = aSentAt + kProofInterval;
+    return takeover;
   }
-  const milliseconds age =
-    LatestEndOfEarlierRun(aStoreTime, aSentAt) - aCurrent->mStartsAt;
-  std::int64_t takenOver = 0;
+  const milliseconds limitAge = terms.EffectiveAge(age, !proven);
   for (const auto& [account, entry] : aCurrent->mAccounts) {
-    const std::int64_t tokens =
-      entry.mReceived - LimitAt(entry, age, aCurrent->mTimeToLive);
+    const std::int64_t limit = LimitAt(entry, limitAge, terms);
+    const std::int64_t tokens = entry.mReceived - limit;
     if (tokens > 0) {
       mTakenOver[account_id{ account }] = tokens;
-      takenOver += tokens;
+      takeover.mTakenOver += tokens;
     }
+    const std::int64_t stated = LimitAt(entry, milliseconds(0), terms);
+    takeover.mLost += std::max<std::int64_t>(limit - stated, 0);
   }
-  return takenOver;
+  return takeover;
 }
 
 void token_allowance::AdoptStoredClaim(const claim_row& aRow)
@@ -317,6 +346,16 @@
   std::erase_if(mClaims, [&](const active_claim& aEntry) {
     return aEntry.mSequence != aRow.mSequence;
   });
+  if (mClaims.empty() && aRow.mTerms.mKeepsRising) {
+    // A run that takes over must not see a lower age.
+    mClaims.push_back(
+      { aRow.mSequence,
+        aRow.mAccounts,
+        aRow.mTerms,
+        aRow.mStartsAt,
+        mStoreTimeAt - (mStoreTime.value_or(aRow.mStartsAt) - aRow.mStartsAt) +
+          kMaxClockSkew });
+  }
   mExpiredTakeable.clear();
   // The store came back with a claim that a later one had replaced. What was
   // taken by it was known then.
@@ -334,7 +373,7 @@
     }
     state.mReceived -= entry.mTaken - known;
     known = entry.mTaken;
-    if (entry.mReceived > entry.mHardLimit) {
+    if (entry.mReceived > entry.mHardLimit && !aRow.mTerms.mKeepsRising) {
       mExpiredTakeable[account] = entry.mReceived - entry.mHardLimit;
     }
   }
@@ -371,7 +410,12 @@
 {
   mClaimPending = false;
   mClaimFailed = true;
+  if (mUnansweredClaim) {
+    return;
+  }
   if (!aUnknown && !mClaims.empty()) {
     mClaims.pop_back();
+  } else if (mSentClaim && mSentClaim->mRow.mTerms.mKeepsRising) {
+    mUnansweredClaim = mSentClaim;
   }
 }
--- a/Source/Core/Gateway/TokenAllowancePeers.cpp
+++ b/Source/Core/Gateway/TokenAllowancePeers.cpp
@@ -27,6 +27,8 @@
 // Time after a claim that could not be written for which the store counts as
 // unreachable. A node that holds tokens writes claims more often.
 constexpr milliseconds kStoreLostTime(1500);
+// Time from the loss of the store until the other nodes state theirs.
+constexpr milliseconds kQuorumTime(500);
 // Time for which tokens are drawn for another node that asked.
 constexpr milliseconds kPeerNeedTimeout(150);
 // Delay before nodes are asked again, after none could help: the interval in
@@ -136,7 +138,7 @@
     return aNow + aWait >= state.mNextRequestAt &&
            NextHolder(aAccount, state) != nullptr;
   }
-  if (!IsLargeFleet()) {
+  if (mNodes == 0) {
     return true;
   }
   const bool drawOverdue =
@@ -144,6 +146,9 @@
   if (!IsStoreLost(aNow) && !drawOverdue) {
     return true;
   }
+  if (IsSmallFleet() && aNow < mClaimReplyDueAt + kQuorumTime) {
+    return true;
+  }
   if (state.mOpenRequest ||
       Available(aAccount, state, aNow + aWait) >= aTokens) {
     return true;
@@ -247,7 +252,7 @@
 
 bool token_allowance::IsStoreLost(time_point aNow) const
 {
-  if (!IsLargeFleet() || aNow < mClaimReplyDueAt) {
+  if (mNodes == 0 || aNow < mClaimReplyDueAt) {
     return false;
   }
   return mClaimPending ||
--- a/Source/UnitTests/Gateway/TokenAllowanceExplorationTest.cpp
+++ b/Source/UnitTests/Gateway/TokenAllowanceExplorationTest.cpp
@@ -263,7 +263,7 @@
     const milliseconds age = mStoreTime + milliseconds(200) - claim->mStartsAt;
     const bool replaced = claim->mRun == std::to_string(mRuns[aHost]);
     for (const auto& [account, entry] : claim->mAccounts) {
-      const std::int64_t limit = LimitAt(entry, age, claim->mTimeToLive);
+      const std::int64_t limit = LimitAt(entry, age, claim->mTerms);
       // A run that ends before it took over from the earlier one leaves that
       // claim to the next run, which judges it by its own start.
       tokens += replaced ? limit - entry.mReceived : limit - entry.mStartLimit;
@@ -291,8 +291,8 @@
     for (const auto& [account, entry] : claim->mAccounts) {
       tokens += LimitAt(entry,
                         age + (since + aTime) / kDriftDivisor,
-                        claim->mTimeToLive) -
-                LimitAt(entry, age + since / kDriftDivisor, claim->mTimeToLive);
+                        claim->mTerms) -
+                LimitAt(entry, age + since / kDriftDivisor, claim->mTerms);
     }
     return tokens;
   }
