--- a/Source/Core/Gateway/TokenAllowance.h
+++ b/Source/Core/Gateway/TokenAllowance.h
@@ -569,10 +569,11 @@
 
   /// Claims that bind this node, oldest first.
   std::deque<active_claim> mClaims;
-  /// The write without a reply, which is repeated as it is: a later claim could
-  /// not raise the limits, because both may be in the store.
-  std::optional<claim_change> mUnansweredClaim;
+  /// The newest write, and the one without a reply, which is repeated as it is:
+  /// a later claim could not raise the limits, because both may be in the
+  /// store.
   std::optional<claim_change> mSentClaim;
+  std::optional<claim_change> mUnansweredClaim;
   store_contacts mPeerContacts;
   /// Tokens above the hard limits of expired claims that may be in the store.
   claimed_tokens mExpiredTakeable;
--- a/Source/UnitTests/Gateway/TokenAllowanceExplorationTest.cpp
+++ b/Source/UnitTests/Gateway/TokenAllowanceExplorationTest.cpp
@@ -289,10 +289,9 @@
       mStoreTime - since + milliseconds(200) - claim->mStartsAt;
     std::int64_t tokens = 0;
     for (const auto& [account, entry] : claim->mAccounts) {
-      tokens += LimitAt(entry,
-                        age + (since + aTime) / kDriftDivisor,
-                        claim->mTerms) -
-                LimitAt(entry, age + since / kDriftDivisor, claim->mTerms);
+      tokens +=
+        LimitAt(entry, age + (since + aTime) / kDriftDivisor, claim->mTerms) -
+        LimitAt(entry, age + since / kDriftDivisor, claim->mTerms);
     }
     return tokens;
   }
