Repeat an unanswered draw as it is, and recognize earlier changes of a row

Cause: a draw without a reply was followed by another one, and only the newest could be recognized in the row. With a second lost reply, or a change of another node in between, the tokens of a draw that had been applied were given up. A node of a large fleet draws the demand of 18 s at once.

Change: an unanswered change is repeated with the same sequence and the same expected version, so it is applied once at most and the reply tells whether it was. A row names the eight changes before the newest one. A return without a reply stays deducted, as before. After a drill nothing is repeated.

--- a/Source/Core/Gateway/GrantRow.cpp
+++ b/Source/Core/Gateway/GrantRow.cpp
@@ -42,24 +42,47 @@
 
 std::string WriteGrantRow(const grant_row& aRow)
 {
-  const nlohmann::json json = { { "granted", aRow.mGranted },
-                                { "writer", aRow.mWriter },
-                                { "sequence", aRow.mSequence },
-                                { "era", aRow.mEra },
-                                { "copy_era", aRow.mCopy.mEra },
-                                { "copy_version", aRow.mCopy.mVersion },
-                                { "copy_granted", aRow.mCopyGranted },
-                                { "reserved", aRow.mReserved },
-                                { "settles_at_ms", aRow.mSettlesAt.count() },
-                                { "recent", aRow.mRecent },
-                                { "recent_at_ms", aRow.mRateAt.count() },
-                                { "drawers", aRow.mDrawers },
-                                { "earlier_drawers", aRow.mEarlierDrawers },
-                                { "drawers_until_ms",
-                                  aRow.mDrawersUntil.count() } };
+  nlohmann::json json = { { "granted", aRow.mGranted },
+                          { "writer", aRow.mWriter },
+                          { "sequence", aRow.mSequence },
+                          { "era", aRow.mEra },
+                          { "copy_era", aRow.mCopy.mEra },
+                          { "copy_version", aRow.mCopy.mVersion },
+                          { "copy_granted", aRow.mCopyGranted },
+                          { "reserved", aRow.mReserved },
+                          { "settles_at_ms", aRow.mSettlesAt.count() },
+                          { "recent", aRow.mRecent },
+                          { "recent_at_ms", aRow.mRateAt.count() },
+                          { "drawers", aRow.mDrawers },
+                          { "earlier_drawers", aRow.mEarlierDrawers },
+                          { "drawers_until_ms", aRow.mDrawersUntil.count() } };
+  if (!aRow.mEarlierChanges.empty()) {
+    auto& changes = json["earlier_changes"] = nlohmann::json::array();
+    for (const grant_change_id& change : aRow.mEarlierChanges) {
+      changes.push_back({ change.mWriter, change.mSequence });
+    }
+  }
   return json.dump();
 }
 
+bool grant_row::Contains(const grant_change_id& aChange) const
+{
+  return aChange == grant_change_id{ mWriter, mSequence } ||
+         std::ranges::find(mEarlierChanges, aChange) != mEarlierChanges.end();
+}
+
+void grant_row::SetWriter(const grant_change_id& aChange)
+{
+  if (!mWriter.empty()) {
+    mEarlierChanges.insert(mEarlierChanges.begin(), { mWriter, mSequence });
+    if (mEarlierChanges.size() > kMaxEarlierChanges) {
+      mEarlierChanges.resize(kMaxEarlierChanges);
+    }
+  }
+  mWriter = aChange.mWriter;
+  mSequence = aChange.mSequence;
+}
+
 std::optional<grant_row> ParseGrantRow(std::string_view aText)
 {
   const auto body = ParseBoundedJson(aText);
@@ -99,5 +122,17 @@
   row.mDrawers = count("drawers");
   row.mEarlierDrawers = count("earlier_drawers");
   row.mDrawersUntil = std::chrono::milliseconds(optional("drawers_until_ms"));
+  const auto changes = body->find("earlier_changes");
+  if (changes != body->end() && changes->is_array()) {
+    for (const nlohmann::json& change : *changes) {
+      if (row.mEarlierChanges.size() == grant_row::kMaxEarlierChanges ||
+          !change.is_array() || change.size() != 2 || !change[0].is_string() ||
+          !ReadWholeNumber(change[1])) {
+        break;
+      }
+      row.mEarlierChanges.push_back(
+        { change[0].get<std::string>(), change[1].get<std::uint64_t>() });
+    }
+  }
   return row;
 }
--- a/Source/Core/Gateway/GrantRow.h
+++ b/Source/Core/Gateway/GrantRow.h
@@ -2,10 +2,12 @@
 
 #include <chrono>
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 /// Identifies a state of a row over all eras of the store: versions are given
 /// out again when the store comes back from an older copy.
@@ -17,11 +19,22 @@
   auto operator<=>(const row_state&) const = default;
 };
 
+/// Identifies a change of a row.
+struct grant_change_id
+{
+  std::string mWriter;
+  std::uint64_t mSequence = 0;
+  auto operator<=>(const grant_change_id&) const = default;
+};
+
 /// Stored row of an account: the tokens granted to all nodes so far. Writer and
-/// sequence let a node whose reply was lost see whether its own change is the
-/// current one.
+/// sequence, and those of the changes before, let a node whose reply was lost
+/// see whether its own change was applied.
 struct grant_row
 {
+  /// Earlier changes that a row names.
+  static constexpr std::size_t kMaxEarlierChanges = 8;
+
   std::int64_t mGranted = 0;
   std::string mWriter;
   std::uint64_t mSequence = 0;
@@ -46,7 +59,14 @@
   std::uint64_t mDrawers = 0;
   std::uint64_t mEarlierDrawers = 0;
   std::chrono::milliseconds mDrawersUntil{ 0 };
+  /// The changes before that of the writer, newest first.
+  std::vector<grant_change_id> mEarlierChanges{};
   auto operator<=>(const grant_row&) const = default;
+
+  /// Whether the row tells that the change was applied.
+  bool Contains(const grant_change_id& aChange) const;
+  /// Names a change as the newest one.
+  void SetWriter(const grant_change_id& aChange);
 };
 
 /// Records that a node draws tokens at this time of the store.
--- a/Source/Core/Gateway/TokenAllowance.cpp
+++ b/Source/Core/Gateway/TokenAllowance.cpp
@@ -163,8 +163,8 @@
   aState.mRow = aCurrent.value_or(grant_row{});
   aState.mRowKnown = true;
   const auto unanswered = std::exchange(aState.mUnanswered, std::nullopt);
-  if (!unanswered || !aCurrent || aCurrent->mWriter != mRun ||
-      aCurrent->mSequence != unanswered->mSequence) {
+  if (!unanswered || !aCurrent ||
+      !aCurrent->Contains({ mRun, unanswered->mSequence })) {
     DropMergedState(aState);
     return false;
   }
@@ -241,6 +241,16 @@
     if (aNow >= state.mNeedExpiresAt) {
       state.mUnmetNeed = 0;
     }
+    if (state.mUnanswered && state.mUnanswered->mRow.mEra == mEra &&
+        !mReturning) {
+      // It is applied once at most, since it expects the same version. If it
+      // was, the row in the reply names it.
+      state.mPending = std::exchange(state.mUnanswered, std::nullopt);
+      state.mPending->mIsRepeated = true;
+      state.mPending->mReplyDueAt = aNow + kStoreReplyTimeout;
+      changes.push_back({ account, state.mVersion, state.mPending->mRow });
+      continue;
+    }
     const bool merges = HasUnmergedState(state);
     if (merges && !state.mRowKnown) {
       // The row is read first.
@@ -305,8 +315,8 @@
   }
   RecordGrant(state, state.mPending->mAmount, false, aNow);
   state.mPending.reset();
-  // A committed write of another sequence proves that the unanswered one, with
-  // the same condition, can no longer be applied.
+  // An unanswered change of another sequence, with the same condition, can no
+  // longer be applied.
   state.mUnanswered.reset();
   state.mNextChangeAt = aNow;
 }
@@ -322,7 +332,9 @@
   }
   const pending_change pending = *state.mPending;
   state.mPending.reset();
-  if (pending.mAmount < 0) {
+  if (pending.mIsRepeated) {
+    state.mUnanswered = pending;
+  } else if (pending.mAmount < 0) {
     state.mSpent += pending.mAmount;
   }
   state.mRowReadAt = aNow;
@@ -352,7 +364,10 @@
 void token_allowance::OnRefused(const account_id& aAccount, time_point aNow)
 {
   account_state& state = mAccounts[aAccount];
-  if (state.mPending && state.mPending->mAmount < 0) {
+  if (state.mPending && state.mPending->mIsRepeated) {
+    // The first write of it may still be applied.
+    state.mUnanswered = state.mPending;
+  } else if (state.mPending && state.mPending->mAmount < 0) {
     state.mSpent += state.mPending->mAmount;
   }
   state.mPending.reset();
@@ -365,8 +380,6 @@
   if (!state.mPending) {
     return;
   }
-  // After a second unanswered change the tokens of the first one are given up,
-  // because only the newest can be recognized in the row.
   state.mUnanswered = std::exchange(state.mPending, std::nullopt);
   state.mNextChangeAt = aNow + kStoreRetryDelay;
 }
--- a/Source/Core/Gateway/TokenAllowance.h
+++ b/Source/Core/Gateway/TokenAllowance.h
@@ -311,6 +311,8 @@
     grant_row mRow;
     /// When the store counts as unreachable if the change has no reply.
     time_point mReplyDueAt;
+    /// The change was written before, without a reply.
+    bool mIsRepeated = false;
   };
   /// What was known of an account's row before the store came back from a copy.
   struct lost_state
@@ -363,7 +365,7 @@
     time_point mNextReturnAt;
     std::optional<pending_change> mPending;
     /// A change without a reply that may still be applied while the row has the
-    /// version it expects.
+    /// version it expects. It is repeated as it is until a reply tells.
     std::optional<pending_change> mUnanswered;
     time_point mNextChangeAt;
     unsigned mConflicts = 0;
--- a/Source/Core/Gateway/TokenAllowanceEras.cpp
+++ b/Source/Core/Gateway/TokenAllowanceEras.cpp
@@ -124,8 +124,7 @@
                                    time_point aNow) const
 {
   grant_row row = aState.mRow;
-  row.mWriter = mRun;
-  row.mSequence = aSequence;
+  row.SetWriter({ mRun, aSequence });
   const milliseconds now = StoreTimeAt(aNow);
   if (IsOfCopy(row.mEra)) {
     row.mCopy = RowState(aState);
--- a/Source/UnitTests/Gateway/TokenAllowanceTest.cpp
+++ b/Source/UnitTests/Gateway/TokenAllowanceTest.cpp
@@ -73,6 +73,59 @@
   EXPECT_GE(row->mGranted, node.mTokenAllowance->FreeTokens(kAccount));
 }
 
+// Guards against tokens that are lost because several replies in a row are:
+// only the newest change could be recognized in the row.
+TEST_F(token_allowance_test, CountsTokensAfterSeveralLostReplies)
+{
+  allowance_node node = MakeNode("a");
+  Run(node, milliseconds(1000));
+  const std::int64_t before = node.mTokenAllowance->FreeTokens(kAccount);
+  mStore.mFault = fake_row_store::fault::LoseReply;
+  for (int i = 1; i <= 5; ++i) {
+    // The need, and with it the next change, grows.
+    node.mTokenAllowance->Reserve(kAccount, before + 500 * i, mNow);
+    node.Step();
+    mStore.DeliverReplies();
+    Advance(milliseconds(350));
+  }
+  mStore.mFault = fake_row_store::fault::None;
+  Run(node, milliseconds(1000));
+  const auto row = ParseGrantRow(*mStore.Value(kGrantKey));
+  EXPECT_GT(row->mGranted, before);
+  EXPECT_EQ(row->mGranted, node.mTokenAllowance->FreeTokens(kAccount));
+}
+
+// The same if other nodes have changed the row since.
+TEST_F(token_allowance_test, CountsTokensOfAnEarlierChange)
+{
+  allowance_node node = MakeNode("a");
+  allowance_node other = MakeNode("b");
+  Run(other, milliseconds(1000));
+  Run(node, milliseconds(1000));
+  const std::int64_t before = node.mTokenAllowance->FreeTokens(kAccount);
+  node.mTokenAllowance->Reserve(kAccount, before + 500, mNow);
+  mStore.mFault = fake_row_store::fault::LoseReply;
+  node.Step();
+  mStore.DeliverReplies();
+  mStore.mFault = fake_row_store::fault::None;
+  const std::int64_t applied =
+    ParseGrantRow(*mStore.Value(kGrantKey))->mGranted;
+  EXPECT_GT(applied, before + other.mTokenAllowance->FreeTokens(kAccount));
+  for (int i = 0; i < 3; ++i) {
+    other.mTokenAllowance->Reserve(
+      kAccount, other.mTokenAllowance->FreeTokens(kAccount) + 500, mNow);
+    Run(other, milliseconds(50));
+  }
+  EXPECT_GT(ParseGrantRow(*mStore.Value(kGrantKey))->mGranted, applied);
+  Advance(milliseconds(300));
+  Run(node, milliseconds(1000));
+  const auto row = ParseGrantRow(*mStore.Value(kGrantKey));
+  EXPECT_EQ(ParseGrantRow(WriteGrantRow(*row)), row);
+  EXPECT_EQ(row->mGranted,
+            node.mTokenAllowance->FreeTokens(kAccount) +
+              other.mTokenAllowance->FreeTokens(kAccount));
+}
+
 // Guards against tokens lost by the restart of a process.
 TEST_F(token_allowance_test, NextRunTakesOverWhatWasNotUsed)
 {
